--- /dev/null
+++ b/crates/base/src/arena.rs
@@ -0,0 +1,89 @@
+//! Append-only storage addressed by small typed keys.
+
+use std::marker::PhantomData;
+
+/// A small copyable index into an [`Arena`].
+pub trait ArenaKey: Copy {
+    /// Builds the key of the item at `index`.
+    fn from_index(index: u32) -> Self;
+
+    /// Returns the position of the item in its arena.
+    fn index(self) -> usize;
+}
+
+/// A vector whose items are addressed by keys of type `K`.
+///
+/// Items are never removed, so a key stays valid for the lifetime of the arena.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Arena<K, T> {
+    items: Vec<T>,
+    key: PhantomData<K>,
+}
+
+impl<K: ArenaKey, T> Arena<K, T> {
+    /// Creates an empty arena.
+    #[must_use]
+    pub const fn new() -> Self {
+        Self { items: Vec::new(), key: PhantomData }
+    }
+
+    /// Appends `item` and returns its key.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the arena already holds `u32::MAX` items.
+    pub fn push(&mut self, item: T) -> K {
+        let index = u32::try_from(self.items.len()).expect("arena holds at most u32::MAX items");
+        self.items.push(item);
+        K::from_index(index)
+    }
+
+    /// Returns the item of `key`, or `None` for a key of another arena.
+    #[must_use]
+    pub fn get(&self, key: K) -> Option<&T> {
+        self.items.get(key.index())
+    }
+
+    /// Returns the item of `key` for modification, or `None` for a key of another arena.
+    pub fn get_mut(&mut self, key: K) -> Option<&mut T> {
+        self.items.get_mut(key.index())
+    }
+
+    /// Returns the number of items.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.items.len()
+    }
+
+    /// Tells whether the arena holds no item.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.items.is_empty()
+    }
+
+    /// Iterates over keys and items in insertion order.
+    pub fn iter(&self) -> impl Iterator<Item = (K, &T)> {
+        (0u32..).map(K::from_index).zip(&self.items)
+    }
+
+    /// Iterates over keys and mutable items in insertion order.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (K, &mut T)> {
+        (0u32..).map(K::from_index).zip(&mut self.items)
+    }
+}
+
+impl<K: ArenaKey, T> Default for Arena<K, T> {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl<K: ArenaKey, T> FromIterator<T> for Arena<K, T> {
+    fn from_iter<I: IntoIterator<Item = T>>(items: I) -> Self {
+        let mut arena = Self::new();
+        for item in items {
+            arena.push(item);
+        }
+        arena
+    }
+}
--- /dev/null
+++ b/crates/base/src/digest.rs
@@ -0,0 +1,99 @@
+//! Digests of caller keys and weights for rendezvous hashing.
+
+use std::{
+    fmt,
+    hash::{Hash, Hasher},
+};
+
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+/// SHA-256 digest of a caller's key. Documents and log records hold only digests.
+#[derive(Clone, Copy, Eq)]
+pub struct KeyDigest([u8; 32]);
+
+/// The text is not 64 hexadecimal digits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct KeyDigestError;
+
+impl KeyDigest {
+    /// Computes the digest of a key as a caller presents it.
+    #[must_use]
+    pub fn of(key: &str) -> Self {
+        Self(Sha256::digest(key.as_bytes()).into())
+    }
+
+    /// Parses 64 hexadecimal digits.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`KeyDigestError`] for any other text.
+    pub fn parse(text: &str) -> Result<Self, KeyDigestError> {
+        if text.len() != 64 || !text.is_ascii() {
+            return Err(KeyDigestError);
+        }
+        let mut bytes = [0; 32];
+        for (index, byte) in bytes.iter_mut().enumerate() {
+            let digits = &text[index * 2..index * 2 + 2];
+            *byte = u8::from_str_radix(digits, 16).map_err(|_| KeyDigestError)?;
+        }
+        Ok(Self(bytes))
+    }
+
+    /// Returns the raw digest.
+    #[must_use]
+    pub const fn as_bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+}
+
+/// Compares in constant time, so that response times tell nothing about stored digests.
+impl PartialEq for KeyDigest {
+    fn eq(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+}
+
+impl Hash for KeyDigest {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.0.hash(state);
+    }
+}
+
+impl fmt::Display for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for byte in self.0 {
+            write!(f, "{byte:02x}")?;
+        }
+        Ok(())
+    }
+}
+
+impl fmt::Debug for KeyDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "KeyDigest({:02x}{:02x}..)", self.0[0], self.0[1])
+    }
+}
+
+impl fmt::Display for KeyDigestError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a key digest is 64 hexadecimal digits (SHA-256)")
+    }
+}
+
+impl std::error::Error for KeyDigestError {}
+
+/// Returns the weight of `node` for `item`; the node with the highest weight owns the item.
+///
+/// Rendezvous hashing after Thaler and Ravishankar, "Using name-based mappings to increase hit
+/// rates" (1998). The mixer is the finaliser of SplitMix64 (Steele et al., 2014).
+#[must_use]
+pub const fn rendezvous_weight(node: u64, item: u64) -> u64 {
+    mix(mix(node).wrapping_add(item.wrapping_mul(0x9e37_79b9_7f4a_7c15)))
+}
+
+const fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
--- /dev/null
+++ b/crates/experiments/src/main.rs
@@ -0,0 +1,3 @@
+//! Measures policies against baselines.
+
+fn main() {}
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder module of the `membership` crate.
--- /dev/null
+++ b/crates/model-check/src/lib.rs
@@ -0,0 +1,1 @@
+//! Model checks of the core protocol.
