--- /dev/null
+++ b/crates/rollout/src/book.rs
@@ -0,0 +1,280 @@
+//! The book of samples: a function of the prefix of the log stream `samples`.
+
+mod trainer;
+
+use std::collections::BTreeMap;
+
+use base::{Incarnation, RecordId, WeightVersion, key, plain};
+use smallvec::SmallVec;
+
+pub(crate) use self::trainer::TrainerBook;
+use crate::{
+    records::{
+        DeliveryNumber, SampleFilled, SampleRecord, SampleVoided, Score, SlotKey, TrainerId,
+        TrainerStated, VoidReason,
+    },
+    spans::VersionSpan,
+};
+
+plain! {
+    /// What the book found when it applied a record.
+    pub enum BookAction {
+        /// A step was opened and its slots want samples.
+        StepOpened {
+            /// The trainer.
+            trainer: TrainerId,
+            /// The step.
+            step: u64,
+            /// Number of slots.
+            slots: usize,
+        },
+        /// A step is too large, too many steps are unfinished, or the step is retired.
+        StepRefused {
+            /// The trainer.
+            trainer: TrainerId,
+            /// The step.
+            step: u64,
+        },
+        /// A slot is filled; the sample can be scored and the slot's other attempts cancelled.
+        Filled {
+            /// The slot.
+            slot: SlotKey,
+            /// The sample.
+            sample: RecordId,
+        },
+        /// A fill record lost; its bytes can be dropped.
+        FillRefused {
+            /// The slot.
+            slot: SlotKey,
+            /// The sample.
+            sample: RecordId,
+            /// Why it was refused.
+            reason: FillRefusal,
+        },
+        /// A sample got its delivery number.
+        Bound {
+            /// The slot.
+            slot: SlotKey,
+            /// The sample.
+            sample: RecordId,
+            /// The number.
+            number: DeliveryNumber,
+        },
+        /// A sample is void and its slot must be generated again.
+        Voided {
+            /// The slot.
+            slot: SlotKey,
+            /// The void sample.
+            sample: RecordId,
+            /// The number it was bound to.
+            number: Option<DeliveryNumber>,
+            /// Why it is void.
+            reason: VoidReason,
+        },
+        /// A statement is valid and its fetch can be answered with [`SampleBook::deliveries`].
+        Offered {
+            /// The trainer.
+            trainer: TrainerId,
+            /// The offer.
+            offer: Offer,
+        },
+        /// A statement names a predecessor that is not the last one and has no effect. The node
+        /// whose trainer still waits states again.
+        StatementRefused {
+            /// The trainer.
+            trainer: TrainerId,
+            /// Number of valid statements of the trainer.
+            statements: u64,
+        },
+        /// The trainer has every sample of a step.
+        StepCompleted {
+            /// The trainer.
+            trainer: TrainerId,
+            /// The step.
+            step: u64,
+        },
+        /// A step is forgotten; bytes of its samples can be dropped.
+        StepRetired {
+            /// The trainer.
+            trainer: TrainerId,
+            /// The step.
+            step: u64,
+        },
+    }
+}
+
+key! {
+    /// Why a fill record has no effect.
+    pub enum FillRefusal {
+        /// The trainer has not opened this slot.
+        SlotUnknown,
+        /// An earlier record filled the slot, or the sample belongs to an earlier generation.
+        SlotTaken,
+        /// The spans do not cover the tokens, or no node holds the bytes.
+        Malformed,
+        /// The sample already exceeds the staleness bound.
+        Stale,
+    }
+
+    /// The delivery numbers that answer one valid statement.
+    pub struct Offer {
+        /// Number of the statement among those of its trainer, from 1.
+        pub statement: u64,
+        /// The number after which the trainer asks.
+        pub after: DeliveryNumber,
+        /// The highest number in the answer.
+        pub until: DeliveryNumber,
+    }
+
+    /// A slot that wants a sample.
+    pub struct OpenSlot {
+        /// The slot.
+        pub slot: SlotKey,
+        /// Generation to state in the fill record.
+        pub generation: u32,
+    }
+}
+
+plain! {
+    /// One entry of an answer to a trainer.
+    pub enum Delivery {
+        /// A sample.
+        Sample {
+            /// Its number.
+            number: DeliveryNumber,
+            /// Its slot.
+            slot: SlotKey,
+            /// Its identity, under which holders keep the bytes.
+            sample: RecordId,
+            /// Weight versions that produced it.
+            spans: SmallVec<[VersionSpan; 2]>,
+            /// Its score.
+            score: Option<Score>,
+            /// Nodes that hold the bytes.
+            holders: SmallVec<[Incarnation; 2]>,
+            /// The void number of the same slot that this sample replaces.
+            replaces: Option<DeliveryNumber>,
+        },
+        /// Numbers up to this one that are missing from the answer belong to completed steps that
+        /// are no longer kept.
+        Retired {
+            /// The highest such number.
+            until: DeliveryNumber,
+        },
+        /// A number whose sample is void. The replacement comes under a later number.
+        Void {
+            /// The number.
+            number: DeliveryNumber,
+            /// The slot.
+            slot: SlotKey,
+            /// Why the sample is void.
+            reason: VoidReason,
+        },
+    }
+}
+
+/// Sample slots and delivery numbers of all trainers.
+///
+/// Two books that applied the same records in the same order are equal. Answers to trainers are
+/// given only for a statement that was read back from the log, so each is a function of the
+/// prefix up to that statement.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct SampleBook {
+    trainers: BTreeMap<TrainerId, TrainerBook>,
+}
+
+impl SampleBook {
+    /// Applies the next record of the stream.
+    pub fn apply(&mut self, record: &SampleRecord) -> SmallVec<[BookAction; 4]> {
+        let mut actions = SmallVec::new();
+        match record {
+            SampleRecord::Stated(stated) => self.apply_stated(stated, &mut actions),
+            SampleRecord::Filled(filled) => self.apply_filled(filled, &mut actions),
+            SampleRecord::Bound(bound) => {
+                if let Some(trainer) = self.trainers.get_mut(&bound.slot.trainer) {
+                    trainer.bind(bound, &mut actions);
+                }
+            }
+            SampleRecord::Voided(voided) => {
+                if let Some(trainer) = self.trainers.get_mut(&voided.slot.trainer) {
+                    trainer.void(voided, &mut actions);
+                }
+            }
+        }
+        actions
+    }
+
+    fn apply_stated(&mut self, stated: &TrainerStated, actions: &mut SmallVec<[BookAction; 4]>) {
+        let trainer = self
+            .trainers
+            .entry(stated.trainer)
+            .or_insert_with(|| TrainerBook::new(stated.trainer, stated.name.clone()));
+        trainer.state(stated, actions);
+    }
+
+    fn apply_filled(&mut self, filled: &SampleFilled, actions: &mut SmallVec<[BookAction; 4]>) {
+        let (slot, sample) = (filled.slot, filled.sample);
+        let result = match self.trainers.get_mut(&slot.trainer) {
+            Some(trainer) => trainer.fill(filled),
+            None => Err(FillRefusal::SlotUnknown),
+        };
+        actions.push(match result {
+            Ok(()) => BookAction::Filled { slot, sample },
+            Err(reason) => BookAction::FillRefused { slot, sample, reason },
+        });
+    }
+
+    /// Iterates over the slots that want a sample, oldest step first.
+    pub fn open_slots(&self, trainer: TrainerId) -> impl Iterator<Item = OpenSlot> {
+        self.trainers.get(&trainer).into_iter().flat_map(TrainerBook::open_slots)
+    }
+
+    /// Iterates over filled samples that wait for their score and delivery number.
+    pub fn unbound(&self) -> impl Iterator<Item = &SampleFilled> {
+        self.trainers.values().flat_map(TrainerBook::unbound)
+    }
+
+    /// Returns what answers statement `statement` of `trainer`, in order of numbers.
+    ///
+    /// Returns `None` when a later statement has taken its place. The answer must end before the
+    /// first sample whose bytes cannot be fetched, so that the trainer acknowledges no number that
+    /// it does not have.
+    #[must_use]
+    pub fn deliveries(&self, trainer: TrainerId, statement: u64) -> Option<Vec<Delivery>> {
+        self.trainers.get(&trainer)?.deliveries(statement)
+    }
+
+    /// Tells whether a number after `after` is bound, so that a new statement is worthwhile.
+    #[must_use]
+    pub fn has_after(&self, trainer: TrainerId, after: DeliveryNumber) -> bool {
+        self.trainers.get(&trainer).is_some_and(|book| book.last_number() > after)
+    }
+
+    /// Returns the records that void the samples with no holder left, for the caller to append.
+    ///
+    /// A sample that its trainer has acknowledged is not lost.
+    pub fn lost(&self, is_gone: impl Fn(Incarnation) -> bool) -> Vec<SampleVoided> {
+        let mut lost = Vec::new();
+        for trainer in self.trainers.values() {
+            trainer.collect_lost(&is_gone, &mut lost);
+        }
+        lost
+    }
+
+    /// Returns the number of valid statements, to name in the next one.
+    #[must_use]
+    pub fn statements(&self, trainer: TrainerId) -> u64 {
+        self.trainers.get(&trainer).map_or(0, TrainerBook::statements)
+    }
+
+    /// Returns the version that `trainer` stated last and its staleness bound.
+    #[must_use]
+    pub fn stated_version(&self, trainer: TrainerId) -> Option<(WeightVersion, u64)> {
+        self.trainers.get(&trainer).and_then(TrainerBook::stated_version)
+    }
+
+    /// Iterates over the trainers and their names.
+    pub fn trainers(&self) -> impl Iterator<Item = (TrainerId, &str)> {
+        self.trainers.iter().map(|(&id, book)| (id, book.name()))
+    }
+}
--- /dev/null
+++ b/crates/rollout/tests/common/mod.rs
@@ -0,0 +1,93 @@
+//! Records and a trainer for the tests.
+
+use base::{Incarnation, RecordId, WeightVersion};
+use rollout::{
+    BookAction, Delivery, DeliveryNumber, SampleBook, SampleFilled, SampleRecord, SlotKey,
+    SpanTracker, StepShape, TrainerId, TrainerStated,
+};
+
+pub(crate) const TRAINER: TrainerId = TrainerId::from_name("sleeves");
+
+pub(crate) fn slot(index: u32) -> SlotKey {
+    SlotKey { trainer: TRAINER, step: 1, group: 0, index }
+}
+
+/// Builds a fill record held by nodes 1 and 2 whose spans are (version, tokens).
+pub(crate) fn filled(
+    index: u32,
+    generation: u32,
+    sequence: u64,
+    spans: &[(u64, u32)],
+) -> SampleFilled {
+    let mut tracker = SpanTracker::default();
+    for &(version, tokens) in spans {
+        tracker.report(tracker.tokens(), tokens, WeightVersion(version)).unwrap();
+    }
+    SampleFilled {
+        slot: slot(index),
+        generation,
+        sample: RecordId { writer: Incarnation(1), sequence },
+        spans: tracker.spans().into(),
+        tokens: tracker.tokens(),
+        holders: [Incarnation(1), Incarnation(2)].into_iter().collect(),
+    }
+}
+
+/// A trainer at version 10 with a staleness bound of 2 whose statements all arrive.
+pub(crate) struct Trainer {
+    pub(crate) id: TrainerId,
+    statements: u64,
+}
+
+impl Default for Trainer {
+    fn default() -> Self {
+        Self { id: TRAINER, statements: 0 }
+    }
+}
+
+impl Trainer {
+    pub(crate) fn statement(
+        &self,
+        acknowledged: u64,
+        version: u64,
+        opened: Option<StepShape>,
+    ) -> TrainerStated {
+        TrainerStated {
+            trainer: self.id,
+            name: String::from("sleeves"),
+            follows: self.statements,
+            version: WeightVersion(version),
+            staleness_bound: 2,
+            acknowledged: DeliveryNumber(acknowledged),
+            opened,
+        }
+    }
+
+    pub(crate) fn open(&mut self, book: &mut SampleBook, samples: u32) -> Vec<BookAction> {
+        self.open_step(book, 1, samples)
+    }
+
+    pub(crate) fn open_step(
+        &mut self,
+        book: &mut SampleBook,
+        step: u64,
+        samples: u32,
+    ) -> Vec<BookAction> {
+        let shape = StepShape { step, groups: 1, samples_per_group: samples };
+        let stated = self.statement(step - 1, 10, Some(shape));
+        self.statements += 1;
+        book.apply(&SampleRecord::Stated(stated)).into_iter().collect()
+    }
+
+    pub(crate) fn fetch(
+        &mut self,
+        book: &mut SampleBook,
+        after: u64,
+        version: u64,
+    ) -> Vec<Delivery> {
+        let stated = self.statement(after, version, None);
+        self.statements += 1;
+        book.apply(&SampleRecord::Stated(stated));
+        book.deliveries(self.id, self.statements).expect("this is the last statement")
+    }
+}
