Add fleet: demand by local civil time and plan of upstreams

Ruled out: the time zone database of the VM. jiff reads the system's database first by default and bundles one only on Windows, so two nodes could learn different slots. The crate turns on `tzdb-bundle-always` and asks the bundled database by name.

The plan picks the cheapest mix that serves live callers after the loss of any one zone's cheap upstreams, starts at once and stops after a hold.

--- /dev/null
+++ b/crates/fleet/src/civil.rs
@@ -0,0 +1,101 @@
+//! Local civil time as slots of the week.
+
+use std::fmt;
+
+use base::{WallTime, key, plain};
+use jiff::{
+    Timestamp,
+    tz::{TimeZone, TimeZoneDatabase},
+};
+
+/// Length of a slot. All current offsets from UTC are multiples of it.
+pub const SLOT_MINUTES: u16 = 15;
+
+/// Number of slots in a week.
+pub const SLOTS_PER_WEEK: u16 = 7 * SLOTS_PER_DAY;
+
+pub(crate) const SLOTS_PER_DAY: u16 = 24 * 60 / SLOT_MINUTES;
+
+key! {
+    /// A quarter of an hour of the local week, from Monday 00:00.
+    pub struct CivilSlot(pub u16);
+}
+
+plain! {
+    /// The time zone database has no such zone.
+    pub struct UnknownTimeZone {
+        /// The name that was asked for.
+        pub name: String,
+    }
+}
+
+impl fmt::Display for UnknownTimeZone {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "time zone {:?} does not exist in the time zone database", self.name)
+    }
+}
+
+impl std::error::Error for UnknownTimeZone {}
+
+/// Converts times to local civil time.
+///
+/// Rules come from the database compiled into the program. The VM's own database may differ or be
+/// missing, and all nodes must learn the same slots.
+#[derive(Debug, Clone)]
+pub struct CivilClock {
+    name: String,
+    zone: TimeZone,
+}
+
+impl CivilClock {
+    /// Creates the clock of the named time zone, such as `Europe/Bratislava`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`UnknownTimeZone`] when the database has no such name.
+    pub fn named(name: &str) -> Result<Self, UnknownTimeZone> {
+        let unknown = |_| UnknownTimeZone { name: String::from(name) };
+        let zone = TimeZoneDatabase::bundled().get(name).map_err(unknown)?;
+        Ok(Self { name: String::from(name), zone })
+    }
+
+    /// Returns a clock that keeps the offset of `at` for ever. It is a baseline that ignores clock
+    /// changes.
+    #[must_use]
+    pub fn frozen_at(&self, at: WallTime) -> Self {
+        let offset = self.zone.to_offset(timestamp(at));
+        Self { name: format!("{} frozen at {offset}", self.name), zone: TimeZone::fixed(offset) }
+    }
+
+    /// Returns the name of the time zone.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Returns the slot that contains `at`.
+    #[must_use]
+    pub fn slot(&self, at: WallTime) -> CivilSlot {
+        let local = self.zone.to_datetime(timestamp(at));
+        let day = local.weekday().to_monday_zero_offset().unsigned_abs();
+        let minutes =
+            u16::from(local.hour().unsigned_abs()) * 60 + u16::from(local.minute().unsigned_abs());
+        CivilSlot(u16::from(day) * SLOTS_PER_DAY + minutes / SLOT_MINUTES)
+    }
+}
+
+impl CivilSlot {
+    /// Returns the same time on another day, counted in days after this one.
+    pub(crate) const fn days_later(self, days: u16) -> Self {
+        Self((self.0 + days * SLOTS_PER_DAY) % SLOTS_PER_WEEK)
+    }
+}
+
+/// Converts to the calendar's range, which ends in the year 9999.
+fn timestamp(at: WallTime) -> Timestamp {
+    Timestamp::from_millisecond(at.0).unwrap_or(if at.0 < 0 {
+        Timestamp::MIN
+    } else {
+        Timestamp::MAX
+    })
+}
--- /dev/null
+++ b/crates/fleet/src/plan.rs
@@ -0,0 +1,270 @@
+//! Number of upstreams wanted per service and zone, regular and cheap.
+
+mod mix;
+
+use std::collections::BTreeMap;
+
+use base::{Moment, Span, ZoneKey, key, plain};
+use smallvec::SmallVec;
+
+use crate::plan::mix::{Mix, apportion, choose_mix};
+
+/// How long a zone's cheap upstreams are left alone after a reclaim or a refused order.
+const CHEAP_PAUSE: Span = Span::from_secs(600);
+
+key! {
+    /// How an upstream is paid for.
+    pub enum UpstreamKind {
+        /// Runs until it is stopped.
+        Regular,
+        /// Costs less, but can be reclaimed with seconds of notice and is sometimes unavailable.
+        Cheap,
+    }
+
+    /// Upstreams wanted in one zone.
+    pub struct Wanted {
+        /// Regular upstreams.
+        pub regular: u32,
+        /// Cheap upstreams.
+        pub cheap: u32,
+    }
+}
+
+plain! {
+    /// Upstreams of one service, zone and kind, as the platform lists them.
+    pub struct UpstreamCount {
+        /// Name of the service.
+        pub service: String,
+        /// The zone.
+        pub zone: ZoneKey,
+        /// The kind.
+        pub kind: UpstreamKind,
+        /// Upstreams that run or start, with those of unsettled orders, without leaving ones.
+        pub count: u32,
+    }
+
+    /// What the caller must order.
+    pub enum FleetAction {
+        /// Start upstreams.
+        Start {
+            /// Name of the service.
+            service: String,
+            /// The zone.
+            zone: ZoneKey,
+            /// The kind.
+            kind: UpstreamKind,
+            /// How many.
+            count: u32,
+        },
+        /// Drain and stop upstreams.
+        Stop {
+            /// Name of the service.
+            service: String,
+            /// The zone.
+            zone: ZoneKey,
+            /// The kind.
+            kind: UpstreamKind,
+            /// How many.
+            count: u32,
+        },
+    }
+}
+
+/// Highest forecast of one service and zone over [`FleetPlan::lookahead`].
+#[derive(Debug, Clone, PartialEq)]
+pub struct ZoneForecast {
+    /// Name of the service.
+    pub service: String,
+    /// The zone.
+    pub zone: ZoneKey,
+    /// Demand of callers who wait.
+    pub live: f64,
+    /// Demand of samples and other resumable work.
+    pub samples: f64,
+}
+
+/// Settings of one service. The unit of `capacity` is that of the demand.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServiceSettings {
+    /// Name of the service.
+    pub service: String,
+    /// Demand that one upstream can serve.
+    pub capacity: f64,
+    /// Share of the capacity that is planned for.
+    pub utilization: f64,
+    /// Share of the capacity that live callers may take after a zone lost its cheap upstreams.
+    pub utilization_after_loss: f64,
+    /// Smallest share of the live need that regular upstreams cover.
+    pub min_regular_share: f64,
+    /// Regular upstreams that every zone keeps.
+    pub min_per_zone: u32,
+    /// Time from an order to the first request served.
+    pub start_up: Span,
+    /// How long fewer upstreams must be wanted before any is stopped.
+    pub hold: Span,
+    /// Price of a regular upstream for an hour, in any unit.
+    pub regular_price: u32,
+    /// Price of a cheap upstream for an hour, in the same unit.
+    pub cheap_price: u32,
+}
+
+impl ServiceSettings {
+    /// Returns settings with the usual shares for upstreams of the given capacity.
+    #[must_use]
+    pub fn new(service: impl Into<String>, capacity: f64, start_up: Span) -> Self {
+        Self {
+            service: service.into(),
+            capacity,
+            utilization: 0.75,
+            utilization_after_loss: 0.9,
+            min_regular_share: 0.4,
+            min_per_zone: 1,
+            start_up,
+            hold: Span::from_secs(900),
+            regular_price: 100,
+            cheap_price: 30,
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Surplus {
+    since: Moment,
+    /// Highest number wanted since then.
+    wanted: u32,
+}
+
+type CountKey = (String, ZoneKey, UpstreamKind);
+
+/// Plans the fleet of all services over the zones that this node can see.
+#[derive(Debug, Clone, Default)]
+pub struct FleetPlan {
+    services: BTreeMap<String, ServiceSettings>,
+    zones: Vec<ZoneKey>,
+    cheap_paused: BTreeMap<ZoneKey, Moment>,
+    surplus: BTreeMap<CountKey, Surplus>,
+    wanted: BTreeMap<(String, ZoneKey), Wanted>,
+}
+
+impl FleetPlan {
+    /// Creates a plan over `zones`.
+    #[must_use]
+    pub fn new(zones: impl IntoIterator<Item = ZoneKey>) -> Self {
+        Self { zones: zones.into_iter().collect(), ..Self::default() }
+    }
+
+    /// Sets a service.
+    pub fn set_service(&mut self, settings: ServiceSettings) {
+        self.services.insert(settings.service.clone(), settings);
+    }
+
+    /// Removes a service. Its upstreams are left to the caller.
+    pub fn remove_service(&mut self, service: &str) {
+        self.services.remove(service);
+        self.wanted.retain(|(name, _), _| name != service);
+        self.surplus.retain(|(name, _, _), _| name != service);
+    }
+
+    /// Returns how far ahead the forecast passed to [`FleetPlan::plan`] must look. An upstream
+    /// that is needed again before a stop would pay off is not stopped.
+    #[must_use]
+    pub fn lookahead(&self, service: &str) -> Span {
+        self.services.get(service).map_or(Span::ZERO, |settings| settings.start_up + settings.hold)
+    }
+
+    /// Notes that the platform reclaims the cheap upstreams of `zone`. The caller stops placing work
+    /// on them, leaves them out of the counts and calls [`FleetPlan::plan`] at once for replacements.
+    pub fn reclaimed(&mut self, now: Moment, zone: ZoneKey) {
+        self.cheap_paused.insert(zone, now + CHEAP_PAUSE);
+    }
+
+    /// Notes that no cheap upstream could be had in `zone`.
+    pub fn cheap_refused(&mut self, now: Moment, zone: ZoneKey) {
+        self.reclaimed(now, zone);
+    }
+
+    /// Compares what is wanted with `counts` and returns the orders. Starts come at once; stops
+    /// only after fewer were wanted for the whole hold time.
+    pub fn plan(
+        &mut self,
+        now: Moment,
+        forecasts: &[ZoneForecast],
+        counts: &[UpstreamCount],
+    ) -> SmallVec<[FleetAction; 4]> {
+        let mut actions = SmallVec::new();
+        self.cheap_paused.retain(|_, until| *until > now);
+        for settings in self.services.values() {
+            let wanted = self.wanted_of(settings, forecasts);
+            for (&zone, wanted) in self.zones.iter().zip(wanted) {
+                self.wanted.insert((settings.service.clone(), zone), wanted);
+                for (kind, wanted) in
+                    [(UpstreamKind::Regular, wanted.regular), (UpstreamKind::Cheap, wanted.cheap)]
+                {
+                    let key = (settings.service.clone(), zone, kind);
+                    let have = count_of(counts, &key);
+                    if wanted >= have {
+                        self.surplus.remove(&key);
+                    }
+                    if wanted > have {
+                        let (service, count) = (key.0, wanted - have);
+                        actions.push(FleetAction::Start { service, zone, kind, count });
+                        continue;
+                    }
+                    if wanted == have {
+                        continue;
+                    }
+                    let fresh = Surplus { since: now, wanted };
+                    let surplus = self.surplus.entry(key.clone()).or_insert(fresh);
+                    surplus.wanted = surplus.wanted.max(wanted);
+                    if now.since(surplus.since) < settings.hold {
+                        continue;
+                    }
+                    let count = have.saturating_sub(surplus.wanted);
+                    self.surplus.remove(&key);
+                    if count > 0 {
+                        actions.push(FleetAction::Stop { service: key.0, zone, kind, count });
+                    }
+                }
+            }
+        }
+        actions
+    }
+
+    /// Returns what the last [`FleetPlan::plan`] wanted in a zone.
+    #[must_use]
+    pub fn wanted(&self, service: &str, zone: ZoneKey) -> Option<Wanted> {
+        self.wanted.get(&(String::from(service), zone)).copied()
+    }
+
+    /// Returns the wanted numbers in the order of the zones.
+    fn wanted_of(&self, settings: &ServiceSettings, forecasts: &[ZoneForecast]) -> Vec<Wanted> {
+        let mut live = vec![0.0; self.zones.len()];
+        let mut total = 0.0;
+        for forecast in forecasts.iter().filter(|f| f.service == settings.service) {
+            let Some(index) = self.zones.iter().position(|&zone| zone == forecast.zone) else {
+                continue;
+            };
+            live[index] += forecast.live.max(0.0);
+            total += forecast.live.max(0.0) + forecast.samples.max(0.0);
+        }
+        let is_open = |zone: &ZoneKey| !self.cheap_paused.contains_key(zone);
+        let cheap_zones = self.zones.iter().filter(|zone| is_open(zone)).count() as u32;
+        let Mix { regular, cheap_per_zone } =
+            choose_mix(settings, live.iter().sum(), total, cheap_zones);
+        let regular = apportion(regular, &live, settings.min_per_zone);
+        let zones = self.zones.iter().zip(regular);
+        zones
+            .map(|(zone, regular)| Wanted {
+                regular,
+                cheap: if is_open(zone) { cheap_per_zone } else { 0 },
+            })
+            .collect()
+    }
+}
+
+fn count_of(counts: &[UpstreamCount], key: &CountKey) -> u32 {
+    let (service, zone, kind) = key;
+    let matching =
+        counts.iter().filter(|c| c.service == *service && c.zone == *zone && c.kind == *kind);
+    matching.map(|c| c.count).sum()
+}
--- /dev/null
+++ b/crates/fleet/tests/plan.rs
@@ -0,0 +1,159 @@
+//! Tests of the fleet plan: cheap upstreams, reclaims and hysteresis.
+
+use base::{Moment, Span, ZoneKey};
+use fleet::{FleetAction, FleetPlan, ServiceSettings, UpstreamCount, UpstreamKind, ZoneForecast};
+use proptest::prelude::*;
+
+const ZONES: [ZoneKey; 3] = [ZoneKey(0), ZoneKey(1), ZoneKey(2)];
+const SERVICE: &str = "draft-models";
+
+fn settings() -> ServiceSettings {
+    ServiceSettings::new(SERVICE, 10.0, Span::from_secs(180))
+}
+
+fn at(secs: u64) -> Moment {
+    Moment(0) + Span::from_secs(secs)
+}
+
+fn forecasts(live: f64, samples: f64) -> Vec<ZoneForecast> {
+    let forecast = |zone| ZoneForecast {
+        service: String::from(SERVICE),
+        zone,
+        live: live / 3.0,
+        samples: samples / 3.0,
+    };
+    ZONES.into_iter().map(forecast).collect()
+}
+
+/// A platform that carries out every order at once.
+struct Platform {
+    plan: FleetPlan,
+    counts: Vec<UpstreamCount>,
+    orders: usize,
+}
+
+impl Platform {
+    fn new(settings: ServiceSettings) -> Self {
+        let mut plan = FleetPlan::new(ZONES);
+        plan.set_service(settings);
+        Self { plan, counts: Vec::new(), orders: 0 }
+    }
+
+    fn step(&mut self, now: Moment, live: f64, samples: f64) {
+        for action in self.plan.plan(now, &forecasts(live, samples), &self.counts) {
+            self.orders += 1;
+            let (service, zone, kind, change) = match action {
+                FleetAction::Start { service, zone, kind, count } => {
+                    (service, zone, kind, i64::from(count))
+                }
+                FleetAction::Stop { service, zone, kind, count } => {
+                    (service, zone, kind, -i64::from(count))
+                }
+            };
+            let is_same = |c: &UpstreamCount| c.zone == zone && c.kind == kind;
+            let index = self.counts.iter().position(is_same).unwrap_or_else(|| {
+                self.counts.push(UpstreamCount { service, zone, kind, count: 0 });
+                self.counts.len() - 1
+            });
+            let count = &mut self.counts[index].count;
+            *count = u32::try_from(i64::from(*count) + change).expect("no more stops than run");
+        }
+    }
+
+    fn count(&self, kind: UpstreamKind, zone: Option<ZoneKey>) -> u32 {
+        let matching = self.counts.iter().filter(|c| c.kind == kind);
+        matching.filter(|c| zone.is_none_or(|zone| c.zone == zone)).map(|c| c.count).sum()
+    }
+
+    fn lose_cheap(&mut self, now: Moment, zone: ZoneKey) {
+        self.counts.retain(|c| c.zone != zone || c.kind != UpstreamKind::Cheap);
+        self.plan.reclaimed(now, zone);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        cases: 300,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn losing_the_cheap_upstreams_of_any_zone_leaves_live_callers_served(
+        live in 0.0..2_000.0_f64,
+        samples in 0.0..2_000.0_f64,
+        cheap_price in 1..120_u32,
+    ) {
+        let mut platform = Platform::new(ServiceSettings { cheap_price, ..settings() });
+        platform.step(at(0), live, samples);
+        let (regular, cheap) =
+            (platform.count(UpstreamKind::Regular, None), platform.count(UpstreamKind::Cheap, None));
+        prop_assert!(f64::from(regular + cheap) * 10.0 * 0.75 >= live + samples - 1e-6);
+        for zone in ZONES {
+            let left = regular + cheap - platform.count(UpstreamKind::Cheap, Some(zone));
+            prop_assert!(f64::from(left) * 10.0 * 0.9 >= live - 1e-6);
+        }
+    }
+}
+
+#[test]
+fn cheap_upstreams_are_used_only_where_they_save() {
+    fn check(cheap_price: u32, expect_cheap: bool) {
+        let mut platform = Platform::new(ServiceSettings { cheap_price, ..settings() });
+        platform.step(at(0), 300.0, 300.0);
+        assert_eq!(platform.count(UpstreamKind::Cheap, None) > 0, expect_cheap, "{cheap_price}");
+    }
+    check(30, true);
+    check(100, false);
+}
+
+#[test]
+fn reclaim_is_replaced_at_once_and_the_zone_is_left_alone() {
+    let mut platform = Platform::new(settings());
+    platform.step(at(0), 300.0, 300.0);
+    platform.lose_cheap(at(60), ZONES[1]);
+    platform.step(at(60), 300.0, 300.0);
+    assert_eq!(platform.count(UpstreamKind::Cheap, Some(ZONES[1])), 0);
+    let all =
+        platform.count(UpstreamKind::Regular, None) + platform.count(UpstreamKind::Cheap, None);
+    assert!(f64::from(all) * 7.5 >= 600.0, "{all} upstreams");
+    platform.step(at(660), 300.0, 300.0);
+    assert!(platform.count(UpstreamKind::Cheap, Some(ZONES[1])) > 0, "the pause must end");
+}
+
+#[test]
+fn regular_upstreams_take_over_when_no_cheap_one_can_be_had() {
+    let mut platform = Platform::new(settings());
+    for zone in ZONES {
+        platform.plan.cheap_refused(at(0), zone);
+    }
+    platform.step(at(0), 300.0, 300.0);
+    assert_eq!(platform.count(UpstreamKind::Cheap, None), 0);
+    assert_eq!(platform.count(UpstreamKind::Regular, None), 80);
+}
+
+#[test]
+fn plan_does_not_flap_when_demand_swings_around_a_boundary() {
+    let mut platform = Platform::new(settings());
+    platform.step(at(0), 300.0, 0.0);
+    let before = platform.orders;
+    for minute in 1..600 {
+        platform.step(at(60 * minute), if minute % 4 < 2 { 290.0 } else { 300.0 }, 0.0);
+    }
+    assert_eq!(platform.orders, before);
+}
+
+#[test]
+fn surplus_is_stopped_after_the_hold_time_only() {
+    let mut platform = Platform::new(settings());
+    platform.step(at(0), 300.0, 300.0);
+    let full = platform.counts.clone();
+    platform.step(at(60), 30.0, 0.0);
+    platform.step(at(900), 30.0, 0.0);
+    assert_eq!(platform.counts, full);
+    platform.step(at(961), 30.0, 0.0);
+    assert!(platform.counts.iter().map(|c| c.count).sum::<u32>() <= 9);
+    let each_zone = |zone| platform.count(UpstreamKind::Regular, Some(zone)) >= 1;
+    assert!(ZONES.into_iter().all(each_zone), "every zone keeps one");
+}
