Add environment document and daemon settings with checks at load

Cause: the daemon and the operators' tool need one typed reading of the TOML documents that names every fault at once.

Ruled out: serde with deny_unknown_fields, because it stops at the first problem.

Change: types, defaults of the design, and a section reader that records problems with file, line, key, value and what is allowed.

Conclusion: other crates can build on the types.

--- /dev/null
+++ b/crates/document/tests/checks.rs
@@ -0,0 +1,149 @@
+//! Checks of documents and settings at load.
+
+use base::Span;
+use document::{DaemonSettings, EnvironmentDocument, IsolatedKeys};
+use rstest::rstest;
+
+const SMALL: &str = r#"
+environment = "trial"
+time_zone = "Australia/Hobart"
+
+[[zones]]
+name = "hobart-a"
+region = "tas-south"
+entry_vms = 4
+
+[[services]]
+name = "drafts"
+kind = "model"
+
+[[services]]
+name = "scorer"
+kind = "plain"
+
+[[pools]]
+service = "drafts"
+zone = "hobart-a"
+min_count = 1
+max_count = 4
+price_cents_per_hour = 250
+startup = "90s"
+speed = 900
+fencing = "checked"
+
+[[routes]]
+path = "drafts"
+service = "drafts"
+max_deadline = "2m"
+
+[[customers]]
+name = "brewers"
+keys = ["0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"]
+weight = 1
+tokens_per_second = 500
+requests_per_second = 20
+
+[[trainers]]
+name = "layouts"
+key = "fedcba9876543210fedcba9876543210fedcba9876543210fedcba9876543210"
+service = "drafts"
+staleness_bound = 2
+min_group = 4
+max_group = 16
+scorer = "scorer"
+"#;
+
+const SETTINGS: &str = r#"
+vm_name = "entry-1"
+zone = "hobart-a"
+environment = "trial"
+listen = "127.0.0.1:8080"
+peer = "127.0.0.1:8081"
+admin = "127.0.0.1:8082"
+platform = "127.0.0.1:7000"
+traffic_threads = 2
+"#;
+
+/// Replaces `from` by `to` in the small document and compares the start and end of each problem.
+fn check(from: &str, to: &str, expected: &[(&str, &str)]) {
+    assert!(SMALL.contains(from), "the document has no text {from:?}");
+    let text = SMALL.replacen(from, to, 1);
+    let problems = EnvironmentDocument::parse("trial.toml", &text).unwrap_err();
+    let found = problems.iter().map(ToString::to_string).collect::<Vec<_>>();
+    assert_eq!(found.len(), expected.len(), "{found:#?}");
+    for (line, (place, allowed)) in found.iter().zip(expected) {
+        assert!(line.starts_with(&format!("trial.toml:{place}")), "{line}");
+        assert!(line.ends_with(allowed), "{line}");
+    }
+}
+
+/// Guards against defaults that differ from the ones in the design.
+#[test]
+fn small_document_and_settings_load_with_defaults() {
+    let document = EnvironmentDocument::parse("trial.toml", SMALL).unwrap();
+    assert_eq!(document.keys_when_isolated, IsolatedKeys::Serve(Span::from_secs(300)));
+    assert_eq!(document.max_swapping_share, 0.34);
+    assert_eq!(document.pools[0].startup, Span::from_secs(90));
+    assert!(!document.routes[0].idempotent && !document.routes[0].open);
+    let settings = DaemonSettings::parse("daemon.toml", SETTINGS).unwrap();
+    assert_eq!(settings.lease.term, Span::from_secs(10));
+    assert_eq!(settings.bounds.log_records, 10_000);
+}
+
+/// Guards against a faulty value that is accepted, or reported without its place and its rule.
+#[rstest]
+#[case::unknown_key("entry_vms = 4", "entry_vms = 4\nentry_vm = 5",
+    &[("9: key `zones[0].entry_vm`: value (unknown key)", "one of the keys name, region, entry_vms")])]
+#[case::unit_missing("\"90s\"", "\"90\"",
+    &[("24: key `pools[0].startup`: value \"90\"", "units us, ms, s, m, h")])]
+#[case::unit_wrong("\"90s\"", "\"90 sec\"",
+    &[("24: key `pools[0].startup`: value \"90 sec\"", "units us, ms, s, m, h")])]
+#[case::unit_absent_number("\"90s\"", "90",
+    &[("24: key `pools[0].startup`: value 90", "units us, ms, s, m, h")])]
+#[case::range("entry_vms = 4", "entry_vms = 0",
+    &[("8: key `zones[0].entry_vms`: value 0", "an integer from 1 to 10000")])]
+#[case::order_of_bounds("min_count = 1", "min_count = 9",
+    &[("22: key `pools[0].max_count`: value 4", "not below min_count, which is 9")])]
+#[case::reference("zone = \"hobart-a\"", "zone = \"hobart-b\"",
+    &[("20: key `pools[0].zone`: value \"hobart-b\"", "one of \"hobart-a\"")])]
+#[case::scorer_must_be_plain("scorer = \"scorer\"", "scorer = \"drafts\"",
+    &[("47: key `trainers[0].scorer`: value \"drafts\"", "one of \"scorer\"")])]
+#[case::digest("0123456789abcdef0", "my-secret-key",
+    &[("35: key `customers[0].keys[0]`", "64 hexadecimal digits, the SHA-256 of a key")])]
+#[case::time_zone("Australia/Hobart", "Australia/Hobert",
+    &[("3: key `time_zone`: value \"Australia/Hobert\"", "such as \"Europe/Oslo\"")])]
+#[case::missing("weight = 1", "",
+    &[("33: key `customers[0].weight`", "from 1 to 1000; the key is required")])]
+#[case::duplicate_name("\"scorer\"\nkind", "\"drafts\"\nkind", &[
+    ("15: key `services[1].name`", "a name that no other entry of this list has"),
+    ("47: key `trainers[0].scorer`", "one of \"drafts\""),
+])]
+#[case::syntax("[[zones]]", "[[zones]", &[("5: key `(syntax)`", "")])]
+fn faulty_document_is_refused(
+    #[case] from: &str,
+    #[case] to: &str,
+    #[case] expected: &[(&str, &str)],
+) {
+    check(from, to, expected);
+}
+
+/// Guards against a load that stops at the first problem.
+#[test]
+fn all_problems_are_reported_at_once() {
+    let text = SMALL.replace("\"90s\"", "\"soon\"").replace("weight = 1", "weight = -1");
+    let text = text.replace("kind = \"plain\"", "kind = \"odd\"");
+    let problems = EnvironmentDocument::parse("trial.toml", &text).unwrap_err();
+    let keys = problems.iter().map(|problem| problem.key.as_str()).collect::<Vec<_>>();
+    for key in ["services[1].kind", "pools[0].startup", "customers[0].weight"] {
+        assert!(keys.contains(&key), "{keys:?}");
+    }
+}
+
+/// Guards against a lease that ends before its holder can renew it.
+#[test]
+fn renewal_that_comes_too_late_is_refused() {
+    let text = format!("{SETTINGS}[lease]\nterm = \"5s\"\n");
+    let problems = DaemonSettings::parse("daemon.toml", &text).unwrap_err();
+    assert_eq!(problems.len(), 1, "{problems:?}");
+    assert_eq!(problems[0].key, "lease.term");
+}
