fleet, rollout: pool bounds and whole fill records in answers

Cause: the document bounds each pool of a service and zone, and a zone may have no cheap pool.

Ruled out: clamping the wanted numbers afterwards, which would break the guarantee about the loss of a zone's cheap upstreams.

Change: the mix is searched within the bounds of the pools. Answers to trainers carry the fill record, now with a digest of the bytes.

Conclusion: settings map one to one to the document's pools.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,6 +11,7 @@
     civil::{CivilClock, CivilSlot, SLOT_MINUTES, SLOTS_PER_WEEK, UnknownTimeZone},
     demand::{DemandKey, DemandModel, DemandSnapshot, SnapshotMismatch, WorkClass},
     plan::{
-        FleetAction, FleetPlan, ServiceSettings, UpstreamCount, UpstreamKind, Wanted, ZoneForecast,
+        FleetAction, FleetPlan, PoolSettings, ServiceSettings, UpstreamCount, UpstreamKind, Wanted,
+        ZoneForecast,
     },
 };
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -7,11 +7,14 @@
 use base::{Moment, Span, ZoneKey, key, plain};
 use smallvec::SmallVec;
 
-use crate::plan::mix::{Mix, apportion, choose_mix};
+use crate::plan::mix::{Bounds, ZonePools, apportion, choose_mix};
 
 /// How long a zone's cheap upstreams are left alone after a reclaim or a refused order.
 const CHEAP_PAUSE: Span = Span::from_secs(600);
 
+/// Bounds the search for a mix, whatever the settings and the demand say.
+const MAX_POOL: u32 = 10_000;
+
 key! {
     /// How an upstream is paid for.
     pub enum UpstreamKind {
@@ -21,6 +24,22 @@
         Cheap,
     }
 
+    /// Upstreams of one service, zone and kind that can be ordered.
+    pub struct PoolSettings {
+        /// The zone.
+        pub zone: ZoneKey,
+        /// The kind.
+        pub kind: UpstreamKind,
+        /// Upstreams that always run.
+        pub min: u32,
+        /// Largest number of upstreams.
+        pub max: u32,
+        /// Price of an upstream for an hour, in any unit.
+        pub price: u32,
+        /// Time from an order to the first request served.
+        pub start_up: Span,
+    }
+
     /// Upstreams wanted in one zone.
     pub struct Wanted {
         /// Regular upstreams.
@@ -96,35 +115,39 @@
     pub utilization_after_loss: f64,
     /// Smallest share of the live need that regular upstreams cover.
     pub min_regular_share: f64,
-    /// Regular upstreams that every zone keeps.
-    pub min_per_zone: u32,
-    /// Time from an order to the first request served.
-    pub start_up: Span,
     /// How long fewer upstreams must be wanted before any is stopped.
     pub hold: Span,
-    /// Price of a regular upstream for an hour, in any unit.
-    pub regular_price: u32,
-    /// Price of a cheap upstream for an hour, in the same unit.
-    pub cheap_price: u32,
+    /// Pools from which upstreams can be ordered, at most one of each zone and kind.
+    pub pools: Vec<PoolSettings>,
 }
 
 impl ServiceSettings {
     /// Returns settings with the usual shares for upstreams of the given capacity.
     #[must_use]
-    pub fn new(service: impl Into<String>, capacity: f64, start_up: Span) -> Self {
+    pub fn new(
+        service: impl Into<String>,
+        capacity: f64,
+        pools: impl IntoIterator<Item = PoolSettings>,
+    ) -> Self {
         Self {
             service: service.into(),
             capacity,
             utilization: 0.75,
             utilization_after_loss: 0.9,
             min_regular_share: 0.4,
-            min_per_zone: 1,
-            start_up,
             hold: Span::from_secs(900),
-            regular_price: 100,
-            cheap_price: 30,
+            pools: pools.into_iter().collect(),
         }
     }
+
+    fn pool(&self, zone: ZoneKey, kind: UpstreamKind) -> Bounds {
+        let pool = self.pools.iter().find(|pool| pool.zone == zone && pool.kind == kind);
+        pool.map_or(Bounds::NONE, |pool| Bounds {
+            min: pool.min.min(MAX_POOL),
+            max: pool.max.min(MAX_POOL),
+            price: pool.price,
+        })
+    }
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -169,7 +192,9 @@
     /// that is needed again before a stop would pay off is not stopped.
     #[must_use]
     pub fn lookahead(&self, service: &str) -> Span {
-        self.services.get(service).map_or(Span::ZERO, |settings| settings.start_up + settings.hold)
+        let Some(settings) = self.services.get(service) else { return Span::ZERO };
+        let start_up = settings.pools.iter().map(|pool| pool.start_up).max();
+        start_up.unwrap_or(Span::ZERO) + settings.hold
     }
 
     /// Notes that the platform reclaims the cheap upstreams of `zone`. The caller stops placing work
@@ -247,18 +272,20 @@
             live[index] += forecast.live.max(0.0);
             total += forecast.live.max(0.0) + forecast.samples.max(0.0);
         }
-        let is_open = |zone: &ZoneKey| !self.cheap_paused.contains_key(zone);
-        let cheap_zones = self.zones.iter().filter(|zone| is_open(zone)).count() as u32;
-        let Mix { regular, cheap_per_zone } =
-            choose_mix(settings, live.iter().sum(), total, cheap_zones);
-        let regular = apportion(regular, &live, settings.min_per_zone);
-        let zones = self.zones.iter().zip(regular);
-        zones
-            .map(|(zone, regular)| Wanted {
-                regular,
-                cheap: if is_open(zone) { cheap_per_zone } else { 0 },
-            })
-            .collect()
+        let pools: Vec<_> = self.zones.iter().map(|&zone| self.pools_of(settings, zone)).collect();
+        let mix = choose_mix(settings, live.iter().sum(), total, &pools);
+        let regular = apportion(mix.regular, &live, &pools);
+        let wanted = regular.into_iter().zip(mix.cheap);
+        wanted.map(|(regular, cheap)| Wanted { regular, cheap }).collect()
+    }
+
+    fn pools_of(&self, settings: &ServiceSettings, zone: ZoneKey) -> ZonePools {
+        let is_paused = self.cheap_paused.contains_key(&zone);
+        let cheap = settings.pool(zone, UpstreamKind::Cheap);
+        ZonePools {
+            regular: settings.pool(zone, UpstreamKind::Regular),
+            cheap: if is_paused { Bounds::NONE } else { cheap },
+        }
     }
 }
 
--- a/crates/fleet/tests/plan.rs
+++ b/crates/fleet/tests/plan.rs
@@ -1,14 +1,29 @@
 //! Tests of the fleet plan: cheap upstreams, reclaims and hysteresis.
 
 use base::{Moment, Span, ZoneKey};
-use fleet::{FleetAction, FleetPlan, ServiceSettings, UpstreamCount, UpstreamKind, ZoneForecast};
+use fleet::{
+    FleetAction, FleetPlan, PoolSettings, ServiceSettings, UpstreamCount, UpstreamKind,
+    ZoneForecast,
+};
 use proptest::prelude::*;
 
 const ZONES: [ZoneKey; 3] = [ZoneKey(0), ZoneKey(1), ZoneKey(2)];
 const SERVICE: &str = "draft-models";
 
-fn settings() -> ServiceSettings {
-    ServiceSettings::new(SERVICE, 10.0, Span::from_secs(180))
+fn settings(cheap_price: u32, cheap_max: u32, regular_max: u32) -> ServiceSettings {
+    let pool = |zone, kind, min, max, price| PoolSettings {
+        zone,
+        kind,
+        min,
+        max,
+        price,
+        start_up: Span::from_secs(180),
+    };
+    let pools = ZONES.into_iter().flat_map(|zone| {
+        let cheap = pool(zone, UpstreamKind::Cheap, 0, cheap_max, cheap_price);
+        [pool(zone, UpstreamKind::Regular, 1, regular_max, 100), cheap]
+    });
+    ServiceSettings::new(SERVICE, 10.0, pools)
 }
 
 fn at(secs: u64) -> Moment {
@@ -85,7 +100,7 @@
         samples in 0.0..2_000.0_f64,
         cheap_price in 1..120_u32,
     ) {
-        let mut platform = Platform::new(ServiceSettings { cheap_price, ..settings() });
+        let mut platform = Platform::new(settings(cheap_price, 500, 500));
         platform.step(at(0), live, samples);
         let (regular, cheap) =
             (platform.count(UpstreamKind::Regular, None), platform.count(UpstreamKind::Cheap, None));
@@ -100,7 +115,7 @@
 #[test]
 fn cheap_upstreams_are_used_only_where_they_save() {
     fn check(cheap_price: u32, expect_cheap: bool) {
-        let mut platform = Platform::new(ServiceSettings { cheap_price, ..settings() });
+        let mut platform = Platform::new(settings(cheap_price, 500, 500));
         platform.step(at(0), 300.0, 300.0);
         assert_eq!(platform.count(UpstreamKind::Cheap, None) > 0, expect_cheap, "{cheap_price}");
     }
@@ -110,7 +125,7 @@
 
 #[test]
 fn reclaim_is_replaced_at_once_and_the_zone_is_left_alone() {
-    let mut platform = Platform::new(settings());
+    let mut platform = Platform::new(settings(30, 500, 500));
     platform.step(at(0), 300.0, 300.0);
     platform.lose_cheap(at(60), ZONES[1]);
     platform.step(at(60), 300.0, 300.0);
@@ -124,7 +139,7 @@
 
 #[test]
 fn regular_upstreams_take_over_when_no_cheap_one_can_be_had() {
-    let mut platform = Platform::new(settings());
+    let mut platform = Platform::new(settings(30, 500, 500));
     for zone in ZONES {
         platform.plan.cheap_refused(at(0), zone);
     }
@@ -135,7 +150,7 @@
 
 #[test]
 fn plan_does_not_flap_when_demand_swings_around_a_boundary() {
-    let mut platform = Platform::new(settings());
+    let mut platform = Platform::new(settings(30, 500, 500));
     platform.step(at(0), 300.0, 0.0);
     let before = platform.orders;
     for minute in 1..600 {
@@ -146,7 +161,7 @@
 
 #[test]
 fn surplus_is_stopped_after_the_hold_time_only() {
-    let mut platform = Platform::new(settings());
+    let mut platform = Platform::new(settings(30, 500, 500));
     platform.step(at(0), 300.0, 300.0);
     let full = platform.counts.clone();
     platform.step(at(60), 30.0, 0.0);
@@ -157,3 +172,20 @@
     let each_zone = |zone| platform.count(UpstreamKind::Regular, Some(zone)) >= 1;
     assert!(ZONES.into_iter().all(each_zone), "every zone keeps one");
 }
+
+#[test]
+fn bounds_of_the_pools_hold() {
+    fn check(cheap_max: u32, regular_max: u32, expected: (u32, u32)) {
+        let mut platform = Platform::new(settings(30, cheap_max, regular_max));
+        platform.step(at(0), 300.0, 300.0);
+        let counts = (
+            platform.count(UpstreamKind::Regular, None),
+            platform.count(UpstreamKind::Cheap, None),
+        );
+        assert_eq!(counts, expected, "cheap {cheap_max}, regular {regular_max}");
+    }
+    check(0, 100, (80, 0));
+    check(5, 100, (65, 15));
+    // Too small for the demand: everything runs.
+    check(5, 10, (30, 15));
+}
--- a/crates/rollout/src/book.rs
+++ b/crates/rollout/src/book.rs
@@ -8,12 +8,9 @@
 use smallvec::SmallVec;
 
 pub(crate) use self::trainer::TrainerBook;
-use crate::{
-    records::{
-        DeliveryNumber, SampleFilled, SampleRecord, SampleVoided, Score, SlotKey, TrainerId,
-        TrainerStated, VoidReason,
-    },
-    spans::VersionSpan,
+use crate::records::{
+    DeliveryNumber, SampleFilled, SampleRecord, SampleVoided, Score, SlotKey, TrainerId,
+    TrainerStated, VoidReason,
 };
 
 plain! {
@@ -142,16 +139,10 @@
         Sample {
             /// Its number.
             number: DeliveryNumber,
-            /// Its slot.
-            slot: SlotKey,
-            /// Its identity, under which holders keep the bytes.
-            sample: RecordId,
-            /// Weight versions that produced it.
-            spans: SmallVec<[VersionSpan; 2]>,
+            /// The sample.
+            filled: SampleFilled,
             /// Its score.
             score: Option<Score>,
-            /// Nodes that hold the bytes.
-            holders: SmallVec<[Incarnation; 2]>,
             /// The void number of the same slot that this sample replaces.
             replaces: Option<DeliveryNumber>,
         },
--- a/crates/rollout/src/book/trainer.rs
+++ b/crates/rollout/src/book/trainer.rs
@@ -353,11 +353,8 @@
         }
         Delivery::Sample {
             number,
-            slot: filled.slot,
-            sample: filled.sample,
-            spans: filled.spans.clone(),
+            filled: filled.clone(),
             score: self.score,
-            holders: filled.holders.clone(),
             replaces: self.replaces,
         }
     }
--- a/crates/rollout/src/records.rs
+++ b/crates/rollout/src/records.rs
@@ -78,6 +78,8 @@
         pub spans: SmallVec<[VersionSpan; 2]>,
         /// Number of tokens.
         pub tokens: u32,
+        /// Digest of the bytes, checked when they are fetched from a holder.
+        pub digest: u64,
         /// Nodes that hold the bytes.
         pub holders: SmallVec<[Incarnation; 2]>,
     }
--- a/crates/rollout/tests/common/mod.rs
+++ b/crates/rollout/tests/common/mod.rs
@@ -29,6 +29,7 @@
         sample: RecordId { writer: Incarnation(1), sequence },
         spans: tracker.spans().into(),
         tokens: tracker.tokens(),
+        digest: sequence,
         holders: [Incarnation(1), Incarnation(2)].into_iter().collect(),
     }
 }
