rollout: say when to read the predecessor of a statement

A node that had been cut off repeated the refused statement of a request that its trainer had given up, under a newer predecessor, and samples in the trainer's hands became void.

Ruled out: an order number from the trainer; the predecessor read at arrival gives the same order.

Change: the comments state the rule for the daemon. The book is unchanged.

--- a/crates/rollout/src/book.rs
+++ b/crates/rollout/src/book.rs
@@ -75,8 +75,8 @@
             /// The offer.
             offer: Offer,
         },
-        /// A statement names a predecessor that is not the last one and has no effect. The node
-        /// whose trainer still waits states again.
+        /// A statement names a predecessor that is not the last one, or a number that was never
+        /// offered, and has no effect. The node tells the trainer to ask again.
         StatementRefused {
             /// The trainer.
             trainer: TrainerId,
@@ -253,6 +253,10 @@
     }
 
     /// Returns the number of valid statements, to name in the next one.
+    ///
+    /// It must be read when the trainer's request arrives, and a refused statement must not be
+    /// repeated with a newer number. Otherwise a request that the trainer has given up could take
+    /// effect after a later one, and samples in the trainer's hands would be made again.
     #[must_use]
     pub fn statements(&self, trainer: TrainerId) -> u64 {
         self.trainers.get(&trainer).map_or(0, TrainerBook::statements)
