Add delivery: attempts, claims, stream assembly and crash suspects

Ruled out: convicting only after an isolated crash, since a request that runs on two upstreams before the first crash is noticed would then cost three. Ruled out: settling claims by each reader's clock, since readers would disagree; a claim states when it was taken and when it expires.

Change: four state machines without clock or socket. A suspect is announced with its upstream before it runs, and starts once a load report measured after the settle time shows the upstream empty.

--- /dev/null
+++ b/crates/delivery/tests/attempt.rs
@@ -0,0 +1,90 @@
+//! Guards the truth of "not run" and the single run of requests that must not be repeated.
+
+use base::{Execution, Moment, RefusalCode, Span, UpstreamKey};
+use delivery::{
+    AttemptAction, AttemptEvent, AttemptPolicy, AttemptTracker, FailureCause, RequestKind,
+};
+use rstest::rstest;
+
+const U: UpstreamKey = UpstreamKey(0);
+const DEADLINE: Moment = Moment(10_000_000);
+
+fn tracker(kind: RequestKind) -> AttemptTracker {
+    AttemptTracker::new(kind, DEADLINE, AttemptPolicy::default())
+}
+
+/// Applies the events and returns the actions of the last one in short form.
+fn check(kind: RequestKind, events: &[AttemptEvent], expected: &[&str]) {
+    let mut tracker = tracker(kind);
+    let mut last = Vec::new();
+    for event in events {
+        let actions = tracker.handle(Moment(1), event.clone());
+        last = actions.iter().map(describe).collect::<Vec<_>>();
+    }
+    assert_eq!(last, expected, "{kind:?} after {events:?}");
+}
+
+fn describe(action: &AttemptAction) -> String {
+    match action {
+        AttemptAction::Retry => String::from("retry"),
+        AttemptAction::Cancel(_) => String::from("cancel"),
+        AttemptAction::CloseConnection(_) => String::from("close"),
+        AttemptAction::Refuse(refusal) => {
+            assert!(refusal.retry_after.is_some(), "an abandoned request is told when to retry");
+            format!("{} {}", refusal.code.as_str(), refusal.execution.as_str())
+        }
+    }
+}
+
+#[rstest]
+#[case::no_byte_sent(RequestKind::OnceOnly, false, &["retry"])]
+#[case::once_only_sent(RequestKind::OnceOnly, true, &["close", "upstream-failed may-have-run"])]
+#[case::idempotent_sent(RequestKind::Idempotent, true, &["close", "retry"])]
+fn failure_is_retried_only_when_truthful(
+    #[case] kind: RequestKind,
+    #[case] sent: bool,
+    #[case] expected: &[&str],
+) {
+    let mut events = vec![AttemptEvent::Chosen(U)];
+    events.extend(sent.then_some(AttemptEvent::Sending));
+    events.push(AttemptEvent::Failed(FailureCause::ConnectionBroken));
+    check(kind, &events, expected);
+}
+
+#[test]
+fn given_up_request_is_answered_at_once() {
+    let given_up = AttemptEvent::GivenUp {
+        code: RefusalCode::NoUpstream,
+        retry_after: Span::from_secs(1),
+        message: String::from("no upstream"),
+    };
+    check(RequestKind::OnceOnly, std::slice::from_ref(&given_up), &["no-upstream not-run"]);
+    let sent = [AttemptEvent::Chosen(U), AttemptEvent::Sending, given_up];
+    check(RequestKind::OnceOnly, &sent, &["cancel", "no-upstream may-have-run"]);
+}
+
+#[test]
+fn disconnected_caller_cancels_the_upstream_request() {
+    let events = [AttemptEvent::Chosen(U), AttemptEvent::Sending, AttemptEvent::CallerGone];
+    check(RequestKind::Idempotent, &events, &["cancel"]);
+}
+
+#[test]
+fn retries_stop_when_no_time_is_left_for_another_attempt() {
+    let mut tracker = tracker(RequestKind::Idempotent);
+    tracker.handle(Moment(0), AttemptEvent::Chosen(U));
+    let failed = AttemptEvent::Failed(FailureCause::ConnectFailed);
+    let actions = tracker.handle(DEADLINE - Span(1), failed);
+    assert_eq!(actions.iter().map(describe).collect::<Vec<_>>(), ["no-upstream not-run"]);
+    assert_eq!(tracker.next_deadline(), None);
+}
+
+#[test]
+fn no_byte_is_sent_after_the_deadline() {
+    let mut tracker = tracker(RequestKind::OnceOnly);
+    tracker.handle(Moment(0), AttemptEvent::Chosen(U));
+    let actions = tracker.handle(DEADLINE, AttemptEvent::Sending);
+    let actions = actions.iter().map(describe).collect::<Vec<_>>();
+    assert_eq!(actions, ["close", "deadline-exceeded not-run"]);
+    assert_eq!(tracker.execution(), Execution::NotRun);
+}
--- /dev/null
+++ b/crates/delivery/tests/claim.rs
@@ -0,0 +1,175 @@
+//! Guards the single run of a claimed request over all nodes and orders of arrival.
+
+use base::{Execution, Incarnation, Moment, RefusalCode, WallTime};
+use delivery::{
+    ClaimAction, ClaimEvent, ClaimKey, ClaimOutcome, ClaimPolicy, ClaimTable, Fingerprint,
+    LogReach, RequestId,
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+
+const NOW: Moment = Moment(0);
+const DEADLINE: Moment = Moment(5_000_000);
+const HOUR_MS: i64 = 3_600_000;
+
+fn request(node: u64, sequence: u64) -> RequestId {
+    RequestId { node: Incarnation(node), sequence }
+}
+
+fn asked(request: RequestId) -> ClaimEvent {
+    let claim = ClaimKey::of("derwent", "proof-7");
+    let fingerprint = Fingerprint::of("derwent", "proofs", b"print");
+    ClaimEvent::Asked { claim, fingerprint, request, deadline: DEADLINE }
+}
+
+/// A few nodes on one log.
+struct Nodes {
+    tables: Vec<ClaimTable>,
+    log: Vec<ClaimEvent>,
+    read: Vec<usize>,
+    runs: Vec<RequestId>,
+    refusals: Vec<(RequestId, RefusalCode, Execution)>,
+    replays: usize,
+}
+
+impl Nodes {
+    fn new(count: usize) -> Self {
+        let table = ClaimTable::new(ClaimPolicy::default());
+        Self {
+            tables: vec![table; count],
+            log: Vec::new(),
+            read: vec![0; count],
+            runs: Vec::new(),
+            refusals: Vec::new(),
+            replays: 0,
+        }
+    }
+
+    fn apply(&mut self, node: usize, wall: i64, event: ClaimEvent) {
+        for action in self.tables[node].handle(NOW, WallTime(wall), event) {
+            match action {
+                ClaimAction::AppendTaken(taken) => self.log.push(ClaimEvent::TakenRead(taken)),
+                ClaimAction::AppendDone(done) => self.log.push(ClaimEvent::DoneRead(done)),
+                ClaimAction::Run(request) => self.runs.push(request),
+                ClaimAction::Replay { .. } => self.replays += 1,
+                ClaimAction::Refuse { request, refusal } => {
+                    self.refusals.push((request, refusal.code, refusal.execution));
+                }
+            }
+        }
+    }
+
+    fn read_one(&mut self, node: usize, wall: i64) {
+        let Some(event) = self.log.get(self.read[node]).cloned() else { return };
+        self.read[node] += 1;
+        self.apply(node, wall, event);
+    }
+
+    fn read_all(&mut self, wall: i64) {
+        for node in 0..self.tables.len() {
+            while self.read[node] < self.log.len() {
+                self.read_one(node, wall);
+            }
+        }
+    }
+}
+
+#[test]
+fn resend_through_another_node_gets_the_first_answer() {
+    let mut nodes = Nodes::new(2);
+    nodes.apply(0, 0, asked(request(0, 1)));
+    nodes.read_all(0);
+    nodes.apply(1, 10, asked(request(1, 1)));
+    assert_eq!(nodes.runs, [request(0, 1)]);
+    let running = (request(1, 1), RefusalCode::AlreadyClaimed, Execution::MayHaveRun);
+    assert_eq!(nodes.refusals, [running]);
+    let outcome = ClaimOutcome::Answered { status: 200, body: b"sheet".to_vec() };
+    nodes.apply(0, 20, ClaimEvent::Ended { request: request(0, 1), outcome });
+    nodes.read_all(20);
+    nodes.apply(1, 30, asked(request(1, 2)));
+    assert_eq!((nodes.runs.len(), nodes.replays), (1, 1));
+}
+
+#[test]
+fn reused_key_with_another_body_is_refused() {
+    let mut nodes = Nodes::new(1);
+    nodes.apply(0, 0, asked(request(0, 1)));
+    nodes.read_all(0);
+    let ClaimEvent::Asked { claim, request, deadline, .. } = asked(request(0, 2)) else {
+        unreachable!()
+    };
+    let fingerprint = Fingerprint::of("derwent", "proofs", b"another");
+    nodes.apply(0, 1, ClaimEvent::Asked { claim, fingerprint, request, deadline });
+    assert_eq!(nodes.refusals, [(request, RefusalCode::RequestInvalid, Execution::NotRun)]);
+}
+
+#[test]
+fn log_outage_refuses_truthfully_and_a_late_win_is_released() {
+    let mut nodes = Nodes::new(2);
+    nodes.apply(0, 0, asked(request(0, 1)));
+    nodes.apply(0, 1, ClaimEvent::LogChanged(LogReach::Down));
+    nodes.apply(0, 2, asked(request(0, 2)));
+    let refused = |sequence| (request(0, sequence), RefusalCode::LogUnavailable, Execution::NotRun);
+    assert_eq!(nodes.refusals, [refused(1), refused(2)]);
+    nodes.apply(0, 3, ClaimEvent::LogChanged(LogReach::Up));
+    nodes.read_all(3);
+    assert_eq!(nodes.runs, [], "a refused request never runs");
+    nodes.apply(1, 4, asked(request(1, 1)));
+    nodes.read_all(4);
+    assert_eq!(nodes.runs, [request(1, 1)]);
+}
+
+#[test]
+fn unanswered_append_is_refused_at_the_deadline() {
+    let mut nodes = Nodes::new(1);
+    nodes.apply(0, 0, asked(request(0, 1)));
+    assert_eq!(nodes.tables[0].next_deadline(), Some(DEADLINE));
+    let actions = nodes.tables[0].handle(DEADLINE, WallTime(5_000), ClaimEvent::Tick);
+    let [ClaimAction::Refuse { refusal, .. }] = actions.as_slice() else { panic!("{actions:?}") };
+    assert_eq!(refusal.execution, Execution::NotRun);
+}
+
+#[test]
+fn claim_starts_afresh_after_its_stated_expiry() {
+    let mut nodes = Nodes::new(2);
+    nodes.apply(0, 0, asked(request(0, 1)));
+    nodes.read_all(0);
+    nodes.apply(1, HOUR_MS - 1, asked(request(1, 1)));
+    assert_eq!(nodes.runs.len(), 1);
+    nodes.apply(1, HOUR_MS, asked(request(1, 2)));
+    nodes.read_all(HOUR_MS);
+    assert_eq!(nodes.runs, [request(0, 1), request(1, 2)]);
+}
+
+proptest! {
+    #![proptest_config(Config { rng_seed: RngSeed::Fixed(11), ..Config::with_cases(256) })]
+
+    /// Guards against two runs when nodes read the log at different speeds, records are repeated,
+    /// callers leave and the log goes away.
+    #[test]
+    fn one_request_runs_in_any_order(steps in prop::collection::vec((0..3_usize, 0..6_u8), 1..60)) {
+        let mut nodes = Nodes::new(3);
+        let mut sequence = 0;
+        for (node, step) in steps {
+            sequence += 1;
+            match step {
+                0 => nodes.apply(node, 0, asked(request(node as u64, sequence))),
+                1 => nodes.apply(node, 0, ClaimEvent::LogChanged(LogReach::Down)),
+                2 => nodes.apply(node, 0, ClaimEvent::LogChanged(LogReach::Up)),
+                3 => {
+                    if let Some(event) = nodes.log.first().cloned() {
+                        nodes.log.push(event);
+                    }
+                }
+                _ => nodes.read_one(node, 0),
+            }
+        }
+        nodes.read_all(0);
+        prop_assert!(nodes.runs.len() <= 1, "runs: {:?}", nodes.runs);
+        for run in &nodes.runs {
+            prop_assert!(nodes.refusals.iter().all(|(request, ..)| request != run));
+        }
+    }
+}
--- /dev/null
+++ b/crates/delivery/tests/stream.rs
@@ -0,0 +1,152 @@
+//! Guards whole answers: no gap, no repeat, no token of another request, no silent truncation.
+
+use base::{Incarnation, Moment, UpstreamKey, WeightVersion};
+use delivery::{
+    AnswerPiece, BodyLength, EndMarker, ExchangeNumber, RequestId, StreamAction, StreamAssembler,
+    StreamEvent, StreamFault, check_body,
+};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+use rstest::rstest;
+
+const OWN: RequestId = RequestId { node: Incarnation(1), sequence: 1 };
+const OTHER: RequestId = RequestId { node: Incarnation(1), sequence: 2 };
+const DEADLINE: Moment = Moment(1_000);
+
+fn piece(exchange: u32, request: RequestId, index: u64) -> StreamEvent {
+    let token = format!("t{index}");
+    let version = WeightVersion(u64::from(exchange));
+    let piece = AnswerPiece { request, index, token, version };
+    StreamEvent::Piece { exchange: ExchangeNumber(exchange), piece }
+}
+
+fn end(exchange: u32, tokens: u64) -> StreamEvent {
+    let marker = EndMarker { request: OWN, tokens, prompt_tokens: 3 };
+    StreamEvent::End { exchange: ExchangeNumber(exchange), marker }
+}
+
+const fn opened(upstream: u32) -> StreamEvent {
+    StreamEvent::Opened { upstream: UpstreamKey(upstream) }
+}
+
+const fn closed(exchange: u32) -> StreamEvent {
+    StreamEvent::Closed { exchange: ExchangeNumber(exchange) }
+}
+
+/// Applies the events and compares what the caller and the driver see.
+fn check(events: Vec<StreamEvent>, expected: &[&str]) {
+    let mut assembler = StreamAssembler::new(OWN, DEADLINE, 1);
+    let mut seen = Vec::new();
+    for event in events {
+        for action in assembler.handle(Moment(0), event) {
+            seen.push(match action {
+                StreamAction::Deliver { token, .. } => token,
+                StreamAction::Complete { tokens, .. } => format!("complete {tokens}"),
+                StreamAction::CloseExchange { exchange, .. } => format!("close {}", exchange.0),
+                StreamAction::Resume { offset } => format!("resume {offset}"),
+                StreamAction::Fail(fault) => format!("{fault:?}"),
+            });
+        }
+    }
+    assert_eq!(seen, expected);
+}
+
+#[test]
+fn pieces_of_other_requests_and_exchanges_are_dropped() {
+    let events = vec![
+        opened(0),
+        piece(1, OWN, 0),
+        piece(1, OTHER, 1),
+        piece(1, OWN, 0),
+        closed(1),
+        opened(1),
+        piece(1, OWN, 1),
+        piece(2, OWN, 1),
+        end(1, 1),
+        end(2, 2),
+    ];
+    check(events, &["t0", "close 1", "resume 1", "t1", "complete 2"]);
+}
+
+#[rstest]
+#[case::missing_piece(piece(1, OWN, 2))]
+#[case::early_end_marker(end(1, 5))]
+#[case::no_end_marker(closed(1))]
+fn truncation_resumes_at_the_offset(#[case] fault: StreamEvent) {
+    let events = vec![opened(0), piece(1, OWN, 0), fault, opened(1), piece(2, OWN, 1), end(2, 2)];
+    check(events, &["t0", "close 1", "resume 1", "t1", "complete 2"]);
+}
+
+#[test]
+fn exhausted_resumes_end_with_an_explicit_error() {
+    let events = vec![opened(0), closed(1), opened(1), closed(2), opened(2), piece(3, OWN, 0)];
+    check(events, &["close 1", "resume 0", "close 2", "ResumesExhausted"]);
+    check(
+        vec![opened(0), closed(1), StreamEvent::NoUpstream],
+        &["close 1", "resume 0", "NoUpstream"],
+    );
+}
+
+#[test]
+fn deadline_ends_the_stream_and_its_exchange() {
+    let mut assembler = StreamAssembler::new(OWN, DEADLINE, 1);
+    assembler.handle(Moment(0), opened(0));
+    let actions = assembler.handle(DEADLINE, StreamEvent::Tick);
+    assert!(matches!(
+        actions.as_slice(),
+        [StreamAction::CloseExchange { .. }, StreamAction::Fail(StreamFault::DeadlineExceeded)]
+    ));
+}
+
+#[test]
+fn versions_of_a_resumed_answer_are_all_named() {
+    let mut assembler = StreamAssembler::new(OWN, DEADLINE, 1);
+    for event in [opened(0), piece(1, OWN, 0), closed(1), opened(1), piece(2, OWN, 1)] {
+        assembler.handle(Moment(0), event);
+    }
+    assert_eq!(assembler.versions(), [WeightVersion(1), WeightVersion(2)]);
+}
+
+#[test]
+fn body_length_is_checked() {
+    assert_eq!(check_body(Some(3), 3), BodyLength::Whole);
+    assert_eq!(check_body(Some(3), 2), BodyLength::Truncated);
+    assert_eq!(check_body(Some(3), 4), BodyLength::TooLong);
+    assert_eq!(check_body(None, 3), BodyLength::Truncated);
+}
+
+proptest! {
+    #![proptest_config(Config { rng_seed: RngSeed::Fixed(12), ..Config::with_cases(256) })]
+
+    /// Guards against gaps, repeats and false completion under any mixture of late, mismatched
+    /// and lost pieces.
+    #[test]
+    fn delivered_tokens_are_consecutive(
+        steps in prop::collection::vec((1..4_u32, 0..5_u64, 0..6_u8), 1..80),
+    ) {
+        let mut assembler = StreamAssembler::new(OWN, DEADLINE, 3);
+        let mut delivered = 0;
+        for (exchange, index, step) in steps {
+            let event = match step {
+                0 => opened(exchange),
+                1 => closed(exchange),
+                2 => end(exchange, index),
+                3 => piece(exchange, OTHER, index),
+                _ => piece(exchange, OWN, index),
+            };
+            for action in assembler.handle(Moment(0), event) {
+                match action {
+                    StreamAction::Deliver { index, .. } => {
+                        prop_assert_eq!(index, delivered);
+                        delivered += 1;
+                    }
+                    StreamAction::Complete { tokens, .. } => prop_assert_eq!(tokens, delivered),
+                    StreamAction::Resume { offset } => prop_assert_eq!(offset, delivered),
+                    _ => (),
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/delivery/tests/suspect.rs
@@ -0,0 +1,227 @@
+//! Guards against requests that crash one upstream after another, and against harm to others.
+
+use std::collections::BTreeMap;
+
+use base::{Execution, Incarnation, Moment, RefusalCode, RouteKey, Span, UpstreamKey, WallTime};
+use delivery::{
+    Fingerprint, IsolationAsk, Judgement, RequestId, SuspectAction, SuspectEvent, SuspectPolicy,
+    SuspectTable,
+};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+
+const STEP: Span = Span::from_millis(100);
+const RUN_STEPS: u64 = 5;
+
+struct Run {
+    node: usize,
+    fingerprint: Fingerprint,
+    ends_at: u64,
+}
+
+/// Nodes and upstreams of one route. Messages between nodes take one step.
+struct Cluster {
+    step: u64,
+    rng: ChaCha8Rng,
+    nodes: Vec<SuspectTable>,
+    upstreams: BTreeMap<UpstreamKey, Vec<Run>>,
+    messages: Vec<(usize, SuspectEvent)>,
+    asked: BTreeMap<RequestId, Fingerprint>,
+    sequence: u64,
+    lost: usize,
+    refused: BTreeMap<Fingerprint, RefusalCode>,
+    completed: usize,
+}
+
+impl Cluster {
+    fn new(nodes: u64, upstreams: u32, seed: u64) -> Self {
+        let nodes =
+            (0..nodes).map(|node| SuspectTable::new(Incarnation(node), SuspectPolicy::default()));
+        Self {
+            step: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            nodes: nodes.collect(),
+            upstreams: (0..upstreams).map(|key| (UpstreamKey(key), Vec::new())).collect(),
+            messages: Vec::new(),
+            asked: BTreeMap::new(),
+            sequence: 0,
+            lost: 0,
+            refused: BTreeMap::new(),
+            completed: 0,
+        }
+    }
+
+    fn now(&self) -> Moment {
+        Moment(self.step * STEP.0)
+    }
+
+    fn wall(&self) -> WallTime {
+        WallTime((self.step * STEP.as_millis()).cast_signed())
+    }
+
+    fn apply(&mut self, node: usize, event: SuspectEvent) {
+        let (now, wall) = (self.now(), self.wall());
+        for action in self.nodes[node].handle(now, wall, event) {
+            let message = match action {
+                SuspectAction::SpreadNote(note) => SuspectEvent::NoteHeard(note),
+                SuspectAction::Convict(verdict) => SuspectEvent::VerdictHeard(verdict),
+                SuspectAction::Reserve(notice) => SuspectEvent::IsolationHeard(notice),
+                SuspectAction::Release(notice) => SuspectEvent::IsolationEnded(notice),
+                SuspectAction::RunIsolated { request, upstream } => {
+                    let fingerprint = self.asked[&request];
+                    assert!(self.upstreams[&upstream].is_empty(), "an isolated run is alone");
+                    self.run(node, upstream, fingerprint);
+                    continue;
+                }
+                SuspectAction::Refuse { request, refusal } => {
+                    assert!(refusal.retry_after.is_some());
+                    self.refused.insert(self.asked[&request], refusal.code);
+                    continue;
+                }
+            };
+            let peers = (0..self.nodes.len()).filter(|peer| *peer != node);
+            self.messages.extend(peers.map(|peer| (peer, message.clone())));
+        }
+    }
+
+    fn run(&mut self, node: usize, upstream: UpstreamKey, fingerprint: Fingerprint) {
+        let ends_at = self.step + RUN_STEPS;
+        let run = Run { node, fingerprint, ends_at };
+        self.upstreams.get_mut(&upstream).expect("the upstream is live").push(run);
+        self.apply(node, SuspectEvent::Started { upstream, fingerprint });
+    }
+
+    fn send(&mut self, node: usize, fingerprint: Fingerprint) {
+        let live = self.upstreams.keys().copied().collect::<Vec<_>>();
+        if self.nodes[node].judge(self.wall(), fingerprint) == Judgement::Clear {
+            let free = live.into_iter().filter(|key| !self.nodes[node].is_reserved(*key));
+            let free = free.collect::<Vec<_>>();
+            assert!(!free.is_empty(), "other requests always find an upstream");
+            let upstream = free[self.rng.random_range(0..free.len())];
+            self.run(node, upstream, fingerprint);
+            return;
+        }
+        self.sequence += 1;
+        let request = RequestId { node: Incarnation(node as u64), sequence: self.sequence };
+        self.asked.insert(request, fingerprint);
+        let ask = IsolationAsk {
+            request,
+            fingerprint,
+            route: RouteKey(0),
+            deadline: self.now() + Span::from_secs(20),
+            execution: Execution::NotRun,
+            upstreams: live.into(),
+        };
+        self.apply(node, SuspectEvent::Asked(ask));
+    }
+
+    fn advance(&mut self, killers: &[Fingerprint]) {
+        self.step += 1;
+        for (node, message) in std::mem::take(&mut self.messages) {
+            self.apply(node, message);
+        }
+        for upstream in self.upstreams.keys().copied().collect::<Vec<_>>() {
+            let runs = self.upstreams.get_mut(&upstream).expect("the upstream was listed");
+            let ended = runs.extract_if(.., |run| run.ends_at <= self.step).collect::<Vec<_>>();
+            if ended.iter().any(|run| killers.contains(&run.fingerprint)) {
+                self.upstreams.remove(&upstream);
+                self.lost += 1;
+                for node in 0..self.nodes.len() {
+                    self.apply(node, SuspectEvent::Crashed(upstream));
+                }
+                continue;
+            }
+            for run in ended {
+                self.completed += 1;
+                let Run { node, fingerprint, .. } = run;
+                self.apply(node, SuspectEvent::Finished { upstream, fingerprint });
+            }
+            let requests = self.upstreams[&upstream].len() as u32;
+            let measured_at = self.now();
+            for node in 0..self.nodes.len() {
+                let seen = SuspectEvent::LoadSeen { upstream, requests, measured_at };
+                self.apply(node, seen);
+            }
+        }
+        for node in 0..self.nodes.len() {
+            self.apply(node, SuspectEvent::Tick);
+        }
+    }
+}
+
+fn fingerprint(number: u64) -> Fingerprint {
+    Fingerprint::of("hmla", "advice", &number.to_be_bytes())
+}
+
+#[rstest]
+#[case::one(1, 1)]
+#[case::two_at_once(2, 2)]
+#[case::three_at_once(3, 3)]
+fn crashing_requests_lose_two_upstreams_each_and_harm_no_other(
+    #[case] count: u64,
+    #[case] seed: u64,
+) {
+    let killers = (0..count).map(fingerprint).collect::<Vec<_>>();
+    let mut cluster = Cluster::new(3, 16, seed);
+    for step in 0..1_200 {
+        cluster.advance(&killers);
+        for innocent in 0..3 {
+            let node = cluster.rng.random_range(0..3);
+            cluster.send(node, fingerprint(1_000 + step * 3 + innocent));
+        }
+        if step % 10 == 0 {
+            // The callers send the crashing requests again and again, through any node.
+            for killer in &killers {
+                let node = cluster.rng.random_range(0..3);
+                cluster.send(node, *killer);
+            }
+        }
+    }
+    assert!(cluster.lost <= 2 * killers.len(), "{} upstreams lost", cluster.lost);
+    for killer in &killers {
+        let judgement = cluster.nodes[0].judge(cluster.wall(), *killer);
+        assert!(matches!(judgement, Judgement::Convicted { .. }), "{judgement:?}");
+    }
+    cluster.refused.retain(|refused, _| !killers.contains(refused));
+    assert_eq!(cluster.refused, BTreeMap::new(), "no other request is refused");
+    assert!(cluster.completed > 3_000, "{} completed", cluster.completed);
+}
+
+#[test]
+fn suspicion_and_conviction_expire() {
+    let mut cluster = Cluster::new(1, 4, 5);
+    let suspect = fingerprint(7);
+    for upstream in [0, 1] {
+        cluster.run(0, UpstreamKey(upstream), suspect);
+        cluster.apply(0, SuspectEvent::Crashed(UpstreamKey(upstream)));
+    }
+    let convicted = Judgement::Convicted { retry_after: Span::from_secs(600) };
+    assert_eq!(cluster.nodes[0].judge(WallTime(0), suspect), convicted);
+    assert_eq!(cluster.nodes[0].judge(WallTime(600_000), suspect), Judgement::Clear);
+}
+
+#[test]
+fn crash_reported_twice_on_one_upstream_does_not_convict() {
+    let mut cluster = Cluster::new(2, 4, 6);
+    let suspect = fingerprint(8);
+    for node in 0..2 {
+        cluster.run(node, UpstreamKey(0), suspect);
+        cluster.apply(node, SuspectEvent::Crashed(UpstreamKey(0)));
+    }
+    for (node, message) in std::mem::take(&mut cluster.messages) {
+        cluster.apply(node, message);
+    }
+    assert_eq!(cluster.nodes[0].judge(WallTime(0), suspect), Judgement::Suspect);
+}
+
+#[test]
+fn only_upstream_of_a_route_is_not_kept_free() {
+    let mut cluster = Cluster::new(1, 2, 7);
+    cluster.run(0, UpstreamKey(0), fingerprint(9));
+    cluster.upstreams.remove(&UpstreamKey(0));
+    cluster.apply(0, SuspectEvent::Crashed(UpstreamKey(0)));
+    cluster.send(0, fingerprint(9));
+    assert_eq!(cluster.refused.get(&fingerprint(9)), Some(&RefusalCode::NoUpstream));
+    assert!(!cluster.nodes[0].is_reserved(UpstreamKey(1)));
+}
