Add admission: fair queue, shared limits, early refusal and retry budget

Ruled out: granting the zone's whole part to whichever delegate a node sees, since two sides of a partition inside a zone would grant it twice; a delegate grants the part of the VMs it sees. Ruled out: dropping a node's old grant when a new one is sent, since the answer may be lost; the old one counts until the node names a newer one or it expires.

Change: FairQueue (deficit round robin, debts for understated costs, 10% minimum for samples), LimitDesk and LimitShare, RetryBudget.

--- /dev/null
+++ b/crates/admission/src/desk.rs
@@ -0,0 +1,199 @@
+//! The delegate's side of the customers' limits.
+
+use std::collections::BTreeMap;
+
+use base::{CustomerKey, Incarnation, Moment, Span, key};
+
+use crate::{GrantId, LimitAsk, LimitGrant};
+
+key! {
+    /// The zone's part of one customer's limit.
+    pub struct ZonePart {
+        /// Tokens per second for the whole zone, by its number of entry VMs in the document.
+        pub rate: u32,
+    }
+
+    /// Settings of the desk.
+    pub struct DeskSettings {
+        /// How long a grant lasts. A new delegate waits as long before it grants.
+        pub grant_period: Span,
+        /// Entry VMs of the zone in the document.
+        pub zone_vms: u32,
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct OpenGrant {
+    number: u64,
+    rate: u32,
+    expires_at: Moment,
+}
+
+#[derive(Debug, Clone, Default)]
+struct NodeAccount {
+    sequence: u64,
+    demand: u32,
+    heard_at: Option<Moment>,
+    /// Grants that the node may still be using. It uses one, and which one is known only from
+    /// its next ask.
+    open: Vec<OpenGrant>,
+}
+
+/// Grants of the zone's delegate.
+///
+/// A delegate grants only the part of the zone's rate that belongs to the VMs it sees alive, so
+/// that two delegates on two sides of a partition inside the zone stay below the limit together.
+#[derive(Debug, Clone)]
+pub struct LimitDesk {
+    me: Incarnation,
+    settings: DeskSettings,
+    parts: BTreeMap<CustomerKey, ZonePart>,
+    accounts: BTreeMap<(CustomerKey, Incarnation), NodeAccount>,
+    live_vms: u32,
+    /// Number of VMs that counts until [`LimitDesk::raise_at`], when `live_vms` replaces it.
+    counted_vms: u32,
+    raise_at: Moment,
+    next_number: u64,
+}
+
+impl DeskSettings {
+    /// Settings with the usual grant period of 10 s.
+    #[must_use]
+    pub const fn new(zone_vms: u32) -> Self {
+        Self { grant_period: Span::from_secs(10), zone_vms }
+    }
+}
+
+impl LimitDesk {
+    /// Creates the desk of the node `me` that becomes delegate at `now` and sees `live_vms` VMs.
+    ///
+    /// It grants nothing for one grant period, in which the grants of the delegate before it end.
+    #[must_use]
+    pub const fn new(me: Incarnation, settings: DeskSettings, now: Moment, live_vms: u32) -> Self {
+        Self {
+            me,
+            settings,
+            parts: BTreeMap::new(),
+            accounts: BTreeMap::new(),
+            live_vms,
+            counted_vms: 0,
+            raise_at: Moment(now.0.saturating_add(settings.grant_period.0)),
+            next_number: 1,
+        }
+    }
+
+    /// Sets the zone's part of a customer's limit. Grants above a lowered part run out.
+    pub fn set_part(&mut self, customer: CustomerKey, part: ZonePart) {
+        self.parts.insert(customer, part);
+    }
+
+    /// Notes how many VMs of the zone are alive as the delegate sees it.
+    ///
+    /// A fall counts at once. A rise counts after one grant period, in which the grants of another
+    /// delegate to those VMs end.
+    pub fn set_live_vms(&mut self, now: Moment, live_vms: u32) {
+        self.settle(now);
+        if live_vms > self.live_vms {
+            self.raise_at = now + self.settings.grant_period;
+        }
+        self.live_vms = live_vms;
+        self.counted_vms = self.counted_vms.min(live_vms);
+    }
+
+    /// Answers the ask of a node, or returns none for a customer without a limit and for an ask
+    /// that is older than one answered before.
+    pub fn ask(&mut self, now: Moment, ask: LimitAsk) -> Option<LimitGrant> {
+        self.settle(now);
+        let part = *self.parts.get(&ask.customer)?;
+        let period = self.settings.grant_period;
+        let account = self.accounts.entry((ask.customer, ask.node)).or_default();
+        if ask.sequence <= account.sequence {
+            return None;
+        }
+        account.sequence = ask.sequence;
+        account.demand = ask.demand;
+        account.heard_at = Some(now);
+        // The node never goes back to a grant older than the one it holds. One that it holds from
+        // another delegate says nothing about the grants of this one.
+        let held = ask.held.filter(|id| id.desk == self.me).map_or(0, |id| id.number);
+        account.open.retain(|grant| grant.number >= held && grant.expires_at > now);
+        let usable = self.usable(part);
+        let others = self.charged(now, ask.customer, Some(ask.node));
+        let target = self.target(now, ask, usable);
+        let rate = target.min(usable.saturating_sub(others));
+        let number = self.next_number;
+        self.next_number += 1;
+        let account = self.accounts.entry((ask.customer, ask.node)).or_default();
+        account.open.push(OpenGrant { number, rate, expires_at: now + period });
+        let LimitAsk { node, customer, sequence, .. } = ask;
+        let id = GrantId { desk: self.me, number };
+        Some(LimitGrant { node, customer, sequence, id, rate, period })
+    }
+
+    /// Returns the rate that nodes may be using now, in tokens per second.
+    #[must_use]
+    pub fn granted(&self, now: Moment, customer: CustomerKey) -> u32 {
+        self.charged(now, customer, None)
+    }
+
+    fn settle(&mut self, now: Moment) {
+        if now >= self.raise_at {
+            self.counted_vms = self.live_vms;
+        }
+        let period = self.settings.grant_period;
+        self.accounts.retain(|_, account| {
+            account.heard_at.is_some_and(|heard_at| now.since(heard_at) <= period)
+        });
+    }
+
+    fn usable(&self, part: ZonePart) -> u32 {
+        let zone_vms = self.settings.zone_vms.max(1);
+        let counted = self.counted_vms.min(zone_vms);
+        (u64::from(part.rate) * u64::from(counted) / u64::from(zone_vms)) as u32
+    }
+
+    fn charged(&self, now: Moment, customer: CustomerKey, except: Option<Incarnation>) -> u32 {
+        let mut sum = 0_u32;
+        for ((_, node), account) in self.of(customer) {
+            if Some(*node) == except {
+                continue;
+            }
+            let open = account.open.iter().filter(|grant| grant.expires_at > now);
+            sum = sum.saturating_add(open.map(|grant| grant.rate).max().unwrap_or(0));
+        }
+        sum
+    }
+
+    /// Max-min fair share of the demands, plus an equal part of what is left over, so that a node
+    /// with little demand can admit a sudden request.
+    fn target(&self, now: Moment, ask: LimitAsk, usable: u32) -> u32 {
+        let period = self.settings.grant_period;
+        let recent = |account: &&NodeAccount| {
+            account.heard_at.is_some_and(|heard_at| now.since(heard_at) <= period)
+        };
+        let accounts = self.of(ask.customer).map(|(_, account)| account).filter(recent);
+        let mut demands = accounts.map(|account| account.demand).collect::<Vec<_>>();
+        demands.sort_unstable();
+        let mut left = usable;
+        let mut share = 0;
+        for (position, demand) in demands.iter().enumerate() {
+            let equal = left / (demands.len() - position) as u32;
+            share = (*demand).min(equal);
+            left -= share;
+            if *demand >= ask.demand {
+                break;
+            }
+        }
+        let all = demands.iter().fold(0_u32, |sum, demand| sum.saturating_add(*demand));
+        share + usable.saturating_sub(all) / demands.len().max(1) as u32
+    }
+
+    fn of(
+        &self,
+        customer: CustomerKey,
+    ) -> impl Iterator<Item = (&(CustomerKey, Incarnation), &NodeAccount)> {
+        let first = (customer, Incarnation(0));
+        let last = (customer, Incarnation(u64::MAX));
+        self.accounts.range(first..=last)
+    }
+}
--- /dev/null
+++ b/crates/admission/src/share.rs
@@ -0,0 +1,238 @@
+//! A node's side of the customers' limits.
+
+use std::collections::BTreeMap;
+
+use base::{CustomerKey, Incarnation, Moment, Refusal, RefusalCode, Span, key, plain};
+
+key! {
+    /// Identifier of a grant.
+    pub struct GrantId {
+        /// The delegate that granted.
+        pub desk: Incarnation,
+        /// Number of the grant among those of its delegate, starting at 1.
+        pub number: u64,
+    }
+
+    /// Asks the zone's delegate for a share of a customer's limit.
+    pub struct LimitAsk {
+        /// The node that asks.
+        pub node: Incarnation,
+        /// The customer.
+        pub customer: CustomerKey,
+        /// Tokens per second that the node's callers ask for.
+        pub demand: u32,
+        /// Number of the ask among those of its node and customer, starting at 1.
+        pub sequence: u64,
+        /// The grant that the node uses.
+        pub held: Option<GrantId>,
+    }
+
+    /// Grants a share of a customer's limit.
+    pub struct LimitGrant {
+        /// The node that asked.
+        pub node: Incarnation,
+        /// The customer.
+        pub customer: CustomerKey,
+        /// Number of the ask that this answers.
+        pub sequence: u64,
+        /// Identifier of the grant.
+        pub id: GrantId,
+        /// Tokens per second.
+        pub rate: u32,
+        /// How long the grant lasts, counted from the moment before its ask was sent.
+        pub period: Span,
+    }
+
+    /// Settings of a node's shares.
+    pub struct ShareSettings {
+        /// Time between two asks for a customer with demand.
+        pub ask_period: Span,
+        /// A full bucket holds this much time's worth of the rate.
+        pub burst: Span,
+        /// A customer without demand for this long is no longer asked for.
+        pub idle_after: Span,
+        /// A node without any grant yet waits this long for its first.
+        pub first_wait: Span,
+    }
+}
+
+plain! {
+    /// Answer to a request of a customer that has a limit.
+    pub enum LimitAnswer {
+        /// The tokens are taken from the bucket.
+        Admitted,
+        /// The node has not heard its first grant. Ask again when it arrives.
+        AwaitGrant,
+        /// The bucket is empty, or no grant is in force.
+        Refused(Refusal),
+    }
+}
+
+#[derive(Debug, Clone)]
+struct CustomerShare {
+    rate: u32,
+    expires_at: Moment,
+    held: Option<GrantId>,
+    sequence: u64,
+    asked_at: Option<Moment>,
+    answered: u64,
+    /// Tokens that callers asked for since the last ask.
+    wanted: u64,
+    wanted_at: Moment,
+    first_wanted_at: Moment,
+    /// Millionths of a token in the bucket. A negative level is a debt.
+    level: i64,
+    filled_at: Moment,
+}
+
+/// Shares of the customers' limits on one node, each with a token bucket.
+#[derive(Debug, Clone)]
+pub struct LimitShare {
+    me: Incarnation,
+    settings: ShareSettings,
+    shares: BTreeMap<CustomerKey, CustomerShare>,
+}
+
+const MICRO: i64 = 1_000_000;
+
+impl Default for ShareSettings {
+    fn default() -> Self {
+        Self {
+            ask_period: Span::from_secs(3),
+            burst: Span::from_secs(1),
+            idle_after: Span::from_secs(30),
+            first_wait: Span::from_millis(500),
+        }
+    }
+}
+
+impl LimitShare {
+    /// Creates the shares of the node `me`.
+    #[must_use]
+    pub const fn new(me: Incarnation, settings: ShareSettings) -> Self {
+        Self { me, settings, shares: BTreeMap::new() }
+    }
+
+    /// Takes `tokens` from the bucket of a customer that has a limit.
+    ///
+    /// A request may overdraw a bucket that holds anything, so that one larger than the bucket can
+    /// run at all. The debt is paid before the next request.
+    pub fn admit(&mut self, now: Moment, customer: CustomerKey, tokens: u32) -> LimitAnswer {
+        let share = self.shares.entry(customer).or_insert_with(|| CustomerShare::new(now));
+        share.wanted = share.wanted.saturating_add(u64::from(tokens));
+        share.wanted_at = now;
+        share.fill(now, self.settings.burst);
+        if share.level > 0 {
+            share.level -= i64::from(tokens) * MICRO;
+            return LimitAnswer::Admitted;
+        }
+        if share.answered == 0 && now < share.first_wanted_at + self.settings.first_wait {
+            return LimitAnswer::AwaitGrant;
+        }
+        let retry_after = match u64::from(share.rate_at(now)) {
+            0 => self.settings.ask_period,
+            rate => Span(share.level.unsigned_abs() / rate + 1),
+        };
+        let message = "the customer's limit is reached";
+        let refusal = Refusal::not_run(RefusalCode::LimitReached, message);
+        LimitAnswer::Refused(refusal.with_retry_after(retry_after))
+    }
+
+    /// Charges the difference between the true and the estimated cost of an admitted request.
+    pub fn correct(&mut self, customer: CustomerKey, difference: i64) {
+        let Some(share) = self.shares.get_mut(&customer) else { return };
+        let burst = i64::try_from(self.settings.burst.0).unwrap_or(i64::MAX);
+        let full = i64::from(share.rate).saturating_mul(burst);
+        share.level = share.level.saturating_sub(difference.saturating_mul(MICRO)).min(full);
+    }
+
+    /// Returns the asks that are due at `now`, to be sent to the zone's delegate.
+    pub fn asks(&mut self, now: Moment) -> Vec<LimitAsk> {
+        let settings = self.settings;
+        self.shares.retain(|_, share| now.since(share.wanted_at) < settings.idle_after);
+        let mut asks = Vec::new();
+        for (customer, share) in &mut self.shares {
+            if share.asked_at.is_some_and(|at| now.since(at) < settings.ask_period) {
+                continue;
+            }
+            let passed = share.asked_at.map_or(settings.ask_period, |at| now.since(at));
+            let demand = share.wanted.saturating_mul(1_000_000) / passed.0.max(1);
+            share.wanted = 0;
+            share.asked_at = Some(now);
+            share.sequence += 1;
+            asks.push(LimitAsk {
+                node: self.me,
+                customer: *customer,
+                demand: u32::try_from(demand).unwrap_or(u32::MAX),
+                sequence: share.sequence,
+                held: share.held,
+            });
+        }
+        asks
+    }
+
+    /// Takes in a grant. One that answers an ask other than the last is ignored.
+    pub fn granted(&mut self, now: Moment, grant: LimitGrant) {
+        let Some(share) = self.shares.get_mut(&grant.customer) else { return };
+        let Some(asked_at) = share.asked_at else { return };
+        let is_last = grant.sequence == share.sequence && grant.sequence > share.answered;
+        if grant.node != self.me || !is_last {
+            return;
+        }
+        share.fill(now, self.settings.burst);
+        share.answered = grant.sequence;
+        share.held = Some(grant.id);
+        share.rate = grant.rate;
+        share.expires_at = asked_at + grant.period;
+        share.fill(now, self.settings.burst);
+    }
+
+    /// Returns the rate in force, in tokens per second.
+    #[must_use]
+    pub fn rate(&self, now: Moment, customer: CustomerKey) -> u32 {
+        self.shares.get(&customer).map_or(0, |share| share.rate_at(now))
+    }
+
+    /// Returns when [`LimitShare::asks`] is due, or `None` when no customer has demand.
+    #[must_use]
+    pub fn next_deadline(&self) -> Option<Moment> {
+        let due = |share: &CustomerShare| {
+            share.asked_at.map_or(Moment(0), |at| at + self.settings.ask_period)
+        };
+        self.shares.values().map(due).min()
+    }
+}
+
+impl CustomerShare {
+    const fn new(now: Moment) -> Self {
+        Self {
+            rate: 0,
+            expires_at: Moment(0),
+            held: None,
+            sequence: 0,
+            asked_at: None,
+            answered: 0,
+            wanted: 0,
+            wanted_at: now,
+            first_wanted_at: now,
+            level: 0,
+            filled_at: now,
+        }
+    }
+
+    fn rate_at(&self, now: Moment) -> u32 {
+        if now < self.expires_at { self.rate } else { 0 }
+    }
+
+    /// Fills the bucket for the time that the grant was in force, up to one burst.
+    fn fill(&mut self, now: Moment, burst: Span) {
+        let until = now.min(self.expires_at);
+        let passed = until.since(self.filled_at).0;
+        self.filled_at = self.filled_at.max(now);
+        let rate = i64::from(self.rate);
+        let gained = rate.saturating_mul(i64::try_from(passed).unwrap_or(i64::MAX));
+        let full = rate.saturating_mul(i64::try_from(burst.0).unwrap_or(i64::MAX));
+        let full = if now < self.expires_at { full } else { 0 };
+        self.level = self.level.saturating_add(gained).min(full);
+    }
+}
--- /dev/null
+++ b/crates/admission/tests/limit.rs
@@ -0,0 +1,184 @@
+//! Guards the limits: the sum of the nodes' shares never exceeds the zone's part.
+
+use admission::{
+    DeskSettings, LimitAnswer, LimitAsk, LimitDesk, LimitGrant, LimitShare, ShareSettings, ZonePart,
+};
+use base::{CustomerKey, Incarnation, Moment, Span};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+
+const CUSTOMER: CustomerKey = CustomerKey(0);
+const PART: u32 = 1_000;
+const VMS: usize = 4;
+
+enum Message {
+    Ask(LimitAsk, usize),
+    Grant(LimitGrant),
+}
+
+/// The nodes of one zone. Messages wait until a step delivers or loses them.
+struct Zone {
+    now: Moment,
+    shares: Vec<LimitShare>,
+    desks: Vec<Option<LimitDesk>>,
+    messages: Vec<Message>,
+    /// Side of the partition of each node, all 0 when there is none.
+    sides: [usize; VMS],
+}
+
+impl Zone {
+    fn new() -> Self {
+        let nodes = 0..VMS as u64;
+        let share = |node| LimitShare::new(Incarnation(node), ShareSettings::default());
+        let mut zone = Self {
+            now: Moment(0),
+            shares: nodes.map(share).collect(),
+            desks: vec![None; VMS],
+            messages: Vec::new(),
+            sides: [0; VMS],
+        };
+        zone.elect();
+        zone
+    }
+
+    /// The lowest node of each side is its delegate, which sees the side's VMs.
+    fn elect(&mut self) {
+        for node in 0..VMS {
+            let side = self.sides[node];
+            let live = self.sides.iter().filter(|other| **other == side).count() as u32;
+            if self.delegate(node) != node {
+                self.desks[node] = None;
+                continue;
+            }
+            if let Some(desk) = &mut self.desks[node] {
+                desk.set_live_vms(self.now, live);
+                continue;
+            }
+            let settings = DeskSettings::new(VMS as u32);
+            let mut desk = LimitDesk::new(Incarnation(node as u64), settings, self.now, live);
+            desk.set_part(CUSTOMER, ZonePart { rate: PART });
+            self.desks[node] = Some(desk);
+        }
+    }
+
+    fn delegate(&self, node: usize) -> usize {
+        let side = self.sides[node];
+        self.sides.iter().position(|other| *other == side).unwrap_or(node)
+    }
+
+    fn want(&mut self, node: usize, tokens: u32) {
+        self.shares[node].admit(self.now, CUSTOMER, tokens);
+        let delegate = self.delegate(node);
+        for ask in self.shares[node].asks(self.now) {
+            self.messages.push(Message::Ask(ask, delegate));
+        }
+    }
+
+    fn deliver(&mut self, position: usize) {
+        if self.messages.is_empty() {
+            return;
+        }
+        match self.messages.remove(position % self.messages.len()) {
+            Message::Ask(ask, delegate) => {
+                let Some(desk) = &mut self.desks[delegate] else { return };
+                self.messages.extend(desk.ask(self.now, ask).map(Message::Grant));
+            }
+            Message::Grant(grant) => self.shares[grant.node.0 as usize].granted(self.now, grant),
+        }
+    }
+
+    fn sum(&self) -> u32 {
+        self.shares.iter().map(|share| share.rate(self.now, CUSTOMER)).sum()
+    }
+
+    /// Lets every node want `demands` tokens each second for `secs` seconds.
+    fn run(&mut self, secs: u64, demands: [u32; VMS]) {
+        for _ in 0..secs {
+            self.now += Span::from_secs(1);
+            for (node, demand) in demands.into_iter().enumerate() {
+                self.want(node, demand);
+            }
+            while !self.messages.is_empty() {
+                self.deliver(0);
+            }
+            assert!(self.sum() <= PART, "{} granted", self.sum());
+        }
+    }
+}
+
+#[test]
+fn new_delegate_waits_one_grant_period() {
+    let mut zone = Zone::new();
+    zone.run(8, [500; VMS]);
+    assert_eq!(zone.sum(), 0);
+    zone.run(20, [500; VMS]);
+    assert!(zone.sum() > PART * 9 / 10, "{} granted", zone.sum());
+}
+
+#[test]
+fn shares_follow_demand() {
+    let mut zone = Zone::new();
+    zone.run(40, [100, 100, 2_000, 0]);
+    let rates = (0..VMS).map(|node| zone.shares[node].rate(zone.now, CUSTOMER));
+    let rates = rates.collect::<Vec<_>>();
+    assert!(rates[2] > 700 && rates[0] >= 90, "{rates:?}");
+    zone.run(30, [2_000, 100, 100, 0]);
+    assert!(zone.shares[0].rate(zone.now, CUSTOMER) > 700);
+}
+
+#[test]
+fn share_expires_when_the_delegate_is_out_of_reach() {
+    let mut zone = Zone::new();
+    zone.run(20, [500; VMS]);
+    assert!(zone.shares[1].rate(zone.now, CUSTOMER) > 0);
+    assert_eq!(zone.shares[1].rate(zone.now + Span::from_secs(10), CUSTOMER), 0);
+}
+
+#[test]
+fn bucket_holds_a_customer_to_the_granted_rate() {
+    let mut zone = Zone::new();
+    zone.run(20, [500; VMS]);
+    let rate = zone.shares[0].rate(zone.now, CUSTOMER);
+    let mut admitted = 0;
+    for step in 0..500 {
+        let now = zone.now + Span::from_millis(step * 10);
+        match zone.shares[0].admit(now, CUSTOMER, 50) {
+            LimitAnswer::Admitted => admitted += 50,
+            LimitAnswer::AwaitGrant => panic!("the node has a grant"),
+            LimitAnswer::Refused(refusal) => assert!(refusal.retry_after.is_some()),
+        }
+    }
+    // Five seconds at the rate, one burst, and one request that overdraws.
+    assert!(admitted <= rate * 6 + 50, "{admitted} admitted at {rate} a second");
+    assert!(admitted >= rate * 4, "{admitted} admitted at {rate} a second");
+}
+
+proptest! {
+    #![proptest_config(Config { rng_seed: RngSeed::Fixed(13), ..Config::with_cases(256) })]
+
+    /// Guards the sum under lost, late and reordered messages, partitions and delegate changes.
+    #[test]
+    fn sum_never_exceeds_the_part(
+        steps in prop::collection::vec((0..12_u8, 0..VMS, 1..3_000_u32), 1..300),
+    ) {
+        let mut zone = Zone::new();
+        for (step, node, amount) in steps {
+            match step {
+                0..4 => zone.want(node, amount),
+                4..8 => zone.deliver(amount as usize),
+                8 if !zone.messages.is_empty() => {
+                    let lost = amount as usize % zone.messages.len();
+                    zone.messages.remove(lost);
+                }
+                9 => {
+                    zone.sides[node] = amount as usize % 2;
+                    zone.elect();
+                }
+                _ => zone.now += Span::from_millis(u64::from(amount)),
+            }
+            prop_assert!(zone.sum() <= PART, "{} granted", zone.sum());
+        }
+    }
+}
--- /dev/null
+++ b/crates/admission/tests/queue.rs
@@ -0,0 +1,170 @@
+//! Guards fairness between customers, the guaranteed minimum of samples, and early refusal.
+
+use std::collections::BTreeMap;
+
+use admission::{
+    FairQueue, QueueAction, QueueEvent, QueueItem, QueueSettings, RetryBudget, ServiceRate,
+    TicketNumber, TrainerKey, WorkClass,
+};
+use base::{CustomerKey, Execution, Moment, Refusal, Span};
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+
+const RATE: ServiceRate = ServiceRate { tokens_per_second: 1_000, max_in_service: 100 };
+const FAR: Moment = Moment(1_000_000_000_000);
+
+fn queue() -> FairQueue {
+    FairQueue::new(QueueSettings::default(), RATE, ChaCha8Rng::seed_from_u64(1))
+}
+
+fn item(ticket: u64, customer: u32, class: WorkClass, tokens: u32) -> QueueItem {
+    let customer = CustomerKey(customer);
+    QueueItem { ticket: TicketNumber(ticket), customer, class, tokens, deadline: FAR }
+}
+
+/// A backlog of equal requests of several flows, served one after another.
+struct Backlog {
+    flows: Vec<(u32, WorkClass, u32)>,
+    true_tokens: BTreeMap<u32, u32>,
+    weights: Vec<(u32, u32)>,
+}
+
+impl Backlog {
+    /// Compares the true tokens served per flow in the first 400 completions with the expected
+    /// shares, in hundredths, to within `tolerance`.
+    fn check(&self, expected: &[u64], tolerance: u64) {
+        let mut queue = queue();
+        let mut served = vec![0; self.flows.len()];
+        let mut running = Vec::new();
+        let apply = |queue: &mut FairQueue, event, running: &mut Vec<u64>| {
+            for action in queue.handle(Moment(0), event) {
+                let QueueAction::Dispatch(ticket) = action else { panic!("{action:?}") };
+                running.push(ticket.0);
+            }
+        };
+        for (customer, weight) in &self.weights {
+            let customer = CustomerKey(*customer);
+            let event = QueueEvent::WeightChanged { customer, weight: *weight };
+            apply(&mut queue, event, &mut running);
+        }
+        for number in 0..400 {
+            for (flow, (customer, class, tokens)) in self.flows.iter().enumerate() {
+                let ticket = number * self.flows.len() as u64 + flow as u64;
+                let item = item(ticket, *customer, *class, *tokens);
+                apply(&mut queue, QueueEvent::Offered(item), &mut running);
+            }
+        }
+        for _ in 0..400 {
+            let ticket = running.remove(0);
+            let flow = (ticket % self.flows.len() as u64) as usize;
+            let (customer, _, tokens) = self.flows[flow];
+            let tokens = self.true_tokens.get(&customer).copied().unwrap_or(tokens);
+            served[flow] += u64::from(tokens);
+            let event = QueueEvent::Done { ticket: TicketNumber(ticket), tokens };
+            apply(&mut queue, event, &mut running);
+        }
+        let total = served.iter().sum::<u64>();
+        for (flow, expected) in expected.iter().enumerate() {
+            let share = served[flow] * 100 / total;
+            let matches = share.abs_diff(*expected) <= tolerance;
+            assert!(matches, "flow {flow} got {share}%, expected {expected}%: {served:?}");
+        }
+    }
+}
+
+#[test]
+fn customers_share_by_tokens_and_weight() {
+    let flows = vec![(0, WorkClass::Live, 50), (1, WorkClass::Live, 200)];
+    let mut backlog = Backlog { flows, true_tokens: BTreeMap::new(), weights: Vec::new() };
+    backlog.check(&[50, 50], 3);
+    backlog.weights = vec![(0, 3)];
+    backlog.check(&[75, 25], 3);
+}
+
+#[test]
+fn understated_cost_is_paid_back() {
+    let flows = vec![(0, WorkClass::Live, 50), (1, WorkClass::Live, 50)];
+    let true_tokens = BTreeMap::from_iter([(0, 200)]);
+    Backlog { flows, true_tokens, weights: Vec::new() }.check(&[50, 50], 5);
+}
+
+#[test]
+fn samples_keep_their_minimum_and_trainers_share_it() {
+    let flows = vec![
+        (0, WorkClass::Live, 50),
+        (1, WorkClass::Sample(TrainerKey(0)), 50),
+        (1, WorkClass::Sample(TrainerKey(1)), 50),
+    ];
+    let backlog = Backlog { flows, true_tokens: BTreeMap::new(), weights: Vec::new() };
+    backlog.check(&[90, 5, 5], 1);
+}
+
+fn refusal(actions: &[QueueAction]) -> Option<&Refusal> {
+    actions.iter().find_map(|action| match action {
+        QueueAction::Refuse { refusal, .. } => Some(refusal),
+        QueueAction::Dispatch(_) => None,
+    })
+}
+
+#[test]
+fn request_is_refused_at_once_when_the_wait_exceeds_its_deadline() {
+    let mut queue = queue();
+    for ticket in 0..40 {
+        queue.handle(Moment(0), QueueEvent::Offered(item(ticket, 0, WorkClass::Live, 100)));
+    }
+    let deadline = Moment(2_000_000);
+    let late = QueueItem { deadline, ..item(40, 0, WorkClass::Live, 100) };
+    let actions = queue.handle(Moment(0), QueueEvent::Offered(late));
+    let refusal = refusal(&actions).expect("3.9 s of work are ahead of the request");
+    assert_eq!(refusal.execution, Execution::NotRun);
+    let retry_after = refusal.retry_after.expect("an overload refusal states a retry time");
+    assert!((Span::from_millis(3_900)..=Span::from_millis(7_800)).contains(&retry_after));
+    // Another customer's share of the service is not used up.
+    let other = QueueItem { deadline, ..item(41, 1, WorkClass::Live, 100) };
+    assert_eq!(queue.handle(Moment(0), QueueEvent::Offered(other)).as_slice(), []);
+}
+
+#[test]
+fn fall_of_the_service_rate_refuses_those_that_are_late_now() {
+    let mut queue = queue();
+    for ticket in 0..10 {
+        let deadline = Moment(2_000_000);
+        let item = QueueItem { deadline, ..item(ticket, 0, WorkClass::Live, 100) };
+        assert_eq!(refusal(&queue.handle(Moment(0), QueueEvent::Offered(item))), None);
+    }
+    let rate = ServiceRate { tokens_per_second: 300, ..RATE };
+    let actions = queue.handle(Moment(0), QueueEvent::RateChanged(rate));
+    // The service does 600 tokens until the deadline. Ticket 0 runs and 1 to 5 follow in time.
+    let refused = actions.iter().map(|action| match action {
+        QueueAction::Refuse { ticket, .. } => ticket.0,
+        QueueAction::Dispatch(_) => panic!("{action:?}"),
+    });
+    assert_eq!(refused.collect::<Vec<_>>(), [6, 7, 8, 9]);
+}
+
+#[test]
+fn withdrawn_request_is_never_dispatched() {
+    let mut queue = queue();
+    for ticket in 0..3 {
+        queue.handle(Moment(0), QueueEvent::Offered(item(ticket, 0, WorkClass::Live, 100)));
+    }
+    queue.handle(Moment(0), QueueEvent::CallerGone(TicketNumber(1)));
+    let done = QueueEvent::Done { ticket: TicketNumber(0), tokens: 100 };
+    let actions = queue.handle(Moment(0), done);
+    assert_eq!(actions.as_slice(), [QueueAction::Dispatch(TicketNumber(2))]);
+    assert_eq!((queue.waiting_tokens(), queue.in_service_tokens()), (0, 100));
+}
+
+#[test]
+fn retries_are_a_tenth_of_successes() {
+    let mut budget = RetryBudget::new();
+    while budget.take() {}
+    for _ in 0..1_000 {
+        budget.succeeded();
+    }
+    assert_eq!(budget.left(), 100);
+    for _ in 0..1_000 {
+        budget.succeeded();
+    }
+    assert_eq!(budget.left(), 100, "a long quiet time saves up no larger burst");
+}
