Add LogWriter and LogFollower

Ruled out: dropping repeats by the highest sequence of each writer. A replica holder appends records of another writer, so sequences need not rise in a stream. Several batches in flight for one stream were ruled out as well, since a retry could then change the order of records.

Change: LogWriter batches by count and bytes, keeps one batch in flight per stream, retries with the same ids after seeded, jittered backoff, and refuses with BufferFull. LogFollower delivers each id once, reports gaps, and skips malformed records with their offset.

Conclusion: over these schedules each record that was taken is delivered once and in order.

--- /dev/null
+++ b/crates/record-log/tests/follower.rs
@@ -0,0 +1,61 @@
+//! Checks of [`LogFollower`].
+
+use base::{Incarnation, LogOffset, RecordId};
+use record_log::{FetchedRecord, FollowerAction, FollowerSettings, LogFollower, LogPage};
+use rstest::rstest;
+
+const MALFORMED: u64 = 0;
+
+/// Builds a page from the sequence numbers of its records.
+fn page(first_retained: u64, start: u64, sequences: &[u64]) -> LogPage<u64> {
+    let mut records = Vec::new();
+    for (offset, sequence) in (start..).map(LogOffset).zip(sequences) {
+        let id = RecordId { writer: Incarnation(1), sequence: *sequence };
+        let content = if *sequence == MALFORMED { Err("bad".into()) } else { Ok((id, *sequence)) };
+        records.push(FetchedRecord { offset, content });
+    }
+    LogPage { first_retained: LogOffset(first_retained), records }
+}
+
+fn describe(action: &FollowerAction<u64>) -> String {
+    match action {
+        FollowerAction::Gap { expected, resumed } => format!("gap {}-{}", expected.0, resumed.0),
+        FollowerAction::Deliver { offset, record, .. } => format!("{record}@{}", offset.0),
+        FollowerAction::Malformed { offset, .. } => format!("bad@{}", offset.0),
+    }
+}
+
+/// Guards against repeated, lost or reordered records at the reader.
+#[rstest]
+#[case::in_order(vec![page(0, 0, &[1, 2]), page(0, 2, &[3])], "1@0 2@1 3@2", 3)]
+#[case::repeated_id(vec![page(0, 0, &[1, 2, 1, 3, 2])], "1@0 2@1 3@3", 5)]
+#[case::late_answer(vec![page(0, 0, &[1, 2]), page(0, 0, &[1]), page(0, 2, &[3])], "1@0 2@1 3@2", 3)]
+#[case::overlap(vec![page(0, 0, &[1, 2]), page(0, 1, &[2, 3])], "1@0 2@1 3@2", 3)]
+#[case::malformed(vec![page(0, 0, &[1, MALFORMED, 2])], "1@0 bad@1 2@2", 3)]
+#[case::retention(vec![page(0, 0, &[1]), page(5, 5, &[6])], "1@0 gap 1-5 6@5", 6)]
+#[case::empty_retention(vec![page(4, 4, &[])], "gap 0-4", 4)]
+#[case::missing_offset(vec![page(0, 0, &[1]), page(0, 3, &[4])], "1@0 gap 1-3 4@3", 4)]
+fn pages_become_records(
+    #[case] pages: Vec<LogPage<u64>>,
+    #[case] expected: &str,
+    #[case] next: u64,
+) {
+    let mut follower = LogFollower::new(FollowerSettings::default(), LogOffset(0));
+    let mut seen = Vec::new();
+    for page in pages {
+        seen.extend(follower.handle(page).iter().map(describe));
+    }
+    assert_eq!(seen.join(" "), expected);
+    assert_eq!(follower.next_offset(), LogOffset(next));
+    assert_eq!(follower.malformed(), expected.matches("bad").count() as u64);
+}
+
+/// Guards against memory that grows with the stream.
+#[test]
+fn remembered_ids_are_bounded() {
+    let mut follower = LogFollower::new(FollowerSettings { remembered_ids: 2 }, LogOffset(0));
+    let actions = follower.handle(page(0, 0, &[1, 2, 1, 3, 2, 1]));
+    let seen: Vec<_> = actions.iter().map(describe).collect();
+    assert_eq!(seen, ["1@0", "2@1", "3@3", "1@5"], "only the two newest ids are remembered");
+    assert_eq!(follower.repeated(), 2);
+}
--- /dev/null
+++ b/crates/record-log/tests/schedules.rs
@@ -0,0 +1,137 @@
+//! Random schedules of a writer and a follower over a log that loses answers and has outages.
+
+use base::{Incarnation, LogOffset, Moment, RecordId, Span};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use record_log::{
+    BatchRecord, BatchTicket, FetchedRecord, FollowerAction, FollowerSettings, LogFollower,
+    LogPage, LogWriter, WriterAction, WriterSettings,
+};
+use rstest::rstest;
+
+struct Request {
+    ticket: BatchTicket,
+    records: Vec<BatchRecord>,
+}
+
+struct Schedule {
+    generator: ChaCha8Rng,
+    now: Moment,
+    log: Vec<BatchRecord>,
+    /// Requests that the log has not yet carried out. Some take effect after later ones.
+    delayed: Vec<Request>,
+    writer: LogWriter,
+    follower: LogFollower,
+    taken: Vec<RecordId>,
+    delivered: Vec<RecordId>,
+    refused: u32,
+}
+
+impl Schedule {
+    fn new(seed: u64) -> Self {
+        let settings =
+            WriterSettings { batch_records: 4, buffer_records: 20, ..WriterSettings::default() };
+        Self {
+            generator: ChaCha8Rng::seed_from_u64(seed),
+            now: Moment(0),
+            log: Vec::new(),
+            delayed: Vec::new(),
+            writer: LogWriter::new(settings, Incarnation(1), seed),
+            follower: LogFollower::new(FollowerSettings::default(), LogOffset(0)),
+            taken: Vec::new(),
+            delivered: Vec::new(),
+            refused: 0,
+        }
+    }
+
+    fn append(&mut self) {
+        match self.writer.append("usage", vec![0; 8]) {
+            Ok(id) => self.taken.push(id),
+            Err(_) => self.refused += 1,
+        }
+    }
+
+    fn carry_out(&mut self, request: &Request) -> LogOffset {
+        let first = LogOffset(self.log.len() as u64);
+        self.log.extend(request.records.iter().cloned());
+        first
+    }
+
+    fn perform(&mut self, actions: impl IntoIterator<Item = WriterAction>, health: Health) {
+        for action in actions {
+            let WriterAction::Send { ticket, records, .. } = action else { continue };
+            let request = Request { ticket, records: records.to_vec() };
+            let fate = match health {
+                Health::Good => 0,
+                Health::Bad => self.generator.random_range(0..5),
+            };
+            match fate {
+                0 => {
+                    let first = self.carry_out(&request);
+                    let next = self.writer.acknowledge(self.now, "usage", request.ticket, first);
+                    self.perform(next, health);
+                }
+                1 => {
+                    self.carry_out(&request);
+                }
+                2 => self.delayed.push(request),
+                3 => self.writer.fail(self.now, "usage", request.ticket),
+                _ => {}
+            }
+        }
+    }
+
+    fn read(&mut self) {
+        let start = self.follower.next_offset().0 as usize;
+        let mut records = Vec::new();
+        for (offset, record) in (start as u64..).map(LogOffset).zip(&self.log[start..]) {
+            records.push(FetchedRecord { offset, content: Ok((record.id, ())) });
+        }
+        let page = LogPage { first_retained: LogOffset(0), records };
+        for action in self.follower.handle(page) {
+            let FollowerAction::Deliver { id, .. } = action else { panic!("{action:?}") };
+            self.delivered.push(id);
+        }
+    }
+
+    fn step(&mut self, health: Health) {
+        match self.generator.random_range(0..4) {
+            0 => self.append(),
+            1 => self.read(),
+            2 if !self.delayed.is_empty() => {
+                let index = self.generator.random_range(0..self.delayed.len());
+                let request = self.delayed.swap_remove(index);
+                self.carry_out(&request);
+            }
+            _ => {
+                self.now += Span::from_millis(self.generator.random_range(0..3_000));
+                let actions = self.writer.tick(self.now);
+                self.perform(actions, health);
+            }
+        }
+    }
+}
+
+#[derive(Clone, Copy)]
+enum Health {
+    Good,
+    Bad,
+}
+
+/// Guards against records that are lost, delivered twice or out of order when answers are lost,
+/// appends take effect late, and the buffer overflows.
+#[rstest]
+fn each_taken_record_is_delivered_once(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    let mut schedule = Schedule::new(seed);
+    for _ in 0..2_000 {
+        schedule.step(Health::Bad);
+    }
+    while let Some(deadline) = schedule.writer.next_deadline() {
+        schedule.now = schedule.now.max(deadline);
+        let actions = schedule.writer.tick(schedule.now);
+        schedule.perform(actions, Health::Good);
+    }
+    schedule.read();
+    assert_eq!(schedule.delivered, schedule.taken, "seed {seed}");
+    assert!(schedule.refused > 0 && schedule.follower.repeated() > 0, "the schedule is too mild");
+}
