Add LeaseKeeper and OrderDesk

Ruled out: claims that name only the claim they succeed. A renewal that the claimant has not read would not void such a claim, and both processes would hold the lease. A claim instead states the offset from which on it knows no valid lease record. The same rule lets a process claim when retention has dropped the beginning of the stream. Also ruled out: closing an inherited intent that the platform does not know as not carried out. The order may still be on its way, so it is sent again under the same id.

Change: LeaseKeeper judges lease records by log order, counts its own lease from before sending, and gives the clock check as a separate call. OrderDesk sends only intents that it has read back, asks for inherited and lost orders by id, and refuses new orders until their outcomes are known.

--- /dev/null
+++ b/crates/authority/tests/desk.rs
@@ -0,0 +1,238 @@
+//! Checks of [`OrderDesk`].
+
+use authority::{
+    AuthorityRecord, Candidacy, DeskAction, DeskSettings, FencingSupport, LeaseAction, LeaseClaim,
+    LeaseKeeper, LeaseSettings, OrderAnswer, OrderDesk, OrderId, OrderIntent, OrderKind,
+    OrderOutcome, OrderRefusal, OrderRequest, OrderState, PermitDenial, Scope,
+};
+use base::{FencingNumber, Incarnation, LogOffset, Moment, Span};
+use rstest::rstest;
+
+const OWN: Incarnation = Incarnation(1);
+const OTHER: Incarnation = Incarnation(2);
+const INHERITED: OrderId = OrderId { issuer: OTHER, number: 1 };
+
+fn at(secs: u64) -> Moment {
+    Moment(0) + Span::from_secs(secs)
+}
+
+fn scope() -> Scope {
+    Scope::Zone("hobart-a".to_owned())
+}
+
+/// One process with the records that it has read.
+struct Process {
+    keeper: LeaseKeeper,
+    desk: OrderDesk,
+    next: LogOffset,
+}
+
+impl Process {
+    fn new(receiver: FencingSupport) -> Self {
+        let settings = LeaseSettings::default();
+        let mut keeper = LeaseKeeper::new(settings, scope(), OWN, Candidacy::Standing);
+        keeper.reading_from(at(0), LogOffset(0));
+        let settings = DeskSettings { receiver, ..DeskSettings::default() };
+        Self { keeper, desk: OrderDesk::new(settings, scope(), OWN), next: LogOffset(0) }
+    }
+
+    fn read(&mut self, now: Moment, record: &AuthorityRecord) -> Vec<DeskAction> {
+        self.keeper.read(now, self.next, record);
+        self.next = self.next.next();
+        self.desk.read(now, &self.keeper, record).to_vec()
+    }
+
+    fn acquire(&mut self, now: Moment) -> FencingNumber {
+        let actions = self.keeper.tick(now);
+        let [LeaseAction::Append(claim)] = actions.as_slice() else { panic!("{actions:?}") };
+        self.read(now, claim);
+        self.keeper.held(now).expect("the claim is valid")
+    }
+
+    fn order(&mut self, now: Moment) -> Result<(OrderId, AuthorityRecord), OrderRefusal> {
+        let kind = OrderKind::Start { count: 1 };
+        let request = OrderRequest { service: "draft-models".to_owned(), kind };
+        match self.desk.order(now, &self.keeper, request)? {
+            (id, DeskAction::Append(record)) => Ok((id, record)),
+            (_, action) => panic!("unexpected {action:?}"),
+        }
+    }
+
+    fn tick(&mut self, now: Moment) -> Vec<DeskAction> {
+        self.desk.tick(now, &self.keeper).to_vec()
+    }
+
+    fn answer(&mut self, now: Moment, id: OrderId, answer: OrderAnswer) -> Vec<DeskAction> {
+        self.desk.answer(now, &self.keeper, id, answer).to_vec()
+    }
+}
+
+fn state(state: OrderState) -> OrderAnswer {
+    OrderAnswer::State { state, upstreams: vec!["draft-models-3".to_owned()] }
+}
+
+/// A process that holds the lease after another process left an intent without outcome.
+fn successor(receiver: FencingSupport) -> (Process, Moment, OrderIntent) {
+    let mut process = Process::new(receiver);
+    let claim = LeaseClaim {
+        scope: scope(),
+        holder: OTHER,
+        attempt: 1,
+        term: Span::from_secs(10),
+        clear_from: LogOffset(0),
+    };
+    process.read(at(0), &AuthorityRecord::Claim(claim));
+    let intent = OrderIntent {
+        id: INHERITED,
+        scope: scope(),
+        service: "draft-models".to_owned(),
+        kind: OrderKind::Start { count: 1 },
+        fencing: FencingNumber(0),
+    };
+    assert!(process.read(at(1), &AuthorityRecord::Intent(intent.clone())).is_empty());
+    let now = at(15);
+    process.acquire(now);
+    (process, now, intent)
+}
+
+/// Guards against an order that is sent before its intent is in the log, and against an outcome
+/// that is settled before its record is.
+#[test]
+fn an_order_takes_three_steps() {
+    let mut process = Process::new(FencingSupport::Checked);
+    assert_eq!(process.order(at(0)), Err(OrderRefusal::NotHeld));
+    let fencing = process.acquire(at(0));
+    let (id, intent) = process.order(at(1)).expect("the lease is held");
+    assert!(process.tick(at(1)).is_empty());
+    let early = process.desk.permit(at(1), &process.keeper, id);
+    assert_eq!(early, Err(PermitDenial::NotWaiting), "the intent is not read back");
+    let actions = process.read(at(2), &intent);
+    assert!(matches!(actions.as_slice(), [DeskAction::Send(intent)] if intent.id == id));
+    assert_eq!(process.desk.permit(at(2), &process.keeper, id), Ok(fencing));
+    let actions = process.answer(at(3), id, state(OrderState::Accepted));
+    let [DeskAction::Append(outcome)] = actions.as_slice() else { panic!("{actions:?}") };
+    assert_eq!(process.desk.open_orders(), 1);
+    let actions = process.read(at(3), outcome);
+    assert!(matches!(actions.as_slice(), [DeskAction::Settled(_)]));
+    assert_eq!(process.desk.open_orders(), 0);
+}
+
+/// Guards against a second order while the fate of the first is open, after a lost answer.
+#[test]
+fn a_lost_answer_is_asked_for() {
+    let mut process = Process::new(FencingSupport::Checked);
+    process.acquire(at(0));
+    let (id, intent) = process.order(at(0)).expect("the lease is held");
+    process.read(at(0), &intent);
+    assert_eq!(process.desk.next_deadline(at(0), &process.keeper), Some(at(3)));
+    assert_eq!(process.tick(at(3)), [DeskAction::Ask(id)]);
+    assert_eq!(process.order(at(3)), Err(OrderRefusal::OutcomeUnknown(id)));
+    assert!(process.answer(at(4), id, OrderAnswer::Lost).is_empty());
+    assert_eq!(process.tick(at(5)), [DeskAction::Ask(id)], "asked again after 1 s");
+    let actions = process.answer(at(5), id, OrderAnswer::NotFound);
+    assert!(matches!(actions.as_slice(), [DeskAction::Send(intent)] if intent.id == id));
+    assert_eq!(process.order(at(5)), Err(OrderRefusal::OutcomeUnknown(id)));
+    process.answer(at(6), id, state(OrderState::Done));
+    assert!(process.order(at(6)).is_ok());
+}
+
+/// Guards against a successor that orders anew before it knows what became of inherited intents.
+#[rstest]
+#[case::known(FencingSupport::Checked, Some(OrderState::Accepted))]
+#[case::refused(FencingSupport::Checked, Some(OrderState::Refused))]
+#[case::not_found(FencingSupport::Checked, None)]
+#[case::not_found_ignored(FencingSupport::Ignored, None)]
+fn a_successor_reconciles(#[case] receiver: FencingSupport, #[case] known: Option<OrderState>) {
+    let (mut process, now, intent) = successor(receiver);
+    assert_eq!(process.order(now), Err(OrderRefusal::OutcomeUnknown(INHERITED)));
+    assert_eq!(process.desk.open_orders(), 1);
+    let actions = match known {
+        Some(known) => process.answer(now, INHERITED, state(known)),
+        None => {
+            let mut sent = process.answer(now, INHERITED, OrderAnswer::NotFound);
+            if receiver == FencingSupport::Ignored {
+                assert!(sent.is_empty(), "sent within the extra wait");
+                let from = process.desk.next_deadline(now, &process.keeper).expect("a wait");
+                assert_eq!(from, at(45), "30 s after the acquisition");
+                let (keeper, _) = renewed(&process.keeper, process.next, from);
+                process.keeper = keeper;
+                sent = process.tick(from);
+            }
+            assert_eq!(sent, [DeskAction::Send(intent)], "the same order under the same id");
+            let now = if receiver == FencingSupport::Ignored { at(45) } else { now };
+            process.answer(now, INHERITED, state(OrderState::Accepted))
+        }
+    };
+    let [DeskAction::Append(AuthorityRecord::Outcome(outcome))] = actions.as_slice() else {
+        panic!("{actions:?}")
+    };
+    assert_eq!((outcome.id, outcome.fencing), (INHERITED, FencingNumber(2)));
+    assert_eq!(process.desk.unknown_outcome(), None);
+}
+
+/// Renews until the lease covers `until`.
+fn renewed(keeper: &LeaseKeeper, next: LogOffset, until: Moment) -> (LeaseKeeper, LogOffset) {
+    let (mut keeper, mut next) = (keeper.clone(), next);
+    while keeper.held(until).is_none() {
+        let now = keeper.next_deadline().expect("a renewal is due");
+        for action in keeper.tick(now) {
+            let LeaseAction::Append(record) = action else { panic!("{action:?}") };
+            keeper.read(now, next, &record);
+            next = next.next();
+        }
+    }
+    (keeper, next)
+}
+
+/// Guards against records of a former holder that take effect after its successor's claim.
+#[test]
+fn records_of_a_former_holder_are_void() {
+    let (mut process, now, intent) = successor(FencingSupport::Checked);
+    let late = OrderId { issuer: OTHER, number: 2 };
+    process.read(now, &AuthorityRecord::Intent(OrderIntent { id: late, ..intent }));
+    assert_eq!(process.desk.open_orders(), 1, "the late intent was never sent");
+    let outcome = OrderOutcome {
+        id: INHERITED,
+        scope: scope(),
+        fencing: FencingNumber(0),
+        state: OrderState::Refused,
+        upstreams: Vec::new(),
+    };
+    process.read(now, &AuthorityRecord::Outcome(outcome));
+    assert_eq!(process.desk.unknown_outcome(), Some(INHERITED));
+}
+
+/// Guards against an own intent that is sent although it took effect after another claim.
+#[test]
+fn an_own_late_intent_is_not_sent() {
+    let mut process = Process::new(FencingSupport::Checked);
+    process.acquire(at(0));
+    let (id, intent) = process.order(at(1)).expect("the lease is held");
+    let claim = LeaseClaim {
+        scope: scope(),
+        holder: OTHER,
+        attempt: 1,
+        term: Span::from_secs(10),
+        clear_from: LogOffset(1),
+    };
+    process.read(at(2), &AuthorityRecord::Claim(claim));
+    assert_eq!(process.read(at(2), &intent), [DeskAction::Voided(id)]);
+    assert_eq!(process.desk.open_orders(), 0);
+}
+
+/// Guards against loss when the writer's buffer is full.
+#[test]
+fn refused_appends_are_handled() {
+    let mut process = Process::new(FencingSupport::Checked);
+    process.acquire(at(0));
+    let (_, dropped) = process.order(at(0)).expect("the lease is held");
+    process.desk.append_refused(&dropped);
+    assert_eq!(process.desk.open_orders(), 0);
+    let (id, intent) = process.order(at(0)).expect("the lease is held");
+    process.read(at(0), &intent);
+    let actions = process.answer(at(1), id, state(OrderState::Done));
+    let [DeskAction::Append(outcome)] = actions.as_slice() else { panic!("{actions:?}") };
+    process.desk.append_refused(outcome);
+    assert_eq!(process.tick(at(1)), actions, "the outcome is appended again");
+    assert!(process.tick(at(1)).is_empty());
+}
--- /dev/null
+++ b/crates/authority/tests/lease.rs
@@ -0,0 +1,191 @@
+//! Checks of [`LeaseKeeper`].
+
+use authority::{
+    AuthorityRecord, Candidacy, FencingSupport, LeaseAction, LeaseClaim, LeaseKeeper, LeaseRelease,
+    LeaseRenewal, LeaseSettings, LossCause, PermitDenial, Scope,
+};
+use base::{FencingNumber, Incarnation, LogOffset, Moment, Span};
+use rstest::rstest;
+
+const OWN: Incarnation = Incarnation(1);
+const OTHER: Incarnation = Incarnation(2);
+const THIRD: Incarnation = Incarnation(3);
+
+fn at(secs: u64) -> Moment {
+    Moment(0) + Span::from_secs(secs)
+}
+
+fn keeper(first: u64) -> LeaseKeeper {
+    let settings = LeaseSettings::default();
+    let mut keeper = LeaseKeeper::new(settings, Scope::Usage, OWN, Candidacy::Standing);
+    keeper.reading_from(at(0), LogOffset(first));
+    keeper
+}
+
+fn claim(holder: Incarnation, attempt: u32, clear_from: u64) -> AuthorityRecord {
+    AuthorityRecord::Claim(LeaseClaim {
+        scope: Scope::Usage,
+        holder,
+        attempt,
+        term: Span::from_secs(10),
+        clear_from: LogOffset(clear_from),
+    })
+}
+
+fn renewal(holder: Incarnation, attempt: u32, claim: u64) -> AuthorityRecord {
+    AuthorityRecord::Renewal(LeaseRenewal {
+        scope: Scope::Usage,
+        holder,
+        attempt,
+        claim: FencingNumber(claim),
+        term: Span::from_secs(10),
+    })
+}
+
+fn release(holder: Incarnation, claim: u64) -> AuthorityRecord {
+    let claim = FencingNumber(claim);
+    AuthorityRecord::Release(LeaseRelease { scope: Scope::Usage, holder, claim })
+}
+
+fn appended(actions: &[LeaseAction]) -> Option<AuthorityRecord> {
+    match actions {
+        [LeaseAction::Append(record)] => Some(record.clone()),
+        [] => None,
+        actions => panic!("unexpected {actions:?}"),
+    }
+}
+
+/// Guards against two readers that disagree on the holder, above all when an append takes effect
+/// late or twice.
+#[rstest]
+#[case::first_claim_wins(&[claim(OTHER, 1, 0), claim(THIRD, 1, 0)], Some(0))]
+#[case::successor(&[claim(OTHER, 1, 0), claim(THIRD, 1, 1)], Some(1))]
+#[case::late_claim(&[claim(OTHER, 1, 0), claim(THIRD, 1, 1), claim(OWN, 9, 1)], Some(1))]
+#[case::repeated_claim(&[claim(OTHER, 1, 0), claim(THIRD, 1, 1), claim(OTHER, 1, 0)], Some(1))]
+#[case::renewed_meanwhile(&[claim(OTHER, 1, 0), renewal(OTHER, 2, 0), claim(THIRD, 1, 1)], Some(0))]
+#[case::after_renewal(&[claim(OTHER, 1, 0), renewal(OTHER, 2, 0), claim(THIRD, 1, 2)], Some(2))]
+#[case::late_renewal(&[claim(OTHER, 1, 0), claim(THIRD, 1, 1), renewal(OTHER, 2, 0), claim(OWN, 9, 2)], Some(3))]
+#[case::repeated_renewal(&[claim(OTHER, 1, 0), renewal(OTHER, 2, 0), renewal(OTHER, 2, 0), claim(THIRD, 1, 2)], Some(3))]
+#[case::renewal_after_release(&[claim(OTHER, 1, 0), release(OTHER, 0), renewal(OTHER, 2, 0), claim(THIRD, 1, 2)], Some(3))]
+#[case::foreign_release(&[claim(OTHER, 1, 0), release(THIRD, 0), claim(THIRD, 1, 1)], Some(2))]
+#[case::claim_from_the_future(&[claim(OTHER, 1, 0), claim(THIRD, 1, 9)], Some(0))]
+#[case::nothing(&[renewal(OTHER, 2, 0)], None)]
+fn log_order_settles_claims(#[case] records: &[AuthorityRecord], #[case] in_force: Option<u64>) {
+    let mut keeper = keeper(0);
+    for (offset, record) in (0..).map(LogOffset).zip(records) {
+        keeper.read(at(0), offset, record);
+    }
+    assert_eq!(keeper.claim_in_force(), in_force.map(FencingNumber));
+}
+
+/// Guards against a successor that claims before term (10 s), margin (2 s) and order timeout (3 s)
+/// have passed since it read the last record.
+#[rstest]
+#[case::empty_stream(0, &[], 0)]
+#[case::unknown_beginning(7, &[], 15)]
+#[case::after_claim(0, &[(3, claim(OTHER, 1, 0))], 18)]
+#[case::after_renewal(0, &[(3, claim(OTHER, 1, 0)), (9, renewal(OTHER, 2, 0))], 24)]
+#[case::after_void_renewal(0, &[(3, claim(OTHER, 1, 0)), (9, renewal(THIRD, 2, 0))], 18)]
+#[case::after_release(0, &[(3, claim(OTHER, 1, 0)), (4, release(OTHER, 0))], 4)]
+#[case::release_with_unknown_beginning(7, &[(4, release(OTHER, 3))], 19)]
+#[case::claim_with_unknown_beginning(7, &[(4, claim(OTHER, 2, 3))], 19)]
+fn a_successor_waits(
+    #[case] first: u64,
+    #[case] records: &[(u64, AuthorityRecord)],
+    #[case] claims_at: u64,
+) {
+    let mut keeper = keeper(first);
+    let mut offset = LogOffset(first);
+    for (secs, record) in records {
+        keeper.read(at(*secs), offset, record);
+        offset = offset.next();
+    }
+    let due = at(claims_at);
+    assert_eq!(keeper.next_deadline(), Some(due));
+    if due > at(0) {
+        assert!(keeper.tick(due - Span(1)).is_empty(), "the claim is early");
+    }
+    assert!(matches!(appended(&keeper.tick(due)), Some(AuthorityRecord::Claim(_))));
+}
+
+/// Guards against a lease that counts from the answer instead of from before the sending, and
+/// against orders in the margin.
+#[test]
+fn the_lease_counts_from_before_sending() {
+    let mut keeper = keeper(0);
+    let own = appended(&keeper.tick(at(1))).expect("the stream is empty");
+    assert!(keeper.tick(at(2)).is_empty(), "a second claim while the first is pending");
+    let actions = keeper.read(at(6), LogOffset(0), &own);
+    assert_eq!(actions.as_slice(), [LeaseAction::Acquired(FencingNumber(0))]);
+    assert_eq!(keeper.held(at(9) - Span(1)), Some(FencingNumber(0)));
+    assert_eq!(keeper.held(at(9)), None, "8 s after sending the margin begins");
+
+    let renewal = appended(&keeper.tick(at(6))).expect("a renewal is due 3 s after sending");
+    keeper.read(at(8), LogOffset(1), &renewal);
+    assert_eq!(keeper.held(at(14) - Span(1)), Some(FencingNumber(0)));
+    assert_eq!(
+        keeper.permit(at(13), FencingSupport::Ignored),
+        Err(PermitDenial::ExtraWait(at(36))),
+        "30 s after the claim was read back"
+    );
+    let lost = LeaseAction::Lost { fencing: FencingNumber(0), cause: LossCause::Expired };
+    assert_eq!(keeper.tick(at(14)).as_slice(), [lost]);
+    assert_eq!(keeper.permit(at(14), FencingSupport::Checked), Err(PermitDenial::NotHeld));
+}
+
+/// Guards against a holder that believes a claim whose lease had ended when it took effect.
+#[test]
+fn a_claim_that_takes_effect_late_gives_no_lease() {
+    let mut keeper = keeper(0);
+    let own = appended(&keeper.tick(at(0))).expect("the stream is empty");
+    assert!(keeper.read(at(8), LogOffset(0), &own).is_empty());
+    assert_eq!(keeper.held(at(8)), None);
+    assert_eq!(keeper.next_deadline(), Some(at(23)), "it waits like any successor");
+}
+
+/// Guards against a former holder that goes on after another claim or an unseen part of the log.
+#[rstest]
+#[case::succeeded(|keeper: &mut LeaseKeeper| keeper.read(at(2), LogOffset(1), &claim(OTHER, 1, 1)), LossCause::Succeeded)]
+#[case::gap(|keeper: &mut LeaseKeeper| keeper.reading_from(at(2), LogOffset(9)), LossCause::GapInLog)]
+fn a_holder_gives_way(
+    #[case] event: fn(&mut LeaseKeeper) -> smallvec::SmallVec<[LeaseAction; 4]>,
+    #[case] cause: LossCause,
+) {
+    let mut keeper = keeper(0);
+    let own = appended(&keeper.tick(at(0))).expect("the stream is empty");
+    keeper.read(at(1), LogOffset(0), &own);
+    let lost = LeaseAction::Lost { fencing: FencingNumber(0), cause };
+    assert_eq!(event(&mut keeper).as_slice(), [lost]);
+    assert_eq!(keeper.held(at(2)), None);
+}
+
+/// Guards against a reader without the beginning of the stream that takes the lease although a
+/// record it could not judge lies before its claim.
+#[test]
+fn an_unjudged_record_voids_the_own_claim() {
+    let mut keeper = keeper(7);
+    let own = appended(&keeper.tick(at(15))).expect("the wait is over");
+    keeper.read(at(16), LogOffset(7), &renewal(OTHER, 4, 2));
+    assert!(keeper.read(at(16), LogOffset(8), &own).is_empty());
+    assert_eq!(keeper.held(at(16)), None);
+
+    let own = appended(&keeper.tick(at(31))).expect("the wait is over");
+    let actions = keeper.read(at(32), LogOffset(9), &own);
+    assert_eq!(actions.as_slice(), [LeaseAction::Acquired(FencingNumber(9))]);
+}
+
+/// Guards against a planned stop that keeps successors waiting or lets its own claim win later.
+#[test]
+fn a_resigned_process_releases() {
+    let mut keeper = keeper(0);
+    let own = appended(&keeper.tick(at(0))).expect("the stream is empty");
+    let mut pending = keeper.clone();
+    keeper.read(at(1), LogOffset(0), &own);
+    let lost = LeaseAction::Lost { fencing: FencingNumber(0), cause: LossCause::Released };
+    assert_eq!(keeper.resign().as_slice(), [LeaseAction::Append(release(OWN, 0)), lost]);
+    assert_eq!((keeper.held(at(1)), keeper.next_deadline()), (None, None));
+
+    assert!(pending.resign().is_empty());
+    let actions = pending.read(at(1), LogOffset(0), &own);
+    assert_eq!(actions.as_slice(), [LeaseAction::Append(release(OWN, 0))]);
+}
