--- /dev/null
+++ b/crates/usage/src/meter.rs
@@ -0,0 +1,60 @@
+//! Metering on the node that serves.
+
+use base::{Moment, RecordId, Span};
+
+use crate::{UsageAmount, UsageBatch, UsageFigures, UsageOverflow};
+
+/// Sums usage per customer between batches.
+#[derive(Debug, Clone)]
+pub struct UsageMeter {
+    period: Span,
+    figures: UsageFigures,
+    first_recorded: Option<Moment>,
+}
+
+impl UsageMeter {
+    /// Default time between batches. A crash loses at most this much usage.
+    pub const DEFAULT_PERIOD: Span = Span::from_secs(5);
+
+    /// Creates a meter that cuts a batch `period` after the first usage in it.
+    #[must_use]
+    pub fn new(period: Span) -> Self {
+        Self { period, figures: UsageFigures::default(), first_recorded: None }
+    }
+
+    /// Adds usage of a customer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`UsageOverflow`] and changes nothing when a counter does not fit in 64 bits.
+    pub fn record(
+        &mut self,
+        now: Moment,
+        customer: &str,
+        amount: UsageAmount,
+    ) -> Result<(), UsageOverflow> {
+        self.figures.add(customer, amount)?;
+        self.first_recorded.get_or_insert(now);
+        Ok(())
+    }
+
+    /// Returns when the next batch is due, or `None` while nothing is recorded.
+    #[must_use]
+    pub fn next_deadline(&self) -> Option<Moment> {
+        self.first_recorded.map(|first| first + self.period)
+    }
+
+    /// Returns the batch that is due at `now`. `next_id` is called only when there is one.
+    pub fn poll(&mut self, now: Moment, next_id: impl FnOnce() -> RecordId) -> Option<UsageBatch> {
+        if self.next_deadline()? > now {
+            return None;
+        }
+        self.cut(next_id)
+    }
+
+    /// Returns everything recorded as a batch at once, as a planned stop requires.
+    pub fn cut(&mut self, next_id: impl FnOnce() -> RecordId) -> Option<UsageBatch> {
+        self.first_recorded.take()?;
+        Some(UsageBatch { id: next_id(), figures: std::mem::take(&mut self.figures) })
+    }
+}
--- /dev/null
+++ b/crates/usage/tests/meter.rs
@@ -0,0 +1,93 @@
+//! Metering, replica holding and reporting on one node.
+
+use base::{FencingNumber, Incarnation, LogOffset, Moment, RecordId, Span};
+use usage::{
+    HoldOutcome, OriginState, PendingBatches, ReplicaStore, ReportAnswer, ReportDesk, UsageAmount,
+    UsageBatch, UsageFigures, UsageLedger, UsageMeter, UsageRecord, WindowClose, WindowNumber,
+};
+
+const SECOND: Span = Span::from_secs(1);
+
+fn id(sequence: u64) -> RecordId {
+    RecordId { writer: Incarnation(1), sequence }
+}
+
+fn amount(requests: u64) -> UsageAmount {
+    UsageAmount { requests, prompt_tokens: 2 * requests, generated_tokens: 3 * requests }
+}
+
+fn batch(sequence: u64) -> UsageBatch {
+    let mut figures = UsageFigures::default();
+    figures.add("portal", amount(sequence)).unwrap();
+    UsageBatch { id: id(sequence), figures }
+}
+
+/// Guards against a batch that is cut early, late, twice or with inexact sums.
+#[test]
+fn meter_cuts_one_exact_batch_per_period() {
+    let mut meter = UsageMeter::new(UsageMeter::DEFAULT_PERIOD);
+    meter.record(Moment(0), "portal", amount(1)).unwrap();
+    meter.record(Moment(7), "portal", amount((1 << 53) + 1)).unwrap();
+    assert!(meter.record(Moment(9), "portal", amount(u64::MAX / 3)).is_err());
+    let due = meter.next_deadline().unwrap();
+    assert_eq!(meter.poll(Moment(due.0 - 1), || id(1)), None);
+    let batch = meter.poll(due, || id(1)).unwrap();
+    assert_eq!(batch.figures.get("portal").requests, (1 << 53) + 2);
+    assert_eq!(meter.poll(due + SECOND, || unreachable!("no id for an empty batch")), None);
+}
+
+/// Guards against losing a held batch whose append did not reach the log.
+#[test]
+fn replica_is_appended_until_the_log_shows_it() {
+    let mut store = ReplicaStore::new(2, SECOND);
+    assert_eq!(store.hold(Moment(0), batch(1), OriginState::Live), HoldOutcome::Held);
+    assert_eq!(store.hold(Moment(0), batch(1), OriginState::Live), HoldOutcome::Held);
+    assert_eq!(store.poll(Moment(5)), []);
+    store.origin_gone(Moment(10), Incarnation(1));
+    assert_eq!(store.poll(Moment(10)), [batch(1)]);
+    assert_eq!(store.poll(Moment(11)), []);
+    assert_eq!(store.poll(Moment(10) + SECOND), [batch(1)]);
+    assert_eq!(store.hold(Moment(20), batch(2), OriginState::Gone), HoldOutcome::Held);
+    assert_eq!(store.hold(Moment(20), batch(3), OriginState::Live), HoldOutcome::Full);
+    store.seen_in_log(id(1));
+    assert_eq!(store.poll(Moment(20)), [batch(2)]);
+}
+
+/// Guards against a batch without a replica after its holder restarts.
+#[test]
+fn lost_holder_is_replaced() {
+    let mut pending = PendingBatches::new(SECOND);
+    pending.add(Moment(0), batch(1));
+    assert_eq!(pending.poll(Moment(0)), [batch(1)]);
+    pending.held(id(1), Incarnation(9));
+    assert_eq!(pending.next_deadline(), None);
+    pending.holder_lost(Moment(3), Incarnation(9));
+    assert_eq!(pending.poll(Moment(3)), [batch(1)]);
+    pending.seen_in_log(id(1));
+    assert!(pending.is_empty());
+}
+
+/// Guards against a window that is skipped or reported with other figures after a lost answer.
+#[test]
+fn lost_report_is_repeated_with_equal_figures() {
+    let fencing = FencingNumber(4);
+    let mut ledger = UsageLedger::new();
+    ledger.apply(LogOffset(5), &UsageRecord::Batch(batch(1)), None);
+    let close = WindowClose { window: WindowNumber(7), fencing };
+    ledger.apply(LogOffset(6), &UsageRecord::Close(close), Some(fencing));
+    ledger.apply(LogOffset(7), &UsageRecord::Batch(batch(2)), None);
+
+    let mut desk = ReportDesk::new(SECOND);
+    let first = desk.poll(Moment(0), &ledger, fencing).unwrap();
+    assert_eq!(desk.poll(Moment(0), &ledger, fencing), None);
+    assert_eq!(desk.answer(Moment(1), ReportAnswer::Lost), None);
+    assert_eq!(desk.poll(Moment(2), &ledger, fencing), None);
+    let again = desk.poll(Moment(1) + SECOND, &ledger, fencing).unwrap();
+    assert_eq!(again, first);
+    assert_eq!(again.figures, batch(1).figures);
+    let reported = desk.answer(Moment(3), ReportAnswer::Accepted).unwrap();
+    ledger.apply(LogOffset(8), &UsageRecord::Reported(reported), Some(fencing));
+    assert_eq!(ledger.pending_report(fencing), None);
+    assert_eq!(ledger.close_due(WindowNumber(9)), Some(WindowNumber(8)));
+    assert_eq!(ledger.close_due(WindowNumber(8)), None);
+}
