configuration: add the version history, key set and isolation state

Counting peers of the own zone as contact; a zone that is cut off as a whole would never count as isolated. Change: ConfigHistory, CarrySchedule, KeySet, IsolationState.

--- /dev/null
+++ b/crates/configuration/src/keys.rs
@@ -0,0 +1,117 @@
+//! Callers' keys by digest.
+
+use std::{collections::BTreeMap, fmt};
+
+use base::{KeyDigest, key, plain};
+use smallvec::SmallVec;
+
+use crate::ConfigVersion;
+
+key! {
+    /// Answer to a running stream that asks for its key.
+    pub enum KeyCheck {
+        /// The key still belongs to the customer.
+        Stands,
+        /// The key is withdrawn or belongs to another customer.
+        Withdrawn,
+    }
+}
+
+plain! {
+    /// Two customers claim the same key.
+    pub struct KeyConflict {
+        /// The customer listed first.
+        pub first: String,
+        /// The customer listed second.
+        pub second: String,
+    }
+
+    /// The customers' keys in one version of a document.
+    #[derive(Default)]
+    pub struct KeySet {
+        version: ConfigVersion,
+        // Keyed by the first 8 bytes of the digest; whole digests are compared in constant time.
+        customers: BTreeMap<u64, SmallVec<[(KeyDigest, String); 1]>>,
+    }
+}
+
+impl KeySet {
+    /// Builds the set of `version` from digests and customer names.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`KeyConflict`] when two customers have the same digest.
+    pub fn build<'name>(
+        version: ConfigVersion,
+        entries: impl IntoIterator<Item = (KeyDigest, &'name str)>,
+    ) -> Result<Self, KeyConflict> {
+        let mut set = Self { version, customers: BTreeMap::new() };
+        for (digest, customer) in entries {
+            match set.customer(&digest) {
+                Some(first) if first != customer => {
+                    let (first, second) = (first.to_owned(), customer.to_owned());
+                    return Err(KeyConflict { first, second });
+                }
+                Some(_) => continue,
+                None => {}
+            }
+            let bucket = set.customers.entry(prefix(&digest)).or_default();
+            bucket.push((digest, customer.to_owned()));
+        }
+        Ok(set)
+    }
+
+    /// Returns the document version that the set belongs to.
+    #[must_use]
+    pub const fn version(&self) -> ConfigVersion {
+        self.version
+    }
+
+    /// Returns the customer that the key belongs to.
+    #[must_use]
+    pub fn customer(&self, digest: &KeyDigest) -> Option<&str> {
+        let bucket = self.customers.get(&prefix(digest))?;
+        let (_, customer) = bucket.iter().find(|(held, _)| held == digest)?;
+        Some(customer)
+    }
+
+    /// Tells whether the key of a running stream still belongs to the customer it was admitted for.
+    #[must_use]
+    pub fn check(&self, digest: &KeyDigest, customer: &str) -> KeyCheck {
+        if self.customer(digest) == Some(customer) {
+            return KeyCheck::Stands;
+        }
+        KeyCheck::Withdrawn
+    }
+
+    /// Tells whether a stream that was checked against `version` must be checked again.
+    #[must_use]
+    pub fn supersedes(&self, version: ConfigVersion) -> bool {
+        self.version > version
+    }
+
+    /// Returns the number of keys.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.customers.values().map(SmallVec::len).sum()
+    }
+
+    /// Tells whether the set holds no key.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.customers.is_empty()
+    }
+}
+
+impl fmt::Display for KeyConflict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "customers {:?} and {:?} have the same key digest", self.first, self.second)
+    }
+}
+
+impl std::error::Error for KeyConflict {}
+
+fn prefix(digest: &KeyDigest) -> u64 {
+    let [a, b, c, d, e, f, g, h, ..] = *digest.as_bytes();
+    u64::from_be_bytes([a, b, c, d, e, f, g, h])
+}
--- /dev/null
+++ b/crates/configuration/tests/keys.rs
@@ -0,0 +1,74 @@
+//! Keys, service while isolated, and when snapshots are due.
+
+use base::{KeyDigest, LogOffset, Moment, Span};
+use configuration::{
+    CarrySchedule, ConfigVersion, IsolatedService, IsolationPolicy, IsolationState, KeyCheck,
+    KeySet,
+};
+use rstest::rstest;
+
+fn secs(seconds: u64) -> Moment {
+    Moment(0) + Span::from_secs(seconds)
+}
+
+/// Guards against a stream that goes on with a key that is withdrawn or given to someone else.
+#[test]
+fn running_stream_loses_a_withdrawn_key() {
+    let (kept, moved, gone) = (KeyDigest::of("a"), KeyDigest::of("b"), KeyDigest::of("c"));
+    let before = [(kept, "portal"), (moved, "portal"), (gone, "portal"), (kept, "portal")];
+    let before = KeySet::build(ConfigVersion(1), before).unwrap();
+    let after = KeySet::build(ConfigVersion(2), [(kept, "portal"), (moved, "trainer")]).unwrap();
+    assert!(after.supersedes(before.version()) && !before.supersedes(after.version()));
+    assert_eq!((before.len(), before.customer(&gone)), (3, Some("portal")));
+    assert_eq!(after.check(&kept, "portal"), KeyCheck::Stands);
+    assert_eq!(after.check(&moved, "portal"), KeyCheck::Withdrawn);
+    assert_eq!(after.check(&gone, "portal"), KeyCheck::Withdrawn);
+    assert!(KeySet::build(ConfigVersion(3), [(kept, "portal"), (kept, "trainer")]).is_err());
+}
+
+/// Guards against an isolated node that refuses too early or accepts a withdrawn key too long.
+#[rstest]
+#[case(IsolationPolicy::default(), 9, IsolatedService::Connected)]
+#[case(IsolationPolicy::default(), 10, IsolatedService::ServingUntil(secs(300)))]
+#[case(IsolationPolicy::default(), 300, IsolatedService::Refusing)]
+#[case(IsolationPolicy::Refuse, 9, IsolatedService::Connected)]
+#[case(IsolationPolicy::Refuse, 10, IsolatedService::Refusing)]
+fn isolated_node_serves_for_the_set_time(
+    #[case] policy: IsolationPolicy,
+    #[case] silence: u64,
+    #[case] expected: IsolatedService,
+) {
+    let state = IsolationState::new(policy, Moment(0));
+    assert_eq!(state.service(secs(silence)), expected);
+}
+
+/// Guards against two peers in a cut-off zone that keep each other's contact young.
+#[test]
+fn relayed_contact_only_ages() {
+    let mut nodes = [0, 1].map(|_| IsolationState::new(IsolationPolicy::default(), Moment(0)));
+    for second in 1..=300 {
+        let ages = nodes.clone().map(|node| node.contact_age(secs(second)));
+        let received = secs(second) + Span::from_millis(400);
+        nodes[0].note_relayed(received, ages[1]);
+        nodes[1].note_relayed(received, ages[0]);
+    }
+    assert_eq!(nodes[0].service(secs(300)), IsolatedService::Refusing);
+}
+
+/// Guards against an idle stream that loses its last snapshot, and against needless appends.
+#[test]
+fn snapshot_is_due_before_retention() {
+    let mut schedule = CarrySchedule::new(Span::from_secs(100), Span::from_secs(5));
+    assert!(!schedule.poll(secs(1_000)));
+    schedule.note_change(Some(secs(1)));
+    schedule.note_change(Some(secs(90)));
+    assert!(!schedule.poll(secs(100)));
+    assert!(schedule.poll(secs(101)) && !schedule.poll(secs(102)) && schedule.poll(secs(106)));
+    schedule.note_carry(LogOffset(7), Some(secs(107)));
+    assert_eq!(schedule.next_deadline(), Some(secs(207)));
+    schedule.note_carry(LogOffset(9), None);
+    assert!(schedule.poll(secs(110)), "a snapshot read while catching up has an unknown age");
+    schedule.note_carry(LogOffset(11), Some(secs(111)));
+    schedule.note_retention(LogOffset(12));
+    assert!(schedule.poll(secs(112)));
+}
