Add routing: upstream table, picker and baselines

Ruled out: uniform sampling, since half of the upstreams being slow makes a quarter of the pairs all slow, more than the slow ones' share of capacity; candidates are drawn in proportion to learned speed. Ruled out: rendezvous hashing of 600 upstreams per request; the owners of 256 prefix groups are computed when the members change. Ruled out: a counting allocator in the test itself, since the workspace forbids unsafe code; the crate allocation-counter provides it.

Change: UpstreamTable, RouteMembers, PickPolicy with RoutePicker and three baselines.

Conclusion: usable by the daemon.

--- /dev/null
+++ b/crates/routing/src/table.rs
@@ -0,0 +1,211 @@
+//! What the node knows about each upstream.
+
+use base::{Arena, Moment, Span, UpstreamKey, WeightVersion, ZoneKey, key};
+
+use crate::{
+    LoadSample, StartedWork, UpstreamInfo, UpstreamPrice, UpstreamState, WorkEnd,
+    upstream::UpstreamRow,
+};
+
+key! {
+    /// Starting values of the table.
+    pub struct TableSettings {
+        /// Speed assumed before an upstream has completed a request, in tokens per second.
+        pub initial_speed: u32,
+        /// Mean work of a request assumed before any has completed, in tokens.
+        pub initial_request: u32,
+    }
+}
+
+/// Weight of a new speed sample against the learned speed.
+const SPEED_WEIGHT: f32 = 0.1;
+
+/// A single sample moves the learned speed as if it lay at most this factor away, because the
+/// backlog of a sample is itself an estimate.
+const SPEED_CLAMP: f32 = 4.0;
+
+/// State of the upstreams, addressed by [`UpstreamKey`].
+#[derive(Debug, Clone)]
+pub struct UpstreamTable {
+    settings: TableSettings,
+    rows: Arena<UpstreamKey, UpstreamRow>,
+    distances: Vec<Span>,
+    mean_request: f32,
+    max_speed: f32,
+}
+
+impl Default for TableSettings {
+    fn default() -> Self {
+        Self { initial_speed: 1_000, initial_request: 200 }
+    }
+}
+
+impl UpstreamTable {
+    /// Creates an empty table. `distances` holds the one-way time from this node to each zone, by
+    /// [`ZoneKey`].
+    #[must_use]
+    pub fn new(settings: TableSettings, distances: Vec<Span>) -> Self {
+        Self {
+            settings,
+            rows: Arena::new(),
+            distances,
+            mean_request: settings.initial_request as f32,
+            max_speed: settings.initial_speed as f32,
+        }
+    }
+
+    /// Adds an upstream that takes work.
+    pub fn add(&mut self, info: UpstreamInfo) -> UpstreamKey {
+        self.rows.push(UpstreamRow::new(info, self.settings.initial_speed as f32))
+    }
+
+    /// Changes whether an upstream may be chosen. Leaving is final, except that it can go down.
+    pub fn set_state(&mut self, upstream: UpstreamKey, state: UpstreamState) {
+        let Some(row) = self.rows.get_mut(upstream) else { return };
+        if row.state == UpstreamState::Leaving && state != UpstreamState::Down {
+            return;
+        }
+        row.state = state;
+    }
+
+    /// Keeps an upstream free for an isolated run.
+    pub fn reserve(&mut self, upstream: UpstreamKey) {
+        if let Some(row) = self.rows.get_mut(upstream) {
+            row.reserved = true;
+        }
+    }
+
+    /// Ends what [`UpstreamTable::reserve`] began.
+    pub fn release(&mut self, upstream: UpstreamKey) {
+        if let Some(row) = self.rows.get_mut(upstream) {
+            row.reserved = false;
+        }
+    }
+
+    /// Takes in a load report. One that is not newer than the last is ignored.
+    ///
+    /// What the report holds beyond the node's own work at the time of measurement belongs to
+    /// other nodes and counts unchanged until the next report. Their arrivals make up for what the
+    /// upstream completes meanwhile, and the node's own work is known exactly.
+    pub fn report(&mut self, now: Moment, upstream: UpstreamKey, load: LoadSample) {
+        let mean_request = self.mean_request;
+        let Some(row) = self.rows.get_mut(upstream) else { return };
+        if row.measured_at.is_some_and(|last| load.measured_at <= last) {
+            return;
+        }
+        row.keep_history(now);
+        // A request in the batch has on average half of its work left.
+        let requests = load.running as f32 / 2.0 + load.queued as f32;
+        let total = (requests * mean_request) as u32;
+        row.others = total.saturating_sub(row.outstanding_at(load.measured_at));
+        row.measured_at = Some(load.measured_at);
+        row.version = load.version;
+    }
+
+    /// Counts a request of `tokens` estimated work that is given to `upstream`.
+    pub fn start(&mut self, now: Moment, upstream: UpstreamKey, tokens: u32) -> StartedWork {
+        let mut backlog = 0;
+        if let Some(row) = self.rows.get_mut(upstream) {
+            row.keep_history(now);
+            backlog = row.backlog();
+            row.outstanding = row.outstanding.saturating_add(tokens);
+            row.own_requests += 1;
+        }
+        StartedWork { upstream, started_at: now, tokens, backlog }
+    }
+
+    /// Ends a request and learns from it.
+    pub fn finish(&mut self, now: Moment, work: StartedWork, end: WorkEnd) {
+        let Some(row) = self.rows.get_mut(work.upstream) else { return };
+        row.keep_history(now);
+        row.outstanding = row.outstanding.saturating_sub(work.tokens);
+        row.own_requests = row.own_requests.saturating_sub(1);
+        let WorkEnd::Completed { tokens } = end else { return };
+        self.mean_request += (tokens as f32 - self.mean_request) / 64.0;
+        let took = now.since(work.started_at).0.max(1) as f32 / 1e6;
+        let sample = work.backlog.saturating_add(tokens).max(1) as f32 / took;
+        let sample = sample.clamp(row.speed / SPEED_CLAMP, row.speed * SPEED_CLAMP);
+        row.speed += (sample - row.speed) * SPEED_WEIGHT;
+        self.max_speed = self.max_speed.max(row.speed);
+    }
+
+    /// Recomputes the highest speed, which only rises between two calls. Due about every second.
+    pub fn refresh(&mut self) {
+        let live = self.rows.iter().filter(|(_, row)| row.takes_work());
+        let highest = live.map(|(_, row)| row.speed).fold(0.0, f32::max);
+        self.max_speed = if highest > 0.0 { highest } else { self.settings.initial_speed as f32 };
+    }
+
+    /// Returns the number of upstreams, those that are down included.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Tells whether the table is empty.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// Returns whether an upstream may be chosen.
+    #[must_use]
+    pub fn state(&self, upstream: UpstreamKey) -> Option<UpstreamState> {
+        self.rows.get(upstream).map(|row| row.state)
+    }
+
+    /// Returns the learned speed in tokens per second.
+    #[must_use]
+    pub fn speed(&self, upstream: UpstreamKey) -> Option<f32> {
+        self.rows.get(upstream).map(|row| row.speed)
+    }
+
+    /// Returns the estimated work on an upstream, in tokens.
+    #[must_use]
+    pub fn backlog(&self, upstream: UpstreamKey) -> Option<u32> {
+        self.rows.get(upstream).map(UpstreamRow::backlog)
+    }
+
+    /// Returns the node's own requests on an upstream.
+    #[must_use]
+    pub fn own_requests(&self, upstream: UpstreamKey) -> u32 {
+        self.rows.get(upstream).map_or(0, |row| row.own_requests)
+    }
+
+    /// Returns the weight version of the last load report.
+    #[must_use]
+    pub fn version(&self, upstream: UpstreamKey) -> Option<WeightVersion> {
+        self.rows.get(upstream).and_then(|row| row.version)
+    }
+
+    /// Returns whether an upstream can be reclaimed.
+    #[must_use]
+    pub fn price(&self, upstream: UpstreamKey) -> Option<UpstreamPrice> {
+        self.rows.get(upstream).map(|row| row.info.price)
+    }
+
+    /// Returns the age of the last load report.
+    #[must_use]
+    pub fn report_age(&self, now: Moment, upstream: UpstreamKey) -> Option<Span> {
+        let row = self.rows.get(upstream)?;
+        row.measured_at.map(|measured_at| now.since(measured_at))
+    }
+
+    /// Returns the one-way time from this node to a zone.
+    #[must_use]
+    pub fn distance(&self, zone: ZoneKey) -> Span {
+        self.distances.get(zone.0 as usize).copied().unwrap_or(Span::ZERO)
+    }
+
+    pub(crate) fn row(&self, upstream: UpstreamKey) -> Option<&UpstreamRow> {
+        self.rows.get(upstream)
+    }
+
+    pub(crate) const fn max_speed(&self) -> f32 {
+        self.max_speed
+    }
+
+    pub(crate) fn info(&self, upstream: UpstreamKey) -> Option<UpstreamInfo> {
+        self.rows.get(upstream).map(|row| row.info)
+    }
+}
--- /dev/null
+++ b/crates/routing/tests/allocation.rs
@@ -0,0 +1,53 @@
+//! Guards the request path against allocations: a choice among 600 upstreams makes none.
+
+use base::{Moment, Span, UpstreamKey, ZoneKey};
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use routing::{
+    PickPolicy as _, PickRequest, RouteMembers, RoutePicker, TableSettings, UpstreamInfo,
+    UpstreamPrice, UpstreamState, UpstreamTable, WorkEnd,
+};
+
+#[test]
+fn choice_among_600_upstreams_does_not_allocate() {
+    let distances = (0..11).map(Span::from_millis).collect();
+    let mut table = UpstreamTable::new(TableSettings::default(), distances);
+    for index in 0..600 {
+        let zone = ZoneKey(index % 11);
+        let price = UpstreamPrice::Regular;
+        table.add(UpstreamInfo { node_hash: u64::from(index), zone, price });
+    }
+    let members = RouteMembers::new(&table, ZoneKey(0), (0..600).map(UpstreamKey));
+    let mut picker = RoutePicker::default();
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    let mut now = Moment(0);
+    let mut picked = 0;
+    // The library's global allocator counts the calls of this thread only.
+    let counted = allocation_counter::measure(|| {
+        for number in 0..20_000_u64 {
+            now += Span::from_millis(1);
+            let request = PickRequest {
+                tokens: 300,
+                prompt_tokens: 500,
+                prefix: Some(number % 50),
+                min_version: None,
+                avoid: &[],
+            };
+            let Some(choice) = picker.pick(now, &table, &members, &request, &mut rng) else {
+                break;
+            };
+            let work = table.start(now, choice.upstream, request.tokens);
+            table.finish(now + Span::from_millis(300), work, WorkEnd::Completed { tokens: 300 });
+            if number == 10_000 {
+                // What follows takes the path of the full scan.
+                for index in 1..600 {
+                    table.set_state(UpstreamKey(index), UpstreamState::Leaving);
+                }
+            }
+        }
+    });
+    assert_eq!((counted.count_total, picked), (0, 20_000));
+    // The counter itself works.
+    let counted = allocation_counter::measure(|| drop(Box::new(picked)));
+    assert_eq!(counted.count_total, 1);
+}
--- /dev/null
+++ b/crates/routing/tests/picker.rs
@@ -0,0 +1,188 @@
+//! Guards the choice of upstream: never a leaving one, own zone first, speed and work respected.
+
+use base::{Moment, Span, UpstreamKey, WeightVersion, ZoneKey};
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use routing::{
+    LeastOutstanding, LoadSample, PickChoice, PickPolicy, PickReason, PickRequest, RandomPick,
+    RoundRobin, RouteMembers, RoutePicker, TableSettings, UpstreamInfo, UpstreamPrice,
+    UpstreamState, UpstreamTable, WorkEnd,
+};
+use rstest::rstest;
+
+const NOW: Moment = Moment(10_000_000);
+const PLAIN: PickRequest<'static> =
+    PickRequest { tokens: 100, prompt_tokens: 0, prefix: None, min_version: None, avoid: &[] };
+
+fn table(zones: &[u32], distance: Span) -> UpstreamTable {
+    let mut table = UpstreamTable::new(TableSettings::default(), vec![Span::ZERO, distance]);
+    for (index, zone) in zones.iter().enumerate() {
+        let zone = ZoneKey(*zone);
+        let price = UpstreamPrice::Regular;
+        table.add(UpstreamInfo { node_hash: index as u64 + 1, zone, price });
+    }
+    table
+}
+
+fn members(table: &UpstreamTable) -> RouteMembers {
+    RouteMembers::new(table, ZoneKey(0), (0..table.len() as u32).map(UpstreamKey))
+}
+
+fn load(queued: u32, measured_at: Moment) -> LoadSample {
+    LoadSample { running: 0, queued, version: Some(WeightVersion(5)), measured_at }
+}
+
+/// Teaches the table a speed by completions of 100 tokens.
+fn teach(table: &mut UpstreamTable, upstream: u32, tokens_per_second: u64) {
+    for _ in 0..100 {
+        let work = table.start(NOW, UpstreamKey(upstream), 100);
+        let took = Span::from_micros(100_000_000 / tokens_per_second);
+        table.finish(NOW + took, work, WorkEnd::Completed { tokens: 100 });
+    }
+}
+
+/// Counts the choices per upstream over 1,000 picks that are not started.
+fn check(
+    policy: &mut impl PickPolicy,
+    table: &UpstreamTable,
+    request: &PickRequest<'_>,
+    expected: impl Fn(&[usize]) -> bool,
+) {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let members = members(table);
+    let mut counts = vec![0; table.len()];
+    for _ in 0..1_000 {
+        let Some(choice) = policy.pick(NOW, table, &members, request, &mut rng) else { continue };
+        counts[choice.upstream.0 as usize] += 1;
+    }
+    assert!(expected(&counts), "choices per upstream: {counts:?}");
+}
+
+#[rstest]
+#[case::leaving(UpstreamState::Leaving)]
+#[case::down(UpstreamState::Down)]
+fn leaving_and_down_upstreams_are_never_chosen(#[case] state: UpstreamState) {
+    let mut table = table(&[0, 0, 1], Span::from_millis(1));
+    table.set_state(UpstreamKey(1), state);
+    let unused = |counts: &[usize]| counts[1] == 0 && counts.iter().sum::<usize>() == 1_000;
+    check(&mut RoutePicker::default(), &table, &PLAIN, unused);
+    check(&mut RandomPick, &table, &PLAIN, unused);
+    check(&mut RoundRobin::default(), &table, &PLAIN, unused);
+    check(&mut LeastOutstanding, &table, &PLAIN, unused);
+    for upstream in [0, 2] {
+        table.set_state(UpstreamKey(upstream), state);
+    }
+    check(&mut RoutePicker::default(), &table, &PLAIN, |counts| counts == [0, 0, 0]);
+}
+
+#[test]
+fn leaving_upstream_does_not_come_back() {
+    let mut table = table(&[0], Span::ZERO);
+    table.set_state(UpstreamKey(0), UpstreamState::Leaving);
+    table.set_state(UpstreamKey(0), UpstreamState::Up);
+    assert_eq!(table.state(UpstreamKey(0)), Some(UpstreamState::Leaving));
+}
+
+#[test]
+fn reserved_and_suspect_upstreams_are_avoided_while_others_are_left() {
+    let mut table = table(&[0, 0, 0], Span::ZERO);
+    table.set_state(UpstreamKey(0), UpstreamState::Suspect);
+    table.reserve(UpstreamKey(1));
+    check(&mut RoutePicker::default(), &table, &PLAIN, |counts| counts == [0, 0, 1_000]);
+    table.set_state(UpstreamKey(2), UpstreamState::Leaving);
+    check(&mut RoutePicker::default(), &table, &PLAIN, |counts| counts == [1_000, 0, 0]);
+}
+
+#[rstest]
+#[case::near(Span::from_millis(1), 900)]
+#[case::far(Span::from_millis(400), 0)]
+fn other_zone_is_used_when_the_gain_exceeds_the_distance(
+    #[case] distance: Span,
+    #[case] least: usize,
+) {
+    let mut table = table(&[0, 0, 1, 1], distance);
+    for upstream in [0, 1] {
+        // 500 ms of work at the initial speed.
+        table.start(NOW, UpstreamKey(upstream), 500);
+    }
+    let remote = |counts: &[usize]| {
+        let remote = counts[2] + counts[3];
+        remote >= least && (least > 0 || remote == 0)
+    };
+    check(&mut RoutePicker::default(), &table, &PLAIN, remote);
+}
+
+#[test]
+fn own_zone_is_used_when_work_is_equal() {
+    let table = table(&[0, 0, 1, 1], Span::from_millis(1));
+    check(&mut RoutePicker::default(), &table, &PLAIN, |counts| counts[2] + counts[3] == 0);
+}
+
+#[test]
+fn faster_upstream_gets_the_larger_share() {
+    let mut table = table(&[0, 0], Span::ZERO);
+    teach(&mut table, 0, 4_000);
+    teach(&mut table, 1, 1_000);
+    table.refresh();
+    let learned = table.speed(UpstreamKey(0)).unwrap_or_default();
+    assert!((3_800.0..4_200.0).contains(&learned), "learned {learned}");
+    check(&mut RoutePicker::default(), &table, &PLAIN, |counts| counts[0] > 900);
+}
+
+#[test]
+fn load_report_is_corrected_by_own_requests_since() {
+    let mut table = table(&[0], Span::ZERO);
+    let upstream = UpstreamKey(0);
+    let early = table.start(NOW, upstream, 200);
+    let measured_at = NOW + Span::from_secs(1);
+    let heard_at = NOW + Span::from_secs(3);
+    table.start(NOW + Span::from_secs(2), upstream, 200);
+    // Three waiting requests of 200 tokens, one of them this node's own.
+    table.report(heard_at, upstream, load(3, measured_at));
+    assert_eq!(table.backlog(upstream), Some(400 + 400));
+    table.finish(heard_at, early, WorkEnd::Failed);
+    assert_eq!(table.backlog(upstream), Some(400 + 200));
+    table.report(heard_at, upstream, load(9, measured_at));
+    assert_eq!(table.backlog(upstream), Some(600), "a report that is not newer is ignored");
+    assert_eq!(table.report_age(heard_at, upstream), Some(Span::from_secs(2)));
+}
+
+#[test]
+fn prefix_stays_on_its_owner_until_the_owner_is_overloaded() {
+    let mut table = table(&[0; 8], Span::ZERO);
+    let request = PickRequest { prompt_tokens: 1_000, prefix: Some(77), ..PLAIN };
+    let mut rng = ChaCha8Rng::seed_from_u64(2);
+    let mut pick = |table: &UpstreamTable| -> PickChoice {
+        let members = members(table);
+        let choice = RoutePicker::default().pick(NOW, table, &members, &request, &mut rng);
+        choice.expect("an upstream is free")
+    };
+    let owner = pick(&table);
+    assert_eq!(owner.reason, PickReason::PrefixOwner);
+    assert_eq!(pick(&table).upstream, owner.upstream);
+    table.start(NOW, owner.upstream, 1_000);
+    let second = pick(&table);
+    assert_eq!(second.reason, PickReason::PrefixOwner, "the second owner takes over");
+    assert_ne!(second.upstream, owner.upstream);
+    table.start(NOW, second.upstream, 1_000);
+    assert_eq!(pick(&table).reason, PickReason::EarliestCompletion);
+}
+
+#[test]
+fn upstreams_with_old_weights_are_passed_over() {
+    let mut table = table(&[0, 0], Span::ZERO);
+    table.report(NOW, UpstreamKey(1), load(0, NOW));
+    let request = PickRequest { min_version: Some(WeightVersion(5)), ..PLAIN };
+    check(&mut RoutePicker::default(), &table, &request, |counts| counts == [0, 1_000]);
+    let request = PickRequest { min_version: Some(WeightVersion(6)), ..PLAIN };
+    check(&mut RoutePicker::default(), &table, &request, |counts| counts == [0, 0]);
+}
+
+#[test]
+fn tried_upstream_is_avoided_while_another_is_left() {
+    let mut table = table(&[0, 0], Span::ZERO);
+    let request = PickRequest { avoid: &[UpstreamKey(0)], ..PLAIN };
+    check(&mut RoutePicker::default(), &table, &request, |counts| counts == [0, 1_000]);
+    table.set_state(UpstreamKey(1), UpstreamState::Down);
+    check(&mut RoutePicker::default(), &table, &request, |counts| counts == [1_000, 0]);
+}
