Add client traits and awc clients for platform and engines

Cause: the daemon meets the platform and the engines only through small traits, and must know after each failure whether the request may have taken effect.

Ruled out: awc's own timeouts, since one for the head also ends long streams; awc's redirects, since they send a request twice; taking every connect error as not sent, since awc reports a peer that closed after the request as ConnectError::Disconnected.

Change: traits, HttpClient with time and length bounds, PlatformClient, EngineClient, a checked token stream, and JSON wire types.

Conclusion: answers cut short, foreign lines and late answers are errors; abandoned connections are not reused.

--- /dev/null
+++ b/crates/clients/src/engine.rs
@@ -0,0 +1,86 @@
+//! HTTP client of model engines.
+
+use std::net::SocketAddr;
+
+use base::Span;
+use serde::Serialize;
+
+use crate::{
+    Answer, CallError, EngineControl, EngineReport, GenerateRequest, HttpClient, KvCache, Outgoing,
+    TokenStream, WeightOrder,
+    http_client::{MAX_ANSWER, bounded, status_error},
+    platform::{decode, encode},
+    wire,
+};
+
+/// Client of all engines.
+#[derive(Debug, Clone)]
+pub struct EngineClient {
+    http: HttpClient,
+    control_timeout: Span,
+    idle_timeout: Span,
+}
+
+impl EngineClient {
+    /// Builds a client. Control calls end after `control_timeout`, and a stream fails after
+    /// `idle_timeout` without a line.
+    #[must_use]
+    pub const fn new(http: HttpClient, control_timeout: Span, idle_timeout: Span) -> Self {
+        Self { http, control_timeout, idle_timeout }
+    }
+
+    async fn control<T: Serialize>(
+        &self,
+        engine: SocketAddr,
+        path: &str,
+        body: &T,
+    ) -> Result<Answer, CallError> {
+        let outgoing = Outgoing::post(engine, path, encode(body)?);
+        self.http.exchange(outgoing, self.control_timeout, MAX_ANSWER).await?.success()
+    }
+}
+
+impl EngineControl for EngineClient {
+    type Tokens = TokenStream;
+
+    async fn generate(
+        &self,
+        engine: SocketAddr,
+        request: &GenerateRequest,
+    ) -> Result<TokenStream, CallError> {
+        let body = encode(&wire::Generate::from(request))?;
+        let outgoing = Outgoing::post(engine, "/generate", body);
+        let response = bounded(self.idle_timeout, self.http.open(outgoing)).await?;
+        // The engine has received the request, so no status proves that it did not run.
+        if !response.status().is_success() {
+            return Err(status_error(response.status(), response.headers()));
+        }
+        Ok(TokenStream::new(response, request, self.idle_timeout))
+    }
+
+    async fn cancel(&self, engine: SocketAddr, id: &str) -> Result<(), CallError> {
+        let body = wire::StreamId { id: String::from(id) };
+        self.control(engine, "/cancel", &body).await.map(drop)
+    }
+
+    async fn report(&self, engine: SocketAddr) -> Result<EngineReport, CallError> {
+        let outgoing = Outgoing::get(engine, "/load");
+        let answer = self.http.exchange(outgoing, self.control_timeout, MAX_ANSWER).await?;
+        decode::<wire::Load>(&answer.success()?.body).map(EngineReport::from)
+    }
+
+    async fn load_version(&self, engine: SocketAddr, order: &WeightOrder) -> Result<(), CallError> {
+        self.control(engine, "/load-version", &wire::LoadVersion::from(order)).await.map(drop)
+    }
+
+    async fn export_kv(&self, engine: SocketAddr, id: &str) -> Result<KvCache, CallError> {
+        let body = wire::StreamId { id: String::from(id) };
+        let answer = self.control(engine, "/kv/export", &body).await?;
+        KvCache::try_from(decode::<wire::Kv>(&answer.body)?)
+            .map_err(|error| CallError::maybe_run(crate::CallFailure::Malformed, error.to_string()))
+    }
+
+    async fn import_kv(&self, engine: SocketAddr, cache: &KvCache) -> Result<(), CallError> {
+        self.control(engine, "/kv/import", &wire::Kv::from(cache)).await.map(drop)
+    }
+}
--- /dev/null
+++ b/crates/clients/src/error.rs
@@ -0,0 +1,91 @@
+//! Errors of calls.
+
+use std::fmt;
+
+use awc::error::{ConnectError, SendRequestError};
+use base::{Execution, Span, key, plain};
+
+key! {
+    /// Why a call failed.
+    pub enum CallFailure {
+        /// No connection was made.
+        Connect,
+        /// The call took longer than its timeout.
+        Timeout,
+        /// The connection ended before the whole answer arrived.
+        Disconnected,
+        /// The other side answered with this HTTP status.
+        Status(u16),
+        /// The answer is not what the interface describes, or belongs to another request.
+        Malformed,
+        /// The answer is longer than the caller accepts.
+        TooLong,
+    }
+}
+
+plain! {
+    /// A call that did not yield its answer.
+    pub struct CallError {
+        /// Why the call failed.
+        pub failure: CallFailure,
+        /// Whether the request may have taken effect.
+        pub execution: Execution,
+        /// When the other side asks to be called again.
+        pub retry_after: Option<Span>,
+        /// Explanation for people.
+        pub message: String,
+    }
+}
+
+impl CallError {
+    /// Builds an error of a request of which no byte was sent.
+    pub(crate) fn not_sent(failure: CallFailure, message: impl Into<String>) -> Self {
+        let message = message.into();
+        Self { failure, execution: Execution::NotRun, retry_after: None, message }
+    }
+
+    /// Builds an error of a request that may have taken effect.
+    pub(crate) fn maybe_run(failure: CallFailure, message: impl Into<String>) -> Self {
+        Self { execution: Execution::MayHaveRun, ..Self::not_sent(failure, message) }
+    }
+
+    /// Tells whether the request may have taken effect.
+    #[must_use]
+    pub fn may_have_run(&self) -> bool {
+        self.execution == Execution::MayHaveRun
+    }
+}
+
+impl From<SendRequestError> for CallError {
+    fn from(error: SendRequestError) -> Self {
+        let message = error.to_string();
+        match error {
+            // awc reports a peer that closed after the request was written as `Disconnected`.
+            SendRequestError::Connect(ConnectError::Disconnected) => {
+                Self::maybe_run(CallFailure::Disconnected, message)
+            }
+            SendRequestError::Connect(ConnectError::Timeout) => {
+                Self::not_sent(CallFailure::Timeout, message)
+            }
+            SendRequestError::Connect(
+                ConnectError::Io(_)
+                | ConnectError::Resolver(_)
+                | ConnectError::NoRecords
+                | ConnectError::Unresolved
+                | ConnectError::SslIsNotSupported,
+            )
+            | SendRequestError::Url(_) => Self::not_sent(CallFailure::Connect, message),
+            SendRequestError::Timeout => Self::maybe_run(CallFailure::Timeout, message),
+            SendRequestError::Response(_) => Self::maybe_run(CallFailure::Malformed, message),
+            _ => Self::maybe_run(CallFailure::Disconnected, message),
+        }
+    }
+}
+
+impl fmt::Display for CallError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?} ({}): {}", self.failure, self.execution.as_str(), self.message)
+    }
+}
+
+impl std::error::Error for CallError {}
--- /dev/null
+++ b/crates/clients/src/http_client.rs
@@ -0,0 +1,206 @@
+//! HTTP/1.1 exchanges with time and length bounds.
+
+use std::{future::Future, net::SocketAddr, time::Duration};
+
+use actix_http::{
+    Method, StatusCode,
+    header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER},
+};
+use awc::{Client, ClientResponse, Connector};
+use base::{Execution, Span};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt as _;
+
+use crate::{CallError, CallFailure};
+
+/// Longest answer accepted from the platform and from control calls of engines.
+pub(crate) const MAX_ANSWER: usize = 16 << 20;
+
+/// A pool of connections that belongs to one thread. Clones share the pool.
+///
+/// Redirects are not followed, since that would send a request a second time. A connection returns to
+/// the pool only when its exchange is complete; dropping a call closes its connection.
+#[derive(Clone)]
+pub struct HttpClient {
+    client: Client,
+}
+
+/// A request to be sent. It carries the headers given here and no others of the caller.
+#[derive(Debug, Clone)]
+pub struct Outgoing {
+    /// Method.
+    pub method: Method,
+    /// Address of the receiver.
+    pub address: SocketAddr,
+    /// Path with query, starting with a slash.
+    pub path: String,
+    /// Headers beside `host` and `content-length`.
+    pub headers: Vec<(HeaderName, HeaderValue)>,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body, as long as its `content-length` says.
+    pub body: Bytes,
+}
+
+impl std::fmt::Debug for HttpClient {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("HttpClient").finish_non_exhaustive()
+    }
+}
+
+impl HttpClient {
+    /// Builds a client whose connection attempts end after `connect_timeout`.
+    #[must_use]
+    pub fn new(connect_timeout: Span) -> Self {
+        // The pool has no limit of its own: a request that waits in it could not be told from one
+        // that was sent. The daemon bounds its requests before they get here.
+        let connector = Connector::new().timeout(duration(connect_timeout)).limit(0);
+        let builder = Client::builder().connector(connector).disable_redirects();
+        // Timeouts are applied around whole exchanges below. awc's own would also end long streams.
+        Self { client: builder.disable_timeout().finish() }
+    }
+
+    /// Sends a request and reads the whole answer, of any status.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the exchange fails or exceeds `timeout`, and when the body is longer than
+    /// `max_body` or has no `content-length` that confirms it.
+    pub async fn exchange(
+        &self,
+        outgoing: Outgoing,
+        timeout: Span,
+        max_body: usize,
+    ) -> Result<Answer, CallError> {
+        bounded(timeout, async {
+            let response = self.open(outgoing).await?;
+            let status = response.status();
+            let headers = response.headers().clone();
+            let body = read_body(response, max_body).await?;
+            Ok(Answer { status, headers, body })
+        })
+        .await
+    }
+
+    /// Sends a request and returns the answer as soon as its head has arrived.
+    pub(crate) async fn open(&self, outgoing: Outgoing) -> Result<ClientResponse, CallError> {
+        let url = format!("http://{}{}", outgoing.address, outgoing.path);
+        let mut request = self.client.request(outgoing.method, url);
+        for (name, value) in outgoing.headers {
+            request = request.insert_header((name, value));
+        }
+        request.send_body(outgoing.body).await.map_err(CallError::from)
+    }
+}
+
+impl Outgoing {
+    /// Builds a request without body.
+    #[must_use]
+    pub fn get(address: SocketAddr, path: impl Into<String>) -> Self {
+        let path = path.into();
+        Self { method: Method::GET, address, path, headers: Vec::new(), body: Bytes::new() }
+    }
+
+    /// Builds a request with a body.
+    #[must_use]
+    pub fn post(address: SocketAddr, path: impl Into<String>, body: Bytes) -> Self {
+        Self { method: Method::POST, body, ..Self::get(address, path) }
+    }
+
+    /// Adds a header.
+    #[must_use]
+    pub fn with_header(mut self, name: HeaderName, value: HeaderValue) -> Self {
+        self.headers.push((name, value));
+        self
+    }
+}
+
+impl Answer {
+    /// Turns a status other than success into an error.
+    ///
+    /// A 4xx status is a definite refusal. After any other status the request may have taken effect.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`CallFailure::Status`] for any status but 2xx.
+    pub fn success(self) -> Result<Self, CallError> {
+        if self.status.is_success() {
+            return Ok(self);
+        }
+        let text = String::from_utf8_lossy(&self.body[..self.body.len().min(200)]);
+        let mut error = status_error(self.status, &self.headers);
+        if self.status.is_client_error() {
+            error.execution = Execution::NotRun;
+        }
+        error.message = format!("{}: {text}", error.message);
+        Err(error)
+    }
+}
+
+/// Describes an answer with a status other than success.
+pub(crate) fn status_error(status: StatusCode, headers: &HeaderMap) -> CallError {
+    let retry = headers.get(RETRY_AFTER).and_then(|value| value.to_str().ok()?.parse().ok());
+    let failure = CallFailure::Status(status.as_u16());
+    let mut error = CallError::maybe_run(failure, format!("the answer is {status}"));
+    error.retry_after = retry.map(Span::from_secs);
+    error
+}
+
+/// Ends `work` after `timeout`. The request may have been sent by then.
+pub(crate) async fn bounded<T>(
+    timeout: Span,
+    work: impl Future<Output = Result<T, CallError>>,
+) -> Result<T, CallError> {
+    match actix_rt::time::timeout(duration(timeout), work).await {
+        Ok(result) => result,
+        Err(_) => {
+            let message = format!("no answer within {} ms", timeout.as_millis());
+            Err(CallError::maybe_run(CallFailure::Timeout, message))
+        }
+    }
+}
+
+pub(crate) const fn duration(span: Span) -> Duration {
+    Duration::from_micros(span.0)
+}
+
+async fn read_body(mut response: ClientResponse, max_body: usize) -> Result<Bytes, CallError> {
+    let stated = response.headers().get(CONTENT_LENGTH);
+    let stated = stated.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
+    let status = response.status();
+    if stated.is_some_and(|length| length > max_body) {
+        return Err(too_long(max_body));
+    }
+    let mut body = BytesMut::new();
+    while let Some(chunk) = response.next().await {
+        let chunk = chunk
+            .map_err(|error| CallError::maybe_run(CallFailure::Disconnected, error.to_string()))?;
+        if body.len() + chunk.len() > max_body {
+            return Err(too_long(max_body));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    // awc ends the body without an error when the connection closes early, so the length decides.
+    let whole = match stated {
+        Some(length) => length == body.len(),
+        None => body.is_empty() && matches!(status.as_u16(), 204 | 304),
+    };
+    if whole {
+        return Ok(body.freeze());
+    }
+    let message = format!("{} bytes of {stated:?} stated arrived", body.len());
+    Err(CallError::maybe_run(CallFailure::Disconnected, message))
+}
+
+fn too_long(max_body: usize) -> CallError {
+    CallError::maybe_run(CallFailure::TooLong, format!("the answer exceeds {max_body} bytes"))
+}
--- a/crates/clients/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -1,1 +1,33 @@
-//! Placeholder module of the `clients` crate.
+//! Interfaces to the platform and to model engines, and the HTTP clients that implement them.
+//!
+//! Every call has a timeout, and every error tells whether the request may have taken effect.
+
+// The futures stay on the thread that created them, because awc's client belongs to one thread.
+#![allow(async_fn_in_trait)]
+
+pub mod base16;
+mod engine;
+mod error;
+mod http_client;
+mod platform;
+mod token_stream;
+mod traits;
+mod types;
+pub mod wire;
+
+pub use crate::{
+    engine::EngineClient,
+    error::{CallError, CallFailure},
+    http_client::{Answer, HttpClient, Outgoing},
+    platform::{PlatformClient, PlatformTimeouts},
+    token_stream::TokenStream,
+    traits::{
+        EngineControl, PlatformLog, TokenSource, UpstreamOrders, UsageSink, VmList, WeightStore,
+    },
+    types::{
+        CustomerFigures, EnginePriority, EngineReport, GenerateRequest, KvCache, LogPage,
+        NewRecord, OrderAnswer, OrderKind, OrderState, ReclaimNotice, ReportOutcome, StoredRecord,
+        TokenEvent, UpstreamInfo, UpstreamOrder, UpstreamState, UsageReport, VmInfo, VmState,
+        WeightFetch, WeightOrder,
+    },
+};
--- /dev/null
+++ b/crates/clients/src/platform.rs
@@ -0,0 +1,163 @@
+//! HTTP client of the platform.
+
+use std::net::SocketAddr;
+
+use base::{LogOffset, Span, WeightVersion, key};
+use bytes::Bytes;
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::{
+    Answer, CallError, CallFailure, HttpClient, LogPage, NewRecord, OrderAnswer, Outgoing,
+    PlatformLog, ReclaimNotice, ReportOutcome, UpstreamInfo, UpstreamOrder, UpstreamOrders,
+    UsageReport, UsageSink, VmInfo, VmList, WeightFetch, WeightStore, http_client::MAX_ANSWER,
+    wire,
+};
+
+/// Pause before the next attempt when the weight store states none.
+const WEIGHT_PAUSE: Span = Span::from_secs(1);
+
+key! {
+    /// Timeouts of calls to the platform.
+    pub struct PlatformTimeouts {
+        /// One append or read.
+        pub log: Span,
+        /// One order.
+        pub order: Span,
+        /// One read of weights.
+        pub weights: Span,
+        /// Any other call.
+        pub other: Span,
+    }
+}
+
+/// Client of the platform.
+#[derive(Debug, Clone)]
+pub struct PlatformClient {
+    http: HttpClient,
+    address: SocketAddr,
+    timeouts: PlatformTimeouts,
+}
+
+impl Default for PlatformTimeouts {
+    fn default() -> Self {
+        Self {
+            log: Span::from_secs(2),
+            order: Span::from_secs(3),
+            weights: Span::from_secs(30),
+            other: Span::from_secs(3),
+        }
+    }
+}
+
+impl PlatformClient {
+    /// Builds a client of the platform at `address`.
+    #[must_use]
+    pub const fn new(http: HttpClient, address: SocketAddr, timeouts: PlatformTimeouts) -> Self {
+        Self { http, address, timeouts }
+    }
+
+    async fn get(&self, path: impl Into<String>, timeout: Span) -> Result<Answer, CallError> {
+        self.http.exchange(Outgoing::get(self.address, path), timeout, MAX_ANSWER).await
+    }
+
+    async fn post<T: Serialize>(
+        &self,
+        path: &str,
+        body: &T,
+        timeout: Span,
+    ) -> Result<Answer, CallError> {
+        let outgoing = Outgoing::post(self.address, path, encode(body)?);
+        self.http.exchange(outgoing, timeout, MAX_ANSWER).await
+    }
+
+    async fn list<T: DeserializeOwned, U: From<T>>(&self, path: &str) -> Result<Vec<U>, CallError> {
+        let answer = self.get(path, self.timeouts.other).await?.success()?;
+        Ok(decode::<Vec<T>>(&answer.body)?.into_iter().map(U::from).collect())
+    }
+}
+
+impl PlatformLog for PlatformClient {
+    async fn append(&self, stream: &str, records: &[NewRecord]) -> Result<LogOffset, CallError> {
+        let records = records.iter().map(wire::AppendRecord::from).collect::<Vec<_>>();
+        let answer = self.post(&format!("/log/{stream}"), &records, self.timeouts.log).await?;
+        Ok(LogOffset(decode::<wire::Appended>(&answer.success()?.body)?.first))
+    }
+
+    async fn read(&self, stream: &str, from: LogOffset, max: u32) -> Result<LogPage, CallError> {
+        let path = format!("/log/{stream}?from={}&max={max}", from.0);
+        let answer = self.get(path, self.timeouts.log).await?.success()?;
+        decode::<wire::Page>(&answer.body).map(LogPage::from)
+    }
+}
+
+impl UpstreamOrders for PlatformClient {
+    async fn place_order(&self, order: &UpstreamOrder) -> Result<OrderAnswer, CallError> {
+        let answer = self.post("/orders", &wire::Order::from(order), self.timeouts.order).await?;
+        decode::<wire::OrderReply>(&answer.success()?.body).map(OrderAnswer::from)
+    }
+
+    async fn find_order(&self, id: &str) -> Result<Option<OrderAnswer>, CallError> {
+        let answer = self.get(format!("/orders/{id}"), self.timeouts.other).await?;
+        if answer.status.as_u16() == 404 {
+            return Ok(None);
+        }
+        decode::<wire::OrderReply>(&answer.success()?.body).map(|reply| Some(reply.into()))
+    }
+
+    async fn upstreams(&self) -> Result<Vec<UpstreamInfo>, CallError> {
+        self.list::<wire::Upstream, _>("/upstreams").await
+    }
+
+    async fn reclaims(&self) -> Result<Vec<ReclaimNotice>, CallError> {
+        self.list::<wire::Reclaim, _>("/reclaims").await
+    }
+}
+
+impl UsageSink for PlatformClient {
+    async fn report_usage(&self, report: &UsageReport) -> Result<ReportOutcome, CallError> {
+        let body = wire::Report::from(report);
+        let answer = self.post("/usage-reports", &body, self.timeouts.other).await?;
+        if answer.status.as_u16() == 409 {
+            return Ok(ReportOutcome::Conflict);
+        }
+        answer.success().map(|_| ReportOutcome::Accepted)
+    }
+}
+
+impl VmList for PlatformClient {
+    async fn vms(&self) -> Result<Vec<VmInfo>, CallError> {
+        self.list::<wire::Vm, _>("/vms").await
+    }
+}
+
+impl WeightStore for PlatformClient {
+    async fn fetch_weights(
+        &self,
+        model: &str,
+        version: WeightVersion,
+    ) -> Result<WeightFetch, CallError> {
+        let path = format!("/weights/{model}/{}", version.0);
+        let answer = self.get(path, self.timeouts.weights).await?;
+        match answer.success() {
+            Ok(answer) => Ok(WeightFetch::Ready(answer.body.len() as u64)),
+            Err(error) if error.failure == CallFailure::Status(429) => {
+                Ok(WeightFetch::Later(error.retry_after.unwrap_or(WEIGHT_PAUSE)))
+            }
+            Err(error) => Err(error),
+        }
+    }
+}
+
+/// Writes a JSON body. Failure means that nothing was sent.
+pub(crate) fn encode<T: Serialize>(body: &T) -> Result<Bytes, CallError> {
+    let bytes = serde_json::to_vec(body);
+    bytes
+        .map(Bytes::from)
+        .map_err(|error| CallError::not_sent(CallFailure::Malformed, error.to_string()))
+}
+
+/// Reads a JSON answer to a request that has run.
+pub(crate) fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, CallError> {
+    serde_json::from_slice(body)
+        .map_err(|error| CallError::maybe_run(CallFailure::Malformed, error.to_string()))
+}
--- /dev/null
+++ b/crates/clients/src/wire.rs
@@ -0,0 +1,395 @@
+//! JSON shapes of the platform's and the engines' interfaces.
+//!
+//! The fields are those of the design page, sections 6.1 and 6.2.
+// The fields repeat the page's names; the types that users of the crate handle are documented.
+#![allow(missing_docs)]
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use base::{FencingNumber, Incarnation, LogOffset, RecordId, WallTime, WeightVersion};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    CustomerFigures, EnginePriority, EngineReport, GenerateRequest, KvCache, LogPage, NewRecord,
+    OrderAnswer, OrderKind, OrderState, ReclaimNotice, StoredRecord, TokenEvent, UpstreamInfo,
+    UpstreamOrder, UpstreamState, UsageReport, VmInfo, VmState, WeightOrder, base16,
+};
+
+macro_rules! wire {
+    ($($item:item)*) => {
+        $(#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)] $item)*
+    };
+}
+
+/// The value lies outside what the interface describes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WireError(pub String);
+
+impl std::fmt::Display for WireError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for WireError {}
+
+wire! {
+    pub struct AppendRecord {
+        pub id: String,
+        pub data: String,
+    }
+
+    pub struct Appended {
+        pub first: u64,
+    }
+
+    pub struct Page {
+        pub first: u64,
+        pub next: u64,
+        pub records: Vec<PageRecord>,
+    }
+
+    pub struct PageRecord {
+        pub offset: u64,
+        pub data: String,
+    }
+
+    pub struct Order {
+        pub id: String,
+        pub zone: String,
+        pub service: String,
+        pub kind: OrderVerb,
+        #[serde(default)]
+        pub count: u32,
+        #[serde(default)]
+        pub cheap: bool,
+        #[serde(default)]
+        pub upstream: Option<String>,
+        pub fencing: u64,
+    }
+
+    #[derive(Copy)]
+    #[serde(rename_all = "lowercase")]
+    pub enum OrderVerb {
+        Start,
+        Stop,
+    }
+
+    pub struct OrderReply {
+        pub state: OrderStatus,
+        pub upstreams: Vec<String>,
+    }
+
+    #[derive(Copy)]
+    #[serde(rename_all = "lowercase")]
+    pub enum OrderStatus {
+        Accepted,
+        Done,
+        Refused,
+    }
+
+    pub struct Upstream {
+        pub name: String,
+        pub zone: String,
+        pub service: String,
+        pub address: SocketAddr,
+        pub state: UpstreamStatus,
+        pub cheap: bool,
+    }
+
+    #[derive(Copy)]
+    #[serde(rename_all = "lowercase")]
+    pub enum UpstreamStatus {
+        Starting,
+        Running,
+        Leaving,
+    }
+
+    pub struct Reclaim {
+        pub zone: String,
+        pub at_ms: i64,
+    }
+
+    pub struct Report {
+        pub window: u64,
+        pub fencing: u64,
+        pub figures: BTreeMap<String, Figures>,
+    }
+
+    #[derive(Copy)]
+    pub struct Figures {
+        pub requests: u64,
+        pub prompt_tokens: u64,
+        pub generated_tokens: u64,
+    }
+
+    pub struct Vm {
+        pub name: String,
+        pub zone: String,
+        pub address: SocketAddr,
+        pub state: VmStatus,
+    }
+
+    #[derive(Copy)]
+    #[serde(rename_all = "lowercase")]
+    pub enum VmStatus {
+        Live,
+        Leaving,
+    }
+
+    pub struct Generate {
+        pub id: String,
+        pub prompt: String,
+        pub max_tokens: u32,
+        #[serde(default)]
+        pub offset: u32,
+        #[serde(default)]
+        pub seed: u64,
+        pub priority: Priority,
+    }
+
+    #[derive(Copy)]
+    #[serde(rename_all = "lowercase")]
+    pub enum Priority {
+        Live,
+        Sample,
+    }
+
+    #[serde(untagged)]
+    pub enum Line {
+        Token { id: String, index: u32, token: String, version: u64 },
+        End { id: String, end: bool, tokens: u32, prompt_tokens: u32 },
+    }
+
+    pub struct Load {
+        pub running: u32,
+        pub queued: u32,
+        pub tokens_per_second: u32,
+        pub version: u64,
+        pub leaving: bool,
+        pub cached_prefixes: Vec<u64>,
+        pub measured_at_ms: i64,
+    }
+
+    pub struct LoadVersion {
+        pub model: String,
+        pub version: u64,
+        pub fencing: u64,
+    }
+
+    pub struct StreamId {
+        pub id: String,
+    }
+
+    pub struct Kv {
+        pub id: String,
+        pub data: String,
+    }
+}
+
+impl From<&NewRecord> for AppendRecord {
+    fn from(record: &NewRecord) -> Self {
+        let RecordId { writer, sequence } = record.id;
+        Self {
+            id: format!("{:016x}-{sequence:016x}", writer.0),
+            data: base16::encode(&record.data),
+        }
+    }
+}
+
+impl TryFrom<AppendRecord> for NewRecord {
+    type Error = WireError;
+
+    fn try_from(record: AppendRecord) -> Result<Self, WireError> {
+        let id = record.id.split_once('-').and_then(|(writer, sequence)| {
+            let writer = Incarnation(u64::from_str_radix(writer, 16).ok()?);
+            Some(RecordId { writer, sequence: u64::from_str_radix(sequence, 16).ok()? })
+        });
+        let id = id.ok_or_else(|| WireError(format!("record id {:?} is malformed", record.id)))?;
+        let data = base16::decode(&record.data);
+        let data = data.ok_or_else(|| WireError(String::from("the data is not base16")))?;
+        Ok(Self { id, data })
+    }
+}
+
+impl From<Page> for LogPage {
+    fn from(page: Page) -> Self {
+        let records = page.records.into_iter().map(|record| StoredRecord {
+            offset: LogOffset(record.offset),
+            // An empty record is malformed to every reader, so the ones after it are still read.
+            data: base16::decode(&record.data).unwrap_or_default(),
+        });
+        let records = records.collect();
+        Self { first: LogOffset(page.first), next: LogOffset(page.next), records }
+    }
+}
+
+impl From<&UpstreamOrder> for Order {
+    fn from(order: &UpstreamOrder) -> Self {
+        let (kind, count, cheap, upstream) = match &order.kind {
+            OrderKind::Start { count, cheap } => (OrderVerb::Start, *count, *cheap, None),
+            OrderKind::Stop { upstream } => (OrderVerb::Stop, 1, false, Some(upstream.clone())),
+        };
+        Self {
+            id: order.id.clone(),
+            zone: order.zone.clone(),
+            service: order.service.clone(),
+            kind,
+            count,
+            cheap,
+            upstream,
+            fencing: order.fencing.0,
+        }
+    }
+}
+
+impl TryFrom<Order> for UpstreamOrder {
+    type Error = WireError;
+
+    fn try_from(order: Order) -> Result<Self, WireError> {
+        let kind = match (order.kind, order.upstream) {
+            (OrderVerb::Start, _) => OrderKind::Start { count: order.count, cheap: order.cheap },
+            (OrderVerb::Stop, Some(upstream)) => OrderKind::Stop { upstream },
+            (OrderVerb::Stop, None) => {
+                return Err(WireError(String::from("a stop order names no upstream")));
+            }
+        };
+        let Order { id, zone, service, fencing, .. } = order;
+        Ok(Self { id, zone, service, kind, fencing: FencingNumber(fencing) })
+    }
+}
+
+impl From<OrderReply> for OrderAnswer {
+    fn from(reply: OrderReply) -> Self {
+        let state = match reply.state {
+            OrderStatus::Accepted => OrderState::Accepted,
+            OrderStatus::Done => OrderState::Done,
+            OrderStatus::Refused => OrderState::Refused,
+        };
+        Self { state, upstreams: reply.upstreams }
+    }
+}
+
+impl From<Upstream> for UpstreamInfo {
+    fn from(upstream: Upstream) -> Self {
+        let Upstream { name, zone, service, address, state, cheap } = upstream;
+        let state = match state {
+            UpstreamStatus::Starting => UpstreamState::Starting,
+            UpstreamStatus::Running => UpstreamState::Running,
+            UpstreamStatus::Leaving => UpstreamState::Leaving,
+        };
+        Self { name, zone, service, address, state, cheap }
+    }
+}
+
+impl From<Reclaim> for ReclaimNotice {
+    fn from(reclaim: Reclaim) -> Self {
+        Self { zone: reclaim.zone, at: WallTime(reclaim.at_ms) }
+    }
+}
+
+impl From<&UsageReport> for Report {
+    fn from(report: &UsageReport) -> Self {
+        let figures = report.figures.iter();
+        let figures = figures.map(|(name, figures)| (name.clone(), (*figures).into())).collect();
+        Self { window: report.window, fencing: report.fencing.0, figures }
+    }
+}
+
+impl From<CustomerFigures> for Figures {
+    fn from(figures: CustomerFigures) -> Self {
+        let CustomerFigures { requests, prompt_tokens, generated_tokens } = figures;
+        Self { requests, prompt_tokens, generated_tokens }
+    }
+}
+
+impl From<Vm> for VmInfo {
+    fn from(vm: Vm) -> Self {
+        let state = match vm.state {
+            VmStatus::Live => VmState::Live,
+            VmStatus::Leaving => VmState::Leaving,
+        };
+        Self { name: vm.name, zone: vm.zone, address: vm.address, state }
+    }
+}
+
+impl From<&GenerateRequest> for Generate {
+    fn from(request: &GenerateRequest) -> Self {
+        Self {
+            id: request.id.clone(),
+            prompt: request.prompt.clone(),
+            max_tokens: request.max_tokens,
+            offset: request.offset,
+            seed: request.seed,
+            priority: match request.priority {
+                EnginePriority::Live => Priority::Live,
+                EnginePriority::Sample => Priority::Sample,
+            },
+        }
+    }
+}
+
+impl Line {
+    /// Returns the id of the request that the line answers.
+    #[must_use]
+    pub fn id(&self) -> &str {
+        match self {
+            Self::Token { id, .. } | Self::End { id, .. } => id,
+        }
+    }
+}
+
+impl TryFrom<Line> for TokenEvent {
+    type Error = WireError;
+
+    fn try_from(line: Line) -> Result<Self, WireError> {
+        match line {
+            Line::Token { index, token, version, .. } => {
+                Ok(Self::Token { index, text: token, version: WeightVersion(version) })
+            }
+            Line::End { end: true, tokens, prompt_tokens, .. } => {
+                Ok(Self::End { tokens, prompt_tokens })
+            }
+            Line::End { end: false, .. } => {
+                Err(WireError(String::from("an end line says that it is none")))
+            }
+        }
+    }
+}
+
+impl From<Load> for EngineReport {
+    fn from(load: Load) -> Self {
+        Self {
+            running: load.running,
+            queued: load.queued,
+            tokens_per_second: load.tokens_per_second,
+            version: WeightVersion(load.version),
+            leaving: load.leaving,
+            cached_prefixes: load.cached_prefixes,
+            measured_at: WallTime(load.measured_at_ms),
+        }
+    }
+}
+
+impl From<&WeightOrder> for LoadVersion {
+    fn from(order: &WeightOrder) -> Self {
+        let WeightOrder { model, version, fencing } = order;
+        Self { model: model.clone(), version: version.0, fencing: fencing.0 }
+    }
+}
+
+impl From<&KvCache> for Kv {
+    fn from(cache: &KvCache) -> Self {
+        Self { id: cache.id.clone(), data: base16::encode(&cache.data) }
+    }
+}
+
+impl TryFrom<Kv> for KvCache {
+    type Error = WireError;
+
+    fn try_from(kv: Kv) -> Result<Self, WireError> {
+        let data = base16::decode(&kv.data);
+        let data = data.ok_or_else(|| WireError(String::from("the data is not base16")))?;
+        Ok(Self { id: kv.id, data })
+    }
+}
--- /dev/null
+++ b/crates/clients/tests/failures.rs
@@ -0,0 +1,216 @@
+//! What the clients report when the other side misbehaves.
+
+use std::{
+    cell::Cell,
+    net::{Ipv4Addr, SocketAddr},
+    rc::Rc,
+};
+
+use base::{Execution, LogOffset, Span};
+use clients::{
+    CallFailure, EngineClient, EngineControl, EnginePriority, GenerateRequest, HttpClient,
+    Outgoing, PlatformClient, PlatformLog, PlatformTimeouts, TokenEvent, TokenSource,
+};
+use rstest::rstest;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpSocket},
+};
+
+/// What the scripted server does after it has read a request.
+#[derive(Clone)]
+enum Script {
+    /// Writes these bytes and closes the connection.
+    Close(String),
+    /// Writes these bytes and keeps the connection.
+    Keep(String),
+    /// Never answers the first connection, and answers the later ones with these bytes.
+    StallFirst(String),
+}
+
+/// Starts a server on a free port. Returns its address and the number of accepted connections.
+async fn start(script: Script) -> (SocketAddr, Rc<Cell<u32>>) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let accepted = Rc::new(Cell::new(0));
+    let counter = Rc::clone(&accepted);
+    actix_rt::spawn(async move {
+        while let Ok((mut socket, _)) = listener.accept().await {
+            counter.set(counter.get() + 1);
+            let number = counter.get();
+            let script = script.clone();
+            actix_rt::spawn(async move {
+                let mut buffer = vec![0; 4_096];
+                while socket.read(&mut buffer).await.is_ok_and(|count| count > 0) {
+                    let (text, close) = match &script {
+                        Script::Close(text) => (text, true),
+                        Script::Keep(text) => (text, false),
+                        Script::StallFirst(_) if number == 1 => continue,
+                        Script::StallFirst(text) => (text, false),
+                    };
+                    let _ = socket.write_all(text.as_bytes()).await;
+                    if close {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (address, accepted)
+}
+
+fn http() -> HttpClient {
+    HttpClient::new(Span::from_secs(5))
+}
+
+fn platform(address: SocketAddr, log: Span) -> PlatformClient {
+    PlatformClient::new(http(), address, PlatformTimeouts { log, ..PlatformTimeouts::default() })
+}
+
+fn request() -> GenerateRequest {
+    GenerateRequest {
+        id: String::from("g1"),
+        prompt: String::from("a sleeve for plum cordial"),
+        max_tokens: 2,
+        offset: 0,
+        seed: 7,
+        priority: EnginePriority::Live,
+    }
+}
+
+const PAGE: &str =
+    "HTTP/1.1 200 OK\r\ncontent-length: 33\r\n\r\n{\"first\":0,\"next\":0,\"records\":[]}\n";
+
+/// Guards against a failure whose effect on the other side is stated wrongly.
+#[rstest]
+#[case::closed_after_request("", CallFailure::Disconnected, Execution::MayHaveRun)]
+#[case::body_cut_short(
+    "HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\n{}",
+    CallFailure::Disconnected,
+    Execution::MayHaveRun
+)]
+#[case::length_unknown(
+    "HTTP/1.1 200 OK\r\n\r\n{\"first\":0}",
+    CallFailure::Disconnected,
+    Execution::MayHaveRun
+)]
+#[case::chunks_cut_short(
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\n{}\r\n",
+    CallFailure::Disconnected,
+    Execution::MayHaveRun
+)]
+#[case::not_http("hello\r\n\r\n", CallFailure::Malformed, Execution::MayHaveRun)]
+#[case::not_json(
+    "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{]",
+    CallFailure::Malformed,
+    Execution::MayHaveRun
+)]
+#[case::refused(
+    "HTTP/1.1 409 Conflict\r\ncontent-length: 0\r\n\r\n",
+    CallFailure::Status(409),
+    Execution::NotRun
+)]
+#[case::server_error(
+    "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n",
+    CallFailure::Status(503),
+    Execution::MayHaveRun
+)]
+#[actix_rt::test]
+async fn failure_tells_whether_the_request_may_have_run(
+    #[case] answer: &'static str,
+    #[case] failure: CallFailure,
+    #[case] execution: Execution,
+) {
+    let (address, _) = start(Script::Close(String::from(answer))).await;
+    let error = platform(address, Span::from_secs(30)).append("usage", &[]).await.unwrap_err();
+    assert_eq!((error.failure, error.execution), (failure, execution), "{error}");
+}
+
+/// Guards against a `may-have-run` for a request that had no connection.
+#[actix_rt::test]
+async fn refused_connection_is_not_run() {
+    // The socket holds the port without listening, so that nothing else can take it.
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).unwrap();
+    let client = platform(socket.local_addr().unwrap(), Span::from_secs(30));
+    let error = client.read("usage", LogOffset(0), 1).await.unwrap_err();
+    assert_eq!((error.failure, error.execution), (CallFailure::Connect, Execution::NotRun));
+}
+
+/// Guards against a late answer that reaches the next request on the same connection.
+#[actix_rt::test]
+async fn connection_of_an_abandoned_call_is_not_reused() {
+    let (address, accepted) = start(Script::StallFirst(String::from(PAGE))).await;
+    let http = http();
+    let timeouts = PlatformTimeouts { log: Span::from_millis(50), ..PlatformTimeouts::default() };
+    let hasty = PlatformClient::new(http.clone(), address, timeouts);
+    let error = hasty.read("usage", LogOffset(0), 1).await.unwrap_err();
+    assert_eq!((error.failure, error.execution), (CallFailure::Timeout, Execution::MayHaveRun));
+    let patient = PlatformClient::new(http, address, PlatformTimeouts::default());
+    patient.read("usage", LogOffset(0), 1).await.unwrap();
+    assert_eq!(accepted.get(), 2);
+}
+
+/// Guards against a connection that is opened anew for each complete exchange.
+#[actix_rt::test]
+async fn connection_of_a_complete_call_is_reused() {
+    let (address, accepted) = start(Script::Keep(String::from(PAGE))).await;
+    let client = platform(address, Span::from_secs(30));
+    for _ in 0..3 {
+        client.read("usage", LogOffset(0), 1).await.unwrap();
+    }
+    assert_eq!(accepted.get(), 1);
+}
+
+/// Guards against a redirect that sends a request a second time.
+#[actix_rt::test]
+async fn redirect_is_not_followed() {
+    let answer = "HTTP/1.1 307 Temporary Redirect\r\nlocation: /again\r\ncontent-length: 0\r\n\r\n";
+    let (address, accepted) = start(Script::Keep(String::from(answer))).await;
+    let outgoing = Outgoing::post(address, "/print", "sheet".into());
+    let answer = http().exchange(outgoing, Span::from_secs(30), 1_024).await.unwrap();
+    assert_eq!((answer.status.as_u16(), accepted.get()), (307, 1));
+}
+
+const TWO: &str = "{\"id\":\"g1\",\"index\":0,\"token\":\"a\",\"version\":4}\n\
+    {\"id\":\"g1\",\"index\":1,\"token\":\"b\",\"version\":5}\n";
+const END: &str = "{\"id\":\"g1\",\"index\":0,\"token\":\"a\",\"version\":4}\n\
+    {\"id\":\"g1\",\"end\":true,\"tokens\":1,\"prompt_tokens\":5}\n";
+const SHORT_END: &str = "{\"id\":\"g1\",\"index\":0,\"token\":\"a\",\"version\":4}\n\
+    {\"id\":\"g1\",\"end\":true,\"tokens\":2,\"prompt_tokens\":5}\n";
+const FOREIGN: &str = "{\"id\":\"g2\",\"index\":0,\"token\":\"a\",\"version\":4}\n";
+const GAP: &str = "{\"id\":\"g1\",\"index\":1,\"token\":\"a\",\"version\":4}\n";
+
+/// Guards against an incomplete, foreign or misplaced line that passes for an answer.
+#[rstest]
+#[case::whole(END, 1, None)]
+#[case::no_end_line(TWO, 2, Some(CallFailure::Disconnected))]
+#[case::end_counts_missing_tokens(SHORT_END, 1, Some(CallFailure::Malformed))]
+#[case::line_of_another_request(FOREIGN, 0, Some(CallFailure::Malformed))]
+#[case::token_left_out(GAP, 0, Some(CallFailure::Malformed))]
+#[actix_rt::test]
+async fn generation_is_checked_line_by_line(
+    #[case] answer: &str,
+    #[case] tokens: u32,
+    #[case] failure: Option<CallFailure>,
+) {
+    let length = answer.len();
+    let answer = format!(
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{length:x}\r\n{answer}\r\n0\r\n\r\n"
+    );
+    let (address, _) = start(Script::Close(answer)).await;
+    let engine = EngineClient::new(http(), Span::from_secs(30), Span::from_secs(30));
+    let mut stream = engine.generate(address, &request()).await.unwrap();
+    let mut seen = 0;
+    let found = loop {
+        match stream.next().await {
+            Ok(Some(TokenEvent::Token { .. })) => seen += 1,
+            Ok(Some(TokenEvent::End { .. })) => continue,
+            Ok(None) => break None,
+            Err(error) => break Some(error.failure),
+        }
+    };
+    assert_eq!((seen, found), (tokens, failure));
+    assert_eq!(stream.next().await, Ok(None));
+    assert_eq!(stream.next_index(), tokens);
+}
