Add experiments skeleton: flags, report and pick-cost

Cause: policies are compared with baselines in one program to which others add subcommands.

Ruled out: one file per binary, since tables, JSON and plots are common.

Change: one module per subcommand, a report module for text, JSON and SVG, and pick-cost.

Conclusion: rollout, fleet and control-cost can be added.

--- a/crates/experiments/src/flags.rs
+++ b/crates/experiments/src/flags.rs
@@ -1,6 +1,31 @@
-//! Command line of `experiments`.
-
-use std::path::PathBuf;
+//! Command line of `experiments`. Each subcommand has a module of its own.
 
 // The macro generates public items without documentation.
 #![allow(missing_docs, unreachable_pub)]
+
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// Measures policies of the service against baselines in virtual time.
+    cmd experiments {
+        /// Prints JSON instead of a table.
+        optional --json
+        /// Writes a plot to this SVG file.
+        optional --plot file: PathBuf
+
+        /// Compares routing, admission and crash isolation with baselines.
+        cmd traffic {
+            /// Scenario in TOML.
+            required --scenario file: PathBuf
+            /// Seed of every random draw.
+            required --seed seed: u64
+        }
+        /// Measures the time of one choice among many upstreams on this machine.
+        cmd pick-cost {
+            /// Number of upstreams, 600 by default.
+            optional --upstreams count: u32
+            /// Number of choices, 2,000,000 by default.
+            optional --choices count: u64
+        }
+    }
+}
--- a/crates/experiments/src/main.rs
+++ b/crates/experiments/src/main.rs
@@ -1,3 +1,55 @@
 //! Measures policies against baselines.
+//!
+//! Each subcommand is a module with a function `run` that takes its flags and returns a
+//! [`report::RunReport`]. The module `report` prints it as a table or JSON and draws the plot.
 
-fn main() {}
+mod flags;
+mod pick_cost;
+mod report;
+mod traffic;
+
+use std::process::ExitCode;
+
+use error_stack::{Report, ResultExt as _};
+
+use crate::{
+    flags::{Experiments, ExperimentsCmd},
+    report::RunReport,
+};
+
+/// An experiment could not be run.
+#[derive(Debug)]
+pub(crate) struct RunFailed(pub(crate) String);
+
+impl std::fmt::Display for RunFailed {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{} failed", self.0)
+    }
+}
+
+impl std::error::Error for RunFailed {}
+
+pub(crate) type RunResult<T = RunReport> = Result<T, Report<RunFailed>>;
+
+fn main() -> ExitCode {
+    let flags = Experiments::from_env_or_exit();
+    let Err(report) = run(&flags) else { return ExitCode::SUCCESS };
+    eprintln!("{report:?}");
+    ExitCode::FAILURE
+}
+
+fn run(flags: &Experiments) -> RunResult<()> {
+    let report = match &flags.subcommand {
+        ExperimentsCmd::Traffic(flags) => traffic::run(flags)?,
+        ExperimentsCmd::PickCost(flags) => pick_cost::run(flags),
+    };
+    if flags.json {
+        println!("{}", report.to_json()?);
+    } else {
+        print!("{}", report.to_text());
+    }
+    let Some(file) = &flags.plot else { return Ok(()) };
+    let svg = report.to_svg()?;
+    std::fs::write(file, svg)
+        .change_context_lazy(|| RunFailed(format!("writing {}", file.display())))
+}
--- /dev/null
+++ b/crates/experiments/src/pick_cost.rs
@@ -0,0 +1,71 @@
+//! Time of one choice among many upstreams, measured on this machine.
+
+use std::time::Instant;
+
+use base::{Moment, Span, UpstreamKey, ZoneKey};
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use routing::{
+    LeastOutstanding, LoadSample, PickPolicy, PickRequest, RandomPick, RoundRobin, RouteMembers,
+    RoutePicker, TableSettings, UpstreamInfo, UpstreamPrice, UpstreamTable, WorkEnd,
+};
+
+use crate::{
+    flags,
+    report::{ReportTable, RunReport, TargetBound, TargetLine},
+};
+
+const ZONES: u32 = 11;
+const TARGET_MICROS: f64 = 2.0;
+
+pub(crate) fn run(flags: &flags::PickCost) -> RunReport {
+    let upstreams = flags.upstreams.unwrap_or(600);
+    let choices = flags.choices.unwrap_or(2_000_000);
+    let mut table = ReportTable::new("policy", &["us per choice"]);
+    let picker = time(&mut RoutePicker::default(), upstreams, choices);
+    table.push("route picker", vec![picker]);
+    // The baselines scan all upstreams, so fewer choices give a steady mean.
+    let fewer = (choices / 20).max(1);
+    table.push("least outstanding", vec![time(&mut LeastOutstanding, upstreams, fewer)]);
+    table.push("random", vec![time(&mut RandomPick, upstreams, fewer)]);
+    table.push("round robin", vec![time(&mut RoundRobin::default(), upstreams, fewer)]);
+    let name = format!("microseconds per choice among {upstreams} upstreams");
+    RunReport {
+        title: format!("{choices} choices, prefix affinity and updates of the table included"),
+        tables: vec![table],
+        targets: vec![TargetLine::new(name, TargetBound::Below, TARGET_MICROS, picker)],
+        plot: None,
+    }
+}
+
+/// Returns the mean time of a choice in microseconds, with starting and finishing the request.
+fn time(policy: &mut impl PickPolicy, upstreams: u32, choices: u64) -> f64 {
+    let distances = (0..u64::from(ZONES)).map(Span::from_millis).collect();
+    let mut table = UpstreamTable::new(TableSettings::default(), distances);
+    for index in 0..upstreams {
+        let zone = ZoneKey(index % ZONES);
+        let price = UpstreamPrice::Regular;
+        let key = table.add(UpstreamInfo { node_hash: u64::from(index), zone, price });
+        let running = index * 7 % 13;
+        let load = LoadSample { running, queued: 0, version: None, measured_at: Moment(1) };
+        table.report(Moment(1), key, load);
+    }
+    let members = RouteMembers::new(&table, ZoneKey(0), (0..upstreams).map(UpstreamKey));
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut now = Moment(2);
+    let started = Instant::now();
+    for number in 0..choices {
+        now += Span(500);
+        let request = PickRequest {
+            tokens: 300,
+            prompt_tokens: 500,
+            prefix: Some(number.wrapping_mul(0x9e37_79b9_7f4a_7c15)),
+            min_version: None,
+            avoid: &[],
+        };
+        let Some(choice) = policy.pick(now, &table, &members, &request, &mut rng) else { continue };
+        let work = table.start(now, choice.upstream, request.tokens);
+        table.finish(now + Span::from_millis(300), work, WorkEnd::Completed { tokens: 300 });
+    }
+    started.elapsed().as_secs_f64() * 1e6 / choices.max(1) as f64
+}
