Add experiments rollout and fleet

Ruled out: a model of the cluster; the runs drive the state machines themselves in virtual time.

Change: `rollout` compares re-runs of late samples with no re-run and a fixed limit, and runs 200 seeded fault schedules over five nodes and one log. `fleet` compares the plan with a static and a reactive fleet and, around each clock change, with a plan that ignores it.

--- a/crates/experiments/src/flags.rs
+++ b/crates/experiments/src/flags.rs
@@ -20,6 +20,20 @@
             /// Seed of every random draw.
             required --seed seed: u64
         }
+        /// Compares re-runs of late samples, and counts stale, double and lost samples under faults.
+        cmd rollout {
+            /// Scenario in TOML.
+            required --scenario file: PathBuf
+            /// First seed.
+            required --seed seed: u64
+        }
+        /// Compares the fleet plan with static and reactive fleets, also across clock changes.
+        cmd fleet {
+            /// Scenario in TOML.
+            required --scenario file: PathBuf
+            /// Seed of every random draw.
+            required --seed seed: u64
+        }
         /// Measures the time of one choice among many upstreams on this machine.
         cmd pick-cost {
             /// Number of upstreams, 600 by default.
--- a/crates/experiments/src/main.rs
+++ b/crates/experiments/src/main.rs
@@ -4,8 +4,10 @@
 //! [`report::RunReport`]. The module `report` prints it as a table or JSON and draws the plot.
 
 mod flags;
+mod fleet;
 mod pick_cost;
 mod report;
+mod rollout;
 mod traffic;
 
 use std::process::ExitCode;
@@ -41,6 +43,8 @@
 fn run(flags: &Experiments) -> RunResult<()> {
     let report = match &flags.subcommand {
         ExperimentsCmd::Traffic(flags) => traffic::run(flags)?,
+        ExperimentsCmd::Rollout(flags) => rollout::run(flags)?,
+        ExperimentsCmd::Fleet(flags) => fleet::run(flags)?,
         ExperimentsCmd::PickCost(flags) => pick_cost::run(flags),
     };
     if flags.json {
--- /dev/null
+++ b/crates/experiments/src/rollout/faults.rs
@@ -0,0 +1,108 @@
+//! Seeded fault schedules: several nodes follow one log, and a trainer counts what it gets.
+
+mod node;
+mod trainer;
+mod world;
+
+use serde::Deserialize;
+
+pub(crate) use self::world::run_schedule;
+
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct FaultScenario {
+    pub(crate) schedules: u64,
+    pub(crate) nodes: usize,
+    pub(crate) engines: usize,
+    pub(crate) streams_per_engine: usize,
+    pub(crate) tokens_per_second: f64,
+    pub(crate) mean_tokens: u32,
+    pub(crate) groups: u32,
+    pub(crate) samples_per_group: u32,
+    pub(crate) steps: u64,
+    pub(crate) staleness_bound: u64,
+    pub(crate) fault_seconds: f64,
+    pub(crate) limit_seconds: f64,
+}
+
+/// What one schedule, or several added up, did and what the trainer counted.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) struct FaultOutcome {
+    /// Samples used beyond the staleness bound, by the versions that the engines really had.
+    pub(crate) stale: u64,
+    /// Slots of which the trainer has two valid samples.
+    pub(crate) double: u64,
+    /// Slots without a sample at the end.
+    pub(crate) lost: u64,
+    /// Delivery numbers that named two samples.
+    pub(crate) rebound: u64,
+    /// Samples whose spans differ from what the engines really did.
+    pub(crate) wrong_spans: u64,
+    /// Nodes whose book differed from that of another node at the end.
+    pub(crate) different_books: u64,
+    /// Schedules with any of the above.
+    pub(crate) dirty_schedules: u64,
+    /// Samples used.
+    pub(crate) delivered: u64,
+    /// Void numbers that the trainer was told of.
+    pub(crate) voids: u64,
+    /// Faults injected.
+    pub(crate) holders_killed: u64,
+    pub(crate) nodes_cut_off: u64,
+    pub(crate) appends_late: u64,
+    pub(crate) append_answers_lost: u64,
+    pub(crate) answers_lost: u64,
+    pub(crate) swaps_in_stream: u64,
+    pub(crate) engines_reclaimed: u64,
+    pub(crate) outages: u64,
+    pub(crate) asked_again: u64,
+    pub(crate) scoring_failures: u64,
+}
+
+impl FaultOutcome {
+    /// Tells whether the trainer got every slot once, fresh and with its true versions.
+    pub(crate) const fn is_clean(&self) -> bool {
+        let wrong = self.stale + self.double + self.lost + self.rebound + self.wrong_spans;
+        wrong + self.different_books == 0
+    }
+
+    pub(crate) const fn add(&mut self, other: &Self) {
+        self.stale += other.stale;
+        self.double += other.double;
+        self.lost += other.lost;
+        self.rebound += other.rebound;
+        self.wrong_spans += other.wrong_spans;
+        self.different_books += other.different_books;
+        self.delivered += other.delivered;
+        self.voids += other.voids;
+        self.holders_killed += other.holders_killed;
+        self.nodes_cut_off += other.nodes_cut_off;
+        self.appends_late += other.appends_late;
+        self.append_answers_lost += other.append_answers_lost;
+        self.answers_lost += other.answers_lost;
+        self.swaps_in_stream += other.swaps_in_stream;
+        self.engines_reclaimed += other.engines_reclaimed;
+        self.outages += other.outages;
+        self.asked_again += other.asked_again;
+        self.scoring_failures += other.scoring_failures;
+    }
+
+    /// Returns the counts of what was delivered and injected.
+    pub(crate) fn rows(&self) -> Vec<(&'static str, u64)> {
+        vec![
+            ("schedules with a wrong count", self.dirty_schedules),
+            ("samples delivered", self.delivered),
+            ("void numbers told", self.voids),
+            ("holders killed", self.holders_killed),
+            ("nodes cut off", self.nodes_cut_off),
+            ("appends that took effect late", self.appends_late),
+            ("lost append answers", self.append_answers_lost),
+            ("lost answers to the trainer", self.answers_lost),
+            ("streams with a swap", self.swaps_in_stream),
+            ("engines reclaimed", self.engines_reclaimed),
+            ("outages of log or store", self.outages),
+            ("returns to a checkpoint", self.asked_again),
+            ("scoring failures", self.scoring_failures),
+        ]
+    }
+}
--- /dev/null
+++ b/crates/experiments/src/rollout/faults/node.rs
@@ -0,0 +1,184 @@
+//! One node: its book, the bytes it holds, its scoring desk and the records it has to append.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use base::{Incarnation, Moment, RecordId, Span};
+use rollout::{
+    BookAction, Delivery, DeliveryNumber, SampleBook, SampleBound, SampleRecord, SampleVoided,
+    ScoreAction, ScoreDesk, SlotKey, StepShape, TrainerId, TrainerStated,
+};
+
+/// How long a node waits for the answer to an append before it sends the record again.
+const APPEND_TIMEOUT: Span = Span::from_millis(500);
+
+/// A trainer's request that a node works on.
+#[derive(Debug, Clone)]
+pub(crate) struct Fetch {
+    /// Number of the request among those of the trainer.
+    pub(crate) request: u64,
+    pub(crate) stated: TrainerStated,
+    /// The record of the statement, once written.
+    pub(crate) record: Option<RecordId>,
+}
+
+#[derive(Debug, Clone)]
+pub(crate) struct Outgoing {
+    pub(crate) id: RecordId,
+    pub(crate) record: SampleRecord,
+    pub(crate) due: Moment,
+}
+
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub(crate) incarnation: Incarnation,
+    pub(crate) cut_until: Moment,
+    pub(crate) book: SampleBook,
+    pub(crate) offset: usize,
+    pub(crate) bytes: BTreeSet<RecordId>,
+    pub(crate) desk: ScoreDesk,
+    pub(crate) outgoing: Vec<Outgoing>,
+    pub(crate) running: BTreeMap<SlotKey, u32>,
+    pub(crate) fetch: Option<Fetch>,
+    voiding: BTreeSet<RecordId>,
+    sequence: u64,
+}
+
+impl Node {
+    pub(crate) fn new(incarnation: Incarnation) -> Self {
+        Self {
+            incarnation,
+            cut_until: Moment(0),
+            book: SampleBook::default(),
+            offset: 0,
+            bytes: BTreeSet::new(),
+            desk: ScoreDesk::default(),
+            outgoing: Vec::new(),
+            running: BTreeMap::new(),
+            fetch: None,
+            voiding: BTreeSet::new(),
+            sequence: 0,
+        }
+    }
+
+    pub(crate) fn is_cut(&self, now: Moment) -> bool {
+        now < self.cut_until
+    }
+
+    pub(crate) fn next_id(&mut self) -> RecordId {
+        self.sequence += 1;
+        RecordId { writer: self.incarnation, sequence: self.sequence }
+    }
+
+    pub(crate) fn append(&mut self, now: Moment, id: RecordId, record: SampleRecord) {
+        self.outgoing.push(Outgoing { id, record, due: now });
+    }
+
+    /// Takes the records that must be sent or sent again now.
+    pub(crate) fn due_appends(&mut self, now: Moment) -> Vec<Outgoing> {
+        let mut due = Vec::new();
+        for outgoing in &mut self.outgoing {
+            if outgoing.due <= now {
+                outgoing.due = now + APPEND_TIMEOUT;
+                due.push(outgoing.clone());
+            }
+        }
+        due
+    }
+
+    /// Applies the next record. Returns the answer to the trainer when it completes the fetch.
+    pub(crate) fn follow(
+        &mut self,
+        now: Moment,
+        id: RecordId,
+        record: &SampleRecord,
+    ) -> Option<(u64, Option<Vec<Delivery>>)> {
+        self.offset += 1;
+        self.outgoing.retain(|outgoing| outgoing.id != id);
+        let mut answer = None;
+        for action in self.book.apply(record) {
+            match action {
+                BookAction::Filled { slot, sample } => {
+                    self.running.remove(&slot);
+                    if self.bytes.contains(&sample) {
+                        self.desk.enqueue(now, slot, sample);
+                    }
+                }
+                BookAction::Bound { sample, .. } => self.desk.forget(sample),
+                BookAction::FillRefused { slot, sample, .. } => {
+                    self.bytes.remove(&sample);
+                    if sample.writer == self.incarnation {
+                        self.running.remove(&slot);
+                    }
+                }
+                BookAction::Voided { sample, .. } => {
+                    self.desk.forget(sample);
+                    self.bytes.remove(&sample);
+                }
+                BookAction::Offered { trainer, offer } => {
+                    let Some(fetch) = self.fetch.take_if(|fetch| fetch.record == Some(id)) else {
+                        continue;
+                    };
+                    answer = Some((fetch.request, self.book.deliveries(trainer, offer.statement)));
+                }
+                BookAction::StatementRefused { .. } => {
+                    // The trainer asks again. This node must not state again for it, as it cannot
+                    // tell whether the trainer has gone on with another node.
+                    if let Some(fetch) = self.fetch.take_if(|fetch| fetch.record == Some(id)) {
+                        answer = Some((fetch.request, None));
+                    }
+                }
+                BookAction::StepOpened { .. }
+                | BookAction::StepRefused { .. }
+                | BookAction::StepCompleted { .. }
+                | BookAction::StepRetired { .. } => {}
+            }
+        }
+        answer
+    }
+
+    /// Writes the statement of a waiting request when its answer would not be empty.
+    pub(crate) fn state(&mut self, now: Moment) {
+        let Some(mut fetch) = self.fetch.take() else { return };
+        let (trainer, after) = (fetch.stated.trainer, fetch.stated.acknowledged);
+        let is_news = fetch.stated.opened.is_some() || self.book.has_after(trainer, after);
+        if fetch.record.is_none() && is_news {
+            let id = self.next_id();
+            fetch.record = Some(id);
+            self.append(now, id, SampleRecord::Stated(fetch.stated.clone()));
+        }
+        self.fetch = Some(fetch);
+    }
+
+    pub(crate) fn bind(&mut self, now: Moment, sample: RecordId) {
+        if let Some(ScoreAction::Bind(SampleBound { slot, sample, score })) =
+            self.desk.scored(sample, None)
+        {
+            let id = self.next_id();
+            self.append(now, id, SampleRecord::Bound(SampleBound { slot, sample, score }));
+        }
+    }
+
+    /// Voids samples whose holders this node believes gone.
+    pub(crate) fn void_lost(&mut self, now: Moment, is_gone: impl Fn(Incarnation) -> bool) {
+        for voided in self.book.lost(is_gone) {
+            let SampleVoided { sample, .. } = voided;
+            if self.voiding.insert(sample) {
+                let id = self.next_id();
+                self.append(now, id, SampleRecord::Voided(voided));
+            }
+        }
+    }
+}
+
+/// Builds a statement. Its predecessor is the last one that the node knew when the request arrived.
+pub(crate) fn statement(
+    trainer: TrainerId,
+    version: base::WeightVersion,
+    staleness_bound: u64,
+    acknowledged: DeliveryNumber,
+    opened: Option<StepShape>,
+    follows: u64,
+) -> TrainerStated {
+    let name = String::from("trainer");
+    TrainerStated { trainer, name, follows, version, staleness_bound, acknowledged, opened }
+}
