Add stand-ins of the platform, of a model engine and of a plain service

Cause: the demo and the tests need outside systems that fail on request.

Ruled out: answering a lost append with an error status, since the client must see a connection that ends after the effect; closing only the listener at a crash, since running streams must break too. A bound socket that never listens keeps the port while an engine is down.

Change: library and binary `stand-in` on actix-http and actix-server. Engines batch, cache prefixes, swap weights in mid-stream, cancel, crash and leave; the platform has logs, orders, reports, weights, VM list, reclaims and faults.

Conclusion: usable in-process and as processes.

--- /dev/null
+++ b/crates/stand-ins/src/engine/state.rs
@@ -0,0 +1,231 @@
+//! What an engine remembers.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    time::{Duration, Instant},
+};
+
+use clients::wire::{self, Priority};
+use serde_json::{Value, json};
+
+use crate::{EngineOptions, lag::LaggingValue, platform::now_ms};
+
+/// Bound on the ids and headers kept for `GET /inspect`.
+const MAX_KEPT: usize = 100_000;
+
+#[derive(Debug)]
+pub(crate) struct EngineState {
+    pub(crate) load: LaggingValue<wire::Load>,
+    pub(crate) tokens_per_second: u32,
+    pub(crate) failing_swaps: u32,
+    pub(crate) imported: BTreeSet<String>,
+    pub(crate) wanted_version: u64,
+    pub(crate) highest_fencing: u64,
+    version: u64,
+    failed_swaps: u64,
+    leaving: bool,
+    slowdown: f64,
+    max_running: usize,
+    max_prefixes: usize,
+    next_entry: u64,
+    entries: BTreeMap<u64, Entry>,
+    prefixes: VecDeque<u64>,
+    runs: BTreeMap<String, u64>,
+    headers: BTreeSet<(String, String)>,
+    cancelled: BTreeSet<String>,
+    tokens: u64,
+}
+
+/// A generation that waits or runs.
+#[derive(Debug)]
+struct Entry {
+    id: String,
+    priority: Priority,
+    running: bool,
+    index: u32,
+}
+
+impl EngineState {
+    pub(crate) fn new(options: &EngineOptions, now: Instant) -> Self {
+        let load = wire::Load {
+            running: 0,
+            queued: 0,
+            tokens_per_second: 0,
+            version: options.version,
+            leaving: false,
+            cached_prefixes: Vec::new(),
+            measured_at_ms: now_ms(),
+        };
+        Self {
+            load: LaggingValue::new(options.report_lag, load, now),
+            tokens_per_second: options.tokens_per_second,
+            failing_swaps: options.failing_swaps,
+            imported: BTreeSet::new(),
+            wanted_version: options.version,
+            highest_fencing: 0,
+            version: options.version,
+            failed_swaps: 0,
+            leaving: false,
+            slowdown: options.batch_slowdown,
+            max_running: options.max_running,
+            max_prefixes: options.cached_prefixes,
+            next_entry: 0,
+            entries: BTreeMap::new(),
+            prefixes: VecDeque::new(),
+            runs: BTreeMap::new(),
+            headers: BTreeSet::new(),
+            cancelled: BTreeSet::new(),
+            tokens: 0,
+        }
+    }
+
+    pub(crate) fn record_headers(&mut self, headers: &[(String, String)]) {
+        if self.headers.len() < MAX_KEPT {
+            self.headers.extend(headers.iter().cloned());
+        }
+    }
+
+    /// Adds a generation to the queue and returns its number.
+    pub(crate) fn enter(&mut self, request: &wire::Generate, now: Instant) -> u64 {
+        if self.runs.len() < MAX_KEPT {
+            *self.runs.entry(request.id.clone()).or_default() += 1;
+        }
+        self.cancelled.remove(&request.id);
+        let number = self.next_entry;
+        self.next_entry += 1;
+        let entry = Entry {
+            id: request.id.clone(),
+            priority: request.priority,
+            running: false,
+            index: request.offset,
+        };
+        self.entries.insert(number, entry);
+        self.measure(now);
+        number
+    }
+
+    /// Starts a generation when a slot is free and none that goes first waits.
+    pub(crate) fn try_run(&mut self, number: u64, now: Instant) -> bool {
+        if self.running() >= self.max_running {
+            return false;
+        }
+        let waiting = self.entries.iter().filter(|(_, entry)| !entry.running);
+        let first = waiting
+            .min_by_key(|(number, entry)| (matches!(entry.priority, Priority::Sample), **number));
+        if first.is_none_or(|(first, _)| *first != number) {
+            return false;
+        }
+        if let Some(entry) = self.entries.get_mut(&number) {
+            entry.running = true;
+        }
+        self.measure(now);
+        true
+    }
+
+    pub(crate) fn leave(&mut self, number: u64, now: Instant) {
+        self.entries.remove(&number);
+        self.measure(now);
+    }
+
+    /// Counts a token and returns the version that produced it.
+    pub(crate) fn produce(&mut self, number: u64) -> u64 {
+        self.tokens += 1;
+        if let Some(entry) = self.entries.get_mut(&number) {
+            entry.index += 1;
+        }
+        self.version
+    }
+
+    /// Returns the time per token of each running generation.
+    pub(crate) fn token_time(&self) -> Duration {
+        let others = self.running().saturating_sub(1) as f64;
+        let seconds = 1.0 / f64::from(self.tokens_per_second.max(1));
+        Duration::from_secs_f64(seconds * self.slowdown.mul_add(others, 1.0))
+    }
+
+    /// Tells whether the prefix is in the cache, and puts it there.
+    pub(crate) fn touch_prefix(&mut self, prefix: u64) -> bool {
+        let known = self.prefixes.iter().position(|known| *known == prefix);
+        if let Some(index) = known {
+            self.prefixes.remove(index);
+        }
+        self.prefixes.push_back(prefix);
+        if self.prefixes.len() > self.max_prefixes {
+            self.prefixes.pop_front();
+        }
+        known.is_some()
+    }
+
+    pub(crate) fn cancel(&mut self, id: String) {
+        self.cancelled.insert(id);
+    }
+
+    pub(crate) fn is_cancelled(&self, id: &str) -> bool {
+        self.cancelled.contains(id)
+    }
+
+    pub(crate) fn progress_of(&self, id: &str) -> Option<u32> {
+        let mut entries = self.entries.values();
+        entries.find(|entry| entry.running && entry.id == id).map(|entry| entry.index)
+    }
+
+    pub(crate) fn set_leaving(&mut self, now: Instant) {
+        self.leaving = true;
+        self.measure(now);
+    }
+
+    /// Puts a version to use, unless another one has been ordered meanwhile or the swap fails.
+    pub(crate) fn swap(&mut self, version: u64, now: Instant) {
+        if self.wanted_version != version {
+            return;
+        }
+        if self.failing_swaps > 0 {
+            self.failing_swaps -= 1;
+            return;
+        }
+        self.version = version;
+        self.measure(now);
+    }
+
+    /// Ends a load. A version that is not in use by now has failed and can be ordered again.
+    pub(crate) fn end_load(&mut self, version: u64) {
+        if self.wanted_version == version && self.version != version {
+            self.failed_swaps += 1;
+            self.wanted_version = self.version;
+        }
+    }
+
+    pub(crate) fn inspect(&self) -> Value {
+        json!({
+            "runs": self.runs,
+            "headers": self.headers,
+            "cancelled": self.cancelled,
+            "imported": self.imported,
+            "version": self.version,
+            "failed_swaps": self.failed_swaps,
+            "highest_fencing": self.highest_fencing,
+            "running": self.running(),
+            "queued": self.entries.len() - self.running(),
+            "tokens": self.tokens,
+        })
+    }
+
+    fn running(&self) -> usize {
+        self.entries.values().filter(|entry| entry.running).count()
+    }
+
+    fn measure(&mut self, now: Instant) {
+        let running = self.running();
+        let speed = running as f64 / self.token_time().as_secs_f64();
+        let load = wire::Load {
+            running: running as u32,
+            queued: (self.entries.len() - running) as u32,
+            tokens_per_second: speed as u32,
+            version: self.version,
+            leaving: self.leaving,
+            cached_prefixes: self.prefixes.iter().copied().collect(),
+            measured_at_ms: now_ms(),
+        };
+        self.load.set(now, load);
+    }
+}
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -1,1 +1,18 @@
-//! Placeholder module of the `stand-ins` crate.
+//! Small stand-ins of the platform, of a model engine and of a plain service, for tests and the demo.
+//!
+//! Each serves HTTP on loopback, either in-process with `start` or as the binary `stand-in`. `start`
+//! must be called inside an `actix_rt` system.
+
+mod engine;
+mod http;
+mod lag;
+mod plain;
+mod platform;
+mod rate;
+
+pub use crate::{
+    engine::{Engine, EngineOptions, token_text},
+    http::CrashAction,
+    plain::{PlainOptions, PlainService, plain_body},
+    platform::{LaunchKind, Platform, PlatformOptions},
+};
--- /dev/null
+++ b/crates/stand-ins/src/plain.rs
@@ -0,0 +1,201 @@
+//! A plain service that echoes a deterministic body and counts runs.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use actix_http::{Method, StatusCode};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
+
+use crate::http::{Call, CallHandler, CrashAction, Reply, ServerControl};
+
+/// Header with the id assigned by the system. Runs are counted by it.
+const REQUEST_ID: &str = "x-request-id";
+
+/// Settings of a plain service.
+#[derive(Debug, Clone)]
+pub struct PlainOptions {
+    /// Address to listen on. Port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// Threads that serve requests.
+    pub workers: usize,
+    /// Time to answer.
+    pub service_time: Duration,
+    /// What a crash does.
+    pub crash: CrashAction,
+    /// A request whose body contains this text crashes the service.
+    pub crash_marker: Option<String>,
+}
+
+/// A running plain service.
+#[derive(Debug, Clone)]
+pub struct PlainService {
+    control: ServerControl,
+    handler: PlainHandler,
+}
+
+#[derive(Debug, Clone)]
+struct PlainHandler {
+    options: Arc<PlainOptions>,
+    control: ServerControl,
+    state: Arc<Mutex<PlainState>>,
+}
+
+#[derive(Debug, Default, Serialize)]
+struct PlainState {
+    runs: BTreeMap<String, u64>,
+    headers: BTreeSet<(String, String)>,
+    #[serde(skip)]
+    faults: PlainFaults,
+}
+
+/// Faults of the next requests; each request takes one that is left.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct PlainFaults {
+    /// Requests that run and then get no answer until their connection closes.
+    stall: u32,
+    /// Requests whose answer breaks off.
+    truncate: u32,
+    /// Requests that run and then crash the service.
+    crash: u32,
+}
+
+impl Default for PlainOptions {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            workers: 1,
+            service_time: Duration::from_millis(2),
+            crash: CrashAction::StayDown(Duration::from_secs(2)),
+            crash_marker: None,
+        }
+    }
+}
+
+impl PlainService {
+    /// Starts the service.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address cannot be bound.
+    pub fn start(options: PlainOptions) -> io::Result<Self> {
+        let (listen, workers) = (options.listen, options.workers);
+        let options = Arc::new(options);
+        let state = Arc::default();
+        let mut handler = None;
+        let control = ServerControl::start(listen, workers, |control| {
+            let built = PlainHandler { options, control, state };
+            handler = Some(built.clone());
+            built
+        })?;
+        let handler = handler.expect("start calls the closure");
+        Ok(Self { control, handler })
+    }
+
+    /// Returns the address.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.control.address()
+    }
+
+    /// Returns how often a request of that id has run.
+    #[must_use]
+    pub fn runs(&self, id: &str) -> u64 {
+        let state = self.handler.state.lock().expect("no holder panics");
+        state.runs.get(id).copied().unwrap_or_default()
+    }
+
+    /// Stops the service.
+    pub async fn stop(&self) {
+        self.control.stop().await;
+    }
+}
+
+/// Returns the body with which the service answers a request.
+#[must_use]
+pub fn plain_body(path: &str, body: &[u8]) -> String {
+    let mut digest = Sha256::new();
+    digest.update(path.as_bytes());
+    digest.update([0]);
+    digest.update(body);
+    let digest = clients::base16::encode(&digest.finalize());
+    format!("{{\"path\":\"{path}\",\"bytes\":{},\"digest\":\"{digest}\"}}", body.len())
+}
+
+impl CallHandler for PlainHandler {
+    async fn handle(&self, call: Call) -> Reply {
+        match (call.method.clone(), call.path.as_str()) {
+            (Method::GET, "/inspect") => {
+                Reply::json(&*self.state.lock().expect("no holder panics"))
+            }
+            (Method::POST, "/faults") => match call.json::<PlainFaults>() {
+                Ok(faults) => {
+                    self.state.lock().expect("no holder panics").faults = faults;
+                    Reply::status(StatusCode::OK)
+                }
+                Err(reply) => reply,
+            },
+            (Method::POST, _) => self.run(call).await,
+            _ => Reply::status(StatusCode::NOT_FOUND),
+        }
+    }
+}
+
+enum PlainOutcome {
+    Answer,
+    Stall,
+    Truncate,
+    Crash,
+}
+
+impl PlainHandler {
+    async fn run(&self, call: Call) -> Reply {
+        let outcome = self.record(&call);
+        actix_rt::time::sleep(self.options.service_time).await;
+        let body = Bytes::from(plain_body(&call.path, &call.body));
+        match outcome {
+            PlainOutcome::Answer => {
+                Reply::Whole { status: StatusCode::OK, retry_after: None, body }
+            }
+            PlainOutcome::Stall => std::future::pending().await,
+            PlainOutcome::Truncate => {
+                Reply::Truncated { stated: body.len(), body: body.slice(..body.len() / 2) }
+            }
+            PlainOutcome::Crash => {
+                self.control.crash(self.options.crash);
+                std::future::pending().await
+            }
+        }
+    }
+
+    fn record(&self, call: &Call) -> PlainOutcome {
+        let mut state = self.state.lock().expect("no holder panics");
+        if let Some(id) = call.header(REQUEST_ID) {
+            *state.runs.entry(String::from(id)).or_default() += 1;
+        }
+        state.headers.extend(call.headers.iter().cloned());
+        let marker = self.options.crash_marker.as_deref();
+        let marked = marker.is_some_and(|marker| {
+            call.body.windows(marker.len().max(1)).any(|part| part == marker.as_bytes())
+        });
+        let faults = &mut state.faults;
+        for (left, outcome) in [
+            (&mut faults.stall, PlainOutcome::Stall),
+            (&mut faults.truncate, PlainOutcome::Truncate),
+            (&mut faults.crash, PlainOutcome::Crash),
+        ] {
+            if *left > 0 {
+                *left -= 1;
+                return outcome;
+            }
+        }
+        if marked { PlainOutcome::Crash } else { PlainOutcome::Answer }
+    }
+}
--- /dev/null
+++ b/crates/stand-ins/src/platform/log.rs
@@ -0,0 +1,77 @@
+//! The log service and its faults.
+
+use std::time::{Duration, Instant};
+
+use actix_http::StatusCode;
+use clients::{NewRecord, wire};
+
+use super::{PlatformHandler, state::LogStream};
+use crate::http::{Call, Reply};
+
+impl PlatformHandler {
+    pub(super) async fn append(&self, stream: &str, call: &Call) -> Result<Reply, Reply> {
+        let records = call.json::<Vec<wire::AppendRecord>>()?;
+        for record in &records {
+            if let Err(error) = NewRecord::try_from(record.clone()) {
+                return Ok(Reply::text(StatusCode::BAD_REQUEST, &error.to_string()));
+            }
+        }
+        self.slow_down().await;
+        let (delay, lost) = {
+            let mut state = self.state();
+            if state.faults.log_down {
+                return Ok(Reply::status(StatusCode::SERVICE_UNAVAILABLE));
+            }
+            if !state.append_rate.take(Instant::now()) {
+                return Ok(Reply::too_many());
+            }
+            state.appends += 1;
+            let lost = state.faults.lose_append_answers > 0;
+            state.faults.lose_append_answers -= u32::from(lost);
+            (std::mem::take(&mut state.faults.delay_append_ms), lost)
+        };
+        let first = if delay == 0 {
+            self.apply(stream, records)
+        } else {
+            // The effect comes even when the client gives up, which drops this future.
+            let handler = self.clone();
+            let stream = String::from(stream);
+            let effect = actix_rt::spawn(async move {
+                actix_rt::time::sleep(Duration::from_millis(delay)).await;
+                handler.apply(&stream, records)
+            });
+            match effect.await {
+                Ok(first) => first,
+                Err(_) => return Ok(Reply::Lost),
+            }
+        };
+        Ok(if lost { Reply::Lost } else { Reply::json(&wire::Appended { first }) })
+    }
+
+    pub(super) async fn read(&self, stream: &str, call: &Call) -> Reply {
+        self.slow_down().await;
+        let state = self.state();
+        if state.faults.log_down {
+            return Reply::status(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let from = call.query_number("from").unwrap_or_default();
+        let max = call.query_number("max").unwrap_or(u64::MAX);
+        match state.streams.get(stream) {
+            Some(stream) => Reply::json(&stream.read(from, max)),
+            None => Reply::json(&LogStream::default().read(from, max)),
+        }
+    }
+
+    fn apply(&self, stream: &str, records: Vec<wire::AppendRecord>) -> u64 {
+        let mut state = self.state();
+        let stream = state.streams.entry(String::from(stream)).or_default();
+        stream.append(records, self.options.retained_records)
+    }
+
+    async fn slow_down(&self) {
+        let delay = self.state().faults.log_slow_ms;
+        if delay > 0 {
+            actix_rt::time::sleep(Duration::from_millis(delay)).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/stand-ins/src/platform/mod.rs
@@ -0,0 +1,201 @@
+//! Stand-in of the platform.
+
+mod log;
+mod state;
+mod upstreams;
+
+pub(crate) use self::upstreams::now_ms;
+
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    sync::{Arc, Mutex, MutexGuard},
+    time::{Duration, Instant},
+};
+
+use actix_http::{Method, StatusCode};
+use clients::wire;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use crate::{
+    EngineOptions, PlainOptions,
+    http::{Call, CallHandler, Reply, ServerControl},
+    platform::state::PlatformState,
+};
+
+/// Settings of the platform.
+#[derive(Debug, Clone)]
+pub struct PlatformOptions {
+    /// Address to listen on. Port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// Threads that serve requests.
+    pub workers: usize,
+    /// Records that each log stream retains.
+    pub retained_records: usize,
+    /// Appends accepted per second, over all streams.
+    pub appends_per_second: u32,
+    /// Whether orders and reports with an old fencing number are refused.
+    pub check_fencing: bool,
+    /// Time until an ordered upstream runs or is gone.
+    pub order_time: Duration,
+    /// Time until the list of VMs shows a change.
+    pub vm_lag: Duration,
+    /// Reads of weights accepted per second.
+    pub weights_per_second: u32,
+    /// Bytes of one weight version.
+    pub weight_bytes: usize,
+    /// What runs when an upstream of a service is ordered. Orders for other services are refused.
+    pub services: Vec<(String, LaunchKind)>,
+    /// Upstreams that run from the start.
+    pub upstreams: Vec<wire::Upstream>,
+    /// VMs known from the start.
+    pub vms: Vec<wire::Vm>,
+}
+
+/// What runs when an upstream is ordered.
+#[derive(Debug, Clone)]
+pub enum LaunchKind {
+    /// An engine stand-in in this process.
+    Engine(Box<EngineOptions>),
+    /// A plain service stand-in in this process.
+    Plain(PlainOptions),
+    /// Nothing; the listed address does not answer.
+    Nothing,
+}
+
+/// A running platform.
+#[derive(Debug, Clone)]
+pub struct Platform {
+    control: ServerControl,
+    handler: PlatformHandler,
+}
+
+#[derive(Debug, Clone)]
+pub(crate) struct PlatformHandler {
+    pub(crate) options: Arc<PlatformOptions>,
+    pub(crate) address: SocketAddr,
+    state: Arc<Mutex<PlatformState>>,
+}
+
+impl Default for PlatformOptions {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            workers: 1,
+            retained_records: 100_000,
+            appends_per_second: 300,
+            check_fencing: true,
+            order_time: Duration::from_millis(500),
+            vm_lag: Duration::from_secs(2),
+            weights_per_second: 50,
+            weight_bytes: 64 << 10,
+            services: Vec::new(),
+            upstreams: Vec::new(),
+            vms: Vec::new(),
+        }
+    }
+}
+
+impl Platform {
+    /// Starts the platform.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address cannot be bound.
+    pub fn start(options: PlatformOptions) -> io::Result<Self> {
+        let (listen, workers) = (options.listen, options.workers);
+        let state = Arc::new(Mutex::new(PlatformState::new(&options, Instant::now())));
+        let options = Arc::new(options);
+        let mut handler = None;
+        let control = ServerControl::start(listen, workers, |control| {
+            let built = PlatformHandler { options, address: control.address(), state };
+            handler = Some(built.clone());
+            built
+        })?;
+        let handler = handler.expect("start calls the closure");
+        Ok(Self { control, handler })
+    }
+
+    /// Returns the address.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.control.address()
+    }
+
+    /// Returns what `GET /inspect` answers.
+    #[must_use]
+    pub fn inspect(&self) -> Value {
+        self.handler.state().inspect()
+    }
+
+    /// Stops the platform. Upstreams that it launched go on.
+    pub async fn stop(&self) {
+        self.control.stop().await;
+    }
+}
+
+impl CallHandler for PlatformHandler {
+    async fn handle(&self, call: Call) -> Reply {
+        let parts = call.path.trim_start_matches('/').split('/').collect::<Vec<_>>();
+        let reply = match (call.method.as_str(), parts.as_slice()) {
+            ("POST", ["log", stream]) => self.append(stream, &call).await,
+            ("GET", ["log", stream]) => Ok(self.read(stream, &call).await),
+            ("POST", ["orders"]) => self.order(&call),
+            ("GET", ["orders", id]) => Ok(self.find_order(id)),
+            ("POST", ["usage-reports"]) => self.report(&call),
+            ("GET", ["weights", model, version]) => Ok(self.weights(model, version)),
+            ("POST", ["faults"]) => self.change(&call, PlatformState::change_faults),
+            ("POST", ["vms"]) => {
+                self.change(&call, |state, vms| state.vms.set(Instant::now(), vms))
+            }
+            ("POST", ["upstreams"]) => self.change(&call, PlatformState::add_upstream),
+            ("POST", ["reclaims"]) => self.reclaim(&call),
+            _ if call.method == Method::GET => Ok(self.list(&call.path)),
+            _ => Ok(Reply::status(StatusCode::NOT_FOUND)),
+        };
+        reply.unwrap_or_else(|refusal| refusal)
+    }
+}
+
+impl PlatformHandler {
+    pub(crate) fn state(&self) -> MutexGuard<'_, PlatformState> {
+        self.state.lock().expect("no holder panics")
+    }
+
+    fn change<T: DeserializeOwned>(
+        &self,
+        call: &Call,
+        apply: impl FnOnce(&mut PlatformState, T),
+    ) -> Result<Reply, Reply> {
+        apply(&mut self.state(), call.json()?);
+        Ok(Reply::status(StatusCode::OK))
+    }
+
+    fn list(&self, path: &str) -> Reply {
+        let mut state = self.state();
+        match path {
+            "/upstreams" => Reply::json(&state.upstreams),
+            "/reclaims" => Reply::json(&state.reclaims),
+            "/vms" => Reply::json(state.vms.get(Instant::now())),
+            "/inspect" => Reply::json(&state.inspect()),
+            _ => Reply::status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn report(&self, call: &Call) -> Result<Reply, Reply> {
+        let report = call.json::<wire::Report>()?;
+        let accepted = self.state().accept_report(report, self.options.check_fencing);
+        Ok(Reply::status(if accepted { StatusCode::OK } else { StatusCode::CONFLICT }))
+    }
+
+    fn weights(&self, model: &str, version: &str) -> Reply {
+        let mut state = self.state();
+        if !state.weight_rate.take(Instant::now()) {
+            return Reply::too_many();
+        }
+        *state.weight_reads.entry(format!("{model}/{version}")).or_default() += 1;
+        let body = vec![0; self.options.weight_bytes].into();
+        Reply::Whole { status: StatusCode::OK, retry_after: None, body }
+    }
+}
--- /dev/null
+++ b/crates/stand-ins/src/platform/upstreams.rs
@@ -0,0 +1,180 @@
+//! Orders for upstreams and reclaim notices.
+
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+
+use actix_http::StatusCode;
+use clients::wire::{self, OrderReply, OrderStatus, OrderVerb, UpstreamStatus};
+use serde::Deserialize;
+
+use super::{LaunchKind, PlatformHandler, state::ReceivedOrder};
+use crate::{
+    Engine, EngineOptions, PlainOptions, PlainService,
+    http::{Call, Reply},
+};
+
+/// Body of `POST /reclaims`.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ReclaimCall {
+    zone: String,
+    after_ms: u64,
+}
+
+impl PlatformHandler {
+    pub(super) fn order(&self, call: &Call) -> Result<Reply, Reply> {
+        let order = call.json::<wire::Order>()?;
+        let mut state = self.state();
+        if let Some(known) = state.orders.iter_mut().find(|known| known.order.id == order.id) {
+            known.received += 1;
+            return Ok(Reply::json(&known.reply));
+        }
+        let fresh = state.pass_order_fencing(&order.zone, order.fencing);
+        let known = self.options.services.iter().find(|(name, _)| *name == order.service);
+        let refused = (self.options.check_fencing && !fresh) || state.faults.refuse_orders;
+        let mut names = Vec::new();
+        match order.kind {
+            OrderVerb::Start if known.is_some() && !refused => {
+                for _ in 0..order.count {
+                    state.started += 1;
+                    let name = format!("{}-{}-{}", order.service, order.zone, state.started);
+                    names.push(name.clone());
+                    state.upstreams.push(wire::Upstream {
+                        name,
+                        zone: order.zone.clone(),
+                        service: order.service.clone(),
+                        // Replaced when the upstream runs.
+                        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+                        state: UpstreamStatus::Starting,
+                        cheap: order.cheap,
+                    });
+                }
+            }
+            OrderVerb::Stop if !refused => {
+                let wanted = order.upstream.as_ref();
+                for upstream in &mut state.upstreams {
+                    if Some(&upstream.name) == wanted && upstream.zone == order.zone {
+                        upstream.state = UpstreamStatus::Leaving;
+                        names.push(upstream.name.clone());
+                    }
+                }
+            }
+            _ => {}
+        }
+        let status = if names.is_empty() { OrderStatus::Refused } else { OrderStatus::Accepted };
+        let reply = OrderReply { state: status, upstreams: names };
+        state.orders.push(ReceivedOrder {
+            order: order.clone(),
+            reply: reply.clone(),
+            received: 1,
+        });
+        drop(state);
+        if status == OrderStatus::Accepted {
+            actix_rt::spawn(carry_out(self.clone(), order, reply.upstreams.clone()));
+        }
+        Ok(Reply::json(&reply))
+    }
+
+    pub(super) fn find_order(&self, id: &str) -> Reply {
+        let state = self.state();
+        match state.orders.iter().find(|known| known.order.id == id) {
+            Some(known) => Reply::json(&known.reply),
+            None => Reply::status(StatusCode::NOT_FOUND),
+        }
+    }
+
+    pub(super) fn reclaim(&self, call: &Call) -> Result<Reply, Reply> {
+        let ReclaimCall { zone, after_ms } = call.json()?;
+        let after = Duration::from_millis(after_ms);
+        let at_ms = now_ms().saturating_add(i64::try_from(after_ms).unwrap_or(i64::MAX));
+        let mut state = self.state();
+        state.reclaims.push(wire::Reclaim { zone: zone.clone(), at_ms });
+        let mut leaving = Vec::new();
+        for upstream in &mut state.upstreams {
+            if upstream.cheap && upstream.zone == zone {
+                upstream.state = UpstreamStatus::Leaving;
+                leaving.push((upstream.name.clone(), upstream.address));
+            }
+        }
+        drop(state);
+        let handler = self.clone();
+        actix_rt::spawn(async move {
+            for (_, address) in &leaving {
+                tell_reclaim(*address, after).await;
+            }
+            actix_rt::time::sleep(after).await;
+            let gone = |name: &String| leaving.iter().any(|(left, _)| left == name);
+            handler.state().upstreams.retain(|upstream| !gone(&upstream.name));
+        });
+        Ok(Reply::status(StatusCode::OK))
+    }
+}
+
+/// Starts or stops the upstreams of an accepted order after the platform's delay.
+async fn carry_out(handler: PlatformHandler, order: wire::Order, names: Vec<String>) {
+    actix_rt::time::sleep(handler.options.order_time).await;
+    for name in &names {
+        if order.kind == OrderVerb::Start {
+            let launched = launch(&handler, &order.service);
+            let mut state = handler.state();
+            let mut upstreams = state.upstreams.iter_mut();
+            let Some(upstream) = upstreams.find(|upstream| upstream.name == *name) else {
+                continue;
+            };
+            match launched {
+                Ok(address) => upstream.address = address,
+                Err(error) => tracing::error!(%name, %error, "launching an upstream failed"),
+            }
+            if upstream.state == UpstreamStatus::Starting {
+                upstream.state = UpstreamStatus::Running;
+            }
+            continue;
+        }
+        let address = {
+            let mut state = handler.state();
+            let found = state.upstreams.iter().position(|upstream| upstream.name == *name);
+            found.map(|index| state.upstreams.remove(index).address)
+        };
+        if let Some(address) = address {
+            tell_reclaim(address, Duration::ZERO).await;
+        }
+    }
+    let mut state = handler.state();
+    if let Some(known) = state.orders.iter_mut().find(|known| known.order.id == order.id) {
+        known.reply.state = OrderStatus::Done;
+    }
+}
+
+fn launch(handler: &PlatformHandler, service: &str) -> io::Result<SocketAddr> {
+    let known = handler.options.services.iter().find(|(name, _)| name == service);
+    match known {
+        Some((_, LaunchKind::Engine(options))) => {
+            let platform = options.platform.or(Some(handler.address));
+            let options = EngineOptions { platform, ..(**options).clone() };
+            Engine::start(options).map(|engine| engine.address())
+        }
+        Some((_, LaunchKind::Plain(options))) => {
+            PlainService::start(PlainOptions::clone(options)).map(|service| service.address())
+        }
+        // Port 1 answers nothing on loopback.
+        Some((_, LaunchKind::Nothing)) | None => Ok(SocketAddr::from((Ipv4Addr::LOCALHOST, 1))),
+    }
+}
+
+/// Tells a launched upstream that it goes down. One that is gone already needs no message.
+async fn tell_reclaim(address: SocketAddr, after: Duration) {
+    let http = clients::HttpClient::new(base::Span::from_millis(500));
+    let body = format!("{{\"after_ms\":{}}}", after.as_millis()).into();
+    let outgoing = clients::Outgoing::post(address, "/reclaim", body);
+    let _ = http.exchange(outgoing, base::Span::from_secs(1), 1_024).await;
+}
+
+/// Returns the current civil time in milliseconds.
+pub(crate) fn now_ms() -> i64 {
+    let passed = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    let millis = passed.map(|passed| passed.as_millis()).unwrap_or_default();
+    i64::try_from(millis).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/crates/stand-ins/tests/engine.rs
@@ -0,0 +1,163 @@
+//! The engine stand-in as its client sees it.
+
+use std::time::Duration;
+
+use base::{FencingNumber, Span, WeightVersion};
+use clients::{
+    CallError, CallFailure, EngineClient, EngineControl as _, EnginePriority, GenerateRequest,
+    HttpClient, TokenEvent, TokenSource as _, WeightOrder,
+};
+use serde_json::Value;
+use stand_ins::{CrashAction, Engine, EngineOptions, Platform, PlatformOptions, token_text};
+
+fn client() -> EngineClient {
+    let long = Span::from_secs(30);
+    EngineClient::new(HttpClient::new(long), long, long)
+}
+
+fn fast() -> EngineOptions {
+    EngineOptions {
+        tokens_per_second: 5_000,
+        prefill_per_token: Duration::ZERO,
+        report_lag: Duration::ZERO,
+        load_time: Duration::ZERO,
+        ..EngineOptions::default()
+    }
+}
+
+fn request(id: &str, offset: u32, max_tokens: u32) -> GenerateRequest {
+    GenerateRequest {
+        id: String::from(id),
+        prompt: String::from("dieline for a plum cordial sleeve"),
+        max_tokens,
+        offset,
+        seed: 11,
+        priority: EnginePriority::Live,
+    }
+}
+
+/// Reads a whole stream and returns its text, versions and prompt tokens.
+async fn read(
+    engine: &Engine,
+    request: &GenerateRequest,
+) -> Result<(String, Vec<u64>, u32), CallError> {
+    let mut stream = client().generate(engine.address(), request).await?;
+    let (mut text, mut versions, mut prompt) = (String::new(), Vec::new(), 0);
+    while let Some(event) = stream.next().await? {
+        match event {
+            TokenEvent::Token { text: token, version, .. } => {
+                text.push_str(&token);
+                versions.push(version.0);
+            }
+            TokenEvent::End { prompt_tokens, .. } => prompt = prompt_tokens,
+        }
+    }
+    Ok((text, versions, prompt))
+}
+
+/// Polls until `check` holds; the test's own timeout bounds the wait.
+async fn until(mut check: impl FnMut() -> bool) {
+    while !check() {
+        actix_rt::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+/// Guards against a resumed stream whose text differs from that of an uninterrupted one.
+#[actix_rt::test]
+async fn stream_resumed_on_another_engine_gives_the_same_text() {
+    let (first, second) = (Engine::start(fast()).unwrap(), Engine::start(fast()).unwrap());
+    let (whole, _, prompt) = read(&first, &request("a", 0, 40)).await.unwrap();
+    let (tail, _, _) = read(&second, &request("a", 25, 40)).await.unwrap();
+    let prompt_text = request("a", 0, 0).prompt;
+    let head = (0..25).map(|index| token_text(11, &prompt_text, index)).collect::<String>();
+    assert_eq!((whole, prompt), (format!("{head}{tail}"), 6));
+    let runs = &first.inspect()["runs"];
+    assert_eq!(runs["a"], 1);
+}
+
+/// Guards against tokens that name a version which did not produce them, and against a failed swap
+/// that counts as done.
+#[actix_rt::test]
+async fn swap_in_mid_stream_changes_the_version_of_later_tokens() {
+    let platform = Platform::start(PlatformOptions::default()).unwrap();
+    let options = EngineOptions { platform: Some(platform.address()), failing_swaps: 1, ..fast() };
+    let engine = Engine::start(options).unwrap();
+    let client = client();
+    let (model, version) = (String::from("drafts"), WeightVersion(2));
+    let order = WeightOrder { model, version, fencing: FencingNumber(5) };
+    client.load_version(engine.address(), &order).await.unwrap();
+    until(|| engine.inspect()["failed_swaps"] == 1).await;
+    assert_eq!(client.report(engine.address()).await.unwrap().version, WeightVersion(1));
+
+    let mut stream = client.generate(engine.address(), &request("b", 0, 1_000_000)).await.unwrap();
+    let mut versions = Vec::new();
+    while versions.last() != Some(&2) {
+        let Some(TokenEvent::Token { version, .. }) = stream.next().await.unwrap() else {
+            panic!("the stream ended before the swap");
+        };
+        versions.push(version.0);
+        if versions.len() == 1 {
+            client.load_version(engine.address(), &order).await.unwrap();
+        }
+    }
+    assert!(versions.is_sorted() && versions[0] == 1, "{versions:?}");
+    assert_eq!(platform.inspect()["weight_reads"]["drafts/2"], 2);
+
+    let old = WeightOrder { fencing: FencingNumber(4), ..order };
+    let error = client.load_version(engine.address(), &old).await.unwrap_err();
+    assert_eq!(error.failure, CallFailure::Status(409));
+}
+
+/// Guards against a cancelled generation that goes on or looks complete, and against one that
+/// runs on after its caller has gone.
+#[actix_rt::test]
+async fn cancelled_or_dropped_generation_frees_its_slot() {
+    let engine = Engine::start(EngineOptions { max_running: 1, ..fast() }).unwrap();
+    let client = client();
+    let mut first = client.generate(engine.address(), &request("c", 0, 1_000_000)).await.unwrap();
+    first.next().await.unwrap();
+    client.cancel(engine.address(), "c").await.unwrap();
+    let error = loop {
+        if let Err(error) = first.next().await {
+            break error;
+        }
+    };
+    assert_eq!(error.failure, CallFailure::Disconnected);
+    let mut second = client.generate(engine.address(), &request("d", 0, 1_000_000)).await.unwrap();
+    second.next().await.unwrap();
+    drop(second);
+    assert!(read(&engine, &request("e", 0, 3)).await.is_ok());
+}
+
+/// Guards against a crash that spares other connections or that ends before its time.
+#[actix_rt::test]
+async fn marked_prompt_drops_all_connections_and_the_engine_returns() {
+    let options = EngineOptions {
+        crash_marker: Some(String::from("boom")),
+        crash: CrashAction::StayDown(Duration::from_millis(300)),
+        ..fast()
+    };
+    let engine = Engine::start(options).unwrap();
+    let client = client();
+    let mut other = client.generate(engine.address(), &request("f", 0, 1_000_000)).await.unwrap();
+    other.next().await.unwrap();
+    let crashing = GenerateRequest { prompt: String::from("boom"), ..request("g", 0, 5) };
+    assert!(read(&engine, &crashing).await.unwrap_err().may_have_run());
+    let error = loop {
+        if let Err(error) = other.next().await {
+            break error;
+        }
+    };
+    assert_eq!(error.failure, CallFailure::Disconnected);
+    loop {
+        match read(&engine, &request("h", 0, 3)).await {
+            Ok(_) => break,
+            Err(error) => assert!(!matches!(error.failure, CallFailure::Malformed), "{error}"),
+        }
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+    let Value::Array(headers) = engine.inspect()["headers"].clone() else {
+        panic!("headers are a list");
+    };
+    assert!(headers.iter().any(|pair| pair[0] == "host"));
+}
