--- /dev/null
+++ b/crates/experiments/src/flags.rs
@@ -0,0 +1,6 @@
+//! Command line of `experiments`.
+
+use std::path::PathBuf;
+
+// The macro generates public items without documentation.
+#![allow(missing_docs, unreachable_pub)]
