membership: add the peer table, watch plan and upstream board

Ruled out: comparing random incarnations to find the newer process; a late message of the old one could not be told apart. Refutation by peers with a later heartbeat number; the news stopped at nodes that had heard the process directly, and the accuser never learned of it. Change: PeerTable with suspicion and refutation after SWIM, WatchPlan, UpstreamBoard, plain message contents.

--- /dev/null
+++ b/crates/membership/src/spread.rs
@@ -0,0 +1,254 @@
+//! Notices: what a node tells its peers about VMs, and what it learns from theirs.
+
+use std::collections::BTreeMap;
+
+use base::{Moment, Span, VmKey};
+
+use crate::{
+    NoticeState, PeerAction, PeerBeat, PeerNotice, PeerState, PeerTable, VmIdentity, table::Actions,
+};
+
+/// Why a message is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Occasion {
+    /// The period has passed.
+    Period,
+    /// There is news that must not wait.
+    News,
+}
+
+/// Periodic messages that repeat a notice, so that one lost message does not hide a change until the next
+/// full repetition.
+const NOTICE_REPEATS: u8 = 3;
+
+impl PeerTable {
+    /// Marks a VM's state for the next messages, and asks to send them at once.
+    pub(crate) fn tell(&mut self, vm: VmKey) {
+        self.zone_news.insert(vm, NOTICE_REPEATS);
+        if self.is_own_zone(vm) {
+            self.fleet_news.insert(vm, NOTICE_REPEATS);
+        }
+        self.urgent = true;
+    }
+
+    pub(crate) fn notice(&self, now: Moment, vm: VmKey) -> PeerNotice {
+        let record = self.record(vm);
+        let age = if vm == self.own { Span::ZERO } else { now.since(record.evidence_at) };
+        let (vm, refutation) = (record.vm.clone(), record.refutation);
+        PeerNotice { vm, refutation, age, state: record.state.into() }
+    }
+
+    pub(crate) fn next_message(&mut self, now: Moment, notices: Vec<PeerNotice>) -> PeerBeat {
+        let own = self.own;
+        let record = self.record_mut(own);
+        record.beat += 1;
+        record.evidence_at = now;
+        let (from, beat, refutation) = (record.vm.clone(), record.beat, record.refutation);
+        PeerBeat { from, beat, refutation, notices }
+    }
+
+    pub(crate) fn send_heartbeats(
+        &mut self,
+        now: Moment,
+        occasion: Occasion,
+        actions: &mut Actions,
+    ) {
+        let mut targets = self.successors();
+        if targets.is_empty() {
+            // A node that takes all others for gone goes on towards those that monitor it.
+            targets = self.next_on_ring().take(self.settings.successors).collect();
+        }
+        let gone = self.gone_listed();
+        if !gone.is_empty() {
+            // One silent VM per message finds out when a cut has healed.
+            self.probe = (self.probe + 1) % gone.len();
+            if !targets.contains(&gone[self.probe]) {
+                targets.push(gone[self.probe]);
+            }
+        }
+        self.heartbeats += u64::from(occasion == Occasion::Period);
+        let full = self.heartbeats.is_multiple_of(self.settings.full_every);
+        let notices = if full && occasion == Occasion::Period {
+            self.all_notices(now)
+        } else {
+            let told = spend(&mut self.zone_news, occasion);
+            told.into_iter().map(|vm| self.notice(now, vm)).collect()
+        };
+        let message = self.next_message(now, notices);
+        for to in targets {
+            actions.push(PeerAction::SendHeartbeat { to, beat: message.clone() });
+        }
+    }
+
+    pub(crate) fn send_summaries(
+        &mut self,
+        now: Moment,
+        occasion: Occasion,
+        actions: &mut Actions,
+    ) {
+        let delegate = !self.zones.is_empty() && self.is_delegate();
+        // A new delegate cannot know which changes its predecessor has reported.
+        let started = delegate && !std::mem::replace(&mut self.was_delegate, delegate);
+        if !delegate {
+            return;
+        }
+        self.summaries += u64::from(occasion == Occasion::Period);
+        let full_every = self.settings.full_every * self.settings.period.0
+            / self.settings.summary_period.0.max(1);
+        let full = self.summaries.is_multiple_of(full_every.max(1));
+        let told = if started || (full && occasion == Occasion::Period) {
+            self.vms.iter().map(|(vm, _)| vm).filter(|vm| self.is_own_zone(*vm)).collect()
+        } else {
+            spend(&mut self.fleet_news, occasion)
+        };
+        let notices = told.into_iter().map(|vm| self.notice(now, vm)).collect();
+        let message = self.next_message(now, notices);
+        for to in self.summary_targets(now) {
+            actions.push(PeerAction::SendSummary { to, beat: message.clone() });
+        }
+    }
+
+    /// Takes a notice of the peer `from`.
+    pub(crate) fn learn(
+        &mut self,
+        now: Moment,
+        from: VmKey,
+        notice: PeerNotice,
+        actions: &mut Actions,
+    ) {
+        if notice.vm.name == self.own_identity().name {
+            self.learn_about_self(&notice);
+            return;
+        }
+        let state = PeerState::from(notice.state);
+        let evidence_at = now - notice.age;
+        let Some(vm) = self.find(&notice.vm.name) else {
+            let vm = self.add(now, notice.vm, state);
+            let record = self.record_mut(vm);
+            record.heard = true;
+            (record.refutation, record.evidence_at) = (notice.refutation, evidence_at);
+            actions.push(PeerAction::Changed { vm, state });
+            self.tell(vm);
+            return;
+        };
+        let record = self.record(vm);
+        if notice.vm.rank() < record.vm.rank() {
+            let to = if state == PeerState::Live { vm } else { from };
+            self.inform(now, to, vm, actions);
+            return;
+        }
+        if notice.vm.rank() > record.vm.rank() {
+            self.replace(vm, notice.vm, actions);
+        } else {
+            let known = (record.refutation, NoticeState::from(record.state));
+            if (notice.refutation, notice.state) <= known {
+                if state == PeerState::Live && known.1 != NoticeState::Live {
+                    self.inform(now, vm, vm, actions);
+                } else if notice.refutation < known.0 {
+                    self.inform(now, from, vm, actions);
+                }
+                return;
+            }
+            let direct = record.direct_at.map(|at| now.since(at));
+            if state != PeerState::Live
+                && direct.is_some_and(|age| age <= self.settings.suspect_after())
+            {
+                // This node hears the process, which has to refute the accusation itself.
+                let beat = self.next_message(now, vec![notice]);
+                actions.push(PeerAction::SendHeartbeat { to: vm, beat });
+                return;
+            }
+        }
+        let record = self.record_mut(vm);
+        if record.state != PeerState::Live && state == PeerState::Live {
+            record.refuted += 1;
+        }
+        record.refutation = notice.refutation;
+        record.evidence_at = match state {
+            PeerState::Live => now,
+            PeerState::Suspect | PeerState::Gone => evidence_at,
+        };
+        self.set_state(vm, state, actions);
+        self.tell(vm);
+    }
+
+    /// Sends what this node knows of a VM to a peer that knows less, or to the process itself where
+    /// others know otherwise: only the process can refute an accusation, or exceed the generation
+    /// of its predecessor.
+    pub(crate) fn inform(&mut self, now: Moment, to: VmKey, vm: VmKey, actions: &mut Actions) {
+        let notices = vec![self.notice(now, vm)];
+        let beat = self.next_message(now, notices);
+        actions.push(PeerAction::SendHeartbeat { to, beat });
+    }
+
+    /// Puts a newer process in the place of the one that ran on the VM.
+    pub(crate) fn replace(&mut self, vm: VmKey, newer: VmIdentity, actions: &mut Actions) {
+        let record = self.record_mut(vm);
+        let older = std::mem::replace(&mut record.vm, newer);
+        let (was_heard, newer) = (record.heard, record.vm.incarnation);
+        (record.heard, record.beat, record.direct_at) = (true, 0, None);
+        (record.refutation, record.refuted) = (0, 0);
+        if was_heard && older.incarnation != newer {
+            actions.push(PeerAction::Replaced { vm, incarnation: older.incarnation });
+        }
+        self.tell(vm);
+        self.rebuild_ring();
+    }
+
+    /// Answers a peer that takes this process for silent, or an older one of this VM for current.
+    fn learn_about_self(&mut self, notice: &PeerNotice) {
+        let own = self.own;
+        let record = self.record_mut(own);
+        if notice.vm.incarnation != record.vm.incarnation {
+            if notice.vm.rank() > record.vm.rank() {
+                record.vm.generation = notice.vm.generation.saturating_add(1);
+            }
+        } else if notice.state == NoticeState::Live || notice.refutation < record.refutation {
+            return;
+        } else {
+            record.refutation = notice.refutation + 1;
+        }
+        self.tell(own);
+    }
+
+    fn all_notices(&self, now: Moment) -> Vec<PeerNotice> {
+        let known = self.vms.iter().filter(|(vm, record)| {
+            // Live VMs of other zones need no notice: their own zone reports a change.
+            record.listed.is_some() && (self.is_own_zone(*vm) || record.state != PeerState::Live)
+        });
+        known.map(|(vm, _)| self.notice(now, vm)).collect()
+    }
+}
+
+/// Returns the VMs to mention and forgets those that periodic messages mentioned often enough.
+fn spend(news: &mut BTreeMap<VmKey, u8>, occasion: Occasion) -> Vec<VmKey> {
+    let told = news.keys().copied().collect();
+    if occasion == Occasion::News {
+        return told;
+    }
+    news.retain(|_, repeats| {
+        *repeats -= 1;
+        *repeats > 0
+    });
+    told
+}
+
+impl From<PeerState> for NoticeState {
+    fn from(state: PeerState) -> Self {
+        match state {
+            PeerState::Live => Self::Live,
+            PeerState::Suspect => Self::Suspect,
+            PeerState::Gone => Self::Gone,
+        }
+    }
+}
+
+impl From<NoticeState> for PeerState {
+    fn from(state: NoticeState) -> Self {
+        match state {
+            NoticeState::Live => Self::Live,
+            NoticeState::Suspect => Self::Suspect,
+            NoticeState::Gone => Self::Gone,
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/tests/upstreams.rs
@@ -0,0 +1,132 @@
+//! Watchers of upstreams and the spread of their state.
+
+use base::{Incarnation, Moment, Span, WeightVersion};
+use membership::{
+    BoardSettings, LeavingCause, LoadReport, UpstreamBoard, UpstreamEntry, UpstreamPhase, WatchPlan,
+};
+
+fn report(running: u32) -> LoadReport {
+    LoadReport {
+        running,
+        queued: 0,
+        tokens_per_second: 100,
+        version: WeightVersion(1),
+        phase: UpstreamPhase::Serving,
+    }
+}
+
+fn secs(seconds: u64) -> Moment {
+    Moment(0) + Span::from_secs(seconds)
+}
+
+fn board(incarnation: u64) -> UpstreamBoard {
+    UpstreamBoard::new(BoardSettings::default(), Incarnation(incarnation))
+}
+
+fn names(entries: &[UpstreamEntry]) -> Vec<&str> {
+    entries.iter().map(|entry| entry.upstream.as_str()).collect()
+}
+
+/// Guards against an upstream without a watcher or with two, and against moves without need.
+#[test]
+fn each_upstream_has_one_watcher() {
+    let upstreams: Vec<String> = (0..55).map(|number| format!("engine-{number}")).collect();
+    let upstreams: Vec<&str> = upstreams.iter().map(String::as_str).collect();
+    let all = ["vm-a", "vm-b", "vm-c", "vm-d"];
+    let mut plans = all.map(|name| WatchPlan::new(name.to_owned()));
+    for plan in &mut plans {
+        plan.update(&all, &upstreams);
+    }
+    let watched: usize = plans.iter().map(|plan| plan.watched().count()).sum();
+    assert_eq!(watched, 55);
+    let orphans: Vec<String> = plans[3].watched().map(str::to_owned).collect();
+    let mut taken = Vec::new();
+    for plan in &mut plans[..3] {
+        let change = plan.update(&all[..3], &upstreams);
+        assert!(change.stopped.is_empty());
+        taken.extend(change.started);
+    }
+    taken.sort();
+    assert_eq!(taken, orphans);
+}
+
+/// Guards against an old copy that comes back younger, and against a loss of age on the way.
+#[test]
+fn newest_measurement_wins_and_keeps_its_age() {
+    let (mut watcher, mut peer) = (board(1), board(2));
+    watcher.measured(secs(10), "engine", report(5));
+    let copy = watcher.delta(secs(12));
+    assert_eq!(copy[0].age, Span::from_secs(2));
+    assert!(peer.learned(secs(100), copy[0].clone()));
+    assert_eq!(peer.view(secs(101), "engine").unwrap().age, Span::from_secs(3));
+    assert!(!peer.learned(secs(120), copy[0].clone()), "the same measurement again");
+    let late =
+        UpstreamEntry { watcher: Incarnation(9), age: Span::from_secs(30), ..copy[0].clone() };
+    assert!(!peer.learned(secs(120), late.clone()));
+    assert!(peer.learned(secs(120), UpstreamEntry { age: Span::ZERO, ..late }));
+}
+
+/// Guards against a heartbeat that grows with the number of upstreams, and an entry never sent.
+#[test]
+fn deltas_are_bounded_and_reach_every_entry() {
+    let settings = BoardSettings::default();
+    let mut board = board(1);
+    for number in 0..600 {
+        board.measured(secs(0), &format!("engine-{number:03}"), report(8));
+    }
+    let mut sent = std::collections::BTreeSet::new();
+    for second in 0..30 {
+        let delta = board.delta(secs(second));
+        assert!(delta.len() <= settings.delta_limit + 600 / settings.full_over);
+        sent.extend(delta.into_iter().map(|entry| entry.upstream));
+    }
+    assert_eq!(sent.len(), 600);
+    let steady = board.delta(secs(31));
+    assert_eq!(steady.len(), 600 / settings.full_over, "only the repetition is left");
+    assert_eq!(board.full(secs(31)).len(), 600);
+}
+
+/// Guards against a small change that is sent at once, and a large one that waits.
+#[test]
+fn only_changes_that_matter_are_sent() {
+    let mut board = board(1);
+    // The repetition of one entry out of two goes to "a" at even calls and to "b" at odd ones.
+    board.measured(secs(0), "a", report(1));
+    board.measured(secs(0), "b", report(80));
+    assert_eq!(names(&board.delta(secs(0))), ["a", "b"]);
+    let mut check = |at: u64, running: u32, expected: &[&str]| {
+        board.measured(secs(at), "b", report(running));
+        assert_eq!(names(&board.delta(secs(at))), expected, "at {at} s with {running} running");
+    };
+    check(1, 85, &["b"]);
+    check(2, 89, &["a"]);
+    check(3, 89, &["b"]);
+    check(4, 102, &["b", "a"]);
+    check(5, 102, &["b"]);
+    check(6, 103, &["a"]);
+    check(10, 103, &["b"]);
+    check(11, 103, &["a"]);
+    check(12, 103, &["b"]);
+}
+
+/// Guards against a leaving upstream that waits for a heartbeat, or that an older report revives.
+#[test]
+fn leaving_is_urgent_and_stays() {
+    let (mut watcher, mut peer) = (board(1), board(2));
+    watcher.measured(secs(1), "engine", report(5));
+    assert!(watcher.urgent(secs(1)).is_empty());
+    peer.learned(secs(1), watcher.delta(secs(1)).remove(0));
+    peer.mark_leaving(secs(2), "engine", LeavingCause::OrderIntended);
+    let urgent = peer.urgent(secs(2));
+    assert_eq!(names(&urgent), ["engine"]);
+    assert!(peer.urgent(secs(2)).is_empty());
+    watcher.measured(secs(3), "engine", report(4));
+    assert!(watcher.learned(secs(3), urgent[0].clone()), "an older measurement with news");
+    assert_eq!(names(&watcher.urgent(secs(3))), ["engine"]);
+    watcher.measured(secs(4), "engine", report(3));
+    let phase = watcher.view(secs(4), "engine").unwrap().report.phase;
+    assert_eq!(phase, UpstreamPhase::Leaving(LeavingCause::OrderIntended));
+    assert!(watcher.urgent(secs(4)).is_empty());
+    watcher.remove("engine");
+    assert_eq!(watcher.view(secs(4), "engine"), None);
+}
