Add hibiscushinge check and the example documents

Cause: operators need the checks at the command line, and the demo needs documents at the sizes of the two deployments.

Ruled out: quoting a value in place of a key digest in problems, because it may be the key itself. Stubs for the commands that need the daemon.

--- a/crates/document/src/environment.rs
+++ b/crates/document/src/environment.rs
@@ -330,10 +330,8 @@
     }
 }
 
-const KEY_RULE: &str = "64 hexadecimal digits, the SHA-256 of a key";
-
 fn read_keys(section: &Section<'_>, digests: &mut Vec<KeyDigest>) -> Vec<KeyDigest> {
-    let keys = section.list_of("keys", KEY_RULE, |text| KeyDigest::parse(text).ok());
+    let keys = section.digests("keys");
     for key in &keys {
         if digests.contains(key) {
             section.refuse("keys", "digests that no other customer or trainer has, each once");
@@ -350,7 +348,7 @@
     plain: &[String],
     digests: &mut Vec<KeyDigest>,
 ) -> TrainerEntry {
-    let key = section.parsed("key", KEY_RULE, |text| KeyDigest::parse(text).ok().map(Some));
+    let key = section.digest("key");
     if let Some(key) = key {
         if digests.contains(&key) {
             section.refuse("key", "a digest that no other customer or trainer has");
--- a/crates/document/src/section.rs
+++ b/crates/document/src/section.rs
@@ -5,7 +5,7 @@
 
 use std::{cell::RefCell, fmt::Display, ops::RangeInclusive, str::FromStr};
 
-use base::Span;
+use base::{KeyDigest, Span};
 use toml::{
     Spanned,
     de::{DeFloat, DeInteger, DeTable, DeValue},
@@ -13,6 +13,11 @@
 
 use crate::{duration, problem::ProblemList};
 
+const KEY_RULE: &str = "64 hexadecimal digits, the SHA-256 of a key";
+
+/// Stands in problems for a value that may be a key.
+const HIDDEN: &str = "(not shown)";
+
 /// One table of a document. Keys that were never asked for are unknown.
 #[derive(Debug)]
 pub(crate) struct Section<'d> {
@@ -80,6 +85,38 @@
         self.parsed(key, allowed, |text| text.parse().ok().map(Some))
     }
 
+    /// Reads a required digest of a key.
+    pub(crate) fn digest(&self, key: &'static str) -> Option<KeyDigest> {
+        let found = self.required(key, KEY_RULE)?;
+        self.parse_digest(found, &self.path_of(key))
+    }
+
+    /// Reads a list of digests of keys. A missing key is an empty list.
+    pub(crate) fn digests(&self, key: &'static str) -> Vec<KeyDigest> {
+        let Some(found) = self.optional(key) else {
+            return Vec::new();
+        };
+        let Some(array) = found.get_ref().as_array() else {
+            let allowed = format!("a list, each item {KEY_RULE}");
+            self.list.add(found.span().start, &self.path_of(key), HIDDEN, allowed);
+            return Vec::new();
+        };
+        let items = array.iter().enumerate();
+        let digests = items.filter_map(|(index, item)| {
+            self.parse_digest(item, &format!("{}[{index}]", self.path_of(key)))
+        });
+        digests.collect()
+    }
+
+    /// A value that is no digest is not quoted, since it may be the key itself.
+    fn parse_digest(&self, found: Found<'d>, path: &str) -> Option<KeyDigest> {
+        let digest = found.get_ref().as_str().and_then(|text| KeyDigest::parse(text).ok());
+        if digest.is_none() {
+            self.list.add(found.span().start, path, HIDDEN, KEY_RULE);
+        }
+        digest
+    }
+
     /// Reads a list of texts. A missing key is an empty list.
     pub(crate) fn list_of<T>(
         &self,
--- a/crates/document/tests/checks.rs
+++ b/crates/document/tests/checks.rs
@@ -1,7 +1,9 @@
 //! Checks of documents and settings at load.
 
 use base::Span;
-use document::{DaemonSettings, EnvironmentDocument, IsolatedKeys};
+use document::{
+    BufferBounds, DaemonSettings, EnvironmentDocument, IsolatedKeys, LeaseSettings, TimeoutSettings,
+};
 use rstest::rstest;
 
 const SMALL: &str = r#"
@@ -109,7 +111,7 @@
 #[case::scorer_must_be_plain("scorer = \"scorer\"", "scorer = \"drafts\"",
     &[("47: key `trainers[0].scorer`: value \"drafts\"", "one of \"scorer\"")])]
 #[case::digest("0123456789abcdef0", "my-secret-key",
-    &[("35: key `customers[0].keys[0]`", "64 hexadecimal digits, the SHA-256 of a key")])]
+    &[("35: key `customers[0].keys[0]`: value (not shown)", "64 hexadecimal digits, the SHA-256 of a key")])]
 #[case::time_zone("Australia/Hobart", "Australia/Hobert",
     &[("3: key `time_zone`: value \"Australia/Hobert\"", "such as \"Europe/Oslo\"")])]
 #[case::missing("weight = 1", "",
@@ -127,6 +129,26 @@
     check(from, to, expected);
 }
 
+/// Guards against an example that no longer loads.
+#[rstest]
+#[case::derwent("derwent.toml", include_str!("../../../examples/derwent.toml"), 11)]
+#[case::hmla("hmla.toml", include_str!("../../../examples/hmla.toml"), 10)]
+fn example_document_loads(#[case] file: &str, #[case] text: &str, #[case] entry_vms: u32) {
+    let document = EnvironmentDocument::parse(file, text).unwrap();
+    assert_eq!(document.zones.iter().map(|zone| zone.entry_vms).sum::<u32>(), entry_vms);
+    assert_eq!(document.customers.len(), 8);
+}
+
+/// Guards against an example that shows other values than the defaults it claims to show.
+#[test]
+fn example_settings_show_the_defaults() {
+    let text = include_str!("../../../examples/daemon.toml");
+    let settings = DaemonSettings::parse("daemon.toml", text).unwrap();
+    assert_eq!(settings.bounds, BufferBounds::default());
+    assert_eq!(settings.timeouts, TimeoutSettings::default());
+    assert_eq!(settings.lease, LeaseSettings::default());
+}
+
 /// Guards against a load that stops at the first problem.
 #[test]
 fn all_problems_are_reported_at_once() {
--- /dev/null
+++ b/crates/hibiscushinge/src/exit.rs
@@ -0,0 +1,22 @@
+//! Exit codes of the tool.
+
+use std::process::ExitCode;
+
+use base::key;
+
+key! {
+    /// How a command ended. `xflags` exits with 2 when the command line is wrong, and scripts read
+    /// 3 as a conflict with another operator's change.
+    pub(crate) enum ExitStatus {
+        /// The command did what was asked.
+        Fine = 0,
+        /// The command failed, or a check found problems.
+        Failed = 1,
+    }
+}
+
+impl From<ExitStatus> for ExitCode {
+    fn from(status: ExitStatus) -> Self {
+        Self::from(status as u8)
+    }
+}
--- a/crates/hibiscushinge/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Placeholder module of the `hibiscushinge` crate.
