--- /dev/null
+++ b/crates/hibiscushinged/src/control.rs
@@ -0,0 +1,249 @@
+//! The control thread: drives the pure state machines and performs their actions.
+
+mod admin;
+mod authority;
+mod claims;
+mod config;
+mod follow;
+mod limits;
+mod orders;
+mod peers;
+mod server;
+mod suspects;
+mod usage;
+mod watch;
+
+use std::{
+    cell::{RefCell, RefMut},
+    collections::BTreeMap,
+    net::TcpListener,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use base::{Moment, RecordId};
+use clients::{EngineClient, HttpClient, PlatformClient, PlatformTimeouts};
+use protocol::{StreamRecord, encode_record};
+use record_log::{BufferFull, LogWriter, WriterSettings};
+use tokio::sync::{Notify, mpsc};
+
+use crate::{
+    clock::wall_now,
+    input::ControlInput,
+    shared::SharedState,
+    telemetry::log_event,
+    trace::{DecisionLine, DecisionTrace},
+};
+
+/// Period of the timers of all state machines. It bounds how late a timer can act.
+const TICK: Duration = Duration::from_millis(50);
+
+/// The control thread's view of the daemon. Clones of the `Rc` are held by its tasks.
+pub(crate) struct Control {
+    pub(crate) shared: Arc<SharedState>,
+    pub(crate) platform: PlatformClient,
+    pub(crate) http: HttpClient,
+    pub(crate) engines: EngineClient,
+    state: RefCell<ControlState>,
+    kicks: RefCell<BTreeMap<String, Rc<Notify>>>,
+}
+
+/// All control state. It is borrowed for one decision at a time and never across an await.
+pub(crate) struct ControlState {
+    pub(crate) writer: LogWriter,
+    pub(crate) log: follow::LogHealth,
+    pub(crate) config: config::ConfigDriver,
+    pub(crate) peers: peers::PeerDriver,
+    pub(crate) scopes: Vec<authority::ScopeDriver>,
+    pub(crate) usage: usage::UsageDriver,
+    pub(crate) claims: claims::ClaimDriver,
+    pub(crate) limits: limits::LimitDriver,
+    pub(crate) watch: watch::WatchDriver,
+    pub(crate) trace: DecisionTrace,
+}
+
+/// Runs the control thread until the daemon is drained.
+pub(crate) async fn run(
+    shared: Arc<SharedState>,
+    input: mpsc::Receiver<ControlInput>,
+    peer: TcpListener,
+    admin: TcpListener,
+) {
+    let control = Rc::new(Control::new(shared));
+    actix_rt::spawn(server::serve_peers(Rc::clone(&control), peer));
+    actix_rt::spawn(server::serve_admin(Rc::clone(&control), admin));
+    config::start(&control);
+    authority::start(&control);
+    usage::start(&control);
+    claims::start(&control);
+    suspects::start(&control);
+    peers::start(&control);
+    watch::start(&control);
+    limits::start(&control);
+    actix_rt::spawn(tick_loop(Rc::clone(&control)));
+    receive(control, input).await;
+}
+
+async fn tick_loop(control: Rc<Control>) {
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        control.tick();
+    }
+}
+
+async fn receive(control: Rc<Control>, mut input: mpsc::Receiver<ControlInput>) {
+    while let Some(message) = input.recv().await {
+        match message {
+            ControlInput::Metered(figures) => control.metered(&figures),
+            ControlInput::Claim { ask, reply } => control.claim_asked(ask, reply),
+            ControlInput::ClaimEnded { request, outcome } => {
+                control.claim_ended(request, outcome);
+            }
+            ControlInput::CrashCheck { upstream, fingerprint, reply } => {
+                let control = Rc::clone(&control);
+                actix_rt::spawn(async move {
+                    control.check_crash(upstream, fingerprint).await;
+                    let _ = reply.send(());
+                });
+            }
+            ControlInput::Suspicion(actions) => control.spread(actions),
+            ControlInput::Decision(line) => control.state().trace.record(line),
+            ControlInput::Peer { body, reply } => {
+                let _ = reply.send(control.peer_message(&body));
+            }
+            ControlInput::Admin { ask, reply } => {
+                let _ = reply.send(control.admin(ask));
+            }
+            ControlInput::Trainer { reply, .. } => {
+                let message = "the trainer interface is not available";
+                let code = base::RefusalCode::NoUpstream;
+                let _ = reply.send(Err(base::Refusal::not_run(code, message)));
+            }
+            ControlInput::Drain(done) => {
+                let control = Rc::clone(&control);
+                actix_rt::spawn(async move {
+                    control.drain().await;
+                    let _ = done.send(());
+                });
+            }
+        }
+    }
+}
+
+impl Control {
+    fn new(shared: Arc<SharedState>) -> Self {
+        let timeouts = &shared.settings.timeouts;
+        let http = HttpClient::new(timeouts.connect);
+        let platform_timeouts = PlatformTimeouts {
+            log: timeouts.log,
+            order: shared.settings.lease.order_timeout,
+            other: timeouts.platform,
+            ..PlatformTimeouts::default()
+        };
+        let platform =
+            PlatformClient::new(http.clone(), shared.settings.platform, platform_timeouts);
+        let engines =
+            EngineClient::new(http.clone(), timeouts.engine_control, timeouts.stream_idle);
+        let state = ControlState::new(&shared);
+        Self {
+            shared,
+            platform,
+            http,
+            engines,
+            state: RefCell::new(state),
+            kicks: RefCell::new(BTreeMap::new()),
+        }
+    }
+
+    pub(crate) fn state(&self) -> RefMut<'_, ControlState> {
+        self.state.borrow_mut()
+    }
+
+    pub(crate) fn now(&self) -> Moment {
+        self.shared.clock.now()
+    }
+
+    /// Appends a record under a new id.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`BufferFull`] when the log has been down for so long that the buffer is full.
+    pub(crate) fn append<T: StreamRecord>(
+        self: &Rc<Self>,
+        stream: &str,
+        record: &T,
+    ) -> Result<RecordId, BufferFull> {
+        let id = self.state().writer.next_id();
+        self.append_as(stream, id, record)?;
+        Ok(id)
+    }
+
+    /// Appends a record under an id that was chosen before.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`BufferFull`] like [`Control::append`].
+    pub(crate) fn append_as<T: StreamRecord>(
+        self: &Rc<Self>,
+        stream: &str,
+        id: RecordId,
+        record: &T,
+    ) -> Result<(), BufferFull> {
+        let data = encode_record(id, record);
+        let result = self.state().writer.append_as(stream, id, data);
+        if let Err(full) = &result {
+            log_event!(warn, LogBufferFull, stream, records = full.records, bytes = full.bytes);
+        }
+        self.pump_writer();
+        result
+    }
+
+    /// Keeps a decision for `explain`.
+    pub(crate) fn trace(&self, subject: String, code: base::EventCode, detail: String) {
+        self.state().trace.record(DecisionLine { subject, code, detail });
+    }
+
+    fn tick(self: &Rc<Self>) {
+        let now = self.now();
+        self.pump_writer();
+        let actions = self.shared.desk().tick(now, wall_now());
+        self.spread(actions);
+        self.tick_config(now);
+        self.tick_scopes(now);
+        self.tick_usage(now);
+        self.tick_claims(now);
+        self.tick_peers(now);
+        self.tick_limits(now);
+    }
+}
+
+impl ControlState {
+    fn new(shared: &SharedState) -> Self {
+        let settings = &shared.settings;
+        let now = shared.clock.now();
+        let bounds = &settings.bounds;
+        let writer_settings = WriterSettings {
+            batch_records: bounds.batch_records as usize,
+            batch_bytes: bounds.batch_bytes as usize,
+            buffer_records: bounds.log_records as usize,
+            buffer_bytes: bounds.log_bytes as usize,
+            answer_timeout: settings.timeouts.log + base::Span::from_millis(500),
+            ..WriterSettings::default()
+        };
+        Self {
+            writer: LogWriter::new(writer_settings, shared.incarnation, shared.incarnation.0),
+            log: follow::LogHealth::new(now),
+            config: config::ConfigDriver::new(settings, now),
+            peers: peers::PeerDriver::new(shared, now),
+            scopes: authority::drivers(shared),
+            usage: usage::UsageDriver::new(),
+            claims: claims::ClaimDriver::new(),
+            limits: limits::LimitDriver::default(),
+            watch: watch::WatchDriver::new(settings),
+            trace: DecisionTrace::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/hibiscushinged/src/control/authority.rs
@@ -0,0 +1,213 @@
+//! Leases of the scopes that this node may hold.
+
+use std::rc::Rc;
+
+use authority::{
+    AuthorityRecord, Candidacy, DeskAction, DeskSettings, FencingSupport, LeaseAction, LeaseKeeper,
+    LeaseSettings, OrderDesk, Scope,
+};
+use base::{FencingNumber, Incarnation, LogOffset, Moment, Span, rendezvous_weight};
+
+use crate::{
+    control::{
+        Control,
+        follow::{StreamEvent, follow},
+        usage::USAGE_STREAM,
+    },
+    shared::SharedState,
+    telemetry::log_event,
+};
+
+/// Candidates of a scope claim in different moments, so that most claims meet no other.
+const CLAIM_SPREAD: Span = Span::from_millis(1_500);
+
+/// One scope on this node.
+pub(crate) struct ScopeDriver {
+    pub(crate) scope: Scope,
+    pub(crate) keeper: LeaseKeeper,
+    pub(crate) desk: OrderDesk,
+    was_held: Option<FencingNumber>,
+}
+
+/// Creates the scopes of a node: its own zone, `usage` and `fleet`.
+pub(crate) fn drivers(shared: &SharedState) -> Vec<ScopeDriver> {
+    let zone = Scope::Zone(shared.settings.zone.clone());
+    let scopes = [zone, Scope::Usage, Scope::Fleet];
+    let driver = |scope: Scope| ScopeDriver::new(shared, scope);
+    scopes.into_iter().map(driver).collect()
+}
+
+pub(crate) fn start(control: &Rc<Control>) {
+    for scope in [Scope::Zone(control.shared.settings.zone.clone()), Scope::Fleet] {
+        let stream = scope.stream();
+        follow::<AuthorityRecord>(control, stream, move |control, event| {
+            control.on_authority(&scope, event);
+        });
+    }
+}
+
+/// Returns the stream that carries the lease records of a scope.
+fn stream_of(scope: &Scope) -> String {
+    match scope {
+        Scope::Usage => String::from(USAGE_STREAM),
+        Scope::Zone(_) | Scope::Fleet => scope.stream(),
+    }
+}
+
+impl ScopeDriver {
+    fn new(shared: &SharedState, scope: Scope) -> Self {
+        let lease = &shared.settings.lease;
+        let settings = LeaseSettings {
+            term: lease.term,
+            renewal: lease.renewal,
+            margin: lease.margin,
+            order_timeout: lease.order_timeout,
+            extra_wait: lease.extra_wait,
+        };
+        let incarnation = shared.incarnation;
+        let mut keeper =
+            LeaseKeeper::new(settings, scope.clone(), incarnation, Candidacy::Standing);
+        keeper.set_claim_delay(claim_delay(incarnation, &scope));
+        let desk_settings = DeskSettings {
+            order_timeout: lease.order_timeout,
+            ask_retry: Span::from_secs(1),
+            receiver: FencingSupport::Checked,
+        };
+        let desk = OrderDesk::new(desk_settings, scope.clone(), incarnation);
+        Self { scope, keeper, desk, was_held: None }
+    }
+}
+
+fn claim_delay(incarnation: Incarnation, scope: &Scope) -> Span {
+    let scope_number = match scope {
+        Scope::Zone(_) => 0,
+        Scope::Usage => 1,
+        Scope::Fleet => 2,
+    };
+    Span(rendezvous_weight(incarnation.0, scope_number) % CLAIM_SPREAD.0)
+}
+
+impl Control {
+    /// Tells whether this node holds the lease of a scope now.
+    pub(crate) fn holds(&self, scope: &Scope, now: Moment) -> bool {
+        self.fencing(scope, now).is_some()
+    }
+
+    /// Returns the fencing number while this node holds the lease of a scope.
+    pub(crate) fn fencing(&self, scope: &Scope, now: Moment) -> Option<FencingNumber> {
+        let state = self.state();
+        let found = state.scopes.iter().find(|driver| driver.scope == *scope);
+        found.and_then(|driver| driver.keeper.held(now))
+    }
+
+    fn on_authority(self: &Rc<Self>, scope: &Scope, event: StreamEvent<AuthorityRecord>) {
+        match event {
+            StreamEvent::ReadingFrom(offset) => self.lease_reading_from(scope, offset),
+            StreamEvent::Retained(_) => {}
+            StreamEvent::Record { offset, record, .. } => {
+                self.lease_record(scope, offset, &record);
+            }
+        }
+    }
+
+    pub(crate) fn lease_reading_from(self: &Rc<Self>, scope: &Scope, offset: LogOffset) {
+        let now = self.now();
+        self.with_scope(scope, |driver| {
+            (driver.keeper.reading_from(now, offset).into_vec(), Vec::new())
+        });
+    }
+
+    pub(crate) fn lease_record(
+        self: &Rc<Self>,
+        scope: &Scope,
+        offset: LogOffset,
+        record: &AuthorityRecord,
+    ) {
+        let now = self.now();
+        self.with_scope(scope, |driver| {
+            let lease_actions = driver.keeper.read(now, offset, record).into_vec();
+            let desk_actions = driver.desk.read(now, &driver.keeper, record).into_vec();
+            (lease_actions, desk_actions)
+        });
+    }
+
+    pub(crate) fn tick_scopes(self: &Rc<Self>, now: Moment) {
+        let scopes = self.state().scopes.iter().map(|driver| driver.scope.clone());
+        for scope in scopes.collect::<Vec<_>>() {
+            self.with_scope(&scope, |driver| {
+                let lease_actions = driver.keeper.tick(now).into_vec();
+                let desk_actions = driver.desk.tick(now, &driver.keeper).into_vec();
+                (lease_actions, desk_actions)
+            });
+        }
+    }
+
+    /// Gives up all leases, as a planned stop requires.
+    pub(crate) fn resign(self: &Rc<Self>) {
+        let scopes = self.state().scopes.iter().map(|driver| driver.scope.clone());
+        for scope in scopes.collect::<Vec<_>>() {
+            self.with_scope(&scope, |driver| (driver.keeper.resign().into_vec(), Vec::new()));
+        }
+    }
+
+    /// Runs one decision on a scope and performs its actions.
+    pub(crate) fn with_scope(
+        self: &Rc<Self>,
+        scope: &Scope,
+        decide: impl FnOnce(&mut ScopeDriver) -> (Vec<LeaseAction>, Vec<DeskAction>),
+    ) {
+        let (lease_actions, desk_actions) = {
+            let mut state = self.state();
+            let found = state.scopes.iter_mut().find(|driver| driver.scope == *scope);
+            let Some(driver) = found else { return };
+            decide(driver)
+        };
+        for action in lease_actions {
+            match action {
+                LeaseAction::Append(record) => self.append_lease(scope, &record),
+                LeaseAction::Acquired(fencing) => {
+                    log_event!(LeaseAcquired, scope = %scope, fencing = fencing.0);
+                    self.note_held(scope, Some(fencing));
+                }
+                LeaseAction::Lost(cause) => {
+                    log_event!(LeaseLost, scope = %scope, cause = ?cause);
+                    self.note_held(scope, None);
+                }
+            }
+        }
+        for action in desk_actions {
+            self.perform_order(scope, action);
+        }
+    }
+
+    fn note_held(&self, scope: &Scope, fencing: Option<FencingNumber>) {
+        let mut state = self.state();
+        if let Some(driver) = state.scopes.iter_mut().find(|driver| driver.scope == *scope) {
+            driver.was_held = fencing;
+        }
+    }
+
+    fn append_lease(self: &Rc<Self>, scope: &Scope, record: &AuthorityRecord) {
+        if self.append_authority(scope, record).is_err() {
+            let mut state = self.state();
+            if let Some(driver) = state.scopes.iter_mut().find(|driver| driver.scope == *scope) {
+                driver.keeper.append_refused();
+            }
+        }
+    }
+
+    pub(crate) fn append_authority(
+        self: &Rc<Self>,
+        scope: &Scope,
+        record: &AuthorityRecord,
+    ) -> Result<(), record_log::BufferFull> {
+        let stream = stream_of(scope);
+        match scope {
+            Scope::Usage => {
+                let entry = protocol::UsageEntry::Lease(record.clone());
+                self.append(&stream, &entry).map(drop)
+            }
+            Scope::Zone(_) | Scope::Fleet => self.append(&stream, record).map(drop),
+        }
+    }
+}
--- /dev/null
+++ b/crates/hibiscushinged/src/control/claims.rs
@@ -0,0 +1,132 @@
+//! Idempotency claims, settled by the stream `claims`.
+
+use std::{collections::HashMap, rc::Rc};
+
+use base::Moment;
+use delivery::{
+    ClaimAction, ClaimActions, ClaimEvent, ClaimOutcome, ClaimPolicy, ClaimTable, LogReach,
+    RequestId,
+};
+use tokio::sync::oneshot;
+
+use crate::{
+    clock::wall_now,
+    control::{
+        Control,
+        follow::{StreamEvent, follow},
+    },
+    input::{ClaimAnswer, ClaimAsk},
+};
+
+const CLAIM_STREAM: &str = "claims";
+
+/// Claims of this node.
+pub(crate) struct ClaimDriver {
+    table: ClaimTable,
+    waiting: HashMap<RequestId, oneshot::Sender<ClaimAnswer>>,
+    log: LogReach,
+}
+
+pub(crate) fn start(control: &Rc<Control>) {
+    follow::<ClaimEvent>(control, String::from(CLAIM_STREAM), |control, event| {
+        // A gap loses only claims that are older than the log's retention.
+        if let StreamEvent::Record { record, .. } = event {
+            control.claim_event(record);
+        }
+    });
+}
+
+impl ClaimDriver {
+    pub(crate) fn new() -> Self {
+        Self {
+            table: ClaimTable::new(ClaimPolicy::default()),
+            waiting: HashMap::new(),
+            log: LogReach::Up,
+        }
+    }
+}
+
+impl Control {
+    pub(crate) fn claim_asked(
+        self: &Rc<Self>,
+        ask: ClaimAsk,
+        reply: oneshot::Sender<ClaimAnswer>,
+    ) {
+        let ClaimAsk { claim, fingerprint, request, deadline } = ask;
+        self.state().claims.waiting.insert(request, reply);
+        self.claim_event(ClaimEvent::Asked { claim, fingerprint, request, deadline });
+    }
+
+    pub(crate) fn claim_ended(self: &Rc<Self>, request: RequestId, outcome: ClaimOutcome) {
+        self.claim_event(ClaimEvent::Ended { request, outcome });
+    }
+
+    pub(crate) fn tick_claims(self: &Rc<Self>, now: Moment) {
+        let changed = {
+            let mut state = self.state();
+            let reach = match state.log.is_down(now) {
+                true => LogReach::Down,
+                false => LogReach::Up,
+            };
+            let changed = state.claims.log != reach;
+            state.claims.log = reach;
+            changed.then_some(reach)
+        };
+        if let Some(reach) = changed {
+            self.claim_event(ClaimEvent::LogChanged(reach));
+        }
+        self.claim_event(ClaimEvent::Tick);
+        self.drop_abandoned_claims();
+    }
+
+    /// Withdraws the claims of callers that have disconnected.
+    fn drop_abandoned_claims(self: &Rc<Self>) {
+        let gone = {
+            let state = self.state();
+            let waiting = state.claims.waiting.iter();
+            let gone = waiting.filter(|(_, reply)| reply.is_closed()).map(|(id, _)| *id);
+            gone.collect::<Vec<_>>()
+        };
+        for request in gone {
+            self.state().claims.waiting.remove(&request);
+            self.claim_event(ClaimEvent::CallerGone(request));
+        }
+    }
+
+    fn claim_event(self: &Rc<Self>, event: ClaimEvent) {
+        let now = self.now();
+        let actions = self.state().claims.table.handle(now, wall_now(), event);
+        self.claim_actions(actions);
+    }
+
+    fn claim_actions(self: &Rc<Self>, actions: ClaimActions) {
+        for action in actions {
+            match action {
+                ClaimAction::AppendTaken(taken) => {
+                    // Without room in the buffer the claim is refused when its wait ends.
+                    let _ = self.append(CLAIM_STREAM, &ClaimEvent::TakenRead(taken));
+                }
+                ClaimAction::AppendDone(done) => {
+                    let _ = self.append(CLAIM_STREAM, &ClaimEvent::DoneRead(done));
+                }
+                ClaimAction::Run(request) => {
+                    if !self.answer_claim(request, ClaimAnswer::Run) {
+                        self.claim_ended(request, ClaimOutcome::NotRun);
+                    }
+                }
+                ClaimAction::Replay { request, status, body } => {
+                    self.answer_claim(request, ClaimAnswer::Replay { status, body });
+                }
+                ClaimAction::Refuse { request, refusal } => {
+                    self.answer_claim(request, ClaimAnswer::Refuse(refusal));
+                }
+            }
+        }
+    }
+
+    /// Returns whether the request is still there.
+    fn answer_claim(&self, request: RequestId, answer: ClaimAnswer) -> bool {
+        let reply = self.state().claims.waiting.remove(&request);
+        reply.is_some_and(|reply| reply.send(answer).is_ok())
+    }
+}
--- /dev/null
+++ b/crates/hibiscushinged/src/control/config.rs
@@ -0,0 +1,267 @@
+//! Configuration: follows the stream `config` and puts accepted documents in force.
+
+use std::rc::Rc;
+
+use base::{Arena, Moment, Span, ZoneKey};
+use configuration::{
+    CarrySchedule, ConfigHistory, ConfigOutcome, ConfigRecord, ConfigSnapshot, ConfigVersion,
+    Currency, EnvironmentName, IsolatedService, IsolationPolicy, IsolationState, PeerOutcome,
+};
+use document::{DaemonSettings, EnvironmentDocument, IsolatedKeys};
+
+use crate::{
+    control::{
+        Control,
+        follow::{StreamEvent, follow},
+    },
+    shared::ServicePhase,
+    telemetry::log_event,
+    view::{KeyService, RoutingView},
+};
+
+pub(crate) const CONFIG_STREAM: &str = "config";
+
+/// Time between snapshots of the documents. It must stay well below the log's retention.
+const CARRY_PERIOD: Span = Span::from_secs(600);
+const CARRY_RETRY: Span = Span::from_secs(30);
+
+type DocumentVerdict = fn(&EnvironmentName, &str) -> Result<(), String>;
+
+/// Configuration of this node.
+pub(crate) struct ConfigDriver {
+    pub(crate) history: ConfigHistory<DocumentVerdict>,
+    pub(crate) document: Option<EnvironmentDocument>,
+    pub(crate) zones: Arena<ZoneKey, String>,
+    carry: CarrySchedule,
+    isolation: IsolationState,
+    environment: EnvironmentName,
+    applied: ConfigVersion,
+}
+
+pub(crate) fn start(control: &Rc<Control>) {
+    follow::<ConfigRecord>(control, String::from(CONFIG_STREAM), |control, event| {
+        control.on_config(event);
+    });
+}
+
+/// Decides whether a document may be accepted. Every node gives the same verdict.
+pub(crate) fn check_document(environment: &EnvironmentName, text: &str) -> Result<(), String> {
+    let document = EnvironmentDocument::parse("document", text).map_err(|problems| {
+        let lines = problems.iter().map(ToString::to_string).collect::<Vec<_>>();
+        lines.join("; ")
+    })?;
+    // A promoted document names the environment it was written for, so the name is no condition.
+    let _ = (environment, document);
+    Ok(())
+}
+
+impl ConfigDriver {
+    pub(crate) fn new(settings: &DaemonSettings, now: Moment) -> Self {
+        Self {
+            history: ConfigHistory::new(check_document as DocumentVerdict),
+            document: None,
+            zones: Arena::new(),
+            carry: CarrySchedule::new(CARRY_PERIOD, CARRY_RETRY),
+            isolation: IsolationState::new(IsolationPolicy::default(), now),
+            environment: EnvironmentName(settings.environment.clone()),
+            applied: ConfigVersion::default(),
+        }
+    }
+
+    pub(crate) fn note_contact(&mut self, now: Moment) {
+        self.isolation.note_contact(now);
+    }
+
+    pub(crate) fn note_relayed(&mut self, now: Moment, age: Span) {
+        self.isolation.note_relayed(now, age);
+    }
+
+    pub(crate) fn contact_age(&self, now: Moment) -> Span {
+        self.isolation.contact_age(now)
+    }
+
+    /// Version in force on this node.
+    pub(crate) fn version(&self) -> ConfigVersion {
+        self.history.version(&self.environment)
+    }
+
+    pub(crate) fn is_possibly_stale(&self) -> bool {
+        let state = self.history.in_force(&self.environment);
+        state.is_some_and(|state| state.currency == Currency::PossiblyStale)
+    }
+
+    pub(crate) fn is_refusing_keys(&self, now: Moment) -> bool {
+        self.isolation.service(now) == IsolatedService::Refusing
+    }
+
+    /// Documents in force, for a peer.
+    pub(crate) fn in_force(&self) -> ConfigSnapshot {
+        let documents = self.history.documents().into_iter().cloned().collect();
+        ConfigSnapshot { next: base::LogOffset(0), documents }
+    }
+
+    pub(crate) fn zone_key(&mut self, name: &str) -> ZoneKey {
+        let known = self.zones.iter().find(|(_, zone)| *zone == name).map(|(key, _)| key);
+        known.unwrap_or_else(|| self.zones.push(String::from(name)))
+    }
+}
+
+impl Control {
+    fn on_config(self: &Rc<Self>, event: StreamEvent<ConfigRecord>) {
+        let now = self.now();
+        match event {
+            StreamEvent::ReadingFrom(offset) | StreamEvent::Retained(offset) => {
+                let mut state = self.state();
+                state.config.history.note_retention(offset);
+                state.config.carry.note_retention(offset);
+                return;
+            }
+            StreamEvent::Record { offset, id, record, catching_up } => {
+                let read_at = (!catching_up).then_some(now);
+                let mut state = self.state();
+                let config = &mut state.config;
+                if matches!(record, ConfigRecord::Carry(_)) {
+                    config.carry.note_carry(offset, read_at);
+                }
+                match config.history.apply(offset, &record) {
+                    ConfigOutcome::Accepted { .. } => config.carry.note_change(read_at),
+                    ConfigOutcome::Conflict(report) => {
+                        log_event!(
+                            ConfigConflict,
+                            record = ?id,
+                            environment = report.environment.0,
+                            named = report.named.0,
+                            winner = report.winner.0
+                        );
+                    }
+                    _ => {}
+                }
+            }
+        }
+        self.apply_config(now);
+    }
+
+    /// Takes documents that a peer holds.
+    pub(crate) fn adopt_config(
+        self: &Rc<Self>,
+        snapshot: Option<&ConfigSnapshot>,
+        in_force: &ConfigSnapshot,
+    ) {
+        let now = self.now();
+        {
+            let mut state = self.state();
+            if let Some(snapshot) = snapshot {
+                state.config.history.adopt_snapshot(snapshot);
+            }
+            for document in &in_force.documents {
+                let outcome = state.config.history.adopt_peer(document);
+                if let PeerOutcome::Raised(version) = outcome {
+                    log_event!(
+                        ConfigPossiblyOld,
+                        environment = document.environment.0,
+                        version = version.0
+                    );
+                }
+            }
+        }
+        self.apply_config(now);
+    }
+
+    /// Puts the newest accepted document in force if it is not yet.
+    fn apply_config(self: &Rc<Self>, now: Moment) {
+        let mut state = self.state();
+        let config = &mut state.config;
+        let Some(found) = config.history.in_force(&config.environment) else { return };
+        let version = found.document.version;
+        if version <= config.applied {
+            return;
+        }
+        // The text was checked when it was accepted, so a failure here is a broken invariant.
+        let document = EnvironmentDocument::parse("document", &found.document.text)
+            .expect("an accepted document is valid");
+        config.applied = version;
+        config.isolation.set_policy(match document.keys_when_isolated {
+            IsolatedKeys::Serve(limit) => IsolationPolicy::ServeFor(limit),
+            IsolatedKeys::Refuse(_) => IsolationPolicy::Refuse,
+        });
+        for zone in &document.zones {
+            config.zone_key(&zone.name);
+        }
+        let own_zone = self.shared.settings.zone.clone();
+        let own_zone = config.zone_key(&own_zone);
+        let distances = zone_distances(&config.zones, own_zone, &document);
+        config.document = Some(document.clone());
+        drop(state);
+
+        let mut view = RoutingView::clone(&self.shared.view.load());
+        view.apply(version, &document);
+        {
+            let mut desk = self.shared.desk();
+            desk.set_zones(own_zone, distances);
+            for customer in &document.customers {
+                let key = view.customer_key(Some(&customer.name));
+                desk.set_weight(now, key, customer.weight);
+            }
+        }
+        self.shared.view.store(view.into());
+        self.shared.enter(ServicePhase::Serving);
+        log_event!(ConfigApplied, version = version.0, customers = document.customers.len());
+        self.apply_static_upstreams(&document);
+        self.apply_limits(now, &document);
+    }
+
+    pub(crate) fn tick_config(self: &Rc<Self>, now: Moment) {
+        self.apply_key_service(now);
+        if !self.holds(&authority::Scope::Fleet, now) {
+            return;
+        }
+        let carry = {
+            let mut state = self.state();
+            let config = &mut state.config;
+            if !config.carry.poll(now) {
+                return;
+            }
+            let rebuilt = config.history.rebuilt_snapshot();
+            rebuilt.or_else(|| config.history.snapshot().cloned())
+        };
+        if let Some(snapshot) = carry {
+            let record = ConfigRecord::Carry(configuration::ConfigCarry { snapshot });
+            // A full buffer is reported by `append`; the schedule tries again.
+            let _ = self.append(CONFIG_STREAM, &record);
+        }
+    }
+
+    fn apply_key_service(&self, now: Moment) {
+        let service = match self.state().config.is_refusing_keys(now) {
+            true => KeyService::Refusing,
+            false => KeyService::Accepting,
+        };
+        let view = self.shared.view.load();
+        if view.key_service == service {
+            return;
+        }
+        let mut changed = RoutingView::clone(&view);
+        changed.key_service = service;
+        self.shared.view.store(changed.into());
+    }
+}
+
+/// One-way time to a zone of another region. Within a region zones are about a millisecond apart.
+const REGION_DISTANCE: Span = Span::from_millis(30);
+const ZONE_DISTANCE: Span = Span::from_millis(1);
+const OWN_DISTANCE: Span = Span::from_micros(200);
+
+fn zone_distances(
+    zones: &Arena<ZoneKey, String>,
+    own: ZoneKey,
+    document: &EnvironmentDocument,
+) -> Vec<Span> {
+    let region = |name: &str| document.zone(name).map(|zone| zone.region.as_str());
+    let own_region = zones.get(own).and_then(|name| region(name));
+    let distance = |(key, name): (ZoneKey, &String)| match region(name) == own_region {
+        _ if key == own => OWN_DISTANCE,
+        true => ZONE_DISTANCE,
+        false => REGION_DISTANCE,
+    };
+    zones.iter().map(distance).collect()
+}
--- /dev/null
+++ b/crates/hibiscushinged/src/control/limits.rs
@@ -0,0 +1,157 @@
+//! Customers' limits: asks of this node and grants of the zone's delegate.
+
+use std::{collections::BTreeMap, rc::Rc};
+
+use admission::{DeskSettings, GrantId, LimitAsk, LimitDesk, LimitGrant, ZonePart};
+use base::{CustomerKey, Incarnation, Moment, Span};
+use document::EnvironmentDocument;
+use protocol::{PeerMessage, WireLimitAsk, WireLimitGrant};
+
+use crate::control::Control;
+
+/// Limits of this node, and of its zone while it is the delegate.
+#[derive(Default)]
+pub(crate) struct LimitDriver {
+    desk: Option<LimitDesk>,
+    parts: BTreeMap<CustomerKey, ZonePart>,
+    zone_vms: u32,
+}
+
+pub(crate) fn start(_control: &Rc<Control>) {}
+
+impl Control {
+    /// Takes the limits of a document. The zone's part is fixed by its number of entry VMs, so that
+    /// zones need no exchange.
+    pub(crate) fn apply_limits(&self, now: Moment, document: &EnvironmentDocument) {
+        let zone_vms =
+            document.zone(&self.shared.settings.zone).map_or(0, |zone| zone.entry_vms);
+        let all_vms = document.zones.iter().map(|zone| zone.entry_vms).sum::<u32>().max(1);
+        let view = self.shared.view.load();
+        let mut state = self.state();
+        state.limits.zone_vms = zone_vms;
+        state.limits.parts.clear();
+        for customer in &document.customers {
+            let key = view.customer_key(Some(&customer.name));
+            let limit = u64::from(customer.tokens_per_second);
+            let rate = limit * u64::from(zone_vms) / u64::from(all_vms);
+            let part = ZonePart { rate: u32::try_from(rate).unwrap_or(u32::MAX) };
+            state.limits.parts.insert(key, part);
+        }
+        drop(state);
+        self.update_desk(now);
+    }
+
+    pub(crate) fn tick_limits(self: &Rc<Self>, now: Moment) {
+        self.update_desk(now);
+        let asks = self.shared.desk().limits().asks(now);
+        if asks.is_empty() {
+            return;
+        }
+        let (delegate, is_own) = {
+            let state = self.state();
+            let table = &state.peers.table;
+            let zone = &table.own_identity().zone;
+            let delegate = table.delegate(zone).and_then(|key| table.vm(key));
+            let address = delegate.and_then(|record| record.vm.address.parse().ok());
+            (address, table.is_delegate())
+        };
+        if is_own {
+            let grants = asks.into_iter().filter_map(|ask| {
+                self.state().limits.desk.as_mut().and_then(|desk| desk.ask(now, ask))
+            });
+            for grant in grants.collect::<Vec<_>>() {
+                self.shared.desk().limits().granted(now, grant);
+            }
+            return;
+        }
+        let Some(delegate) = delegate else { return };
+        let view = self.shared.view.load_full();
+        let wire = asks.iter().filter_map(|ask| {
+            Some(WireLimitAsk {
+                node: ask.node.0,
+                customer: String::from(view.customer_name(ask.customer)?),
+                demand: ask.demand,
+                sequence: ask.sequence,
+                held: ask.held.map(|id| (id.desk.0, id.number)),
+            })
+        });
+        let message = PeerMessage::LimitAsk(wire.collect());
+        let control = Rc::clone(self);
+        actix_rt::spawn(async move {
+            let answer = control.ask_peer(delegate, &message).await;
+            let Some(PeerMessage::LimitGrant(grants)) = answer else { return };
+            control.take_grants(grants);
+        });
+    }
+
+    fn take_grants(&self, grants: Vec<WireLimitGrant>) {
+        let (now, view) = (self.now(), self.shared.view.load());
+        for grant in grants {
+            let grant = LimitGrant {
+                node: Incarnation(grant.node),
+                customer: view.customer_key(Some(&grant.customer)),
+                sequence: grant.sequence,
+                id: GrantId { desk: Incarnation(grant.id.0), number: grant.id.1 },
+                rate: grant.rate,
+                period: Span(grant.period_us),
+            };
+            self.shared.desk().limits().granted(now, grant);
+        }
+    }
+
+    /// Answers a peer's asks while this node is the delegate.
+    pub(crate) fn grant_limits(&self, asks: Vec<WireLimitAsk>) -> PeerMessage {
+        let now = self.now();
+        self.update_desk(now);
+        let view = self.shared.view.load();
+        let mut state = self.state();
+        let Some(desk) = state.limits.desk.as_mut() else { return PeerMessage::Missing };
+        let mut grants = Vec::new();
+        for ask in asks {
+            let customer = view.customer_key(Some(&ask.customer));
+            let held = ask
+                .held
+                .map(|(desk, number)| GrantId { desk: Incarnation(desk), number });
+            let granted = desk.ask(now, LimitAsk {
+                node: Incarnation(ask.node),
+                customer,
+                demand: ask.demand,
+                sequence: ask.sequence,
+                held,
+            });
+            let Some(grant) = granted else { continue };
+            grants.push(WireLimitGrant {
+                node: grant.node.0,
+                customer: ask.customer,
+                sequence: grant.sequence,
+                id: (grant.id.desk.0, grant.id.number),
+                rate: grant.rate,
+                period_us: grant.period.0,
+            });
+        }
+        PeerMessage::LimitGrant(grants)
+    }
+
+    /// Opens the desk when this node becomes the delegate, and closes it when it no longer is.
+    fn update_desk(&self, now: Moment) {
+        let mut state = self.state();
+        let state = &mut *state;
+        if !state.peers.table.is_delegate() || state.limits.zone_vms == 0 {
+            state.limits.desk = None;
+            return;
+        }
+        let zone = &state.peers.table.own_identity().zone;
+        let live = state.peers.table.live_in_zone(zone).count();
+        let live = u32::try_from(live).unwrap_or(u32::MAX);
+        let settings = DeskSettings::new(state.limits.zone_vms);
+        let me = self.shared.incarnation;
+        let desk = state
+            .limits
+            .desk
+            .get_or_insert_with(|| LimitDesk::new(me, settings, now, live));
+        desk.set_live_vms(now, live);
+        for (customer, part) in &state.limits.parts {
+            desk.set_part(*customer, *part);
+        }
+    }
+}
--- /dev/null
+++ b/crates/hibiscushinged/src/control/peers.rs
@@ -0,0 +1,317 @@
+//! Membership: heartbeats, zone summaries and messages between daemons.
+
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+use base::{Incarnation, Moment, VmKey};
+use bytes::Bytes;
+use clients::{Outgoing, VmList as _, VmState};
+use configuration::ConfigSnapshot;
+use membership::{
+    BoardSettings, Heartbeat, ListState, ListedVm, PeerAction, PeerBeat, PeerEvent, PeerSettings,
+    PeerState, PeerTable, UpstreamBoard, UpstreamEntry, VmIdentity, ZoneSummary,
+};
+use protocol::{
+    MAX_MESSAGE_BYTES, PeerMessage, WireConfigCopy, WireSnapshot, decode_message, encode_message,
+};
+
+use crate::{
+    clock::wall_now,
+    control::Control,
+    shared::SharedState,
+    telemetry::log_event,
+};
+
+/// Time between two reads of the platform's list of VMs.
+const LIST_PERIOD: Duration = Duration::from_secs(2);
+
+/// Path of messages between daemons. The number changes with incompatible messages.
+pub(crate) const PEER_PATH: &str = "/peer/1";
+
+/// Peers and upstream states as this node knows them.
+pub(crate) struct PeerDriver {
+    pub(crate) table: PeerTable,
+    pub(crate) board: UpstreamBoard,
+    pub(crate) malformed: u64,
+    fetching: bool,
+}
+
+pub(crate) fn start(control: &Rc<Control>) {
+    let control = Rc::clone(control);
+    actix_rt::spawn(async move {
+        loop {
+            control.read_vm_list().await;
+            actix_rt::time::sleep(LIST_PERIOD).await;
+        }
+    });
+}
+
+impl PeerDriver {
+    pub(crate) fn new(shared: &SharedState, now: Moment) -> Self {
+        let settings = &shared.settings;
+        let own = VmIdentity {
+            name: settings.vm_name.clone(),
+            zone: settings.zone.clone(),
+            address: settings.peer.to_string(),
+            generation: u64::try_from(wall_now().0).unwrap_or_default(),
+            incarnation: shared.incarnation,
+        };
+        Self {
+            table: PeerTable::new(PeerSettings::default(), own, now),
+            board: UpstreamBoard::new(BoardSettings::default(), shared.incarnation),
+            malformed: 0,
+            fetching: false,
+        }
+    }
+
+    /// Addresses of all live peers.
+    fn live_addresses(&self) -> Vec<SocketAddr> {
+        let own = self.table.own();
+        let live = self.table.iter().filter(|(key, record)| {
+            *key != own && record.state != PeerState::Gone && !record.vm.address.is_empty()
+        });
+        live.filter_map(|(_, record)| record.vm.address.parse().ok()).collect()
+    }
+
+    pub(crate) fn live_count(&self) -> usize {
+        self.table.iter().filter(|(_, record)| record.state == PeerState::Live).count()
+    }
+}
+
+impl Control {
+    pub(crate) fn tick_peers(self: &Rc<Self>, now: Moment) {
+        let due = self.state().peers.table.next_deadline() <= now;
+        if due {
+            self.peer_event(PeerEvent::Tick);
+        }
+        let urgent = self.state().peers.board.urgent(now);
+        if !urgent.is_empty() {
+            self.send_urgent(urgent);
+        }
+    }
+
+    async fn read_vm_list(self: &Rc<Self>) {
+        let Ok(vms) = self.platform.vms().await else { return };
+        let listed = vms.into_iter().map(|vm| ListedVm {
+            name: vm.name,
+            zone: vm.zone,
+            address: vm.address.to_string(),
+            state: match vm.state {
+                VmState::Live => ListState::Live,
+                VmState::Leaving => ListState::Leaving,
+            },
+        });
+        self.peer_event(PeerEvent::ListRead(listed.collect()));
+    }
+
+    fn peer_event(self: &Rc<Self>, event: PeerEvent) {
+        let now = self.now();
+        let actions = self.state().peers.table.handle(now, event);
+        for action in actions {
+            match action {
+                PeerAction::SendHeartbeat { to, beat } => self.send_heartbeat(now, to, beat),
+                PeerAction::SendSummary { to, beat } => self.send_summary(now, to, beat),
+                PeerAction::Changed { vm, state } => self.peer_changed(now, vm, state),
+                PeerAction::Replaced { incarnation, .. } => {
+                    self.usage_peer_gone(now, incarnation);
+                }
+            }
+        }
+        let live = self.state().peers.live_count();
+        self.shared.desk().set_live_nodes(live);
+    }
+
+    fn peer_changed(self: &Rc<Self>, now: Moment, vm: VmKey, state: PeerState) {
+        let found = {
+            let state = self.state();
+            state.peers.table.vm(vm).map(|record| record.vm.clone())
+        };
+        let Some(identity) = found else { return };
+        match state {
+            PeerState::Live => log_event!(PeerRecovered, vm = identity.name),
+            PeerState::Suspect => log_event!(warn, PeerSuspected, vm = identity.name),
+            PeerState::Gone => {
+                log_event!(warn, PeerSuspected, vm = identity.name, gone = true);
+                self.usage_peer_gone(now, identity.incarnation);
+            }
+        }
+    }
+
+    fn send_heartbeat(self: &Rc<Self>, now: Moment, to: VmKey, beat: PeerBeat) {
+        let (address, heartbeat) = {
+            let mut state = self.state();
+            let heartbeat = Heartbeat {
+                beat,
+                config_version: state.config.version().0,
+                contact_age: state.config.contact_age(now),
+                upstreams: state.peers.board.delta(now),
+            };
+            (state.peers.address(to), heartbeat)
+        };
+        self.tell_peer(address, PeerMessage::Heartbeat((&heartbeat).into()));
+    }
+
+    fn send_summary(self: &Rc<Self>, now: Moment, to: VmKey, beat: PeerBeat) {
+        let (address, summary) = {
+            let mut state = self.state();
+            let state = &mut *state;
+            let own_zone = &state.peers.table.own_identity().zone;
+            let full = state.peers.board.full(now);
+            let upstreams =
+                full.into_iter().filter(|entry| state.watch.is_in_zone(&entry.upstream, own_zone));
+            let summary = ZoneSummary {
+                beat,
+                config_version: state.config.version().0,
+                upstreams: upstreams.collect(),
+            };
+            (state.peers.address(to), summary)
+        };
+        self.tell_peer(address, PeerMessage::Summary((&summary).into()));
+    }
+
+    /// Sends changes that must not wait for the next heartbeat to all peers of the zone, and to the
+    /// delegates of the others.
+    fn send_urgent(self: &Rc<Self>, upstreams: Vec<UpstreamEntry>) {
+        let now = self.now();
+        let (heartbeat, addresses) = {
+            let state = self.state();
+            let heartbeat = Heartbeat {
+                beat: state.peers.table.bare_beat(),
+                config_version: state.config.version().0,
+                contact_age: state.config.contact_age(now),
+                upstreams,
+            };
+            (heartbeat, state.peers.live_addresses())
+        };
+        let message = PeerMessage::Heartbeat((&heartbeat).into());
+        for address in addresses {
+            self.tell_peer(Some(address), message.clone());
+        }
+    }
+
+    /// Answers a message of a peer.
+    pub(crate) fn peer_message(self: &Rc<Self>, body: &[u8]) -> PeerMessage {
+        let message = match decode_message::<PeerMessage>(body) {
+            Ok(message) => message,
+            Err(error) => {
+                log_event!(warn, PeerMessageRefused, %error);
+                self.state().peers.malformed += 1;
+                return PeerMessage::Missing;
+            }
+        };
+        match message {
+            PeerMessage::Heartbeat(wire) => self.heartbeat(wire.into()),
+            PeerMessage::Summary(wire) => self.summary(wire.into()),
+            PeerMessage::ConfigFetch => return self.config_copy(),
+            PeerMessage::BatchHold(hold) => return self.hold_batch(hold),
+            PeerMessage::LimitAsk(asks) => return self.grant_limits(asks),
+            PeerMessage::Suspicions { notes, verdicts, reserved, released } => {
+                self.hear_suspicions(notes, verdicts, reserved, released);
+            }
+            PeerMessage::SampleCopy(_)
+            | PeerMessage::SampleFetch(_)
+            | PeerMessage::ConfigCopy(_)
+            | PeerMessage::LimitGrant(_)
+            | PeerMessage::Done(_)
+            | PeerMessage::Missing => return PeerMessage::Missing,
+        }
+        PeerMessage::Done(self.shared.incarnation.0)
+    }
+
+    fn heartbeat(self: &Rc<Self>, heartbeat: Heartbeat) {
+        let now = self.now();
+        self.state().config.note_relayed(now, heartbeat.contact_age);
+        self.heard(now, heartbeat.beat, heartbeat.config_version, heartbeat.upstreams);
+    }
+
+    fn summary(self: &Rc<Self>, summary: ZoneSummary) {
+        let now = self.now();
+        self.state().config.note_contact(now);
+        self.heard(now, summary.beat, summary.config_version, summary.upstreams);
+    }
+
+    fn heard(
+        self: &Rc<Self>,
+        now: Moment,
+        beat: PeerBeat,
+        config_version: u64,
+        upstreams: Vec<UpstreamEntry>,
+    ) {
+        let address = beat.from.address.parse::<SocketAddr>().ok();
+        self.peer_event(PeerEvent::BeatReceived(beat));
+        for entry in upstreams {
+            let name = entry.upstream.clone();
+            if self.state().peers.board.learned(now, entry) {
+                self.apply_board(now, &name);
+            }
+        }
+        let behind = config_version > self.state().config.version().0;
+        if let Some(address) = address.filter(|_| behind) {
+            self.fetch_config(address);
+        }
+    }
+
+    /// Fetches the documents of a peer that has a higher version.
+    fn fetch_config(self: &Rc<Self>, address: SocketAddr) {
+        if std::mem::replace(&mut self.state().peers.fetching, true) {
+            return;
+        }
+        let control = Rc::clone(self);
+        actix_rt::spawn(async move {
+            let answer = control.ask_peer(address, &PeerMessage::ConfigFetch).await;
+            control.state().peers.fetching = false;
+            let Some(PeerMessage::ConfigCopy(copy)) = answer else { return };
+            let snapshot = copy.snapshot.map(ConfigSnapshot::from);
+            control.adopt_config(snapshot.as_ref(), &ConfigSnapshot::from(copy.in_force));
+        });
+    }
+
+    fn config_copy(&self) -> PeerMessage {
+        let state = self.state();
+        PeerMessage::ConfigCopy(WireConfigCopy {
+            snapshot: state.config.history.snapshot().map(WireSnapshot::from),
+            in_force: (&state.config.in_force()).into(),
+        })
+    }
+
+    pub(crate) fn tell_all_peers(self: &Rc<Self>, message: &PeerMessage) {
+        let addresses = self.state().peers.live_addresses();
+        for address in addresses {
+            self.tell_peer(Some(address), message.clone());
+        }
+    }
+
+    fn tell_peer(self: &Rc<Self>, address: Option<SocketAddr>, message: PeerMessage) {
+        let Some(address) = address else { return };
+        let control = Rc::clone(self);
+        actix_rt::spawn(async move {
+            control.ask_peer(address, &message).await;
+        });
+    }
+
+    /// Sends a message and returns the answer, or `None` when none came.
+    pub(crate) async fn ask_peer(
+        &self,
+        address: SocketAddr,
+        message: &PeerMessage,
+    ) -> Option<PeerMessage> {
+        let outgoing = Outgoing::post(address, PEER_PATH, Bytes::from(encode_message(message)));
+        let timeout = self.shared.settings.timeouts.peer;
+        let answer = self.http.exchange(outgoing, timeout, MAX_MESSAGE_BYTES).await.ok()?;
+        decode_message(&answer.success().ok()?.body).ok()
+    }
+
+    /// Names of live VMs of the own zone, and whether a process is known to be gone.
+    pub(crate) fn is_gone(&self, incarnation: Incarnation) -> bool {
+        let state = self.state();
+        let mut records = state.peers.table.iter();
+        !records.any(|(_, record)| {
+            record.vm.incarnation == incarnation && record.state != PeerState::Gone
+        })
+    }
+}
+
+impl PeerDriver {
+    fn address(&self, vm: VmKey) -> Option<SocketAddr> {
+        self.table.vm(vm)?.vm.address.parse().ok()
+    }
+}
--- /dev/null
+++ b/crates/hibiscushinged/src/control/server.rs
@@ -0,0 +1,102 @@
+//! Servers for peers and operators, on the control thread.
+
+use std::{convert::Infallible, future::Future, net::TcpListener, rc::Rc};
+
+use actix_http::{HttpService, Method, Request, Response, StatusCode, body::BoxBody};
+use actix_service::{Service as _, ServiceFactory as _};
+use bytes::Bytes;
+use protocol::{MAX_MESSAGE_BYTES, PeerMessage, encode_message};
+use serde_json::json;
+
+use crate::{
+    control::{Control, peers::PEER_PATH},
+    input::AdminAsk,
+    shared::ServicePhase,
+    traffic::{answer, request},
+};
+
+pub(crate) async fn serve_peers(control: Rc<Control>, listener: TcpListener) {
+    serve(listener, move |request| {
+        let control = Rc::clone(&control);
+        async move { peer(&control, request).await }
+    })
+    .await;
+}
+
+pub(crate) async fn serve_admin(control: Rc<Control>, listener: TcpListener) {
+    serve(listener, move |request| {
+        let control = Rc::clone(&control);
+        async move { admin(&control, &request) }
+    })
+    .await;
+}
+
+/// Accepts connections on the current thread for good.
+async fn serve<F, A>(listener: TcpListener, handler: F)
+where
+    F: Fn(Request) -> A + Clone + 'static,
+    A: Future<Output = Response<BoxBody>> + 'static,
+{
+    let listener =
+        tokio::net::TcpListener::from_std(listener).expect("the listener was made non-blocking");
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            // Out of file descriptors, usually. Waiting lets running requests free some.
+            actix_rt::time::sleep(std::time::Duration::from_millis(10)).await;
+            continue;
+        };
+        let handler = handler.clone();
+        actix_rt::spawn(async move {
+            let factory = HttpService::build()
+                .finish(move |request| {
+                    let answer = handler(request);
+                    async move { Ok::<_, Infallible>(answer.await) }
+                })
+                .tcp();
+            if let Ok(service) = factory.new_service(()).await {
+                // A broken connection ends the exchange; the peer repeats what matters.
+                let _ = service.call(stream).await;
+            }
+        });
+    }
+}
+
+async fn peer(control: &Rc<Control>, mut request: Request) -> Response<BoxBody> {
+    if request.path() != PEER_PATH || *request.method() != Method::POST {
+        return Response::with_body(StatusCode::NOT_FOUND, BoxBody::new(Bytes::new()));
+    }
+    let message = match request::body(&mut request, MAX_MESSAGE_BYTES).await {
+        Ok(body) => control.peer_message(&body),
+        Err(_) => PeerMessage::Missing,
+    };
+    let body = Bytes::from(encode_message(&message));
+    answer::with_body(StatusCode::OK, "application/msgpack", body)
+}
+
+fn admin(control: &Rc<Control>, request: &Request) -> Response<BoxBody> {
+    let ask = match request.path() {
+        "/admin/ready" => return ready(control),
+        "/admin/status" => AdminAsk::Status,
+        "/admin/usage" => AdminAsk::Usage,
+        "/admin/explain" => {
+            let query = request.uri().query().unwrap_or("");
+            let id = query.strip_prefix("id=").unwrap_or("");
+            AdminAsk::Explain(String::from(id))
+        }
+        path => {
+            let message = format!("path \"{path}\" does not exist");
+            return answer::json_body(StatusCode::NOT_FOUND, &json!({ "error": message }));
+        }
+    };
+    answer::json_body(StatusCode::OK, &control.admin(ask))
+}
+
+/// Tells the balancer whether to send new requests here.
+fn ready(control: &Rc<Control>) -> Response<BoxBody> {
+    let (status, phase) = match control.shared.phase() {
+        ServicePhase::Serving => (StatusCode::OK, "serving"),
+        ServicePhase::Starting => (StatusCode::SERVICE_UNAVAILABLE, "starting"),
+        ServicePhase::Draining => (StatusCode::SERVICE_UNAVAILABLE, "draining"),
+    };
+    answer::json_body(status, &json!({ "phase": phase }))
+}
--- /dev/null
+++ b/crates/hibiscushinged/src/control/suspects.rs
@@ -0,0 +1,153 @@
+//! Spread of suspicions and convictions, and detection of crashed upstreams.
+
+use std::rc::Rc;
+
+use base::{Incarnation, UpstreamKey};
+use clients::{EngineControl as _, Outgoing};
+use delivery::{Fingerprint, IsolationNotice, SuspectAction, SuspectEvent, SuspectNote, Verdict};
+use document::ServiceKind;
+use protocol::{PeerMessage, WireIsolation, WireSuspicion, WireVerdict};
+use routing::UpstreamState;
+
+use crate::{
+    clock::wall_now,
+    control::{
+        Control,
+        follow::{StreamEvent, follow},
+    },
+    telemetry::log_event,
+};
+
+const VERDICT_STREAM: &str = "verdicts";
+
+pub(crate) fn start(control: &Rc<Control>) {
+    follow::<Verdict>(control, String::from(VERDICT_STREAM), |control, event| {
+        if let StreamEvent::Record { record, .. } = event {
+            control.suspect_event(SuspectEvent::VerdictHeard(record));
+        }
+    });
+}
+
+impl Control {
+    pub(crate) fn suspect_event(self: &Rc<Self>, event: SuspectEvent) {
+        let now = self.now();
+        let actions = self.shared.desk().suspect(now, wall_now(), event);
+        self.spread(actions);
+    }
+
+    /// Finds out whether an upstream whose exchange broke off has crashed.
+    pub(crate) async fn check_crash(
+        self: &Rc<Self>,
+        upstream: UpstreamKey,
+        fingerprint: Fingerprint,
+    ) {
+        if self.answers(upstream).await {
+            self.suspect_event(SuspectEvent::Finished { upstream, fingerprint });
+            return;
+        }
+        let name = self.upstream_name(upstream);
+        log_event!(warn, SuspectMarked, upstream = name, fingerprint = ?fingerprint);
+        self.shared.desk().set_state(upstream, UpstreamState::Down);
+        self.suspect_event(SuspectEvent::Crashed(upstream));
+    }
+
+    /// Tells whether an upstream takes connections and answers.
+    async fn answers(&self, upstream: UpstreamKey) -> bool {
+        let view = self.shared.view.load_full();
+        let Some(target) = view.upstreams.get(upstream) else { return false };
+        let is_model = {
+            let state = self.state();
+            let document = state.config.document.as_ref();
+            let service = document.and_then(|document| document.service(&target.service));
+            service.is_some_and(|service| service.kind == ServiceKind::Model)
+        };
+        if is_model {
+            return self.engines.report(target.address).await.is_ok();
+        }
+        let timeout = self.shared.settings.timeouts.engine_control;
+        let probe = Outgoing::get(target.address, "/health");
+        self.http.exchange(probe, timeout, 1 << 16).await.is_ok()
+    }
+
+    /// Makes convictions known through the log and everything else through peers.
+    pub(crate) fn spread(self: &Rc<Self>, actions: Vec<SuspectAction>) {
+        let (mut notes, mut verdicts) = (Vec::new(), Vec::new());
+        let (mut reserved, mut released) = (Vec::new(), Vec::new());
+        for action in actions {
+            match action {
+                SuspectAction::SpreadNote(note) => notes.push(self.wire_note(&note)),
+                SuspectAction::Convict(verdict) => {
+                    log_event!(
+                        warn,
+                        FingerprintConvicted,
+                        fingerprint = ?verdict.fingerprint,
+                        expires_at_ms = verdict.expires_at.0
+                    );
+                    verdicts.push(WireVerdict::from(&verdict));
+                    // Peers hear it as well, so an unreachable log only delays distant zones.
+                    let _ = self.append(VERDICT_STREAM, &verdict);
+                }
+                SuspectAction::Reserve(notice) => reserved.push(self.wire_isolation(&notice)),
+                SuspectAction::Release(notice) => released.push(self.wire_isolation(&notice)),
+                SuspectAction::RunIsolated { .. } | SuspectAction::Refuse { .. } => {}
+            }
+        }
+        let counts = [notes.len(), verdicts.len(), reserved.len(), released.len()];
+        if counts.iter().all(|count| *count == 0) {
+            return;
+        }
+        self.tell_all_peers(&PeerMessage::Suspicions { notes, verdicts, reserved, released });
+    }
+
+    /// Takes in what a peer spreads.
+    pub(crate) fn hear_suspicions(
+        self: &Rc<Self>,
+        notes: Vec<WireSuspicion>,
+        verdicts: Vec<WireVerdict>,
+        reserved: Vec<WireIsolation>,
+        released: Vec<WireIsolation>,
+    ) {
+        let view = self.shared.view.load_full();
+        for note in notes {
+            let (fingerprint, expires_at) = note.subject();
+            let crashed = note.crashed.iter().filter_map(|name| view.upstream_key(name));
+            let note = SuspectNote { fingerprint, crashed: crashed.collect(), expires_at };
+            self.suspect_event(SuspectEvent::NoteHeard(note));
+        }
+        for verdict in verdicts {
+            self.suspect_event(SuspectEvent::VerdictHeard(verdict.into()));
+        }
+        let notice = |wire: &WireIsolation| {
+            let upstream = view.upstream_key(&wire.upstream)?;
+            let (node, fingerprint) = (Incarnation(wire.node), Fingerprint(wire.fingerprint));
+            Some(IsolationNotice { node, upstream, fingerprint })
+        };
+        for notice in reserved.iter().filter_map(notice) {
+            self.suspect_event(SuspectEvent::IsolationHeard(notice));
+        }
+        for notice in released.iter().filter_map(notice) {
+            self.suspect_event(SuspectEvent::IsolationEnded(notice));
+        }
+    }
+
+    fn wire_note(&self, note: &SuspectNote) -> WireSuspicion {
+        WireSuspicion {
+            fingerprint: note.fingerprint.0,
+            crashed: note.crashed.iter().map(|key| self.upstream_name(*key)).collect(),
+            expires_at_ms: note.expires_at.0,
+        }
+    }
+
+    fn wire_isolation(&self, notice: &IsolationNotice) -> WireIsolation {
+        WireIsolation {
+            node: notice.node.0,
+            upstream: self.upstream_name(notice.upstream),
+            fingerprint: notice.fingerprint.0,
+        }
+    }
+
+    pub(crate) fn upstream_name(&self, upstream: UpstreamKey) -> String {
+        let view = self.shared.view.load();
+        view.upstreams.get(upstream).map(|target| target.name.clone()).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/hibiscushinged/src/control/usage.rs
@@ -0,0 +1,321 @@
+//! Usage: metering, replicas of batches, windows and their reports.
+
+use std::rc::Rc;
+
+use authority::Scope;
+use base::{FencingNumber, Incarnation, LogOffset, Moment, RecordId, Span};
+use clients::{CustomerFigures, ReportOutcome, UsageReport, UsageSink as _};
+use protocol::{PeerMessage, UsageEntry, WireBatchHold};
+use usage::{
+    HoldOutcome, LedgerOutcome, LedgerSnapshot, OriginState, PendingBatches, ReplicaStore,
+    ReportAnswer, ReportDesk, UsageBatch, UsageFigures, UsageLedger, UsageMeter, UsageRecord,
+    WindowClose, WindowNumber, WindowReport,
+};
+
+use crate::{
+    clock::wall_now,
+    control::{
+        Control,
+        follow::{StreamEvent, follow},
+    },
+    telemetry::log_event,
+};
+
+pub(crate) const USAGE_STREAM: &str = "usage";
+
+/// Batches held for other nodes. At one batch in 5 s from each of a few nodes this covers an hour of
+/// log outage.
+const REPLICA_CAPACITY: usize = 4_096;
+
+/// Wait before an unanswered hold request, append or report is repeated.
+const RETRY: Span = Span::from_secs(2);
+
+/// How long a window that could not be restored after a gap is waited for before the holder starts
+/// afresh.
+const RESTORE_WAIT: Span = Span::from_secs(30);
+
+/// Usage state of this node.
+pub(crate) struct UsageDriver {
+    meter: UsageMeter,
+    pub(crate) pending: PendingBatches,
+    replicas: ReplicaStore,
+    pub(crate) ledger: UsageLedger,
+    reports: ReportDesk,
+    closing: Option<WindowNumber>,
+    awaits_since: Option<Moment>,
+    carry_tried: Option<Moment>,
+}
+
+pub(crate) fn start(control: &Rc<Control>) {
+    follow::<UsageEntry>(control, String::from(USAGE_STREAM), Control::on_usage);
+}
+
+impl UsageDriver {
+    pub(crate) fn new() -> Self {
+        Self {
+            meter: UsageMeter::new(UsageMeter::DEFAULT_PERIOD),
+            pending: PendingBatches::new(RETRY),
+            replicas: ReplicaStore::new(REPLICA_CAPACITY, RETRY),
+            ledger: UsageLedger::new(),
+            reports: ReportDesk::new(RETRY),
+            closing: None,
+            awaits_since: None,
+            carry_tried: None,
+        }
+    }
+}
+
+impl Control {
+    /// Adds the usage of finished requests.
+    pub(crate) fn metered(&self, figures: &UsageFigures) {
+        let now = self.now();
+        let mut state = self.state();
+        for (customer, amount) in &figures.0 {
+            // A sum beyond 64 bits is impossible within one batch of 5 s.
+            state.usage.meter.record(now, customer, *amount).expect("a batch fits in 64 bits");
+        }
+    }
+
+    fn on_usage(self: &Rc<Self>, event: StreamEvent<UsageEntry>) {
+        match event {
+            StreamEvent::ReadingFrom(offset) => {
+                self.lease_reading_from(&Scope::Usage, offset);
+                self.state().usage.ledger.note_retention(offset);
+            }
+            StreamEvent::Retained(offset) => self.state().usage.ledger.note_retention(offset),
+            StreamEvent::Record { offset, record: UsageEntry::Lease(record), .. } => {
+                self.lease_record(&Scope::Usage, offset, &record);
+            }
+            StreamEvent::Record { offset, id, record: UsageEntry::Usage(record), .. } => {
+                self.usage_record(offset, id, &record);
+            }
+        }
+    }
+
+    fn usage_record(&self, offset: LogOffset, id: RecordId, record: &UsageRecord) {
+        let mut state = self.state();
+        let scope = state.scopes.iter().find(|driver| driver.scope == Scope::Usage);
+        let valid = scope.and_then(|driver| driver.keeper.claim_in_force());
+        let usage = &mut state.usage;
+        let outcome = usage.ledger.apply(offset, record, valid);
+        if let UsageRecord::Batch(batch) = record {
+            usage.pending.seen_in_log(batch.id);
+            usage.replicas.seen_in_log(batch.id);
+            log_event!(UsageBatchAppended, record = ?id, offset = offset.0);
+        }
+        match outcome {
+            LedgerOutcome::Closed(window) => {
+                usage.closing = None;
+                log_event!(UsageWindowClosed, window = window.0, offset = offset.0);
+            }
+            LedgerOutcome::Reported(window) => {
+                log_event!(UsageWindowReported, window = window.0);
+            }
+            LedgerOutcome::Restored(_) => usage.awaits_since = None,
+            LedgerOutcome::Counted | LedgerOutcome::Ignored(_) => {}
+        }
+    }
+
+    pub(crate) fn tick_usage(self: &Rc<Self>, now: Moment) {
+        self.cut_batch(now);
+        self.hold_batches(now);
+        self.append_replicas(now);
+        let Some(fencing) = self.fencing(&Scope::Usage, now) else {
+            self.state().usage.closing = None;
+            return;
+        };
+        self.close_window(fencing);
+        self.carry_ledger(now, fencing);
+        self.report_window(now, fencing);
+    }
+
+    fn cut_batch(self: &Rc<Self>, now: Moment) {
+        let batch = {
+            let mut state = self.state();
+            let state = &mut *state;
+            let (usage, writer) = (&mut state.usage, &mut state.writer);
+            usage.meter.poll(now, || writer.next_id())
+        };
+        self.append_batch(now, batch);
+    }
+
+    /// Appends what was metered so far at once.
+    pub(crate) fn flush_usage(self: &Rc<Self>, now: Moment) {
+        let batch = {
+            let mut state = self.state();
+            let state = &mut *state;
+            let (usage, writer) = (&mut state.usage, &mut state.writer);
+            usage.meter.cut(|| writer.next_id())
+        };
+        self.append_batch(now, batch);
+    }
+
+    fn append_batch(self: &Rc<Self>, now: Moment, batch: Option<UsageBatch>) {
+        let Some(batch) = batch else { return };
+        self.state().usage.pending.add(now, batch.clone());
+        let id = batch.id;
+        let entry = UsageEntry::Usage(UsageRecord::Batch(batch.clone()));
+        if self.append_as(USAGE_STREAM, id, &entry).is_err() {
+            // The replica store repeats the append until the buffer has room.
+            self.state().usage.replicas.hold(now, batch, OriginState::Gone);
+        }
+    }
+
+    /// Sends batches that the log does not show yet to the replica holder.
+    fn hold_batches(self: &Rc<Self>, now: Moment) {
+        let (batches, holder, own) = {
+            let mut state = self.state();
+            let batches = state.usage.pending.poll(now);
+            let table = &state.peers.table;
+            let holder = table.replica_holder().and_then(|key| table.vm(key));
+            let address = holder.and_then(|record| record.vm.address.parse().ok());
+            (batches, address, table.own_identity().clone())
+        };
+        let Some(holder) = holder else { return };
+        for batch in batches {
+            let id = batch.id;
+            let hold = WireBatchHold { from: (&own).into(), batch: (&batch).into() };
+            let control = Rc::clone(self);
+            actix_rt::spawn(async move {
+                let answer = control.ask_peer(holder, &PeerMessage::BatchHold(hold)).await;
+                if let Some(PeerMessage::Done(incarnation)) = answer {
+                    control.state().usage.pending.held(id, Incarnation(incarnation));
+                }
+            });
+        }
+    }
+
+    /// Holds a batch for another node.
+    pub(crate) fn hold_batch(&self, hold: WireBatchHold) -> PeerMessage {
+        let now = self.now();
+        let batch = UsageBatch::from(hold.batch);
+        let outcome = self.state().usage.replicas.hold(now, batch, OriginState::Live);
+        match outcome {
+            HoldOutcome::Held => PeerMessage::Done(self.shared.incarnation.0),
+            HoldOutcome::Full => PeerMessage::Missing,
+        }
+    }
+
+    /// Takes over the batches of a process that is gone.
+    pub(crate) fn usage_peer_gone(&self, now: Moment, incarnation: Incarnation) {
+        let mut state = self.state();
+        state.usage.replicas.origin_gone(now, incarnation);
+        state.usage.pending.holder_lost(now, incarnation);
+    }
+
+    fn append_replicas(self: &Rc<Self>, now: Moment) {
+        let due = self.state().usage.replicas.poll(now);
+        for batch in due {
+            let id = batch.id;
+            let entry = UsageEntry::Usage(UsageRecord::Batch(batch));
+            // A full buffer is reported by `append_as`; the store repeats the append.
+            let _ = self.append_as(USAGE_STREAM, id, &entry);
+        }
+    }
+
+    fn close_window(self: &Rc<Self>, fencing: FencingNumber) {
+        let due = {
+            let mut state = self.state();
+            let Some(document) = &state.config.document else { return };
+            let current = current_window(document.usage_window);
+            let due = state.usage.ledger.close_due(current);
+            if due.is_none() || due == state.usage.closing {
+                return;
+            }
+            state.usage.closing = due;
+            due
+        };
+        let Some(window) = due else { return };
+        let record = UsageRecord::Close(WindowClose { window, fencing });
+        if self.append(USAGE_STREAM, &UsageEntry::Usage(record)).is_err() {
+            self.state().usage.closing = None;
+        }
+    }
+
+    fn carry_ledger(self: &Rc<Self>, now: Moment, fencing: FencingNumber) {
+        let snapshot = {
+            let mut state = self.state();
+            let usage = &mut state.usage;
+            if usage.carry_tried.is_some_and(|at| now.since(at) < RETRY) {
+                return;
+            }
+            let snapshot = match usage.ledger.next_offset() {
+                Some(_) if usage.ledger.carry_due() => usage.ledger.snapshot(),
+                Some(_) => None,
+                None => usage.fresh_snapshot(now),
+            };
+            if snapshot.is_some() {
+                usage.carry_tried = Some(now);
+            }
+            snapshot
+        };
+        let Some(snapshot) = snapshot else { return };
+        let record = UsageRecord::Carry { snapshot: Box::new(snapshot), fencing };
+        let _ = self.append(USAGE_STREAM, &UsageEntry::Usage(record));
+    }
+
+    fn report_window(self: &Rc<Self>, now: Moment, fencing: FencingNumber) {
+        let report = {
+            let mut state = self.state();
+            let usage = &mut state.usage;
+            usage.reports.poll(now, &usage.ledger, fencing)
+        };
+        let Some(report) = report else { return };
+        let control = Rc::clone(self);
+        actix_rt::spawn(async move { control.send_report(report).await });
+    }
+
+    async fn send_report(self: Rc<Self>, report: WindowReport) {
+        let window = report.window;
+        let answer = match self.holds(&Scope::Usage, self.now()) {
+            // The lease has ended since the report was built.
+            false => ReportAnswer::Lost,
+            true => match self.platform.report_usage(&wire_report(&report)).await {
+                Ok(ReportOutcome::Accepted) => ReportAnswer::Accepted,
+                Ok(ReportOutcome::Conflict) => {
+                    tracing::error!(window = window.0, "the platform has other figures");
+                    ReportAnswer::Conflict
+                }
+                Err(_) => ReportAnswer::Lost,
+            },
+        };
+        let now = self.now();
+        let reported = self.state().usage.reports.answer(now, answer);
+        if let Some(reported) = reported {
+            let record = UsageRecord::Reported(reported);
+            let _ = self.append(USAGE_STREAM, &UsageEntry::Usage(record));
+        }
+    }
+}
+
+impl UsageDriver {
+    /// Returns a fresh state once no other node has offered one for a while after a gap.
+    fn fresh_snapshot(&mut self, now: Moment) -> Option<LedgerSnapshot> {
+        let since = *self.awaits_since.get_or_insert(now);
+        if now.since(since) < RESTORE_WAIT {
+            return None;
+        }
+        self.ledger.awaited_offset().map(LedgerSnapshot::empty)
+    }
+}
+
+fn current_window(length: Span) -> WindowNumber {
+    let millis = u64::try_from(wall_now().0).unwrap_or_default();
+    WindowNumber(millis / length.as_millis().max(1))
+}
+
+fn wire_report(report: &WindowReport) -> UsageReport {
+    let figures = report.figures.0.iter().map(|(customer, amount)| {
+        let figures = CustomerFigures {
+            requests: amount.requests,
+            prompt_tokens: amount.prompt_tokens,
+            generated_tokens: amount.generated_tokens,
+        };
+        (customer.clone(), figures)
+    });
+    UsageReport {
+        window: report.window.0,
+        fencing: report.fencing,
+        figures: figures.collect(),
+    }
+}
--- /dev/null
+++ b/crates/hibiscushinged/src/control/watch.rs
@@ -0,0 +1,268 @@
+//! Knowledge of upstreams: the platform's list, the watch of load reports, and what follows for
+//! routing.
+
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+
+use base::{Moment, WeightVersion};
+use clients::{EngineControl as _, Outgoing, UpstreamInfo, UpstreamOrders as _, UpstreamState};
+use document::{DaemonSettings, EnvironmentDocument, ServiceKind};
+use membership::{
+    LeavingCause, LoadReport, UpstreamPhase, WatchPlan, stable_hash,
+};
+use routing::{LoadSample, UpstreamPrice};
+
+use crate::{
+    clock::wall_now,
+    control::Control,
+    telemetry::log_event,
+    view::{RoutingView, UpstreamTarget},
+};
+
+/// Time between two reads of the platform's list of upstreams.
+const LIST_PERIOD: Duration = Duration::from_secs(1);
+
+/// Time between two load reports of a watched upstream.
+const WATCH_PERIOD: Duration = Duration::from_millis(500);
+
+/// Upstreams that this node knows and watches.
+pub(crate) struct WatchDriver {
+    plan: WatchPlan,
+    zones: BTreeMap<String, String>,
+}
+
+pub(crate) fn start(control: &Rc<Control>) {
+    let lister = Rc::clone(control);
+    actix_rt::spawn(async move {
+        loop {
+            lister.read_upstreams().await;
+            actix_rt::time::sleep(LIST_PERIOD).await;
+        }
+    });
+    let watcher = Rc::clone(control);
+    actix_rt::spawn(async move {
+        loop {
+            watcher.watch();
+            actix_rt::time::sleep(WATCH_PERIOD).await;
+        }
+    });
+}
+
+impl WatchDriver {
+    pub(crate) fn new(settings: &DaemonSettings) -> Self {
+        Self { plan: WatchPlan::new(settings.vm_name.clone()), zones: BTreeMap::new() }
+    }
+
+    pub(crate) fn is_in_zone(&self, upstream: &str, zone: &str) -> bool {
+        self.zones.get(upstream).is_some_and(|found| found == zone)
+    }
+}
+
+impl Control {
+    /// Adds the upstreams that a document names by address.
+    pub(crate) fn apply_static_upstreams(self: &Rc<Self>, document: &EnvironmentDocument) {
+        for pool in &document.pools {
+            for address in &pool.addresses {
+                let info = UpstreamInfo {
+                    name: address.to_string(),
+                    zone: pool.zone.clone(),
+                    service: pool.service.clone(),
+                    address: *address,
+                    state: UpstreamState::Running,
+                    cheap: pool.cheap,
+                };
+                self.learn_upstream(&info);
+            }
+        }
+    }
+
+    async fn read_upstreams(self: &Rc<Self>) {
+        let Ok(listed) = self.platform.upstreams().await else { return };
+        if self.state().config.document.is_none() {
+            return;
+        }
+        for info in &listed {
+            match info.state {
+                // Its watcher finds out when it takes work; until then it is not known.
+                UpstreamState::Starting => {}
+                UpstreamState::Running => self.learn_upstream(info),
+                UpstreamState::Leaving => {
+                    self.learn_upstream(info);
+                    self.mark_leaving(&info.name, LeavingCause::OrderIntended);
+                }
+            }
+        }
+        let Ok(reclaims) = self.platform.reclaims().await else { return };
+        for notice in reclaims {
+            self.reclaim_noticed(&notice.zone);
+        }
+    }
+
+    /// Adds an upstream to the routing view and the traffic state.
+    fn learn_upstream(self: &Rc<Self>, info: &UpstreamInfo) {
+        let view = self.shared.view.load();
+        if view.upstream_key(&info.name).is_some() {
+            return;
+        }
+        let mut changed = RoutingView::clone(&view);
+        let price = if info.cheap { UpstreamPrice::Cheap } else { UpstreamPrice::Regular };
+        let zone = {
+            let mut state = self.state();
+            state.watch.zones.insert(info.name.clone(), info.zone.clone());
+            state.config.zone_key(&info.zone)
+        };
+        let key = changed.upstreams.push(UpstreamTarget {
+            name: info.name.clone(),
+            service: info.service.clone(),
+            zone,
+            zone_name: info.zone.clone(),
+            address: info.address,
+            price,
+            version: None,
+        });
+        {
+            let mut desk = self.shared.desk();
+            let node_hash = stable_hash(&info.name);
+            let added =
+                desk.add_upstream(&info.service, routing::UpstreamInfo { node_hash, zone, price });
+            assert_eq!(added, key, "view and desk list upstreams in the same order");
+            // It takes no work until a watcher has seen it answer.
+            desk.set_state(key, routing::UpstreamState::Down);
+        }
+        self.shared.view.store(changed.into());
+        log_event!(UpstreamChanged, upstream = info.name, zone = info.zone, state = "known");
+        self.apply_board(self.now(), &info.name);
+    }
+
+    fn mark_leaving(self: &Rc<Self>, upstream: &str, cause: LeavingCause) {
+        let now = self.now();
+        self.state().peers.board.mark_leaving(now, upstream, cause);
+        self.apply_board(now, upstream);
+    }
+
+    fn reclaim_noticed(self: &Rc<Self>, zone: &str) {
+        let view = self.shared.view.load_full();
+        for (_, target) in view.upstreams.iter() {
+            if target.zone_name != zone || target.price != UpstreamPrice::Cheap {
+                continue;
+            }
+            let known = self.state().peers.board.view(self.now(), &target.name);
+            if known.is_some_and(|known| known.report.phase.is_leaving()) {
+                continue;
+            }
+            log_event!(warn, ReclaimNoticed, upstream = target.name, zone);
+            self.mark_leaving(&target.name, LeavingCause::ReclaimNotice);
+        }
+    }
+
+    /// Asks the watched upstreams for their load.
+    fn watch(self: &Rc<Self>) {
+        let view = self.shared.view.load_full();
+        let watched = {
+            let mut state = self.state();
+            let state = &mut *state;
+            let own_zone = state.peers.table.own_identity().zone.clone();
+            let live = state.peers.table.live_in_zone(&own_zone);
+            let live = live.map(|(_, record)| record.vm.name.as_str()).collect::<Vec<_>>();
+            let names = view.upstreams.iter().filter(|(_, target)| target.zone_name == own_zone);
+            let names = names.map(|(_, target)| target.name.as_str()).collect::<Vec<_>>();
+            state.watch.plan.update(&live, &names);
+            state.watch.plan.watched().map(String::from).collect::<Vec<_>>()
+        };
+        for name in watched {
+            let Some(key) = view.upstream_key(&name) else { continue };
+            let Some(target) = view.upstreams.get(key) else { continue };
+            let (control, target) = (Rc::clone(self), target.clone());
+            actix_rt::spawn(async move { control.probe(&target).await });
+        }
+    }
+
+    async fn probe(self: &Rc<Self>, target: &UpstreamTarget) {
+        let report = match self.kind_of(&target.service) {
+            Some(ServiceKind::Model) => self.probe_engine(target).await,
+            Some(ServiceKind::Plain) => self.probe_plain(target).await,
+            None => return,
+        };
+        let now = self.now();
+        self.state().peers.board.measured(now, &target.name, report);
+        self.apply_board(now, &target.name);
+    }
+
+    async fn probe_engine(&self, target: &UpstreamTarget) -> LoadReport {
+        let Ok(report) = self.engines.report(target.address).await else {
+            return unreachable_report();
+        };
+        LoadReport {
+            running: report.running,
+            queued: report.queued,
+            tokens_per_second: report.tokens_per_second,
+            version: report.version,
+            phase: match report.leaving {
+                true => UpstreamPhase::Leaving(LeavingCause::Reported),
+                false => UpstreamPhase::Serving,
+            },
+        }
+    }
+
+    async fn probe_plain(&self, target: &UpstreamTarget) -> LoadReport {
+        let probe = Outgoing::get(target.address, "/health");
+        let timeout = self.shared.settings.timeouts.engine_control;
+        // Any answer shows that the service takes calls.
+        match self.http.exchange(probe, timeout, 1 << 16).await {
+            Ok(_) => LoadReport { phase: UpstreamPhase::Serving, ..unreachable_report() },
+            Err(_) => unreachable_report(),
+        }
+    }
+
+    fn kind_of(&self, service: &str) -> Option<ServiceKind> {
+        let state = self.state();
+        let document = state.config.document.as_ref()?;
+        document.service(service).map(|service| service.kind)
+    }
+
+    /// Applies what the board says of an upstream to routing.
+    pub(crate) fn apply_board(self: &Rc<Self>, now: Moment, upstream: &str) {
+        let Some(found) = self.state().peers.board.view(now, upstream) else { return };
+        let view = self.shared.view.load();
+        let Some(key) = view.upstream_key(upstream) else { return };
+        let report = found.report;
+        let state = match report.phase {
+            UpstreamPhase::Serving => routing::UpstreamState::Up,
+            UpstreamPhase::Leaving(_) => routing::UpstreamState::Leaving,
+            UpstreamPhase::Unreachable => routing::UpstreamState::Down,
+        };
+        let version = (report.version > WeightVersion(0)).then_some(report.version);
+        let sample = LoadSample {
+            running: report.running,
+            queued: report.queued,
+            version,
+            measured_at: now - found.age,
+        };
+        let actions = {
+            let mut desk = self.shared.desk();
+            let before = desk.state(key);
+            desk.set_state(key, state);
+            if before != Some(state) {
+                log_event!(UpstreamChanged, upstream, state = ?state);
+            }
+            desk.report(now, wall_now(), key, sample)
+        };
+        self.spread(actions);
+        if view.upstreams.get(key).is_some_and(|target| target.version != version) {
+            let mut changed = RoutingView::clone(&view);
+            if let Some(target) = changed.upstreams.get_mut(key) {
+                target.version = version;
+            }
+            self.shared.view.store(changed.into());
+        }
+    }
+}
+
+const fn unreachable_report() -> LoadReport {
+    LoadReport {
+        running: 0,
+        queued: 0,
+        tokens_per_second: 0,
+        version: WeightVersion(0),
+        phase: UpstreamPhase::Unreachable,
+    }
+}
--- a/crates/hibiscushinged/src/traffic.rs
+++ b/crates/hibiscushinged/src/traffic.rs
@@ -1,10 +1,10 @@
 //! Serving of callers and trainers on the traffic threads.
 
-mod answer;
+pub(crate) mod answer;
 mod caller;
 mod choice;
 mod plain;
-mod request;
+pub(crate) mod request;
 mod server;
 mod stream;
 mod trainer;
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -15,10 +15,11 @@
     },
     peer::{
         PeerMessage, WireBatchHold, WireBeat, WireConfigCopy, WireHeartbeat, WireIdentity,
-        WireIsolation, WireNotice, WireSampleCopy, WireSuspicion, WireUpstream, WireZoneSummary,
+        WireIsolation, WireLimitAsk, WireLimitGrant, WireNotice, WireSampleCopy, WireSuspicion,
+        WireUpstream, WireZoneSummary,
     },
     record::{
-        OpenedStep, SampleEntry, WireAuthority, WireBatch, WireClaim, WireConfig, WireSample,
-        WireSnapshot, WireUsage, WireVerdict,
+        OpenedStep, SampleEntry, UsageEntry, WireAuthority, WireBatch, WireClaim, WireConfig,
+        WireSample, WireSnapshot, WireUsage, WireVerdict,
     },
 };
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -29,6 +29,10 @@
         SampleCopy(WireSampleCopy),
         /// Asks for the bytes of a sample.
         SampleFetch(WireId),
+        /// Asks the zone's delegate for shares of customers' limits.
+        LimitAsk(Vec<WireLimitAsk>),
+        /// Answers with shares.
+        LimitGrant(Vec<WireLimitGrant>),
         /// Spreads suspicions, convictions and isolated upstreams at once.
         Suspicions {
             /// Suspected fingerprints.
@@ -74,6 +78,8 @@
         pub from: WireIdentity,
         /// Number of the heartbeat.
         pub beat: u64,
+        /// Number of accusations that the sender has refuted.
+        pub refutation: u64,
         /// Changes that the receiver should know.
         pub notices: Vec<WireNotice>,
     }
@@ -96,9 +102,9 @@
     pub struct WireNotice {
         /// The VM.
         pub vm: WireIdentity,
-        /// Number of the latest heartbeat.
-        pub beat: u64,
-        /// Age of that heartbeat.
+        /// Number of accusations that the process has refuted.
+        pub refutation: u64,
+        /// Age of the latest evidence that the process runs.
         pub age_us: u64,
         /// 0 live, 1 suspect, 2 gone.
         pub state: u8,
@@ -160,6 +166,36 @@
         pub expires_at_ms: i64,
     }
 
+    /// Asks for a share of a customer's limit.
+    pub struct WireLimitAsk {
+        /// The node that asks.
+        pub node: u64,
+        /// Name of the customer.
+        pub customer: String,
+        /// Tokens per second that its callers ask for.
+        pub demand: u32,
+        /// Number of the ask.
+        pub sequence: u64,
+        /// Delegate and number of the grant in use.
+        pub held: Option<(u64, u64)>,
+    }
+
+    /// Grants a share of a customer's limit.
+    pub struct WireLimitGrant {
+        /// The node that asked.
+        pub node: u64,
+        /// Name of the customer.
+        pub customer: String,
+        /// Number of the ask that this answers.
+        pub sequence: u64,
+        /// Delegate and number of the grant.
+        pub id: (u64, u64),
+        /// Tokens per second.
+        pub rate: u32,
+        /// How long the grant lasts.
+        pub period_us: u64,
+    }
+
     /// An upstream kept free for a suspect.
     pub struct WireIsolation {
         /// The node that keeps it free.
@@ -217,7 +253,7 @@
     fn from(beat: &PeerBeat) -> Self {
         let notices = beat.notices.iter().map(|notice| WireNotice {
             vm: (&notice.vm).into(),
-            beat: notice.beat,
+            refutation: notice.refutation,
             age_us: notice.age.0,
             state: match notice.state {
                 NoticeState::Live => 0,
@@ -225,7 +261,12 @@
                 NoticeState::Gone => 2,
             },
         });
-        Self { from: (&beat.from).into(), beat: beat.beat, notices: notices.collect() }
+        Self {
+            from: (&beat.from).into(),
+            beat: beat.beat,
+            refutation: beat.refutation,
+            notices: notices.collect(),
+        }
     }
 }
 
@@ -233,7 +274,7 @@
     fn from(wire: WireBeat) -> Self {
         let notices = wire.notices.into_iter().map(|notice| PeerNotice {
             vm: notice.vm.into(),
-            beat: notice.beat,
+            refutation: notice.refutation,
             age: Span(notice.age_us),
             state: match notice.state {
                 0 => NoticeState::Live,
@@ -241,7 +282,12 @@
                 _ => NoticeState::Gone,
             },
         });
-        Self { from: wire.from.into(), beat: wire.beat, notices: notices.collect() }
+        Self {
+            from: wire.from.into(),
+            beat: wire.beat,
+            refutation: wire.refutation,
+            notices: notices.collect(),
+        }
     }
 }
 
--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -11,5 +11,5 @@
     claims::{WireClaim, WireVerdict},
     config::{WireConfig, WireSnapshot},
     samples::{OpenedStep, SampleEntry, WireSample},
-    usage::{WireBatch, WireUsage},
+    usage::{UsageEntry, WireBatch, WireUsage},
 };
--- a/crates/protocol/src/record/authority.rs
+++ b/crates/protocol/src/record/authority.rs
@@ -1,5 +1,8 @@
 //! Records of the streams `authority.<scope>`.
 
+// Wire fields mirror the fields of the domain types, which document them.
+#![allow(missing_docs)]
+
 use authority::{
     AuthorityRecord, LeaseClaim, LeaseRelease, LeaseRenewal, OrderId, OrderIntent, OrderKind,
     OrderOutcome, OrderState, Scope,
--- a/crates/protocol/src/record/claims.rs
+++ b/crates/protocol/src/record/claims.rs
@@ -1,5 +1,8 @@
 //! Records of the streams `claims` and `verdicts`.
 
+// Wire fields mirror the fields of the domain types, which document them.
+#![allow(missing_docs)]
+
 use base::{Incarnation, WallTime};
 use delivery::{
     ClaimDone, ClaimEvent, ClaimKey, ClaimOutcome, ClaimTaken, Fingerprint, RequestId, Verdict,
--- a/crates/protocol/src/record/config.rs
+++ b/crates/protocol/src/record/config.rs
@@ -1,5 +1,8 @@
 //! Records of the stream `config`.
 
+// Wire fields mirror the fields of the domain types, which document them.
+#![allow(missing_docs)]
+
 use base::{LogOffset, RecordId};
 use configuration::{
     ConfigCarry, ConfigEdit, ConfigPromote, ConfigRecord, ConfigSnapshot, ConfigVersion,
--- a/crates/protocol/src/record/samples.rs
+++ b/crates/protocol/src/record/samples.rs
@@ -1,5 +1,8 @@
 //! Records of the stream `samples`.
 
+// Wire fields mirror the fields of the domain types, which document them.
+#![allow(missing_docs)]
+
 use base::{Incarnation, RecordId, WeightVersion};
 use rollout::{
     DeliveryNumber, SampleBound, SampleFilled, SampleRecord, SampleVoided, Score, SlotKey,
@@ -31,6 +34,7 @@
             sample: WireId,
             spans: Vec<(u64, u32, u32)>,
             tokens: u32,
+            digest: u64,
             holders: Vec<u64>,
         },
         /// A delivery number.
@@ -106,7 +110,7 @@
                     .map(|step| OpenedStep { prompts: step.prompts, max_tokens: step.max_tokens });
                 return Ok(Self { record: SampleRecord::Stated(stated), opened });
             }
-            WireSample::Filled { slot, generation, sample, spans, tokens, holders } => {
+            WireSample::Filled { slot, generation, sample, spans, tokens, digest, holders } => {
                 let spans = spans.into_iter().map(|(version, from, to)| VersionSpan {
                     version: WeightVersion(version),
                     from,
@@ -118,6 +122,7 @@
                     sample: sample.into(),
                     spans: spans.collect(),
                     tokens,
+                    digest,
                     holders: holders.into_iter().map(Incarnation).collect(),
                 })
             }
@@ -159,6 +164,7 @@
                 sample: filled.sample.into(),
                 spans: filled.spans.iter().map(|s| (s.version.0, s.from, s.to)).collect(),
                 tokens: filled.tokens,
+                digest: filled.digest,
                 holders: filled.holders.iter().map(|holder| holder.0).collect(),
             },
             SampleRecord::Bound(bound) => Self::Bound {
--- a/crates/protocol/src/record/usage.rs
+++ b/crates/protocol/src/record/usage.rs
@@ -1,15 +1,28 @@
 //! Records of the stream `usage`.
 
+// Wire fields mirror the fields of the domain types, which document them.
+#![allow(missing_docs)]
+
+use authority::AuthorityRecord;
 use base::{FencingNumber, Incarnation, LogOffset};
 use usage::{
     ClosedWindow, LedgerSnapshot, SeenRecords, SequenceRange, UsageAmount, UsageBatch,
     UsageFigures, UsageRecord, WindowClose, WindowNumber, WindowReported,
 };
 
-use crate::codec::{MalformedMessage, StreamRecord, WireId, wire};
+use crate::{
+    codec::{MalformedMessage, StreamRecord, WireId, wire},
+    record::WireAuthority,
+};
 
 wire! {
-    /// A record of the stream `usage`.
+    /// A record of the stream `usage` or of its scope.
+    pub enum WireUsageEntry {
+        Lease(WireAuthority),
+        Usage(WireUsage),
+    }
+
+    /// Usage, the end of a window, a report, or a snapshot.
     pub enum WireUsage {
         /// Usage of one process.
         Batch(WireBatch),
@@ -60,6 +73,38 @@
     }
 }
 
+/// A record of the stream `usage`.
+///
+/// The lease records of the scope `usage` share the stream, so that every reader finds the same lease
+/// in force at the offset of a close record.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum UsageEntry {
+    /// A lease record of the scope `usage`.
+    Lease(AuthorityRecord),
+    /// Any other record.
+    Usage(UsageRecord),
+}
+
+impl StreamRecord for UsageEntry {
+    type Wire = WireUsageEntry;
+
+    fn from_wire(wire: WireUsageEntry) -> Result<Self, MalformedMessage> {
+        Ok(match wire {
+            WireUsageEntry::Lease(lease) => Self::Lease(AuthorityRecord::from_wire(lease)?),
+            WireUsageEntry::Usage(usage) => Self::Usage(UsageRecord::from_wire(usage)?),
+        })
+    }
+}
+
+impl From<&UsageEntry> for WireUsageEntry {
+    fn from(entry: &UsageEntry) -> Self {
+        match entry {
+            UsageEntry::Lease(lease) => Self::Lease(lease.into()),
+            UsageEntry::Usage(usage) => Self::Usage(usage.into()),
+        }
+    }
+}
+
 impl StreamRecord for UsageRecord {
     type Wire = WireUsage;
 
@@ -92,10 +137,9 @@
             UsageRecord::Reported(reported) => {
                 Self::Reported { window: reported.window.0, fencing: reported.fencing.0 }
             }
-            UsageRecord::Carry { snapshot, fencing } => Self::Carry {
-                snapshot: Box::new(snapshot.as_ref().into()),
-                fencing: fencing.0,
-            },
+            UsageRecord::Carry { snapshot, fencing } => {
+                Self::Carry { snapshot: Box::new(snapshot.as_ref().into()), fencing: fencing.0 }
+            }
         }
     }
 }
