--- a/crates/configuration/tests/history.rs
+++ b/crates/configuration/tests/history.rs
@@ -193,3 +193,51 @@
     node.apply(LogOffset(1), &log[1]);
     assert_eq!(node.in_force(&trial).unwrap().currency, Currency::Confirmed);
 }
+
+/// Guards against a state that lacks a record: a snapshot may be older than an accepted edit that
+/// retention has dropped, and its reader would then refuse the edits that build on that one.
+#[test]
+fn snapshot_must_reach_the_oldest_retained_record() {
+    let trial = "trial".into();
+    let log =
+        [edit(1, "trial", 0, "one"), edit(2, "trial", 1, "two"), edit(3, "trial", 2, "three")];
+    let mut whole = history();
+    let snapshots = [0, 1, 2].map(|offset| {
+        whole.apply(LogOffset(offset), &log[offset as usize]);
+        whole.snapshot().unwrap().clone()
+    });
+    let carry =
+        |index: usize| ConfigRecord::Carry(ConfigCarry { snapshot: snapshots[index].clone() });
+    let mut node = history();
+    node.note_retention(LogOffset(2));
+    let refused = ConfigOutcome::Refused(RefusedReason::AwaitsSnapshot);
+    assert_eq!(node.apply(LogOffset(2), &log[2]), refused);
+    assert_eq!(node.apply(LogOffset(3), &carry(0)), refused);
+    assert_eq!(node.apply(LogOffset(4), &carry(1)), ConfigOutcome::Restored(LogOffset(2)));
+    node.apply(LogOffset(2), &log[2]);
+    assert_eq!(node.version(&trial), ConfigVersion(3));
+    // A later snapshot record with an older state does not supersede what the log has shown.
+    let ignored = ConfigOutcome::Refused(RefusedReason::NotNeeded);
+    assert_eq!(node.apply(LogOffset(5), &carry(0)), ignored);
+    assert_eq!(node.in_force(&trial), whole.in_force(&trial));
+}
+
+/// Guards against a version that goes back when the only snapshot comes from a node that knew less.
+#[test]
+fn rebuilt_snapshot_does_not_revert_a_node() {
+    let trial = "trial".into();
+    let mut informed = history();
+    informed.apply(LogOffset(0), &edit(1, "trial", 0, "one"));
+    let mut holder = informed.clone();
+    informed.apply(LogOffset(1), &edit(2, "trial", 1, "two"));
+    for node in [&mut informed, &mut holder] {
+        node.note_retention(LogOffset(8));
+    }
+    let rebuilt = holder.rebuilt_snapshot().unwrap();
+    assert_eq!((rebuilt.next, rebuilt.version(&trial)), (LogOffset(8), ConfigVersion(1)));
+    let carry = ConfigRecord::Carry(ConfigCarry { snapshot: rebuilt });
+    assert_eq!(informed.apply(LogOffset(9), &carry), ConfigOutcome::Restored(LogOffset(8)));
+    let state = informed.in_force(&trial).unwrap();
+    assert_eq!((state.document.text.as_str(), state.currency), ("two", Currency::PossiblyStale));
+    assert_eq!(informed.rebuilt_snapshot(), None);
+}
