--- a/crates/hibiscushinged/src/clock.rs
+++ b/crates/hibiscushinged/src/clock.rs
@@ -20,11 +20,6 @@
         let micros = self.start.elapsed().as_micros();
         Moment(u64::try_from(micros).expect("a process runs for less than 500,000 years"))
     }
-
-    /// Returns the time left until `deadline`.
-    pub(crate) fn until(self, deadline: Moment) -> Duration {
-        to_duration(deadline.since(self.now()))
-    }
 }
 
 /// Reads civil time. It serves expiry times and usage windows, never leases.
--- a/crates/hibiscushinged/src/control.rs
+++ b/crates/hibiscushinged/src/control.rs
@@ -111,12 +111,6 @@
             }
             ControlInput::Suspicion(actions) => control.spread(actions),
             ControlInput::Decision(line) => control.state().trace.record(line),
-            ControlInput::Peer { body, reply } => {
-                let _ = reply.send(control.peer_message(&body));
-            }
-            ControlInput::Admin { ask, reply } => {
-                let _ = reply.send(control.admin(ask));
-            }
             ControlInput::Trainer { reply, .. } => {
                 let message = "the trainer interface is not available";
                 let code = base::RefusalCode::NoUpstream;
--- a/crates/hibiscushinged/src/control/admin.rs
+++ b/crates/hibiscushinged/src/control/admin.rs
@@ -7,10 +7,7 @@
 use serde_json::{Value, json};
 
 use crate::{
-    clock::to_duration,
-    control::Control,
-    input::AdminAsk,
-    shared::ServicePhase,
+    clock::to_duration, control::Control, input::AdminAsk, shared::ServicePhase,
     telemetry::log_event,
 };
 
--- a/crates/hibiscushinged/src/control/authority.rs
+++ b/crates/hibiscushinged/src/control/authority.rs
@@ -132,8 +132,7 @@
     }
 
     pub(crate) fn tick_scopes(self: &Rc<Self>, now: Moment) {
-        let scopes = self.state().scopes.iter().map(|driver| driver.scope.clone());
-        for scope in scopes.collect::<Vec<_>>() {
+        for scope in self.scope_names() {
             self.with_scope(&scope, |driver| {
                 let lease_actions = driver.keeper.tick(now).into_vec();
                 let desk_actions = driver.desk.tick(now, &driver.keeper).into_vec();
@@ -142,10 +141,14 @@
         }
     }
 
+    fn scope_names(&self) -> Vec<Scope> {
+        let state = self.state();
+        state.scopes.iter().map(|driver| driver.scope.clone()).collect()
+    }
+
     /// Gives up all leases, as a planned stop requires.
     pub(crate) fn resign(self: &Rc<Self>) {
-        let scopes = self.state().scopes.iter().map(|driver| driver.scope.clone());
-        for scope in scopes.collect::<Vec<_>>() {
+        for scope in self.scope_names() {
             self.with_scope(&scope, |driver| (driver.keeper.resign().into_vec(), Vec::new()));
         }
     }
@@ -169,7 +172,7 @@
                     log_event!(LeaseAcquired, scope = %scope, fencing = fencing.0);
                     self.note_held(scope, Some(fencing));
                 }
-                LeaseAction::Lost(cause) => {
+                LeaseAction::Lost { cause, .. } => {
                     log_event!(LeaseLost, scope = %scope, cause = ?cause);
                     self.note_held(scope, None);
                 }
--- a/crates/hibiscushinged/src/control/claims.rs
+++ b/crates/hibiscushinged/src/control/claims.rs
@@ -47,11 +47,7 @@
 }
 
 impl Control {
-    pub(crate) fn claim_asked(
-        self: &Rc<Self>,
-        ask: ClaimAsk,
-        reply: oneshot::Sender<ClaimAnswer>,
-    ) {
+    pub(crate) fn claim_asked(self: &Rc<Self>, ask: ClaimAsk, reply: oneshot::Sender<ClaimAnswer>) {
         let ClaimAsk { claim, fingerprint, request, deadline } = ask;
         self.state().claims.waiting.insert(request, reply);
         self.claim_event(ClaimEvent::Asked { claim, fingerprint, request, deadline });
--- a/crates/hibiscushinged/src/control/follow.rs
+++ b/crates/hibiscushinged/src/control/follow.rs
@@ -66,7 +66,8 @@
         let mut follower = LogFollower::new(FollowerSettings::default(), LogOffset(0));
         let mut started = false;
         loop {
-            let Ok(page) = control.platform.read(&stream, follower.next_offset(), PAGE).await else {
+            let Ok(page) = control.platform.read(&stream, follower.next_offset(), PAGE).await
+            else {
                 control.log_failed(&stream);
                 actix_rt::time::sleep(POLL).await;
                 continue;
@@ -112,13 +113,7 @@
     ) {
         match action {
             FollowerAction::Gap { expected, resumed } => {
-                log_event!(
-                    warn,
-                    LogGapFound,
-                    stream,
-                    expected = expected.0,
-                    resumed = resumed.0
-                );
+                log_event!(warn, LogGapFound, stream, expected = expected.0, resumed = resumed.0);
                 self.state().log.gaps += 1;
                 apply(self, StreamEvent::ReadingFrom(resumed));
             }
@@ -153,7 +148,8 @@
                     Ok(first) => {
                         control.log_answered();
                         let now = control.now();
-                        let actions = control.state().writer.acknowledge(now, &stream, ticket, first);
+                        let actions =
+                            control.state().writer.acknowledge(now, &stream, ticket, first);
                         control.kick(&stream).notify_one();
                         control.write(actions);
                     }
--- a/crates/hibiscushinged/src/control/limits.rs
+++ b/crates/hibiscushinged/src/control/limits.rs
@@ -23,8 +23,7 @@
     /// Takes the limits of a document. The zone's part is fixed by its number of entry VMs, so that
     /// zones need no exchange.
     pub(crate) fn apply_limits(&self, now: Moment, document: &EnvironmentDocument) {
-        let zone_vms =
-            document.zone(&self.shared.settings.zone).map_or(0, |zone| zone.entry_vms);
+        let zone_vms = document.zone(&self.shared.settings.zone).map_or(0, |zone| zone.entry_vms);
         let all_vms = document.zones.iter().map(|zone| zone.entry_vms).sum::<u32>().max(1);
         let view = self.shared.view.load();
         let mut state = self.state();
@@ -109,16 +108,17 @@
         let mut grants = Vec::new();
         for ask in asks {
             let customer = view.customer_key(Some(&ask.customer));
-            let held = ask
-                .held
-                .map(|(desk, number)| GrantId { desk: Incarnation(desk), number });
-            let granted = desk.ask(now, LimitAsk {
-                node: Incarnation(ask.node),
-                customer,
-                demand: ask.demand,
-                sequence: ask.sequence,
-                held,
-            });
+            let held = ask.held.map(|(desk, number)| GrantId { desk: Incarnation(desk), number });
+            let granted = desk.ask(
+                now,
+                LimitAsk {
+                    node: Incarnation(ask.node),
+                    customer,
+                    demand: ask.demand,
+                    sequence: ask.sequence,
+                    held,
+                },
+            );
             let Some(grant) = granted else { continue };
             grants.push(WireLimitGrant {
                 node: grant.node.0,
@@ -145,10 +145,7 @@
         let live = u32::try_from(live).unwrap_or(u32::MAX);
         let settings = DeskSettings::new(state.limits.zone_vms);
         let me = self.shared.incarnation;
-        let desk = state
-            .limits
-            .desk
-            .get_or_insert_with(|| LimitDesk::new(me, settings, now, live));
+        let desk = state.limits.desk.get_or_insert_with(|| LimitDesk::new(me, settings, now, live));
         desk.set_live_vms(now, live);
         for (customer, part) in &state.limits.parts {
             desk.set_part(*customer, *part);
--- a/crates/hibiscushinged/src/control/orders.rs
+++ b/crates/hibiscushinged/src/control/orders.rs
@@ -27,6 +27,10 @@
                 let (control, scope) = (Rc::clone(self), scope.clone());
                 actix_rt::spawn(async move { control.ask_order(scope, id).await });
             }
+            DeskAction::Voided(id) => {
+                let detail = String::from("void: its intent took effect under a later lease");
+                self.trace(id.to_string(), base::EventCode::OrderSettled, detail);
+            }
             DeskAction::Settled(outcome) => {
                 log_event!(
                     OrderSettled,
@@ -90,7 +94,13 @@
         Scope::Zone(name) => name.clone(),
         other => other.to_string(),
     };
-    UpstreamOrder { id: intent.id.to_string(), zone, service: intent.service.clone(), kind, fencing }
+    UpstreamOrder {
+        id: intent.id.to_string(),
+        zone,
+        service: intent.service.clone(),
+        kind,
+        fencing,
+    }
 }
 
 fn answer_of(answer: clients::OrderAnswer) -> OrderAnswer {
--- a/crates/hibiscushinged/src/control/peers.rs
+++ b/crates/hibiscushinged/src/control/peers.rs
@@ -11,15 +11,11 @@
     PeerState, PeerTable, UpstreamBoard, UpstreamEntry, VmIdentity, ZoneSummary,
 };
 use protocol::{
-    MAX_MESSAGE_BYTES, PeerMessage, WireConfigCopy, WireSnapshot, decode_message, encode_message,
+    MAX_MESSAGE_BYTES, PeerMessage, WireConfigCopy, WireSnapshot, WireUpstream, decode_message,
+    encode_message,
 };
 
-use crate::{
-    clock::wall_now,
-    control::Control,
-    shared::SharedState,
-    telemetry::log_event,
-};
+use crate::{clock::wall_now, control::Control, shared::SharedState, telemetry::log_event};
 
 /// Time between two reads of the platform's list of VMs.
 const LIST_PERIOD: Duration = Duration::from_secs(2);
@@ -168,24 +164,10 @@
         self.tell_peer(address, PeerMessage::Summary((&summary).into()));
     }
 
-    /// Sends changes that must not wait for the next heartbeat to all peers of the zone, and to the
-    /// delegates of the others.
+    /// Sends changes that must not wait for the next heartbeat to all peers.
     fn send_urgent(self: &Rc<Self>, upstreams: Vec<UpstreamEntry>) {
-        let now = self.now();
-        let (heartbeat, addresses) = {
-            let state = self.state();
-            let heartbeat = Heartbeat {
-                beat: state.peers.table.bare_beat(),
-                config_version: state.config.version().0,
-                contact_age: state.config.contact_age(now),
-                upstreams,
-            };
-            (heartbeat, state.peers.live_addresses())
-        };
-        let message = PeerMessage::Heartbeat((&heartbeat).into());
-        for address in addresses {
-            self.tell_peer(Some(address), message.clone());
-        }
+        let upstreams = upstreams.iter().map(WireUpstream::from).collect();
+        self.tell_all_peers(&PeerMessage::Upstreams(upstreams));
     }
 
     /// Answers a message of a peer.
@@ -201,6 +183,9 @@
         match message {
             PeerMessage::Heartbeat(wire) => self.heartbeat(wire.into()),
             PeerMessage::Summary(wire) => self.summary(wire.into()),
+            PeerMessage::Upstreams(entries) => {
+                self.learn_entries(entries.into_iter().map(UpstreamEntry::from))
+            }
             PeerMessage::ConfigFetch => return self.config_copy(),
             PeerMessage::BatchHold(hold) => return self.hold_batch(hold),
             PeerMessage::LimitAsk(asks) => return self.grant_limits(asks),
@@ -220,34 +205,33 @@
     fn heartbeat(self: &Rc<Self>, heartbeat: Heartbeat) {
         let now = self.now();
         self.state().config.note_relayed(now, heartbeat.contact_age);
-        self.heard(now, heartbeat.beat, heartbeat.config_version, heartbeat.upstreams);
+        self.heard(heartbeat.beat, heartbeat.config_version, heartbeat.upstreams);
     }
 
     fn summary(self: &Rc<Self>, summary: ZoneSummary) {
         let now = self.now();
         self.state().config.note_contact(now);
-        self.heard(now, summary.beat, summary.config_version, summary.upstreams);
+        self.heard(summary.beat, summary.config_version, summary.upstreams);
     }
 
-    fn heard(
-        self: &Rc<Self>,
-        now: Moment,
-        beat: PeerBeat,
-        config_version: u64,
-        upstreams: Vec<UpstreamEntry>,
-    ) {
+    fn heard(self: &Rc<Self>, beat: PeerBeat, config_version: u64, upstreams: Vec<UpstreamEntry>) {
         let address = beat.from.address.parse::<SocketAddr>().ok();
         self.peer_event(PeerEvent::BeatReceived(beat));
-        for entry in upstreams {
+        self.learn_entries(upstreams);
+        let behind = config_version > self.state().config.version().0;
+        if let Some(address) = address.filter(|_| behind) {
+            self.fetch_config(address);
+        }
+    }
+
+    fn learn_entries(self: &Rc<Self>, entries: impl IntoIterator<Item = UpstreamEntry>) {
+        let now = self.now();
+        for entry in entries {
             let name = entry.upstream.clone();
             if self.state().peers.board.learned(now, entry) {
                 self.apply_board(now, &name);
             }
         }
-        let behind = config_version > self.state().config.version().0;
-        if let Some(address) = address.filter(|_| behind) {
-            self.fetch_config(address);
-        }
     }
 
     /// Fetches the documents of a peer that has a higher version.
--- a/crates/hibiscushinged/src/control/usage.rs
+++ b/crates/hibiscushinged/src/control/usage.rs
@@ -313,9 +313,5 @@
         };
         (customer.clone(), figures)
     });
-    UsageReport {
-        window: report.window.0,
-        fencing: report.fencing,
-        figures: figures.collect(),
-    }
+    UsageReport { window: report.window.0, fencing: report.fencing, figures: figures.collect() }
 }
--- a/crates/hibiscushinged/src/control/watch.rs
+++ b/crates/hibiscushinged/src/control/watch.rs
@@ -6,9 +6,7 @@
 use base::{Moment, WeightVersion};
 use clients::{EngineControl as _, Outgoing, UpstreamInfo, UpstreamOrders as _, UpstreamState};
 use document::{DaemonSettings, EnvironmentDocument, ServiceKind};
-use membership::{
-    LeavingCause, LoadReport, UpstreamPhase, WatchPlan, stable_hash,
-};
+use membership::{LeavingCause, LoadReport, UpstreamPhase, WatchPlan, stable_hash};
 use routing::{LoadSample, UpstreamPrice};
 
 use crate::{
--- a/crates/hibiscushinged/src/desk.rs
+++ b/crates/hibiscushinged/src/desk.rs
@@ -177,12 +177,7 @@
     }
 
     /// Takes the request's tokens from the customer's limit. Open routes have none.
-    pub(crate) fn admit(
-        &mut self,
-        now: Moment,
-        customer: CustomerKey,
-        tokens: u32,
-    ) -> LimitAnswer {
+    pub(crate) fn admit(&mut self, now: Moment, customer: CustomerKey, tokens: u32) -> LimitAnswer {
         if customer == OPEN_CALLERS {
             return LimitAnswer::Admitted;
         }
--- /dev/null
+++ b/crates/hibiscushinged/src/flags.rs
@@ -0,0 +1,18 @@
+//! Command line of `hibiscushinged`.
+
+// The macro generates public items without documentation.
+#![allow(missing_docs, unreachable_pub)]
+
+use std::path::PathBuf;
+
+xflags::xflags! {
+    /// Serves callers and trainers of one VM. Logs go to standard error as JSON lines, filtered by the
+    /// environment variable RUST_LOG. SIGTERM or SIGINT starts a planned stop: the daemon reports
+    /// that it is not ready, finishes its requests, hands over usage and leases, and exits with 0.
+    cmd hibiscushinged {
+        /// Settings of this daemon in TOML. See docs/operators.md for every key.
+        required --settings file: PathBuf
+        /// Checks the settings and exits.
+        optional --check
+    }
+}
--- a/crates/hibiscushinged/src/input.rs
+++ b/crates/hibiscushinged/src/input.rs
@@ -1,9 +1,7 @@
 //! Messages to the control thread.
 
 use base::{Refusal, UpstreamKey};
-use bytes::Bytes;
 use delivery::{ClaimKey, ClaimOutcome, Fingerprint, RequestId, SuspectAction};
-use protocol::PeerMessage;
 use tokio::sync::oneshot;
 use usage::UsageFigures;
 
@@ -24,10 +22,6 @@
     Suspicion(Vec<SuspectAction>),
     /// A decision to keep for `explain`.
     Decision(DecisionLine),
-    /// A message of a peer.
-    Peer { body: Bytes, reply: oneshot::Sender<PeerMessage> },
-    /// A request of an operator.
-    Admin { ask: AdminAsk, reply: oneshot::Sender<serde_json::Value> },
     /// A request of a trainer.
     Trainer { ask: TrainerAsk, reply: oneshot::Sender<Result<serde_json::Value, Refusal>> },
     /// Finish running requests and stop.
--- a/crates/hibiscushinged/src/lib.rs
+++ b/crates/hibiscushinged/src/lib.rs
@@ -73,14 +73,15 @@
             Arc::new(SharedState::new(settings, incarnation, clock, control.clone(), desk));
         let server = traffic::start(Arc::clone(&shared), listener)?;
         let (stop, stopped) = oneshot::channel::<()>();
-        let thread = std::thread::Builder::new().name(String::from("control")).spawn(move || {
-            actix_rt::System::new().block_on(async move {
-                tokio::select! {
-                    () = control::run(shared, input, peer_listener, admin_listener) => {}
-                    _ = stopped => {}
-                }
-            });
-        })?;
+        let thread =
+            std::thread::Builder::new().name(String::from("control")).spawn(move || {
+                actix_rt::System::new().block_on(async move {
+                    tokio::select! {
+                        () = control::run(shared, input, peer_listener, admin_listener) => {}
+                        _ = stopped => {}
+                    }
+                });
+            })?;
         log_event!(ProcessStarted, vm = vm_name, %listen, %peer, %admin);
         Ok(Self { addresses, control, server, thread: Some(thread), stop: Some(stop) })
     }
--- a/crates/hibiscushinged/src/traffic/caller.rs
+++ b/crates/hibiscushinged/src/traffic/caller.rs
@@ -364,12 +364,7 @@
 }
 
 /// Keeps a decision for `explain`. A full channel drops it, since the log has the same line.
-pub(crate) fn record(
-    shared: &SharedState,
-    id: RequestId,
-    code: base::EventCode,
-    detail: String,
-) {
+pub(crate) fn record(shared: &SharedState, id: RequestId, code: base::EventCode, detail: String) {
     let line = DecisionLine { subject: request_text(id), code, detail };
     let _ = shared.control.try_send(ControlInput::Decision(line));
 }
--- a/crates/hibiscushinged/src/traffic/choice.rs
+++ b/crates/hibiscushinged/src/traffic/choice.rs
@@ -110,8 +110,7 @@
     request: &CallerRequest,
 ) {
     let (reply, answer) = oneshot::channel();
-    let input =
-        ControlInput::CrashCheck { upstream, fingerprint: request.fingerprint, reply };
+    let input = ControlInput::CrashCheck { upstream, fingerprint: request.fingerprint, reply };
     if shared.control.send(input).await.is_ok() {
         let _ = answer.await;
     }
--- a/crates/hibiscushinged/src/traffic/request.rs
+++ b/crates/hibiscushinged/src/traffic/request.rs
@@ -106,8 +106,9 @@
             Ok(Some(String::from(text)))
         }
         _ => {
-            let message =
-                format!("header \"{IDEMPOTENCY_KEY}\" is not 1 to {MAX_IDEMPOTENCY_KEY} characters");
+            let message = format!(
+                "header \"{IDEMPOTENCY_KEY}\" is not 1 to {MAX_IDEMPOTENCY_KEY} characters"
+            );
             Err(Refusal::not_run(RefusalCode::RequestInvalid, message))
         }
     }
--- a/crates/hibiscushinged/src/traffic/stream.rs
+++ b/crates/hibiscushinged/src/traffic/stream.rs
@@ -108,9 +108,7 @@
     }
 }
 
-fn stream_response(
-    lines: mpsc::Receiver<Result<Bytes, std::io::Error>>,
-) -> Response<BoxBody> {
+fn stream_response(lines: mpsc::Receiver<Result<Bytes, std::io::Error>>) -> Response<BoxBody> {
     let source = futures_util::stream::unfold(lines, |mut lines| async move {
         lines.recv().await.map(|line| (line, lines))
     });
@@ -336,9 +334,9 @@
             ExchangeEnd::DeadlinePassed => {
                 let refusal = self.stop(upstream, AttemptEvent::Tick);
                 let message = "the deadline passed";
-                AfterExchange::Refused(refusal.unwrap_or_else(|| {
-                    self.refusal(RefusalCode::DeadlineExceeded, message)
-                }))
+                AfterExchange::Refused(
+                    refusal.unwrap_or_else(|| self.refusal(RefusalCode::DeadlineExceeded, message)),
+                )
             }
             ExchangeEnd::KeyWithdrawn => {
                 self.stop(upstream, AttemptEvent::CallerGone);
@@ -485,4 +483,3 @@
         let _ = self.lines.send(Ok(Bytes::from(line))).await;
     }
 }
-
--- a/crates/protocol/src/peer.rs
+++ b/crates/protocol/src/peer.rs
@@ -19,6 +19,8 @@
         Heartbeat(WireHeartbeat),
         /// Exchange between the delegates of two zones.
         Summary(WireZoneSummary),
+        /// Upstream states that must not wait for the next heartbeat.
+        Upstreams(Vec<WireUpstream>),
         /// Asks for the documents that the receiver holds.
         ConfigFetch,
         /// Answers with documents.
--- a/crates/record-log/src/writer.rs
+++ b/crates/record-log/src/writer.rs
@@ -135,6 +135,12 @@
         }
     }
 
+    /// Reserves an id for a record that is passed to [`LogWriter::append_as`].
+    pub const fn next_id(&mut self) -> RecordId {
+        self.last_sequence += 1;
+        RecordId { writer: self.incarnation, sequence: self.last_sequence }
+    }
+
     /// Takes a record under a new id. It is sent by a later [`LogWriter::tick`].
     ///
     /// # Errors
--- a/crates/usage/src/ledger.rs
+++ b/crates/usage/src/ledger.rs
@@ -167,6 +167,12 @@
         }
     }
 
+    /// Returns the oldest retained offset while a snapshot is awaited.
+    #[must_use]
+    pub const fn awaited_offset(&self) -> Option<LogOffset> {
+        self.awaits_from
+    }
+
     /// Returns the state for a peer or a [`UsageRecord::Carry`], or `None` while a snapshot is
     /// awaited.
     #[must_use]
