membership: keep a node that hears nobody from accusing its zone

Cause: rules against accusations by paused or cut-off nodes, and the back-off of repeated ones, could be disabled without a failing test. The new test found that a deaf node still told its zone that its peers are gone, and moved its heartbeats away from the peers that monitor it. Ruled out: judging by monitored peers alone; their number grows while suspects are passed over, so the node no longer counted as cut off after a few seconds. Change: a node is deaf when no peer of its zone was heard directly for the suspicion time. It then tells other zones only and keeps its ring successors. Probes of silent peers carry the accusation, so that they refute it at once. The full summary of a new delegate is removed: every node keeps unsent news. Conclusion: one deaf node changes no state at its peers in zones of 9.

--- a/crates/membership/src/spread.rs
+++ b/crates/membership/src/spread.rs
@@ -31,6 +31,18 @@
         self.urgent = true;
     }
 
+    /// Spreads this node's own judgement that a VM is silent.
+    ///
+    /// A node that hears none of its peers is more likely cut off than right about them. It then
+    /// tells other zones only, because it may also be the last VM of its zone.
+    pub(crate) fn accuse(&mut self, vm: VmKey) {
+        if !self.deaf {
+            self.tell(vm);
+        } else if self.record(vm).state == PeerState::Gone {
+            self.fleet_news.insert(vm, NOTICE_REPEATS);
+        }
+    }
+
     pub(crate) fn notice(&self, now: Moment, vm: VmKey) -> PeerNotice {
         let record = self.record(vm);
         let age = if vm == self.own { Span::ZERO } else { now.since(record.evidence_at) };
@@ -54,21 +66,19 @@
         actions: &mut Actions,
     ) {
         let mut targets = self.successors();
-        if targets.is_empty() {
-            // A node that takes all others for gone goes on towards those that monitor it.
+        if targets.is_empty() || self.deaf {
+            // A node that hears nobody goes on towards those that monitor it.
             targets = self.next_on_ring().take(self.settings.successors).collect();
         }
         let gone = self.gone_listed();
         if !gone.is_empty() {
             // One silent VM per message finds out when a cut has healed.
             self.probe = (self.probe + 1) % gone.len();
-            if !targets.contains(&gone[self.probe]) {
-                targets.push(gone[self.probe]);
-            }
+            self.inform(now, gone[self.probe], gone[self.probe], actions);
         }
         self.heartbeats += u64::from(occasion == Occasion::Period);
         let full = self.heartbeats.is_multiple_of(self.settings.full_every);
-        let notices = if full && occasion == Occasion::Period {
+        let notices = if full && occasion == Occasion::Period && !self.deaf {
             self.all_notices(now)
         } else {
             let told = spend(&mut self.zone_news, occasion);
@@ -86,17 +96,14 @@
         occasion: Occasion,
         actions: &mut Actions,
     ) {
-        let delegate = !self.zones.is_empty() && self.is_delegate();
-        // A new delegate cannot know which changes its predecessor has reported.
-        let started = delegate && !std::mem::replace(&mut self.was_delegate, delegate);
-        if !delegate {
+        if self.zones.is_empty() || !self.is_delegate() {
             return;
         }
         self.summaries += u64::from(occasion == Occasion::Period);
         let full_every = self.settings.full_every * self.settings.period.0
             / self.settings.summary_period.0.max(1);
         let full = self.summaries.is_multiple_of(full_every.max(1));
-        let told = if started || (full && occasion == Occasion::Period) {
+        let told = if full && occasion == Occasion::Period {
             self.vms.iter().map(|(vm, _)| vm).filter(|vm| self.is_own_zone(*vm)).collect()
         } else {
             spend(&mut self.fleet_news, occasion)
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -40,7 +40,8 @@
     pub(crate) urgent: bool,
     pub(crate) heartbeats: u64,
     pub(crate) summaries: u64,
-    pub(crate) was_delegate: bool,
+    // No peer that must send heartbeats to this node is heard.
+    pub(crate) deaf: bool,
 }
 
 impl PeerTable {
@@ -63,7 +64,7 @@
             urgent: false,
             heartbeats: 0,
             summaries: 0,
-            was_delegate: false,
+            deaf: false,
         };
         table.own = table.add(now, own, PeerState::Live);
         table.vms.get_mut(table.own).expect("own record exists").heard = true;
@@ -312,8 +313,10 @@
             }
             silent.push(key);
         }
-        // A node that hears none of several peers is more likely cut off than right about them.
-        let deaf = silent.len() >= 2 && silent.len() == monitored.len();
+        let zone = &self.own_identity().zone;
+        let heard_at = self.vms.iter().filter(|(_, record)| record.vm.zone == *zone);
+        let heard_at = heard_at.filter_map(|(_, record)| record.direct_at).max();
+        self.deaf = self.ring.len() > 2 && heard_at.is_none_or(|at| now.since(at) > suspect_after);
         for vm in silent {
             let record = self.record_mut(vm);
             if record.state != PeerState::Live {
@@ -323,9 +326,7 @@
             // gone cannot have begun long ago.
             record.evidence_at = record.evidence_at.max(now - suspect_after);
             self.set_state(vm, PeerState::Suspect, actions);
-            if !deaf {
-                self.tell(vm);
-            }
+            self.accuse(vm);
         }
         let gone_after = self.settings.gone_after;
         let suspects: SmallVec<[VmKey; 4]> = self
@@ -337,7 +338,7 @@
             .collect();
         for vm in suspects {
             self.set_state(vm, PeerState::Gone, actions);
-            self.tell(vm);
+            self.accuse(vm);
         }
     }
 
--- a/crates/membership/tests/cluster/main.rs
+++ b/crates/membership/tests/cluster/main.rs
@@ -51,12 +51,15 @@
 /// Guards against a resumed process that accuses the peers it did not hear while it was paused,
 /// and against peers that do not take it back.
 #[rstest]
-fn paused_peer_resumes(#[values(1, 2, 3)] seed: u64) {
+fn paused_peer_resumes(#[values(1, 2, 3)] seed: u64, #[values(true, false)] loses_inbox: bool) {
     let mut network = Network::start(seed, &[8, 3]);
     network.nodes[2].paused = true;
     network.run(30);
     assert!((0..11).all(|index| index == 2 || network.state(index, 2) == PeerState::Gone));
     network.forget();
+    if loses_inbox {
+        network.lose_inbox(2);
+    }
     network.resume(2);
     network.run(4);
     network.check_agreement("resumed");
@@ -66,22 +69,60 @@
     }
 }
 
-/// Guards against one broken direction of one link that makes a VM gone.
+/// Guards against one broken direction of one link that makes a VM gone, that convinces a node
+/// which hears the VM, or that floods the zone with accusations.
 #[rstest]
 fn one_way_cut_of_a_link_takes_nobody_out(#[values(1, 2, 3)] seed: u64) {
     let mut network = Network::start(seed, &[8]);
     for to in 1..8 {
-        network.forget();
         network.cuts.clear();
+        network.run(10);
+        network.forget();
+        let table = &network.nodes[0].table;
+        let successors = table.successors();
+        let hears = |name: &str| successors.contains(&table.find(name).unwrap());
+        let hearing: Vec<bool> =
+            network.nodes.iter().map(|node| hears(&node.identity.name)).collect();
         network.cut(|from| from == 0, |peer| peer == to);
-        network.run(30);
-        for node in &network.nodes {
+        network.run(60);
+        for (index, node) in network.nodes.iter().enumerate() {
             let gone = node.changes.iter().find(|(_, state)| *state == PeerState::Gone);
-            assert_eq!(gone, None, "seed {seed}, cut to {to}, at {}", node.identity.name);
+            assert_eq!(gone, None, "seed {seed}, cut to {to}, at {index}");
+            let suspect = node.changes.iter().filter(|(_, state)| *state == PeerState::Suspect);
+            let most = if hearing[index] && index != to { 0 } else { 5 };
+            assert!(suspect.count() <= most, "seed {seed}, cut to {to}, at {index}");
         }
     }
 }
 
+/// Guards against a node that hears nobody and takes its zone down by accusing everyone, or that
+/// peers take for gone although they hear it.
+#[rstest]
+fn deaf_node_convinces_nobody(#[values(1, 2, 3)] seed: u64) {
+    let mut network = Network::start(seed, &[9]);
+    network.cut(|from| from != 4, |to| to == 4);
+    network.run(50);
+    for (index, node) in network.nodes.iter().enumerate().filter(|(index, _)| *index != 4) {
+        assert_eq!(node.changes, [], "seed {seed}, at {index}");
+    }
+    network.cuts.clear();
+    network.run(12);
+    network.check_agreement("heard again");
+}
+
+/// Guards against a second crash that is lost because it is the delegate's.
+#[rstest]
+fn crash_of_a_delegate_is_known_elsewhere(#[values(1, 2, 3, 4)] seed: u64) {
+    let mut network = Network::start(seed, &[6, 4]);
+    let table = &network.nodes[0].table;
+    let delegate = &table.vm(table.delegate("zone-0").unwrap()).unwrap().vm.name;
+    let delegate = network.nodes.iter().position(|node| node.identity.name == *delegate).unwrap();
+    network.nodes[delegate].up = false;
+    network.nodes[(delegate + 1) % 6].up = false;
+    network.run(16);
+    network.check_agreement(&format!("seed {seed}"));
+}
+
 /// Guards against halves of a zone, or whole zones, that stay apart after a cut has healed.
 #[rstest]
 #[case(&[8], 4)]
--- a/crates/membership/tests/cluster/network.rs
+++ b/crates/membership/tests/cluster/network.rs
@@ -95,6 +95,11 @@
         }
     }
 
+    /// Loses what a paused process has not read.
+    pub(crate) fn lose_inbox(&mut self, index: usize) {
+        self.nodes[index].inbox.clear();
+    }
+
     pub(crate) fn resume(&mut self, index: usize) {
         self.nodes[index].paused = false;
         for beat in std::mem::take(&mut self.nodes[index].inbox) {
@@ -148,8 +153,9 @@
     }
 
     /// Checks that every running node sees exactly the running nodes as live, and agrees with the
-    /// first node on the delegate of each zone.
+    /// first of them on the delegate of each zone.
     pub(crate) fn check_agreement(&self, context: &str) {
+        let first = self.nodes.iter().find(|node| node.up).unwrap();
         for (a, observer) in self.nodes.iter().enumerate().filter(|(_, node)| node.up) {
             for (b, peer) in self.nodes.iter().enumerate() {
                 let expected = if peer.up { PeerState::Live } else { PeerState::Gone };
@@ -161,7 +167,7 @@
                     let vm = node.table.delegate(zone).unwrap();
                     node.table.vm(vm).unwrap().vm.name.clone()
                 };
-                assert_eq!(delegate(observer), delegate(&self.nodes[0]), "{context}: {zone}");
+                assert_eq!(delegate(observer), delegate(first), "{context}: {zone}");
             }
         }
     }
