Document the wire types and bound the reuse of idle connections

Cause: the wire types switched a lint off, and a request on a connection that a server is closing may have run, which makes it impossible to send again.

Ruled out: a fresh connection per request, for its cost on each small request.

Change: every wire field has a doc comment, conversions move to their own module, idle connections are used for 4 s at most, and tests cover that a generation refused by the engine itself may have run.

Conclusion: no lint is switched off for missing documentation in clients.

--- a/crates/clients/src/http_client.rs
+++ b/crates/clients/src/http_client.rs
@@ -16,6 +16,10 @@
 /// Longest answer accepted from the platform and from control calls of engines.
 pub(crate) const MAX_ANSWER: usize = 16 << 20;
 
+/// Idle time after which a connection is not used again. Many servers close theirs after 5 s, and a
+/// request that meets the close may have run.
+const KEEP_ALIVE: Duration = Duration::from_secs(4);
+
 /// A pool of connections that belongs to one thread. Clones share the pool.
 ///
 /// Redirects are not followed, since that would send a request a second time. A connection returns to
@@ -63,7 +67,10 @@
     pub fn new(connect_timeout: Span) -> Self {
         // The pool has no limit of its own: a request that waits in it could not be told from one
         // that was sent. The daemon bounds its requests before they get here.
-        let connector = Connector::new().timeout(duration(connect_timeout)).limit(0);
+        let connector = Connector::new()
+            .timeout(duration(connect_timeout))
+            .conn_keep_alive(KEEP_ALIVE)
+            .limit(0);
         let builder = Client::builder().connector(connector).disable_redirects();
         // Timeouts are applied around whole exchanges below. awc's own would also end long streams.
         Self { client: builder.disable_timeout().finish() }
--- a/crates/clients/src/wire.rs
+++ b/crates/clients/src/wire/convert.rs
@@ -1,192 +1,17 @@
-//! JSON shapes of the platform's and the engines' interfaces.
-//!
-//! The fields are those of the design page, sections 6.1 and 6.2.
-// The fields repeat the page's names; the types that users of the crate handle are documented.
-#![allow(missing_docs)]
-
-use std::{collections::BTreeMap, net::SocketAddr};
+//! Conversions between the JSON shapes and the values of the interfaces.
 
 use base::{FencingNumber, Incarnation, LogOffset, RecordId, WallTime, WeightVersion};
-use serde::{Deserialize, Serialize};
 
+use super::{
+    AppendRecord, Figures, Generate, Kv, Line, Load, LoadVersion, Order, OrderReply, OrderStatus,
+    OrderVerb, Page, Priority, Reclaim, Report, Upstream, UpstreamStatus, Vm, VmStatus, WireError,
+};
 use crate::{
     CustomerFigures, EnginePriority, EngineReport, GenerateRequest, KvCache, LogPage, NewRecord,
     OrderAnswer, OrderKind, OrderState, ReclaimNotice, StoredRecord, TokenEvent, UpstreamInfo,
     UpstreamOrder, UpstreamState, UsageReport, VmInfo, VmState, WeightOrder, base16,
 };
 
-macro_rules! wire {
-    ($($item:item)*) => {
-        $(#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)] $item)*
-    };
-}
-
-/// The value lies outside what the interface describes.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct WireError(pub String);
-
-impl std::fmt::Display for WireError {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(&self.0)
-    }
-}
-
-impl std::error::Error for WireError {}
-
-wire! {
-    pub struct AppendRecord {
-        pub id: String,
-        pub data: String,
-    }
-
-    pub struct Appended {
-        pub first: u64,
-    }
-
-    pub struct Page {
-        pub first: u64,
-        pub next: u64,
-        pub records: Vec<PageRecord>,
-    }
-
-    pub struct PageRecord {
-        pub offset: u64,
-        pub data: String,
-    }
-
-    pub struct Order {
-        pub id: String,
-        pub zone: String,
-        pub service: String,
-        pub kind: OrderVerb,
-        #[serde(default)]
-        pub count: u32,
-        #[serde(default)]
-        pub cheap: bool,
-        #[serde(default)]
-        pub upstream: Option<String>,
-        pub fencing: u64,
-    }
-
-    #[derive(Copy)]
-    #[serde(rename_all = "lowercase")]
-    pub enum OrderVerb {
-        Start,
-        Stop,
-    }
-
-    pub struct OrderReply {
-        pub state: OrderStatus,
-        pub upstreams: Vec<String>,
-    }
-
-    #[derive(Copy)]
-    #[serde(rename_all = "lowercase")]
-    pub enum OrderStatus {
-        Accepted,
-        Done,
-        Refused,
-    }
-
-    pub struct Upstream {
-        pub name: String,
-        pub zone: String,
-        pub service: String,
-        pub address: SocketAddr,
-        pub state: UpstreamStatus,
-        pub cheap: bool,
-    }
-
-    #[derive(Copy)]
-    #[serde(rename_all = "lowercase")]
-    pub enum UpstreamStatus {
-        Starting,
-        Running,
-        Leaving,
-    }
-
-    pub struct Reclaim {
-        pub zone: String,
-        pub at_ms: i64,
-    }
-
-    pub struct Report {
-        pub window: u64,
-        pub fencing: u64,
-        pub figures: BTreeMap<String, Figures>,
-    }
-
-    #[derive(Copy)]
-    pub struct Figures {
-        pub requests: u64,
-        pub prompt_tokens: u64,
-        pub generated_tokens: u64,
-    }
-
-    pub struct Vm {
-        pub name: String,
-        pub zone: String,
-        pub address: SocketAddr,
-        pub state: VmStatus,
-    }
-
-    #[derive(Copy)]
-    #[serde(rename_all = "lowercase")]
-    pub enum VmStatus {
-        Live,
-        Leaving,
-    }
-
-    pub struct Generate {
-        pub id: String,
-        pub prompt: String,
-        pub max_tokens: u32,
-        #[serde(default)]
-        pub offset: u32,
-        #[serde(default)]
-        pub seed: u64,
-        pub priority: Priority,
-    }
-
-    #[derive(Copy)]
-    #[serde(rename_all = "lowercase")]
-    pub enum Priority {
-        Live,
-        Sample,
-    }
-
-    #[serde(untagged)]
-    pub enum Line {
-        Token { id: String, index: u32, token: String, version: u64 },
-        End { id: String, end: bool, tokens: u32, prompt_tokens: u32 },
-    }
-
-    pub struct Load {
-        pub running: u32,
-        pub queued: u32,
-        pub tokens_per_second: u32,
-        pub version: u64,
-        pub leaving: bool,
-        pub cached_prefixes: Vec<u64>,
-        pub measured_at_ms: i64,
-    }
-
-    pub struct LoadVersion {
-        pub model: String,
-        pub version: u64,
-        pub fencing: u64,
-    }
-
-    pub struct StreamId {
-        pub id: String,
-    }
-
-    pub struct Kv {
-        pub id: String,
-        pub data: String,
-    }
-}
-
 impl From<&NewRecord> for AppendRecord {
     fn from(record: &NewRecord) -> Self {
         let RecordId { writer, sequence } = record.id;
@@ -329,16 +154,6 @@
     }
 }
 
-impl Line {
-    /// Returns the id of the request that the line answers.
-    #[must_use]
-    pub fn id(&self) -> &str {
-        match self {
-            Self::Token { id, .. } | Self::End { id, .. } => id,
-        }
-    }
-}
-
 impl TryFrom<Line> for TokenEvent {
     type Error = WireError;
 
--- a/crates/clients/tests/failures.rs
+++ b/crates/clients/tests/failures.rs
@@ -135,6 +135,22 @@
     let client = platform(socket.local_addr().unwrap(), Span::from_secs(30));
     let error = client.read("usage", LogOffset(0), 1).await.unwrap_err();
     assert_eq!((error.failure, error.execution), (CallFailure::Connect, Execution::NotRun));
+    let engine = EngineClient::new(http(), Span::from_secs(30), Span::from_secs(30));
+    let error = engine.generate(socket.local_addr().unwrap(), &request()).await.unwrap_err();
+    assert_eq!((error.failure, error.execution), (CallFailure::Connect, Execution::NotRun));
+}
+
+/// Guards against a generation that is run a second time after a refusal by the engine itself.
+#[rstest]
+#[case::client_error("HTTP/1.1 429 Too Many Requests\r\ncontent-length: 0\r\n\r\n")]
+#[case::server_error("HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n")]
+#[case::closed("")]
+#[actix_rt::test]
+async fn generation_that_reached_an_engine_may_have_run(#[case] answer: &str) {
+    let (address, _) = start(Script::Close(String::from(answer))).await;
+    let engine = EngineClient::new(http(), Span::from_secs(30), Span::from_secs(30));
+    let error = engine.generate(address, &request()).await.unwrap_err();
+    assert_eq!(error.execution, Execution::MayHaveRun, "{error}");
 }
 
 /// Guards against a late answer that reaches the next request on the same connection.
