--- a/crates/stand-ins/src/engine/mod.rs
+++ b/crates/stand-ins/src/engine/mod.rs
@@ -4,6 +4,9 @@
 mod state;
 mod weights;
 
+#[cfg(test)]
+mod tests;
+
 use std::{
     io,
     net::{Ipv4Addr, SocketAddr},
--- a/crates/stand-ins/tests/engine.rs
+++ b/crates/stand-ins/tests/engine.rs
@@ -129,6 +129,23 @@
     assert!(read(&engine, &request("e", 0, 3)).await.is_ok());
 }
 
+/// Guards against a KV cache that cannot move to another engine while its stream runs.
+#[actix_rt::test]
+async fn kv_cache_moves_to_another_engine() {
+    let (first, second) = (Engine::start(fast()).unwrap(), Engine::start(fast()).unwrap());
+    let client = client();
+    let error = client.export_kv(first.address(), "k").await.unwrap_err();
+    assert_eq!(error.failure, CallFailure::Status(404));
+    let mut stream = client.generate(first.address(), &request("k", 0, 1_000_000)).await.unwrap();
+    stream.next().await.unwrap();
+    let cache = client.export_kv(first.address(), "k").await.unwrap();
+    client.import_kv(second.address(), &cache).await.unwrap();
+    assert_eq!(second.inspect()["imported"][0], "k");
+    let resumed = request("k", stream.next_index(), stream.next_index() + 5);
+    assert_eq!(read(&second, &resumed).await.unwrap().1.len(), 5);
+    assert!(second.inspect()["imported"].as_array().unwrap().is_empty());
+}
+
 /// Guards against a crash that spares other connections or that ends before its time.
 #[actix_rt::test]
 async fn marked_prompt_drops_all_connections_and_the_engine_returns() {
