Test the document checks on documents that lack one line

Cause: a missing key or header must be reported with a place, never panic.

Ruled out: random mutations, which mostly give syntax errors.

Change: one test that leaves out each line of the small document in turn.

Conclusion: no line's absence causes a panic or a problem without place.

--- a/crates/document/tests/checks.rs
+++ b/crates/document/tests/checks.rs
@@ -169,3 +169,21 @@
     assert_eq!(problems.len(), 1, "{problems:?}");
     assert_eq!(problems[0].key, "lease.term");
 }
+
+/// Guards against a panic, or an unreported gap, on a document that lacks any one line.
+#[test]
+fn document_without_one_line_loads_or_is_refused_with_a_place() {
+    for left_out in 0..SMALL.lines().count() {
+        let lines = SMALL.lines().enumerate().filter(|(index, _)| *index != left_out);
+        let text = lines.map(|(_, line)| format!("{line}\n")).collect::<String>();
+        let Err(problems) = EnvironmentDocument::parse("trial.toml", &text) else {
+            continue;
+        };
+        let lines = text.lines().count();
+        assert!(!problems.is_empty(), "line {left_out}");
+        for problem in problems {
+            assert!((1..=lines + 1).contains(&problem.line), "line {left_out}: {problem}");
+            assert!(!problem.key.is_empty() && !problem.allowed.is_empty(), "{problem}");
+        }
+    }
+}
