--- a/crates/clients/src/http_client.rs
+++ b/crates/clients/src/http_client.rs
@@ -98,6 +98,30 @@
         .await
     }
 
+    /// Sends a request and reads the answer until its stream ends, also one without a length.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the exchange fails or exceeds `timeout`, or the stream breaks off.
+    pub async fn stream_all(
+        &self,
+        outgoing: Outgoing,
+        timeout: Span,
+    ) -> Result<(u16, Bytes), CallError> {
+        bounded(timeout, async {
+            let mut response = self.open(outgoing).await?;
+            let mut body = BytesMut::new();
+            while let Some(chunk) = response.next().await {
+                let chunk = chunk.map_err(|error| {
+                    CallError::maybe_run(CallFailure::Disconnected, error.to_string())
+                })?;
+                body.extend_from_slice(&chunk);
+            }
+            Ok((response.status().as_u16(), body.freeze()))
+        })
+        .await
+    }
+
     /// Sends a request and returns the answer as soon as its head has arrived.
     pub(crate) async fn open(&self, outgoing: Outgoing) -> Result<ClientResponse, CallError> {
         let url = format!("http://{}{}", outgoing.address, outgoing.path);
--- a/crates/hibiscushinged/src/control.rs
+++ b/crates/hibiscushinged/src/control.rs
@@ -3,7 +3,7 @@
 mod admin;
 mod authority;
 mod claims;
-mod config;
+pub(crate) mod config;
 mod follow;
 mod limits;
 mod orders;
@@ -170,7 +170,7 @@
         stream: &str,
         record: &T,
     ) -> Result<RecordId, BufferFull> {
-        let id = self.state().writer.next_id();
+        let id = self.state().writer.next_id(stream);
         self.append_as(stream, id, record)?;
         Ok(id)
     }
--- a/crates/hibiscushinged/src/control/authority.rs
+++ b/crates/hibiscushinged/src/control/authority.rs
@@ -11,7 +11,7 @@
 use crate::{
     control::{
         Control,
-        follow::{StreamEvent, follow},
+        follow::{NextRead, StreamEvent, follow},
         usage::USAGE_STREAM,
     },
     shared::SharedState,
@@ -42,6 +42,7 @@
         let stream = scope.stream();
         follow::<AuthorityRecord>(control, stream, move |control, event| {
             control.on_authority(&scope, event);
+            NextRead::Onwards
         });
     }
 }
--- a/crates/hibiscushinged/src/control/claims.rs
+++ b/crates/hibiscushinged/src/control/claims.rs
@@ -13,7 +13,7 @@
     clock::wall_now,
     control::{
         Control,
-        follow::{StreamEvent, follow},
+        follow::{NextRead, StreamEvent, follow},
     },
     input::{ClaimAnswer, ClaimAsk},
 };
@@ -33,6 +33,7 @@
         if let StreamEvent::Record { record, .. } = event {
             control.claim_event(record);
         }
+        NextRead::Onwards
     });
 }
 
--- a/crates/hibiscushinged/src/control/config.rs
+++ b/crates/hibiscushinged/src/control/config.rs
@@ -12,14 +12,15 @@
 use crate::{
     control::{
         Control,
-        follow::{StreamEvent, follow},
+        follow::{NextRead, StreamEvent, follow},
     },
     shared::ServicePhase,
     telemetry::log_event,
     view::{KeyService, RoutingView},
 };
 
-pub(crate) const CONFIG_STREAM: &str = "config";
+/// Log stream of the documents.
+pub const CONFIG_STREAM: &str = "config";
 
 /// Time between snapshots of the documents. It must stay well below the log's retention.
 const CARRY_PERIOD: Span = Span::from_secs(600);
@@ -40,12 +41,17 @@
 
 pub(crate) fn start(control: &Rc<Control>) {
     follow::<ConfigRecord>(control, String::from(CONFIG_STREAM), |control, event| {
-        control.on_config(event);
+        control.on_config(event)
     });
 }
 
-/// Decides whether a document may be accepted. Every node gives the same verdict.
-pub(crate) fn check_document(environment: &EnvironmentName, text: &str) -> Result<(), String> {
+/// Decides whether a document may be accepted. Every node and the operators' tool give the same
+/// verdict.
+///
+/// # Errors
+///
+/// Returns all problems of the document in one text.
+pub fn check_document(environment: &EnvironmentName, text: &str) -> Result<(), String> {
     let document = EnvironmentDocument::parse("document", text).map_err(|problems| {
         let lines = problems.iter().map(ToString::to_string).collect::<Vec<_>>();
         lines.join("; ")
@@ -107,14 +113,15 @@
 }
 
 impl Control {
-    fn on_config(self: &Rc<Self>, event: StreamEvent<ConfigRecord>) {
+    fn on_config(self: &Rc<Self>, event: StreamEvent<ConfigRecord>) -> NextRead {
         let now = self.now();
+        let mut next = NextRead::Onwards;
         match event {
             StreamEvent::ReadingFrom(offset) | StreamEvent::Retained(offset) => {
                 let mut state = self.state();
                 state.config.history.note_retention(offset);
                 state.config.carry.note_retention(offset);
-                return;
+                return next;
             }
             StreamEvent::Record { offset, id, record, catching_up } => {
                 let read_at = (!catching_up).then_some(now);
@@ -134,11 +141,13 @@
                             winner = report.winner.0
                         );
                     }
-                    _ => {}
+                    ConfigOutcome::Restored(offset) => next = NextRead::From(offset),
+                    ConfigOutcome::Refused(_) => {}
                 }
             }
         }
         self.apply_config(now);
+        next
     }
 
     /// Takes documents that a peer holds.
--- a/crates/hibiscushinged/src/control/follow.rs
+++ b/crates/hibiscushinged/src/control/follow.rs
@@ -54,11 +54,18 @@
     }
 }
 
+/// Where reading goes on after an event.
+pub(crate) enum NextRead {
+    Onwards,
+    /// The state was taken from a snapshot, and the records from this offset on must be read again.
+    From(LogOffset),
+}
+
 /// Reads a stream for good and hands its records to `apply`.
 pub(crate) fn follow<T: StreamRecord + 'static>(
     control: &Rc<Control>,
     stream: String,
-    apply: impl Fn(&Rc<Control>, StreamEvent<T>) + 'static,
+    apply: impl Fn(&Rc<Control>, StreamEvent<T>) -> NextRead + 'static,
 ) {
     let control = Rc::clone(control);
     actix_rt::spawn(async move {
@@ -81,8 +88,16 @@
                 apply(&control, StreamEvent::ReadingFrom(page.first));
             }
             apply(&control, StreamEvent::Retained(page.first));
+            let mut next = NextRead::Onwards;
             for action in follower.handle(decode(page)) {
-                control.apply(&stream, action, behind, &apply);
+                next = control.apply(&stream, action, behind, &apply);
+                if matches!(next, NextRead::From(_)) {
+                    break;
+                }
+            }
+            if let NextRead::From(offset) = next {
+                follower = LogFollower::new(FollowerSettings::default(), offset);
+                continue;
             }
             if behind {
                 continue;
@@ -109,20 +124,21 @@
         stream: &str,
         action: FollowerAction<T>,
         catching_up: bool,
-        apply: &impl Fn(&Rc<Self>, StreamEvent<T>),
-    ) {
+        apply: &impl Fn(&Rc<Self>, StreamEvent<T>) -> NextRead,
+    ) -> NextRead {
         match action {
             FollowerAction::Gap { expected, resumed } => {
                 log_event!(warn, LogGapFound, stream, expected = expected.0, resumed = resumed.0);
                 self.state().log.gaps += 1;
-                apply(self, StreamEvent::ReadingFrom(resumed));
+                apply(self, StreamEvent::ReadingFrom(resumed))
             }
             FollowerAction::Deliver { offset, id, record } => {
-                apply(self, StreamEvent::Record { offset, id, record, catching_up });
+                apply(self, StreamEvent::Record { offset, id, record, catching_up })
             }
             FollowerAction::Malformed { offset, problem } => {
                 log_event!(warn, LogRecordRefused, stream, offset = offset.0, problem);
                 self.state().log.malformed += 1;
+                NextRead::Onwards
             }
         }
     }
--- a/crates/hibiscushinged/src/control/suspects.rs
+++ b/crates/hibiscushinged/src/control/suspects.rs
@@ -13,7 +13,7 @@
     clock::wall_now,
     control::{
         Control,
-        follow::{StreamEvent, follow},
+        follow::{NextRead, StreamEvent, follow},
     },
     telemetry::log_event,
 };
@@ -25,6 +25,7 @@
         if let StreamEvent::Record { record, .. } = event {
             control.suspect_event(SuspectEvent::VerdictHeard(record));
         }
+        NextRead::Onwards
     });
 }
 
--- a/crates/hibiscushinged/src/control/usage.rs
+++ b/crates/hibiscushinged/src/control/usage.rs
@@ -16,7 +16,7 @@
     clock::wall_now,
     control::{
         Control,
-        follow::{StreamEvent, follow},
+        follow::{NextRead, StreamEvent, follow},
     },
     telemetry::log_event,
 };
@@ -76,7 +76,7 @@
         }
     }
 
-    fn on_usage(self: &Rc<Self>, event: StreamEvent<UsageEntry>) {
+    fn on_usage(self: &Rc<Self>, event: StreamEvent<UsageEntry>) -> NextRead {
         match event {
             StreamEvent::ReadingFrom(offset) => {
                 self.lease_reading_from(&Scope::Usage, offset);
@@ -87,12 +87,13 @@
                 self.lease_record(&Scope::Usage, offset, &record);
             }
             StreamEvent::Record { offset, id, record: UsageEntry::Usage(record), .. } => {
-                self.usage_record(offset, id, &record);
+                return self.usage_record(offset, id, &record);
             }
         }
+        NextRead::Onwards
     }
 
-    fn usage_record(&self, offset: LogOffset, id: RecordId, record: &UsageRecord) {
+    fn usage_record(&self, offset: LogOffset, id: RecordId, record: &UsageRecord) -> NextRead {
         let mut state = self.state();
         let scope = state.scopes.iter().find(|driver| driver.scope == Scope::Usage);
         let valid = scope.and_then(|driver| driver.keeper.claim_in_force());
@@ -111,9 +112,13 @@
             LedgerOutcome::Reported(window) => {
                 log_event!(UsageWindowReported, window = window.0);
             }
-            LedgerOutcome::Restored(_) => usage.awaits_since = None,
+            LedgerOutcome::Restored(next) => {
+                usage.awaits_since = None;
+                return NextRead::From(next);
+            }
             LedgerOutcome::Counted | LedgerOutcome::Ignored(_) => {}
         }
+        NextRead::Onwards
     }
 
     pub(crate) fn tick_usage(self: &Rc<Self>, now: Moment) {
@@ -134,7 +139,7 @@
             let mut state = self.state();
             let state = &mut *state;
             let (usage, writer) = (&mut state.usage, &mut state.writer);
-            usage.meter.poll(now, || writer.next_id())
+            usage.meter.poll(now, || writer.next_id(USAGE_STREAM))
         };
         self.append_batch(now, batch);
     }
@@ -145,7 +150,7 @@
             let mut state = self.state();
             let state = &mut *state;
             let (usage, writer) = (&mut state.usage, &mut state.writer);
-            usage.meter.cut(|| writer.next_id())
+            usage.meter.cut(|| writer.next_id(USAGE_STREAM))
         };
         self.append_batch(now, batch);
     }
--- a/crates/hibiscushinged/src/lib.rs
+++ b/crates/hibiscushinged/src/lib.rs
@@ -29,6 +29,8 @@
     telemetry::log_event,
 };
 
+pub use crate::control::config::{CONFIG_STREAM, check_document};
+
 /// A running daemon.
 pub struct Daemon {
     addresses: DaemonAddresses,
--- /dev/null
+++ b/crates/process-tests/src/call.rs
@@ -0,0 +1,53 @@
+//! HTTP calls of tests.
+
+use std::net::SocketAddr;
+
+use base::Span;
+use bytes::Bytes;
+use clients::{HttpClient, Outgoing};
+use serde_json::Value;
+
+/// A whole answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CallAnswer {
+    /// HTTP status, or 0 when no whole answer came.
+    pub status: u16,
+    /// Body.
+    pub body: String,
+}
+
+const LIMIT: Span = Span::from_secs(60);
+
+/// Sends a caller's request.
+pub async fn call(
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&'static str, String)],
+    body: &str,
+) -> CallAnswer {
+    let mut outgoing = Outgoing::post(address, path, Bytes::copy_from_slice(body.as_bytes()));
+    for (name, value) in headers {
+        let value = value.parse().expect("test headers are valid");
+        outgoing = outgoing.with_header(name.parse().expect("test headers are valid"), value);
+    }
+    send(outgoing).await
+}
+
+/// Reads JSON, or `None` when no answer came.
+pub async fn get_json(address: SocketAddr, path: &str) -> Option<Value> {
+    let answer = send(Outgoing::get(address, path)).await;
+    serde_json::from_str(&answer.body).ok()
+}
+
+/// Posts JSON and returns the status.
+pub async fn post_json(address: SocketAddr, path: &str, value: &Value) -> u16 {
+    let body = Bytes::from(value.to_string());
+    send(Outgoing::post(address, path, body)).await.status
+}
+
+async fn send(outgoing: Outgoing) -> CallAnswer {
+    match HttpClient::new(Span::from_secs(5)).stream_all(outgoing, LIMIT).await {
+        Ok((status, body)) => CallAnswer { status, body: String::from_utf8_lossy(&body).into() },
+        Err(error) => CallAnswer { status: 0, body: error.to_string() },
+    }
+}
--- /dev/null
+++ b/crates/process-tests/src/fleet.rs
@@ -0,0 +1,261 @@
+//! A small deployment of separate processes.
+
+use std::{
+    fmt::Write as _,
+    fs,
+    net::SocketAddr,
+    path::PathBuf,
+    process,
+    sync::atomic::{AtomicU32, Ordering},
+};
+
+use base::{Incarnation, KeyDigest};
+use configuration::ConfigVersion;
+use hibiscushinge::{EditOutcome, OperatorClient};
+use serde_json::{Value, json};
+
+use crate::{ProcessHandle, get_json, post_json, wait_for};
+
+/// What a test deployment consists of.
+#[derive(Debug, Clone)]
+pub struct FleetOptions {
+    /// Zone of each daemon.
+    pub daemons: Vec<&'static str>,
+    /// Engines, with further arguments of the stand-in.
+    pub engines: Vec<Vec<String>>,
+    /// Plain services, with further arguments of the stand-in.
+    pub plain: Vec<Vec<String>>,
+    /// Further arguments of the platform stand-in.
+    pub platform: Vec<String>,
+    /// Lines added to the settings of every daemon.
+    pub settings: String,
+    /// Lines put before the tables of the document.
+    pub document: String,
+}
+
+/// Running processes of a test deployment.
+#[derive(Debug)]
+pub struct TestFleet {
+    /// Platform.
+    pub platform: ProcessHandle,
+    /// Model engines, all in zone `hobart-a`.
+    pub engines: Vec<ProcessHandle>,
+    /// Plain services, all in zone `hobart-a`.
+    pub plain: Vec<ProcessHandle>,
+    /// Daemons. Their addresses are those of callers, peers and operators, in this order.
+    pub daemons: Vec<ProcessHandle>,
+    options: FleetOptions,
+    folder: PathBuf,
+}
+
+static LAST_FOLDER: AtomicU32 = AtomicU32::new(0);
+
+/// Returns the key of a customer or trainer of the test document.
+#[must_use]
+pub fn caller_key(name: &str) -> String {
+    format!("key-of-{name}")
+}
+
+/// Builds the test document with its customers.
+#[must_use]
+pub fn document_text(fleet: &TestFleet, customers: &[&str]) -> String {
+    let mut text = String::from("environment = \"production\"\ntime_zone = \"Australia/Hobart\"\n");
+    text.push_str(&fleet.options.document);
+    for zone in ["hobart-a", "hobart-b", "kingston-c"] {
+        let table =
+            format!("[[zones]]\nname = \"{zone}\"\nregion = \"tas-south\"\nentry_vms = 1\n");
+        text.push_str(&table);
+    }
+    text.push_str("[[services]]\nname = \"draft-models\"\nkind = \"model\"\n");
+    text.push_str("[[services]]\nname = \"dieline-index\"\nkind = \"plain\"\n");
+    pool(&mut text, "draft-models", &fleet.engines);
+    pool(&mut text, "dieline-index", &fleet.plain);
+    route(&mut text, "draft", "draft-models", "idempotent = true");
+    route(&mut text, "order", "dieline-index", "idempotent = false");
+    route(&mut text, "open", "dieline-index", "idempotent = true\nopen = true");
+    for customer in customers {
+        let digest = KeyDigest::of(&caller_key(customer));
+        writeln!(
+            text,
+            "[[customers]]\nname = \"{customer}\"\nkeys = [\"{digest}\"]\nweight = 1\n\
+             tokens_per_second = 1000000\nrequests_per_second = 1000"
+        )
+        .expect("writing to a string succeeds");
+    }
+    let digest = KeyDigest::of(&caller_key("layouts"));
+    write!(
+        text,
+        "[[trainers]]\nname = \"layouts\"\nkey = \"{digest}\"\nservice = \"draft-models\"\n\
+         staleness_bound = 1\nmin_group = 1\nmax_group = 64\n"
+    )
+    .expect("writing to a string succeeds");
+    text
+}
+
+fn pool(text: &mut String, service: &str, upstreams: &[ProcessHandle]) {
+    let addresses = upstreams.iter().map(|upstream| format!("\"{}\"", upstream.address(0)));
+    let addresses = addresses.collect::<Vec<_>>().join(", ");
+    let count = upstreams.len().max(1);
+    write!(
+        text,
+        "[[pools]]\nservice = \"{service}\"\nzone = \"hobart-a\"\nmin_count = 0\n\
+         max_count = {count}\nprice_cents_per_hour = 100\nstartup = \"1s\"\nspeed = 200\n\
+         fencing = \"checked\"\naddresses = [{addresses}]\n"
+    )
+    .expect("writing to a string succeeds");
+}
+
+fn route(text: &mut String, path: &str, service: &str, flags: &str) {
+    let table = format!(
+        "[[routes]]\npath = \"{path}\"\nservice = \"{service}\"\n{flags}\nmax_deadline = \"30s\"\n"
+    );
+    text.push_str(&table);
+}
+
+impl Default for FleetOptions {
+    fn default() -> Self {
+        Self {
+            daemons: vec!["hobart-a", "hobart-b", "kingston-c"],
+            engines: vec![Vec::new(), Vec::new()],
+            plain: vec![Vec::new()],
+            platform: Vec::new(),
+            settings: String::new(),
+            document: String::new(),
+        }
+    }
+}
+
+impl TestFleet {
+    /// Starts all processes. No document is in force yet.
+    ///
+    /// # Panics
+    ///
+    /// Panics when a process cannot be started.
+    pub async fn start(options: FleetOptions) -> Self {
+        let number = LAST_FOLDER.fetch_add(1, Ordering::Relaxed);
+        let folder = std::env::temp_dir().join(format!("hibiscushinge-{}-{number}", process::id()));
+        fs::create_dir_all(&folder).expect("the folder can be created");
+        let platform = stand_in(&folder, "platform", 0, &options.platform);
+        let engines = options.engines.iter().enumerate();
+        let engines = engines.map(|(index, extra)| stand_in(&folder, "engine", index, extra));
+        let engines = engines.collect();
+        let plain = options.plain.iter().enumerate();
+        let plain = plain.map(|(index, extra)| stand_in(&folder, "plain", index, extra)).collect();
+        let mut fleet = Self { platform, engines, plain, daemons: Vec::new(), options, folder };
+        for index in 0..fleet.options.daemons.len() {
+            let daemon = fleet.start_daemon(index);
+            fleet.daemons.push(daemon);
+        }
+        fleet.list_vms().await;
+        fleet
+    }
+
+    /// Starts the daemon at `index`, also again after it has ended.
+    #[must_use]
+    pub fn start_daemon(&self, index: usize) -> ProcessHandle {
+        let zone = self.options.daemons[index];
+        let settings = format!(
+            "vm_name = \"entry-{index}\"\nzone = \"{zone}\"\nenvironment = \"production\"\n\
+             listen = \"127.0.0.1:0\"\npeer = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\n\
+             platform = \"{}\"\ntraffic_threads = 1\n{}",
+            self.platform.address(0),
+            self.options.settings
+        );
+        let file = self.folder.join(format!("daemon-{index}.toml"));
+        fs::write(&file, settings).expect("the settings can be written");
+        let arguments = [String::from("--settings"), file.display().to_string()];
+        ProcessHandle::start("hibiscushinged", &arguments, &self.log(index))
+    }
+
+    /// Returns the log file of the daemon at `index`.
+    #[must_use]
+    pub fn log(&self, index: usize) -> PathBuf {
+        self.folder.join(format!("daemon-{index}.log"))
+    }
+
+    /// Makes the platform list the daemons at their present addresses.
+    pub async fn list_vms(&self) {
+        let vms = self.daemons.iter().enumerate().map(|(index, daemon)| {
+            json!({
+                "name": format!("entry-{index}"),
+                "zone": self.options.daemons[index],
+                "address": daemon.address(1).to_string(),
+                "state": "live",
+            })
+        });
+        let status = post_json(self.platform.address(0), "/vms", &vms.collect()).await;
+        assert_eq!(status, 200, "the platform takes the list of VMs");
+    }
+
+    /// Returns an operator's access to the documents.
+    #[must_use]
+    pub fn operator(&self, writer: u64) -> OperatorClient {
+        OperatorClient::new(self.platform.address(0), Incarnation(writer))
+    }
+
+    /// Puts the first document in force and waits until every daemon serves it.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the document is refused.
+    pub async fn first_document(&self, customers: &[&str]) {
+        let text = document_text(self, customers);
+        let edit = self.operator(1).edit("production", ConfigVersion(0), &text).await;
+        assert_eq!(edit, Ok(EditOutcome::Accepted(ConfigVersion(1))));
+        self.wait_for_version(1).await;
+    }
+
+    /// Waits until all daemons have this version in force and see their upstreams.
+    pub async fn wait_for_version(&self, version: u64) {
+        for daemon in &self.daemons {
+            let admin = daemon.address(2);
+            wait_for("the document and the upstreams", || async move {
+                let status = get_json(admin, "/admin/status").await?;
+                let in_force = status["configuration"]["version"].as_u64()? >= version;
+                let upstreams = status["upstreams"].as_array()?;
+                let serving = upstreams.iter().filter(|one| one["phase"] == "Serving").count();
+                (in_force && serving > 0 && serving == upstreams.len()).then_some(())
+            })
+            .await;
+        }
+    }
+
+    /// Returns what the platform received.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the platform does not answer.
+    pub async fn inspect(&self) -> Value {
+        let found = get_json(self.platform.address(0), "/inspect").await;
+        found.expect("the platform answers")
+    }
+
+    /// Changes the faults of the platform.
+    pub async fn fault(&self, change: &Value) {
+        let status = post_json(self.platform.address(0), "/faults", change).await;
+        assert_eq!(status, 200, "the platform takes the change of faults");
+    }
+
+    /// Returns the address for callers of the daemon at `index`.
+    #[must_use]
+    pub fn caller_address(&self, index: usize) -> SocketAddr {
+        self.daemons[index].address(0)
+    }
+}
+
+impl Drop for TestFleet {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("logs are in {}", self.folder.display());
+            return;
+        }
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn stand_in(folder: &std::path::Path, kind: &str, index: usize, extra: &[String]) -> ProcessHandle {
+    let mut arguments =
+        vec![String::from(kind), String::from("--listen"), String::from("127.0.0.1:0")];
+    arguments.extend_from_slice(extra);
+    ProcessHandle::start("stand-in", &arguments, &folder.join(format!("{kind}-{index}.log")))
+}
--- /dev/null
+++ b/crates/process-tests/src/lib.rs
@@ -0,0 +1,14 @@
+//! Starts daemons and stand-ins as separate processes on loopback, for the tests of this crate.
+//!
+//! `cargo xtask test` builds the binaries first. Processes are ended by id when their handle is
+//! dropped. Waits have generous limits and end as soon as the awaited event is seen.
+
+mod call;
+mod fleet;
+mod process;
+
+pub use crate::{
+    call::{CallAnswer, call, get_json, post_json},
+    fleet::{FleetOptions, TestFleet, caller_key, document_text},
+    process::{ProcessHandle, wait_for},
+};
--- a/crates/record-log/src/writer.rs
+++ b/crates/record-log/src/writer.rs
@@ -95,7 +95,6 @@
 pub struct LogWriter {
     settings: WriterSettings,
     incarnation: Incarnation,
-    last_sequence: u64,
     last_batch: u64,
     generator: ChaCha8Rng,
     streams: BTreeMap<String, StreamQueue>,
@@ -105,6 +104,8 @@
 
 #[derive(Debug, Clone, Default)]
 struct StreamQueue {
+    /// Ids are numbered in each stream for itself, so that readers can keep them as few ranges.
+    last_sequence: u64,
     waiting: VecDeque<BatchRecord>,
     flight: Option<BatchFlight>,
     buffered_ids: HashSet<RecordId>,
@@ -126,7 +127,6 @@
         Self {
             settings,
             incarnation,
-            last_sequence: 0,
             last_batch: 0,
             generator: ChaCha8Rng::seed_from_u64(seed),
             streams: BTreeMap::new(),
@@ -135,10 +135,11 @@
         }
     }
 
-    /// Reserves an id for a record that is passed to [`LogWriter::append_as`].
-    pub const fn next_id(&mut self) -> RecordId {
-        self.last_sequence += 1;
-        RecordId { writer: self.incarnation, sequence: self.last_sequence }
+    /// Reserves an id for a record of `stream` that is passed to [`LogWriter::append_as`].
+    pub fn next_id(&mut self, stream: &str) -> RecordId {
+        let queue = self.streams.entry(stream.to_owned()).or_default();
+        queue.last_sequence += 1;
+        RecordId { writer: self.incarnation, sequence: queue.last_sequence }
     }
 
     /// Takes a record under a new id. It is sent by a later [`LogWriter::tick`].
@@ -147,10 +148,10 @@
     ///
     /// Returns [`BufferFull`] when the record does not fit; nothing is kept of it then.
     pub fn append(&mut self, stream: &str, data: Vec<u8>) -> Result<RecordId, BufferFull> {
-        let id = RecordId { writer: self.incarnation, sequence: self.last_sequence + 1 };
+        let last = self.streams.get(stream).map_or(0, |queue| queue.last_sequence);
+        let id = RecordId { writer: self.incarnation, sequence: last + 1 };
         self.append_as(stream, id, data)?;
-        self.last_sequence += 1;
-        Ok(id)
+        Ok(self.next_id(stream))
     }
 
     /// Takes a record under the id that its first writer chose, as a replica holder does.
