Add model checks of leases and orders

Cause: interleavings of several processes, pauses and lost messages are beyond tests of single steps (invariant I7).

Ruled out: free interleaving of processes within a unit of time. Running processes now act in the order of their numbers, and a pause before any of their steps gives other orders.

Towards a receiver that ignores fencing numbers a pause between clock check and write that outlasts the successor's whole wait still breaks the order of fencing numbers; with a pause of at most twice the margin and the extra wait no counterexample exists.

--- /dev/null
+++ b/crates/model-check/src/authority/process.rs
@@ -0,0 +1,326 @@
+//! One process: the driver's part around the real machines.
+
+use std::rc::Rc;
+
+use authority::{
+    AuthorityRecord, Candidacy, DeskAction, LeaseAction, LeaseKeeper, OrderDesk, OrderId,
+    OrderIntent, OrderKind, OrderRequest, Scope,
+};
+use base::{FencingNumber, Incarnation, LogOffset, Moment, key};
+
+use super::{
+    AuthorityModel, AuthorityState, AuthorityStep, GuardedSteps, ModelSettings, RestartReading,
+    WireOrder,
+};
+
+/// Scope of the model. It needs no heap, which keeps states small.
+const SCOPE: Scope = Scope::Fleet;
+
+/// Added to the incarnation of a process when it restarts.
+const RESTART_STRIDE: u64 = 10;
+
+key! {
+    pub(crate) enum Activity {
+        Running,
+        Paused,
+    }
+
+    pub(crate) enum LogAccess {
+        Reachable,
+        CutOff,
+    }
+}
+
+/// An order whose clock check has passed and that is not yet written.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct CheckedOrder {
+    pub(crate) intent: OrderIntent,
+    pub(crate) fencing: FencingNumber,
+    pub(crate) at: Moment,
+}
+
+/// A process with its machines and the work that its driver has queued.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct ProcessState {
+    /// The real keeper.
+    pub keeper: LeaseKeeper,
+    /// The real desk.
+    pub desk: OrderDesk,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) next: LogOffset,
+    pub(crate) outbox: Vec<Rc<AuthorityRecord>>,
+    pub(crate) sends: Vec<OrderIntent>,
+    pub(crate) asks: Vec<OrderId>,
+    pub(crate) checked: Option<CheckedOrder>,
+    pub(crate) activity: Activity,
+    pub(crate) access: LogAccess,
+}
+
+impl ProcessState {
+    pub(crate) fn new(
+        settings: &ModelSettings,
+        now: Moment,
+        first: LogOffset,
+        incarnation: u64,
+    ) -> Self {
+        let incarnation = Incarnation(incarnation);
+        let candidacy = Candidacy::Standing;
+        let mut keeper = LeaseKeeper::new(settings.lease, SCOPE, incarnation, candidacy);
+        keeper.reading_from(now, first);
+        Self {
+            keeper,
+            desk: OrderDesk::new(settings.desk, SCOPE, incarnation),
+            incarnation,
+            next: first,
+            outbox: Vec::new(),
+            sends: Vec::new(),
+            asks: Vec::new(),
+            checked: None,
+            activity: Activity::Running,
+            access: LogAccess::Reachable,
+        }
+    }
+
+    /// Tells whether the process has work to do before time moves on.
+    pub(crate) fn is_due(&self, log_length: usize) -> bool {
+        if self.activity == Activity::Paused {
+            return false;
+        }
+        let has_log_work = (self.next.0 as usize) < log_length || !self.outbox.is_empty();
+        has_log_work && self.access == LogAccess::Reachable
+            || self.checked.is_some()
+            || !self.sends.is_empty()
+            || !self.asks.is_empty()
+    }
+
+    fn queue(&mut self, actions: impl IntoIterator<Item = DeskAction>) {
+        for action in actions {
+            match action {
+                DeskAction::Append(record) => self.outbox.push(Rc::new(record)),
+                DeskAction::Send(intent) => self.sends.push(intent),
+                DeskAction::Ask(id) => self.asks.push(id),
+                DeskAction::Settled(_) | DeskAction::Voided(_) => {}
+            }
+        }
+    }
+}
+
+impl<G: GuardedSteps> AuthorityModel<G> {
+    /// Lets a running process do what its timers demand.
+    pub(crate) fn settle(&self, state: &mut AuthorityState, index: usize) {
+        let now = state.now;
+        let process = &mut state.processes[index];
+        if process.activity == Activity::Paused {
+            return;
+        }
+        let clock = match process.keeper.held(now) {
+            Some(_) => now,
+            None => self.steps.waiting_clock(now),
+        };
+        for action in process.keeper.tick(clock) {
+            if let LeaseAction::Append(record) = action {
+                process.outbox.push(Rc::new(record));
+            }
+        }
+        let actions = process.desk.tick(now, &process.keeper);
+        process.queue(actions);
+    }
+
+    pub(crate) fn read(&self, state: &mut AuthorityState, index: usize) {
+        let now = state.now;
+        let process = &mut state.processes[index];
+        for record in &state.log[process.next.0 as usize..] {
+            for action in process.keeper.read(now, process.next, record) {
+                match action {
+                    LeaseAction::Append(record) => process.outbox.push(Rc::new(record)),
+                    LeaseAction::Acquired(_) => {
+                        process.desk = self.steps.take_over(process.desk.clone());
+                    }
+                    LeaseAction::Lost { .. } => {}
+                }
+            }
+            let actions = process.desk.read(now, &process.keeper, record);
+            process.next = process.next.next();
+            process.queue(actions);
+        }
+        self.settle(state, index);
+    }
+
+    /// Steps of a running process that has work to do.
+    pub(crate) fn due_steps(
+        &self,
+        state: &AuthorityState,
+        index: usize,
+        steps: &mut Vec<(AuthorityStep, AuthorityState)>,
+    ) {
+        self.log_steps(state, index, steps);
+        self.order_steps(state, index, steps);
+        self.fault_steps(state, index, steps);
+    }
+
+    /// Steps of a process while no running process has work to do.
+    pub(crate) fn idle_steps(
+        &self,
+        state: &AuthorityState,
+        index: usize,
+        steps: &mut Vec<(AuthorityStep, AuthorityState)>,
+    ) {
+        let process = &state.processes[index];
+        if process.activity == Activity::Paused {
+            let mut next = state.clone();
+            next.processes[index].activity = Activity::Running;
+            self.settle(&mut next, index);
+            steps.push((AuthorityStep::Resume(index), next));
+            return;
+        }
+        if process.access == LogAccess::CutOff {
+            let mut next = state.clone();
+            next.processes[index].access = LogAccess::Reachable;
+            steps.push((AuthorityStep::Reconnect(index), next));
+        }
+        if let Some(next) = self.decide(state, index) {
+            steps.push((AuthorityStep::Order(index), next));
+        }
+        self.fault_steps(state, index, steps);
+    }
+
+    fn log_steps(
+        &self,
+        state: &AuthorityState,
+        index: usize,
+        steps: &mut Vec<(AuthorityStep, AuthorityState)>,
+    ) {
+        let process = &state.processes[index];
+        if process.access == LogAccess::CutOff {
+            return;
+        }
+        if process.next < state.last_record() {
+            let mut next = state.clone();
+            self.read(&mut next, index);
+            steps.push((AuthorityStep::Read(index), next));
+        }
+        let Some(record) = process.outbox.first() else { return };
+        let mut next = state.clone();
+        next.processes[index].outbox.remove(0);
+        self.append(&mut next, Rc::clone(record));
+        steps.push((AuthorityStep::Append(index), next));
+        if let Some(mut next) = self.fault(state) {
+            self.append(&mut next, Rc::clone(record));
+            steps.push((AuthorityStep::AppendAnswerLost(index), next));
+        }
+        if let Some(mut next) = self.fault(state) {
+            next.delayed_appends.push(Rc::clone(record));
+            steps.push((AuthorityStep::AppendDelayed(index), next));
+        }
+    }
+
+    fn order_steps(
+        &self,
+        state: &AuthorityState,
+        index: usize,
+        steps: &mut Vec<(AuthorityStep, AuthorityState)>,
+    ) {
+        let process = &state.processes[index];
+        if !process.asks.is_empty() {
+            let mut next = state.clone();
+            let id = next.processes[index].asks.remove(0);
+            let answer = self.steps.understand(next.receiver.state(id));
+            let process = &mut next.processes[index];
+            let actions = process.desk.answer(state.now, &process.keeper, id, answer);
+            process.queue(actions);
+            steps.push((AuthorityStep::Ask(index), next));
+        }
+        if let Some(checked) = &process.checked {
+            self.write_steps(state, index, checked, steps);
+        } else if let Some(intent) = process.sends.first() {
+            let mut next = state.clone();
+            let fencing = self.steps.check_clock(state.now, process, intent.id);
+            let process = &mut next.processes[index];
+            let intent = process.sends.remove(0);
+            process.checked =
+                fencing.map(|fencing| CheckedOrder { intent, fencing, at: state.now });
+            steps.push((AuthorityStep::CheckClock(index), next));
+        }
+    }
+
+    fn decide(&self, state: &AuthorityState, index: usize) -> Option<AuthorityState> {
+        let mut next = state.clone();
+        next.orders_left = state.orders_left.checked_sub(1)?;
+        let process = &mut next.processes[index];
+        let fencing = process.keeper.held(state.now)?;
+        let request = OrderRequest { service: String::new(), kind: OrderKind::Start { count: 1 } };
+        let (_, action) = process.desk.order(state.now, &process.keeper, request).ok()?;
+        if let DeskAction::Append(AuthorityRecord::Intent(intent)) = &action {
+            process.sends.extend(self.steps.send_early(intent));
+        }
+        process.queue([action]);
+        next.receiver.newest_decision = next.receiver.newest_decision.max(fencing);
+        Some(next)
+    }
+
+    fn write_steps(
+        &self,
+        state: &AuthorityState,
+        index: usize,
+        checked: &CheckedOrder,
+        steps: &mut Vec<(AuthorityStep, AuthorityState)>,
+    ) {
+        let now = state.now;
+        let mut next = state.clone();
+        next.processes[index].checked = None;
+        let answer = self.receive(&mut next, &checked.intent, checked.fencing);
+        let process = &mut next.processes[index];
+        let actions = process.desk.answer(now, &process.keeper, checked.intent.id, answer);
+        process.queue(actions);
+        steps.push((AuthorityStep::Write(index), next));
+        if let Some(mut next) = self.fault(state) {
+            next.processes[index].checked = None;
+            self.receive(&mut next, &checked.intent, checked.fencing);
+            steps.push((AuthorityStep::WriteAnswerLost(index), next));
+        }
+        if let Some(mut next) = self.fault(state) {
+            next.processes[index].checked = None;
+            let CheckedOrder { intent, fencing, .. } = checked.clone();
+            let due = now + self.settings.lease.order_timeout;
+            next.wire.push(WireOrder { intent, fencing, due });
+            steps.push((AuthorityStep::WriteDelayed(index), next));
+        }
+    }
+
+    fn fault_steps(
+        &self,
+        state: &AuthorityState,
+        index: usize,
+        steps: &mut Vec<(AuthorityStep, AuthorityState)>,
+    ) {
+        let Some(fault) = self.fault(state) else { return };
+        let process = &state.processes[index];
+        let mut next = fault.clone();
+        next.processes[index].activity = Activity::Paused;
+        steps.push((AuthorityStep::Pause(index), next));
+        if process.access == LogAccess::Reachable {
+            let mut next = fault.clone();
+            next.processes[index].access = LogAccess::CutOff;
+            steps.push((AuthorityStep::CutOff(index), next));
+        }
+        let mut next = fault.clone();
+        let first = match self.settings.bounds.restart {
+            RestartReading::Beginning => LogOffset(0),
+            RestartReading::End => state.last_record(),
+        };
+        let incarnation = process.incarnation.0 + RESTART_STRIDE;
+        next.processes[index] = ProcessState::new(&self.settings, state.now, first, incarnation);
+        steps.push((AuthorityStep::Restart(index), next));
+        let is_answered = process.checked.is_none() && process.desk.open_orders() == 0;
+        if process.keeper.held(state.now).is_some() && is_answered {
+            let mut next = fault;
+            let process = &mut next.processes[index];
+            for action in process.keeper.resign() {
+                if let LeaseAction::Append(record) = action {
+                    process.outbox.push(Rc::new(record));
+                }
+            }
+            steps.push((AuthorityStep::Resign(index), next));
+        }
+    }
+}
--- a/crates/model-check/src/lib.rs
+++ b/crates/model-check/src/lib.rs
@@ -1,1 +1,11 @@
-//! Model checks of the core protocol.
+//! Breadth-first model checks of the core protocol.
+//!
+//! A [`Specification`] describes processes, network and platform around the real state machines.
+//! [`explore`] visits every reachable state, [`counterexample`] finds a shortest path to a state
+//! that breaks an invariant. [`authority`] covers leases and orders; specifications of usage
+//! windows and of configuration are further modules beside it.
+
+pub mod authority;
+mod search;
+
+pub use crate::search::{Exploration, Specification, counterexample, explore};
--- /dev/null
+++ b/crates/model-check/src/search.rs
@@ -0,0 +1,107 @@
+//! Exhaustive search over a specification.
+
+use std::{
+    fmt,
+    hash::{Hash, Hasher},
+};
+
+use base::plain;
+use pathfinding::directed::bfs::{bfs, bfs_reach};
+
+/// A transition system with invariants.
+pub trait Specification {
+    /// State of all processes and of their environment.
+    type State: Clone + Eq + Hash;
+    /// Name of a transition, for traces.
+    type Step: fmt::Debug;
+
+    /// Returns the state in which every run starts.
+    fn initial(&self) -> Self::State;
+
+    /// Returns every transition out of `state`.
+    fn steps(&self, state: &Self::State) -> Vec<(Self::Step, Self::State)>;
+
+    /// Returns the names of the invariants that [`Specification::broken`] checks.
+    fn invariants(&self) -> &'static [&'static str];
+
+    /// Returns the name of an invariant that `state` breaks.
+    fn broken(&self, state: &Self::State) -> Option<&'static str>;
+
+    /// Describes a state in one line, for traces.
+    fn describe(&self, state: &Self::State) -> String;
+}
+
+plain! {
+    /// Result of a search of all reachable states.
+    pub struct Exploration {
+        /// Number of different states.
+        pub states: usize,
+        /// Largest number of steps on a shortest path to a state.
+        pub depth: usize,
+        /// First broken invariant in breadth-first order.
+        pub broken: Option<&'static str>,
+    }
+}
+
+/// A state with its distance from the start, which takes no part in comparisons.
+#[derive(Clone)]
+struct Node<S> {
+    state: S,
+    depth: usize,
+}
+
+impl<S: PartialEq> PartialEq for Node<S> {
+    fn eq(&self, other: &Self) -> bool {
+        self.state == other.state
+    }
+}
+
+impl<S: Eq> Eq for Node<S> {}
+
+impl<S: Hash> Hash for Node<S> {
+    fn hash<H: Hasher>(&self, hasher: &mut H) {
+        self.state.hash(hasher);
+    }
+}
+
+/// Visits every reachable state, or stops at the first one that breaks an invariant.
+pub fn explore<T: Specification>(specification: &T) -> Exploration {
+    let start = Node { state: specification.initial(), depth: 0 };
+    let successors = |node: &Node<T::State>| {
+        let depth = node.depth + 1;
+        let steps = specification.steps(&node.state);
+        steps.into_iter().map(move |(_, state)| Node { state, depth })
+    };
+    let mut exploration = Exploration { states: 0, depth: 0, broken: None };
+    for node in bfs_reach(start, successors) {
+        exploration.states += 1;
+        exploration.depth = exploration.depth.max(node.depth);
+        exploration.broken = specification.broken(&node.state);
+        if exploration.broken.is_some() {
+            break;
+        }
+    }
+    exploration
+}
+
+/// Returns the lines of a shortest trace to a state that breaks `invariant`, or `None` when no
+/// reachable state does.
+pub fn counterexample<T: Specification>(
+    specification: &T,
+    invariant: &'static str,
+) -> Option<Vec<String>> {
+    let initial = specification.initial();
+    let successors =
+        |state: &T::State| specification.steps(state).into_iter().map(|(_, state)| state);
+    let breaks = |state: &T::State| specification.broken(state) == Some(invariant);
+    let path = bfs(&initial, successors, breaks)?;
+    let mut lines = vec![format!("start: {}", specification.describe(&path[0]))];
+    for pair in path.windows(2) {
+        let steps = specification.steps(&pair[0]);
+        let step = steps.iter().find(|(_, state)| *state == pair[1]);
+        let name = step.map(|(step, _)| format!("{step:?}")).unwrap_or_default();
+        lines.push(format!("{name}: {}", specification.describe(&pair[1])));
+    }
+    lines.push(format!("breaks: {invariant}"));
+    Some(lines)
+}
