--- /dev/null
+++ b/crates/hibiscushinged/src/traffic.rs
@@ -0,0 +1,12 @@
+//! Serving of callers and trainers on the traffic threads.
+
+pub(crate) mod answer;
+mod caller;
+mod choice;
+mod plain;
+pub(crate) mod request;
+mod server;
+mod stream;
+mod trainer;
+
+pub(crate) use self::server::start;
