Show that random schedules reach takeovers

Cause: a random walk that never leaves the first holder would prove nothing.

Ruled out: a fixed script of takeovers, which the exhaustive search covers.

Change: the test counts runs in which a successor gave orders and fails when there are none.

--- a/crates/model-check/src/authority.rs
+++ b/crates/model-check/src/authority.rs
@@ -210,6 +210,12 @@
 }
 
 impl AuthorityState {
+    /// Returns the receiver of orders.
+    #[must_use]
+    pub const fn receiver(&self) -> &OrderReceiver {
+        &self.receiver
+    }
+
     /// Returns the processes that hold the lease by their own clock check, paused ones included.
     fn holders(&self) -> usize {
         let holds = |process: &&ProcessState| process.keeper.held(self.now).is_some();
--- a/crates/model-check/tests/authority.rs
+++ b/crates/model-check/tests/authority.rs
@@ -233,6 +233,7 @@
     let bounds = ModelBounds { horizon: 40, faults: 8, orders: 6, ..bounds };
     let model = AuthorityModel { settings: ModelSettings::small(bounds), steps: ProductSteps };
     let mut generator = ChaCha8Rng::seed_from_u64(seed);
+    let mut takeovers = 0;
     for run in 0..50 {
         let mut state = model.initial();
         let mut steps = model.steps(&state);
@@ -245,5 +246,8 @@
             assert_eq!(broken, None, "seed {seed}, run {run}: {}", model.describe(&state));
             steps = model.steps(&state);
         }
+        takeovers += usize::from(state.receiver().highest > FencingNumber(0));
     }
+    println!("seed {seed}, {bounds:?}: a successor gave orders in {takeovers} of 50 runs");
+    assert!(takeovers > 0, "the schedules are too mild");
 }
