--- a/crates/clients/src/http_client.rs
+++ b/crates/clients/src/http_client.rs
@@ -16,6 +16,10 @@
 /// Longest answer accepted from the platform and from control calls of engines.
 pub(crate) const MAX_ANSWER: usize = 16 << 20;
 
+/// Idle time after which a connection is not used again. Many servers close theirs after 5 s, and a
+/// request that meets the close may have run.
+const KEEP_ALIVE: Duration = Duration::from_secs(4);
+
 /// A pool of connections that belongs to one thread. Clones share the pool.
 ///
 /// Redirects are not followed, since that would send a request a second time. A connection returns to
@@ -63,7 +67,10 @@
     pub fn new(connect_timeout: Span) -> Self {
         // The pool has no limit of its own: a request that waits in it could not be told from one
         // that was sent. The daemon bounds its requests before they get here.
-        let connector = Connector::new().timeout(duration(connect_timeout)).limit(0);
+        let connector = Connector::new()
+            .timeout(duration(connect_timeout))
+            .conn_keep_alive(KEEP_ALIVE)
+            .limit(0);
         let builder = Client::builder().connector(connector).disable_redirects();
         // Timeouts are applied around whole exchanges below. awc's own would also end long streams.
         Self { client: builder.disable_timeout().finish() }
@@ -91,6 +98,30 @@
         .await
     }
 
+    /// Sends a request and reads the answer until its stream ends, also one without a length.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the exchange fails or exceeds `timeout`, or the stream breaks off.
+    pub async fn stream_all(
+        &self,
+        outgoing: Outgoing,
+        timeout: Span,
+    ) -> Result<(u16, Bytes), CallError> {
+        bounded(timeout, async {
+            let mut response = self.open(outgoing).await?;
+            let mut body = BytesMut::new();
+            while let Some(chunk) = response.next().await {
+                let chunk = chunk.map_err(|error| {
+                    CallError::maybe_run(CallFailure::Disconnected, error.to_string())
+                })?;
+                body.extend_from_slice(&chunk);
+            }
+            Ok((response.status().as_u16(), body.freeze()))
+        })
+        .await
+    }
+
     /// Sends a request and returns the answer as soon as its head has arrived.
     pub(crate) async fn open(&self, outgoing: Outgoing) -> Result<ClientResponse, CallError> {
         let url = format!("http://{}{}", outgoing.address, outgoing.path);
