--- a/crates/rollout/tests/book.rs
+++ b/crates/rollout/tests/book.rs
@@ -217,3 +217,18 @@
     assert!(matches!(actions[0], BookAction::StepRefused { step: 1, .. }));
     assert_eq!(book.lost(|_: Incarnation| true), []);
 }
+
+#[test]
+fn book_started_after_retention_dropped_records_agrees_with_the_others() {
+    // The log keeps records for a limited time, and nodes are replaced all day.
+    let mut trainer = Trainer::default();
+    let mut full = SampleBook::default();
+    trainer.open(&mut full, 1);
+    fill_and_bind(&mut full, 0, 0, 1);
+    trainer.fetch(&mut full, 0, 10);
+    let mut late = SampleBook::default();
+    let stated = SampleRecord::Stated(trainer.statement(0, 10, None));
+    full.apply(&stated);
+    late.apply(&stated);
+    assert_eq!(late.deliveries(trainer.id, 3), full.deliveries(trainer.id, 3));
+}
