--- a/crates/rollout/src/book.rs
+++ b/crates/rollout/src/book.rs
@@ -1,5 +1,6 @@
 //! The book of samples: a function of the prefix of the log stream `samples`.
 
+mod carry;
 mod trainer;
 
 use std::collections::BTreeMap;
@@ -7,7 +8,11 @@
 use base::{Incarnation, RecordId, WeightVersion, key, plain};
 use smallvec::SmallVec;
 
-pub(crate) use self::trainer::TrainerBook;
+use self::carry::Gap;
+pub use self::{
+    carry::TrainerCarry,
+    trainer::{Binding, BookSlot, BookStep, SlotState, TrainerBook},
+};
 use crate::records::{
     DeliveryNumber, SampleFilled, SampleRecord, SampleVoided, Score, SlotKey, TrainerId,
     TrainerStated, VoidReason,
@@ -172,6 +177,8 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct SampleBook {
     trainers: BTreeMap<TrainerId, TrainerBook>,
+    /// Set in a book that started after the first record of the stream.
+    gap: Option<Gap>,
 }
 
 impl SampleBook {
--- a/crates/rollout/src/book/trainer.rs
+++ b/crates/rollout/src/book/trainer.rs
@@ -27,49 +27,78 @@
 type Actions = SmallVec<[BookAction; 4]>;
 
 plain! {
-    enum SlotState {
+    /// What a slot holds.
+    pub enum SlotState {
+        /// Nothing; it wants a sample.
         Open,
+        /// A sample without a delivery number.
         Filled(SampleFilled),
+        /// The sample of this number.
         Bound(DeliveryNumber),
     }
 
-    struct Slot {
-        generation: u32,
-        state: SlotState,
+    /// A slot of a step.
+    pub struct BookSlot {
+        /// Number of samples of this slot that are void.
+        pub generation: u32,
+        /// What it holds.
+        pub state: SlotState,
         /// The last void number, which the next bound sample replaces.
-        replaces: Option<DeliveryNumber>,
+        pub replaces: Option<DeliveryNumber>,
     }
 
-    struct Step {
-        shape: StepShape,
-        slots: Vec<Slot>,
-        completed: bool,
+    /// A step that is open, or completed and not retired yet.
+    pub struct BookStep {
+        /// Its size.
+        pub shape: StepShape,
+        /// Its slots, group by group.
+        pub slots: Vec<BookSlot>,
+        /// Whether the trainer has every sample.
+        pub completed: bool,
     }
 
-    struct Binding {
-        filled: SampleFilled,
-        score: Option<Score>,
-        replaces: Option<DeliveryNumber>,
-        void: Option<VoidReason>,
+    /// The sample of a delivery number.
+    pub struct Binding {
+        /// The sample.
+        pub filled: SampleFilled,
+        /// Its score.
+        pub score: Option<Score>,
+        /// The void number that it replaces.
+        pub replaces: Option<DeliveryNumber>,
+        /// Why it is void, if it is.
+        pub void: Option<VoidReason>,
         /// The bytes are gone, but the trainer may have the sample. The next statement tells.
-        pending: bool,
+        pub pending: bool,
     }
 
-    pub(crate) struct TrainerBook {
-        id: TrainerId,
-        name: String,
-        version: WeightVersion,
-        staleness_bound: u64,
-        statements: u64,
-        acknowledged: DeliveryNumber,
+    /// Everything that the book knows of one trainer.
+    pub struct TrainerBook {
+        /// The trainer.
+        pub id: TrainerId,
+        /// Its name.
+        pub name: String,
+        /// The version it stated last.
+        pub version: WeightVersion,
+        /// The staleness bound it stated last.
+        pub staleness_bound: u64,
+        /// Number of valid statements.
+        pub statements: u64,
+        /// Highest number that the trainer has.
+        pub acknowledged: DeliveryNumber,
         /// Highest number offered in answer to any statement.
-        offered: DeliveryNumber,
-        offer: Option<Offer>,
-        last_number: DeliveryNumber,
-        bindings: BTreeMap<DeliveryNumber, Binding>,
-        steps: BTreeMap<u64, Step>,
-        retired_below: u64,
-        retired_until: DeliveryNumber,
+        pub offered: DeliveryNumber,
+        /// The offer of the last statement.
+        pub offer: Option<Offer>,
+        /// Highest number bound.
+        pub last_number: DeliveryNumber,
+        /// Samples by number, without those of retired steps.
+        pub bindings: BTreeMap<DeliveryNumber, Binding>,
+        /// Steps by number.
+        pub steps: BTreeMap<u64, BookStep>,
+        /// Steps below this one are retired.
+        pub retired_below: u64,
+        /// Highest number of a retired step.
+        pub retired_until: DeliveryNumber,
     }
 }
 
@@ -129,9 +158,9 @@
             actions.push(BookAction::StepRefused { trainer, step });
             return;
         }
-        let slot = Slot { generation: 0, state: SlotState::Open, replaces: None };
+        let slot = BookSlot { generation: 0, state: SlotState::Open, replaces: None };
         let slots = vec![slot; shape.slots()];
-        self.steps.insert(shape.step, Step { shape, slots, completed: false });
+        self.steps.insert(shape.step, BookStep { shape, slots, completed: false });
         actions.push(BookAction::StepOpened { trainer, step, slots: shape.slots() });
     }
 
@@ -169,7 +198,7 @@
         self.version.0.saturating_sub(oldest.0) > self.staleness_bound
     }
 
-    fn slot_mut(&mut self, slot: SlotKey) -> Option<&mut Slot> {
+    fn slot_mut(&mut self, slot: SlotKey) -> Option<&mut BookSlot> {
         let step = self.steps.get_mut(&slot.step)?;
         step.slots.get_mut(step.shape.position(slot)?)
     }
@@ -253,7 +282,8 @@
     fn complete_steps(&mut self, actions: &mut Actions) {
         let acknowledged = self.acknowledged;
         for (&step, state) in &mut self.steps {
-            let has = |slot: &Slot| matches!(slot.state, SlotState::Bound(n) if n <= acknowledged);
+            let has =
+                |slot: &BookSlot| matches!(slot.state, SlotState::Bound(n) if n <= acknowledged);
             if state.completed || !state.slots.iter().all(has) {
                 continue;
             }
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -11,7 +11,10 @@
 mod weights;
 
 pub use crate::{
-    book::{BookAction, Delivery, FillRefusal, Offer, OpenSlot, SampleBook},
+    book::{
+        Binding, BookAction, BookSlot, BookStep, Delivery, FillRefusal, Offer, OpenSlot,
+        SampleBook, SlotState, TrainerBook, TrainerCarry,
+    },
     records::{
         DeliveryNumber, SampleBound, SampleFilled, SampleRecord, SampleVoided, Score, SlotKey,
         StepShape, TrainerId, TrainerStated, VoidReason,
--- a/crates/rollout/tests/book.rs
+++ b/crates/rollout/tests/book.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use base::{Incarnation, RecordId, WeightVersion};
+use base::{Incarnation, LogOffset, RecordId, WeightVersion};
 use common::{Trainer, filled, slot};
 use rollout::{
     BookAction, Delivery, DeliveryNumber, FillRefusal, SampleBook, SampleBound, SampleRecord,
@@ -221,14 +221,38 @@
 #[test]
 fn book_started_after_retention_dropped_records_agrees_with_the_others() {
     // The log keeps records for a limited time, and nodes are replaced all day.
-    let mut trainer = Trainer::default();
-    let mut full = SampleBook::default();
-    trainer.open(&mut full, 1);
-    fill_and_bind(&mut full, 0, 0, 1);
-    trainer.fetch(&mut full, 0, 10);
-    let mut late = SampleBook::default();
-    let stated = SampleRecord::Stated(trainer.statement(0, 10, None));
-    full.apply(&stated);
-    late.apply(&stated);
-    assert_eq!(late.deliveries(trainer.id, 3), full.deliveries(trainer.id, 3));
+    fn check(first: u64, until: u64, expected: bool) {
+        let mut trainer = Trainer::default();
+        let mut full = SampleBook::default();
+        trainer.open(&mut full, 2);
+        fill_and_bind(&mut full, 0, 0, 1);
+        trainer.fetch(&mut full, 0, 10);
+        let mut late = SampleBook::after_gap(LogOffset(first));
+        let second = filled(1, 0, 2, &[(10, 4)]);
+        let bound = SampleBound { slot: slot(1), sample: second.sample, score: None };
+        let records = [
+            SampleRecord::Filled(second),
+            SampleRecord::Bound(bound),
+            SampleRecord::Stated(trainer.statement(1, 10, None)),
+        ];
+        let mut carry = None;
+        for (offset, record) in (4..).map(LogOffset).zip(&records) {
+            if offset.0 == until {
+                carry = full.carry(trainer.id, offset);
+            }
+            full.apply_at(offset, record);
+            if offset.0 >= first {
+                late.apply_at(offset, record);
+            }
+        }
+        late.adopt(&carry.expect("the snapshot lies among the records"));
+        let answer = full.deliveries(trainer.id, 3).filter(|_| expected);
+        assert_eq!(late.deliveries(trainer.id, 3), answer, "first {first}, until {until}");
+        assert_eq!(late.has_after(trainer.id, DeliveryNumber(1)), expected);
+    }
+    check(4, 4, true);
+    check(4, 6, true);
+    check(5, 6, true);
+    // The record at 4 is in neither the snapshot nor what the late book read.
+    check(5, 4, false);
 }
