--- a/crates/document/src/settings.rs
+++ b/crates/document/src/settings.rs
@@ -75,6 +75,9 @@
         pub stream_idle: Span,
         /// Longest wait for running requests at a planned stop.
         pub drain: Span,
+        /// How long a share of a customer's limit lasts. A new delegate of a zone waits as long
+        /// before it grants any, so all nodes of an environment must agree.
+        pub limit_grant: Span,
     }
 
     /// Lease settings.
@@ -125,6 +128,7 @@
             engine_control: Span::from_secs(1),
             stream_idle: Span::from_secs(10),
             drain: Span::from_secs(600),
+            limit_grant: Span::from_secs(10),
         }
     }
 }
@@ -201,6 +205,7 @@
         engine_control: length("engine_control", default.engine_control),
         stream_idle: length("stream_idle", default.stream_idle),
         drain: length("drain", default.drain),
+        limit_grant: length("limit_grant", default.limit_grant),
     }
 }
 
--- a/crates/hibiscushinge/src/operator.rs
+++ b/crates/hibiscushinge/src/operator.rs
@@ -56,9 +56,11 @@
     last_sequence: u64,
 }
 
+type DocumentVerdict = fn(&EnvironmentName, &str) -> Result<(), String>;
+
 /// Documents as the whole stream tells them.
 struct ReadHistory {
-    history: ConfigHistory<fn(&EnvironmentName, &str) -> Result<(), String>>,
+    history: ConfigHistory<DocumentVerdict>,
     /// What became of the record that was asked for.
     outcome: Option<ConfigOutcome>,
 }
@@ -151,7 +153,7 @@
     }
 
     async fn read(&self, wanted: Option<RecordId>) -> Result<ReadHistory, OperatorError> {
-        let check = check_document as fn(&EnvironmentName, &str) -> Result<(), String>;
+        let check = check_document as DocumentVerdict;
         let mut read = ReadHistory { history: ConfigHistory::new(check), outcome: None };
         let mut follower = LogFollower::new(FollowerSettings::default(), LogOffset(0));
         loop {
--- a/crates/hibiscushinged/src/control.rs
+++ b/crates/hibiscushinged/src/control.rs
@@ -80,7 +80,6 @@
     suspects::start(&control);
     peers::start(&control);
     watch::start(&control);
-    limits::start(&control);
     actix_rt::spawn(tick_loop(Rc::clone(&control)));
     receive(control, input).await;
 }
--- a/crates/hibiscushinged/src/control/limits.rs
+++ b/crates/hibiscushinged/src/control/limits.rs
@@ -17,8 +17,6 @@
     zone_vms: u32,
 }
 
-pub(crate) fn start(_control: &Rc<Control>) {}
-
 impl Control {
     /// Takes the limits of a document. The zone's part is fixed by its number of entry VMs, so that
     /// zones need no exchange.
@@ -143,7 +141,8 @@
         let zone = &state.peers.table.own_identity().zone;
         let live = state.peers.table.live_in_zone(zone).count();
         let live = u32::try_from(live).unwrap_or(u32::MAX);
-        let settings = DeskSettings::new(state.limits.zone_vms);
+        let grant_period = self.shared.settings.timeouts.limit_grant;
+        let settings = DeskSettings { grant_period, zone_vms: state.limits.zone_vms };
         let me = self.shared.incarnation;
         let desk = state.limits.desk.get_or_insert_with(|| LimitDesk::new(me, settings, now, live));
         desk.set_live_vms(now, live);
--- a/crates/hibiscushinged/src/control/peers.rs
+++ b/crates/hibiscushinged/src/control/peers.rs
@@ -81,7 +81,7 @@
         }
         let urgent = self.state().peers.board.urgent(now);
         if !urgent.is_empty() {
-            self.send_urgent(urgent);
+            self.send_urgent(&urgent);
         }
     }
 
@@ -165,7 +165,7 @@
     }
 
     /// Sends changes that must not wait for the next heartbeat to all peers.
-    fn send_urgent(self: &Rc<Self>, upstreams: Vec<UpstreamEntry>) {
+    fn send_urgent(self: &Rc<Self>, upstreams: &[UpstreamEntry]) {
         let upstreams = upstreams.iter().map(WireUpstream::from).collect();
         self.tell_all_peers(&PeerMessage::Upstreams(upstreams));
     }
@@ -184,13 +184,13 @@
             PeerMessage::Heartbeat(wire) => self.heartbeat(wire.into()),
             PeerMessage::Summary(wire) => self.summary(wire.into()),
             PeerMessage::Upstreams(entries) => {
-                self.learn_entries(entries.into_iter().map(UpstreamEntry::from))
+                self.learn_entries(entries.into_iter().map(UpstreamEntry::from));
             }
             PeerMessage::ConfigFetch => return self.config_copy(),
             PeerMessage::BatchHold(hold) => return self.hold_batch(hold),
             PeerMessage::LimitAsk(asks) => return self.grant_limits(asks),
             PeerMessage::Suspicions { notes, verdicts, reserved, released } => {
-                self.hear_suspicions(notes, verdicts, reserved, released);
+                self.hear_suspicions(notes, verdicts, &reserved, &released);
             }
             PeerMessage::SampleCopy(_)
             | PeerMessage::SampleFetch(_)
@@ -283,15 +283,6 @@
         let answer = self.http.exchange(outgoing, timeout, MAX_MESSAGE_BYTES).await.ok()?;
         decode_message(&answer.success().ok()?.body).ok()
     }
-
-    /// Names of live VMs of the own zone, and whether a process is known to be gone.
-    pub(crate) fn is_gone(&self, incarnation: Incarnation) -> bool {
-        let state = self.state();
-        let mut records = state.peers.table.iter();
-        !records.any(|(_, record)| {
-            record.vm.incarnation == incarnation && record.state != PeerState::Gone
-        })
-    }
 }
 
 impl PeerDriver {
--- a/crates/hibiscushinged/src/control/suspects.rs
+++ b/crates/hibiscushinged/src/control/suspects.rs
@@ -105,8 +105,8 @@
         self: &Rc<Self>,
         notes: Vec<WireSuspicion>,
         verdicts: Vec<WireVerdict>,
-        reserved: Vec<WireIsolation>,
-        released: Vec<WireIsolation>,
+        reserved: &[WireIsolation],
+        released: &[WireIsolation],
     ) {
         let view = self.shared.view.load_full();
         for note in notes {
--- a/crates/hibiscushinged/src/control/watch.rs
+++ b/crates/hibiscushinged/src/control/watch.rs
@@ -111,7 +111,6 @@
         let key = changed.upstreams.push(UpstreamTarget {
             name: info.name.clone(),
             service: info.service.clone(),
-            zone,
             zone_name: info.zone.clone(),
             address: info.address,
             price,
--- a/crates/hibiscushinged/src/desk.rs
+++ b/crates/hibiscushinged/src/desk.rs
@@ -79,13 +79,18 @@
 }
 
 impl TrafficDesk {
-    pub(crate) fn new(incarnation: Incarnation, seed: u64) -> Self {
+    pub(crate) fn new(incarnation: Incarnation, seed: u64, grant_period: Span) -> Self {
+        // A share is renewed twice before it ends.
+        let ask_period = Span(grant_period.0 / 3);
         Self {
             table: UpstreamTable::new(TableSettings::default(), Vec::new()),
             own_zone: ZoneKey(0),
             services: HashMap::new(),
             service_of: HashMap::new(),
-            limits: LimitShare::new(incarnation, ShareSettings::default()),
+            limits: LimitShare::new(
+                incarnation,
+                ShareSettings { ask_period, ..ShareSettings::default() },
+            ),
             budget: RetryBudget::new(),
             suspects: SuspectTable::new(incarnation, SuspectPolicy::default()),
             isolated: HashMap::new(),
--- a/crates/hibiscushinged/src/lib.rs
+++ b/crates/hibiscushinged/src/lib.rs
@@ -68,7 +68,7 @@
         let addresses = DaemonAddresses { listen, peer, admin };
         let incarnation = Incarnation(settings.seed.unwrap_or_else(rand::random));
         let clock = ProcessClock::start();
-        let desk = TrafficDesk::new(incarnation, incarnation.0);
+        let desk = TrafficDesk::new(incarnation, incarnation.0, settings.timeouts.limit_grant);
         let (control, input) = mpsc::channel(settings.bounds.channel_messages as usize);
         let vm_name = settings.vm_name.clone();
         let shared =
--- a/crates/hibiscushinged/src/view.rs
+++ b/crates/hibiscushinged/src/view.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, net::SocketAddr};
 
-use base::{Arena, CustomerKey, RouteKey, UpstreamKey, WeightVersion, ZoneKey};
+use base::{Arena, CustomerKey, RouteKey, UpstreamKey, WeightVersion};
 use configuration::{ConfigVersion, KeySet};
 use document::{CustomerEntry, EnvironmentDocument, RouteEntry, ServiceKind, TrainerEntry};
 
@@ -33,7 +33,6 @@
 pub(crate) struct UpstreamTarget {
     pub(crate) name: String,
     pub(crate) service: String,
-    pub(crate) zone: ZoneKey,
     pub(crate) zone_name: String,
     pub(crate) address: SocketAddr,
     pub(crate) price: routing::UpstreamPrice,
--- a/crates/process-tests/src/fleet.rs
+++ b/crates/process-tests/src/fleet.rs
@@ -157,7 +157,7 @@
         let settings = format!(
             "vm_name = \"entry-{index}\"\nzone = \"{zone}\"\nenvironment = \"production\"\n\
              listen = \"127.0.0.1:0\"\npeer = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\n\
-             platform = \"{}\"\ntraffic_threads = 1\n{}",
+             platform = \"{}\"\ntraffic_threads = 1\n{}[timeouts]\nlimit_grant = \"1s\"\n",
             self.platform.address(0),
             self.options.settings
         );
--- a/crates/process-tests/tests/path.rs
+++ b/crates/process-tests/tests/path.rs
@@ -28,9 +28,9 @@
 
     let figures = wait_for("the report of the window", || async {
         let reports = fleet.inspect().await["reports"].clone();
-        let reports = reports.as_array()?.iter();
+        let reports = reports.as_array()?.iter().map(|received| received["report"].clone());
         let found = reports.filter(|report| report["figures"].get("cordial").is_some());
-        let found = found.cloned().collect::<Vec<_>>();
+        let found = found.collect::<Vec<_>>();
         (!found.is_empty()).then_some(found)
     })
     .await;
--- a/crates/protocol/src/record/authority.rs
+++ b/crates/protocol/src/record/authority.rs
@@ -44,6 +44,7 @@
         },
     }
 
+    /// Scope of a lease.
     pub enum WireScope {
         Zone(String),
         Usage,
--- a/crates/protocol/src/record/usage.rs
+++ b/crates/protocol/src/record/usage.rs
@@ -59,14 +59,14 @@
         seen: Vec<WireSeen>,
     }
 
-    pub struct WireWindow {
+    pub(crate) struct WireWindow {
         window: u64,
         closed_at: u64,
         figures: Vec<WireFigure>,
         reported: bool,
     }
 
-    pub struct WireSeen {
+    pub(crate) struct WireSeen {
         writer: u64,
         epoch: u64,
         ranges: Vec<(u64, u64)>,
