experiments: traffic runs for routing, fairness and overload

Ruled out: modelling the cluster; only engines, nodes and late reports are modelled, and the policies are the crates' own.

Change: scenarios in TOML, an engine model with continuous batching, and the arms of each kind of scenario in one run.

--- a/crates/experiments/src/report.rs
+++ b/crates/experiments/src/report.rs
@@ -49,6 +49,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub(crate) enum TargetBound {
+    AtLeast,
+    AtMost,
     Below,
 }
 
@@ -86,6 +88,8 @@
         measured: f64,
     ) -> Self {
         let met = match bound {
+            TargetBound::AtLeast => measured >= target,
+            TargetBound::AtMost => measured <= target,
             TargetBound::Below => measured < target,
         };
         Self { name: name.into(), target, bound, measured, met }
@@ -95,6 +99,8 @@
 impl TargetBound {
     const fn as_str(self) -> &'static str {
         match self {
+            Self::AtLeast => "at least",
+            Self::AtMost => "at most",
             Self::Below => "below",
         }
     }
--- a/crates/experiments/src/report/tests.rs
+++ b/crates/experiments/src/report/tests.rs
@@ -10,7 +10,7 @@
     RunReport {
         title: String::from("run"),
         tables: vec![table],
-        targets: vec![TargetLine::new("lost", TargetBound::Below, 2.0, 3.0)],
+        targets: vec![TargetLine::new("lost", TargetBound::AtMost, 2.0, 3.0)],
         plot: Some(PlotFrame {
             title: String::from("p99"),
             series: vec![series],
@@ -25,7 +25,7 @@
                     policy  p50 ms  p99 ms\n\
                     random   12.50    1234\n\
                     picker       9   0.250\n\n\
-                    targets\n  lost: 3 (below 2): NOT MET\n";
+                    targets\n  lost: 3 (at most 2): NOT MET\n";
     assert_eq!(report().to_text(), expected);
 }
 
--- a/crates/experiments/src/traffic.rs
+++ b/crates/experiments/src/traffic.rs
@@ -1,8 +1,139 @@
 //! Routing, admission and crash isolation against baselines, in virtual time.
 
-use crate::{RunResult, flags, report::RunReport};
+mod engine;
+mod measure;
+mod scenario;
+#[cfg(test)]
+mod tests;
+mod world;
+
+use routing::{LeastOutstanding, PickPolicy, RandomPick, RoundRobin, RoutePicker};
+
+use crate::{
+    RunResult, flags,
+    report::{PlotFrame, PlotSeries, ReportTable, RunReport, TargetBound, TargetLine},
+    traffic::{
+        measure::RunMeasure,
+        scenario::{ScenarioKind, TrafficScenario},
+        world::{GateKind, World},
+    },
+};
 
 pub(crate) fn run(flags: &flags::Traffic) -> RunResult {
-    let title = format!("{} with seed {}", flags.scenario.display(), flags.seed);
-    Ok(RunReport { title, ..RunReport::default() })
+    let scenario = TrafficScenario::read(&flags.scenario)?;
+    let mut report = match scenario.kind {
+        ScenarioKind::Routing => routing(&scenario, flags.seed),
+        ScenarioKind::Fairness => fairness(&scenario, flags.seed),
+        ScenarioKind::Overload => overload(&scenario, flags.seed),
+    };
+    let services =
+        scenario.engines.iter().map(|group| format!("{} {}", group.count, group.service));
+    let services = services.collect::<Vec<_>>().join(", ");
+    report.title = format!(
+        "{}: {services}; {} nodes, {}% load, seed {}",
+        scenario.name,
+        scenario.nodes,
+        scenario.load * 100.0,
+        flags.seed
+    );
+    Ok(report)
+}
+
+fn play<P: PickPolicy + Clone>(
+    scenario: &TrafficScenario,
+    policy: &P,
+    gate: GateKind,
+    aggressor_factor: f64,
+    seed: u64,
+) -> RunMeasure {
+    World::new(scenario, policy, gate, aggressor_factor, seed).run()
+}
+
+fn routing(scenario: &TrafficScenario, seed: u64) -> RunReport {
+    let gate = GateKind::Open;
+    let runs = [
+        ("random", play(scenario, &RandomPick, gate, 1.0, seed)),
+        ("round robin", play(scenario, &RoundRobin::default(), gate, 1.0, seed)),
+        ("least outstanding", play(scenario, &LeastOutstanding, gate, 1.0, seed)),
+        ("route picker", play(scenario, &RoutePicker::default(), gate, 1.0, seed)),
+    ];
+    let mut table = ReportTable::new("policy", &["p50 ms", "p90 ms", "p99 ms", "goodput %"]);
+    for (name, run) in &runs {
+        let goodput = run.goodput(scenario.capacity());
+        let percentiles = [50.0, 90.0, 99.0].map(|percent| run.percentile(percent));
+        table.push(*name, percentiles.into_iter().chain([goodput]).collect());
+    }
+    let (baseline, picker) = (runs[2].1.percentile(99.0), runs[3].1.percentile(99.0));
+    let cut = (1.0 - picker / baseline) * 100.0;
+    let name = "p99 below least outstanding, %";
+    let targets = vec![TargetLine::new(name, TargetBound::AtLeast, 30.0, cut)];
+    let plot = Some(latency_plot(&scenario.name, &runs));
+    RunReport { tables: vec![table], targets, plot, ..RunReport::default() }
+}
+
+fn fairness(scenario: &TrafficScenario, seed: u64) -> RunReport {
+    let picker = RoutePicker::default();
+    let columns = ["others' p99 ms", "with aggressor", "worst change %", "others refused %"];
+    let mut table = ReportTable::new("queue", &columns);
+    let mut targets = Vec::new();
+    let mut runs = Vec::new();
+    for (name, gate) in [("first come", GateKind::FirstCome), ("fair", GateKind::Fair)] {
+        let calm = play(scenario, &picker, gate, 1.0, seed);
+        let pressed = play(scenario, &picker, gate, scenario.aggressor_factor, seed);
+        let customers = 1..scenario.customers as usize;
+        let changes = customers.clone().map(|customer| {
+            let before = calm.customer_percentile(customer, 99.0);
+            (pressed.customer_percentile(customer, 99.0) / before - 1.0) * 100.0
+        });
+        let worst = changes.fold(f64::NEG_INFINITY, f64::max);
+        let highest = |run: &RunMeasure| {
+            let percentiles =
+                customers.clone().map(|customer| run.customer_percentile(customer, 99.0));
+            percentiles.fold(0.0, f64::max)
+        };
+        let refused = pressed.refused_percent(1);
+        table.push(name, vec![highest(&calm), highest(&pressed), worst, refused]);
+        if gate == GateKind::Fair {
+            let name = "change of another customer's p99, %";
+            targets.push(TargetLine::new(name, TargetBound::AtMost, 20.0, worst));
+        }
+        runs.push((name, pressed));
+    }
+    let plot = Some(latency_plot(&scenario.name, &runs));
+    RunReport { tables: vec![table], targets, plot, ..RunReport::default() }
+}
+
+fn overload(scenario: &TrafficScenario, seed: u64) -> RunReport {
+    let picker = RoutePicker::default();
+    let runs = [
+        ("none", play(scenario, &picker, GateKind::Open, 1.0, seed)),
+        ("first come", play(scenario, &picker, GateKind::FirstCome, 1.0, seed)),
+        ("fair", play(scenario, &picker, GateKind::Fair, 1.0, seed)),
+    ];
+    let mut table = ReportTable::new("queue", &["goodput %", "p99 ms", "refused %"]);
+    for (name, run) in &runs {
+        let goodput = run.goodput(scenario.capacity());
+        table.push(*name, vec![goodput, run.percentile(99.0), run.refused_percent(0)]);
+    }
+    let goodput = runs[2].1.goodput(scenario.capacity());
+    let name = "goodput, % of capacity";
+    let targets = vec![TargetLine::new(name, TargetBound::AtLeast, 95.0, goodput)];
+    let plot = Some(latency_plot(&scenario.name, &runs));
+    RunReport { tables: vec![table], targets, plot, ..RunReport::default() }
+}
+
+fn latency_plot(title: &str, runs: &[(&str, RunMeasure)]) -> PlotFrame {
+    let series = runs.iter().map(|(name, run)| {
+        let points = (1..=99).map(|percent| {
+            let percent = f64::from(percent);
+            (percent, run.percentile(percent))
+        });
+        PlotSeries { name: String::from(*name), points: points.collect() }
+    });
+    PlotFrame {
+        title: String::from(title),
+        x_label: String::from("percentile"),
+        y_label: String::from("latency in ms"),
+        series: series.collect(),
+    }
 }
--- /dev/null
+++ b/crates/experiments/src/traffic/world.rs
@@ -0,0 +1,345 @@
+//! Discrete-event run of nodes that choose at once in front of modelled engines.
+
+use std::{
+    cmp::Reverse,
+    collections::{BinaryHeap, VecDeque},
+};
+
+use admission::{
+    FairQueue, QueueAction, QueueEvent, QueueItem, QueueSettings, ServiceRate, TicketNumber,
+    WorkClass,
+};
+use base::{CustomerKey, Moment, Span, UpstreamKey, ZoneKey, key};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use routing::{
+    LoadSample, PickPolicy, PickRequest, RouteMembers, StartedWork, TableSettings, UpstreamInfo,
+    UpstreamPrice, UpstreamTable, WorkEnd,
+};
+
+use super::{engine::EngineModel, measure::RunMeasure, scenario::TrafficScenario};
+
+/// What holds requests back before they are placed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum GateKind {
+    /// Nothing.
+    Open,
+    /// A queue in order of arrival, which drops what is past its deadline.
+    FirstCome,
+    /// The fair queue.
+    Fair,
+}
+
+enum Gate {
+    Open,
+    FirstCome { waiting: VecDeque<usize>, in_service: u64 },
+    Fair(Box<FairQueue>),
+}
+
+struct Node<P> {
+    zone: ZoneKey,
+    table: UpstreamTable,
+    members: RouteMembers,
+    policy: P,
+    gate: Gate,
+}
+
+struct Request {
+    customer: u32,
+    node: usize,
+    tokens: u32,
+    arrived_at: Moment,
+    work: Option<StartedWork>,
+}
+
+key! {
+    enum Event {
+        Arrival,
+        EngineDone { engine: usize, generation: u64 },
+        Measure,
+        Reported { engine: usize, running: u32, queued: u32, measured_at: Moment },
+        GateTick { node: usize },
+        Refresh,
+    }
+}
+
+pub(super) struct World<'a, P> {
+    scenario: &'a TrafficScenario,
+    customer_weights: Vec<f64>,
+    arrival_gap: f64,
+    now: Moment,
+    sequence: u64,
+    events: BinaryHeap<Reverse<(Moment, u64, Event)>>,
+    engines: Vec<EngineModel>,
+    nodes: Vec<Node<P>>,
+    requests: Vec<Request>,
+    rate: ServiceRate,
+    rng: ChaCha8Rng,
+    measure: RunMeasure,
+}
+
+impl<'a, P: PickPolicy + Clone> World<'a, P> {
+    pub(super) fn new(
+        scenario: &'a TrafficScenario,
+        policy: &P,
+        gate: GateKind,
+        aggressor_factor: f64,
+        seed: u64,
+    ) -> Self {
+        let zones = scenario.zones.len().max(1) as u32;
+        let mut engines = Vec::new();
+        for group in &scenario.engines {
+            for _ in 0..group.count {
+                let zone = ZoneKey(engines.len() as u32 % zones);
+                engines.push(EngineModel::new(zone, group.tokens_per_second, group.batch));
+            }
+        }
+        let capacity = scenario.capacity();
+        let batches =
+            scenario.engines.iter().map(|group| u64::from(group.count) * group.batch as u64);
+        let batch_tokens = batches.sum::<u64>() * u64::from(scenario.mean_tokens);
+        let rate = ServiceRate {
+            tokens_per_second: (capacity / u64::from(scenario.nodes)) as u32,
+            max_in_service: (batch_tokens / u64::from(scenario.nodes)) as u32,
+        };
+        let mut nodes = Vec::new();
+        for number in 0..scenario.nodes {
+            let zone = ZoneKey(number % zones);
+            let distance = Span::from_millis(scenario.zone_distance_ms);
+            let distances =
+                (0..zones).map(|other| if other == zone.0 { Span::ZERO } else { distance });
+            let mut table = UpstreamTable::new(TableSettings::default(), distances.collect());
+            for (index, engine) in engines.iter().enumerate() {
+                let (node_hash, price) = (index as u64 + 1, UpstreamPrice::Regular);
+                table.add(UpstreamInfo { node_hash, zone: engine.zone, price });
+            }
+            let members =
+                RouteMembers::new(&table, zone, (0..engines.len() as u32).map(UpstreamKey));
+            let gate = match gate {
+                GateKind::Open => Gate::Open,
+                GateKind::FirstCome => Gate::FirstCome { waiting: VecDeque::new(), in_service: 0 },
+                GateKind::Fair => {
+                    let rng = ChaCha8Rng::seed_from_u64(seed ^ u64::from(number) << 32);
+                    Gate::Fair(Box::new(FairQueue::new(QueueSettings::default(), rate, rng)))
+                }
+            };
+            nodes.push(Node { zone, table, members, policy: policy.clone(), gate });
+        }
+        let mut customer_weights = vec![1.0; scenario.customers as usize];
+        customer_weights[0] = aggressor_factor;
+        let excess = customer_weights.iter().sum::<f64>() / f64::from(scenario.customers);
+        let per_second = scenario.load * excess * capacity as f64 / f64::from(scenario.mean_tokens);
+        let warmup = Moment(0) + Span::from_secs(scenario.warmup_seconds);
+        Self {
+            scenario,
+            customer_weights,
+            arrival_gap: 1e6 / per_second,
+            now: Moment(0),
+            sequence: 0,
+            events: BinaryHeap::new(),
+            engines,
+            nodes,
+            requests: Vec::new(),
+            rate,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            measure: RunMeasure::new(warmup, scenario.customers as usize),
+        }
+    }
+
+    pub(super) fn run(mut self) -> RunMeasure {
+        let end = Moment(0) + Span::from_secs(self.scenario.seconds);
+        self.plan(Span::ZERO, Event::Arrival);
+        self.plan(Span::ZERO, Event::Measure);
+        self.plan(Span::from_secs(1), Event::Refresh);
+        for node in 0..self.nodes.len() {
+            self.plan(Span::from_millis(100), Event::GateTick { node });
+        }
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            if at > end {
+                break;
+            }
+            self.now = at;
+            self.apply(event);
+        }
+        self.measure.finish(end);
+        self.measure
+    }
+
+    fn plan(&mut self, after: Span, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse((self.now + after, self.sequence, event)));
+    }
+
+    fn apply(&mut self, event: Event) {
+        match event {
+            Event::Arrival => self.arrival(),
+            Event::EngineDone { engine, generation } => self.engine_done(engine, generation),
+            Event::Measure => {
+                for engine in 0..self.engines.len() {
+                    let (running, queued) = self.engines[engine].counts();
+                    let measured_at = self.now;
+                    let event = Event::Reported { engine, running, queued, measured_at };
+                    self.plan(Span::from_millis(self.scenario.report_lag_ms), event);
+                }
+                self.plan(Span::from_millis(self.scenario.report_period_ms), Event::Measure);
+            }
+            Event::Reported { engine, running, queued, measured_at } => {
+                let load = LoadSample { running, queued, version: None, measured_at };
+                for node in &mut self.nodes {
+                    node.table.report(self.now, UpstreamKey(engine as u32), load);
+                }
+            }
+            Event::GateTick { node } => {
+                if let Gate::Fair(queue) = &mut self.nodes[node].gate {
+                    let actions = queue.handle(self.now, QueueEvent::Tick);
+                    self.follow(&actions);
+                }
+                self.plan(Span::from_millis(100), Event::GateTick { node });
+            }
+            Event::Refresh => {
+                for node in &mut self.nodes {
+                    node.table.refresh();
+                }
+                self.plan(Span::from_secs(1), Event::Refresh);
+            }
+        }
+    }
+
+    fn arrival(&mut self) {
+        let gap = -(1.0 - self.rng.random::<f64>()).ln() * self.arrival_gap;
+        self.plan(Span::from_micros(gap as u64), Event::Arrival);
+        let mean = f64::from(self.scenario.mean_tokens);
+        let tokens = (-(1.0 - self.rng.random::<f64>()).ln() * mean).max(1.0) as u32;
+        let total = self.customer_weights.iter().sum::<f64>();
+        let mut drawn = self.rng.random::<f64>() * total;
+        let mut customer = 0;
+        for (index, weight) in self.customer_weights.iter().enumerate() {
+            customer = index;
+            drawn -= weight;
+            if drawn < 0.0 {
+                break;
+            }
+        }
+        let node = self.rng.random_range(0..self.nodes.len());
+        let (request, arrived_at) = (self.requests.len(), self.now);
+        let customer = customer as u32;
+        self.requests.push(Request { customer, node, tokens, arrived_at, work: None });
+        self.measure.offered(arrived_at, customer);
+        let deadline = self.deadline(request);
+        match &mut self.nodes[node].gate {
+            Gate::Open => self.send(request),
+            Gate::FirstCome { waiting, .. } => {
+                waiting.push_back(request);
+                self.pass_first_come(node);
+            }
+            Gate::Fair(queue) => {
+                let item = QueueItem {
+                    ticket: TicketNumber(request as u64),
+                    customer: CustomerKey(customer),
+                    class: WorkClass::Live,
+                    tokens: self.scenario.mean_tokens,
+                    deadline,
+                };
+                let actions = queue.handle(self.now, QueueEvent::Offered(item));
+                self.follow(&actions);
+            }
+        }
+    }
+
+    fn deadline(&self, request: usize) -> Moment {
+        self.requests[request].arrived_at + Span::from_millis(self.scenario.deadline_ms)
+    }
+
+    fn follow(&mut self, actions: &[QueueAction]) {
+        for action in actions {
+            match action {
+                QueueAction::Dispatch(ticket) => self.send(ticket.0 as usize),
+                QueueAction::Refuse { ticket, .. } => self.refused(ticket.0 as usize),
+            }
+        }
+    }
+
+    fn refused(&mut self, request: usize) {
+        let Request { customer, arrived_at, .. } = self.requests[request];
+        self.measure.refused(arrived_at, customer);
+    }
+
+    fn pass_first_come(&mut self, node: usize) {
+        loop {
+            let Gate::FirstCome { waiting, in_service } = &mut self.nodes[node].gate else {
+                return;
+            };
+            if *in_service >= u64::from(self.rate.max_in_service) {
+                return;
+            }
+            let Some(request) = waiting.pop_front() else { return };
+            if self.deadline(request) <= self.now {
+                self.refused(request);
+                continue;
+            }
+            if let Gate::FirstCome { in_service, .. } = &mut self.nodes[node].gate {
+                *in_service += u64::from(self.scenario.mean_tokens);
+            }
+            self.send(request);
+        }
+    }
+
+    fn send(&mut self, request: usize) {
+        let tokens = self.scenario.mean_tokens;
+        let pick =
+            PickRequest { tokens, prompt_tokens: 0, prefix: None, min_version: None, avoid: &[] };
+        let node = &mut self.nodes[self.requests[request].node];
+        let Node { table, members, policy, .. } = node;
+        let Some(choice) = policy.pick(self.now, table, members, &pick, &mut self.rng) else {
+            self.refused(request);
+            return;
+        };
+        self.requests[request].work = Some(table.start(self.now, choice.upstream, tokens));
+        let engine = choice.upstream.0 as usize;
+        self.engines[engine].push(self.now, request, self.requests[request].tokens);
+        self.plan_done(engine);
+    }
+
+    fn plan_done(&mut self, engine: usize) {
+        let model = &self.engines[engine];
+        let generation = model.generation;
+        let Some(at) = model.next_done() else { return };
+        self.plan(at.since(self.now), Event::EngineDone { engine, generation });
+    }
+
+    fn engine_done(&mut self, engine: usize, generation: u64) {
+        if self.engines[engine].generation != generation {
+            return;
+        }
+        while let Some(request) = self.engines[engine].pop_done(self.now) {
+            self.completed(engine, request);
+        }
+        self.plan_done(engine);
+    }
+
+    fn completed(&mut self, engine: usize, request: usize) {
+        let deadline = self.deadline(request);
+        let Request { customer, node, tokens, arrived_at, work } = self.requests[request];
+        let end = WorkEnd::Completed { tokens };
+        let work = work.expect("a request on an engine was started");
+        let Node { zone, table, gate, .. } = &mut self.nodes[node];
+        table.finish(self.now, work, end);
+        let distance = table.distance(self.engines[engine].zone);
+        let network =
+            if *zone == self.engines[engine].zone { Span::ZERO } else { distance + distance };
+        let ended_at = self.now + network;
+        self.measure.completed(arrived_at, ended_at, customer, tokens, ended_at <= deadline);
+        match gate {
+            Gate::Open => (),
+            Gate::FirstCome { in_service, .. } => {
+                *in_service -= u64::from(self.scenario.mean_tokens);
+                self.pass_first_come(node);
+            }
+            Gate::Fair(queue) => {
+                let done = QueueEvent::Done { ticket: TicketNumber(request as u64), tokens };
+                let actions = queue.handle(self.now, done);
+                self.follow(&actions);
+            }
+        }
+    }
+}
