routing: learn speed under load and count own work for all nodes

Cause: with load reports 2 s late, all nodes sent to the upstream that was idle when measured. In the 55 engine scenario some engines had 60 requests waiting while others were idle. Requests that ran alone lowered the learned speed to a quarter.

Change: reports are smoothed over four times their age; own outstanding work counts once per node that shares the upstreams, as the others choose by the same rules; speed is a quotient of sums over shared work, and lone requests can only raise it.

--- a/crates/routing/src/picker.rs
+++ b/crates/routing/src/picker.rs
@@ -87,11 +87,11 @@
                 continue;
             }
             wanted -= 1;
-            found.offer(upstream, expected(table, row, work));
+            found.offer(upstream, cost(table, row, work));
         }
     }
 
-    /// Returns the prefix owner that is not overloaded, with its expected time in seconds.
+    /// Returns the prefix owner that is not overloaded, with its cost in seconds.
     fn owner(
         &self,
         table: &UpstreamTable,
@@ -106,7 +106,7 @@
                 continue;
             }
             // The owner saves the work on the prompt.
-            let time = expected(table, row, request.tokens as f32);
+            let time = cost(table, row, request.tokens as f32);
             if time <= bound {
                 return Some((*upstream, time));
             }
@@ -126,7 +126,7 @@
         for upstream in members.keys() {
             let Some(row) = table.row(*upstream) else { continue };
             if accepts(*upstream, row) {
-                found.offer(*upstream, expected(table, row, work));
+                found.offer(*upstream, cost(table, row, work));
             }
         }
         found
@@ -205,10 +205,11 @@
         && request.accepts_version(row)
 }
 
-/// Expected time to completion in seconds, both ways of the network included.
-fn expected(table: &UpstreamTable, row: &UpstreamRow, work: f32) -> f32 {
+/// Time to completion in seconds by which candidates are compared, both ways of the network
+/// included.
+fn cost(table: &UpstreamTable, row: &UpstreamRow, work: f32) -> f32 {
     let network = table.distance(row.info.zone).0 as f32 * 2e-6;
-    (row.backlog() as f32 + work) / row.speed.max(1.0) + network
+    row.expected(work, table.own_weight()) + network
 }
 
 fn span(seconds: f32) -> Span {
--- a/crates/routing/src/policy.rs
+++ b/crates/routing/src/policy.rs
@@ -41,9 +41,10 @@
         pub upstream: UpstreamKey,
         /// Why it was chosen.
         pub reason: PickReason,
-        /// Expected time to completion, network included.
+        /// Time to completion by which it was compared, network included. Own work stands for that
+        /// of the other nodes too, see [`UpstreamTable::set_nodes`].
         pub expected: Span,
-        /// Expected time of the next best candidate, or `None` when there was no other.
+        /// The same of the next best candidate, or `None` when there was no other.
         pub runner_up: Option<Span>,
         /// Number of candidates that were compared.
         pub compared: u16,
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -17,12 +17,8 @@
     }
 }
 
-/// Weight of a new speed sample against the learned speed.
-const SPEED_WEIGHT: f32 = 0.1;
-
-/// A single sample moves the learned speed as if it lay at most this factor away, because the
-/// backlog of a sample is itself an estimate.
-const SPEED_CLAMP: f32 = 4.0;
+/// Own work counts at most for this many nodes. Beyond it, it outweighs the reports anyway.
+const MAX_OWN_WEIGHT: u32 = 32;
 
 /// State of the upstreams, addressed by [`UpstreamKey`].
 #[derive(Debug, Clone)]
@@ -32,6 +28,7 @@
     distances: Vec<Span>,
     mean_request: f32,
     max_speed: f32,
+    own_weight: f32,
 }
 
 impl Default for TableSettings {
@@ -51,9 +48,18 @@
             distances,
             mean_request: settings.initial_request as f32,
             max_speed: settings.initial_speed as f32,
+            own_weight: 1.0,
         }
     }
 
+    /// Sets how many nodes share the upstreams, this one included. It is 1 until stated otherwise.
+    ///
+    /// The others choose by the same rules, so what this node has sent stands for as much from each
+    /// of them until reports show it. Choices compare upstreams with that in mind.
+    pub fn set_nodes(&mut self, nodes: u32) {
+        self.own_weight = nodes.clamp(1, MAX_OWN_WEIGHT) as f32;
+    }
+
     /// Adds an upstream that takes work.
     pub fn add(&mut self, info: UpstreamInfo) -> UpstreamKey {
         self.rows.push(UpstreamRow::new(info, self.settings.initial_speed as f32))
@@ -94,10 +100,12 @@
             return;
         }
         row.keep_history(now);
-        // A request in the batch has on average half of its work left.
-        let requests = load.running as f32 / 2.0 + load.queued as f32;
-        let total = (requests * mean_request) as u32;
-        row.others = total.saturating_sub(row.outstanding_at(load.measured_at));
+        // While a new request runs, each one in the batch gets as much as it does, so those count
+        // like the queued ones.
+        let requests = load.running.saturating_add(load.queued);
+        let total = (requests as f32 * mean_request) as u32;
+        let others = total.saturating_sub(row.outstanding_at(load.measured_at));
+        row.blend_others(now, load.measured_at, others as f32);
         row.measured_at = Some(load.measured_at);
         row.version = load.version;
     }
@@ -123,9 +131,8 @@
         let WorkEnd::Completed { tokens } = end else { return };
         self.mean_request += (tokens as f32 - self.mean_request) / 64.0;
         let took = now.since(work.started_at).0.max(1) as f32 / 1e6;
-        let sample = work.backlog.saturating_add(tokens).max(1) as f32 / took;
-        let sample = sample.clamp(row.speed / SPEED_CLAMP, row.speed * SPEED_CLAMP);
-        row.speed += (sample - row.speed) * SPEED_WEIGHT;
+        let backlog = (work.backlog as f32 + row.backlog() as f32) / 2.0;
+        row.learn(tokens as f32, took, backlog, self.mean_request);
         self.max_speed = self.max_speed.max(row.speed);
     }
 
@@ -201,6 +208,10 @@
         self.rows.get(upstream)
     }
 
+    pub(crate) const fn own_weight(&self) -> f32 {
+        self.own_weight
+    }
+
     pub(crate) const fn max_speed(&self) -> f32 {
         self.max_speed
     }
--- a/crates/routing/src/upstream.rs
+++ b/crates/routing/src/upstream.rs
@@ -75,6 +75,23 @@
 /// Length of one step. The record covers four seconds, twice the usual lag of load reports.
 const HISTORY_STEP: Span = Span::from_millis(250);
 
+/// Reports are smoothed over this many times their age.
+const SMOOTHING_AGES: f32 = 4.0;
+
+/// Part of the learned speed that a completion of usual length leaves in place.
+const SPEED_MEMORY: f32 = 0.95;
+
+/// Requests that must share an upstream before a completion may lower its learned speed.
+const LEAST_SHARERS: f32 = 4.0;
+
+/// The assumed speed weighs as much as a request that took this many seconds.
+const FIRST_SAMPLE_TIME: f32 = 0.1;
+
+/// The seconds per token fall fast and rise slowly, since they are to be those of a request that
+/// nothing slows down.
+const TOKEN_TIME_FALL: f32 = 0.2;
+const TOKEN_TIME_RISE: f32 = 0.005;
+
 #[derive(Debug, Clone)]
 pub(crate) struct UpstreamRow {
     pub(crate) info: UpstreamInfo,
@@ -82,13 +99,18 @@
     pub(crate) reserved: bool,
     pub(crate) version: Option<WeightVersion>,
     pub(crate) measured_at: Option<Moment>,
-    /// Learned speed in tokens per second.
+    /// Learned speed in tokens per second, over all requests that run at once.
     pub(crate) speed: f32,
+    /// Work and time of past samples, whose quotient is the speed. Newer samples weigh more.
+    speed_work: f32,
+    speed_time: f32,
+    /// Learned seconds per token of a request that runs alone, or 0 while unknown.
+    pub(crate) token_time: f32,
     /// Own outstanding work in tokens.
     pub(crate) outstanding: u32,
     pub(crate) own_requests: u32,
-    /// Work of others by the last report, in tokens.
-    pub(crate) others: u32,
+    /// Work of others by the reports, in tokens.
+    pub(crate) others: f32,
     history: [u32; HISTORY_STEPS],
     history_step: u64,
 }
@@ -102,9 +124,12 @@
             version: None,
             measured_at: None,
             speed,
+            speed_work: speed * FIRST_SAMPLE_TIME,
+            speed_time: FIRST_SAMPLE_TIME,
+            token_time: 0.0,
             outstanding: 0,
             own_requests: 0,
-            others: 0,
+            others: 0.0,
             history: [0; HISTORY_STEPS],
             history_step: 0,
         }
@@ -112,13 +137,64 @@
 
     /// Estimated work ahead of a new request, in tokens.
     pub(crate) const fn backlog(&self) -> u32 {
-        self.others.saturating_add(self.outstanding)
+        (self.others as u32).saturating_add(self.outstanding)
+    }
+
+    /// Takes in what a report of this age says about the work of others.
+    ///
+    /// All nodes see the same late report, and all would send to the upstream that was idle when
+    /// it was measured. A smoothing time of several ages keeps this loop from oscillating.
+    pub(crate) fn blend_others(&mut self, now: Moment, measured_at: Moment, others: f32) {
+        let Some(last) = self.measured_at else {
+            self.others = others;
+            return;
+        };
+        let interval = measured_at.since(last).as_secs_f64() as f32;
+        let smoothing = now.since(measured_at).as_secs_f64() as f32 * SMOOTHING_AGES;
+        self.others += (others - self.others) * interval / (interval + smoothing);
     }
 
     pub(crate) const fn takes_work(&self) -> bool {
         matches!(self.state, UpstreamState::Up) && !self.reserved
     }
 
+    /// Learns from a request of `tokens` that took `seconds` while `backlog` tokens of other
+    /// requests were served next to it or before it.
+    ///
+    /// The upstream did the work of all requests that shared it meanwhile. Sums of work and time
+    /// are kept in place of a mean of quotients, which a few short requests would dominate. A
+    /// request that runs almost alone does not use the whole speed, so it can only raise it.
+    pub(crate) fn learn(&mut self, tokens: f32, seconds: f32, backlog: f32, mean_request: f32) {
+        let sharers = 1.0 + backlog / mean_request.max(1.0);
+        if sharers >= LEAST_SHARERS || tokens * sharers > self.speed * seconds {
+            self.learn_speed(tokens, seconds, sharers);
+        }
+        self.learn_token_time(seconds / tokens.max(1.0));
+    }
+
+    fn learn_speed(&mut self, tokens: f32, seconds: f32, sharers: f32) {
+        self.speed_work = self.speed_work * SPEED_MEMORY + tokens * sharers * sharers;
+        self.speed_time = self.speed_time * SPEED_MEMORY + seconds * sharers;
+        self.speed = self.speed_work / self.speed_time;
+    }
+
+    fn learn_token_time(&mut self, token_time: f32) {
+        if self.token_time == 0.0 {
+            self.token_time = token_time;
+            return;
+        }
+        let falls = token_time < self.token_time;
+        let weight = if falls { TOKEN_TIME_FALL } else { TOKEN_TIME_RISE };
+        self.token_time += (token_time - self.token_time) * weight;
+    }
+
+    /// Expected time in seconds of a request of `work` tokens that starts now, when each token of
+    /// own outstanding work counts `own_weight` times.
+    pub(crate) fn expected(&self, work: f32, own_weight: f32) -> f32 {
+        let backlog = self.others + self.outstanding as f32 * own_weight;
+        ((backlog + work) / self.speed.max(1.0)).max(work * self.token_time)
+    }
+
     /// Records the own outstanding work before it changes at `now`.
     pub(crate) fn keep_history(&mut self, now: Moment) {
         let step = now.0 / HISTORY_STEP.0;
--- a/crates/routing/tests/picker.rs
+++ b/crates/routing/tests/picker.rs
@@ -186,3 +186,44 @@
     table.set_state(UpstreamKey(1), UpstreamState::Down);
     check(&mut RoutePicker::default(), &table, &request, |counts| counts == [1_000, 0]);
 }
+
+#[test]
+fn lone_requests_do_not_lower_the_speed_learned_under_load() {
+    let mut table = table(&[0], Span::ZERO);
+    let upstream = UpstreamKey(0);
+    for _ in 0..100 {
+        let others = [(); 7].map(|()| table.start(NOW, upstream, 200));
+        let work = table.start(NOW, upstream, 200);
+        // Eight requests of 200 tokens share 4,000 tokens a second.
+        let end = NOW + Span::from_millis(400);
+        table.finish(end, work, WorkEnd::Completed { tokens: 200 });
+        for other in others {
+            table.finish(end, other, WorkEnd::Failed);
+        }
+    }
+    let under_load = table.speed(upstream).unwrap_or_default();
+    assert!((3_800.0..4_200.0).contains(&under_load), "learned {under_load}");
+    teach(&mut table, 0, 1_000);
+    assert_eq!(table.speed(upstream), Some(under_load));
+}
+
+#[test]
+fn own_work_stands_for_that_of_the_other_nodes_until_they_report() {
+    let mut table = table(&[0, 0], Span::ZERO);
+    table.report(NOW, UpstreamKey(0), load(4, NOW));
+    table.start(NOW, UpstreamKey(1), 200);
+    check(&mut RoutePicker::default(), &table, &PLAIN, |counts| counts[1] > 500);
+    table.set_nodes(10);
+    check(&mut RoutePicker::default(), &table, &PLAIN, |counts| counts[0] > 500);
+}
+
+#[test]
+fn late_reports_are_smoothed_over_several_times_their_age() {
+    let mut table = table(&[0], Span::ZERO);
+    let upstream = UpstreamKey(0);
+    table.report(NOW, upstream, load(0, NOW));
+    let measured_at = NOW + Span::from_secs(2);
+    table.report(measured_at + Span::from_secs(2), upstream, load(10, measured_at));
+    // 2,000 tokens, an interval of 2 s and a smoothing time of 8 s.
+    assert_eq!(table.backlog(upstream), Some(400));
+}
