--- a/crates/hibiscushinged/src/control/peers.rs
+++ b/crates/hibiscushinged/src/control/peers.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use base::{Incarnation, Moment, VmKey};
+use base::{Moment, VmKey};
 use bytes::Bytes;
 use clients::{Outgoing, VmList as _, VmState};
 use configuration::ConfigSnapshot;
--- a/crates/hibiscushinged/src/desk.rs
+++ b/crates/hibiscushinged/src/desk.rs
@@ -111,6 +111,7 @@
 
     pub(crate) fn set_live_nodes(&mut self, nodes: usize) {
         self.live_nodes = u32::try_from(nodes.max(1)).unwrap_or(u32::MAX);
+        self.table.set_nodes(self.live_nodes);
     }
 
     pub(crate) fn set_weight(&mut self, now: Moment, customer: CustomerKey, weight: u32) {
@@ -351,7 +352,7 @@
                 continue;
             }
             total += table.speed(*key).unwrap_or(0.0);
-            others += table.others(*key).unwrap_or(0) as f32;
+            others += table.others(*key).unwrap_or(0.0);
         }
         let horizon = SERVICE_HORIZON.as_secs_f64() as f32;
         let unused = (1.0 - others / (total * horizon).max(1.0)).max(0.0);
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -173,9 +173,9 @@
         self.rows.get(upstream).map(UpstreamRow::backlog)
     }
 
-    /// Returns the work of other nodes on an upstream by its last load report, in tokens.
+    /// Returns the work of other nodes on an upstream by its load reports, in tokens.
     #[must_use]
-    pub fn others(&self, upstream: UpstreamKey) -> Option<u32> {
+    pub fn others(&self, upstream: UpstreamKey) -> Option<f32> {
         self.rows.get(upstream).map(|row| row.others)
     }
 
