experiments: run of requests that crash upstreams

Cause: the target of two lost upstreams per crashing request needs a run with many nodes, late reports and callers that send again.

Ruled out: the unit test alone, since it has 3 nodes and no late reports.

Change: a step model with and without the suspect table, and scenarios with 55 and with 10 engines.

--- a/crates/experiments/src/traffic.rs
+++ b/crates/experiments/src/traffic.rs
@@ -1,5 +1,6 @@
 //! Routing, admission and crash isolation against baselines, in virtual time.
 
+mod crash;
 mod engine;
 mod measure;
 mod scenario;
@@ -13,6 +14,7 @@
     RunResult, flags,
     report::{PlotFrame, PlotSeries, ReportTable, RunReport, TargetBound, TargetLine},
     traffic::{
+        crash::{CrashGuard, CrashWorld},
         measure::RunMeasure,
         scenario::{ScenarioKind, TrafficScenario},
         world::{GateKind, World},
@@ -25,6 +27,7 @@
         ScenarioKind::Routing => routing(&scenario, flags.seed),
         ScenarioKind::Fairness => fairness(&scenario, flags.seed),
         ScenarioKind::Overload => overload(&scenario, flags.seed),
+        ScenarioKind::Crash => crash(&scenario, flags.seed),
     };
     let services =
         scenario.engines.iter().map(|group| format!("{} {}", group.count, group.service));
@@ -127,6 +130,26 @@
     RunReport { tables: vec![table], targets, plot, ..RunReport::default() }
 }
 
+fn crash(scenario: &TrafficScenario, seed: u64) -> RunReport {
+    let runs = [("none", CrashGuard::None), ("suspect table", CrashGuard::Suspects)];
+    let runs = runs.map(|(name, guard)| (name, CrashWorld::new(scenario, guard, seed).run()));
+    let columns = ["lost", "completed", "others refused", "interrupted", "of those refused"];
+    let mut table = ReportTable::new("guard", &columns);
+    for (name, run) in &runs {
+        let counts = [run.lost, run.completed, run.others_refused, run.interrupted];
+        let counts = counts.into_iter().chain([run.interrupted_refused]);
+        table.push(*name, counts.map(|count| count as f64).collect());
+    }
+    let guarded = &runs[1].1;
+    let lost = guarded.lost as f64 / f64::from(scenario.crashing_requests.max(1));
+    let refused = (guarded.others_refused + guarded.interrupted_refused) as f64;
+    let targets = vec![
+        TargetLine::new("upstreams lost per crashing request", TargetBound::AtMost, 2.0, lost),
+        TargetLine::new("other requests refused", TargetBound::AtMost, 0.0, refused),
+    ];
+    RunReport { tables: vec![table], targets, ..RunReport::default() }
+}
+
 fn latency_plot(title: &str, runs: &[(&str, RunMeasure)]) -> PlotFrame {
     let series = runs.iter().map(|(name, run)| {
         let points = (1..=99).map(|percent| {
--- a/crates/experiments/src/traffic/scenario.rs
+++ b/crates/experiments/src/traffic/scenario.rs
@@ -17,6 +17,8 @@
     Fairness,
     /// Queues, under more load than capacity.
     Overload,
+    /// Isolation of requests that crash upstreams.
+    Crash,
 }
 
 /// Modelled upstreams and load.
@@ -42,6 +44,9 @@
     pub(crate) report_lag_ms: u64,
     #[serde(default)]
     pub(crate) aggressor_factor: f64,
+    /// Different requests that crash each upstream they reach.
+    #[serde(default)]
+    pub(crate) crashing_requests: u32,
     pub(crate) engines: Vec<EngineGroup>,
 }
 
--- a/crates/experiments/src/traffic/tests.rs
+++ b/crates/experiments/src/traffic/tests.rs
@@ -39,7 +39,14 @@
 
 #[test]
 fn every_scenario_file_is_valid() {
-    let files = ["hmla-today", "engines-55", "one-customer-tenfold", "twice-capacity"];
+    let files = [
+        "hmla-today",
+        "engines-55",
+        "one-customer-tenfold",
+        "twice-capacity",
+        "crashing-requests",
+        "derwent-crashing",
+    ];
     for file in files {
         scenario(&format!("{file}.toml"));
     }
