--- a/crates/hibiscushinged/src/control/admin.rs
+++ b/crates/hibiscushinged/src/control/admin.rs
@@ -113,6 +113,7 @@
             "open": figures(state.usage.ledger.open_figures()),
             "windows": windows.collect::<Vec<_>>(),
             "pending_batches": state.usage.pending.len(),
+            "held_batches": state.usage.replicas.len(),
         })
     }
 
--- a/crates/hibiscushinged/src/control/usage.rs
+++ b/crates/hibiscushinged/src/control/usage.rs
@@ -38,7 +38,7 @@
 pub(crate) struct UsageDriver {
     meter: UsageMeter,
     pub(crate) pending: PendingBatches,
-    replicas: ReplicaStore,
+    pub(crate) replicas: ReplicaStore,
     pub(crate) ledger: UsageLedger,
     reports: ReportDesk,
     closing: Option<WindowNumber>,
--- a/crates/hibiscushinged/src/traffic/stream.rs
+++ b/crates/hibiscushinged/src/traffic/stream.rs
@@ -41,8 +41,8 @@
 /// How often a stream may continue on another upstream.
 const MAX_RESUMES: u8 = 3;
 
-/// How often a running stream checks that its key still stands. Withdrawn keys must stop within
-/// 2 s, of which following the log takes most.
+/// How often a silent stream checks that its key still stands; others check it with each token.
+/// Withdrawn keys must stop within 2 s, of which following the log takes most.
 const KEY_CHECK_PERIOD: std::time::Duration = std::time::Duration::from_millis(100);
 
 /// One generation for a caller.
@@ -221,6 +221,11 @@
                 event = tokens.next() => event,
                 end = self.interrupted() => return end,
             };
+            // The timer of `interrupted` starts anew with each token, so a fast stream would never
+            // reach it.
+            if !choice::key_stands(&worker.shared, &self.request) {
+                return ExchangeEnd::KeyWithdrawn;
+            }
             let line = match event {
                 Ok(Some(TokenEvent::Token { index, text, version })) => {
                     self.piece(index, text, version)
