delivery: let a suspect wait for an isolation place of another node

Cause: a suspect was refused at once when other nodes held every place that may be kept free, although a place would be free within its deadline.

Ruled out: more places, which would take capacity from other requests.

Change: such asks wait, are tried again when a notice ends or expires, and are refused once too little time is left.

--- a/crates/delivery/src/suspect.rs
+++ b/crates/delivery/src/suspect.rs
@@ -229,10 +229,7 @@
             SuspectEvent::NoteHeard(note) => self.note_heard(now, wall, note),
             SuspectEvent::VerdictHeard(verdict) => self.verdict_heard(now, wall, verdict),
             SuspectEvent::IsolationHeard(notice) => self.isolation.heard(now, notice),
-            SuspectEvent::IsolationEnded(notice) => {
-                self.isolation.forget(notice);
-                SuspectActions::new()
-            }
+            SuspectEvent::IsolationEnded(notice) => self.isolation.forget(now, notice),
             SuspectEvent::Tick => {
                 self.suspicions.retain(|_, suspicion| wall < suspicion.expires_at);
                 self.convictions.retain(|_, expires_at| wall < *expires_at);
--- a/crates/delivery/src/suspect/isolation.rs
+++ b/crates/delivery/src/suspect/isolation.rs
@@ -44,13 +44,22 @@
     policy: SuspectPolicy,
     run_time: Span,
     slots: BTreeMap<UpstreamKey, IsolationSlot>,
+    /// Asks that wait until another node gives up one of the places that it holds.
+    parked: Vec<(IsolationAsk, SmallVec<[UpstreamKey; 2]>)>,
     peers: BTreeMap<IsolationNotice, Moment>,
 }
 
 impl IsolationQueue {
     pub(super) const fn new(me: Incarnation, policy: SuspectPolicy) -> Self {
         let run_time = policy.first_run_time;
-        Self { me, policy, run_time, slots: BTreeMap::new(), peers: BTreeMap::new() }
+        Self {
+            me,
+            policy,
+            run_time,
+            slots: BTreeMap::new(),
+            parked: Vec::new(),
+            peers: BTreeMap::new(),
+        }
     }
 
     pub(super) fn ask(
@@ -64,6 +73,12 @@
             return SuspectActions::from_iter([refuse(&ask, self.run_time, message)]);
         }
         let Some(upstream) = self.choose(&ask, crashed) else {
+            let mut held = ask.upstreams.iter().filter(|key| self.is_reserved_by_peer(**key));
+            let in_time = now + self.policy.settle_time + self.run_time <= ask.deadline;
+            if in_time && held.next().is_some() {
+                self.parked.push((ask, SmallVec::from_slice(crashed)));
+                return SuspectActions::new();
+            }
             let message =
                 "no upstream can be kept free for a request that was in flight at a crash";
             let retry_after = self.run_time + self.policy.settle_time;
@@ -91,6 +106,7 @@
     }
 
     pub(super) fn caller_gone(&mut self, now: Moment, request: RequestId) -> SuspectActions {
+        self.parked.retain(|(ask, _)| ask.request != request);
         let mut actions = SuspectActions::new();
         for (upstream, slot) in &mut self.slots {
             if let Some(run) = &mut slot.running
@@ -149,8 +165,9 @@
         actions
     }
 
-    pub(super) fn forget(&mut self, notice: IsolationNotice) {
+    pub(super) fn forget(&mut self, now: Moment, notice: IsolationNotice) -> SuspectActions {
         self.peers.remove(&notice);
+        self.tick(now)
     }
 
     pub(super) fn finished(
@@ -173,6 +190,9 @@
     }
 
     pub(super) fn crashed(&mut self, now: Moment, upstream: UpstreamKey) -> SuspectActions {
+        for (ask, _) in &mut self.parked {
+            ask.upstreams.retain(|found| *found != upstream);
+        }
         let Some(slot) = self.slots.remove(&upstream) else { return SuspectActions::new() };
         let mut actions = SuspectActions::new();
         if let Some(run) = slot.running {
@@ -188,7 +208,9 @@
         fingerprint: Fingerprint,
         actions: &mut SuspectActions,
     ) -> Vec<IsolationAsk> {
-        let mut taken = Vec::new();
+        let is_meant = |(ask, _): &mut (IsolationAsk, _)| ask.fingerprint == fingerprint;
+        let parked = self.parked.extract_if(.., is_meant);
+        let mut taken = parked.map(|(ask, _)| ask).collect::<Vec<_>>();
         for (upstream, slot) in &mut self.slots {
             let before = taken.len();
             slot.waiting.retain(|waiting| {
@@ -236,6 +258,9 @@
             actions.push(SuspectAction::RunIsolated { request, upstream });
         }
         self.slots.retain(|_, slot| slot.running.is_some() || !slot.waiting.is_empty());
+        for (ask, crashed) in std::mem::take(&mut self.parked) {
+            actions.extend(self.ask(now, ask, &crashed));
+        }
         actions
     }
 
@@ -266,7 +291,11 @@
             let start = head.map(|head| head.announced_at + self.policy.settle_time);
             refusals.chain(start)
         });
-        due.min()
+        let parked = self
+            .parked
+            .iter()
+            .map(|(ask, _)| ask.deadline - self.run_time - self.policy.settle_time + Span(1));
+        due.chain(parked).min()
     }
 
     const fn notice(&self, upstream: UpstreamKey, fingerprint: Fingerprint) -> IsolationNotice {
--- a/crates/delivery/tests/suspect.rs
+++ b/crates/delivery/tests/suspect.rs
@@ -225,3 +225,22 @@
     assert_eq!(cluster.refused.get(&fingerprint(9)), Some(&RefusalCode::NoUpstream));
     assert!(!cluster.nodes[0].is_reserved(UpstreamKey(1)));
 }
+
+#[test]
+fn suspect_waits_while_other_nodes_hold_every_place() {
+    let mut cluster = Cluster::new(2, 4, 8);
+    for (node, upstream, number) in [(0, 0, 10), (1, 1, 11)] {
+        cluster.run(node, UpstreamKey(upstream), fingerprint(number));
+        cluster.upstreams.remove(&UpstreamKey(upstream));
+        cluster.apply(node, SuspectEvent::Crashed(UpstreamKey(upstream)));
+    }
+    cluster.send(0, fingerprint(10));
+    cluster.advance(&[]);
+    // One of the two upstreams that are left may be kept free, and node 0 holds it.
+    cluster.send(1, fingerprint(11));
+    assert!(cluster.nodes[1].next_deadline().is_some());
+    for _ in 0..100 {
+        cluster.advance(&[]);
+    }
+    assert_eq!((cluster.completed, cluster.refused.len()), (2, 0));
+}
