--- a/crates/rollout/src/book.rs
+++ b/crates/rollout/src/book.rs
@@ -1,5 +1,6 @@
 //! The book of samples: a function of the prefix of the log stream `samples`.
 
+mod carry;
 mod trainer;
 
 use std::collections::BTreeMap;
@@ -7,13 +8,14 @@
 use base::{Incarnation, RecordId, WeightVersion, key, plain};
 use smallvec::SmallVec;
 
-pub(crate) use self::trainer::TrainerBook;
-use crate::{
-    records::{
-        DeliveryNumber, SampleFilled, SampleRecord, SampleVoided, Score, SlotKey, TrainerId,
-        TrainerStated, VoidReason,
-    },
-    spans::VersionSpan,
+use self::carry::Gap;
+pub use self::{
+    carry::TrainerCarry,
+    trainer::{Binding, BookSlot, BookStep, SlotState, TrainerBook},
+};
+use crate::records::{
+    DeliveryNumber, SampleFilled, SampleRecord, SampleVoided, Score, SlotKey, TrainerId,
+    TrainerStated, VoidReason,
 };
 
 plain! {
@@ -78,8 +80,8 @@
             /// The offer.
             offer: Offer,
         },
-        /// A statement names a predecessor that is not the last one and has no effect. The node
-        /// whose trainer still waits states again.
+        /// A statement names a predecessor that is not the last one, or a number that was never
+        /// offered, and has no effect. The node tells the trainer to ask again.
         StatementRefused {
             /// The trainer.
             trainer: TrainerId,
@@ -142,16 +144,10 @@
         Sample {
             /// Its number.
             number: DeliveryNumber,
-            /// Its slot.
-            slot: SlotKey,
-            /// Its identity, under which holders keep the bytes.
-            sample: RecordId,
-            /// Weight versions that produced it.
-            spans: SmallVec<[VersionSpan; 2]>,
+            /// The sample.
+            filled: SampleFilled,
             /// Its score.
             score: Option<Score>,
-            /// Nodes that hold the bytes.
-            holders: SmallVec<[Incarnation; 2]>,
             /// The void number of the same slot that this sample replaces.
             replaces: Option<DeliveryNumber>,
         },
@@ -181,6 +177,8 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct SampleBook {
     trainers: BTreeMap<TrainerId, TrainerBook>,
+    /// Set in a book that started after the first record of the stream.
+    gap: Option<Gap>,
 }
 
 impl SampleBook {
@@ -262,6 +260,10 @@
     }
 
     /// Returns the number of valid statements, to name in the next one.
+    ///
+    /// It must be read when the trainer's request arrives, and a refused statement must not be
+    /// repeated with a newer number. Otherwise a request that the trainer has given up could take
+    /// effect after a later one, and samples in the trainer's hands would be made again.
     #[must_use]
     pub fn statements(&self, trainer: TrainerId) -> u64 {
         self.trainers.get(&trainer).map_or(0, TrainerBook::statements)
