--- a/crates/hibiscushinged/src/control/usage.rs
+++ b/crates/hibiscushinged/src/control/usage.rs
@@ -30,6 +30,9 @@
 /// Wait before an unanswered hold request, append or report is repeated.
 const RETRY: Span = Span::from_secs(2);
 
+/// Time after which a replica holder appends a batch that the log does not show.
+const TAKEOVER: Span = Span::from_secs(20);
+
 /// How long a window that could not be restored after a gap is waited for before the holder starts
 /// afresh.
 const RESTORE_WAIT: Span = Span::from_secs(30);
@@ -55,7 +58,7 @@
         Self {
             meter: UsageMeter::new(UsageMeter::DEFAULT_PERIOD),
             pending: PendingBatches::new(RETRY),
-            replicas: ReplicaStore::new(REPLICA_CAPACITY, RETRY),
+            replicas: ReplicaStore::new(REPLICA_CAPACITY, RETRY, TAKEOVER),
             ledger: UsageLedger::new(),
             reports: ReportDesk::new(RETRY),
             closing: None,
--- a/crates/usage/src/replica.rs
+++ b/crates/usage/src/replica.rs
@@ -9,7 +9,7 @@
 key! {
     /// Whether the process that metered a batch is known to be gone.
     pub enum OriginState {
-        /// The process appends its batches itself.
+        /// The process appends its batches itself, unless it takes too long.
         Live,
         /// The replica holder appends the process's batches.
         Gone,
@@ -27,7 +27,7 @@
 #[derive(Debug, Clone)]
 struct HeldBatch {
     batch: UsageBatch,
-    append_at: Option<Moment>,
+    append_at: Moment,
 }
 
 /// Batches that this node holds for nodes of other zones.
@@ -38,15 +38,20 @@
 pub struct ReplicaStore {
     capacity: usize,
     retry: Span,
+    takeover: Span,
     held: BTreeMap<RecordId, HeldBatch>,
 }
 
 impl ReplicaStore {
     /// Creates a store of at most `capacity` batches that repeats an append every `retry` until
     /// the log shows the batch.
+    ///
+    /// A batch that the log does not show after `takeover` is appended even if its process counts
+    /// as live: a zone that fails as a whole is known to be gone only when the platform's list
+    /// drops its VMs.
     #[must_use]
-    pub fn new(capacity: usize, retry: Span) -> Self {
-        Self { capacity, retry, held: BTreeMap::new() }
+    pub fn new(capacity: usize, retry: Span, takeover: Span) -> Self {
+        Self { capacity, retry, takeover, held: BTreeMap::new() }
     }
 
     /// Holds a batch. Holding it again is harmless.
@@ -58,8 +63,8 @@
             return HoldOutcome::Full;
         }
         let append_at = match origin {
-            OriginState::Live => None,
-            OriginState::Gone => Some(now),
+            OriginState::Live => now + self.takeover,
+            OriginState::Gone => now,
         };
         self.held.insert(batch.id, HeldBatch { batch, append_at });
         HoldOutcome::Held
@@ -74,7 +79,7 @@
     pub fn origin_gone(&mut self, now: Moment, origin: Incarnation) {
         for held in self.held.values_mut() {
             if held.batch.id.writer == origin {
-                held.append_at.get_or_insert(now);
+                held.append_at = held.append_at.min(now);
             }
         }
     }
@@ -82,17 +87,17 @@
     /// Returns when the next append is due.
     #[must_use]
     pub fn next_deadline(&self) -> Option<Moment> {
-        self.held.values().filter_map(|held| held.append_at).min()
+        self.held.values().map(|held| held.append_at).min()
     }
 
     /// Returns the batches to append at `now`. They stay held until the log shows them.
     pub fn poll(&mut self, now: Moment) -> Vec<UsageBatch> {
         let mut due = Vec::new();
         for held in self.held.values_mut() {
-            if held.append_at.is_none_or(|at| at > now) {
+            if held.append_at > now {
                 continue;
             }
-            held.append_at = Some(now + self.retry);
+            held.append_at = now + self.retry;
             due.push(held.batch.clone());
         }
         due
--- a/crates/usage/tests/billing.rs
+++ b/crates/usage/tests/billing.rs
@@ -30,7 +30,7 @@
             sequence: 0,
             meter: UsageMeter::new(Span::ZERO),
             pending: PendingBatches::new(Span::ZERO),
-            store: ReplicaStore::new(1_000, Span::ZERO),
+            store: ReplicaStore::new(1_000, Span::ZERO, Span::from_secs(3_600)),
             unacknowledged: Vec::new(),
         }
     }
--- a/crates/usage/tests/meter.rs
+++ b/crates/usage/tests/meter.rs
@@ -39,7 +39,7 @@
 /// Guards against losing a held batch whose append did not reach the log.
 #[test]
 fn replica_is_appended_until_the_log_shows_it() {
-    let mut store = ReplicaStore::new(2, SECOND);
+    let mut store = ReplicaStore::new(2, SECOND, Span::from_secs(20));
     assert_eq!(store.hold(Moment(0), batch(1), OriginState::Live), HoldOutcome::Held);
     assert_eq!(store.hold(Moment(0), batch(1), OriginState::Live), HoldOutcome::Held);
     assert_eq!(store.poll(Moment(5)), []);
@@ -53,6 +53,17 @@
     assert_eq!(store.poll(Moment(20)), [batch(2)]);
 }
 
+/// Guards against usage that waits for good when a whole zone failed and still counts as live.
+#[test]
+fn replica_is_appended_after_the_takeover_time() {
+    let takeover = Span::from_secs(20);
+    let mut store = ReplicaStore::new(2, SECOND, takeover);
+    store.hold(Moment(5), batch(1), OriginState::Live);
+    assert_eq!(store.next_deadline(), Some(Moment(5) + takeover));
+    assert_eq!(store.poll(Moment(4) + takeover), []);
+    assert_eq!(store.poll(Moment(5) + takeover), [batch(1)]);
+}
+
 /// Guards against a batch without a replica after its holder restarts.
 #[test]
 fn lost_holder_is_replaced() {
