--- a/crates/hibiscushinged/src/desk.rs
+++ b/crates/hibiscushinged/src/desk.rs
@@ -26,7 +26,7 @@
 
 /// Work that a node may have in service at one upstream, as time at the upstream's speed. It keeps
 /// engines busy between two decisions and leaves the rest of the queue to the fair order.
-const SERVICE_HORIZON: Span = Span::from_secs(2);
+const SERVICE_HORIZON: Span = Span::from_secs(1);
 
 /// Smallest amount of work in service, so that a service without known speed can start.
 const MIN_IN_SERVICE: u32 = 2_000;
