authority: price class of start orders

Cause: an intent did not say whether its upstreams are regular or cheap, so every start order asked the platform for regular ones.

Ruled out: a bool (house style), and a new variant of the wire order kind, which daemons of the earlier release would skip as malformed and so never settle. The class is a field of the wire intent with a default, which they ignore.

Change: authority::PriceClass in OrderKind::Start, `price` in the wire intent (regular when missing), passed on to the platform's order. The model check gets the field only: no decision of the desk depends on it.

Conclusion: records of earlier releases are read as orders of regular upstreams (intent_without_price_class_is_of_regular_upstreams).

--- a/crates/authority/src/lib.rs
+++ b/crates/authority/src/lib.rs
@@ -16,6 +16,6 @@
     },
     record::{
         AuthorityRecord, LeaseClaim, LeaseRelease, LeaseRenewal, OrderId, OrderIntent, OrderKind,
-        OrderOutcome, OrderState, Scope,
+        OrderOutcome, OrderState, PriceClass, Scope,
     },
 };
--- a/crates/authority/src/record.rs
+++ b/crates/authority/src/record.rs
@@ -13,6 +13,14 @@
         pub number: u64,
     }
 
+    /// How the upstreams of an order are paid for.
+    pub enum PriceClass {
+        /// They run until they are stopped.
+        Regular,
+        /// They cost less, and the platform may reclaim them.
+        Cheap,
+    }
+
     /// State of an order as the platform reports it.
     pub enum OrderState {
         /// The platform will carry out the order.
@@ -87,6 +95,8 @@
         Start {
             /// Number of upstreams to start.
             count: u32,
+            /// How they are paid for.
+            price: PriceClass,
         },
         /// Stop one upstream.
         Stop {
--- a/crates/authority/tests/desk.rs
+++ b/crates/authority/tests/desk.rs
@@ -3,7 +3,7 @@
 use authority::{
     AuthorityRecord, Candidacy, DeskAction, DeskSettings, FencingSupport, LeaseAction, LeaseClaim,
     LeaseKeeper, LeaseSettings, OrderAnswer, OrderDesk, OrderId, OrderIntent, OrderKind,
-    OrderOutcome, OrderRefusal, OrderRequest, OrderState, PermitDenial, Scope,
+    OrderOutcome, OrderRefusal, OrderRequest, OrderState, PermitDenial, PriceClass, Scope,
 };
 use base::{FencingNumber, Incarnation, LogOffset, Moment, Span};
 use rstest::rstest;
@@ -50,7 +50,7 @@
     }
 
     fn order(&mut self, now: Moment) -> Result<(OrderId, AuthorityRecord), OrderRefusal> {
-        let kind = OrderKind::Start { count: 1 };
+        let kind = OrderKind::Start { count: 1, price: PriceClass::Regular };
         let request = OrderRequest { service: "draft-models".to_owned(), kind };
         match self.desk.order(now, &self.keeper, request)? {
             (id, DeskAction::Append(record)) => Ok((id, record)),
@@ -86,7 +86,7 @@
         id: INHERITED,
         scope: scope(),
         service: "draft-models".to_owned(),
-        kind: OrderKind::Start { count: 1 },
+        kind: OrderKind::Start { count: 1, price: PriceClass::Regular },
         fencing: FencingNumber(0),
     };
     assert!(process.read(at(1), &AuthorityRecord::Intent(intent.clone())).is_empty());
--- a/crates/hibiscushinged/src/control/orders.rs
+++ b/crates/hibiscushinged/src/control/orders.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use authority::{DeskAction, OrderAnswer, OrderId, OrderIntent, OrderKind, Scope};
+use authority::{DeskAction, OrderAnswer, OrderId, OrderIntent, OrderKind, PriceClass, Scope};
 use base::FencingNumber;
 use clients::{CallFailure, UpstreamOrder, UpstreamOrders as _};
 
@@ -87,7 +87,9 @@
 
 fn wire_order(intent: &OrderIntent, fencing: FencingNumber) -> UpstreamOrder {
     let kind = match &intent.kind {
-        OrderKind::Start { count } => clients::OrderKind::Start { count: *count, cheap: false },
+        OrderKind::Start { count, price } => {
+            clients::OrderKind::Start { count: *count, cheap: *price == PriceClass::Cheap }
+        }
         OrderKind::Stop { upstream } => clients::OrderKind::Stop { upstream: upstream.clone() },
     };
     let zone = match &intent.scope {
--- a/crates/model-check/src/authority/process.rs
+++ b/crates/model-check/src/authority/process.rs
@@ -4,7 +4,7 @@
 
 use authority::{
     AuthorityRecord, Candidacy, DeskAction, LeaseAction, LeaseKeeper, OrderDesk, OrderId,
-    OrderIntent, OrderKind, OrderRequest, Scope,
+    OrderIntent, OrderKind, OrderRequest, PriceClass, Scope,
 };
 use base::{FencingNumber, Incarnation, LogOffset, Moment, key};
 
@@ -248,7 +248,8 @@
         next.orders_left = state.orders_left.checked_sub(1)?;
         let process = &mut next.processes[index];
         let fencing = process.keeper.held(state.now)?;
-        let request = OrderRequest { service: String::new(), kind: OrderKind::Start { count: 1 } };
+        let kind = OrderKind::Start { count: 1, price: PriceClass::Regular };
+        let request = OrderRequest { service: String::new(), kind };
         let (_, action) = process.desk.order(state.now, &process.keeper, request).ok()?;
         if let DeskAction::Append(AuthorityRecord::Intent(intent)) = &action {
             process.sends.extend(self.steps.send_early(intent));
--- a/crates/protocol/src/record/authority.rs
+++ b/crates/protocol/src/record/authority.rs
@@ -5,7 +5,7 @@
 
 use authority::{
     AuthorityRecord, LeaseClaim, LeaseRelease, LeaseRenewal, OrderId, OrderIntent, OrderKind,
-    OrderOutcome, OrderState, Scope,
+    OrderOutcome, OrderState, PriceClass, Scope,
 };
 use base::{FencingNumber, Incarnation, LogOffset, Span};
 
@@ -32,6 +32,9 @@
             scope: WireScope,
             service: String,
             kind: WireOrderKind,
+            /// Price class of the upstreams to start. Records without it are of regular ones.
+            #[serde(default)]
+            price: WirePriceClass,
             fencing: u64,
         },
         /// The holder states what became of an order.
@@ -56,6 +59,13 @@
         Stop(String),
     }
 
+    #[derive(Copy, Default)]
+    pub enum WirePriceClass {
+        #[default]
+        Regular,
+        Cheap,
+    }
+
     #[derive(Copy)]
     pub enum WireOrderState {
         Accepted,
@@ -92,12 +102,12 @@
                 holder: Incarnation(holder),
                 claim: FencingNumber(claim),
             }),
-            WireAuthority::Intent { id, scope, service, kind, fencing } => {
+            WireAuthority::Intent { id, scope, service, kind, price, fencing } => {
                 Self::Intent(OrderIntent {
                     id: order_id(id),
                     scope: scope.into(),
                     service,
-                    kind: kind.try_into()?,
+                    kind: order_kind(kind, price)?,
                     fencing: FencingNumber(fencing),
                 })
             }
@@ -141,6 +151,7 @@
                 scope: (&intent.scope).into(),
                 service: intent.service.clone(),
                 kind: (&intent.kind).into(),
+                price: price_of(&intent.kind),
                 fencing: intent.fencing.0,
             },
             AuthorityRecord::Outcome(outcome) => Self::Outcome {
@@ -174,16 +185,28 @@
     }
 }
 
-impl TryFrom<WireOrderKind> for OrderKind {
-    type Error = MalformedMessage;
+fn order_kind(kind: WireOrderKind, price: WirePriceClass) -> Result<OrderKind, MalformedMessage> {
+    match kind {
+        WireOrderKind::Start(0) => {
+            Err(MalformedMessage::new("an order to start upstreams has the count 0"))
+        }
+        WireOrderKind::Start(count) => Ok(OrderKind::Start { count, price: price.into() }),
+        WireOrderKind::Stop(upstream) => Ok(OrderKind::Stop { upstream }),
+    }
+}
+
+const fn price_of(kind: &OrderKind) -> WirePriceClass {
+    match kind {
+        OrderKind::Start { price: PriceClass::Cheap, .. } => WirePriceClass::Cheap,
+        OrderKind::Start { .. } | OrderKind::Stop { .. } => WirePriceClass::Regular,
+    }
+}
 
-    fn try_from(kind: WireOrderKind) -> Result<Self, MalformedMessage> {
-        match kind {
-            WireOrderKind::Start(0) => {
-                Err(MalformedMessage::new("an order to start upstreams has the count 0"))
-            }
-            WireOrderKind::Start(count) => Ok(Self::Start { count }),
-            WireOrderKind::Stop(upstream) => Ok(Self::Stop { upstream }),
+impl From<WirePriceClass> for PriceClass {
+    fn from(price: WirePriceClass) -> Self {
+        match price {
+            WirePriceClass::Regular => Self::Regular,
+            WirePriceClass::Cheap => Self::Cheap,
         }
     }
 }
@@ -191,7 +214,7 @@
 impl From<&OrderKind> for WireOrderKind {
     fn from(kind: &OrderKind) -> Self {
         match kind {
-            OrderKind::Start { count } => Self::Start(*count),
+            OrderKind::Start { count, .. } => Self::Start(*count),
             OrderKind::Stop { upstream } => Self::Stop(upstream.clone()),
         }
     }
--- a/crates/protocol/tests/codec.rs
+++ b/crates/protocol/tests/codec.rs
@@ -1,7 +1,7 @@
 //! Guards against records that do not survive the wire, and against malformed input that stops a
 //! reader.
 
-use authority::{AuthorityRecord, LeaseClaim, OrderId, OrderIntent, OrderKind, Scope};
+use authority::{AuthorityRecord, LeaseClaim, OrderId, OrderIntent, OrderKind, PriceClass, Scope};
 use base::{FencingNumber, Incarnation, LogOffset, RecordId, Span, WallTime};
 use configuration::{ConfigEdit, ConfigRecord, ConfigVersion, EnvironmentName};
 use delivery::{ClaimDone, ClaimEvent, ClaimKey, ClaimOutcome, Fingerprint, RequestId, Verdict};
@@ -10,8 +10,10 @@
     test_runner::{Config, RngSeed, TestRunner},
 };
 use protocol::{
-    MAX_MESSAGE_BYTES, StreamRecord, WireAuthority, decode_message, decode_record, encode_record,
+    MAX_MESSAGE_BYTES, StreamRecord, WireAuthority, decode_message, decode_record, encode_message,
+    encode_record,
 };
+use serde_json::json;
 use usage::{UsageAmount, UsageBatch, UsageFigures, UsageRecord};
 
 const ID: RecordId = RecordId { writer: Incarnation(u64::MAX), sequence: 7 };
@@ -32,13 +34,35 @@
         term: Span::from_secs(10),
         clear_from: LogOffset(90),
     }));
-    check(&AuthorityRecord::Intent(intent(OrderKind::Start { count: 2 })));
+    for price in [PriceClass::Regular, PriceClass::Cheap] {
+        check(&AuthorityRecord::Intent(intent(OrderKind::Start { count: 2, price })));
+    }
     check(&AuthorityRecord::Intent(intent(OrderKind::Stop { upstream: String::from("e-1") })));
 }
 
+/// Guards against intents of earlier releases, which have no price class, that a successor skips and
+/// so never settles.
+#[test]
+fn intent_without_price_class_is_of_regular_upstreams() {
+    let record = json!({
+        "id": { "writer": 3, "sequence": 9 },
+        "record": { "Intent": {
+            "id": { "writer": 3, "sequence": 1 },
+            "scope": "Fleet",
+            "service": "draft-models",
+            "kind": { "Start": 2 },
+            "fencing": 41,
+        } },
+    });
+    let (_, decoded) = decode_record::<AuthorityRecord>(&encode_message(&record)).unwrap();
+    let kind = OrderKind::Start { count: 2, price: PriceClass::Regular };
+    assert_eq!(decoded, AuthorityRecord::Intent(intent(kind)));
+}
+
 #[test]
 fn order_without_upstreams_is_refused() {
-    let record = AuthorityRecord::Intent(intent(OrderKind::Start { count: 0 }));
+    let record =
+        AuthorityRecord::Intent(intent(OrderKind::Start { count: 0, price: PriceClass::Regular }));
     let error = decode_record::<AuthorityRecord>(&encode_record(ID, &record));
     assert!(error.is_err(), "{error:?}");
 }
