Check the lease as the last step before the bytes of an order

Cause: send_order checked the clock and then awaited a call that may still connect, so a process paused in between wrote its order after the lease had ended. Usage reports had the same gap.

Ruled out: a body of unknown length, since awc polls its first chunk before it feeds the head; a check between connecting and sending in the daemon, since awc gives no access to the connection; new arguments of the client traits, which would change every caller.

Change: HttpClient::guarded (also on PlatformClient and EngineClient) sends bodies of stated length that ask a check before each piece of 4 KiB. A denied check closes the connection in mid-request; the error is Denied and not-run. Orders check OrderDesk::permit, usage reports the lease of `usage`, and Control::lease_check is there for engine orders.

Conclusion: a pause before the check no longer lets a request out. What remains is a pause between the check and the kernel's copy of the bytes, and bytes that wait in the kernel; the doc comment of HttpClient::guarded says so.

--- a/crates/clients/src/engine.rs
+++ b/crates/clients/src/engine.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     Answer, CallError, EngineControl, EngineReport, GenerateRequest, HttpClient, KvCache, Outgoing,
-    TokenStream, WeightOrder,
+    SendPermit, TokenStream, WeightOrder,
     http_client::{MAX_ANSWER, bounded, status_error},
     platform::{decode, encode},
     wire,
@@ -29,6 +29,13 @@
         Self { http, control_timeout, idle_timeout }
     }
 
+    /// Returns a client whose requests are written only when `check` grants it, as
+    /// [`HttpClient::guarded`] describes. Orders that carry a fencing number are sent through it.
+    #[must_use]
+    pub fn guarded(&self, check: impl Fn() -> SendPermit + 'static) -> Self {
+        Self { http: self.http.guarded(check), ..self.clone() }
+    }
+
     async fn control<T: Serialize>(
         &self,
         engine: SocketAddr,
--- a/crates/clients/src/error.rs
+++ b/crates/clients/src/error.rs
@@ -20,6 +20,8 @@
         Malformed,
         /// The answer is longer than the caller accepts.
         TooLong,
+        /// The check of a guarded client failed, and the request was not sent as a whole.
+        Denied,
     }
 }
 
@@ -75,6 +77,8 @@
                 | ConnectError::SslIsNotSupported,
             )
             | SendRequestError::Url(_) => Self::not_sent(CallFailure::Connect, message),
+            // Only the body of a guarded request fails. No receiver got the whole request.
+            SendRequestError::Body(_) => Self::not_sent(CallFailure::Denied, message),
             SendRequestError::Timeout => Self::maybe_run(CallFailure::Timeout, message),
             SendRequestError::Response(_) => Self::maybe_run(CallFailure::Malformed, message),
             _ => Self::maybe_run(CallFailure::Disconnected, message),
--- a/crates/clients/src/http_client.rs
+++ b/crates/clients/src/http_client.rs
@@ -11,7 +11,10 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
 
-use crate::{CallError, CallFailure};
+use crate::{
+    CallError, CallFailure,
+    guard::{SendGuard, SendPermit},
+};
 
 /// Longest answer accepted from the platform and from control calls of engines.
 pub(crate) const MAX_ANSWER: usize = 16 << 20;
@@ -27,6 +30,7 @@
 #[derive(Clone)]
 pub struct HttpClient {
     client: Client,
+    guard: Option<SendGuard>,
 }
 
 /// A request to be sent. It carries the headers given here and no others of the caller.
@@ -73,7 +77,23 @@
             .limit(0);
         let builder = Client::builder().connector(connector).disable_redirects();
         // Timeouts are applied around whole exchanges below. awc's own would also end long streams.
-        Self { client: builder.disable_timeout().finish() }
+        Self { client: builder.disable_timeout().finish(), guard: None }
+    }
+
+    /// Returns a client of the same pool that writes a request with a body only when `check` grants
+    /// it. Requests without a body are not checked.
+    ///
+    /// The check is made when the connection is ready, and again for every 4 KiB of the body, as
+    /// the last step before the bytes go to the connection's buffer and from there to the kernel.
+    /// After [`SendPermit::Denied`] the connection is closed and the receiver does not get the whole
+    /// request; the error is [`CallFailure::Denied`] and `not-run`.
+    ///
+    /// A process that is paused between a granted check and the kernel's copy of the bytes, or whose
+    /// kernel holds the bytes because the receiver takes none, still sends the request late. Only
+    /// the receiver's check of the fencing number, or the extra wait of a successor, covers that.
+    #[must_use]
+    pub fn guarded(&self, check: impl Fn() -> SendPermit + 'static) -> Self {
+        Self { client: self.client.clone(), guard: Some(SendGuard::new(check)) }
     }
 
     /// Sends a request and reads the whole answer, of any status.
@@ -129,7 +149,11 @@
         for (name, value) in outgoing.headers {
             request = request.insert_header((name, value));
         }
-        request.send_body(outgoing.body).await.map_err(CallError::from)
+        let sent = match &self.guard {
+            Some(guard) => request.send_body(guard.body(outgoing.body)),
+            None => request.send_body(outgoing.body),
+        };
+        sent.await.map_err(CallError::from)
     }
 }
 
--- a/crates/clients/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod base16;
 mod engine;
 mod error;
+mod guard;
 mod http_client;
 mod platform;
 mod token_stream;
@@ -18,6 +19,7 @@
 pub use crate::{
     engine::EngineClient,
     error::{CallError, CallFailure},
+    guard::SendPermit,
     http_client::{Answer, HttpClient, Outgoing},
     platform::{PlatformClient, PlatformTimeouts},
     token_stream::TokenStream,
--- a/crates/clients/src/platform.rs
+++ b/crates/clients/src/platform.rs
@@ -8,9 +8,9 @@
 
 use crate::{
     Answer, CallError, CallFailure, HttpClient, LogPage, NewRecord, OrderAnswer, Outgoing,
-    PlatformLog, ReclaimNotice, ReportOutcome, UpstreamInfo, UpstreamOrder, UpstreamOrders,
-    UsageReport, UsageSink, VmInfo, VmList, WeightFetch, WeightStore, http_client::MAX_ANSWER,
-    wire,
+    PlatformLog, ReclaimNotice, ReportOutcome, SendPermit, UpstreamInfo, UpstreamOrder,
+    UpstreamOrders, UsageReport, UsageSink, VmInfo, VmList, WeightFetch, WeightStore,
+    http_client::MAX_ANSWER, wire,
 };
 
 /// Pause before the next attempt when the weight store states none.
@@ -56,6 +56,13 @@
         Self { http, address, timeouts }
     }
 
+    /// Returns a client whose orders, reports and appends are written only when `check` grants it,
+    /// as [`HttpClient::guarded`] describes.
+    #[must_use]
+    pub fn guarded(&self, check: impl Fn() -> SendPermit + 'static) -> Self {
+        Self { http: self.http.guarded(check), ..self.clone() }
+    }
+
     async fn get(&self, path: impl Into<String>, timeout: Span) -> Result<Answer, CallError> {
         self.http.exchange(Outgoing::get(self.address, path), timeout, MAX_ANSWER).await
     }
--- a/crates/hibiscushinged/src/control/authority.rs
+++ b/crates/hibiscushinged/src/control/authority.rs
@@ -7,6 +7,7 @@
     LeaseSettings, OrderDesk, Scope,
 };
 use base::{FencingNumber, Incarnation, LogOffset, Moment, Span, rendezvous_weight};
+use clients::SendPermit;
 
 use crate::{
     control::{
@@ -101,6 +102,20 @@
         found.and_then(|driver| driver.keeper.held(now))
     }
 
+    /// Returns the check for orders under a lease to receivers that need no record in the log, such as
+    /// engines. It grants them while this node holds the scope under `fencing`.
+    pub(crate) fn lease_check(
+        self: &Rc<Self>,
+        scope: &Scope,
+        fencing: FencingNumber,
+    ) -> impl Fn() -> SendPermit + 'static {
+        let (control, scope) = (Rc::clone(self), scope.clone());
+        move || match control.fencing(&scope, control.now()) {
+            Some(held) if held == fencing => SendPermit::Granted,
+            _ => SendPermit::Denied,
+        }
+    }
+
     fn on_authority(self: &Rc<Self>, scope: &Scope, event: StreamEvent<AuthorityRecord>) {
         match event {
             StreamEvent::ReadingFrom(offset) => self.lease_reading_from(scope, offset),
--- a/crates/hibiscushinged/src/control/orders.rs
+++ b/crates/hibiscushinged/src/control/orders.rs
@@ -4,7 +4,7 @@
 
 use authority::{DeskAction, OrderAnswer, OrderId, OrderIntent, OrderKind, PriceClass, Scope};
 use base::FencingNumber;
-use clients::{CallFailure, UpstreamOrder, UpstreamOrders as _};
+use clients::{CallFailure, SendPermit, UpstreamOrder, UpstreamOrders as _};
 
 use crate::{control::Control, telemetry::log_event};
 
@@ -46,16 +46,20 @@
     }
 
     async fn send_order(self: Rc<Self>, scope: Scope, intent: OrderIntent) {
-        // Nothing may come between this check and the call that writes the order.
-        let permit = {
-            let now = self.now();
-            let state = self.state();
-            let found = state.scopes.iter().find(|driver| driver.scope == scope);
-            found.and_then(|driver| driver.desk.permit(now, &driver.keeper, intent.id).ok())
-        };
-        let Some(fencing) = permit else { return };
+        let Some(fencing) = self.order_permit(&scope, intent.id) else { return };
         let order = wire_order(&intent, fencing);
-        let result = self.platform.place_order(&order).await;
+        // The call may first wait for a connection, so the clock is checked again by the last step
+        // before the bytes.
+        let (control, checked, id) = (Rc::clone(&self), scope.clone(), intent.id);
+        let guarded = self.platform.guarded(move || match control.order_permit(&checked, id) {
+            Some(permitted) if permitted == fencing => SendPermit::Granted,
+            _ => SendPermit::Denied,
+        });
+        let result = guarded.place_order(&order).await;
+        if result.as_ref().is_err_and(|error| error.failure == CallFailure::Denied) {
+            // The order stays open. The desk asks for it after its timeout, under a lease.
+            return;
+        }
         log_event!(OrderIssued, scope = %scope, order = order.id, kind = ?order.kind);
         let detail = format!("{:?} of {} in {}", order.kind, order.service, order.zone);
         self.trace(order.id, base::EventCode::OrderIssued, detail);
@@ -67,6 +71,13 @@
         self.order_answered(&scope, intent.id, answer);
     }
 
+    fn order_permit(&self, scope: &Scope, id: OrderId) -> Option<FencingNumber> {
+        let now = self.now();
+        let state = self.state();
+        let driver = state.scopes.iter().find(|driver| driver.scope == *scope)?;
+        driver.desk.permit(now, &driver.keeper, id).ok()
+    }
+
     async fn ask_order(self: Rc<Self>, scope: Scope, id: OrderId) {
         let answer = match self.platform.find_order(&id.to_string()).await {
             Ok(Some(answer)) => answer_of(answer),
--- a/crates/hibiscushinged/src/control/usage.rs
+++ b/crates/hibiscushinged/src/control/usage.rs
@@ -272,17 +272,14 @@
 
     async fn send_report(self: Rc<Self>, report: WindowReport) {
         let window = report.window;
-        let answer = match self.holds(&Scope::Usage, self.now()) {
-            // The lease has ended since the report was built.
-            false => ReportAnswer::Lost,
-            true => match self.platform.report_usage(&wire_report(&report)).await {
-                Ok(ReportOutcome::Accepted) => ReportAnswer::Accepted,
-                Ok(ReportOutcome::Conflict) => {
-                    tracing::error!(window = window.0, "the platform has other figures");
-                    ReportAnswer::Conflict
-                }
-                Err(_) => ReportAnswer::Lost,
-            },
+        let guarded = self.platform.guarded(self.lease_check(&Scope::Usage, report.fencing));
+        let answer = match guarded.report_usage(&wire_report(&report)).await {
+            Ok(ReportOutcome::Accepted) => ReportAnswer::Accepted,
+            Ok(ReportOutcome::Conflict) => {
+                tracing::error!(window = window.0, "the platform has other figures");
+                ReportAnswer::Conflict
+            }
+            Err(_) => ReportAnswer::Lost,
         };
         let now = self.now();
         let reported = self.state().usage.reports.answer(now, answer);
