hibiscushinge: commands for documents and daemons

Cause: operators could only check files; documents changed through the library alone, and the admin interface had no reader.

Ruled out: a diff of our own, since the crate `similar` gives unified diffs; exit code 1 for documents that differ, since 1 means failed here.

`assess` in the library judges status answers: problems make `status` exit with 1, notices (drain, gone peers, convictions, skipped records) do not, because they are part of ordinary operation. A conflict names the winning version and the next command.

Of two concurrent edits on one base, one exits with 0 and the other with 3.

--- a/crates/hibiscushinge/src/exit.rs
+++ b/crates/hibiscushinge/src/exit.rs
@@ -12,6 +12,10 @@
         Fine = 0,
         /// The command failed, or a check found problems.
         Failed = 1,
+        /// The command line is wrong.
+        WrongUse = 2,
+        /// Another operator's change came first.
+        Conflict = 3,
     }
 }
 
--- a/crates/hibiscushinge/src/main.rs
+++ b/crates/hibiscushinge/src/main.rs
@@ -3,17 +3,29 @@
 //! Exit codes: 0 the command did what was asked, 1 it failed, 2 the command line is wrong, 3 another
 //! operator's change came first.
 
-mod check;
+mod commands;
 mod exit;
 mod flags;
+mod output;
 
 use std::process::ExitCode;
 
-use crate::flags::{Hibiscushinge, HibiscushingeCmd};
+use crate::{
+    commands::{check, diff, edit, explain, promote, show, status, usage},
+    flags::{Hibiscushinge, HibiscushingeCmd},
+};
 
 fn main() -> ExitCode {
     let flags = Hibiscushinge::from_env_or_exit();
-    match flags.subcommand {
-        HibiscushingeCmd::Check(flags) => check::run(&flags).into(),
-    }
+    let status = match flags.subcommand {
+        HibiscushingeCmd::Check(flags) => check::run(&flags),
+        HibiscushingeCmd::Edit(flags) => output::run(flags.json, edit::run(&flags)),
+        HibiscushingeCmd::Promote(flags) => output::run(flags.json, promote::run(&flags)),
+        HibiscushingeCmd::Diff(flags) => output::run(flags.json, diff::run(&flags)),
+        HibiscushingeCmd::Show(flags) => output::run(flags.json, show::run(&flags)),
+        HibiscushingeCmd::Status(flags) => output::run(flags.json, status::run(&flags)),
+        HibiscushingeCmd::Usage(flags) => output::run(flags.json, usage::run(&flags)),
+        HibiscushingeCmd::Explain(flags) => output::run(flags.json, explain::run(&flags)),
+    };
+    status.into()
 }
