Enforce requests per second, send metrics

Cause: the document's requests_per_second had no effect, and nothing sent metrics. Ruled out: a second set of grants for requests, which doubles the messages between nodes and delegates. A least charge of tokens_per_second divided by requests_per_second lets one bucket enforce both. Change: least charge at admission and correction; StatsD metrics by cadence with a bounded queue, off unless `metrics` is set. Conclusion: a customer with many requests below the least charge reaches its request limit before its token limit, as the document says.

--- a/crates/document/src/settings.rs
+++ b/crates/document/src/settings.rs
@@ -23,6 +23,8 @@
         pub admin: SocketAddr,
         /// Address of the platform.
         pub platform: SocketAddr,
+        /// Receiver of metrics in the StatsD format over UDP, if any.
+        pub metrics: Option<SocketAddr>,
         /// Number of traffic threads.
         pub traffic_threads: u32,
         /// Seed of the random number generators, or `None` to draw one at the start.
@@ -158,6 +160,7 @@
         peer: address(root, "peer"),
         admin: address(root, "admin"),
         platform: address(root, "platform"),
+        metrics: root.has("metrics").then(|| address(root, "metrics")),
         traffic_threads: root.small_integer("traffic_threads", 1..=256),
         seed: root.has("seed").then(|| root.integer("seed", 0..=i64::MAX as u64)),
         initial_peers: root.list_of("initial_peers", ADDRESS_RULE, |text| text.parse().ok()),
--- a/crates/hibiscushinged/src/control.rs
+++ b/crates/hibiscushinged/src/control.rs
@@ -39,6 +39,9 @@
 /// Period of the timers of all state machines. It bounds how late a timer can act.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Period of the gauges among the metrics.
+const GAUGE_PERIOD: Duration = Duration::from_secs(1);
+
 /// The control thread's view of the daemon. Clones of the `Rc` are held by its tasks.
 pub(crate) struct Control {
     pub(crate) shared: Arc<SharedState>,
@@ -81,6 +84,7 @@
     peers::start(&control);
     watch::start(&control);
     actix_rt::spawn(tick_loop(Rc::clone(&control)));
+    actix_rt::spawn(gauge_loop(Rc::clone(&control)));
     receive(control, input).await;
 }
 
@@ -93,6 +97,19 @@
     }
 }
 
+async fn gauge_loop(control: Rc<Control>) {
+    loop {
+        let queued_tokens = control.shared.desk().queued_tokens();
+        control.shared.metrics.load(control.shared.in_flight(), queued_tokens);
+        {
+            let (now, state) = (control.now(), control.state());
+            let buffered = state.writer.buffered_records();
+            control.shared.metrics.log(state.log.silence(now), buffered);
+        }
+        actix_rt::time::sleep(GAUGE_PERIOD).await;
+    }
+}
+
 async fn receive(control: Rc<Control>, mut input: mpsc::Receiver<ControlInput>) {
     while let Some(message) = input.recv().await {
         match message {
--- a/crates/hibiscushinged/src/desk.rs
+++ b/crates/hibiscushinged/src/desk.rs
@@ -66,6 +66,8 @@
     pub(crate) customer: CustomerKey,
     pub(crate) class: WorkClass,
     pub(crate) tokens: u32,
+    /// Least charge against the customer's limit, which also bounds its requests per second.
+    pub(crate) least_charge: u32,
     pub(crate) deadline: Moment,
 }
 
@@ -76,6 +78,7 @@
     pub(crate) ticket: TicketNumber,
     pub(crate) customer: CustomerKey,
     pub(crate) tokens: u32,
+    pub(crate) least_charge: u32,
 }
 
 impl TrafficDesk {
@@ -175,19 +178,20 @@
             return None;
         };
         desk.waiting.insert(ticket, reply);
-        let AdmissionAsk { customer, class, tokens, deadline } = ask;
+        let AdmissionAsk { customer, class, tokens, least_charge, deadline } = ask;
         let item = QueueItem { ticket, customer, class, tokens, deadline };
         let actions = desk.queue.handle(now, QueueEvent::Offered(item));
         desk.apply(actions);
-        Some(AdmissionPlace { service: String::from(service), ticket, customer, tokens })
+        let service = String::from(service);
+        Some(AdmissionPlace { service, ticket, customer, tokens, least_charge })
     }
 
     /// Takes the request's tokens from the customer's limit. Open routes have none.
-    pub(crate) fn admit(&mut self, now: Moment, customer: CustomerKey, tokens: u32) -> LimitAnswer {
-        if customer == OPEN_CALLERS {
+    pub(crate) fn admit(&mut self, now: Moment, ask: &AdmissionAsk) -> LimitAnswer {
+        if ask.customer == OPEN_CALLERS {
             return LimitAnswer::Admitted;
         }
-        self.limits.admit(now, customer, tokens)
+        self.limits.admit(now, ask.customer, ask.tokens.max(ask.least_charge))
     }
 
     pub(crate) const fn limits(&mut self) -> &mut LimitShare {
@@ -197,7 +201,9 @@
     /// Ends a request that was admitted or waits. `tokens` is its true cost, 0 when it did not run.
     pub(crate) fn done(&mut self, now: Moment, place: &AdmissionPlace, tokens: u32) {
         if place.customer != OPEN_CALLERS {
-            let difference = i64::from(tokens) - i64::from(place.tokens);
+            let charged = place.tokens.max(place.least_charge);
+            let due = tokens.max(place.least_charge);
+            let difference = i64::from(due) - i64::from(charged);
             self.limits.correct(place.customer, difference);
         }
         let Some(desk) = self.services.get_mut(&place.service) else { return };
--- a/crates/hibiscushinged/src/lib.rs
+++ b/crates/hibiscushinged/src/lib.rs
@@ -7,6 +7,7 @@
 mod control;
 mod desk;
 mod input;
+mod metrics;
 mod shared;
 mod telemetry;
 mod trace;
@@ -25,8 +26,8 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::{
-    clock::ProcessClock, desk::TrafficDesk, input::ControlInput, shared::SharedState,
-    telemetry::log_event,
+    clock::ProcessClock, desk::TrafficDesk, input::ControlInput, metrics::DaemonMetrics,
+    shared::SharedState, telemetry::log_event,
 };
 
 pub use crate::control::config::{CONFIG_STREAM, check_document};
@@ -71,8 +72,15 @@
         let desk = TrafficDesk::new(incarnation, incarnation.0, settings.timeouts.limit_grant);
         let (control, input) = mpsc::channel(settings.bounds.channel_messages as usize);
         let vm_name = settings.vm_name.clone();
-        let shared =
-            Arc::new(SharedState::new(settings, incarnation, clock, control.clone(), desk));
+        let metrics = DaemonMetrics::start(settings.metrics, &vm_name)?;
+        let shared = Arc::new(SharedState::new(
+            settings,
+            incarnation,
+            clock,
+            control.clone(),
+            desk,
+            metrics,
+        ));
         let server = traffic::start(Arc::clone(&shared), listener)?;
         let (stop, stopped) = oneshot::channel::<()>();
         let thread =
--- a/crates/hibiscushinged/src/shared.rs
+++ b/crates/hibiscushinged/src/shared.rs
@@ -11,7 +11,10 @@
 use document::DaemonSettings;
 use tokio::sync::mpsc;
 
-use crate::{clock::ProcessClock, desk::TrafficDesk, input::ControlInput, view::RoutingView};
+use crate::{
+    clock::ProcessClock, desk::TrafficDesk, input::ControlInput, metrics::DaemonMetrics,
+    view::RoutingView,
+};
 
 /// Shared state of one daemon.
 pub(crate) struct SharedState {
@@ -20,6 +23,7 @@
     pub(crate) clock: ProcessClock,
     pub(crate) view: ArcSwap<RoutingView>,
     pub(crate) control: mpsc::Sender<ControlInput>,
+    pub(crate) metrics: DaemonMetrics,
     desk: Mutex<TrafficDesk>,
     phase: AtomicU8,
     in_flight: AtomicUsize,
@@ -48,6 +52,7 @@
         clock: ProcessClock,
         control: mpsc::Sender<ControlInput>,
         desk: TrafficDesk,
+        metrics: DaemonMetrics,
     ) -> Self {
         Self {
             settings,
@@ -55,6 +60,7 @@
             clock,
             view: ArcSwap::from_pointee(RoutingView::default()),
             control,
+            metrics,
             desk: Mutex::new(desk),
             phase: AtomicU8::new(0),
             in_flight: AtomicUsize::new(0),
--- a/crates/hibiscushinged/src/traffic/caller.rs
+++ b/crates/hibiscushinged/src/traffic/caller.rs
@@ -42,6 +42,7 @@
     pub(crate) route: RouteTarget,
     pub(crate) owner: Option<KeyOwner>,
     pub(crate) body: Bytes,
+    pub(crate) arrived_at: Moment,
     pub(crate) deadline: Moment,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) tracker: AttemptTracker,
@@ -108,6 +109,7 @@
     let shared = &worker.shared;
     // Counted before the phase is read, so that a drain either sees the request or refuses it.
     let flight = FlightGuard::enter(shared);
+    let arrived_at = shared.clock.now();
     request::check_phase(shared)?;
     let view = shared.view.load_full();
     let Some(route) = view.routes.get(path) else {
@@ -147,7 +149,13 @@
         RoutePriority::Live => WorkClass::Live,
         RoutePriority::Sample => WorkClass::Sample(admission::TrainerKey(u32::MAX)),
     };
-    let ask = AdmissionAsk { customer: view.customer_key(customer), class, tokens, deadline };
+    let ask = AdmissionAsk {
+        customer: view.customer_key(customer),
+        class,
+        tokens,
+        least_charge: view.least_charge(name),
+        deadline,
+    };
     meter.place = admit(shared, &route.entry.service, ask).await?;
 
     let kind = match route.entry.idempotent {
@@ -165,6 +173,7 @@
         route: route.clone(),
         owner,
         body,
+        arrived_at,
         deadline,
         fingerprint,
         tracker: AttemptTracker::new(kind, deadline, AttemptPolicy::default()),
@@ -189,7 +198,7 @@
     ask: AdmissionAsk,
 ) -> Result<Option<AdmissionPlace>, Refusal> {
     loop {
-        let answer = shared.desk().admit(shared.clock.now(), ask.customer, ask.tokens);
+        let answer = shared.desk().admit(shared.clock.now(), &ask);
         match answer {
             LimitAnswer::Admitted => break,
             LimitAnswer::Refused(refusal) => return Err(refusal),
@@ -299,6 +308,13 @@
 }
 
 impl CallerRequest {
+    /// Counts the request as answered.
+    pub(crate) fn answered(&self, shared: &SharedState) {
+        let took = shared.clock.now().since(self.arrived_at);
+        let tokens = self.meter.amount.generated_tokens;
+        shared.metrics.answered(&self.route.entry.service, took, tokens);
+    }
+
     pub(crate) fn customer(&self) -> &str {
         self.owner.as_ref().map_or("", |owner| &owner.customer)
     }
@@ -359,6 +375,7 @@
 }
 
 pub(crate) fn log_refusal(shared: &SharedState, id: RequestId, refusal: &Refusal) {
+    shared.metrics.refused(refusal);
     log_event!(RequestRefused, request = request_text(id), refusal = %refusal);
     record(shared, id, base::EventCode::RequestRefused, refusal.to_string());
 }
--- a/crates/hibiscushinged/src/traffic/plain.rs
+++ b/crates/hibiscushinged/src/traffic/plain.rs
@@ -43,6 +43,7 @@
             let status = found.status.as_u16();
             let outcome = ClaimOutcome::Answered { status, body: body.to_vec() };
             call.request.end_claim(&worker.shared, outcome);
+            call.request.answered(&worker.shared);
             log_event!(
                 RequestCompleted,
                 request = request_text(id),
--- a/crates/hibiscushinged/src/traffic/stream.rs
+++ b/crates/hibiscushinged/src/traffic/stream.rs
@@ -128,6 +128,7 @@
                 let body = self.kept.take().unwrap_or_default();
                 let outcome = ClaimOutcome::Answered { status: 200, body };
                 self.request.end_claim(&shared.shared, outcome);
+                self.request.answered(&shared.shared);
                 let detail = format!("{} tokens", self.assembler.offset());
                 log_event!(
                     RequestCompleted,
--- a/crates/hibiscushinged/src/view.rs
+++ b/crates/hibiscushinged/src/view.rs
@@ -78,6 +78,15 @@
         name.and_then(|name| self.customer_keys.get(name)).copied().unwrap_or(OPEN_CALLERS)
     }
 
+    /// Returns the least number of tokens that a request counts against its customer's limit.
+    ///
+    /// One bucket then enforces both limits of the document: a customer whose requests cost this
+    /// much each reaches its tokens per second at exactly its requests per second.
+    pub(crate) fn least_charge(&self, customer: &str) -> u32 {
+        let found = self.customers.iter().find(|entry| entry.name == customer);
+        found.map_or(0, |entry| entry.tokens_per_second / entry.requests_per_second.max(1))
+    }
+
     /// Returns the customer of a key.
     pub(crate) fn customer_name(&self, key: CustomerKey) -> Option<&str> {
         let found = self.customer_keys.iter().find(|(_, known)| **known == key);
--- a/crates/process-tests/tests/path.rs
+++ b/crates/process-tests/tests/path.rs
@@ -1,13 +1,20 @@
 //! The whole path through separate processes.
 
+use std::net::UdpSocket;
+
 use process_tests::{FleetOptions, TestFleet, call, caller_key, get_json, wait_for};
 use serde_json::Value;
 
 /// Guards against a path that breaks anywhere between a caller with a key and the usage report.
 #[actix_rt::test]
 async fn request_is_answered_whole_and_billed_once() {
-    let options =
-        FleetOptions { document: String::from("usage_window = \"10s\"\n"), ..Default::default() };
+    let metrics = UdpSocket::bind("127.0.0.1:0").unwrap();
+    metrics.set_nonblocking(true).unwrap();
+    let options = FleetOptions {
+        document: String::from("usage_window = \"10s\"\n"),
+        settings: format!("metrics = \"{}\"\n", metrics.local_addr().unwrap()),
+        ..Default::default()
+    };
     let fleet = TestFleet::start(options).await;
     fleet.first_document(&["cordial"]).await;
 
@@ -38,6 +45,13 @@
     assert_eq!(figures[0]["figures"]["cordial"]["generated_tokens"], 20);
     assert_eq!(figures[0]["figures"]["cordial"]["requests"], 1);
 
+    wait_for("the metric of the request", || async {
+        let mut packet = [0; 2_048];
+        let length = metrics.recv(&mut packet).ok()?;
+        String::from_utf8_lossy(&packet[..length]).contains("request.time").then_some(())
+    })
+    .await;
+
     // No upstream saw the caller's key.
     for engine in &fleet.engines {
         let seen = get_json(engine.address(0), "/inspect").await.expect("the engine answers");
