Drive samples and weight loads in the daemon

Cause: the trainer interface answered every request with a refusal; the pure crate `rollout` had no driver.

Ruled out: stating a refused statement again without a condition. The trainer may have given the request up, so a statement that would take a version or an acknowledgement back is answered with an empty list.

Change: the control thread follows the stream `samples`, places open slots by rendezvous hashing, runs attempts on engines, keeps the bytes on two nodes, binds, scores, voids and delivers samples, and the holder of a zone's lease orders weight loads. A step may state the last number that the trainer has (`after`). The plain stand-in answers `/score`.

Conclusion: a step reaches its trainer whole through different daemons, also after a daemon is killed. A dead VM that was the only one of its zone is noticed from the platform's list only, so the test of moving slots has two daemons in one zone.

--- a/crates/hibiscushinged/src/control.rs
+++ b/crates/hibiscushinged/src/control.rs
@@ -5,13 +5,19 @@
 mod claims;
 pub(crate) mod config;
 mod follow;
+mod generate;
 mod limits;
 mod orders;
 mod peers;
+mod sample_store;
+mod samples;
+mod score;
 mod server;
 mod suspects;
+mod trainers;
 mod usage;
 mod watch;
+mod weights;
 
 use std::{
     cell::{RefCell, RefMut},
@@ -60,6 +66,8 @@
     pub(crate) claims: claims::ClaimDriver,
     pub(crate) limits: limits::LimitDriver,
     pub(crate) watch: watch::WatchDriver,
+    pub(crate) samples: samples::SampleDriver,
+    pub(crate) weights: weights::WeightDriver,
     pub(crate) trace: DecisionTrace,
 }
 
@@ -77,6 +85,7 @@
     authority::start(&control);
     usage::start(&control);
     claims::start(&control);
+    samples::start(&control);
     suspects::start(&control);
     peers::start(&control);
     watch::start(&control);
@@ -110,10 +119,8 @@
             }
             ControlInput::Suspicion(actions) => control.spread(actions),
             ControlInput::Decision(line) => control.state().trace.record(line),
-            ControlInput::Trainer { reply, .. } => {
-                let message = "the trainer interface is not available";
-                let code = base::RefusalCode::NoUpstream;
-                let _ = reply.send(Err(base::Refusal::not_run(code, message)));
+            ControlInput::Trainer { ask, reply } => {
+                actix_rt::spawn(Rc::clone(&control).trainer_asked(ask, reply));
             }
             ControlInput::Drain(done) => {
                 let control = Rc::clone(&control);
@@ -210,6 +217,7 @@
         self.tick_claims(now);
         self.tick_peers(now);
         self.tick_limits(now);
+        self.tick_samples(now);
     }
 }
 
@@ -236,6 +244,8 @@
             claims: claims::ClaimDriver::new(),
             limits: limits::LimitDriver::default(),
             watch: watch::WatchDriver::new(settings),
+            samples: samples::SampleDriver::new(settings),
+            weights: weights::WeightDriver::new(now),
             trace: DecisionTrace::default(),
         }
     }
--- a/crates/hibiscushinged/src/control/admin.rs
+++ b/crates/hibiscushinged/src/control/admin.rs
@@ -43,6 +43,7 @@
             let table = desk.suspects();
             (table.notes().count(), table.verdicts().count(), desk.queued_tokens())
         };
+        let samples = self.state().samples.status();
         let state = self.state();
         let peers = state.peers.table.iter().map(|(_, record)| {
             let state = match record.state {
@@ -81,6 +82,7 @@
             },
             "leases": leases,
             "requests": { "in_flight": self.shared.in_flight(), "queued_tokens": queued_tokens },
+            "samples": samples,
             "suspects": suspects,
             "convicted": convicted,
             "malformed_peer_messages": state.peers.malformed,
--- /dev/null
+++ b/crates/hibiscushinged/src/control/generate.rs
@@ -0,0 +1,277 @@
+//! Generation of samples: placement of open slots, attempts on engines and re-runs of late ones.
+//!
+//! Each open slot belongs to one live node. When two nodes disagree on which, both make it and the
+//! first fill record in log order wins.
+
+mod attempt;
+
+use std::{
+    cell::Cell,
+    collections::{BTreeMap, VecDeque},
+    rc::Rc,
+};
+
+use base::{EventCode, Moment, Span, UpstreamKey, WeightVersion};
+use rollout::{
+    GainOverCost, OpenSlot, SlotKey, StragglerAction, StragglerPolicy, TrainerId, TrainerShare,
+};
+use tokio::sync::Notify;
+
+use crate::{
+    control::{
+        Control,
+        samples::{SlotOwners, slot_hash},
+    },
+    shared::ServicePhase,
+    telemetry::log_event,
+};
+
+/// Slots that this node makes at once. At 320 nodes two trainers with 2,048 samples a step need 13.
+const MAX_SLOTS: usize = 64;
+
+/// Slots made at once while live callers wait: the guaranteed minimum of samples, 10%.
+const MIN_SLOTS: usize = 6;
+
+/// Time between two looks at all open slots when nothing has changed.
+const SCAN_PERIOD: Span = Span::from_secs(1);
+
+/// Expected bytes of one token of text, to reserve room before a sample is made.
+const BYTES_PER_TOKEN: usize = 8;
+
+/// Slots that this node makes.
+pub(crate) struct GenerationDriver {
+    pub(crate) share: TrainerShare,
+    pub(crate) policy: StragglerPolicy<GainOverCost>,
+    running: BTreeMap<SlotKey, SlotRun>,
+    wanted: BTreeMap<TrainerId, VecDeque<OpenSlot>>,
+    owners: Option<SlotOwners>,
+    next_scan: Moment,
+    last_attempt: u64,
+}
+
+/// A slot with its attempts.
+struct SlotRun {
+    generation: u32,
+    attempts: Vec<Rc<SampleAttempt>>,
+}
+
+/// One attempt at a slot. It may go through several engines.
+pub(crate) struct SampleAttempt {
+    slot: SlotKey,
+    generation: u32,
+    number: u64,
+    upstream: Cell<Option<UpstreamKey>>,
+    cancelled: Cell<bool>,
+    cancel: Notify,
+}
+
+/// What an attempt has to make.
+#[derive(Debug, Clone)]
+pub(crate) struct SampleWork {
+    trainer: String,
+    service: String,
+    prompt: String,
+    max_tokens: u32,
+    seed: u64,
+}
+
+impl GenerationDriver {
+    pub(crate) fn new() -> Self {
+        Self {
+            share: TrainerShare::default(),
+            policy: StragglerPolicy::new(GainOverCost::default()),
+            running: BTreeMap::new(),
+            wanted: BTreeMap::new(),
+            owners: None,
+            next_scan: Moment(0),
+            last_attempt: 0,
+        }
+    }
+
+    /// Notes that slots may have been opened or filled.
+    pub(crate) fn book_changed(&mut self) {
+        self.next_scan = Moment(0);
+    }
+
+    pub(crate) fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Takes the next slot, fairly between trainers.
+    fn next_slot(&mut self) -> Option<OpenSlot> {
+        let Self { share, wanted, .. } = self;
+        let trainer = share.next(|id| wanted.get(&id).is_some_and(|slots| !slots.is_empty()))?;
+        wanted.get_mut(&trainer)?.pop_front()
+    }
+
+    fn add_attempt(&mut self, open: OpenSlot) -> Rc<SampleAttempt> {
+        self.last_attempt += 1;
+        let attempt = Rc::new(SampleAttempt {
+            slot: open.slot,
+            generation: open.generation,
+            number: self.last_attempt,
+            upstream: Cell::new(None),
+            cancelled: Cell::new(false),
+            cancel: Notify::new(),
+        });
+        let run = self
+            .running
+            .entry(open.slot)
+            .or_insert_with(|| SlotRun { generation: open.generation, attempts: Vec::new() });
+        run.attempts.push(Rc::clone(&attempt));
+        attempt
+    }
+}
+
+impl SampleAttempt {
+    fn stop(&self) {
+        self.cancelled.set(true);
+        self.cancel.notify_one();
+    }
+}
+
+impl Control {
+    /// Starts attempts at open slots of this node.
+    pub(crate) fn place_samples(self: &Rc<Self>, now: Moment, owners: &SlotOwners) {
+        if self.shared.phase() != ServicePhase::Serving {
+            return;
+        }
+        let live_callers_wait = self.shared.desk().queued_tokens() > 0;
+        let limit = if live_callers_wait { MIN_SLOTS } else { MAX_SLOTS };
+        self.scan_slots(now, owners);
+        loop {
+            let next = {
+                let mut state = self.state();
+                let generation = &mut state.samples.generation;
+                if generation.running() >= limit {
+                    return;
+                }
+                generation.next_slot()
+            };
+            let Some(open) = next else { return };
+            let Some(work) = self.sample_work(open) else { continue };
+            if !self.has_room(&work) {
+                return;
+            }
+            let attempt = {
+                let mut state = self.state();
+                let generation = &mut state.samples.generation;
+                generation.share.charge(open.slot.trainer, u64::from(work.max_tokens));
+                generation.add_attempt(open)
+            };
+            actix_rt::spawn(Rc::clone(self).run_attempt(attempt, work, None));
+        }
+    }
+
+    /// Lists the open slots of this node when the book or the live nodes have changed.
+    fn scan_slots(&self, now: Moment, owners: &SlotOwners) {
+        let mut state = self.state();
+        let samples = &mut state.samples;
+        let generation = &mut samples.generation;
+        let is_same = generation.owners.as_ref().is_some_and(|known| known.is_same(owners));
+        if is_same && generation.next_scan > now {
+            return;
+        }
+        generation.next_scan = now + SCAN_PERIOD;
+        generation.owners = Some(owners.clone());
+        generation.wanted.clear();
+        for (trainer, _) in samples.book.trainers() {
+            let open = samples.book.open_slots(trainer);
+            let open = open.filter(|open| {
+                owners.owns(open.slot) && !generation.running.contains_key(&open.slot)
+            });
+            generation.wanted.insert(trainer, open.collect());
+        }
+    }
+
+    fn sample_work(&self, open: OpenSlot) -> Option<SampleWork> {
+        let entry = self.trainer_entry(open.slot.trainer)?;
+        let state = self.state();
+        let opened = state.samples.opened.get(&(open.slot.trainer, open.slot.step))?;
+        Some(SampleWork {
+            trainer: entry.name,
+            service: entry.service,
+            prompt: opened.prompts.get(open.slot.group as usize)?.clone(),
+            max_tokens: opened.max_tokens,
+            // Samples of a group must differ, and a replacement must differ from a void one.
+            seed: base::rendezvous_weight(slot_hash(open.slot), u64::from(open.generation)),
+        })
+    }
+
+    /// Tells whether the bytes of all running slots and of one more fit.
+    fn has_room(&self, work: &SampleWork) -> bool {
+        let mut state = self.state();
+        let samples = &mut state.samples;
+        let one = (work.max_tokens as usize).saturating_mul(BYTES_PER_TOKEN);
+        samples.store.make_room(one.saturating_mul(samples.generation.running() + 1))
+    }
+
+    /// Runs late slots again on another engine.
+    pub(crate) fn rerun_late(self: &Rc<Self>, now: Moment) {
+        let actions = {
+            let mut state = self.state();
+            let generation = &mut state.samples.generation;
+            let free = MAX_SLOTS.saturating_sub(generation.running());
+            generation.policy.poll(now, free)
+        };
+        for action in actions {
+            let StragglerAction::Rerun { slot, avoid } = action else { continue };
+            let open = {
+                let state = self.state();
+                let run = state.samples.generation.running.get(&slot);
+                run.map(|run| OpenSlot { slot, generation: run.generation })
+            };
+            let Some(open) = open else { continue };
+            let Some(work) = self.sample_work(open) else { continue };
+            let (name, late) = (self.state().samples.slot_text(slot), self.upstream_name(avoid));
+            log_event!(StragglerRerun, slot = name, late);
+            self.trace(name, EventCode::StragglerRerun, format!("late on {late}"));
+            let attempt = self.state().samples.generation.add_attempt(open);
+            actix_rt::spawn(Rc::clone(self).run_attempt(attempt, work, Some(avoid)));
+        }
+    }
+
+    /// Ends all attempts at a slot that is filled or has no use for them any more.
+    pub(crate) fn end_slot(&self, slot: SlotKey) {
+        let mut state = self.state();
+        let generation = &mut state.samples.generation;
+        generation.book_changed();
+        // Cancelled attempts hear of it below, whether the policy counts them or not.
+        let _ = generation.policy.filled_elsewhere(slot);
+        let Some(run) = generation.running.remove(&slot) else { return };
+        for attempt in run.attempts {
+            attempt.stop();
+        }
+    }
+
+    /// Ends one attempt, so that the slot can be placed again when it was the last one.
+    fn end_attempt(&self, attempt: &SampleAttempt) {
+        let mut state = self.state();
+        let generation = &mut state.samples.generation;
+        let Some(run) = generation.running.get_mut(&attempt.slot) else { return };
+        run.attempts.retain(|one| one.number != attempt.number);
+        if run.attempts.is_empty() {
+            generation.running.remove(&attempt.slot);
+            generation.book_changed();
+        }
+    }
+
+    /// Stops the other attempts at a slot that one attempt has finished.
+    fn stop_losers(&self, now: Moment, winner: &SampleAttempt, tokens: u32) {
+        let mut state = self.state();
+        let generation = &mut state.samples.generation;
+        if let Some(upstream) = winner.upstream.get() {
+            // The losers are all attempts of the run but this one.
+            let _ = generation.policy.finished(now, winner.slot, upstream, tokens);
+        }
+        let Some(run) = generation.running.get(&winner.slot) else { return };
+        for attempt in run.attempts.iter().filter(|one| one.number != winner.number) {
+            attempt.stop();
+        }
+    }
+
+    /// Returns the trainer's version and staleness bound.
+    fn trainer_version(&self, slot: SlotKey) -> Option<(WeightVersion, u64)> {
+        self.state().samples.book.stated_version(slot.trainer)
+    }
+}
--- a/crates/hibiscushinged/src/control/peers.rs
+++ b/crates/hibiscushinged/src/control/peers.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use base::{Incarnation, Moment, VmKey};
+use base::{Moment, VmKey};
 use bytes::Bytes;
 use clients::{Outgoing, VmList as _, VmState};
 use configuration::ConfigSnapshot;
@@ -192,9 +192,9 @@
             PeerMessage::Suspicions { notes, verdicts, reserved, released } => {
                 self.hear_suspicions(notes, verdicts, &reserved, &released);
             }
-            PeerMessage::SampleCopy(_)
-            | PeerMessage::SampleFetch(_)
-            | PeerMessage::ConfigCopy(_)
+            PeerMessage::SampleCopy(copy) => return self.hold_sample(copy),
+            PeerMessage::SampleFetch(sample) => return self.sample_copy(sample.into()),
+            PeerMessage::ConfigCopy(_)
             | PeerMessage::LimitGrant(_)
             | PeerMessage::Done(_)
             | PeerMessage::Missing => return PeerMessage::Missing,
@@ -286,7 +286,7 @@
 }
 
 impl PeerDriver {
-    fn address(&self, vm: VmKey) -> Option<SocketAddr> {
+    pub(crate) fn address(&self, vm: VmKey) -> Option<SocketAddr> {
         self.table.vm(vm)?.vm.address.parse().ok()
     }
 }
--- /dev/null
+++ b/crates/hibiscushinged/src/control/weights.rs
@@ -0,0 +1,190 @@
+//! Weight loads: the holder of a zone's lease orders the zone's engines to load the version that a
+//! trainer states.
+
+use std::{net::SocketAddr, rc::Rc};
+
+use authority::Scope;
+use base::{EventCode, FencingNumber, Moment, Span, UpstreamKey, WeightVersion};
+use clients::{EngineControl as _, WeightOrder};
+use document::ServiceKind;
+use rollout::{WeightAction, WeightPlan, WeightSettings};
+use routing::UpstreamState;
+
+use crate::{control::Control, shared::SharedState, telemetry::log_event};
+
+/// Time between two comparisons of the engines with the plans.
+const UPDATE_PERIOD: Span = Span::from_millis(200);
+
+/// Time after which a load without a report of the version is ordered again. All engines should
+/// hold a version within 12 s, and an engine that is still loading ignores the repeated order.
+const LOAD_TIMEOUT: Span = Span::from_secs(10);
+
+/// Versions held by engines, and the loads that this node orders.
+pub(crate) struct WeightDriver {
+    /// All engines, to judge which of them may take a sample.
+    held: WeightPlan,
+    /// The engines of the own zone. It is made anew with each lease.
+    orders: WeightPlan,
+    fencing: Option<FencingNumber>,
+    share: f64,
+    next_update: Moment,
+}
+
+impl WeightDriver {
+    pub(crate) fn new(now: Moment) -> Self {
+        let settings = WeightSettings::default();
+        Self {
+            held: WeightPlan::new(now, settings),
+            orders: WeightPlan::new(now, settings),
+            fencing: None,
+            share: settings.max_swapping_share,
+            next_update: now,
+        }
+    }
+
+    /// Tells whether the engine may take a sample, like [`WeightPlan::may_take`].
+    pub(crate) fn may_take(
+        &self,
+        upstream: UpstreamKey,
+        trainer: WeightVersion,
+        bound: u64,
+        lead: u64,
+    ) -> bool {
+        let ordered = self.orders.engine(upstream);
+        let loading = ordered.is_some_and(|engine| engine.loading.is_some());
+        !loading && self.held.may_take(upstream, trainer, bound, lead)
+    }
+
+    /// Starts a new plan when the lease or the document's share has changed.
+    fn prepare(&mut self, now: Moment, fencing: Option<FencingNumber>, share: f64) {
+        if self.fencing == fencing && self.share == share {
+            return;
+        }
+        (self.fencing, self.share) = (fencing, share);
+        let settings = WeightSettings {
+            max_swapping_share: share,
+            load_timeout: LOAD_TIMEOUT,
+            ..WeightSettings::default()
+        };
+        self.orders = WeightPlan::new(now, settings);
+    }
+}
+
+impl Control {
+    pub(crate) fn tick_weights(self: &Rc<Self>, now: Moment) {
+        let scope = own_scope(&self.shared);
+        let fencing = self.fencing(&scope, now);
+        if self.state().weights.next_update <= now {
+            self.update_engines(now, fencing);
+        }
+        if fencing.is_none() {
+            return;
+        }
+        let actions = self.state().weights.orders.poll(now);
+        for action in actions {
+            match action {
+                WeightAction::Load { upstream, version } => {
+                    let control = Rc::clone(self);
+                    actix_rt::spawn(async move { control.order_load(upstream, version).await });
+                }
+                WeightAction::Failed { upstream, version } => {
+                    self.load_failed(upstream, version, "no report of the version in time");
+                }
+            }
+        }
+    }
+
+    /// Takes versions from load reports, and targets from the trainers' statements.
+    fn update_engines(self: &Rc<Self>, now: Moment, fencing: Option<FencingNumber>) {
+        let view = self.shared.view.load_full();
+        let states = {
+            let desk = self.shared.desk();
+            let states = view.upstreams.iter().map(|(key, _)| (key, desk.state(key)));
+            states.collect::<Vec<_>>()
+        };
+        let mut state = self.state();
+        let state = &mut *state;
+        let zones =
+            view.upstreams.iter().map(|(_, target)| state.config.zone_key(&target.zone_name));
+        let zones = zones.collect::<Vec<_>>();
+        let Some(document) = state.config.document.as_ref() else { return };
+        let share = document.max_swapping_share;
+        state.weights.next_update = now + UPDATE_PERIOD;
+        state.weights.prepare(now, fencing, share);
+        for ((key, found), zone) in states.into_iter().zip(zones) {
+            let Some(target) = view.upstreams.get(key) else { continue };
+            let service = document.service(&target.service);
+            if service.is_none_or(|service| service.kind != ServiceKind::Model) {
+                continue;
+            }
+            let is_own = target.zone_name == self.shared.settings.zone;
+            let serves = found == Some(UpstreamState::Up);
+            for (plan, wanted) in
+                [(&mut state.weights.held, true), (&mut state.weights.orders, is_own)]
+            {
+                if !wanted {
+                    continue;
+                }
+                if !serves {
+                    plan.engine_left(key);
+                    continue;
+                }
+                plan.engine_joined(key, &target.service, zone);
+                if let Some(version) = target.version {
+                    plan.reported(key, version);
+                }
+            }
+        }
+        for (id, name) in state.samples.book.trainers() {
+            let Some((version, _)) = state.samples.book.stated_version(id) else { continue };
+            let entry = document.trainers.iter().find(|trainer| trainer.name == name);
+            let Some(entry) = entry.filter(|_| version > WeightVersion(0)) else { continue };
+            state.weights.orders.announce(&entry.service, version);
+        }
+    }
+
+    async fn order_load(self: Rc<Self>, upstream: UpstreamKey, version: WeightVersion) {
+        let target = self.engine_target(upstream);
+        let Some((name, model, address)) = target else { return };
+        let scope = own_scope(&self.shared);
+        // Nothing may come between this check and the call that writes the order.
+        let Some(fencing) = self.fencing(&scope, self.now()) else { return };
+        let order = WeightOrder { model, version, fencing };
+        let result = self.engines.load_version(address, &order).await;
+        log_event!(
+            WeightLoadOrdered,
+            upstream = name,
+            model = order.model,
+            version = version.0,
+            fencing = fencing.0
+        );
+        let detail = format!("version {} of {}", version.0, order.model);
+        self.trace(name, EventCode::WeightLoadOrdered, detail);
+        if let Err(error) = result {
+            let now = self.now();
+            self.state().weights.orders.load_failed(now, upstream);
+            self.load_failed(upstream, version, &error.to_string());
+        }
+    }
+
+    fn load_failed(&self, upstream: UpstreamKey, version: WeightVersion, problem: &str) {
+        let name = self.engine_target(upstream).map_or_else(String::new, |(name, _, _)| name);
+        log_event!(warn, WeightLoadFailed, upstream = name, version = version.0, problem);
+        let detail = format!("version {}: {problem}", version.0);
+        self.trace(name, EventCode::WeightLoadFailed, detail);
+    }
+
+    /// Returns name, service and address of an upstream.
+    pub(crate) fn engine_target(
+        &self,
+        upstream: UpstreamKey,
+    ) -> Option<(String, String, SocketAddr)> {
+        let view = self.shared.view.load();
+        let target = view.upstreams.get(upstream)?;
+        Some((target.name.clone(), target.service.clone(), target.address))
+    }
+}
+
+fn own_scope(shared: &SharedState) -> Scope {
+    Scope::Zone(shared.settings.zone.clone())
+}
--- a/crates/hibiscushinged/src/input.rs
+++ b/crates/hibiscushinged/src/input.rs
@@ -68,6 +68,8 @@
     pub(crate) trainer: String,
     pub(crate) step: u64,
     pub(crate) version: u64,
+    /// Highest delivery number that the trainer has. `None` leaves what it stated last.
+    pub(crate) after: Option<u64>,
     pub(crate) prompts: Vec<String>,
     pub(crate) samples_per_group: u32,
     pub(crate) max_tokens: u32,
--- a/crates/hibiscushinged/src/traffic/trainer.rs
+++ b/crates/hibiscushinged/src/traffic/trainer.rs
@@ -19,6 +19,7 @@
 struct StepBody {
     step: u64,
     version: u64,
+    after: Option<u64>,
     prompts: Vec<String>,
     samples_per_group: u32,
     max_tokens: u32,
@@ -98,6 +99,7 @@
         trainer: trainer.name,
         step: body.step,
         version: body.version,
+        after: body.after,
         prompts: body.prompts,
         samples_per_group: body.samples_per_group,
         max_tokens: body.max_tokens,
--- a/crates/process-tests/src/call.rs
+++ b/crates/process-tests/src/call.rs
@@ -33,6 +33,20 @@
     send(outgoing).await
 }
 
+/// Sends a request without a body.
+pub async fn get(
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&'static str, String)],
+) -> CallAnswer {
+    let mut outgoing = Outgoing::get(address, path);
+    for (name, value) in headers {
+        let value = value.parse().expect("test headers are valid");
+        outgoing = outgoing.with_header(name.parse().expect("test headers are valid"), value);
+    }
+    send(outgoing).await
+}
+
 /// Reads JSON, or `None` when no answer came.
 pub async fn get_json(address: SocketAddr, path: &str) -> Option<Value> {
     let answer = send(Outgoing::get(address, path)).await;
--- a/crates/process-tests/src/fleet.rs
+++ b/crates/process-tests/src/fleet.rs
@@ -82,13 +82,15 @@
         )
         .expect("writing to a string succeeds");
     }
-    let digest = KeyDigest::of(&caller_key("layouts"));
-    write!(
-        text,
-        "[[trainers]]\nname = \"layouts\"\nkey = \"{digest}\"\nservice = \"draft-models\"\n\
-         staleness_bound = 1\nmin_group = 1\nmax_group = 64\n"
-    )
-    .expect("writing to a string succeeds");
+    for (trainer, scorer) in [("layouts", ""), ("captions", "scorer = \"dieline-index\"\n")] {
+        let digest = KeyDigest::of(&caller_key(trainer));
+        write!(
+            text,
+            "[[trainers]]\nname = \"{trainer}\"\nkey = \"{digest}\"\nservice = \"draft-models\"\n\
+             staleness_bound = 1\nmin_group = 1\nmax_group = 64\n{scorer}"
+        )
+        .expect("writing to a string succeeds");
+    }
     text
 }
 
--- a/crates/process-tests/src/lib.rs
+++ b/crates/process-tests/src/lib.rs
@@ -8,7 +8,7 @@
 mod process;
 
 pub use crate::{
-    call::{CallAnswer, call, get_json, post_json},
+    call::{CallAnswer, call, get, get_json, post_json},
     fleet::{FleetOptions, TestFleet, caller_key, document_text},
     process::{ProcessHandle, wait_for},
 };
--- a/crates/rollout/src/book.rs
+++ b/crates/rollout/src/book.rs
@@ -235,6 +235,12 @@
         self.trainers.get(&trainer)?.deliveries(statement)
     }
 
+    /// Returns the delivery number that `trainer`'s last bound sample got, or 0.
+    #[must_use]
+    pub fn last_number(&self, trainer: TrainerId) -> DeliveryNumber {
+        self.trainers.get(&trainer).map_or(DeliveryNumber(0), TrainerBook::last_number)
+    }
+
     /// Tells whether a number after `after` is bound, so that a new statement is worthwhile.
     #[must_use]
     pub fn has_after(&self, trainer: TrainerId, after: DeliveryNumber) -> bool {
@@ -268,6 +274,12 @@
         self.trainers.get(&trainer).and_then(TrainerBook::stated_version)
     }
 
+    /// Returns the highest number that `trainer` stated to have, or 0.
+    #[must_use]
+    pub fn acknowledged(&self, trainer: TrainerId) -> DeliveryNumber {
+        self.trainers.get(&trainer).map_or(DeliveryNumber(0), TrainerBook::acknowledged)
+    }
+
     /// Iterates over the trainers and their names.
     pub fn trainers(&self) -> impl Iterator<Item = (TrainerId, &str)> {
         self.trainers.iter().map(|(&id, book)| (id, book.name()))
--- a/crates/rollout/src/book/trainer.rs
+++ b/crates/rollout/src/book/trainer.rs
@@ -325,6 +325,10 @@
         }
     }
 
+    pub(crate) const fn acknowledged(&self) -> DeliveryNumber {
+        self.acknowledged
+    }
+
     pub(crate) const fn last_number(&self) -> DeliveryNumber {
         self.last_number
     }
--- a/crates/stand-ins/src/plain.rs
+++ b/crates/stand-ins/src/plain.rs
@@ -129,6 +129,12 @@
     format!("{{\"path\":\"{path}\",\"bytes\":{},\"digest\":\"{digest}\"}}", body.len())
 }
 
+/// Returns the answer to a scoring call, a score below 1 that depends on the body only.
+fn score_body(body: &[u8]) -> String {
+    let digest = Sha256::digest(body);
+    format!("{{\"score\":{}}}", f64::from(digest[0]) / 256.0)
+}
+
 impl CallHandler for PlainHandler {
     async fn handle(&self, call: Call) -> Reply {
         match (call.method.clone(), call.path.as_str()) {
@@ -159,7 +165,11 @@
     async fn run(&self, call: Call) -> Reply {
         let outcome = self.record(&call);
         actix_rt::time::sleep(self.options.service_time).await;
-        let body = Bytes::from(plain_body(&call.path, &call.body));
+        let body = match call.path.as_str() {
+            "/score" => score_body(&call.body),
+            path => plain_body(path, &call.body),
+        };
+        let body = Bytes::from(body);
         match outcome {
             PlainOutcome::Answer => {
                 Reply::Whole { status: StatusCode::OK, retry_after: None, body }
