--- a/crates/hibiscushinged/src/control/usage.rs
+++ b/crates/hibiscushinged/src/control/usage.rs
@@ -30,6 +30,9 @@
 /// Wait before an unanswered hold request, append or report is repeated.
 const RETRY: Span = Span::from_secs(2);
 
+/// Time after which a replica holder appends a batch that the log does not show.
+const TAKEOVER: Span = Span::from_secs(20);
+
 /// How long a window that could not be restored after a gap is waited for before the holder starts
 /// afresh.
 const RESTORE_WAIT: Span = Span::from_secs(30);
@@ -38,7 +41,7 @@
 pub(crate) struct UsageDriver {
     meter: UsageMeter,
     pub(crate) pending: PendingBatches,
-    replicas: ReplicaStore,
+    pub(crate) replicas: ReplicaStore,
     pub(crate) ledger: UsageLedger,
     reports: ReportDesk,
     closing: Option<WindowNumber>,
@@ -55,7 +58,7 @@
         Self {
             meter: UsageMeter::new(UsageMeter::DEFAULT_PERIOD),
             pending: PendingBatches::new(RETRY),
-            replicas: ReplicaStore::new(REPLICA_CAPACITY, RETRY),
+            replicas: ReplicaStore::new(REPLICA_CAPACITY, RETRY, TAKEOVER),
             ledger: UsageLedger::new(),
             reports: ReportDesk::new(RETRY),
             closing: None,
@@ -272,17 +275,14 @@
 
     async fn send_report(self: Rc<Self>, report: WindowReport) {
         let window = report.window;
-        let answer = match self.holds(&Scope::Usage, self.now()) {
-            // The lease has ended since the report was built.
-            false => ReportAnswer::Lost,
-            true => match self.platform.report_usage(&wire_report(&report)).await {
-                Ok(ReportOutcome::Accepted) => ReportAnswer::Accepted,
-                Ok(ReportOutcome::Conflict) => {
-                    tracing::error!(window = window.0, "the platform has other figures");
-                    ReportAnswer::Conflict
-                }
-                Err(_) => ReportAnswer::Lost,
-            },
+        let guarded = self.platform.guarded(self.lease_check(&Scope::Usage, report.fencing));
+        let answer = match guarded.report_usage(&wire_report(&report)).await {
+            Ok(ReportOutcome::Accepted) => ReportAnswer::Accepted,
+            Ok(ReportOutcome::Conflict) => {
+                tracing::error!(window = window.0, "the platform has other figures");
+                ReportAnswer::Conflict
+            }
+            Err(_) => ReportAnswer::Lost,
         };
         let now = self.now();
         let reported = self.state().usage.reports.answer(now, answer);
