Give every setting its effect, end claims of abandoned requests

Cause: queued_requests, answer_bytes and initial_peers were read and not used, and keys_when_isolated took a time with "refuse" that had no effect. A caller that disconnected while its claim was settled left the claim held for its whole lifetime. An answer whose deadline had passed waited for the check of the upstream, up to 1 s. Ruled out: ending claims only on the paths that return an answer, since a disconnect drops the request at any await. Change: queue bound with an immediate refusal, bound on plain answers, contact of initial peers until one is heard, no time with "refuse", claims end with their request, crash checks after the deadline run on their own; zones may not have the names of scopes. Conclusion: a daemon starts with the whole platform down.

--- a/crates/document/src/environment.rs
+++ b/crates/document/src/environment.rs
@@ -9,6 +9,9 @@
 
 /// Largest count accepted for anything that is counted in the document.
 const MAX_COUNT: u32 = 1_000_000;
+/// Names of lease scopes. A zone of such a name would share its log stream with the scope.
+const RESERVED_ZONES: [&str; 2] = ["fleet", "usage"];
+
 const MAX_LENGTH: Span = Span::from_secs(24 * 3_600);
 
 /// One accepted version of an environment's configuration.
@@ -43,8 +46,8 @@
     pub enum IsolatedKeys {
         /// Known keys work for this long, then requests are refused.
         Serve(Span),
-        /// Requests are refused once the node has been isolated for this long.
-        Refuse(Span),
+        /// Requests are refused as soon as the node counts as isolated.
+        Refuse,
     }
 
     /// Kind of a service.
@@ -209,10 +212,16 @@
     let keys_when_isolated = root.table("keys_when_isolated", read_isolated);
 
     let mut zone_names = Vec::new();
-    let zones = root.tables("zones", |section| ZoneEntry {
-        name: section.new_name("name", &mut zone_names),
-        region: section.name("region"),
-        entry_vms: section.small_integer("entry_vms", 1..=10_000),
+    let zones = root.tables("zones", |section| {
+        let name = section.new_name("name", &mut zone_names);
+        if RESERVED_ZONES.contains(&name.as_str()) {
+            section.refuse("name", "a name other than \"fleet\" and \"usage\", which are scopes");
+        }
+        ZoneEntry {
+            name,
+            region: section.name("region"),
+            entry_vms: section.small_integer("entry_vms", 1..=10_000),
+        }
     });
     if zones.is_empty() {
         root.refuse("zones", "at least one zone");
@@ -264,15 +273,16 @@
 }
 
 fn read_isolated(section: &Section<'_>) -> IsolatedKeys {
-    let build = section.choice_or(
-        "action",
-        &[
-            ("serve", IsolatedKeys::Serve as fn(Span) -> IsolatedKeys),
-            ("refuse", IsolatedKeys::Refuse),
-        ],
-        IsolatedKeys::Serve,
-    );
-    build(section.duration_or("after", Span::ZERO..=MAX_LENGTH, Span::from_secs(300)))
+    const LIMIT: Span = Span::from_secs(300);
+    let serve = IsolatedKeys::Serve(LIMIT);
+    let choices = [("serve", serve), ("refuse", IsolatedKeys::Refuse)];
+    if section.choice_or("action", &choices, serve) == IsolatedKeys::Refuse {
+        if section.has("after") {
+            section.refuse("after", "only with action = \"serve\"");
+        }
+        return IsolatedKeys::Refuse;
+    }
+    IsolatedKeys::Serve(section.duration_or("after", Span::ZERO..=MAX_LENGTH, LIMIT))
 }
 
 fn read_pool(section: &Section<'_>, services: &[String], zones: &[String]) -> PoolEntry {
--- a/crates/document/src/settings.rs
+++ b/crates/document/src/settings.rs
@@ -53,7 +53,7 @@
         pub queued_requests: u32,
         /// Bytes of one request body.
         pub request_bytes: u32,
-        /// Bytes of one answer held for a caller that reads slowly.
+        /// Bytes of one answer of a plain service, which is checked whole before it is passed on.
         pub answer_bytes: u32,
         /// Messages in a channel between a traffic thread and the control thread.
         pub channel_messages: u32,
--- a/crates/hibiscushinged/src/control/config.rs
+++ b/crates/hibiscushinged/src/control/config.rs
@@ -191,7 +191,7 @@
         config.applied = version;
         config.isolation.set_policy(match document.keys_when_isolated {
             IsolatedKeys::Serve(limit) => IsolationPolicy::ServeFor(limit),
-            IsolatedKeys::Refuse(_) => IsolationPolicy::Refuse,
+            IsolatedKeys::Refuse => IsolationPolicy::Refuse,
         });
         for zone in &document.zones {
             config.zone_key(&zone.name);
--- a/crates/hibiscushinged/src/control/peers.rs
+++ b/crates/hibiscushinged/src/control/peers.rs
@@ -20,6 +20,9 @@
 /// Time between two reads of the platform's list of VMs.
 const LIST_PERIOD: Duration = Duration::from_secs(2);
 
+/// Time between two attempts to reach the initial peers.
+const CONTACT_PERIOD: Duration = Duration::from_secs(2);
+
 /// Path of messages between daemons. The number changes with incompatible messages.
 pub(crate) const PEER_PATH: &str = "/peer/1";
 
@@ -32,6 +35,7 @@
 }
 
 pub(crate) fn start(control: &Rc<Control>) {
+    actix_rt::spawn(Control::contact_initial_peers(Rc::clone(control)));
     let control = Rc::clone(control);
     actix_rt::spawn(async move {
         loop {
@@ -85,6 +89,36 @@
         }
     }
 
+    /// Makes this node known to the peers of its settings until one of them is heard, so that it can
+    /// start while the platform is down.
+    async fn contact_initial_peers(self: Rc<Self>) {
+        let addresses = self.shared.settings.initial_peers.clone();
+        while !self.hears_peers() {
+            for address in &addresses {
+                let heartbeat = {
+                    let (now, state) = (self.now(), self.state());
+                    let from = state.peers.table.own_identity().clone();
+                    let beat = PeerBeat { from, beat: 0, refutation: 0, notices: Vec::new() };
+                    Heartbeat {
+                        beat,
+                        config_version: state.config.version().0,
+                        contact_age: state.config.contact_age(now),
+                        upstreams: Vec::new(),
+                    }
+                };
+                self.tell_peer(Some(*address), PeerMessage::Heartbeat((&heartbeat).into()));
+                self.fetch_config(*address);
+            }
+            actix_rt::time::sleep(CONTACT_PERIOD).await;
+        }
+    }
+
+    fn hears_peers(&self) -> bool {
+        let state = self.state();
+        let table = &state.peers.table;
+        table.iter().any(|(key, record)| key != table.own() && record.heard)
+    }
+
     async fn read_vm_list(self: &Rc<Self>) {
         let Ok(vms) = self.platform.vms().await else { return };
         let listed = vms.into_iter().map(|vm| ListedVm {
--- a/crates/hibiscushinged/src/desk.rs
+++ b/crates/hibiscushinged/src/desk.rs
@@ -14,6 +14,7 @@
     Fingerprint, IsolationAsk, Judgement, RequestId, SuspectAction, SuspectActions, SuspectEvent,
     SuspectPolicy, SuspectTable,
 };
+use document::DaemonSettings;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use routing::{
@@ -51,6 +52,7 @@
     rng: ChaCha8Rng,
     last_ticket: u64,
     live_nodes: u32,
+    max_waiting: usize,
 }
 
 struct ServiceDesk {
@@ -82,9 +84,10 @@
 }
 
 impl TrafficDesk {
-    pub(crate) fn new(incarnation: Incarnation, seed: u64, grant_period: Span) -> Self {
+    pub(crate) fn new(incarnation: Incarnation, settings: &DaemonSettings) -> Self {
         // A share is renewed twice before it ends.
-        let ask_period = Span(grant_period.0 / 3);
+        let ask_period = Span(settings.timeouts.limit_grant.0 / 3);
+        let max_waiting = settings.bounds.queued_requests as usize;
         Self {
             table: UpstreamTable::new(TableSettings::default(), Vec::new()),
             own_zone: ZoneKey(0),
@@ -98,9 +101,10 @@
             suspects: SuspectTable::new(incarnation, SuspectPolicy::default()),
             isolated: HashMap::new(),
             picker: RoutePicker::new(PickerSettings::default()),
-            rng: ChaCha8Rng::seed_from_u64(seed),
+            rng: ChaCha8Rng::seed_from_u64(incarnation.0),
             last_ticket: 0,
             live_nodes: 1,
+            max_waiting,
         }
     }
 
@@ -177,6 +181,13 @@
             let _ = reply.send(Err(refusal.with_retry_after(Span::from_secs(1))));
             return None;
         };
+        if desk.waiting.len() >= self.max_waiting {
+            let message = "the queue of this node is full";
+            let refusal = Refusal::not_run(base::RefusalCode::Overloaded, message);
+            let retry_after = Span::from_millis(self.rng.random_range(500..1_500));
+            let _ = reply.send(Err(refusal.with_retry_after(retry_after)));
+            return None;
+        }
         desk.waiting.insert(ticket, reply);
         let AdmissionAsk { customer, class, tokens, least_charge, deadline } = ask;
         let item = QueueItem { ticket, customer, class, tokens, deadline };
--- a/crates/hibiscushinged/src/lib.rs
+++ b/crates/hibiscushinged/src/lib.rs
@@ -69,7 +69,7 @@
         let addresses = DaemonAddresses { listen, peer, admin };
         let incarnation = Incarnation(settings.seed.unwrap_or_else(rand::random));
         let clock = ProcessClock::start();
-        let desk = TrafficDesk::new(incarnation, incarnation.0, settings.timeouts.limit_grant);
+        let desk = TrafficDesk::new(incarnation, &settings);
         let (control, input) = mpsc::channel(settings.bounds.channel_messages as usize);
         let vm_name = settings.vm_name.clone();
         let metrics = DaemonMetrics::start(settings.metrics, &vm_name)?;
--- a/crates/hibiscushinged/src/traffic/caller.rs
+++ b/crates/hibiscushinged/src/traffic/caller.rs
@@ -11,7 +11,7 @@
     RequestId, RequestKind, SuspectEvent,
 };
 use document::{RoutePriority, ServiceKind};
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc::error::TrySendError, oneshot};
 use usage::{UsageAmount, UsageFigures};
 
 use crate::{
@@ -27,7 +27,7 @@
         server::TrafficWorker,
         stream,
     },
-    view::{OPEN_CALLERS, RouteTarget},
+    view::RouteTarget,
 };
 
 /// Bytes of a prompt that count as one token in estimates.
@@ -165,7 +165,8 @@
     let mut claim = None;
     if let Some(key) = key.filter(|_| kind == RequestKind::OnceOnly) {
         let wanted = ClaimKey::of(name, &key);
-        take_claim(shared, ClaimAsk { claim: wanted, fingerprint, request: id, deadline }).await?;
+        let ask = ClaimAsk { claim: wanted, fingerprint, request: id, deadline };
+        take_claim(shared, ask).await?;
         claim = Some(wanted);
     }
     let request = CallerRequest {
@@ -239,8 +240,11 @@
     };
     let (reply, answer) = oneshot::channel();
     let input = ControlInput::Claim { ask, reply };
+    let mut guard = ClaimGuard { shared, request: Some(ask.request) };
     shared.control.send(input).await.map_err(|_| unavailable())?;
-    match answer.await {
+    let answer = answer.await;
+    guard.request = None;
+    match answer {
         Ok(ClaimAnswer::Run) => Ok(()),
         Ok(ClaimAnswer::Refuse(refusal)) => Err(refusal.into()),
         Ok(ClaimAnswer::Replay { status, body }) => Err(Ended::Replayed { status, body }),
@@ -248,6 +252,32 @@
     }
 }
 
+/// Releases the claim of a caller that disconnects while the claim is being settled.
+struct ClaimGuard<'a> {
+    shared: &'a SharedState,
+    request: Option<RequestId>,
+}
+
+impl Drop for ClaimGuard<'_> {
+    fn drop(&mut self) {
+        if let Some(request) = self.request {
+            tell_control(
+                self.shared,
+                ControlInput::ClaimEnded { request, outcome: ClaimOutcome::NotRun },
+            );
+        }
+    }
+}
+
+/// Sends a message that must not be lost, waiting in a task when the channel is full.
+fn tell_control(shared: &SharedState, input: ControlInput) {
+    let Err(TrySendError::Full(input)) = shared.control.try_send(input) else { return };
+    let control = shared.control.clone();
+    actix_rt::spawn(async move {
+        let _ = control.send(input).await;
+    });
+}
+
 /// An upstream that a suspect may use alone, or `None` when the request is not suspect.
 pub(crate) async fn isolation(
     shared: &SharedState,
@@ -272,9 +302,9 @@
         desk.isolate(now, wall, &request.route.entry.service, ask, reply)
     };
     forward(shared, actions);
-    let guard = IsolationGuard { shared, request: request.id };
+    let mut guard = IsolationGuard { shared, request: Some(request.id) };
     let result = answer.await;
-    std::mem::forget(guard);
+    guard.request = None;
     match result {
         Ok(Ok(upstream)) => Ok(Some(upstream)),
         Ok(Err(refusal)) => Err(refusal),
@@ -286,14 +316,16 @@
     }
 }
 
+/// Takes a suspect out of the queue when its caller disconnects.
 struct IsolationGuard<'a> {
     shared: &'a SharedState,
-    request: RequestId,
+    request: Option<RequestId>,
 }
 
 impl Drop for IsolationGuard<'_> {
     fn drop(&mut self) {
-        let event = SuspectEvent::CallerGone(self.request);
+        let Some(request) = self.request else { return };
+        let event = SuspectEvent::CallerGone(request);
         let actions = self.shared.desk().suspect(self.shared.clock.now(), wall_now(), event);
         forward(self.shared, actions);
     }
@@ -329,11 +361,7 @@
         if self.claim.take().is_none() {
             return;
         }
-        let input = ControlInput::ClaimEnded { request: self.id, outcome };
-        let control = shared.control.clone();
-        actix_rt::spawn(async move {
-            let _ = control.send(input).await;
-        });
+        tell_control(shared, ControlInput::ClaimEnded { request: self.id, outcome });
     }
 
     /// Returns the outcome of a claim whose request ended without a whole answer.
@@ -345,6 +373,14 @@
     }
 }
 
+impl Drop for CallerRequest {
+    fn drop(&mut self) {
+        // A request that ended without stating an outcome was given up on the way.
+        let (shared, outcome) = (Arc::clone(&self.meter.shared), self.failed_outcome());
+        self.end_claim(&shared, outcome);
+    }
+}
+
 impl Drop for RequestMeter {
     fn drop(&mut self) {
         let tokens = self.amount.generated_tokens + self.amount.prompt_tokens;
@@ -360,17 +396,7 @@
         if figures.add(&customer, self.amount).is_err() {
             return;
         }
-        let input = ControlInput::Metered(figures);
-        let Err(tokio::sync::mpsc::error::TrySendError::Full(input)) =
-            self.shared.control.try_send(input)
-        else {
-            return;
-        };
-        // The channel is full. Usage must not be lost, so a task waits for room.
-        let control = self.shared.control.clone();
-        actix_rt::spawn(async move {
-            let _ = control.send(input).await;
-        });
+        tell_control(&self.shared, ControlInput::Metered(figures));
     }
 }
 
@@ -397,5 +423,3 @@
     }
     response
 }
-
-const _: () = assert!(OPEN_CALLERS.0 == 0);
--- a/crates/hibiscushinged/src/traffic/choice.rs
+++ b/crates/hibiscushinged/src/traffic/choice.rs
@@ -116,6 +116,20 @@
     }
 }
 
+/// Lets the control thread find out whether the upstream crashed, without waiting for it.
+pub(crate) fn check_crash_later(
+    shared: &SharedState,
+    upstream: UpstreamKey,
+    request: &CallerRequest,
+) {
+    let (reply, _) = oneshot::channel();
+    let input = ControlInput::CrashCheck { upstream, fingerprint: request.fingerprint, reply };
+    let control = shared.control.clone();
+    actix_rt::spawn(async move {
+        let _ = control.send(input).await;
+    });
+}
+
 /// Avoids an upstream that refused a connection until its watcher reports it again.
 pub(crate) fn suspect_down(shared: &SharedState, upstream: UpstreamKey) {
     let mut desk = shared.desk();
--- a/crates/hibiscushinged/src/traffic/plain.rs
+++ b/crates/hibiscushinged/src/traffic/plain.rs
@@ -21,13 +21,10 @@
     },
 };
 
-/// Longest answer of a plain service in bytes.
-const MAX_ANSWER: usize = 16 << 20;
-
 /// Work of one call in the units of the choice.
 const CALL_TOKENS: u32 = 50;
 
-/// Ends the claim of a call whose caller disconnects before the answer.
+/// A call, also of a caller that disconnects before the answer.
 struct PlainCall {
     worker: Rc<TrafficWorker>,
     request: CallerRequest,
@@ -109,7 +106,8 @@
             outgoing = outgoing.with_header(answer::REQUEST_ID, id);
         }
         let left = self.request.deadline.since(self.worker.shared.clock.now());
-        let found = self.worker.http.exchange(outgoing, left, MAX_ANSWER).await?;
+        let longest = self.worker.shared.settings.bounds.answer_bytes as usize;
+        let found = self.worker.http.exchange(outgoing, left, longest).await?;
         if found.status == StatusCode::SERVICE_UNAVAILABLE {
             // The service says that it cannot serve the call, but not that it did not run it.
             return Err(CallError {
@@ -124,7 +122,12 @@
 
     async fn failed(&mut self, upstream: UpstreamKey, error: &CallError) -> Result<(), Refusal> {
         let shared = &self.worker.shared;
-        if error.may_have_run() {
+        if error.may_have_run() && shared.clock.now() >= self.request.deadline {
+            // Nothing follows that could crash a second upstream, so the answer need not wait.
+            choice::check_crash_later(shared, upstream, &self.request);
+            self.running = None;
+            self.handle(AttemptEvent::Sending);
+        } else if error.may_have_run() {
             choice::check_crash(shared, upstream, &self.request).await;
             self.running = None;
             self.handle(AttemptEvent::Sending);
@@ -189,8 +192,6 @@
         // A caller that disconnects ends the call here. The service may have run it.
         let Some(upstream) = self.running else { return };
         self.handle(AttemptEvent::Sending);
-        let worker = Rc::clone(&self.worker);
-        self.request.end_claim(&worker.shared, ClaimOutcome::Unknown);
         self.settle(upstream);
     }
 }
--- a/crates/process-tests/src/fleet.rs
+++ b/crates/process-tests/src/fleet.rs
@@ -155,16 +155,21 @@
     /// Starts the daemon at `index`, also again after it has ended.
     #[must_use]
     pub fn start_daemon(&self, index: usize) -> ProcessHandle {
-        let zone = self.options.daemons[index];
-        let settings = format!(
+        self.start_daemon_with(index, self.options.daemons[index], &self.options.settings)
+    }
+
+    /// Starts a daemon of this number in a zone, with further lines of settings.
+    #[must_use]
+    pub fn start_daemon_with(&self, index: usize, zone: &str, settings: &str) -> ProcessHandle {
+        let text = format!(
             "vm_name = \"entry-{index}\"\nzone = \"{zone}\"\nenvironment = \"production\"\n\
              listen = \"127.0.0.1:0\"\npeer = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\n\
              platform = \"{}\"\ntraffic_threads = 1\n{}[timeouts]\nlimit_grant = \"1s\"\n",
             self.platform.address(0),
-            self.options.settings
+            settings
         );
         let file = self.folder.join(format!("daemon-{index}.toml"));
-        fs::write(&file, settings).expect("the settings can be written");
+        fs::write(&file, text).expect("the settings can be written");
         let arguments = [String::from("--settings"), file.display().to_string()];
         ProcessHandle::start("hibiscushinged", &arguments, &self.log(index))
     }
--- a/crates/process-tests/tests/state.rs
+++ b/crates/process-tests/tests/state.rs
@@ -94,6 +94,24 @@
     .await;
 }
 
+/// Guards against a daemon that cannot start while the platform as a whole is down.
+#[actix_rt::test]
+async fn daemon_starts_from_its_initial_peers_while_the_platform_is_down() {
+    let mut fleet = TestFleet::start(FleetOptions::default()).await;
+    fleet.first_document(&["cordial"]).await;
+    fleet.platform.kill();
+    let peers = format!("initial_peers = [\"{}\"]\n", fleet.daemons[0].address(1));
+    let late = fleet.start_daemon_with(3, "hobart-a", &peers);
+    let admin = late.address(2);
+    wait_for("the configuration of a peer", || async move {
+        let status = get_json(admin, "/admin/status").await?;
+        let configuration = &status["configuration"];
+        let learned = configuration["version"] == 1 && configuration["possibly_stale"] == true;
+        learned.then_some(())
+    })
+    .await;
+}
+
 /// Guards against an edit that takes effect twice, or is reported as failed, when the answer to its
 /// append is lost, and against two edits on the same version that both win.
 #[actix_rt::test]
