Plan and order the upstreams of a zone

Cause: nothing drove the demand model and the fleet plan, so no daemon gave an order.

Ruled out: planning on the 50 ms tick from a kept list, which could be older than the last order and order twice; keeping the list of upstreams to be stopped in the holder, since the leaving mark is on every node's board and a successor goes on from there; a plan of each zone alone, since the mix must survive the loss of any zone's cheap upstreams.

The document gets `stop_hold`. A reclaim notice is heeded until a minute after its time; before, a kept notice also marked every later cheap upstream of the zone as leaving.

Conclusion: a daemon starts, replaces and stops upstreams by order. Demand of samples is not told apart from that of callers yet.

--- a/crates/document/src/environment.rs
+++ b/crates/document/src/environment.rs
@@ -20,6 +20,8 @@
     pub time_zone: String,
     /// Length of a usage window.
     pub usage_window: Span,
+    /// How long fewer upstreams must be wanted before any is stopped.
+    pub stop_hold: Span,
     /// Largest share of the upstreams of one service and zone that swap weights at once.
     pub max_swapping_share: f64,
     /// What a node does with keys while it reaches neither platform nor peers.
@@ -205,6 +207,8 @@
     });
     let usage_window =
         root.duration_or("usage_window", Span::from_secs(10)..=MAX_LENGTH, Span::from_secs(300));
+    let stop_hold =
+        root.duration_or("stop_hold", Span::from_secs(1)..=MAX_LENGTH, Span::from_secs(900));
     let max_swapping_share = root.number_or("max_swapping_share", 0.01..=1.0, 0.34);
     let keys_when_isolated = root.table("keys_when_isolated", read_isolated);
 
@@ -252,6 +256,7 @@
         environment,
         time_zone,
         usage_window,
+        stop_hold,
         max_swapping_share,
         keys_when_isolated,
         zones,
--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -111,6 +111,12 @@
         Self { clock, series: BTreeMap::new() }
     }
 
+    /// Returns the name of the time zone that the model follows.
+    #[must_use]
+    pub fn time_zone(&self) -> &str {
+        self.clock.name()
+    }
+
     /// Takes the demand seen at `at`. Observations older than the last one are ignored.
     pub fn observe(&mut self, at: WallTime, key: &DemandKey, demand: f64) {
         if !demand.is_finite() || demand < 0.0 {
@@ -215,6 +221,14 @@
     }
 }
 
+impl DemandSnapshot {
+    /// Tells whether any slot was learned.
+    #[must_use]
+    pub fn is_learned(&self) -> bool {
+        self.means.iter().any(|mean| *mean != UNKNOWN)
+    }
+}
+
 impl Series {
     fn new() -> Self {
         let means = vec![None; usize::from(SLOTS_PER_WEEK)];
--- a/crates/hibiscushinged/src/control.rs
+++ b/crates/hibiscushinged/src/control.rs
@@ -4,6 +4,7 @@
 mod authority;
 mod claims;
 pub(crate) mod config;
+mod fleet;
 mod follow;
 mod limits;
 mod orders;
@@ -59,6 +60,7 @@
     pub(crate) usage: usage::UsageDriver,
     pub(crate) claims: claims::ClaimDriver,
     pub(crate) limits: limits::LimitDriver,
+    pub(crate) fleet: fleet::FleetDriver,
     pub(crate) watch: watch::WatchDriver,
     pub(crate) trace: DecisionTrace,
 }
@@ -80,6 +82,7 @@
     suspects::start(&control);
     peers::start(&control);
     watch::start(&control);
+    fleet::start(&control);
     actix_rt::spawn(tick_loop(Rc::clone(&control)));
     receive(control, input).await;
 }
@@ -210,6 +213,7 @@
         self.tick_claims(now);
         self.tick_peers(now);
         self.tick_limits(now);
+        self.tick_demand(now);
     }
 }
 
@@ -235,6 +239,7 @@
             usage: usage::UsageDriver::new(),
             claims: claims::ClaimDriver::new(),
             limits: limits::LimitDriver::default(),
+            fleet: fleet::FleetDriver::new(now),
             watch: watch::WatchDriver::new(settings),
             trace: DecisionTrace::default(),
         }
--- /dev/null
+++ b/crates/hibiscushinged/src/control/fleet/tests.rs
@@ -0,0 +1,79 @@
+//! Guards against orders for pools with addresses and against upstreams that are counted twice.
+
+use std::net::SocketAddr;
+
+use base::{Span, ZoneKey};
+use clients::{UpstreamInfo, UpstreamState};
+use document::EnvironmentDocument;
+use fleet::{PoolSettings, UpstreamKind};
+
+use super::pools::{counts, service_settings};
+
+const FIXED: &str = "127.0.0.1:9001";
+
+fn document() -> EnvironmentDocument {
+    let pool = |service: &str, cheap: bool, addresses: &str| {
+        format!(
+            "[[pools]]\nservice = \"{service}\"\nzone = \"hobart-a\"\nmin_count = 1\nmax_count = 4\n\
+             cheap = {cheap}\nprice_cents_per_hour = 100\nstartup = \"30s\"\nspeed = 200\n\
+             fencing = \"checked\"\naddresses = [{addresses}]\n"
+        )
+    };
+    let text = format!(
+        "environment = \"trial\"\ntime_zone = \"Australia/Hobart\"\nstop_hold = \"2m\"\n\
+         [[zones]]\nname = \"hobart-a\"\nregion = \"tas-south\"\nentry_vms = 1\n\
+         [[services]]\nname = \"draft-models\"\nkind = \"model\"\n\
+         [[services]]\nname = \"sleeve-portal\"\nkind = \"plain\"\n{}{}{}{}",
+        pool("draft-models", false, ""),
+        pool("draft-models", false, "\"127.0.0.1:9001\", \"127.0.0.1:9002\""),
+        pool("draft-models", true, ""),
+        pool("sleeve-portal", false, "\"127.0.0.1:9003\""),
+    );
+    EnvironmentDocument::parse("document", &text).expect("the document is valid")
+}
+
+#[test]
+fn pools_with_addresses_are_of_fixed_size() {
+    let settings = service_settings(&document(), |_| ZoneKey(0));
+    let [settings] = settings.as_slice() else { panic!("{settings:?}") };
+    assert_eq!((settings.service.as_str(), settings.capacity), ("draft-models", 200.0));
+    assert_eq!(settings.hold, Span::from_secs(120));
+    let pool = |kind: UpstreamKind, min: u32, max: u32| PoolSettings {
+        zone: ZoneKey(0),
+        kind,
+        min,
+        max,
+        price: 100,
+        start_up: Span::from_secs(30),
+    };
+    let expected = [pool(UpstreamKind::Regular, 3, 6), pool(UpstreamKind::Cheap, 1, 4)];
+    assert_eq!(settings.pools, expected);
+}
+
+#[track_caller]
+fn check(listed: &[(&str, &str, UpstreamState, bool)], regular: u32, cheap: u32) {
+    let info = |&(name, zone, state, cheap): &(&str, &str, UpstreamState, bool)| UpstreamInfo {
+        name: String::from(name),
+        zone: String::from(zone),
+        service: String::from("draft-models"),
+        address: name.parse().unwrap_or_else(|_| SocketAddr::from(([127, 0, 0, 1], 1))),
+        state,
+        cheap,
+    };
+    let listed = listed.iter().map(info).collect::<Vec<_>>();
+    let counts = counts(&document(), "hobart-a", ZoneKey(0), &listed, |name| name == "marked");
+    let sum = |kind: UpstreamKind| {
+        let same = counts.iter().filter(|one| one.kind == kind && one.service == "draft-models");
+        same.map(|one| one.count).sum::<u32>()
+    };
+    assert_eq!((sum(UpstreamKind::Regular), sum(UpstreamKind::Cheap)), (regular, cheap));
+}
+
+#[test]
+fn counts_hold_what_will_serve() {
+    use UpstreamState::{Leaving, Running, Starting};
+    check(&[], 2, 0);
+    check(&[("e1", "hobart-a", Starting, false), ("e2", "hobart-a", Running, true)], 3, 1);
+    check(&[("e1", "hobart-a", Leaving, false), ("marked", "hobart-a", Running, false)], 2, 0);
+    check(&[("e1", "hobart-b", Running, false), (FIXED, "hobart-a", Running, false)], 2, 0);
+}
--- a/crates/hibiscushinged/src/control/orders.rs
+++ b/crates/hibiscushinged/src/control/orders.rs
@@ -32,6 +32,7 @@
                 self.trace(id.to_string(), base::EventCode::OrderSettled, detail);
             }
             DeskAction::Settled(outcome) => {
+                self.fleet_settled(&outcome);
                 log_event!(
                     OrderSettled,
                     scope = %scope,
--- a/crates/hibiscushinged/src/control/watch.rs
+++ b/crates/hibiscushinged/src/control/watch.rs
@@ -22,6 +22,9 @@
 /// Time between two load reports of a watched upstream.
 const WATCH_PERIOD: Duration = Duration::from_millis(500);
 
+/// How long after its time a reclaim notice is heeded. Clocks of VMs differ by less.
+const RECLAIM_KEPT_MS: i64 = 60_000;
+
 /// Upstreams that this node knows and watches.
 pub(crate) struct WatchDriver {
     plan: WatchPlan,
@@ -74,6 +77,7 @@
     }
 
     async fn read_upstreams(self: &Rc<Self>) {
+        let listed_at = self.now();
         let Ok(listed) = self.platform.upstreams().await else { return };
         if self.state().config.document.is_none() {
             return;
@@ -89,10 +93,16 @@
                 }
             }
         }
-        let Ok(reclaims) = self.platform.reclaims().await else { return };
+        let reclaims = self.platform.reclaims().await.unwrap_or_default();
         for notice in reclaims {
+            // Later cheap upstreams of the zone are not concerned by an old notice.
+            if wall_now().0 > notice.at.0 + RECLAIM_KEPT_MS {
+                continue;
+            }
             self.reclaim_noticed(&notice.zone);
+            self.fleet_reclaim(&notice);
         }
+        self.plan_fleet(listed_at, &listed);
     }
 
     /// Adds an upstream to the routing view and the traffic state.
@@ -130,7 +140,7 @@
         self.apply_board(self.now(), &info.name);
     }
 
-    fn mark_leaving(self: &Rc<Self>, upstream: &str, cause: LeavingCause) {
+    pub(crate) fn mark_leaving(self: &Rc<Self>, upstream: &str, cause: LeavingCause) {
         let now = self.now();
         self.state().peers.board.mark_leaving(now, upstream, cause);
         self.apply_board(now, upstream);
--- a/crates/hibiscushinged/src/desk.rs
+++ b/crates/hibiscushinged/src/desk.rs
@@ -57,6 +57,7 @@
     members: RouteMembers,
     upstreams: Vec<UpstreamKey>,
     queue: FairQueue,
+    started: u64,
     waiting: HashMap<TicketNumber, QueueReply>,
 }
 
@@ -228,9 +229,23 @@
         if let Some(fingerprint) = fingerprint {
             self.suspects.handle(now, wall, SuspectEvent::Started { upstream, fingerprint });
         }
+        let service = self.service_of.get(&upstream);
+        if let Some(desk) = service.and_then(|service| self.services.get_mut(service)) {
+            desk.started += 1;
+        }
         self.table.start(now, upstream, tokens)
     }
 
+    /// Requests that this node has started on the upstreams of a service.
+    pub(crate) fn started_requests(&self, service: &str) -> u64 {
+        self.services.get(service).map_or(0, |desk| desk.started)
+    }
+
+    /// Requests of this node that run on an upstream.
+    pub(crate) fn own_requests(&self, upstream: UpstreamKey) -> u32 {
+        self.table.own_requests(upstream)
+    }
+
     pub(crate) fn finish(&mut self, now: Moment, work: StartedWork, end: WorkEnd) {
         if matches!(end, WorkEnd::Completed { .. }) {
             self.budget.succeeded();
@@ -336,6 +351,7 @@
         Self {
             members: RouteMembers::new(table, own_zone, []),
             upstreams: Vec::new(),
+            started: 0,
             queue: FairQueue::new(QueueSettings::default(), rate, rng),
             waiting: HashMap::new(),
         }
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -20,6 +20,6 @@
     },
     record::{
         OpenedStep, SampleEntry, UsageEntry, WireAuthority, WireBatch, WireClaim, WireConfig,
-        WireSample, WireSnapshot, WireUsage, WireVerdict,
+        WireDemand, WireSample, WireSnapshot, WireUsage, WireVerdict,
     },
 };
--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -3,6 +3,7 @@
 mod authority;
 mod claims;
 mod config;
+mod demand;
 mod samples;
 mod usage;
 
@@ -10,6 +11,7 @@
     authority::WireAuthority,
     claims::{WireClaim, WireVerdict},
     config::{WireConfig, WireSnapshot},
+    demand::WireDemand,
     samples::{OpenedStep, SampleEntry, WireSample},
     usage::{UsageEntry, WireBatch, WireUsage},
 };
--- /dev/null
+++ b/crates/protocol/src/record/demand.rs
@@ -0,0 +1,56 @@
+//! Records of the stream `demand`.
+
+// Wire fields mirror the fields of the domain types, which document them.
+#![allow(missing_docs)]
+
+use fleet::{DemandKey, DemandSnapshot, SLOTS_PER_WEEK, WorkClass};
+
+use crate::codec::{MalformedMessage, StreamRecord, wire};
+
+wire! {
+    /// A record of the stream `demand`: what was learned about one series.
+    pub enum WireDemand {
+        /// A snapshot by the holder of the fleet scope. Means are in thousandths.
+        Carry {
+            service: String,
+            zone: String,
+            class: WireWorkClass,
+            time_zone: String,
+            means: Vec<u32>,
+        },
+    }
+
+    #[derive(Copy)]
+    pub enum WireWorkClass {
+        Live,
+        Samples,
+    }
+}
+
+impl StreamRecord for DemandSnapshot {
+    type Wire = WireDemand;
+
+    fn from_wire(wire: WireDemand) -> Result<Self, MalformedMessage> {
+        let WireDemand::Carry { service, zone, class, time_zone, means } = wire;
+        if means.len() != usize::from(SLOTS_PER_WEEK) {
+            let slots = means.len();
+            return Err(MalformedMessage::new(format!("a demand snapshot has {slots} slots")));
+        }
+        let class = match class {
+            WireWorkClass::Live => WorkClass::Live,
+            WireWorkClass::Samples => WorkClass::Samples,
+        };
+        Ok(Self { key: DemandKey { service, zone, class }, time_zone, means })
+    }
+}
+
+impl From<&DemandSnapshot> for WireDemand {
+    fn from(snapshot: &DemandSnapshot) -> Self {
+        let DemandSnapshot { key, time_zone, means } = snapshot.clone();
+        let class = match key.class {
+            WorkClass::Live => WireWorkClass::Live,
+            WorkClass::Samples => WireWorkClass::Samples,
+        };
+        Self::Carry { service: key.service, zone: key.zone, class, time_zone, means }
+    }
+}
--- a/crates/protocol/tests/codec.rs
+++ b/crates/protocol/tests/codec.rs
@@ -5,6 +5,7 @@
 use base::{FencingNumber, Incarnation, LogOffset, RecordId, Span, WallTime};
 use configuration::{ConfigEdit, ConfigRecord, ConfigVersion, EnvironmentName};
 use delivery::{ClaimDone, ClaimEvent, ClaimKey, ClaimOutcome, Fingerprint, RequestId, Verdict};
+use fleet::{DemandKey, DemandSnapshot, SLOTS_PER_WEEK, WorkClass};
 use proptest::{
     prelude::*,
     test_runner::{Config, RngSeed, TestRunner},
@@ -87,6 +88,23 @@
     }));
 }
 
+/// Guards against a snapshot that is restored into the wrong slots.
+#[test]
+fn demand_snapshot_has_all_slots_of_the_week() {
+    let key = DemandKey {
+        service: String::from("draft-models"),
+        zone: String::from("hobart-a"),
+        class: WorkClass::Samples,
+    };
+    let time_zone = String::from("Australia/Hobart");
+    let means = vec![u32::MAX; usize::from(SLOTS_PER_WEEK)];
+    let mut snapshot = DemandSnapshot { key, time_zone, means };
+    check(&snapshot);
+    snapshot.means.pop();
+    let error = decode_record::<DemandSnapshot>(&encode_record(ID, &snapshot));
+    assert!(error.is_err(), "{error:?}");
+}
+
 #[test]
 fn message_over_the_size_limit_is_refused() {
     let bytes = vec![0xc0; MAX_MESSAGE_BYTES + 1];
