--- a/crates/process-tests/src/fleet.rs
+++ b/crates/process-tests/src/fleet.rs
@@ -31,6 +31,8 @@
     pub settings: String,
     /// Lines put before the tables of the document.
     pub document: String,
+    /// Further tables of the document.
+    pub tables: String,
 }
 
 /// Running processes of a test deployment.
@@ -89,6 +91,7 @@
          staleness_bound = 1\nmin_group = 1\nmax_group = 64\n"
     )
     .expect("writing to a string succeeds");
+    text.push_str(&fleet.options.tables);
     text
 }
 
@@ -121,6 +124,7 @@
             platform: Vec::new(),
             settings: String::new(),
             document: String::new(),
+            tables: String::new(),
         }
     }
 }
--- a/crates/stand-ins/src/platform/log.rs
+++ b/crates/stand-ins/src/platform/log.rs
@@ -26,8 +26,10 @@
                 return Ok(Reply::too_many());
             }
             state.appends += 1;
-            let lost = state.faults.lose_append_answers > 0;
-            state.faults.lose_append_answers -= u32::from(lost);
+            let counted = state.faults.lose_append_answers > 0;
+            state.faults.lose_append_answers -= u32::from(counted);
+            let every = state.faults.lose_every_append;
+            let lost = counted || (every > 0 && state.appends.is_multiple_of(every));
             (std::mem::take(&mut state.faults.delay_append_ms), lost)
         };
         let first = if delay == 0 {
--- a/crates/stand-ins/src/platform/mod.rs
+++ b/crates/stand-ins/src/platform/mod.rs
@@ -142,7 +142,7 @@
             ("POST", ["log", stream]) => self.append(stream, &call).await,
             ("GET", ["log", stream]) => Ok(self.read(stream, &call).await),
             ("POST", ["orders"]) => self.order(&call),
-            ("GET", ["orders", id]) => Ok(self.find_order(id)),
+            ("GET", ["orders", id]) => Ok(self.find_order(id).await),
             ("POST", ["usage-reports"]) => self.report(&call),
             ("GET", ["weights", model, version]) => Ok(self.weights(model, version)),
             ("POST", ["faults"]) => self.change(&call, PlatformState::change_faults),
--- a/crates/stand-ins/src/platform/state.rs
+++ b/crates/stand-ins/src/platform/state.rs
@@ -21,6 +21,8 @@
     pub(crate) appends: u64,
     pub(crate) faults: Faults,
     pub(crate) orders: Vec<ReceivedOrder>,
+    /// How often the state of an order was asked for.
+    pub(crate) asks: u64,
     pub(crate) upstreams: Vec<wire::Upstream>,
     pub(crate) started: u64,
     pub(crate) reclaims: Vec<wire::Reclaim>,
@@ -44,8 +46,12 @@
     pub(crate) log_down: bool,
     pub(crate) log_slow_ms: u64,
     pub(crate) lose_append_answers: u32,
+    /// Loses the answer to each append whose number this divides, unless it is 0.
+    pub(crate) lose_every_append: u64,
     pub(crate) delay_append_ms: u64,
     pub(crate) refuse_orders: bool,
+    /// Delay of the answers about the state of an order.
+    pub(crate) slow_asks_ms: u64,
 }
 
 /// Body of `POST /faults`. Fields that are left out keep their value.
@@ -55,8 +61,10 @@
     log_down: Option<bool>,
     log_slow_ms: Option<u64>,
     lose_append_answers: Option<u32>,
+    lose_every_append: Option<u64>,
     delay_append_ms: Option<u64>,
     refuse_orders: Option<bool>,
+    slow_asks_ms: Option<u64>,
 }
 
 /// An order as it arrived, with its latest answer.
@@ -83,6 +91,7 @@
             appends: 0,
             faults: Faults::default(),
             orders: Vec::new(),
+            asks: 0,
             upstreams: options.upstreams.clone(),
             started: 0,
             reclaims: Vec::new(),
@@ -101,8 +110,10 @@
         faults.log_slow_ms = change.log_slow_ms.unwrap_or(faults.log_slow_ms);
         faults.lose_append_answers =
             change.lose_append_answers.unwrap_or(faults.lose_append_answers);
+        faults.lose_every_append = change.lose_every_append.unwrap_or(faults.lose_every_append);
         faults.delay_append_ms = change.delay_append_ms.unwrap_or(faults.delay_append_ms);
         faults.refuse_orders = change.refuse_orders.unwrap_or(faults.refuse_orders);
+        faults.slow_asks_ms = change.slow_asks_ms.unwrap_or(faults.slow_asks_ms);
     }
 
     pub(crate) fn add_upstream(&mut self, upstream: wire::Upstream) {
@@ -139,6 +150,7 @@
             "appends": self.appends,
             "streams": streams.collect::<BTreeMap<_, _>>(),
             "orders": self.orders,
+            "asks": self.asks,
             "upstreams": self.upstreams,
             "reports": self.reports,
             "weight_reads": self.weight_reads,
--- a/crates/stand-ins/src/platform/upstreams.rs
+++ b/crates/stand-ins/src/platform/upstreams.rs
@@ -10,7 +10,10 @@
 use clients::wire::{self, OrderReply, OrderStatus, OrderVerb, UpstreamStatus};
 use serde::Deserialize;
 
-use super::{LaunchKind, PlatformHandler, state::ReceivedOrder};
+use super::{
+    LaunchKind, PlatformHandler,
+    state::{PlatformState, ReceivedOrder},
+};
 use crate::{
     Engine, EngineOptions, PlainOptions, PlainService,
     http::{Call, Reply},
@@ -78,8 +81,19 @@
         Ok(Reply::json(&reply))
     }
 
-    pub(super) fn find_order(&self, id: &str) -> Reply {
-        let state = self.state();
+    pub(super) async fn find_order(&self, id: &str) -> Reply {
+        let (reply, delay) = {
+            let mut state = self.state();
+            state.asks += 1;
+            (self.order_state(&state, id), state.faults.slow_asks_ms)
+        };
+        if delay > 0 {
+            actix_rt::time::sleep(Duration::from_millis(delay)).await;
+        }
+        reply
+    }
+
+    fn order_state(&self, state: &PlatformState, id: &str) -> Reply {
         match state.orders.iter().find(|known| known.order.id == id) {
             Some(known) => Reply::json(&known.reply),
             None => Reply::status(StatusCode::NOT_FOUND),
