--- a/crates/hibiscushinged/src/desk.rs
+++ b/crates/hibiscushinged/src/desk.rs
@@ -26,7 +26,7 @@
 
 /// Work that a node may have in service at one upstream, as time at the upstream's speed. It keeps
 /// engines busy between two decisions and leaves the rest of the queue to the fair order.
-const SERVICE_HORIZON: Span = Span::from_secs(2);
+const SERVICE_HORIZON: Span = Span::from_secs(1);
 
 /// Smallest amount of work in service, so that a service without known speed can start.
 const MIN_IN_SERVICE: u32 = 2_000;
@@ -67,6 +67,8 @@
     pub(crate) customer: CustomerKey,
     pub(crate) class: WorkClass,
     pub(crate) tokens: u32,
+    /// Least charge against the customer's limit, which also bounds its requests per second.
+    pub(crate) least_charge: u32,
     pub(crate) deadline: Moment,
 }
 
@@ -77,6 +79,7 @@
     pub(crate) ticket: TicketNumber,
     pub(crate) customer: CustomerKey,
     pub(crate) tokens: u32,
+    pub(crate) least_charge: u32,
 }
 
 impl TrafficDesk {
@@ -112,6 +115,7 @@
 
     pub(crate) fn set_live_nodes(&mut self, nodes: usize) {
         self.live_nodes = u32::try_from(nodes.max(1)).unwrap_or(u32::MAX);
+        self.table.set_nodes(self.live_nodes);
     }
 
     pub(crate) fn set_weight(&mut self, now: Moment, customer: CustomerKey, weight: u32) {
@@ -175,19 +179,20 @@
             return None;
         };
         desk.waiting.insert(ticket, reply);
-        let AdmissionAsk { customer, class, tokens, deadline } = ask;
+        let AdmissionAsk { customer, class, tokens, least_charge, deadline } = ask;
         let item = QueueItem { ticket, customer, class, tokens, deadline };
         let actions = desk.queue.handle(now, QueueEvent::Offered(item));
         desk.apply(actions);
-        Some(AdmissionPlace { service: String::from(service), ticket, customer, tokens })
+        let service = String::from(service);
+        Some(AdmissionPlace { service, ticket, customer, tokens, least_charge })
     }
 
     /// Takes the request's tokens from the customer's limit. Open routes have none.
-    pub(crate) fn admit(&mut self, now: Moment, customer: CustomerKey, tokens: u32) -> LimitAnswer {
-        if customer == OPEN_CALLERS {
+    pub(crate) fn admit(&mut self, now: Moment, ask: &AdmissionAsk) -> LimitAnswer {
+        if ask.customer == OPEN_CALLERS {
             return LimitAnswer::Admitted;
         }
-        self.limits.admit(now, customer, tokens)
+        self.limits.admit(now, ask.customer, ask.tokens.max(ask.least_charge))
     }
 
     pub(crate) const fn limits(&mut self) -> &mut LimitShare {
@@ -197,7 +202,9 @@
     /// Ends a request that was admitted or waits. `tokens` is its true cost, 0 when it did not run.
     pub(crate) fn done(&mut self, now: Moment, place: &AdmissionPlace, tokens: u32) {
         if place.customer != OPEN_CALLERS {
-            let difference = i64::from(tokens) - i64::from(place.tokens);
+            let charged = place.tokens.max(place.least_charge);
+            let due = tokens.max(place.least_charge);
+            let difference = i64::from(due) - i64::from(charged);
             self.limits.correct(place.customer, difference);
         }
         let Some(desk) = self.services.get_mut(&place.service) else { return };
@@ -367,7 +374,7 @@
                 continue;
             }
             total += table.speed(*key).unwrap_or(0.0);
-            others += table.others(*key).unwrap_or(0) as f32;
+            others += table.others(*key).unwrap_or(0.0);
         }
         let horizon = SERVICE_HORIZON.as_secs_f64() as f32;
         let unused = (1.0 - others / (total * horizon).max(1.0)).max(0.0);
--- a/crates/rollout/src/book.rs
+++ b/crates/rollout/src/book.rs
@@ -1,5 +1,6 @@
 //! The book of samples: a function of the prefix of the log stream `samples`.
 
+mod carry;
 mod trainer;
 
 use std::collections::BTreeMap;
@@ -7,7 +8,11 @@
 use base::{Incarnation, RecordId, WeightVersion, key, plain};
 use smallvec::SmallVec;
 
-pub(crate) use self::trainer::TrainerBook;
+use self::carry::Gap;
+pub use self::{
+    carry::TrainerCarry,
+    trainer::{Binding, BookSlot, BookStep, SlotState, TrainerBook},
+};
 use crate::records::{
     DeliveryNumber, SampleFilled, SampleRecord, SampleVoided, Score, SlotKey, TrainerId,
     TrainerStated, VoidReason,
@@ -172,6 +177,8 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct SampleBook {
     trainers: BTreeMap<TrainerId, TrainerBook>,
+    /// Set in a book that started after the first record of the stream.
+    gap: Option<Gap>,
 }
 
 impl SampleBook {
@@ -235,6 +242,12 @@
         self.trainers.get(&trainer)?.deliveries(statement)
     }
 
+    /// Returns the delivery number that `trainer`'s last bound sample got, or 0.
+    #[must_use]
+    pub fn last_number(&self, trainer: TrainerId) -> DeliveryNumber {
+        self.trainers.get(&trainer).map_or(DeliveryNumber(0), TrainerBook::last_number)
+    }
+
     /// Tells whether a number after `after` is bound, so that a new statement is worthwhile.
     #[must_use]
     pub fn has_after(&self, trainer: TrainerId, after: DeliveryNumber) -> bool {
@@ -268,6 +281,12 @@
         self.trainers.get(&trainer).and_then(TrainerBook::stated_version)
     }
 
+    /// Returns the highest number that `trainer` stated to have, or 0.
+    #[must_use]
+    pub fn acknowledged(&self, trainer: TrainerId) -> DeliveryNumber {
+        self.trainers.get(&trainer).map_or(DeliveryNumber(0), TrainerBook::acknowledged)
+    }
+
     /// Iterates over the trainers and their names.
     pub fn trainers(&self) -> impl Iterator<Item = (TrainerId, &str)> {
         self.trainers.iter().map(|(&id, book)| (id, book.name()))
