--- a/crates/hibiscushinged/src/control.rs
+++ b/crates/hibiscushinged/src/control.rs
@@ -4,6 +4,7 @@
 mod authority;
 mod claims;
 pub(crate) mod config;
+mod fleet;
 mod follow;
 mod generate;
 mod limits;
@@ -68,6 +69,7 @@
     pub(crate) usage: usage::UsageDriver,
     pub(crate) claims: claims::ClaimDriver,
     pub(crate) limits: limits::LimitDriver,
+    pub(crate) fleet: fleet::FleetDriver,
     pub(crate) watch: watch::WatchDriver,
     pub(crate) samples: samples::SampleDriver,
     pub(crate) weights: weights::WeightDriver,
@@ -92,6 +94,7 @@
     suspects::start(&control);
     peers::start(&control);
     watch::start(&control);
+    fleet::start(&control);
     actix_rt::spawn(tick_loop(Rc::clone(&control)));
     actix_rt::spawn(gauge_loop(Rc::clone(&control)));
     receive(control, input).await;
@@ -235,6 +238,7 @@
         self.tick_peers(now);
         self.tick_limits(now);
         self.tick_samples(now);
+        self.tick_demand(now);
     }
 }
 
@@ -260,6 +264,7 @@
             usage: usage::UsageDriver::new(),
             claims: claims::ClaimDriver::new(),
             limits: limits::LimitDriver::default(),
+            fleet: fleet::FleetDriver::new(now),
             watch: watch::WatchDriver::new(settings),
             samples: samples::SampleDriver::new(settings),
             weights: weights::WeightDriver::new(now),
--- a/crates/process-tests/src/fleet.rs
+++ b/crates/process-tests/src/fleet.rs
@@ -31,6 +31,8 @@
     pub settings: String,
     /// Lines put before the tables of the document.
     pub document: String,
+    /// Further tables of the document.
+    pub tables: String,
 }
 
 /// Running processes of a test deployment.
@@ -91,6 +93,7 @@
         )
         .expect("writing to a string succeeds");
     }
+    text.push_str(&fleet.options.tables);
     text
 }
 
@@ -123,6 +126,7 @@
             platform: Vec::new(),
             settings: String::new(),
             document: String::new(),
+            tables: String::new(),
         }
     }
 }
