Check usage windows and their reports by exhaustive search

No run covered leases, closes, batches and reports in one stream under pauses, restarts and lost answers.

Change: the module `usage` drives three processes with the real lease keeper, ledger, report desk, pending batches and replica store. The three machines of `usage` that lacked equality derive it.

--- a/crates/model-check/src/lib.rs
+++ b/crates/model-check/src/lib.rs
@@ -2,10 +2,11 @@
 //!
 //! A [`Specification`] describes processes, network and platform around the real state machines.
 //! [`explore`] visits every reachable state, [`counterexample`] finds a shortest path to a state
-//! that breaks an invariant. [`authority`] covers leases and orders; specifications of usage
-//! windows and of configuration are further modules beside it.
+//! that breaks an invariant. [`authority`] covers leases and orders, [`usage`] covers windows and
+//! their reports.
 
 pub mod authority;
 mod search;
+pub mod usage;
 
 pub use crate::search::{Exploration, Specification, counterexample, explore};
--- /dev/null
+++ b/crates/model-check/src/usage/process.rs
@@ -0,0 +1,412 @@
+//! One process with its machines, and its steps.
+
+use std::{
+    hash::{Hash, Hasher},
+    rc::Rc,
+};
+
+use ::usage::{
+    LedgerOutcome, OriginState, PendingBatches, ReplicaStore, ReportAnswer, ReportDesk,
+    UsageAmount, UsageBatch, UsageFigures, UsageLedger, UsageRecord, WindowClose, WindowNumber,
+    WindowReport,
+};
+use authority::{Candidacy, LeaseAction, LeaseKeeper, LeaseSettings, Scope};
+use base::{Incarnation, LogOffset, Moment, RecordId, Span, key};
+
+use super::{UsageGuards, UsageModel, UsageState, UsageStep, UsageStreamRecord, WireReport};
+
+/// Added to the incarnation of a process when it restarts.
+const RESTART_STRIDE: u64 = 10;
+
+/// Wait before an unanswered hold request, append, snapshot or report is repeated.
+const RETRY: Span = Span(2);
+
+/// Time after which a replica holder appends a batch that the log does not show.
+const TAKEOVER: Span = Span(3);
+
+const REPLICA_CAPACITY: usize = 2;
+
+key! {
+    pub(crate) enum Activity {
+        Running,
+        Paused,
+    }
+
+    pub(crate) enum LogAccess {
+        Reachable,
+        CutOff,
+    }
+}
+
+/// A process with its machines and the work that its driver has queued.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UsageProcess {
+    /// The real keeper.
+    pub keeper: LeaseKeeper,
+    /// The real ledger.
+    pub ledger: Rc<UsageLedger>,
+    pub(crate) reports: ReportDesk,
+    pub(crate) pending: PendingBatches,
+    pub(crate) replicas: ReplicaStore,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) sequence: u64,
+    pub(crate) next: LogOffset,
+    pub(crate) outbox: Vec<Rc<UsageStreamRecord>>,
+    pub(crate) holds: Vec<UsageBatch>,
+    /// A report whose clock check is due.
+    pub(crate) unchecked: Option<WindowReport>,
+    /// A report whose clock check has passed and that is not yet written.
+    pub(crate) checked: Option<WindowReport>,
+    pub(crate) closing: Option<WindowNumber>,
+    pub(crate) carry_tried: Option<Moment>,
+    pub(crate) activity: Activity,
+    pub(crate) access: LogAccess,
+}
+
+/// Leaves out what the offset or the rest of the state mostly implies.
+impl Hash for UsageProcess {
+    fn hash<H: Hasher>(&self, hasher: &mut H) {
+        self.keeper.hash(hasher);
+        (self.incarnation, self.sequence, self.next, &self.outbox).hash(hasher);
+        (self.pending.len(), self.pending.next_deadline()).hash(hasher);
+        (self.replicas.len(), self.replicas.next_deadline()).hash(hasher);
+        (self.reports.next_deadline(), self.holds.len()).hash(hasher);
+        (self.unchecked.is_some(), self.checked.is_some()).hash(hasher);
+        (self.closing, self.carry_tried, self.activity, self.access).hash(hasher);
+    }
+}
+
+impl UsageProcess {
+    pub(crate) fn new(
+        settings: LeaseSettings,
+        now: Moment,
+        first: LogOffset,
+        incarnation: u64,
+    ) -> Self {
+        let incarnation = Incarnation(incarnation);
+        let mut keeper = LeaseKeeper::new(settings, Scope::Usage, incarnation, Candidacy::Standing);
+        keeper.reading_from(now, first);
+        let mut ledger = UsageLedger::new();
+        ledger.note_retention(first);
+        Self {
+            keeper,
+            ledger: Rc::new(ledger),
+            reports: ReportDesk::new(RETRY),
+            pending: PendingBatches::new(RETRY),
+            replicas: ReplicaStore::new(REPLICA_CAPACITY, RETRY, TAKEOVER),
+            incarnation,
+            sequence: 0,
+            next: first,
+            outbox: Vec::new(),
+            holds: Vec::new(),
+            unchecked: None,
+            checked: None,
+            closing: None,
+            carry_tried: None,
+            activity: Activity::Running,
+            access: LogAccess::Reachable,
+        }
+    }
+
+    /// Tells whether the process has work to do before time moves on.
+    pub(crate) fn is_due(&self, log_length: usize) -> bool {
+        if self.activity == Activity::Paused {
+            return false;
+        }
+        let has_log_work = (self.next.0 as usize) < log_length || !self.outbox.is_empty();
+        has_log_work && self.access == LogAccess::Reachable
+            || self.unchecked.is_some()
+            || self.checked.is_some()
+            || !self.holds.is_empty()
+    }
+
+    fn queue(&mut self, record: UsageStreamRecord) {
+        // The writer keeps one copy of a record that is asked for again.
+        if !self.outbox.iter().any(|queued| **queued == record) {
+            self.outbox.push(Rc::new(record));
+        }
+    }
+
+    fn queue_lease(&mut self, actions: impl IntoIterator<Item = LeaseAction>) {
+        for action in actions {
+            if let LeaseAction::Append(record) = action {
+                self.queue(UsageStreamRecord::Lease(record));
+            }
+        }
+    }
+
+    fn queue_usage(&mut self, record: UsageRecord) {
+        self.queue(UsageStreamRecord::Usage(record));
+    }
+}
+
+impl<G: UsageGuards> UsageModel<G> {
+    /// Lets a running process do what its timers demand, in the order of the daemon's driver.
+    pub(crate) fn settle(&self, state: &mut UsageState, index: usize) {
+        let now = state.now;
+        let process = Rc::make_mut(&mut state.processes[index]);
+        if process.activity == Activity::Paused {
+            return;
+        }
+        let clock = match process.keeper.held(now) {
+            Some(_) => now,
+            None => self.guards.waiting_clock(now),
+        };
+        let actions = process.keeper.tick(clock);
+        process.queue_lease(actions);
+        process.holds.extend(process.pending.poll(now));
+        for batch in process.replicas.poll(now) {
+            process.queue_usage(UsageRecord::Batch(self.guards.replica(batch)));
+        }
+        let Some(fencing) = process.keeper.held(now) else {
+            process.closing = None;
+            return;
+        };
+        let due = process.ledger.close_due(self.window_at(now));
+        if let Some(window) = due
+            && process.closing != due
+        {
+            process.closing = due;
+            process.queue_usage(UsageRecord::Close(WindowClose { window, fencing }));
+        }
+        let may_carry = process.carry_tried.is_none_or(|at| now.since(at) >= RETRY);
+        if may_carry && process.ledger.carry_due() {
+            let snapshot = process.ledger.snapshot().expect("no snapshot is awaited");
+            process.carry_tried = Some(now);
+            process.queue_usage(UsageRecord::Carry { snapshot: Box::new(snapshot), fencing });
+        }
+        if let Some(report) = process.reports.poll(now, &process.ledger, fencing) {
+            process.unchecked = Some(self.guards.report(&process.ledger, report));
+        }
+    }
+
+    pub(crate) fn read(&self, state: &mut UsageState, index: usize) {
+        let now = state.now;
+        let process = Rc::make_mut(&mut state.processes[index]);
+        while let Some(record) = state.log.get(process.next.0 as usize) {
+            let offset = process.next;
+            process.next = offset.next();
+            match &**record {
+                UsageStreamRecord::Lease(record) => {
+                    let actions = process.keeper.read(now, offset, record);
+                    process.queue_lease(actions);
+                }
+                UsageStreamRecord::Usage(record) => {
+                    let valid = self.guards.valid_claim(now, &process.keeper);
+                    let outcome = Rc::make_mut(&mut process.ledger).apply(offset, record, valid);
+                    if let UsageRecord::Batch(batch) = record {
+                        process.pending.seen_in_log(batch.id);
+                        process.replicas.seen_in_log(batch.id);
+                    }
+                    match outcome {
+                        LedgerOutcome::Closed(_) => process.closing = None,
+                        LedgerOutcome::Restored(next) => process.next = next,
+                        _ => {}
+                    }
+                }
+            }
+        }
+        // Sharing equal ledgers halves the memory of the search.
+        let read = &state.processes[index].ledger;
+        let equal = state.processes.iter().map(|process| &process.ledger);
+        let equal = equal.filter(|ledger| !Rc::ptr_eq(ledger, read)).find(|ledger| *ledger == read);
+        if let Some(shared) = equal.cloned() {
+            Rc::make_mut(&mut state.processes[index]).ledger = shared;
+        }
+        self.settle(state, index);
+    }
+
+    /// Steps of a running process that has work to do.
+    pub(crate) fn due_steps(
+        &self,
+        state: &UsageState,
+        index: usize,
+        steps: &mut Vec<(UsageStep, UsageState)>,
+    ) {
+        self.log_steps(state, index, steps);
+        self.hold_steps(state, index, steps);
+        self.report_steps(state, index, steps);
+        self.fault_steps(state, index, steps);
+    }
+
+    /// Steps of a process while no running process has work to do.
+    pub(crate) fn idle_steps(
+        &self,
+        state: &UsageState,
+        index: usize,
+        steps: &mut Vec<(UsageStep, UsageState)>,
+    ) {
+        let process = &state.processes[index];
+        if process.activity == Activity::Paused {
+            let mut next = state.clone();
+            Rc::make_mut(&mut next.processes[index]).activity = Activity::Running;
+            self.settle(&mut next, index);
+            steps.push((UsageStep::Resume(index), next));
+            return;
+        }
+        if process.access == LogAccess::CutOff {
+            let mut next = state.clone();
+            Rc::make_mut(&mut next.processes[index]).access = LogAccess::Reachable;
+            steps.push((UsageStep::Reconnect(index), next));
+        }
+        if let Some(batches_left) = state.batches_left.checked_sub(1) {
+            let mut next = UsageState { batches_left, ..state.clone() };
+            let process = Rc::make_mut(&mut next.processes[index]);
+            process.sequence += 1;
+            let id = RecordId { writer: process.incarnation, sequence: process.sequence };
+            let mut figures = UsageFigures::default();
+            let amount = UsageAmount { requests: 1, ..UsageAmount::default() };
+            figures.0.insert(format!("customer {batches_left}"), amount);
+            let batch = UsageBatch { id, figures };
+            process.pending.add(state.now, batch.clone());
+            process.queue_usage(UsageRecord::Batch(batch));
+            self.settle(&mut next, index);
+            steps.push((UsageStep::Meter(index), next));
+        }
+        self.fault_steps(state, index, steps);
+    }
+
+    fn log_steps(
+        &self,
+        state: &UsageState,
+        index: usize,
+        steps: &mut Vec<(UsageStep, UsageState)>,
+    ) {
+        let process = &state.processes[index];
+        if process.access == LogAccess::CutOff {
+            return;
+        }
+        if (process.next.0 as usize) < state.log.len() {
+            let mut next = state.clone();
+            self.read(&mut next, index);
+            steps.push((UsageStep::Read(index), next));
+        }
+        let Some(record) = process.outbox.first() else { return };
+        let mut next = state.clone();
+        Rc::make_mut(&mut next.processes[index]).outbox.remove(0);
+        next.log.push(Rc::clone(record));
+        steps.push((UsageStep::Append(index), next));
+        if let Some(mut next) = self.fault(state) {
+            next.log.push(Rc::clone(record));
+            steps.push((UsageStep::AppendAnswerLost(index), next));
+        }
+        if let Some(mut next) = self.fault(state) {
+            next.delayed_appends.push(Rc::clone(record));
+            steps.push((UsageStep::AppendDelayed(index), next));
+        }
+    }
+
+    fn hold_steps(
+        &self,
+        state: &UsageState,
+        index: usize,
+        steps: &mut Vec<(UsageStep, UsageState)>,
+    ) {
+        if state.processes[index].holds.is_empty() {
+            return;
+        }
+        let mut lost = state.clone();
+        let batch = Rc::make_mut(&mut lost.processes[index]).holds.remove(0);
+        let holder = (index + 1) % state.processes.len();
+        if state.processes[holder].activity == Activity::Paused {
+            // A paused process does not answer, which is no fault of its own.
+            steps.push((UsageStep::HoldLost(index), lost));
+            return;
+        }
+        let mut held = lost.clone();
+        let process = Rc::make_mut(&mut held.processes[holder]);
+        process.replicas.hold(state.now, batch.clone(), OriginState::Live);
+        let incarnation = process.incarnation;
+        if let Some(faults_left) = state.faults_left.checked_sub(1) {
+            steps.push((UsageStep::HoldLost(index), UsageState { faults_left, ..lost }));
+            let unanswered = UsageState { faults_left, ..held.clone() };
+            steps.push((UsageStep::HoldAnswerLost(index), unanswered));
+        }
+        Rc::make_mut(&mut held.processes[index]).pending.held(batch.id, incarnation);
+        steps.push((UsageStep::Hold(index), held));
+    }
+
+    fn report_steps(
+        &self,
+        state: &UsageState,
+        index: usize,
+        steps: &mut Vec<(UsageStep, UsageState)>,
+    ) {
+        let now = state.now;
+        let mut next = state.clone();
+        let process = Rc::make_mut(&mut next.processes[index]);
+        if let Some(report) = process.unchecked.take() {
+            match process.keeper.held(now) {
+                Some(_) => process.checked = Some(report),
+                None => drop(process.reports.answer(now, ReportAnswer::Lost)),
+            }
+            steps.push((UsageStep::CheckClock(index), next));
+            return;
+        }
+        let Some(report) = process.checked.take() else { return };
+        if let Some(mut next) = self.fault(&next) {
+            self.receive(&mut next, &report);
+            Rc::make_mut(&mut next.processes[index]).reports.answer(now, ReportAnswer::Lost);
+            steps.push((UsageStep::ReportAnswerLost(index), next));
+        }
+        if let Some(mut next) = self.fault(&next) {
+            let due = now + Self::LEASE.order_timeout;
+            next.wire.push(WireReport { report: report.clone(), due });
+            Rc::make_mut(&mut next.processes[index]).reports.answer(now, ReportAnswer::Lost);
+            steps.push((UsageStep::ReportDelayed(index), next));
+        }
+        let answer = self.receive(&mut next, &report);
+        let process = Rc::make_mut(&mut next.processes[index]);
+        if let Some(reported) = process.reports.answer(now, answer) {
+            process.queue_usage(UsageRecord::Reported(reported));
+        }
+        steps.push((UsageStep::Report(index), next));
+    }
+
+    fn fault_steps(
+        &self,
+        state: &UsageState,
+        index: usize,
+        steps: &mut Vec<(UsageStep, UsageState)>,
+    ) {
+        let Some(fault) = self.fault(state) else { return };
+        let process = &state.processes[index];
+        let mut next = fault.clone();
+        Rc::make_mut(&mut next.processes[index]).activity = Activity::Paused;
+        steps.push((UsageStep::Pause(index), next));
+        if process.access == LogAccess::Reachable {
+            let mut next = fault.clone();
+            Rc::make_mut(&mut next.processes[index]).access = LogAccess::CutOff;
+            steps.push((UsageStep::CutOff(index), next));
+        }
+        steps.push((UsageStep::Restart(index), self.restart(state, fault.clone(), index)));
+        let is_answered = process.unchecked.is_none() && process.checked.is_none();
+        if process.keeper.held(state.now).is_some() && is_answered {
+            let mut next = fault;
+            let process = Rc::make_mut(&mut next.processes[index]);
+            let actions = process.keeper.resign();
+            process.queue_lease(actions);
+            steps.push((UsageStep::Resign(index), next));
+        }
+    }
+
+    /// Starts a process anew. The others learn at once that the old one is gone.
+    fn restart(&self, state: &UsageState, mut next: UsageState, index: usize) -> UsageState {
+        let first = self.first_retained(state);
+        let gone = state.processes[index].incarnation;
+        let incarnation = gone.0 + RESTART_STRIDE;
+        next.processes[index] =
+            Rc::new(UsageProcess::new(Self::LEASE, state.now, first, incarnation));
+        for (other, process) in next.processes.iter_mut().enumerate() {
+            if other != index {
+                let process = Rc::make_mut(process);
+                process.replicas.origin_gone(state.now, gone);
+                process.pending.holder_lost(state.now, gone);
+            }
+        }
+        for other in 0..next.processes.len() {
+            self.settle(&mut next, other);
+        }
+        next
+    }
+}
--- a/crates/usage/src/pending.rs
+++ b/crates/usage/src/pending.rs
@@ -6,7 +6,7 @@
 
 use crate::UsageBatch;
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 struct PendingBatch {
     batch: UsageBatch,
     holder: Option<Incarnation>,
@@ -14,7 +14,7 @@
 }
 
 /// The node's own batches that the log does not show yet, with the replica holder of each.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PendingBatches {
     retry: Span,
     pending: BTreeMap<RecordId, PendingBatch>,
--- a/crates/usage/src/replica.rs
+++ b/crates/usage/src/replica.rs
@@ -24,7 +24,7 @@
     }
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 struct HeldBatch {
     batch: UsageBatch,
     append_at: Moment,
@@ -34,7 +34,7 @@
 ///
 /// A batch is dropped only when the log shows its id. Readers count an id once, so an append by
 /// both the origin and the holder is harmless.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReplicaStore {
     capacity: usize,
     retry: Span,
--- a/crates/usage/src/report.rs
+++ b/crates/usage/src/report.rs
@@ -29,7 +29,7 @@
 }
 
 /// Sends one report at a time while this node holds the `usage` lease.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReportDesk {
     retry: Span,
     in_flight: Option<WindowReported>,
