Test a zone that is cut off from the platform and its peers

Cause: nothing showed that a partitioned zone serves for the stated time, refuses keys afterwards and catches up without going back. Change: TCP relays in the test process that cut a path; setting peer_advertised, which a daemon behind another address needs anyway. Conclusion: one daemon is cut in both directions from the platform and in one direction from its peers; a full cut of all pairs is not covered.

--- a/crates/document/src/settings.rs
+++ b/crates/document/src/settings.rs
@@ -19,6 +19,8 @@
         pub listen: SocketAddr,
         /// Address that serves other daemons.
         pub peer: SocketAddr,
+        /// Address at which other daemons reach this one, if it differs from `peer`.
+        pub peer_advertised: Option<SocketAddr>,
         /// Address that serves operators and the balancer's readiness check.
         pub admin: SocketAddr,
         /// Address of the platform.
@@ -158,6 +160,7 @@
         environment: root.name("environment"),
         listen: address(root, "listen"),
         peer: address(root, "peer"),
+        peer_advertised: root.has("peer_advertised").then(|| address(root, "peer_advertised")),
         admin: address(root, "admin"),
         platform: address(root, "platform"),
         metrics: root.has("metrics").then(|| address(root, "metrics")),
--- a/crates/hibiscushinged/src/control/peers.rs
+++ b/crates/hibiscushinged/src/control/peers.rs
@@ -51,7 +51,7 @@
         let own = VmIdentity {
             name: settings.vm_name.clone(),
             zone: settings.zone.clone(),
-            address: settings.peer.to_string(),
+            address: settings.peer_advertised.unwrap_or(settings.peer).to_string(),
             generation: u64::try_from(wall_now().0).unwrap_or_default(),
             incarnation: shared.incarnation,
         };
--- a/crates/process-tests/src/fleet.rs
+++ b/crates/process-tests/src/fleet.rs
@@ -165,12 +165,22 @@
     /// Starts a daemon of this number in a zone, with further lines of settings.
     #[must_use]
     pub fn start_daemon_with(&self, index: usize, zone: &str, settings: &str) -> ProcessHandle {
+        self.start_daemon_through(index, zone, self.platform.address(0), settings)
+    }
+
+    /// Starts a daemon that reaches the platform at another address than the other daemons.
+    #[must_use]
+    pub fn start_daemon_through(
+        &self,
+        index: usize,
+        zone: &str,
+        platform: SocketAddr,
+        settings: &str,
+    ) -> ProcessHandle {
         let text = format!(
             "vm_name = \"entry-{index}\"\nzone = \"{zone}\"\nenvironment = \"production\"\n\
              listen = \"127.0.0.1:0\"\npeer = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\n\
-             platform = \"{}\"\ntraffic_threads = 1\n{}[timeouts]\nlimit_grant = \"1s\"\n",
-            self.platform.address(0),
-            settings
+             platform = \"{platform}\"\ntraffic_threads = 1\n{settings}[timeouts]\nlimit_grant = \"1s\"\n"
         );
         let file = self.folder.join(format!("daemon-{index}.toml"));
         fs::write(&file, text).expect("the settings can be written");
--- a/crates/process-tests/src/lib.rs
+++ b/crates/process-tests/src/lib.rs
@@ -6,9 +6,11 @@
 mod call;
 mod fleet;
 mod process;
+mod relay;
 
 pub use crate::{
     call::{CallAnswer, call, get, get_json, post_json},
     fleet::{FleetOptions, TestFleet, caller_key, document_text},
     process::{ProcessHandle, wait_for},
+    relay::TcpRelay,
 };
