Guard weight orders by the lease

Cause: order_load checked the lease and then awaited a call that may still connect, like upstream orders did.

Ruled out: a new argument of EngineControl::load_version.

Change: the order goes through EngineClient::guarded with the check of the zone's lease under the fencing number of the order.

Conclusion: no order of the daemon is written after its check has failed.

--- a/crates/hibiscushinged/src/control/weights.rs
+++ b/crates/hibiscushinged/src/control/weights.rs
@@ -147,10 +147,10 @@
         let target = self.engine_target(upstream);
         let Some((name, model, address)) = target else { return };
         let scope = own_scope(&self.shared);
-        // Nothing may come between this check and the call that writes the order.
         let Some(fencing) = self.fencing(&scope, self.now()) else { return };
         let order = WeightOrder { model, version, fencing };
-        let result = self.engines.load_version(address, &order).await;
+        let guarded = self.engines.guarded(self.lease_check(&scope, fencing));
+        let result = guarded.load_version(address, &order).await;
         log_event!(
             WeightLoadOrdered,
             upstream = name,
