Test replaced, refused and stopped upstreams through processes

Cause: the fleet driver had tests of its counts only.

Ruled out: streams at the engines' default speed, which end before the stop would be ordered; ordered engines get a speed instead.

Conclusion: reclaimed upstreams are replaced by regular ones, refused cheap orders are not repeated, and a planned stop waits for running streams.

--- a/crates/process-tests/src/lib.rs
+++ b/crates/process-tests/src/lib.rs
@@ -5,10 +5,15 @@
 
 mod call;
 mod fleet;
+mod ordered;
 mod process;
 
 pub use crate::{
     call::{CallAnswer, call, get, get_json, post_json},
     fleet::{FleetOptions, TestFleet, caller_key, document_text},
+    ordered::{
+        HeldLease, ORDERED_SERVICE, ORDERED_ZONE, edit_pools, held_lease, lease_options,
+        lease_status, start_ordered, wait_for_ordered,
+    },
     process::{ProcessHandle, wait_for},
 };
--- a/crates/process-tests/tests/authority.rs
+++ b/crates/process-tests/tests/authority.rs
@@ -1,106 +1,23 @@
 //! Leases, orders and usage reports while processes stop, the log is down and answers are lost.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
-};
+use std::collections::{BTreeMap, BTreeSet};
 
 use authority::{AuthorityRecord, OrderId, OrderIntent, OrderKind, PriceClass, Scope};
 use base::{FencingNumber, Incarnation, LogOffset, RecordId, Span};
 use clients::{HttpClient, NewRecord, PlatformClient, PlatformLog as _, PlatformTimeouts};
-use configuration::ConfigVersion;
-use hibiscushinge::EditOutcome;
 use process_tests::{
-    CallAnswer, FleetOptions, TestFleet, call, caller_key, document_text, get_json, post_json,
-    wait_for,
+    CallAnswer, ORDERED_SERVICE, ORDERED_ZONE, TestFleet, call, caller_key, edit_pools, held_lease,
+    lease_options, lease_status, post_json, start_ordered, wait_for, wait_for_ordered,
 };
 use protocol::{decode_record, encode_record};
 use rstest::rstest;
 use serde_json::{Value, json};
 
-const ZONE: &str = "hobart-a";
-const SERVICE: &str = "sleeve-proofs";
 const STREAM: &str = "authority.hobart-a";
 
 /// Order of a holder that ended before it could send it.
 const INHERITED: OrderId = OrderId { issuer: Incarnation(77), number: 1 };
 
-fn pools(min_count: u32, cheap_count: u32) -> String {
-    let pool = |cheap: bool, min: u32, price: u32| {
-        format!(
-            "[[pools]]\nservice = \"{SERVICE}\"\nzone = \"{ZONE}\"\nmin_count = {min}\nmax_count = 9\n\
-             cheap = {cheap}\nprice_cents_per_hour = {price}\nstartup = \"1s\"\nspeed = 200\n\
-             fencing = \"checked\"\n"
-        )
-    };
-    let (regular, cheap) = (pool(false, min_count, 100), pool(true, cheap_count, 30));
-    format!("[[services]]\nname = \"{SERVICE}\"\nkind = \"model\"\n{regular}{cheap}")
-}
-
-fn options(daemons: Vec<&'static str>, platform: &[&str]) -> FleetOptions {
-    let lease = "[lease]\nterm = \"2s\"\nrenewal = \"500ms\"\nmargin = \"300ms\"\n\
-                 order_timeout = \"500ms\"\nextra_wait = \"1s\"\n";
-    let arguments = ["--engine-service", SERVICE].into_iter().chain(platform.iter().copied());
-    FleetOptions {
-        daemons,
-        platform: arguments.map(String::from).collect(),
-        settings: String::from(lease),
-        document: String::from("usage_window = \"10s\"\n"),
-        ..Default::default()
-    }
-}
-
-/// Starts a fleet whose document asks for this many regular and cheap ordered upstreams, and waits
-/// until they are started.
-async fn start(options: FleetOptions, regular: u32, cheap: u32) -> TestFleet {
-    let fleet = TestFleet::start(options).await;
-    put_document(&fleet, 0, regular, cheap).await;
-    fleet.wait_for_version(1).await;
-    wait_for_upstreams(&fleet, (regular + cheap) as usize).await;
-    fleet
-}
-
-async fn put_document(fleet: &TestFleet, base: u64, regular: u32, cheap: u32) {
-    let text = document_text(fleet, &["cordial"]) + &pools(regular, cheap);
-    let mut operator = fleet.operator(base + 1);
-    let edit = operator.edit("production", ConfigVersion(base), &text).await;
-    assert_eq!(edit, Ok(EditOutcome::Accepted(ConfigVersion(base + 1))));
-}
-
-/// Waits until the platform lists this many running upstreams and no order is open.
-async fn wait_for_upstreams(fleet: &TestFleet, count: usize) {
-    wait_for("the ordered upstreams", || async move {
-        let seen = fleet.inspect().await;
-        let states = seen["upstreams"].as_array()?.iter().map(|one| &one["state"]);
-        let running = states.filter(|state| *state == "running").count();
-        let holder = lease(fleet, ZONE).await?;
-        (running == count && holder.open_orders == 0).then_some(())
-    })
-    .await;
-}
-
-struct HeldLease {
-    daemon: usize,
-    fencing: u64,
-    open_orders: u64,
-}
-
-/// Returns the daemon that holds a scope.
-async fn lease(fleet: &TestFleet, scope: &str) -> Option<HeldLease> {
-    for (daemon, process) in fleet.daemons.iter().enumerate() {
-        let Some(status) = lease_status(process.address(2), scope).await else { continue };
-        let Some(fencing) = status["held"].as_u64() else { continue };
-        let open_orders = status["open_orders"].as_u64()?;
-        return Some(HeldLease { daemon, fencing, open_orders });
-    }
-    None
-}
-
-async fn lease_status(admin: SocketAddr, scope: &str) -> Option<Value> {
-    let status = get_json(admin, "/admin/status").await?;
-    status["leases"].as_array()?.iter().find(|one| one["scope"] == scope).cloned()
-}
-
 fn log(fleet: &TestFleet) -> PlatformClient {
     let http = HttpClient::new(Span::from_secs(5));
     PlatformClient::new(http, fleet.platform.address(0), PlatformTimeouts::default())
@@ -110,8 +27,8 @@
 async fn append_intent(fleet: &TestFleet, fencing: u64) {
     let record = AuthorityRecord::Intent(OrderIntent {
         id: INHERITED,
-        scope: Scope::Zone(String::from(ZONE)),
-        service: String::from(SERVICE),
+        scope: Scope::Zone(String::from(ORDERED_ZONE)),
+        service: String::from(ORDERED_SERVICE),
         kind: OrderKind::Start { count: 1, price: PriceClass::Regular },
         fencing: FencingNumber(fencing),
     });
@@ -166,20 +83,20 @@
 #[case::after_the_order_was_sent(true)]
 #[actix_rt::test]
 async fn successor_settles_the_order_of_a_killed_holder(#[case] sent: bool) {
-    let mut fleet = start(options(vec![ZONE, ZONE], &[]), 1, 0).await;
-    let holder = lease(&fleet, ZONE).await.expect("the zone has a holder");
+    let mut fleet = start_ordered(lease_options(vec![ORDERED_ZONE, ORDERED_ZONE], &[]), 1, 0).await;
+    let holder = held_lease(&fleet, ORDERED_ZONE).await.expect("the zone has a holder");
     fleet.daemons[holder.daemon].kill();
     append_intent(&fleet, holder.fencing).await;
     if sent {
         let order = json!({
-            "id": INHERITED.to_string(), "zone": ZONE, "service": SERVICE, "kind": "start",
+            "id": INHERITED.to_string(), "zone": ORDERED_ZONE, "service": ORDERED_SERVICE, "kind": "start",
             "count": 1, "fencing": holder.fencing,
         });
         let status = post_json(fleet.platform.address(0), "/orders", &order).await;
         assert_eq!(status, 200, "the platform takes the order");
     }
     wait_for_outcome(&fleet).await;
-    wait_for_upstreams(&fleet, 2).await;
+    wait_for_ordered(&fleet, 2).await;
     check_orders(&fleet.inspect().await, 2);
     assert_eq!(outcomes(&fleet, INHERITED).await, 1);
 }
@@ -191,8 +108,10 @@
 /// it would send it.
 #[actix_rt::test]
 async fn holder_that_was_paused_sends_no_order() {
-    let fleet = start(options(vec![ZONE, ZONE], &["--ignore-fencing"]), 1, 0).await;
-    let holder = lease(&fleet, ZONE).await.expect("the zone has a holder");
+    let fleet =
+        start_ordered(lease_options(vec![ORDERED_ZONE, ORDERED_ZONE], &["--ignore-fencing"]), 1, 0)
+            .await;
+    let holder = held_lease(&fleet, ORDERED_ZONE).await.expect("the zone has a holder");
     fleet.fault(&json!({ "slow_asks_ms": 300 })).await;
     append_intent(&fleet, holder.fencing).await;
     wait_for("the holder's question", || async {
@@ -202,19 +121,19 @@
     fleet.daemons[holder.daemon].signal("STOP");
     let successor = &fleet.daemons[1 - holder.daemon];
     wait_for("a successor", || async {
-        lease_status(successor.address(2), ZONE).await?["held"].as_u64()
+        lease_status(successor.address(2), ORDERED_ZONE).await?["held"].as_u64()
     })
     .await;
     wait_for_outcome(&fleet).await;
     fleet.daemons[holder.daemon].signal("CONT");
     let admin = fleet.daemons[holder.daemon].address(2);
     wait_for("the former holder to read the claim of its successor", || async {
-        let status = lease_status(admin, ZONE).await?;
+        let status = lease_status(admin, ORDERED_ZONE).await?;
         (status["in_force"].as_u64()? > holder.fencing && status["open_orders"] == 0).then_some(())
     })
     .await;
-    put_document(&fleet, 1, 3, 0).await;
-    wait_for_upstreams(&fleet, 3).await;
+    edit_pools(&fleet, 1, 3, 0).await;
+    wait_for_ordered(&fleet, 3).await;
     check_orders(&fleet.inspect().await, 3);
 }
 
@@ -227,12 +146,12 @@
 /// Guards against orders without a lease, and against serving that needs the log.
 #[actix_rt::test]
 async fn orders_stop_with_the_lease_while_the_log_is_down() {
-    let fleet = start(options(vec![ZONE, ZONE], &[]), 1, 0).await;
+    let fleet = start_ordered(lease_options(vec![ORDERED_ZONE, ORDERED_ZONE], &[]), 1, 0).await;
     wait_for("an admitted request", || async {
         (draft(&fleet, 0).await.status == 200).then_some(())
     })
     .await;
-    let holder = lease(&fleet, ZONE).await.expect("the zone has a holder");
+    let holder = held_lease(&fleet, ORDERED_ZONE).await.expect("the zone has a holder");
     fleet.fault(&json!({ "slow_asks_ms": 60_000 })).await;
     append_intent(&fleet, holder.fencing).await;
     wait_for("the holder's question", || async {
@@ -241,7 +160,7 @@
     .await;
     fleet.fault(&json!({ "log_down": true })).await;
     wait_for("the end of the lease", || async {
-        lease(&fleet, ZONE).await.is_none().then_some(())
+        held_lease(&fleet, ORDERED_ZONE).await.is_none().then_some(())
     })
     .await;
     fleet.fault(&json!({ "slow_asks_ms": 0 })).await;
@@ -255,20 +174,20 @@
     assert_eq!(seen["asks"], asks, "no process has the right to ask for the order");
     fleet.fault(&json!({ "log_down": false })).await;
     wait_for_outcome(&fleet).await;
-    wait_for_upstreams(&fleet, 2).await;
+    wait_for_ordered(&fleet, 2).await;
     check_orders(&fleet.inspect().await, 2);
 }
 
 /// Guards against a record that is sent again and counts as a second order.
 #[actix_rt::test]
 async fn order_takes_effect_once_when_append_answers_are_lost() {
-    let fleet = start(options(vec![ZONE, ZONE], &[]), 1, 0).await;
+    let fleet = start_ordered(lease_options(vec![ORDERED_ZONE, ORDERED_ZONE], &[]), 1, 0).await;
     fleet.fault(&json!({ "lose_every_append": 2 })).await;
     let mut upstreams = 1;
     loop {
         upstreams += 1;
-        put_document(&fleet, u64::from(upstreams) - 1, upstreams, 0).await;
-        wait_for_upstreams(&fleet, upstreams as usize).await;
+        edit_pools(&fleet, u64::from(upstreams) - 1, upstreams, 0).await;
+        wait_for_ordered(&fleet, upstreams as usize).await;
         check_orders(&fleet.inspect().await, upstreams as usize);
         let records = order_records(&fleet).await;
         let ids = records.iter().map(|(id, _)| id).collect::<BTreeSet<_>>();
@@ -280,30 +199,6 @@
     }
 }
 
-/// Guards against upstreams that are not replaced when they are reclaimed, and against a service
-/// that waits for cheap ones which cannot be had.
-#[actix_rt::test]
-async fn reclaimed_upstreams_are_replaced_by_regular_ones() {
-    let fleet = start(options(vec![ZONE], &[]), 0, 2).await;
-    let cheap = |seen: &Value| {
-        let upstreams = seen["upstreams"].as_array().expect("the platform lists its upstreams");
-        upstreams.iter().filter(|one| one["cheap"] == true).count()
-    };
-    assert_eq!(cheap(&fleet.inspect().await), 2);
-    let reclaim = json!({ "zone": ZONE, "after_ms": 200 });
-    assert_eq!(post_json(fleet.platform.address(0), "/reclaims", &reclaim).await, 200);
-    wait_for("the end of the cheap upstreams", || async {
-        (cheap(&fleet.inspect().await) == 0).then_some(())
-    })
-    .await;
-    put_document(&fleet, 1, 2, 2).await;
-    wait_for_upstreams(&fleet, 2).await;
-    assert_eq!(cheap(&fleet.inspect().await), 0);
-    let subject = format!("/admin/explain?id=fleet/{ZONE}/{SERVICE}");
-    let lines = get_json(fleet.daemons[0].address(2), &subject).await.expect("an answer");
-    assert!(lines["events"].to_string().contains("2 regular and 0 cheap"), "{lines:#}");
-}
-
 /// Returns the reports that hold usage of the customer.
 async fn reports(fleet: &TestFleet) -> Vec<Value> {
     let seen = fleet.inspect().await;
@@ -319,8 +214,10 @@
 #[actix_rt::test]
 async fn window_is_reported_with_one_set_of_figures(#[case] reported: bool) {
     const CALLS: u64 = 4;
-    let mut fleet = start(options(vec![ZONE, ZONE, ZONE], &[]), 0, 0).await;
-    let holder = wait_for("a holder of usage", || lease(&fleet, "usage")).await;
+    let mut fleet =
+        start_ordered(lease_options(vec![ORDERED_ZONE, ORDERED_ZONE, ORDERED_ZONE], &[]), 0, 0)
+            .await;
+    let holder = wait_for("a holder of usage", || held_lease(&fleet, "usage")).await;
     let other = (holder.daemon + 1) % 3;
     wait_for("an admitted request", || async {
         (draft(&fleet, other).await.status == 200).then_some(())
@@ -333,7 +230,7 @@
         wait_for("the first report", || async { reports(&fleet).await.pop() }).await;
     }
     fleet.daemons[holder.daemon].kill();
-    wait_for("a successor", || lease(&fleet, "usage")).await;
+    wait_for("a successor", || held_lease(&fleet, "usage")).await;
     let billed = wait_for("the reports of all calls", || async {
         let mut windows = BTreeMap::new();
         for one in reports(&fleet).await {
--- a/crates/stand-ins/src/flags.rs
+++ b/crates/stand-ins/src/flags.rs
@@ -20,6 +20,8 @@
             optional --ignore-fencing
             /// Service whose ordered upstreams are engines in this process.
             repeated --engine-service name: String
+            /// Tokens per second of one generation that runs alone on an ordered engine.
+            optional --engine-speed tokens: u32
             /// Service whose ordered upstreams are plain services in this process.
             repeated --plain-service name: String
         }
--- a/crates/stand-ins/src/main.rs
+++ b/crates/stand-ins/src/main.rs
@@ -28,7 +28,12 @@
     match command {
         StandInCmd::Platform(flags) => {
             let default = PlatformOptions::default();
-            let engine = || LaunchKind::Engine(Box::default());
+            let engine_default = EngineOptions::default();
+            let engine = || {
+                let speed = flags.engine_speed.unwrap_or(engine_default.tokens_per_second);
+                let options = EngineOptions { tokens_per_second: speed, ..engine_default.clone() };
+                LaunchKind::Engine(Box::new(options))
+            };
             let plain = || LaunchKind::Plain(PlainOptions::default());
             let engines = flags.engine_service.into_iter().map(|name| (name, engine()));
             let plains = flags.plain_service.into_iter().map(|name| (name, plain()));
--- a/crates/stand-ins/src/platform/state.rs
+++ b/crates/stand-ins/src/platform/state.rs
@@ -50,6 +50,8 @@
     pub(crate) lose_every_append: u64,
     pub(crate) delay_append_ms: u64,
     pub(crate) refuse_orders: bool,
+    /// No cheap upstreams can be had.
+    pub(crate) refuse_cheap: bool,
     /// Delay of the answers about the state of an order.
     pub(crate) slow_asks_ms: u64,
 }
@@ -64,6 +66,7 @@
     lose_every_append: Option<u64>,
     delay_append_ms: Option<u64>,
     refuse_orders: Option<bool>,
+    refuse_cheap: Option<bool>,
     slow_asks_ms: Option<u64>,
 }
 
@@ -113,6 +116,7 @@
         faults.lose_every_append = change.lose_every_append.unwrap_or(faults.lose_every_append);
         faults.delay_append_ms = change.delay_append_ms.unwrap_or(faults.delay_append_ms);
         faults.refuse_orders = change.refuse_orders.unwrap_or(faults.refuse_orders);
+        faults.refuse_cheap = change.refuse_cheap.unwrap_or(faults.refuse_cheap);
         faults.slow_asks_ms = change.slow_asks_ms.unwrap_or(faults.slow_asks_ms);
     }
 
--- a/crates/stand-ins/src/platform/upstreams.rs
+++ b/crates/stand-ins/src/platform/upstreams.rs
@@ -37,7 +37,9 @@
         }
         let fresh = state.pass_order_fencing(&order.zone, order.fencing);
         let known = self.options.services.iter().find(|(name, _)| *name == order.service);
-        let refused = (self.options.check_fencing && !fresh) || state.faults.refuse_orders;
+        let is_unavailable = state.faults.refuse_orders
+            || (order.cheap && order.kind == OrderVerb::Start && state.faults.refuse_cheap);
+        let refused = (self.options.check_fencing && !fresh) || is_unavailable;
         let mut names = Vec::new();
         match order.kind {
             OrderVerb::Start if known.is_some() && !refused => {
