Keep the fleet plan through changes of the document

Cause: a change of the document built a new plan, which forgot the pauses of refused cheap upstreams and the hold times, and started the pause of each reclaim anew.

Ruled out: keeping pauses in the driver, since the plan has them already.

Change: FleetPlan::set_zones; the driver keeps its plan.

Conclusion: pause_of_cheap_upstreams_outlasts_a_change_of_the_document.

--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -176,6 +176,14 @@
         Self { zones: zones.into_iter().collect(), ..Self::default() }
     }
 
+    /// Replaces the zones. Pauses of cheap upstreams and hold times of the zones that stay go on.
+    pub fn set_zones(&mut self, zones: impl IntoIterator<Item = ZoneKey>) {
+        self.zones = zones.into_iter().collect();
+        let zones = &self.zones;
+        self.wanted.retain(|(_, zone), _| zones.contains(zone));
+        self.surplus.retain(|(_, zone, _), _| zones.contains(zone));
+    }
+
     /// Sets a service.
     pub fn set_service(&mut self, settings: ServiceSettings) {
         self.services.insert(settings.service.clone(), settings);
--- a/crates/fleet/tests/plan.rs
+++ b/crates/fleet/tests/plan.rs
@@ -148,6 +148,21 @@
     assert_eq!(platform.count(UpstreamKind::Regular, None), 80);
 }
 
+/// Guards against a change of the document that ends the pause of cheap upstreams or starts it anew.
+#[test]
+fn pause_of_cheap_upstreams_outlasts_a_change_of_the_document() {
+    let mut platform = Platform::new(settings(30, 500, 500));
+    platform.plan.cheap_refused(at(0), ZONES[1]);
+    for secs in [0, 300, 599] {
+        platform.plan.set_zones(ZONES);
+        platform.plan.set_service(settings(30, 500, 500));
+        platform.step(at(secs), 300.0, 300.0);
+        assert_eq!(platform.count(UpstreamKind::Cheap, Some(ZONES[1])), 0, "after {secs} s");
+    }
+    platform.step(at(601), 300.0, 600.0);
+    assert!(platform.count(UpstreamKind::Cheap, Some(ZONES[1])) > 0, "the pause must end");
+}
+
 #[test]
 fn plan_does_not_flap_when_demand_swings_around_a_boundary() {
     let mut platform = Platform::new(settings(30, 500, 500));
--- a/crates/hibiscushinged/src/control/config.rs
+++ b/crates/hibiscushinged/src/control/config.rs
@@ -217,7 +217,7 @@
         log_event!(ConfigApplied, version = version.0, customers = document.customers.len());
         self.apply_static_upstreams(&document);
         self.apply_limits(now, &document);
-        self.apply_fleet(now, &document);
+        self.apply_fleet(&document);
     }
 
     pub(crate) fn tick_config(self: &Rc<Self>, now: Moment) {
--- a/crates/hibiscushinged/src/control/fleet.rs
+++ b/crates/hibiscushinged/src/control/fleet.rs
@@ -96,21 +96,24 @@
 
 impl Control {
     /// Takes over the pools and the time zone of a document.
-    pub(crate) fn apply_fleet(&self, now: Moment, document: &EnvironmentDocument) {
+    pub(crate) fn apply_fleet(&self, document: &EnvironmentDocument) {
         let mut state = self.state();
         let state = &mut *state;
         let (config, fleet) = (&mut state.config, &mut state.fleet);
         fleet.demand.set_time_zone(&document.time_zone);
         let settings = service_settings(document, |zone| config.zone_key(zone));
         let zones = document.zones.iter().map(|zone| config.zone_key(&zone.name));
-        fleet.plan = FleetPlan::new(zones.collect::<Vec<_>>());
-        fleet.services = settings.iter().map(|one| one.service.clone()).collect();
+        // The plan is kept, since its pauses and hold times must outlast a change of the document.
+        fleet.plan.set_zones(zones.collect::<Vec<_>>());
+        let services = settings.iter().map(|one| one.service.clone()).collect();
+        for service in std::mem::replace(&mut fleet.services, services) {
+            if !fleet.services.contains(&service) {
+                fleet.plan.remove_service(&service);
+            }
+        }
         for settings in settings {
             fleet.plan.set_service(settings);
         }
-        for (zone, _) in &fleet.reclaims {
-            fleet.plan.reclaimed(now, config.zone_key(zone));
-        }
     }
 
     /// Notes a reclaim notice, so that the next plan replaces the upstreams.
--- a/crates/hibiscushinged/src/control/fleet/demand.rs
+++ b/crates/hibiscushinged/src/control/fleet/demand.rs
@@ -95,8 +95,7 @@
 
     /// Observes demand, and appends snapshots while this node holds the fleet scope.
     pub(crate) fn tick_demand(self: &Rc<Self>, now: Moment) {
-        self.observe_demand(now);
-        if !self.holds(&Scope::Fleet, now) {
+        if !self.observe_demand(now) || !self.holds(&Scope::Fleet, now) {
             return;
         }
         let snapshots = {
@@ -123,18 +122,19 @@
         }
     }
 
-    fn observe_demand(&self, now: Moment) {
+    /// Observes demand when it is due, and tells whether it was.
+    fn observe_demand(&self, now: Moment) -> bool {
         let wall = wall_now();
         let mut state = self.state();
         let state = &mut *state;
-        let Some(document) = &state.config.document else { return };
+        let Some(document) = &state.config.document else { return false };
         let demand = &mut state.fleet.demand;
         let passed = demand.observed_at.map(|at| now.since(at));
         if passed.is_some_and(|passed| passed < OBSERVE_PERIOD) {
-            return;
+            return false;
         }
         demand.observed_at = Some(now);
-        let Some(model) = &mut demand.model else { return };
+        let Some(model) = &mut demand.model else { return false };
         let mut seen = BTreeMap::<DemandKey, f64>::new();
         for key in series(document) {
             seen.insert(key, 0.0);
@@ -166,6 +166,7 @@
         for (key, demand) in seen {
             model.observe(wall, &key, demand);
         }
+        true
     }
 }
 
