Carry trainers in the stream `samples`

Cause: a daemon that started after the log dropped the first records of a trainer read a stream without its beginning and built another book than the other daemons.

Change: the record `TrainerCarry` holds a trainer's part of the book and the prompts of its unfinished steps. One node appends it with each step, and again when the last one lies in the older half of what the log retains. A gap starts a new book. Weight orders are checked against the lease as the last step before their bytes.

Conclusion: a late daemon answers a trainer with the same bytes under the same numbers.

--- a/crates/hibiscushinged/src/control.rs
+++ b/crates/hibiscushinged/src/control.rs
@@ -9,6 +9,7 @@
 mod limits;
 mod orders;
 mod peers;
+mod sample_carry;
 mod sample_store;
 mod samples;
 mod score;
--- a/crates/hibiscushinged/src/control/generate.rs
+++ b/crates/hibiscushinged/src/control/generate.rs
@@ -93,6 +93,10 @@
         self.next_scan = Moment(0);
     }
 
+    pub(crate) fn slots(&self) -> Vec<SlotKey> {
+        self.running.keys().copied().collect()
+    }
+
     pub(crate) fn running(&self) -> usize {
         self.running.len()
     }
--- a/crates/hibiscushinged/src/control/generate/attempt.rs
+++ b/crates/hibiscushinged/src/control/generate/attempt.rs
@@ -331,7 +331,7 @@
             digest,
             holders,
         });
-        let entry = SampleEntry { record, opened: None };
+        let entry = SampleEntry::Record { record, opened: None };
         if self.append_as(SAMPLE_STREAM, sample, &entry).is_err() {
             self.state().samples.store.remove(sample);
             return false;
--- a/crates/hibiscushinged/src/control/samples.rs
+++ b/crates/hibiscushinged/src/control/samples.rs
@@ -2,17 +2,17 @@
 //!
 //! Samples belong to no customer, so their tokens are not metered to any.
 //!
-//! The stream has no snapshot record. A node reads it from its oldest retained record, so the log
-//! must retain the steps that a trainer has not finished.
+//! A node that starts after retention dropped the first records knows a trainer once it has read a
+//! snapshot of it.
 
 use std::{
     collections::{BTreeMap, HashMap},
     rc::Rc,
 };
 
-use base::{EventCode, Incarnation, Moment, RecordId, Span};
+use base::{EventCode, Incarnation, LogOffset, Moment, RecordId, Span};
 use document::{DaemonSettings, TrainerEntry};
-use membership::{PeerState, stable_hash};
+use membership::{PeerState, PeerTable, stable_hash};
 use protocol::{OpenedStep, PeerMessage, SampleEntry, WireSampleCopy};
 use rollout::{
     BookAction, SampleBook, SampleFilled, SampleRecord, ScoreAction, ScoreDesk, SlotKey, TrainerId,
@@ -25,6 +25,7 @@
         Control,
         follow::{NextRead, StreamEvent, follow},
         generate::GenerationDriver,
+        sample_carry::CarryTracker,
         sample_store::{SampleStore, StoreOutcome},
         trainers::StatementWaiters,
     },
@@ -56,6 +57,7 @@
     pub(crate) scores: ScoreDesk,
     /// Bound and voided records that were appended and not read back.
     appended: HashMap<RecordId, Moment>,
+    pub(crate) carries: CarryTracker,
     started: Option<Moment>,
     next_care: Moment,
     caught_up: bool,
@@ -82,6 +84,7 @@
             generation: GenerationDriver::new(),
             scores: ScoreDesk::default(),
             appended: HashMap::new(),
+            carries: CarryTracker::default(),
             started: None,
             next_care: Moment(0),
             caught_up: false,
@@ -129,8 +132,19 @@
 }
 
 impl SlotOwners {
+    /// Takes the own node and the peers whose state counts.
+    pub(crate) fn of(table: &PeerTable, counts: impl Fn(PeerState) -> bool) -> Self {
+        let others = table.iter().filter(|(key, peer)| *key != table.own() && counts(peer.state));
+        let mut others = others.map(|(_, peer)| stable_hash(&peer.vm.name)).collect::<Vec<_>>();
+        others.sort_unstable();
+        Self { own: stable_hash(&table.own_identity().name), others }
+    }
+
     pub(crate) fn owns(&self, slot: SlotKey) -> bool {
-        let item = slot_hash(slot);
+        self.owns_item(slot_hash(slot))
+    }
+
+    pub(crate) fn owns_item(&self, item: u64) -> bool {
         let own = base::rendezvous_weight(self.own, item);
         self.others.iter().all(|node| base::rendezvous_weight(*node, item) < own)
     }
@@ -149,30 +163,51 @@
 impl Control {
     fn on_samples(self: &Rc<Self>, event: StreamEvent<SampleEntry>) -> NextRead {
         match event {
-            StreamEvent::ReadingFrom(_) => {}
-            StreamEvent::Retained(_) => {
+            StreamEvent::ReadingFrom(offset) => self.samples_from(offset),
+            StreamEvent::Retained(offset) => {
                 // Records that follow on the same page are applied before anything else runs.
                 let now = self.now();
                 let mut state = self.state();
                 state.samples.started.get_or_insert(now);
                 state.samples.caught_up = true;
+                state.samples.carries.retained(offset);
             }
-            StreamEvent::Record { id, record, catching_up, .. } => {
-                self.state().samples.caught_up = !catching_up;
-                self.sample_record(id, record);
+            StreamEvent::Record { offset, id, record, catching_up } => {
+                {
+                    let mut state = self.state();
+                    state.samples.caught_up = !catching_up;
+                    state.samples.carries.read(offset);
+                }
+                match record {
+                    SampleEntry::Record { record, opened } => {
+                        self.sample_record(offset, id, &record, opened);
+                    }
+                    SampleEntry::Carry(carry) => self.adopt_trainer(offset, *carry),
+                }
             }
         }
         NextRead::Onwards
     }
 
-    fn sample_record(self: &Rc<Self>, id: RecordId, entry: SampleEntry) {
-        let SampleEntry { record, mut opened } = entry;
-        let actions = self.state().samples.book.apply(&record);
+    fn sample_record(
+        self: &Rc<Self>,
+        offset: LogOffset,
+        id: RecordId,
+        record: &SampleRecord,
+        mut opened: Option<OpenedStep>,
+    ) {
+        let actions = self.state().samples.book.apply_at(offset, record);
         {
             let mut state = self.state();
             let samples = &mut state.samples;
             samples.generation.book_changed();
-            if let SampleRecord::Stated(stated) = &record {
+            if let SampleRecord::Stated(stated) = record {
+                if let Some(shape) = stated.opened.filter(|_| actions.is_empty())
+                    && let Some(opened) = opened.take()
+                {
+                    // The trainer is not known yet, and a snapshot may show that the step is open.
+                    samples.opened.insert((stated.trainer, shape.step), opened);
+                }
                 samples.generation.share.set_weight(stated.trainer, 1);
                 let has = samples.book.acknowledged(stated.trainer);
                 samples.store.acknowledged(stated.trainer, has);
@@ -183,11 +218,13 @@
             match action {
                 BookAction::StepOpened { trainer, step, slots } => {
                     tracing::info!(trainer = trainer.0, step, slots, "a step was opened");
+                    let mut state = self.state();
+                    state.samples.carries.step_opened(trainer);
                     if let Some(opened) = opened.take() {
-                        self.state().samples.opened.insert((trainer, step), opened);
+                        state.samples.opened.insert((trainer, step), opened);
                     }
                 }
-                BookAction::Filled { slot, sample } => self.slot_filled(slot, sample, &record),
+                BookAction::Filled { slot, sample } => self.slot_filled(slot, sample, record),
                 BookAction::FillRefused { slot, sample, reason } => {
                     let name = self.state().samples.slot_text(slot);
                     tracing::info!(slot = name, reason = ?reason, "a fill record lost");
@@ -269,18 +306,13 @@
         self.state().samples.next_care = now + CARE_PERIOD;
         self.bind_samples(now, &owners);
         self.void_lost(now, &owners);
+        self.carry_trainers(now);
         self.state().samples.store.drop_orphans(now);
     }
 
     fn slot_owners(&self) -> SlotOwners {
         let state = self.state();
-        let table = &state.peers.table;
-        let others = table
-            .iter()
-            .filter(|(key, record)| *key != table.own() && record.state != PeerState::Gone);
-        let mut others = others.map(|(_, record)| stable_hash(&record.vm.name)).collect::<Vec<_>>();
-        others.sort_unstable();
-        SlotOwners { own: stable_hash(&table.own_identity().name), others }
+        SlotOwners::of(&state.peers.table, |peer| peer != PeerState::Gone)
     }
 
     /// Asks for scores and appends the records that ask for delivery numbers.
@@ -352,7 +384,7 @@
     /// Appends a record that is repeated until it is read back.
     fn append_sample(self: &Rc<Self>, record: SampleRecord) {
         // A full buffer is reported by `append`, and the record is made again after a while.
-        let _ = self.append(SAMPLE_STREAM, &SampleEntry { record, opened: None });
+        let _ = self.append(SAMPLE_STREAM, &SampleEntry::Record { record, opened: None });
     }
 
     /// Holds the bytes of another node's sample.
--- a/crates/hibiscushinged/src/control/trainers.rs
+++ b/crates/hibiscushinged/src/control/trainers.rs
@@ -255,11 +255,12 @@
             opened: shape,
         });
         let (waiter, end) = oneshot::channel();
-        let id = self.append(SAMPLE_STREAM, &SampleEntry { record, opened }).map_err(|_| {
-            let message = "the log has been down for too long to record the statement";
-            let refusal = Refusal::not_run(RefusalCode::LogUnavailable, message);
-            refusal.with_retry_after(Span::from_secs(1))
-        })?;
+        let id =
+            self.append(SAMPLE_STREAM, &SampleEntry::Record { record, opened }).map_err(|_| {
+                let message = "the log has been down for too long to record the statement";
+                let refusal = Refusal::not_run(RefusalCode::LogUnavailable, message);
+                refusal.with_retry_after(Span::from_secs(1))
+            })?;
         self.state().samples.waiters.waiting.insert(id, waiter);
         let waited = tokio::time::timeout(to_duration(STATEMENT_WAIT), end).await;
         waited.ok().and_then(Result::ok).ok_or_else(|| {
--- a/crates/hibiscushinged/src/control/weights.rs
+++ b/crates/hibiscushinged/src/control/weights.rs
@@ -5,7 +5,7 @@
 
 use authority::Scope;
 use base::{EventCode, FencingNumber, Moment, Span, UpstreamKey, WeightVersion};
-use clients::{EngineControl as _, WeightOrder};
+use clients::{CallFailure, EngineControl as _, WeightOrder};
 use document::ServiceKind;
 use rollout::{WeightAction, WeightPlan, WeightSettings};
 use routing::UpstreamState;
@@ -147,10 +147,15 @@
         let target = self.engine_target(upstream);
         let Some((name, model, address)) = target else { return };
         let scope = own_scope(&self.shared);
-        // Nothing may come between this check and the call that writes the order.
         let Some(fencing) = self.fencing(&scope, self.now()) else { return };
         let order = WeightOrder { model, version, fencing };
-        let result = self.engines.load_version(address, &order).await;
+        // The call may first wait for a connection, so the clock is checked again by the last step
+        // before the bytes.
+        let guarded = self.engines.guarded(self.lease_check(&scope, fencing));
+        let result = guarded.load_version(address, &order).await;
+        if result.as_ref().is_err_and(|error| error.failure == CallFailure::Denied) {
+            return;
+        }
         log_event!(
             WeightLoadOrdered,
             upstream = name,
--- a/crates/process-tests/tests/samples.rs
+++ b/crates/process-tests/tests/samples.rs
@@ -62,9 +62,13 @@
 }
 
 async fn open(fleet: &TestFleet, daemon: usize, trainer: &str, version: u64) {
+    open_step(fleet, daemon, trainer, 1, version).await;
+}
+
+async fn open_step(fleet: &TestFleet, daemon: usize, trainer: &str, step: u64, version: u64) {
     let prompts = (0..GROUPS).map(|group| format!("draft a sleeve, variant {group}"));
     let body = json!({
-        "step": 1,
+        "step": step,
         "version": version,
         "prompts": prompts.collect::<Vec<_>>(),
         "samples_per_group": IN_GROUP,
@@ -243,3 +247,45 @@
     fetch_all(&fleet, &[0], "layouts", 2, &mut side).await;
     side.check_whole();
 }
+
+/// Guards against a daemon that starts after the log dropped the first statements of a trainer and
+/// then disagrees with the others on its samples.
+#[actix_rt::test]
+async fn late_daemon_serves_a_trainer_whose_records_were_dropped() {
+    let options = FleetOptions {
+        platform: vec![String::from("--retain"), String::from("40")],
+        ..Default::default()
+    };
+    let mut fleet = TestFleet::start(options).await;
+    fleet.first_document(&["cordial"]).await;
+    open(&fleet, 0, "layouts", 1).await;
+    let mut side = TrainerSide::default();
+    fetch_all(&fleet, &[0, 1], "layouts", 1, &mut side).await;
+    let platform = fleet.platform.address(0);
+    wait_for("the log to drop the first records", || async {
+        // Each fetch of what the trainer has already adds a statement.
+        fetch(&fleet, 0, "layouts", 0, 1).await?;
+        let page = get_json(platform, "/log/samples?from=0&max=1").await?;
+        (page["first"].as_u64()? > 0).then_some(())
+    })
+    .await;
+    let mut again = TrainerSide::default();
+    fetch_all(&fleet, &[0], "layouts", 1, &mut again).await;
+    assert_eq!(again.received, side.received);
+    fleet.daemons[1].kill();
+    fleet.daemons[1] = fleet.start_daemon(1);
+    fleet.list_vms().await;
+    fleet.wait_for_version(1).await;
+
+    let mut late = TrainerSide::default();
+    fetch_all(&fleet, &[1], "layouts", 1, &mut late).await;
+    assert_eq!(late.received, side.received);
+    open_step(&fleet, 1, "layouts", 2, 1).await;
+    let answer = wait_for("a sample of the second step", || async {
+        let answer = fetch(&fleet, 1, "layouts", SAMPLES as u64, 1).await?;
+        (!answer["samples"].as_array()?.is_empty()).then_some(answer)
+    })
+    .await;
+    assert_eq!(answer["samples"][0]["number"], SAMPLES as u64 + 1);
+    assert_eq!(answer["samples"][0]["step"], 2);
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -19,7 +19,7 @@
         WireUpstream, WireZoneSummary,
     },
     record::{
-        OpenedStep, SampleEntry, UsageEntry, WireAuthority, WireBatch, WireClaim, WireConfig,
-        WireSample, WireSnapshot, WireUsage, WireVerdict,
+        OpenedStep, SampleCarry, SampleEntry, UsageEntry, WireAuthority, WireBatch, WireClaim,
+        WireConfig, WireSample, WireSnapshot, WireUsage, WireVerdict,
     },
 };
--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -10,6 +10,6 @@
     authority::WireAuthority,
     claims::{WireClaim, WireVerdict},
     config::{WireConfig, WireSnapshot},
-    samples::{OpenedStep, SampleEntry, WireSample},
+    samples::{OpenedStep, SampleCarry, SampleEntry, WireSample},
     usage::{UsageEntry, WireBatch, WireUsage},
 };
--- a/crates/protocol/src/record/samples.rs
+++ b/crates/protocol/src/record/samples.rs
@@ -3,12 +3,15 @@
 // Wire fields mirror the fields of the domain types, which document them.
 #![allow(missing_docs)]
 
+mod carry;
+
 use base::{Incarnation, RecordId, WeightVersion};
 use rollout::{
     DeliveryNumber, SampleBound, SampleFilled, SampleRecord, SampleVoided, Score, SlotKey,
-    StepShape, TrainerId, TrainerStated, VersionSpan, VoidReason,
+    StepShape, TrainerCarry, TrainerId, TrainerStated, VersionSpan, VoidReason,
 };
 
+use self::carry::WireCarry;
 use crate::codec::{MalformedMessage, StreamRecord, WireId, wire};
 
 /// Largest number of slots in a step. A larger one is refused before memory is spent on it.
@@ -28,19 +31,23 @@
             opened: Option<WireStep>,
         },
         /// A finished sample.
-        Filled {
-            slot: WireSlot,
-            generation: u32,
-            sample: WireId,
-            spans: Vec<(u64, u32, u32)>,
-            tokens: u32,
-            digest: u64,
-            holders: Vec<u64>,
-        },
+        Filled(WireFilled),
         /// A delivery number.
         Bound { slot: WireSlot, sample: WireId, score: Option<i64> },
         /// A sample that is not delivered.
         Voided { slot: WireSlot, sample: WireId, reason: WireVoidReason },
+        /// Everything that the book knows of one trainer.
+        Carry(WireCarry),
+    }
+
+    pub struct WireFilled {
+        slot: WireSlot,
+        generation: u32,
+        sample: WireId,
+        spans: Vec<(u64, u32, u32)>,
+        tokens: u32,
+        digest: u64,
+        holders: Vec<u64>,
     }
 
     pub struct WireStep {
@@ -73,13 +80,27 @@
     }
 }
 
-/// A record of the stream with the prompts of the step that it opens.
+/// An entry of the stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SampleEntry {
-    /// The record.
-    pub record: SampleRecord,
-    /// Present when the record is a statement that opens a step.
-    pub opened: Option<OpenedStep>,
+pub enum SampleEntry {
+    /// A record with the prompts of the step that it opens.
+    Record {
+        /// The record.
+        record: SampleRecord,
+        /// Present when the record is a statement that opens a step.
+        opened: Option<OpenedStep>,
+    },
+    /// A snapshot of one trainer.
+    Carry(Box<SampleCarry>),
+}
+
+/// Snapshot of one trainer with the prompts of its steps.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SampleCarry {
+    /// The snapshot.
+    pub carry: TrainerCarry,
+    /// Prompts of the steps that are not completed, by number of the step.
+    pub opened: Vec<(u64, OpenedStep)>,
 }
 
 impl StreamRecord for SampleEntry {
@@ -108,24 +129,10 @@
                 };
                 let opened = opened
                     .map(|step| OpenedStep { prompts: step.prompts, max_tokens: step.max_tokens });
-                return Ok(Self { record: SampleRecord::Stated(stated), opened });
-            }
-            WireSample::Filled { slot, generation, sample, spans, tokens, digest, holders } => {
-                let spans = spans.into_iter().map(|(version, from, to)| VersionSpan {
-                    version: WeightVersion(version),
-                    from,
-                    to,
-                });
-                SampleRecord::Filled(SampleFilled {
-                    slot: slot.into(),
-                    generation,
-                    sample: sample.into(),
-                    spans: spans.collect(),
-                    tokens,
-                    digest,
-                    holders: holders.into_iter().map(Incarnation).collect(),
-                })
+                return Ok(Self::Record { record: SampleRecord::Stated(stated), opened });
             }
+            WireSample::Filled(filled) => SampleRecord::Filled(filled.into()),
+            WireSample::Carry(carry) => return Ok(Self::Carry(Box::new(carry.try_into()?))),
             WireSample::Bound { slot, sample, score } => SampleRecord::Bound(SampleBound {
                 slot: slot.into(),
                 sample: sample.into(),
@@ -137,13 +144,17 @@
                 reason: reason.into(),
             }),
         };
-        Ok(Self { record, opened: None })
+        Ok(Self::Record { record, opened: None })
     }
 }
 
 impl From<&SampleEntry> for WireSample {
     fn from(entry: &SampleEntry) -> Self {
-        match &entry.record {
+        let (record, opened) = match entry {
+            SampleEntry::Record { record, opened } => (record, opened),
+            SampleEntry::Carry(carry) => return Self::Carry((&**carry).into()),
+        };
+        match record {
             SampleRecord::Stated(stated) => Self::Stated {
                 trainer: stated.trainer.0,
                 name: stated.name.clone(),
@@ -151,22 +162,14 @@
                 version: stated.version.0,
                 staleness_bound: stated.staleness_bound,
                 acknowledged: stated.acknowledged.0,
-                opened: stated.opened.zip(entry.opened.as_ref()).map(|(shape, step)| WireStep {
+                opened: stated.opened.zip(opened.as_ref()).map(|(shape, step)| WireStep {
                     step: shape.step,
                     samples_per_group: shape.samples_per_group,
                     max_tokens: step.max_tokens,
                     prompts: step.prompts.clone(),
                 }),
             },
-            SampleRecord::Filled(filled) => Self::Filled {
-                slot: filled.slot.into(),
-                generation: filled.generation,
-                sample: filled.sample.into(),
-                spans: filled.spans.iter().map(|s| (s.version.0, s.from, s.to)).collect(),
-                tokens: filled.tokens,
-                digest: filled.digest,
-                holders: filled.holders.iter().map(|holder| holder.0).collect(),
-            },
+            SampleRecord::Filled(filled) => Self::Filled(filled.into()),
             SampleRecord::Bound(bound) => Self::Bound {
                 slot: bound.slot.into(),
                 sample: bound.sample.into(),
@@ -181,6 +184,39 @@
     }
 }
 
+impl From<WireFilled> for SampleFilled {
+    fn from(wire: WireFilled) -> Self {
+        let spans = wire.spans.into_iter().map(|(version, from, to)| VersionSpan {
+            version: WeightVersion(version),
+            from,
+            to,
+        });
+        Self {
+            slot: wire.slot.into(),
+            generation: wire.generation,
+            sample: wire.sample.into(),
+            spans: spans.collect(),
+            tokens: wire.tokens,
+            digest: wire.digest,
+            holders: wire.holders.into_iter().map(Incarnation).collect(),
+        }
+    }
+}
+
+impl From<&SampleFilled> for WireFilled {
+    fn from(filled: &SampleFilled) -> Self {
+        Self {
+            slot: filled.slot.into(),
+            generation: filled.generation,
+            sample: filled.sample.into(),
+            spans: filled.spans.iter().map(|s| (s.version.0, s.from, s.to)).collect(),
+            tokens: filled.tokens,
+            digest: filled.digest,
+            holders: filled.holders.iter().map(|holder| holder.0).collect(),
+        }
+    }
+}
+
 impl TryFrom<&WireStep> for StepShape {
     type Error = MalformedMessage;
 
--- /dev/null
+++ b/crates/protocol/src/record/samples/carry.rs
@@ -0,0 +1,191 @@
+//! Snapshot of one trainer in the stream `samples`.
+
+// Wire fields mirror the fields of the domain types, which document them.
+#![allow(missing_docs)]
+
+use base::{LogOffset, WeightVersion};
+use rollout::{
+    Binding, BookSlot, BookStep, DeliveryNumber, Offer, Score, SlotState, StepShape, TrainerBook,
+    TrainerCarry, TrainerId,
+};
+
+use super::{MAX_SLOTS, OpenedStep, SampleCarry, WireFilled, WireVoidReason};
+use crate::codec::{MalformedMessage, wire};
+
+wire! {
+    pub struct WireCarry {
+        until: u64,
+        trainer: u64,
+        name: String,
+        version: u64,
+        staleness_bound: u64,
+        statements: u64,
+        acknowledged: u64,
+        offered: u64,
+        offer: Option<(u64, u64, u64)>,
+        last_number: u64,
+        bindings: Vec<WireBinding>,
+        steps: Vec<WireBookStep>,
+        retired_below: u64,
+        retired_until: u64,
+    }
+
+    struct WireBinding {
+        number: u64,
+        filled: WireFilled,
+        score: Option<i64>,
+        replaces: Option<u64>,
+        void: Option<WireVoidReason>,
+        pending: bool,
+    }
+
+    struct WireBookStep {
+        step: u64,
+        groups: u32,
+        samples_per_group: u32,
+        slots: Vec<WireBookSlot>,
+        completed: bool,
+        max_tokens: u32,
+        /// Empty for a completed step, of which nothing is generated any more.
+        prompts: Vec<String>,
+    }
+
+    struct WireBookSlot {
+        generation: u32,
+        state: WireSlotState,
+        replaces: Option<u64>,
+    }
+
+    enum WireSlotState {
+        Open,
+        Filled(WireFilled),
+        Bound(u64),
+    }
+}
+
+impl From<&SampleCarry> for WireCarry {
+    fn from(carry: &SampleCarry) -> Self {
+        let book = &carry.carry.book;
+        let bindings = book.bindings.iter().map(|(number, binding)| WireBinding {
+            number: number.0,
+            filled: (&binding.filled).into(),
+            score: binding.score.map(|score| score.0),
+            replaces: binding.replaces.map(|number| number.0),
+            void: binding.void.map(WireVoidReason::from),
+            pending: binding.pending,
+        });
+        let steps = book.steps.values().map(|step| {
+            let opened = carry.opened.iter().find(|(number, _)| *number == step.shape.step);
+            let opened = opened.map(|(_, opened)| opened);
+            WireBookStep {
+                step: step.shape.step,
+                groups: step.shape.groups,
+                samples_per_group: step.shape.samples_per_group,
+                slots: step.slots.iter().map(WireBookSlot::from).collect(),
+                completed: step.completed,
+                max_tokens: opened.map_or(0, |opened| opened.max_tokens),
+                prompts: opened.map_or_else(Vec::new, |opened| opened.prompts.clone()),
+            }
+        });
+        Self {
+            until: carry.carry.until.0,
+            trainer: book.id.0,
+            name: book.name.clone(),
+            version: book.version.0,
+            staleness_bound: book.staleness_bound,
+            statements: book.statements,
+            acknowledged: book.acknowledged.0,
+            offered: book.offered.0,
+            offer: book.offer.map(|offer| (offer.statement, offer.after.0, offer.until.0)),
+            last_number: book.last_number.0,
+            bindings: bindings.collect(),
+            steps: steps.collect(),
+            retired_below: book.retired_below,
+            retired_until: book.retired_until.0,
+        }
+    }
+}
+
+impl TryFrom<WireCarry> for SampleCarry {
+    type Error = MalformedMessage;
+
+    fn try_from(wire: WireCarry) -> Result<Self, MalformedMessage> {
+        let bindings = wire.bindings.into_iter().map(|binding| {
+            let number = DeliveryNumber(binding.number);
+            let binding = Binding {
+                filled: binding.filled.into(),
+                score: binding.score.map(Score),
+                replaces: binding.replaces.map(DeliveryNumber),
+                void: binding.void.map(Into::into),
+                pending: binding.pending,
+            };
+            (number, binding)
+        });
+        let bindings = bindings.collect();
+        let mut opened = Vec::new();
+        let mut steps = std::collections::BTreeMap::new();
+        for step in wire.steps {
+            let slots = u64::from(step.groups) * u64::from(step.samples_per_group);
+            if slots == 0 || slots > MAX_SLOTS || step.slots.len() as u64 != slots {
+                let reason = format!("a step of {slots} slots has {}", step.slots.len());
+                return Err(MalformedMessage::new(reason));
+            }
+            if !step.prompts.is_empty() {
+                let prompts = OpenedStep { prompts: step.prompts, max_tokens: step.max_tokens };
+                opened.push((step.step, prompts));
+            }
+            let shape = StepShape {
+                step: step.step,
+                groups: step.groups,
+                samples_per_group: step.samples_per_group,
+            };
+            let slots = step.slots.into_iter().map(BookSlot::from).collect();
+            steps.insert(step.step, BookStep { shape, slots, completed: step.completed });
+        }
+        let offer = wire.offer.map(|(statement, after, until)| Offer {
+            statement,
+            after: DeliveryNumber(after),
+            until: DeliveryNumber(until),
+        });
+        let book = TrainerBook {
+            id: TrainerId(wire.trainer),
+            name: wire.name,
+            version: WeightVersion(wire.version),
+            staleness_bound: wire.staleness_bound,
+            statements: wire.statements,
+            acknowledged: DeliveryNumber(wire.acknowledged),
+            offered: DeliveryNumber(wire.offered),
+            offer,
+            last_number: DeliveryNumber(wire.last_number),
+            bindings,
+            steps,
+            retired_below: wire.retired_below,
+            retired_until: DeliveryNumber(wire.retired_until),
+        };
+        Ok(Self { carry: TrainerCarry { until: LogOffset(wire.until), book }, opened })
+    }
+}
+
+impl From<&BookSlot> for WireBookSlot {
+    fn from(slot: &BookSlot) -> Self {
+        let state = match &slot.state {
+            SlotState::Open => WireSlotState::Open,
+            SlotState::Filled(filled) => WireSlotState::Filled(filled.into()),
+            SlotState::Bound(number) => WireSlotState::Bound(number.0),
+        };
+        let replaces = slot.replaces.map(|number| number.0);
+        Self { generation: slot.generation, state, replaces }
+    }
+}
+
+impl From<WireBookSlot> for BookSlot {
+    fn from(wire: WireBookSlot) -> Self {
+        let state = match wire.state {
+            WireSlotState::Open => SlotState::Open,
+            WireSlotState::Filled(filled) => SlotState::Filled(filled.into()),
+            WireSlotState::Bound(number) => SlotState::Bound(DeliveryNumber(number)),
+        };
+        let replaces = wire.replaces.map(DeliveryNumber);
+        Self { generation: wire.generation, state, replaces }
+    }
+}
--- a/crates/protocol/tests/codec.rs
+++ b/crates/protocol/tests/codec.rs
@@ -2,7 +2,7 @@
 //! reader.
 
 use authority::{AuthorityRecord, LeaseClaim, OrderId, OrderIntent, OrderKind, PriceClass, Scope};
-use base::{FencingNumber, Incarnation, LogOffset, RecordId, Span, WallTime};
+use base::{FencingNumber, Incarnation, LogOffset, RecordId, Span, WallTime, WeightVersion};
 use configuration::{ConfigEdit, ConfigRecord, ConfigVersion, EnvironmentName};
 use delivery::{ClaimDone, ClaimEvent, ClaimKey, ClaimOutcome, Fingerprint, RequestId, Verdict};
 use proptest::{
@@ -10,8 +10,12 @@
     test_runner::{Config, RngSeed, TestRunner},
 };
 use protocol::{
-    MAX_MESSAGE_BYTES, StreamRecord, WireAuthority, decode_message, decode_record, encode_message,
-    encode_record,
+    MAX_MESSAGE_BYTES, OpenedStep, SampleCarry, SampleEntry, StreamRecord, WireAuthority,
+    decode_message, decode_record, encode_message, encode_record,
+};
+use rollout::{
+    DeliveryNumber, SampleBook, SampleBound, SampleFilled, SampleRecord, SampleVoided, Score,
+    SlotKey, StepShape, TrainerId, TrainerStated, VersionSpan, VoidReason,
 };
 use serde_json::json;
 use usage::{UsageAmount, UsageBatch, UsageFigures, UsageRecord};
@@ -118,3 +122,48 @@
         fencing: FencingNumber(41),
     }
 }
+
+/// Guards against a snapshot from which a late node builds another book than the others have.
+#[test]
+fn sample_entries_survive_the_wire() {
+    let trainer = TrainerId::from_name("layouts");
+    let slot = |index| SlotKey { trainer, step: 3, group: 0, index };
+    let filled = |index| SampleFilled {
+        slot: slot(index),
+        generation: 0,
+        sample: RecordId { sequence: u64::from(index) + 1, ..ID },
+        spans: [VersionSpan { version: WeightVersion(4), from: 0, to: 9 }].into_iter().collect(),
+        tokens: 9,
+        digest: u64::MAX,
+        holders: [Incarnation(1), Incarnation(2)].into_iter().collect(),
+    };
+    let shape = StepShape { step: 3, groups: 1, samples_per_group: 3 };
+    let stated = TrainerStated {
+        trainer,
+        name: String::from("layouts"),
+        follows: 0,
+        version: WeightVersion(5),
+        staleness_bound: 1,
+        acknowledged: DeliveryNumber(0),
+        opened: Some(shape),
+    };
+    let opened = OpenedStep { prompts: vec![String::from("draft a sleeve")], max_tokens: 9 };
+    let bound = SampleBound { slot: slot(0), sample: filled(0).sample, score: Some(Score(-7)) };
+    let voided = SampleVoided { slot: slot(1), sample: filled(1).sample, reason: VoidReason::Lost };
+    let records = [
+        SampleRecord::Stated(stated),
+        SampleRecord::Filled(filled(0)),
+        SampleRecord::Filled(filled(1)),
+        SampleRecord::Bound(bound),
+        SampleRecord::Voided(voided),
+    ];
+    let mut book = SampleBook::default();
+    for record in records {
+        book.apply(&record);
+        let opened = matches!(record, SampleRecord::Stated(_)).then(|| opened.clone());
+        check(&SampleEntry::Record { record, opened });
+    }
+    book.apply(&SampleRecord::Filled(filled(2)));
+    let carry = book.carry(trainer, LogOffset(6)).expect("the trainer is known");
+    check(&SampleEntry::Carry(Box::new(SampleCarry { carry, opened: vec![(3, opened)] })));
+}
