Resume and re-run samples under crashes, and bound the cost of placement

Cause: each record of the stream made every node compare all nodes for each open slot, listed VMs that never ran owned slots, and a planned stop left running samples.

Ruled out: fingerprints by slot instead of by prompt. A prompt that crashes engines would cost two engines for each sample of its group.

Change: open slots are listed when slots open and every 2 s. A VM owns slots once its process was heard. A copy that is refused is offered to other peers. A planned stop finishes running samples. Fair shares between trainers are corrected by true tokens. New tests kill an engine in mid-stream and slow one down.

Conclusion: a suspect needs two engines that are left. A service with one engine left holds back samples that were in flight at a crash until the suspicion ends or another engine runs.

--- a/crates/hibiscushinged/src/control/admin.rs
+++ b/crates/hibiscushinged/src/control/admin.rs
@@ -125,7 +125,8 @@
         log_event!(ProcessDraining, in_flight = self.shared.in_flight());
         let deadline = self.now() + self.shared.settings.timeouts.drain;
         actix_rt::time::sleep(BALANCER_NOTICE).await;
-        while self.shared.in_flight() > 0 && self.now() < deadline {
+        // Slots of this node wait for it until it is gone, so those in progress are finished.
+        while self.has_work() && self.now() < deadline {
             actix_rt::time::sleep(DRAIN_POLL).await;
         }
         self.resign();
@@ -140,6 +141,10 @@
         log_event!(ProcessStopped, in_flight = self.shared.in_flight(), left_s = left);
     }
 
+    fn has_work(&self) -> bool {
+        self.shared.in_flight() > 0 || self.state().samples.generation.running() > 0
+    }
+
     /// Tells whether the log lacks anything that only this node has.
     fn has_unsaved(&self) -> bool {
         let state = self.state();
--- a/crates/hibiscushinged/src/control/generate.rs
+++ b/crates/hibiscushinged/src/control/generate.rs
@@ -32,8 +32,9 @@
 /// Slots made at once while live callers wait: the guaranteed minimum of samples, 10%.
 const MIN_SLOTS: usize = 6;
 
-/// Time between two looks at all open slots when nothing has changed.
-const SCAN_PERIOD: Span = Span::from_secs(1);
+/// Time between two looks at all open slots when no slot was opened. A look compares the nodes for
+/// each slot, which at 4,096 slots and 320 nodes takes milliseconds.
+const SCAN_PERIOD: Span = Span::from_secs(2);
 
 /// Expected bytes of one token of text, to reserve room before a sample is made.
 const BYTES_PER_TOKEN: usize = 8;
@@ -88,11 +89,18 @@
         }
     }
 
-    /// Notes that slots may have been opened or filled.
-    pub(crate) fn book_changed(&mut self) {
+    /// Notes that slots were opened.
+    pub(crate) fn slots_opened(&mut self) {
         self.next_scan = Moment(0);
     }
 
+    /// Forgets a slot that was to be placed.
+    fn unwant(&mut self, slot: SlotKey) {
+        if let Some(slots) = self.wanted.get_mut(&slot.trainer) {
+            slots.retain(|open| open.slot != slot);
+        }
+    }
+
     pub(crate) fn slots(&self) -> Vec<SlotKey> {
         self.running.keys().copied().collect()
     }
@@ -108,7 +116,8 @@
         wanted.get_mut(&trainer)?.pop_front()
     }
 
-    fn add_attempt(&mut self, open: OpenSlot) -> Rc<SampleAttempt> {
+    fn add_attempt(&mut self, open: OpenSlot, work: &SampleWork) -> Rc<SampleAttempt> {
+        self.share.charge(open.slot.trainer, u64::from(work.max_tokens));
         self.last_attempt += 1;
         let attempt = Rc::new(SampleAttempt {
             slot: open.slot,
@@ -157,12 +166,7 @@
             if !self.has_room(&work) {
                 return;
             }
-            let attempt = {
-                let mut state = self.state();
-                let generation = &mut state.samples.generation;
-                generation.share.charge(open.slot.trainer, u64::from(work.max_tokens));
-                generation.add_attempt(open)
-            };
+            let attempt = self.state().samples.generation.add_attempt(open, &work);
             actix_rt::spawn(Rc::clone(self).run_attempt(attempt, work, None));
         }
     }
@@ -182,7 +186,7 @@
         for (trainer, _) in samples.book.trainers() {
             let open = samples.book.open_slots(trainer);
             let open = open.filter(|open| {
-                owners.owns(open.slot) && !generation.running.contains_key(&open.slot)
+                !generation.running.contains_key(&open.slot) && owners.owns(open.slot)
             });
             generation.wanted.insert(trainer, open.collect());
         }
@@ -230,7 +234,7 @@
             let (name, late) = (self.state().samples.slot_text(slot), self.upstream_name(avoid));
             log_event!(StragglerRerun, slot = name, late);
             self.trace(name, EventCode::StragglerRerun, format!("late on {late}"));
-            let attempt = self.state().samples.generation.add_attempt(open);
+            let attempt = self.state().samples.generation.add_attempt(open, &work);
             actix_rt::spawn(Rc::clone(self).run_attempt(attempt, work, Some(avoid)));
         }
     }
@@ -239,7 +243,7 @@
     pub(crate) fn end_slot(&self, slot: SlotKey) {
         let mut state = self.state();
         let generation = &mut state.samples.generation;
-        generation.book_changed();
+        generation.unwant(slot);
         // Cancelled attempts hear of it below, whether the policy counts them or not.
         let _ = generation.policy.filled_elsewhere(slot);
         let Some(run) = generation.running.remove(&slot) else { return };
@@ -256,7 +260,8 @@
         run.attempts.retain(|one| one.number != attempt.number);
         if run.attempts.is_empty() {
             generation.running.remove(&attempt.slot);
-            generation.book_changed();
+            let open = OpenSlot { slot: attempt.slot, generation: attempt.generation };
+            generation.wanted.entry(attempt.slot.trainer).or_default().push_back(open);
         }
     }
 
--- a/crates/hibiscushinged/src/control/generate/attempt.rs
+++ b/crates/hibiscushinged/src/control/generate/attempt.rs
@@ -7,7 +7,7 @@
     CallError, EngineControl as _, EnginePriority, GenerateRequest, TokenEvent, TokenSource as _,
 };
 use delivery::{Fingerprint, IsolationAsk, Judgement};
-use membership::stable_hash;
+use membership::{PeerState, stable_hash};
 use protocol::{PeerMessage, SampleEntry, WireSampleCopy};
 use rollout::{SampleFilled, SampleRecord, SpanTracker};
 use routing::{PickRequest, WorkEnd};
@@ -20,7 +20,7 @@
         Control,
         generate::{SampleAttempt, SampleWork},
         sample_store::StoreOutcome,
-        samples::SAMPLE_STREAM,
+        samples::{SAMPLE_STREAM, is_heard},
     },
     telemetry::log_event,
 };
@@ -35,8 +35,8 @@
 /// without any engine is placed.
 const PAUSE: Duration = Duration::from_millis(300);
 
-/// Attempts to copy the bytes to a second holder.
-const MAX_COPIES: u32 = 4;
+/// Peers that are asked to hold a copy before a node holds its sample alone.
+const MAX_COPIES: usize = 4;
 
 /// Longest wait of a suspect for an engine of its own.
 const ISOLATION_WAIT: Span = Span::from_secs(10);
@@ -70,6 +70,12 @@
         avoid: Option<UpstreamKey>,
     ) {
         let made = self.make_sample(&attempt, &work, avoid).await;
+        {
+            let actual = made.as_ref().map_or(0, |progress| progress.tracker.tokens());
+            let mut state = self.state();
+            let share = &mut state.samples.generation.share;
+            share.correct(attempt.slot.trainer, work.max_tokens.into(), actual.into());
+        }
         let filled = match made {
             Some(progress) => self.fill_slot(&attempt, progress).await,
             None => false,
@@ -247,7 +253,8 @@
         None
     }
 
-    /// Waits for an engine of its own, as a request that may crash engines must.
+    /// Waits for an engine of its own, as a request that may crash engines must. All samples of a
+    /// group are suspects together, since their prompt is what may crash an engine.
     async fn isolated_engine(
         self: &Rc<Self>,
         work: &SampleWork,
@@ -292,6 +299,21 @@
         stated.is_none_or(|(version, bound)| oldest + bound < version.0)
     }
 
+    /// Returns the peers to ask for a copy: the replica holder of this node, then other zones.
+    fn copy_targets(&self) -> Vec<SocketAddr> {
+        let state = self.state();
+        let table = &state.peers.table;
+        let own_zone = &table.own_identity().zone;
+        let others = table.iter().filter(|(key, peer)| {
+            *key != table.own() && peer.state == PeerState::Live && is_heard(&peer.vm)
+        });
+        let mut others =
+            others.map(|(key, peer)| (peer.vm.zone == *own_zone, key)).collect::<Vec<_>>();
+        others.sort_unstable();
+        let keys = table.replica_holder().into_iter().chain(others.into_iter().map(|(_, key)| key));
+        keys.take(MAX_COPIES).filter_map(|key| state.peers.address(key)).collect()
+    }
+
     /// Keeps the bytes on two nodes and appends the fill record. Returns whether it was appended.
     async fn fill_slot(self: &Rc<Self>, attempt: &SampleAttempt, progress: Progress) -> bool {
         let Progress { text, tracker } = progress;
@@ -306,21 +328,12 @@
         let copy = WireSampleCopy { sample: sample.into(), text };
         let digest = stable_hash(&copy.text);
         let copy = PeerMessage::SampleCopy(copy);
-        for attempt in 0..MAX_COPIES {
-            let address = {
-                let state = self.state();
-                let table = &state.peers.table;
-                table.replica_holder().and_then(|key| state.peers.address(key))
-            };
-            // A node without any peer holds its samples alone.
-            let Some(address) = address else { break };
+        // A node without any peer holds its samples alone.
+        for address in self.copy_targets() {
             if let Some(PeerMessage::Done(holder)) = self.ask_peer(address, &copy).await {
                 holders.push(base::Incarnation(holder));
                 break;
             }
-            if attempt + 1 < MAX_COPIES {
-                actix_rt::time::sleep(PAUSE).await;
-            }
         }
         let record = SampleRecord::Filled(SampleFilled {
             slot: attempt.slot,
--- a/crates/hibiscushinged/src/control/sample_carry.rs
+++ b/crates/hibiscushinged/src/control/sample_carry.rs
@@ -98,7 +98,7 @@
         }
         tracing::info!(trainer = trainer.0, until = carry.until.0, "a snapshot was adopted");
         samples.generation.share.set_weight(trainer, 1);
-        samples.generation.book_changed();
+        samples.generation.slots_opened();
         for (step, opened) in opened {
             samples.opened.entry((trainer, step)).or_insert(opened);
         }
--- a/crates/hibiscushinged/src/control/samples.rs
+++ b/crates/hibiscushinged/src/control/samples.rs
@@ -6,13 +6,13 @@
 //! snapshot of it.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     rc::Rc,
 };
 
 use base::{EventCode, Incarnation, LogOffset, Moment, RecordId, Span};
 use document::{DaemonSettings, TrainerEntry};
-use membership::{PeerState, PeerTable, stable_hash};
+use membership::{PeerState, PeerTable, VmIdentity, stable_hash};
 use protocol::{OpenedStep, PeerMessage, SampleEntry, WireSampleCopy};
 use rollout::{
     BookAction, SampleBook, SampleFilled, SampleRecord, ScoreAction, ScoreDesk, SlotKey, TrainerId,
@@ -34,9 +34,12 @@
 
 pub(crate) const SAMPLE_STREAM: &str = "samples";
 
-/// Time between two looks for samples to bind or to void.
+/// Time between two looks for samples to bind.
 const CARE_PERIOD: Span = Span::from_millis(100);
 
+/// Time between two looks at the holders of all samples.
+const AUDIT_PERIOD: Span = Span::from_secs(1);
+
 /// Wait before a record that was not read back is appended again.
 const RETRY: Span = Span::from_secs(5);
 
@@ -60,6 +63,7 @@
     pub(crate) carries: CarryTracker,
     started: Option<Moment>,
     next_care: Moment,
+    next_audit: Moment,
     caught_up: bool,
 }
 
@@ -87,6 +91,7 @@
             carries: CarryTracker::default(),
             started: None,
             next_care: Moment(0),
+            next_audit: Moment(0),
             caught_up: false,
         }
     }
@@ -134,7 +139,9 @@
 impl SlotOwners {
     /// Takes the own node and the peers whose state counts.
     pub(crate) fn of(table: &PeerTable, counts: impl Fn(PeerState) -> bool) -> Self {
-        let others = table.iter().filter(|(key, peer)| *key != table.own() && counts(peer.state));
+        let others = table
+            .iter()
+            .filter(|(key, peer)| *key != table.own() && counts(peer.state) && is_heard(&peer.vm));
         let mut others = others.map(|(_, peer)| stable_hash(&peer.vm.name)).collect::<Vec<_>>();
         others.sort_unstable();
         Self { own: stable_hash(&table.own_identity().name), others }
@@ -155,6 +162,11 @@
     }
 }
 
+/// Tells whether the process of a VM was ever heard. A VM may be listed long before it runs.
+pub(crate) const fn is_heard(vm: &VmIdentity) -> bool {
+    vm.incarnation.0 != 0
+}
+
 pub(crate) fn slot_hash(slot: SlotKey) -> u64 {
     let place = u64::from(slot.group) << 32 | u64::from(slot.index);
     base::rendezvous_weight(base::rendezvous_weight(slot.trainer.0, slot.step), place)
@@ -200,7 +212,6 @@
         {
             let mut state = self.state();
             let samples = &mut state.samples;
-            samples.generation.book_changed();
             if let SampleRecord::Stated(stated) = record {
                 if let Some(shape) = stated.opened.filter(|_| actions.is_empty())
                     && let Some(opened) = opened.take()
@@ -220,6 +231,7 @@
                     tracing::info!(trainer = trainer.0, step, slots, "a step was opened");
                     let mut state = self.state();
                     state.samples.carries.step_opened(trainer);
+                    state.samples.generation.slots_opened();
                     if let Some(opened) = opened.take() {
                         state.samples.opened.insert((trainer, step), opened);
                     }
@@ -231,6 +243,7 @@
                     self.state().samples.store.remove(sample);
                     if sample.writer == self.shared.incarnation {
                         self.end_slot(slot);
+                        self.state().samples.generation.slots_opened();
                     }
                 }
                 BookAction::Bound { sample, number, .. } => {
@@ -249,6 +262,7 @@
                     state.samples.scores.forget(sample);
                     state.samples.appended.remove(&sample);
                     state.samples.store.remove(sample);
+                    state.samples.generation.slots_opened();
                 }
                 BookAction::StepRetired { trainer, step } => {
                     let mut state = self.state();
@@ -305,8 +319,12 @@
         }
         self.state().samples.next_care = now + CARE_PERIOD;
         self.bind_samples(now, &owners);
-        self.void_lost(now, &owners);
         self.carry_trainers(now);
+        if self.state().samples.next_audit > now {
+            return;
+        }
+        self.state().samples.next_audit = now + AUDIT_PERIOD;
+        self.void_lost(now, &owners);
         self.state().samples.store.drop_orphans(now);
     }
 
@@ -357,7 +375,7 @@
             }
             let present = state.peers.table.iter();
             let present = present.filter(|(_, record)| record.state != PeerState::Gone);
-            let present = present.map(|(_, record)| record.vm.incarnation).collect::<Vec<_>>();
+            let present = present.map(|(_, record)| record.vm.incarnation).collect::<HashSet<_>>();
             let is_gone = |holder: Incarnation| !present.contains(&holder);
             let mut lost = state.samples.book.lost(is_gone);
             lost.retain(|voided| {
--- a/crates/process-tests/tests/samples.rs
+++ b/crates/process-tests/tests/samples.rs
@@ -289,3 +289,60 @@
     assert_eq!(answer["samples"][0]["number"], SAMPLES as u64 + 1);
     assert_eq!(answer["samples"][0]["step"], 2);
 }
+
+/// Guards against a sample with a gap or a repeat where its stream went on elsewhere.
+#[actix_rt::test]
+async fn samples_continue_on_another_engine_after_a_crash() {
+    let slow = vec![String::from("--speed"), String::from("20")];
+    // Samples in flight at the crash run alone, for which a service needs two engines that are left.
+    let options = FleetOptions { engines: vec![slow; 3], ..Default::default() };
+    let mut fleet = TestFleet::start(options).await;
+    fleet.first_document(&["cordial"]).await;
+    open(&fleet, 0, "layouts", 1).await;
+    let engine = fleet.engines[0].address(0);
+    wait_for("tokens of the first engine", || async {
+        let seen = get_json(engine, "/inspect").await?;
+        (seen["tokens"].as_u64()? > 0).then_some(())
+    })
+    .await;
+    fleet.engines[0].kill();
+    let mut side = TrainerSide::default();
+    fetch_all(&fleet, &[1, 2], "layouts", 1, &mut side).await;
+    side.check_whole();
+    assert_eq!(side.last(), SAMPLES as u64, "no sample needed a replacement");
+}
+
+/// Guards against a step that waits for an engine which has become slow, and against a loser that
+/// runs on.
+#[actix_rt::test]
+async fn late_samples_run_again_and_the_loser_is_cancelled() {
+    let slow = vec![String::from("--speed"), String::from("20")];
+    let options = FleetOptions {
+        daemons: vec!["hobart-a"],
+        engines: vec![slow.clone(), slow],
+        ..Default::default()
+    };
+    let fleet = TestFleet::start(options).await;
+    fleet.first_document(&["cordial"]).await;
+    open(&fleet, 0, "layouts", 1).await;
+    let engine = fleet.engines[0].address(0);
+    wait_for("tokens of the first engine", || async {
+        let seen = get_json(engine, "/inspect").await?;
+        (seen["tokens"].as_u64()? > 0).then_some(())
+    })
+    .await;
+    let status = post_json(engine, "/faults", &json!({ "tokens_per_second": 1 })).await;
+    assert_eq!(status, 200);
+    let mut side = TrainerSide::default();
+    fetch_all(&fleet, &[0], "layouts", 1, &mut side).await;
+    side.check_whole();
+    let admin = fleet.daemons[0].address(2);
+    let status = get_json(admin, "/admin/status").await.expect("the daemon answers");
+    assert!(status["samples"]["extra_tokens"].as_u64() > Some(0), "{}", status["samples"]);
+    wait_for("the losers to be cancelled", || async {
+        let seen = get_json(engine, "/inspect").await?;
+        let cancelled = !seen["cancelled"].as_array()?.is_empty();
+        (cancelled && seen["running"] == 0).then_some(())
+    })
+    .await;
+}
