--- a/crates/hibiscushinged/src/control.rs
+++ b/crates/hibiscushinged/src/control.rs
@@ -4,6 +4,7 @@
 mod authority;
 mod claims;
 pub(crate) mod config;
+mod fleet;
 mod follow;
 mod generate;
 mod limits;
@@ -46,6 +47,9 @@
 /// Period of the timers of all state machines. It bounds how late a timer can act.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Period of the gauges among the metrics.
+const GAUGE_PERIOD: Duration = Duration::from_secs(1);
+
 /// The control thread's view of the daemon. Clones of the `Rc` are held by its tasks.
 pub(crate) struct Control {
     pub(crate) shared: Arc<SharedState>,
@@ -66,6 +70,7 @@
     pub(crate) usage: usage::UsageDriver,
     pub(crate) claims: claims::ClaimDriver,
     pub(crate) limits: limits::LimitDriver,
+    pub(crate) fleet: fleet::FleetDriver,
     pub(crate) watch: watch::WatchDriver,
     pub(crate) samples: samples::SampleDriver,
     pub(crate) weights: weights::WeightDriver,
@@ -90,7 +95,9 @@
     suspects::start(&control);
     peers::start(&control);
     watch::start(&control);
+    fleet::start(&control);
     actix_rt::spawn(tick_loop(Rc::clone(&control)));
+    actix_rt::spawn(gauge_loop(Rc::clone(&control)));
     receive(control, input).await;
 }
 
@@ -103,6 +110,19 @@
     }
 }
 
+async fn gauge_loop(control: Rc<Control>) {
+    loop {
+        let queued_tokens = control.shared.desk().queued_tokens();
+        control.shared.metrics.load(control.shared.in_flight(), queued_tokens);
+        {
+            let (now, state) = (control.now(), control.state());
+            let buffered = state.writer.buffered_records();
+            control.shared.metrics.log(state.log.silence(now), buffered);
+        }
+        actix_rt::time::sleep(GAUGE_PERIOD).await;
+    }
+}
+
 async fn receive(control: Rc<Control>, mut input: mpsc::Receiver<ControlInput>) {
     while let Some(message) = input.recv().await {
         match message {
@@ -219,6 +239,7 @@
         self.tick_peers(now);
         self.tick_limits(now);
         self.tick_samples(now);
+        self.tick_demand(now);
     }
 }
 
@@ -244,6 +265,7 @@
             usage: usage::UsageDriver::new(),
             claims: claims::ClaimDriver::new(),
             limits: limits::LimitDriver::default(),
+            fleet: fleet::FleetDriver::new(now),
             watch: watch::WatchDriver::new(settings),
             samples: samples::SampleDriver::new(settings),
             weights: weights::WeightDriver::new(now),
--- a/crates/hibiscushinged/src/control/config.rs
+++ b/crates/hibiscushinged/src/control/config.rs
@@ -191,7 +191,7 @@
         config.applied = version;
         config.isolation.set_policy(match document.keys_when_isolated {
             IsolatedKeys::Serve(limit) => IsolationPolicy::ServeFor(limit),
-            IsolatedKeys::Refuse(_) => IsolationPolicy::Refuse,
+            IsolatedKeys::Refuse => IsolationPolicy::Refuse,
         });
         for zone in &document.zones {
             config.zone_key(&zone.name);
@@ -217,6 +217,7 @@
         log_event!(ConfigApplied, version = version.0, customers = document.customers.len());
         self.apply_static_upstreams(&document);
         self.apply_limits(now, &document);
+        self.apply_fleet(now, &document);
     }
 
     pub(crate) fn tick_config(self: &Rc<Self>, now: Moment) {
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -20,6 +20,6 @@
     },
     record::{
         OpenedStep, SampleCarry, SampleEntry, UsageEntry, WireAuthority, WireBatch, WireClaim,
-        WireConfig, WireSample, WireSnapshot, WireUsage, WireVerdict,
+        WireConfig, WireDemand, WireSample, WireSnapshot, WireUsage, WireVerdict,
     },
 };
