--- a/crates/process-tests/tests/samples.rs
+++ b/crates/process-tests/tests/samples.rs
@@ -62,9 +62,13 @@
 }
 
 async fn open(fleet: &TestFleet, daemon: usize, trainer: &str, version: u64) {
+    open_step(fleet, daemon, trainer, 1, version).await;
+}
+
+async fn open_step(fleet: &TestFleet, daemon: usize, trainer: &str, step: u64, version: u64) {
     let prompts = (0..GROUPS).map(|group| format!("draft a sleeve, variant {group}"));
     let body = json!({
-        "step": 1,
+        "step": step,
         "version": version,
         "prompts": prompts.collect::<Vec<_>>(),
         "samples_per_group": IN_GROUP,
@@ -243,3 +247,102 @@
     fetch_all(&fleet, &[0], "layouts", 2, &mut side).await;
     side.check_whole();
 }
+
+/// Guards against a daemon that starts after the log dropped the first statements of a trainer and
+/// then disagrees with the others on its samples.
+#[actix_rt::test]
+async fn late_daemon_serves_a_trainer_whose_records_were_dropped() {
+    let options = FleetOptions {
+        platform: vec![String::from("--retain"), String::from("40")],
+        ..Default::default()
+    };
+    let mut fleet = TestFleet::start(options).await;
+    fleet.first_document(&["cordial"]).await;
+    open(&fleet, 0, "layouts", 1).await;
+    let mut side = TrainerSide::default();
+    fetch_all(&fleet, &[0, 1], "layouts", 1, &mut side).await;
+    let platform = fleet.platform.address(0);
+    wait_for("the log to drop the first records", || async {
+        // Each fetch of what the trainer has already adds a statement.
+        fetch(&fleet, 0, "layouts", 0, 1).await?;
+        let page = get_json(platform, "/log/samples?from=0&max=1").await?;
+        (page["first"].as_u64()? > 0).then_some(())
+    })
+    .await;
+    let mut again = TrainerSide::default();
+    fetch_all(&fleet, &[0], "layouts", 1, &mut again).await;
+    assert_eq!(again.received, side.received);
+    fleet.daemons[1].kill();
+    fleet.daemons[1] = fleet.start_daemon(1);
+    fleet.list_vms().await;
+    fleet.wait_for_version(1).await;
+
+    let mut late = TrainerSide::default();
+    fetch_all(&fleet, &[1], "layouts", 1, &mut late).await;
+    assert_eq!(late.received, side.received);
+    open_step(&fleet, 1, "layouts", 2, 1).await;
+    let answer = wait_for("a sample of the second step", || async {
+        let answer = fetch(&fleet, 1, "layouts", SAMPLES as u64, 1).await?;
+        (!answer["samples"].as_array()?.is_empty()).then_some(answer)
+    })
+    .await;
+    assert_eq!(answer["samples"][0]["number"], SAMPLES as u64 + 1);
+    assert_eq!(answer["samples"][0]["step"], 2);
+}
+
+/// Guards against a sample with a gap or a repeat where its stream went on elsewhere.
+#[actix_rt::test]
+async fn samples_continue_on_another_engine_after_a_crash() {
+    let slow = vec![String::from("--speed"), String::from("20")];
+    // Samples in flight at the crash run alone, for which a service needs two engines that are left.
+    let options = FleetOptions { engines: vec![slow; 3], ..Default::default() };
+    let mut fleet = TestFleet::start(options).await;
+    fleet.first_document(&["cordial"]).await;
+    open(&fleet, 0, "layouts", 1).await;
+    let engine = fleet.engines[0].address(0);
+    wait_for("tokens of the first engine", || async {
+        let seen = get_json(engine, "/inspect").await?;
+        (seen["tokens"].as_u64()? > 0).then_some(())
+    })
+    .await;
+    fleet.engines[0].kill();
+    let mut side = TrainerSide::default();
+    fetch_all(&fleet, &[1, 2], "layouts", 1, &mut side).await;
+    side.check_whole();
+    assert_eq!(side.last(), SAMPLES as u64, "no sample needed a replacement");
+}
+
+/// Guards against a step that waits for an engine which has become slow, and against a loser that
+/// runs on.
+#[actix_rt::test]
+async fn late_samples_run_again_and_the_loser_is_cancelled() {
+    let slow = vec![String::from("--speed"), String::from("20")];
+    let options = FleetOptions {
+        daemons: vec!["hobart-a"],
+        engines: vec![slow.clone(), slow],
+        ..Default::default()
+    };
+    let fleet = TestFleet::start(options).await;
+    fleet.first_document(&["cordial"]).await;
+    open(&fleet, 0, "layouts", 1).await;
+    let engine = fleet.engines[0].address(0);
+    wait_for("tokens of the first engine", || async {
+        let seen = get_json(engine, "/inspect").await?;
+        (seen["tokens"].as_u64()? > 0).then_some(())
+    })
+    .await;
+    let status = post_json(engine, "/faults", &json!({ "tokens_per_second": 1 })).await;
+    assert_eq!(status, 200);
+    let mut side = TrainerSide::default();
+    fetch_all(&fleet, &[0], "layouts", 1, &mut side).await;
+    side.check_whole();
+    let admin = fleet.daemons[0].address(2);
+    let status = get_json(admin, "/admin/status").await.expect("the daemon answers");
+    assert!(status["samples"]["extra_tokens"].as_u64() > Some(0), "{}", status["samples"]);
+    wait_for("the losers to be cancelled", || async {
+        let seen = get_json(engine, "/inspect").await?;
+        let cancelled = !seen["cancelled"].as_array()?.is_empty();
+        (cancelled && seen["running"] == 0).then_some(())
+    })
+    .await;
+}
