--- a/crates/hibiscushinge/src/demo/caller.rs
+++ b/crates/hibiscushinge/src/demo/caller.rs
@@ -1,5 +1,8 @@
 //! Callers: requests, running streams, and the judgement of answers.
 
+#[cfg(test)]
+mod tests;
+
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_rt::task::JoinHandle;
--- a/crates/hibiscushinge/tests/common/mod.rs
+++ b/crates/hibiscushinge/tests/common/mod.rs
@@ -20,16 +20,16 @@
 static LAST_FILE: AtomicU32 = AtomicU32::new(0);
 
 /// A document that an operator edits.
-pub fn example() -> String {
+pub(crate) fn example() -> String {
     std::fs::read_to_string(root().join("examples/derwent.toml")).unwrap()
 }
 
-pub fn root() -> PathBuf {
+pub(crate) fn root() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
 }
 
 /// Writes a file that only this test uses.
-pub fn file(text: &str) -> String {
+pub(crate) fn file(text: &str) -> String {
     let number = LAST_FILE.fetch_add(1, Ordering::Relaxed);
     let name = format!("tool-{}-{number}.toml", std::process::id());
     let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
@@ -38,23 +38,23 @@
 }
 
 /// Runs the tool beside this thread, which serves the platform.
-pub async fn tool(arguments: &[&str]) -> Output {
+pub(crate) async fn tool(arguments: &[&str]) -> Output {
     let mut command = Command::new(env!("CARGO_BIN_EXE_hibiscushinge"));
     command.current_dir(root()).args(arguments);
     actix_rt::task::spawn_blocking(move || command.output().unwrap()).await.unwrap()
 }
 
 /// Returns exit code, standard output and standard error.
-pub fn parts(output: &Output) -> (i32, String, String) {
+pub(crate) fn parts(output: &Output) -> (i32, String, String) {
     let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
     (output.status.code().unwrap(), text(&output.stdout), text(&output.stderr))
 }
 
-pub fn platform() -> Platform {
+pub(crate) fn platform() -> Platform {
     Platform::start(PlatformOptions::default()).unwrap()
 }
 
-pub fn daemon(platform: &Platform, vm: &str, zone: &str) -> Daemon {
+pub(crate) fn daemon(platform: &Platform, vm: &str, zone: &str) -> Daemon {
     let text = format!(
         "vm_name = \"{vm}\"\nzone = \"{zone}\"\nenvironment = \"production\"\n\
          listen = \"127.0.0.1:0\"\npeer = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\n\
@@ -65,7 +65,10 @@
 }
 
 /// Calls `probe` until it returns a value.
-pub async fn wait_for<T, F: Future<Output = Option<T>>>(what: &str, probe: impl Fn() -> F) -> T {
+pub(crate) async fn wait_for<T, F: Future<Output = Option<T>>>(
+    what: &str,
+    probe: impl Fn() -> F,
+) -> T {
     let end = std::time::Instant::now() + WAIT_LIMIT;
     loop {
         if let Some(value) = probe().await {
