--- a/crates/process-tests/src/fleet.rs
+++ b/crates/process-tests/src/fleet.rs
@@ -31,6 +31,8 @@
     pub settings: String,
     /// Lines put before the tables of the document.
     pub document: String,
+    /// Further tables of the document.
+    pub tables: String,
 }
 
 /// Running processes of a test deployment.
@@ -91,6 +93,7 @@
         )
         .expect("writing to a string succeeds");
     }
+    text.push_str(&fleet.options.tables);
     text
 }
 
@@ -123,6 +126,7 @@
             platform: Vec::new(),
             settings: String::new(),
             document: String::new(),
+            tables: String::new(),
         }
     }
 }
@@ -155,16 +159,21 @@
     /// Starts the daemon at `index`, also again after it has ended.
     #[must_use]
     pub fn start_daemon(&self, index: usize) -> ProcessHandle {
-        let zone = self.options.daemons[index];
-        let settings = format!(
+        self.start_daemon_with(index, self.options.daemons[index], &self.options.settings)
+    }
+
+    /// Starts a daemon of this number in a zone, with further lines of settings.
+    #[must_use]
+    pub fn start_daemon_with(&self, index: usize, zone: &str, settings: &str) -> ProcessHandle {
+        let text = format!(
             "vm_name = \"entry-{index}\"\nzone = \"{zone}\"\nenvironment = \"production\"\n\
              listen = \"127.0.0.1:0\"\npeer = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\n\
              platform = \"{}\"\ntraffic_threads = 1\n{}[timeouts]\nlimit_grant = \"1s\"\n",
             self.platform.address(0),
-            self.options.settings
+            settings
         );
         let file = self.folder.join(format!("daemon-{index}.toml"));
-        fs::write(&file, settings).expect("the settings can be written");
+        fs::write(&file, text).expect("the settings can be written");
         let arguments = [String::from("--settings"), file.display().to_string()];
         ProcessHandle::start("hibiscushinged", &arguments, &self.log(index))
     }
