hibiscushinge: a training step in the demo

Ruled out: comparing sample texts with the engine's tokens, since the seed of a sample is the daemon's choice; the check compares slots, named versions, token counts and repeated fetches instead.

Change: the step opens three groups of four, fetches them through the other daemons, and fetches all again at the first one. The search for keys at upstreams includes the trainer's key.

Conclusion: samples arrive once, name their versions, and come again unchanged under their numbers.

--- a/crates/hibiscushinge/src/demo/caller.rs
+++ b/crates/hibiscushinge/src/demo/caller.rs
@@ -124,6 +124,19 @@
         }
     }
 
+    /// Reads `path` of a daemon with a key.
+    pub(crate) async fn get(&self, daemon: SocketAddr, path: &str, key: &str) -> CallerAnswer {
+        let request = self.client.get(format!("http://{daemon}{path}"));
+        let request = request.insert_header(("authorization", format!("Bearer {key}")));
+        let mut answer = CallerAnswer::default();
+        let lines = Cell::default();
+        let exchange = receive(request.send(), &lines, &mut answer);
+        if actix_rt::time::timeout(EXCHANGE_LIMIT, exchange).await.is_err() {
+            answer.body.push_str("(no end of the answer)");
+        }
+        answer
+    }
+
     async fn exchange(&self, ask: &CallerAsk, lines: &Cell<usize>, answer: &mut CallerAnswer) {
         let mut request = self.client.post(format!("http://{}/v1/{}", ask.daemon, ask.path));
         if let Some(key) = &ask.key {
@@ -132,22 +145,27 @@
         if let Some(key) = &ask.idempotency_key {
             request = request.insert_header(("idempotency-key", key.as_str()));
         }
-        let mut response = match request.send_body(Bytes::from(ask.body.clone())).await {
-            Ok(response) => response,
-            Err(error) => {
-                answer.body = error.to_string();
-                return;
-            }
-        };
-        answer.status = response.status().as_u16();
-        let id = response.headers().get("x-request-id").and_then(|value| value.to_str().ok());
-        answer.id = id.map(String::from).unwrap_or_default();
-        while let Some(chunk) = response.next().await {
-            // A stream that breaks off lacks its end marker, which the judgement notices.
-            let Ok(chunk) = chunk else { return };
-            answer.body.push_str(&String::from_utf8_lossy(&chunk));
-            lines.set(answer.body.matches('\n').count());
+        receive(request.send_body(Bytes::from(ask.body.clone())), lines, answer).await;
+    }
+}
+
+/// Receives an answer and counts its lines as they come.
+async fn receive(response: awc::SendClientRequest, lines: &Cell<usize>, answer: &mut CallerAnswer) {
+    let mut response = match response.await {
+        Ok(response) => response,
+        Err(error) => {
+            answer.body = error.to_string();
+            return;
         }
+    };
+    answer.status = response.status().as_u16();
+    let id = response.headers().get("x-request-id").and_then(|value| value.to_str().ok());
+    answer.id = id.map(String::from).unwrap_or_default();
+    while let Some(chunk) = response.next().await {
+        // A stream that breaks off lacks its end marker, which the judgement notices.
+        let Ok(chunk) = chunk else { return };
+        answer.body.push_str(&String::from_utf8_lossy(&chunk));
+        lines.set(answer.body.matches('\n').count());
     }
 }
 
--- a/crates/hibiscushinge/src/demo/config.rs
+++ b/crates/hibiscushinge/src/demo/config.rs
@@ -4,7 +4,7 @@
 
 use base::KeyDigest;
 
-use super::world::{DemoCustomer, ZONES};
+use super::world::{DemoCustomer, TRAINER, ZONES};
 
 /// Addresses of the upstreams, with the position of their zone.
 pub(crate) struct UpstreamList {
@@ -13,7 +13,11 @@
 }
 
 /// Builds the document. A customer whose key is withdrawn has none in it.
-pub(crate) fn document_text(upstreams: &UpstreamList, customers: &[DemoCustomer]) -> String {
+pub(crate) fn document_text(
+    upstreams: &UpstreamList,
+    customers: &[DemoCustomer],
+    trainer_key: &str,
+) -> String {
     let mut text = String::from(
         "environment = \"production\"\ntime_zone = \"Australia/Hobart\"\nusage_window = \"10s\"\n",
     );
@@ -51,6 +55,12 @@
         );
         push(&mut text, "customers", &table);
     }
+    let table = format!(
+        "name = \"{TRAINER}\"\nkey = \"{}\"\nservice = \"draft-models\"\nstaleness_bound = 1\n\
+         min_group = 1\nmax_group = 64",
+        KeyDigest::of(trainer_key)
+    );
+    push(&mut text, "trainers", &table);
     text
 }
 
--- a/crates/hibiscushinge/src/demo/steps.rs
+++ b/crates/hibiscushinge/src/demo/steps.rs
@@ -7,6 +7,7 @@
 mod drain;
 mod once;
 mod secrets;
+mod training;
 mod withdrawal;
 
 use super::{
@@ -26,6 +27,8 @@
     answers::run(world, account).await?;
     account.step("Orders are sent twice, through two daemons at once");
     once::run(world, account).await?;
+    account.step("A trainer asks for groups of samples");
+    training::run(world, account).await?;
     account.step("A key is withdrawn while its stream runs");
     withdrawal::run(world, account).await?;
     account.step("An engine crashes while streams run");
--- a/crates/hibiscushinge/src/demo/world.rs
+++ b/crates/hibiscushinge/src/demo/world.rs
@@ -32,6 +32,9 @@
 
 const CUSTOMERS: [&str; 4] = ["huon-cordials", "tamar-ales", "bruny-preserves", "sorell-cider"];
 
+/// Name of the trainer.
+pub(crate) const TRAINER: &str = "layouts";
+
 /// Longest wait for anything that is observed. Loaded machines need far less.
 const WAIT_LIMIT: Duration = Duration::from_secs(45);
 
@@ -60,6 +63,7 @@
     pub(crate) plain: PlainService,
     pub(crate) daemons: Vec<DemoDaemon>,
     pub(crate) customers: Vec<DemoCustomer>,
+    pub(crate) trainer_key: String,
     pub(crate) operator: OperatorClient,
     pub(crate) admin: AdminClient,
     pub(crate) caller: DemoCaller,
@@ -88,11 +92,13 @@
             let daemon = Daemon::start(settings).map_err(failed)?;
             daemons.push(DemoDaemon { vm, addresses: daemon.addresses(), daemon: Some(daemon) });
         }
-        let customers = CUSTOMERS.iter().map(|name| {
-            let key = format!("{:016x}{:016x}", rng.random::<u64>(), rng.random::<u64>());
-            DemoCustomer { name, key, withdrawn: false }
+        let customers = CUSTOMERS.iter().map(|name| DemoCustomer {
+            name,
+            key: random_key(&mut rng),
+            withdrawn: false,
         });
         let customers = customers.collect();
+        let trainer_key = random_key(&mut rng);
         let operator = OperatorClient::new(platform.address(), Incarnation(rng.random()));
         let world = Self {
             platform,
@@ -100,6 +106,7 @@
             plain,
             daemons,
             customers,
+            trainer_key,
             operator,
             admin: AdminClient::new(),
             caller: DemoCaller::new(),
@@ -129,7 +136,7 @@
         let engines = self.engines.iter().zip(ENGINE_ZONES);
         let engines = engines.map(|(engine, zone)| (zone, engine.address())).collect();
         let plain = vec![(PLAIN_ZONE, self.plain.address())];
-        document_text(&UpstreamList { engines, plain }, &self.customers)
+        document_text(&UpstreamList { engines, plain }, &self.customers, &self.trainer_key)
     }
 
     /// Builds a generation with a prompt of its own.
@@ -212,6 +219,10 @@
     }
 }
 
+fn random_key(rng: &mut ChaCha8Rng) -> String {
+    format!("{:016x}{:016x}", rng.random::<u64>(), rng.random::<u64>())
+}
+
 /// Reads a value until it is as wanted, and returns the last one that was read. The caller judges
 /// it, so that a wait that ends in vain shows what was observed.
 pub(crate) async fn observe<T, F: Future<Output = T>>(
