Measure control cost per daemon and the spread of upstream state

The daemon shows the counts for peers, log, other platform calls and upstreams in /admin/status, and the platform stand-in counts log reads. `experiments control-cost` runs fleets of separate processes; `experiments state-spread` drives the tables and boards of the daemon in virtual time.

Ruled out: /proc/<pid>/io, which does not count recv and send, and interface counters, which mix all processes.

--- a/crates/clients/src/http_client.rs
+++ b/crates/clients/src/http_client.rs
@@ -14,6 +14,7 @@
 use crate::{
     CallError, CallFailure,
     guard::{SendGuard, SendPermit},
+    transfer::{DATE_BYTES, TransferCounter, head_bytes, header_bytes},
 };
 
 /// Longest answer accepted from the platform and from control calls of engines.
@@ -31,6 +32,7 @@
 pub struct HttpClient {
     client: Client,
     guard: Option<SendGuard>,
+    transfer: Option<TransferCounter>,
 }
 
 /// A request to be sent. It carries the headers given here and no others of the caller.
@@ -77,7 +79,7 @@
             .limit(0);
         let builder = Client::builder().connector(connector).disable_redirects();
         // Timeouts are applied around whole exchanges below. awc's own would also end long streams.
-        Self { client: builder.disable_timeout().finish(), guard: None }
+        Self { client: builder.disable_timeout().finish(), guard: None, transfer: None }
     }
 
     /// Returns a client of the same pool that writes a request with a body only when `check` grants
@@ -93,7 +95,13 @@
     /// the receiver's check of the fencing number, or the extra wait of a successor, covers that.
     #[must_use]
     pub fn guarded(&self, check: impl Fn() -> SendPermit + 'static) -> Self {
-        Self { client: self.client.clone(), guard: Some(SendGuard::new(check)) }
+        Self { guard: Some(SendGuard::new(check)), ..self.clone() }
+    }
+
+    /// Returns a client of the same pool whose exchanges count in `counter`.
+    #[must_use]
+    pub fn counted(&self, counter: TransferCounter) -> Self {
+        Self { transfer: Some(counter), ..self.clone() }
     }
 
     /// Sends a request and reads the whole answer, of any status.
@@ -113,6 +121,11 @@
             let status = response.status();
             let headers = response.headers().clone();
             let body = read_body(response, max_body).await?;
+            if let Some(counter) = &self.transfer {
+                let reason = status.canonical_reason().unwrap_or_default().len();
+                let head = head_bytes("HTTP/1.1 200 ".len() + reason, &headers);
+                counter.add(0, head + body.len());
+            }
             Ok(Answer { status, headers, body })
         })
         .await
@@ -144,11 +157,23 @@
 
     /// Sends a request and returns the answer as soon as its head has arrived.
     pub(crate) async fn open(&self, outgoing: Outgoing) -> Result<ClientResponse, CallError> {
-        let url = format!("http://{}{}", outgoing.address, outgoing.path);
+        let host = outgoing.address.to_string();
+        let url = format!("http://{host}{}", outgoing.path);
         let mut request = self.client.request(outgoing.method, url);
         for (name, value) in outgoing.headers {
             request = request.insert_header((name, value));
         }
+        if let Some(counter) = &self.transfer {
+            // awc adds these headers when it writes the head.
+            let body = outgoing.body.len();
+            let added = header_bytes("host", host.len())
+                + header_bytes("content-length", body.to_string().len())
+                + header_bytes("accept-encoding", "identity".len())
+                + header_bytes("date", DATE_BYTES);
+            let first_line = request.get_method().as_str().len() + outgoing.path.len();
+            let head = head_bytes(first_line + "  HTTP/1.1".len(), request.headers());
+            counter.begin(head + added + body, 0);
+        }
         let sent = match &self.guard {
             Some(guard) => request.send_body(guard.body(outgoing.body)),
             None => request.send_body(outgoing.body),
--- a/crates/clients/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -13,6 +13,7 @@
 mod platform;
 mod token_stream;
 mod traits;
+mod transfer;
 mod types;
 pub mod wire;
 
@@ -26,6 +27,7 @@
     traits::{
         EngineControl, PlatformLog, TokenSource, UpstreamOrders, UsageSink, VmList, WeightStore,
     },
+    transfer::{DATE_BYTES, TransferCounter, TransferFigures, head_bytes, header_bytes},
     types::{
         CustomerFigures, EnginePriority, EngineReport, GenerateRequest, KvCache, LogPage,
         NewRecord, OrderAnswer, OrderKind, OrderState, ReclaimNotice, ReportOutcome, StoredRecord,
--- /dev/null
+++ b/crates/clients/src/transfer.rs
@@ -0,0 +1,65 @@
+//! Counts of exchanges and of their bytes, for the cost of control.
+
+use std::{cell::Cell, rc::Rc};
+
+use actix_http::header::HeaderMap;
+use base::key;
+
+/// Bytes of an HTTP date, which has a fixed form.
+pub const DATE_BYTES: usize = "Fri, 04 Dec 2026 03:39:09 GMT".len();
+
+key! {
+    /// Exchanges and their bytes. Heads of requests and answers are included, TCP and IP headers
+    /// are not.
+    #[derive(Default)]
+    pub struct TransferFigures {
+        /// Exchanges begun.
+        pub exchanges: u64,
+        /// Bytes sent.
+        pub sent: u64,
+        /// Bytes received.
+        pub received: u64,
+    }
+}
+
+/// A count that belongs to one thread. Clones share the count.
+#[derive(Debug, Clone, Default)]
+pub struct TransferCounter(Rc<Cell<TransferFigures>>);
+
+impl TransferCounter {
+    /// Counts an exchange with the bytes that begin it.
+    pub fn begin(&self, sent: usize, received: usize) {
+        let figures = self.0.get();
+        self.0.set(TransferFigures { exchanges: figures.exchanges + 1, ..figures });
+        self.add(sent, received);
+    }
+
+    /// Counts further bytes of an exchange.
+    pub fn add(&self, sent: usize, received: usize) {
+        let figures = self.0.get();
+        self.0.set(TransferFigures {
+            sent: figures.sent + sent as u64,
+            received: figures.received + received as u64,
+            ..figures
+        });
+    }
+
+    /// Returns the figures since the start.
+    #[must_use]
+    pub fn figures(&self) -> TransferFigures {
+        self.0.get()
+    }
+}
+
+/// Returns the bytes of a message head with this first line, its line ends included.
+#[must_use]
+pub fn head_bytes(first_line: usize, headers: &HeaderMap) -> usize {
+    let lines = headers.iter().map(|(name, value)| header_bytes(name.as_str(), value.len()));
+    first_line + 2 + lines.sum::<usize>() + 2
+}
+
+/// Returns the bytes of one header with its separator and line end.
+#[must_use]
+pub const fn header_bytes(name: &str, value: usize) -> usize {
+    name.len() + 2 + value + 2
+}
--- a/crates/experiments/src/flags.rs
+++ b/crates/experiments/src/flags.rs
@@ -34,6 +34,24 @@
             /// Seed of every random draw.
             required --seed seed: u64
         }
+        /// Measures what control costs each daemon as their number grows, in separate processes.
+        cmd control-cost {
+            /// Numbers of daemons, with commas between them.
+            required --daemons counts: String
+            /// Length of each measurement, 20 by default.
+            optional --seconds count: u64
+            /// Requests a second that each daemon serves meanwhile, 1 by default.
+            optional --rate count: u64
+            /// Times that the holder of a lease is killed, 5 by default.
+            optional --takeovers count: usize
+        }
+        /// Compares ways to spread upstream state in bytes per node, in virtual time.
+        cmd state-spread {
+            /// Seed of the changes of load.
+            required --seed seed: u64
+            /// Measured virtual seconds, 60 by default.
+            optional --seconds count: u64
+        }
         /// Measures the time of one choice among many upstreams on this machine.
         cmd pick-cost {
             /// Number of upstreams, 600 by default.
--- a/crates/experiments/src/main.rs
+++ b/crates/experiments/src/main.rs
@@ -3,11 +3,13 @@
 //! Each subcommand is a module with a function `run` that takes its flags and returns a
 //! [`report::RunReport`]. The module `report` prints it as a table or JSON and draws the plot.
 
+mod control_cost;
 mod flags;
 mod fleet;
 mod pick_cost;
 mod report;
 mod rollout;
+mod state_spread;
 mod traffic;
 
 use std::process::ExitCode;
@@ -45,6 +47,8 @@
         ExperimentsCmd::Traffic(flags) => traffic::run(flags)?,
         ExperimentsCmd::Rollout(flags) => rollout::run(flags)?,
         ExperimentsCmd::Fleet(flags) => fleet::run(flags)?,
+        ExperimentsCmd::ControlCost(flags) => control_cost::run(flags)?,
+        ExperimentsCmd::StateSpread(flags) => state_spread::run(flags)?,
         ExperimentsCmd::PickCost(flags) => pick_cost::run(flags),
     };
     if flags.json {
--- /dev/null
+++ b/crates/experiments/src/state_spread/node.rs
@@ -0,0 +1,171 @@
+//! One node: what the control thread does with upstream state, without its I/O.
+
+use base::{Incarnation, Moment, VmKey, WeightVersion};
+use membership::{
+    BoardSettings, Heartbeat, ListedVm, LoadReport, PeerAction, PeerBeat, PeerEvent, PeerSettings,
+    PeerTable, UpstreamBoard, UpstreamPhase, VmIdentity, ZoneSummary,
+};
+use protocol::{PeerMessage, encode_message};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+
+use super::SpreadMode;
+
+/// An encoded message and its decoded content.
+pub(super) struct SentMessage {
+    pub(super) to: String,
+    pub(super) bytes: usize,
+    pub(super) content: MessageContent,
+}
+
+pub(super) enum MessageContent {
+    Heartbeat(Heartbeat),
+    Summary(ZoneSummary),
+}
+
+pub(super) struct SpreadNode {
+    pub(super) table: PeerTable,
+    pub(super) board: UpstreamBoard,
+    pub(super) zone: String,
+    pub(super) watched: Vec<usize>,
+}
+
+/// Load of one upstream, which changes with arrivals and ends of requests.
+pub(super) struct UpstreamWalk {
+    pub(super) name: String,
+    pub(super) zone: String,
+    report: LoadReport,
+    rng: ChaCha8Rng,
+}
+
+impl SpreadNode {
+    /// Creates a node of `zone`, whose ring is that of `ring_zone`.
+    pub(super) fn new(name: String, zone: String, ring_zone: String, number: u64) -> Self {
+        let incarnation = Incarnation(number + 1);
+        let address = format!("10.0.{}.{}:7402", number / 250, number % 250 + 1);
+        let own = VmIdentity { name, zone: ring_zone, address, generation: 1, incarnation };
+        Self {
+            table: PeerTable::new(PeerSettings::default(), own, Moment(0)),
+            board: UpstreamBoard::new(BoardSettings::default(), incarnation),
+            zone,
+            watched: Vec::new(),
+        }
+    }
+
+    pub(super) fn tick(
+        &mut self,
+        now: Moment,
+        mode: SpreadMode,
+        walks: &[UpstreamWalk],
+    ) -> Vec<SentMessage> {
+        if now < self.table.next_deadline() {
+            return Vec::new();
+        }
+        self.event(now, PeerEvent::Tick, mode, walks)
+    }
+
+    pub(super) fn read_list(&mut self, listed: Vec<ListedVm>) {
+        // Messages of the first moment are left out, like everything before the measurement.
+        let _ = self.table.handle(Moment(0), PeerEvent::ListRead(listed));
+    }
+
+    pub(super) fn receive(
+        &mut self,
+        now: Moment,
+        content: MessageContent,
+        mode: SpreadMode,
+        walks: &[UpstreamWalk],
+    ) -> Vec<SentMessage> {
+        let (beat, entries) = match content {
+            MessageContent::Heartbeat(Heartbeat { beat, upstreams, .. }) => (beat, upstreams),
+            MessageContent::Summary(ZoneSummary { beat, upstreams, .. }) => (beat, upstreams),
+        };
+        let sent = self.event(now, PeerEvent::BeatReceived(beat), mode, walks);
+        for entry in entries {
+            self.board.learned(now, entry);
+        }
+        sent
+    }
+
+    fn event(
+        &mut self,
+        now: Moment,
+        event: PeerEvent,
+        mode: SpreadMode,
+        walks: &[UpstreamWalk],
+    ) -> Vec<SentMessage> {
+        let mut sent = Vec::new();
+        for action in self.table.handle(now, event) {
+            match action {
+                PeerAction::SendHeartbeat { to, beat } => {
+                    sent.push(self.heartbeat(now, to, beat));
+                }
+                PeerAction::SendSummary { to, beat } if mode == SpreadMode::ZoneSummaries => {
+                    sent.push(self.summary(now, to, beat, walks));
+                }
+                _ => {}
+            }
+        }
+        sent
+    }
+
+    fn heartbeat(&mut self, now: Moment, to: VmKey, beat: PeerBeat) -> SentMessage {
+        let heartbeat = Heartbeat {
+            beat,
+            config_version: 1,
+            contact_age: base::Span::ZERO,
+            upstreams: self.board.delta(now),
+        };
+        let bytes = encode_message(&PeerMessage::Heartbeat((&heartbeat).into())).len();
+        SentMessage { to: self.name_of(to), bytes, content: MessageContent::Heartbeat(heartbeat) }
+    }
+
+    fn summary(
+        &self,
+        now: Moment,
+        to: VmKey,
+        beat: PeerBeat,
+        walks: &[UpstreamWalk],
+    ) -> SentMessage {
+        let mut upstreams = self.board.full(now);
+        // Names start with their zone here; the daemon looks the zone up.
+        let own = walks.iter().filter(|walk| walk.zone == self.zone);
+        let own = own.map(|walk| walk.name.as_str()).collect::<std::collections::BTreeSet<_>>();
+        upstreams.retain(|entry| own.contains(entry.upstream.as_str()));
+        let summary = ZoneSummary { beat, config_version: 1, upstreams };
+        let bytes = encode_message(&PeerMessage::Summary((&summary).into())).len();
+        SentMessage { to: self.name_of(to), bytes, content: MessageContent::Summary(summary) }
+    }
+
+    fn name_of(&self, vm: VmKey) -> String {
+        self.table.vm(vm).expect("the table names its own VMs").vm.name.clone()
+    }
+}
+
+impl UpstreamWalk {
+    pub(super) fn new(seed: u64, name: String, zone: String, number: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        rng.set_stream(number);
+        let running = rng.random_range(8..32);
+        let report = LoadReport {
+            running,
+            queued: 0,
+            tokens_per_second: running * 40,
+            version: WeightVersion(7),
+            phase: UpstreamPhase::Serving,
+        };
+        Self { name, zone, report, rng }
+    }
+
+    /// Draws the next report. At 2,100 requests/s on 600 upstreams, about two requests arrive at an
+    /// upstream in half a second and as many end.
+    pub(super) fn next_report(&mut self) -> LoadReport {
+        let (begun, ended) = (self.rng.random_range(0..=4), self.rng.random_range(0..=4));
+        let load = (self.report.running + self.report.queued + begun).saturating_sub(ended);
+        let load = load.clamp(1, 64);
+        self.report.running = load.min(32);
+        self.report.queued = load - self.report.running;
+        self.report.tokens_per_second = self.report.running * 40;
+        self.report
+    }
+}
--- a/crates/hibiscushinged/src/control.rs
+++ b/crates/hibiscushinged/src/control.rs
@@ -10,6 +10,7 @@
 mod peers;
 mod server;
 mod suspects;
+mod transfer;
 mod usage;
 mod watch;
 
@@ -23,7 +24,7 @@
 };
 
 use base::{Moment, RecordId};
-use clients::{EngineClient, HttpClient, PlatformClient, PlatformTimeouts};
+use clients::{EngineClient, HttpClient, PlatformClient, PlatformTimeouts, TransferCounter};
 use protocol::{StreamRecord, encode_record};
 use record_log::{BufferFull, LogWriter, WriterSettings};
 use tokio::sync::{Notify, mpsc};
@@ -43,6 +44,10 @@
 pub(crate) struct Control {
     pub(crate) shared: Arc<SharedState>,
     pub(crate) platform: PlatformClient,
+    /// The platform's log. Its exchanges are counted apart from other calls to the platform.
+    pub(crate) log: PlatformClient,
+    pub(crate) transfer: transfer::ControlTransfer,
+    pub(crate) peer_http: HttpClient,
     pub(crate) http: HttpClient,
     pub(crate) engines: EngineClient,
     state: RefCell<ControlState>,
@@ -136,15 +141,26 @@
             other: timeouts.platform,
             ..PlatformTimeouts::default()
         };
-        let platform =
-            PlatformClient::new(http.clone(), shared.settings.platform, platform_timeouts);
-        let engines =
-            EngineClient::new(http.clone(), timeouts.engine_control, timeouts.stream_idle);
+        let transfer = transfer::ControlTransfer::default();
+        let platform_client = |counter: &TransferCounter| {
+            let http = http.counted(counter.clone());
+            PlatformClient::new(http, shared.settings.platform, platform_timeouts)
+        };
+        let platform = platform_client(&transfer.platform);
+        let log = platform_client(&transfer.log);
+        let engines = EngineClient::new(
+            http.counted(transfer.upstreams.clone()),
+            timeouts.engine_control,
+            timeouts.stream_idle,
+        );
         let state = ControlState::new(&shared);
         Self {
             shared,
             platform,
-            http,
+            log,
+            peer_http: http.counted(transfer.peers_asked.clone()),
+            http: http.counted(transfer.upstreams.clone()),
+            transfer,
             engines,
             state: RefCell::new(state),
             kicks: RefCell::new(BTreeMap::new()),
--- a/crates/hibiscushinged/src/control/admin.rs
+++ b/crates/hibiscushinged/src/control/admin.rs
@@ -79,6 +79,7 @@
                 "malformed": state.log.malformed,
                 "gaps": state.log.gaps,
             },
+            "transfer": self.transfer.status(),
             "leases": leases,
             "requests": { "in_flight": self.shared.in_flight(), "queued_tokens": queued_tokens },
             "suspects": suspects,
--- a/crates/hibiscushinged/src/control/follow.rs
+++ b/crates/hibiscushinged/src/control/follow.rs
@@ -73,8 +73,7 @@
         let mut follower = LogFollower::new(FollowerSettings::default(), LogOffset(0));
         let mut started = false;
         loop {
-            let Ok(page) = control.platform.read(&stream, follower.next_offset(), PAGE).await
-            else {
+            let Ok(page) = control.log.read(&stream, follower.next_offset(), PAGE).await else {
                 control.log_failed(&stream);
                 actix_rt::time::sleep(POLL).await;
                 continue;
@@ -160,7 +159,7 @@
                     data: bytes::Bytes::copy_from_slice(&record.data),
                 });
                 let batch = batch.collect::<Vec<_>>();
-                match control.platform.append(&stream, &batch).await {
+                match control.log.append(&stream, &batch).await {
                     Ok(first) => {
                         control.log_answered();
                         let now = control.now();
--- a/crates/hibiscushinged/src/control/peers.rs
+++ b/crates/hibiscushinged/src/control/peers.rs
@@ -280,7 +280,7 @@
     ) -> Option<PeerMessage> {
         let outgoing = Outgoing::post(address, PEER_PATH, Bytes::from(encode_message(message)));
         let timeout = self.shared.settings.timeouts.peer;
-        let answer = self.http.exchange(outgoing, timeout, MAX_MESSAGE_BYTES).await.ok()?;
+        let answer = self.peer_http.exchange(outgoing, timeout, MAX_MESSAGE_BYTES).await.ok()?;
         decode_message(&answer.success().ok()?.body).ok()
     }
 }
--- a/crates/hibiscushinged/src/control/server.rs
+++ b/crates/hibiscushinged/src/control/server.rs
@@ -2,14 +2,17 @@
 
 use std::{convert::Infallible, future::Future, net::TcpListener, rc::Rc};
 
-use actix_http::{HttpService, Method, Request, Response, StatusCode, body::BoxBody};
+use actix_http::{
+    HttpMessage as _, HttpService, Method, Request, Response, StatusCode, body::BoxBody,
+};
 use actix_service::{Service as _, ServiceFactory as _};
 use bytes::Bytes;
+use clients::head_bytes;
 use protocol::{MAX_MESSAGE_BYTES, PeerMessage, encode_message};
 use serde_json::json;
 
 use crate::{
-    control::{Control, peers::PEER_PATH},
+    control::{Control, peers::PEER_PATH, transfer},
     input::AdminAsk,
     shared::ServicePhase,
     traffic::{answer, request},
@@ -65,11 +68,17 @@
     if request.path() != PEER_PATH || *request.method() != Method::POST {
         return Response::with_body(StatusCode::NOT_FOUND, BoxBody::new(Bytes::new()));
     }
+    let first_line = "POST  HTTP/1.1".len() + PEER_PATH.len();
+    let head = head_bytes(first_line, request.headers());
     let message = match request::body(&mut request, MAX_MESSAGE_BYTES).await {
-        Ok(body) => control.peer_message(&body),
+        Ok(body) => {
+            control.transfer.peers_served.begin(0, head + body.len());
+            control.peer_message(&body)
+        }
         Err(_) => PeerMessage::Missing,
     };
     let body = Bytes::from(encode_message(&message));
+    control.transfer.peers_served.add(transfer::answer_bytes(body.len()), 0);
     answer::with_body(StatusCode::OK, "application/msgpack", body)
 }
 
--- a/crates/process-tests/src/fleet.rs
+++ b/crates/process-tests/src/fleet.rs
@@ -29,6 +29,8 @@
     pub platform: Vec<String>,
     /// Lines added to the settings of every daemon.
     pub settings: String,
+    /// How long a share of a customer's limit lasts.
+    pub limit_grant: &'static str,
     /// Lines put before the tables of the document.
     pub document: String,
 }
@@ -120,6 +122,7 @@
             plain: vec![Vec::new()],
             platform: Vec::new(),
             settings: String::new(),
+            limit_grant: "1s",
             document: String::new(),
         }
     }
@@ -157,9 +160,10 @@
         let settings = format!(
             "vm_name = \"entry-{index}\"\nzone = \"{zone}\"\nenvironment = \"production\"\n\
              listen = \"127.0.0.1:0\"\npeer = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\n\
-             platform = \"{}\"\ntraffic_threads = 1\n{}[timeouts]\nlimit_grant = \"1s\"\n",
+             platform = \"{}\"\ntraffic_threads = 1\n{}[timeouts]\nlimit_grant = \"{}\"\n",
             self.platform.address(0),
-            self.options.settings
+            self.options.settings,
+            self.options.limit_grant
         );
         let file = self.folder.join(format!("daemon-{index}.toml"));
         fs::write(&file, settings).expect("the settings can be written");
--- a/crates/process-tests/src/process.rs
+++ b/crates/process-tests/src/process.rs
@@ -55,6 +55,12 @@
         self.addresses[index]
     }
 
+    /// Returns the id of the process.
+    #[must_use]
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Ends the process as a failed VM does.
     pub fn kill(&mut self) {
         // Errors mean that the process has ended, which is what was asked for.
--- a/crates/stand-ins/src/platform/log.rs
+++ b/crates/stand-ins/src/platform/log.rs
@@ -50,7 +50,8 @@
 
     pub(super) async fn read(&self, stream: &str, call: &Call) -> Reply {
         self.slow_down().await;
-        let state = self.state();
+        let mut state = self.state();
+        state.reads += 1;
         if state.faults.log_down {
             return Reply::status(StatusCode::SERVICE_UNAVAILABLE);
         }
--- a/crates/stand-ins/src/platform/state.rs
+++ b/crates/stand-ins/src/platform/state.rs
@@ -19,6 +19,7 @@
     pub(crate) streams: BTreeMap<String, LogStream>,
     pub(crate) append_rate: RateBucket,
     pub(crate) appends: u64,
+    pub(crate) reads: u64,
     pub(crate) faults: Faults,
     pub(crate) orders: Vec<ReceivedOrder>,
     pub(crate) upstreams: Vec<wire::Upstream>,
@@ -81,6 +82,7 @@
             streams: BTreeMap::new(),
             append_rate: RateBucket::new(options.appends_per_second, now),
             appends: 0,
+            reads: 0,
             faults: Faults::default(),
             orders: Vec::new(),
             upstreams: options.upstreams.clone(),
@@ -137,6 +139,7 @@
         let streams = streams.map(|(name, stream)| (name.clone(), stream.next()));
         json!({
             "appends": self.appends,
+            "reads": self.reads,
             "streams": streams.collect::<BTreeMap<_, _>>(),
             "orders": self.orders,
             "upstreams": self.upstreams,
