Check configuration by exhaustive search and read on from a peer's state

The search found that a daemon loses records after a gap: it took a peer's state of the log, which may end before the offset that its reader had reached, and the reader did not go back.

Ruled out: refusing a peer's state that ends below the reader's offset, because during steady edits a peer's state always ends a little below.

The daemon's reader of `config` goes back to the offset at which an adopted state ends. `ConfigHistory` derives equality.

The daemon's second reading has no process test of its own.

--- a/crates/configuration/src/history.rs
+++ b/crates/configuration/src/history.rs
@@ -92,7 +92,7 @@
 ///
 /// The part read from the log is a pure function of the log prefix. Copies of peers may run ahead
 /// of it. The version in force is the higher of the two, so it never goes back.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ConfigHistory<C> {
     check: C,
     log: ConfigSnapshot,
--- a/crates/hibiscushinged/src/control/config.rs
+++ b/crates/hibiscushinged/src/control/config.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use base::{Arena, Moment, Span, ZoneKey};
+use base::{Arena, LogOffset, Moment, Span, ZoneKey};
 use configuration::{
     CarrySchedule, ConfigHistory, ConfigOutcome, ConfigRecord, ConfigSnapshot, ConfigVersion,
     Currency, EnvironmentName, IsolatedService, IsolationPolicy, IsolationState, PeerOutcome,
@@ -37,6 +37,8 @@
     isolation: IsolationState,
     environment: EnvironmentName,
     applied: ConfigVersion,
+    /// Offset at which a peer's state of the log ends, until the reader of the stream goes there.
+    read_again: Option<LogOffset>,
 }
 
 pub(crate) fn start(control: &Rc<Control>) {
@@ -71,6 +73,7 @@
             isolation: IsolationState::new(IsolationPolicy::default(), now),
             environment: EnvironmentName(settings.environment.clone()),
             applied: ConfigVersion::default(),
+            read_again: None,
         }
     }
 
@@ -103,7 +106,7 @@
     /// Documents in force, for a peer.
     pub(crate) fn in_force(&self) -> ConfigSnapshot {
         let documents = self.history.documents().into_iter().cloned().collect();
-        ConfigSnapshot { next: base::LogOffset(0), documents }
+        ConfigSnapshot { next: LogOffset(0), documents }
     }
 
     pub(crate) fn zone_key(&mut self, name: &str) -> ZoneKey {
@@ -117,12 +120,19 @@
         let now = self.now();
         let mut next = NextRead::Onwards;
         match event {
-            StreamEvent::ReadingFrom(offset) | StreamEvent::Retained(offset) => {
+            StreamEvent::ReadingFrom(offset) => {
                 let mut state = self.state();
                 state.config.history.note_retention(offset);
                 state.config.carry.note_retention(offset);
                 return next;
             }
+            StreamEvent::Retained(offset) => {
+                let mut state = self.state();
+                state.config.history.note_retention(offset);
+                state.config.carry.note_retention(offset);
+                let read_again = state.config.read_again.take();
+                return read_again.map_or(next, NextRead::From);
+            }
             StreamEvent::Record { offset, id, record, catching_up } => {
                 let read_at = (!catching_up).then_some(now);
                 let mut state = self.state();
@@ -159,8 +169,12 @@
         let now = self.now();
         {
             let mut state = self.state();
-            if let Some(snapshot) = snapshot {
-                state.config.history.adopt_snapshot(snapshot);
+            // The reader may have passed records that the peer's state does not contain.
+            if let Some(snapshot) = snapshot
+                && let ConfigOutcome::Restored(offset) =
+                    state.config.history.adopt_snapshot(snapshot)
+            {
+                state.config.read_again = Some(offset);
             }
             for document in &in_force.documents {
                 let outcome = state.config.history.adopt_peer(document);
--- a/crates/hibiscushinged/src/control/follow.rs
+++ b/crates/hibiscushinged/src/control/follow.rs
@@ -87,7 +87,11 @@
                 follower = LogFollower::new(FollowerSettings::default(), page.first);
                 apply(&control, StreamEvent::ReadingFrom(page.first));
             }
-            apply(&control, StreamEvent::Retained(page.first));
+            let retained = apply(&control, StreamEvent::Retained(page.first));
+            if let NextRead::From(offset) = retained {
+                follower = LogFollower::new(FollowerSettings::default(), offset);
+                continue;
+            }
             let mut next = NextRead::Onwards;
             for action in follower.handle(decode(page)) {
                 next = control.apply(&stream, action, behind, &apply);
--- /dev/null
+++ b/crates/model-check/src/configuration/process.rs
@@ -0,0 +1,227 @@
+//! One process with its history, and its steps.
+
+use std::{
+    hash::{Hash, Hasher},
+    rc::Rc,
+};
+
+use ::configuration::{
+    ConfigCarry, ConfigHistory, ConfigOutcome, ConfigRecord, ConfigVersion, DocumentCheck,
+    EnvironmentName, VersionedDocument,
+};
+use base::{LogOffset, RecordId, plain};
+
+use super::{
+    ConfigEntry, ConfigGuards, ConfigModel, ConfigModelState, ConfigStep, NEVER_FALLS, PRODUCTION,
+    SNAPSHOT_YIELDS, TRIAL,
+};
+
+plain! {
+    /// Accepts every text.
+    #[derive(Copy)]
+    pub struct AcceptAll;
+
+    pub(crate) enum LogAccess {
+        Reachable,
+        CutOff,
+    }
+}
+
+/// The real history with a check that accepts every text.
+pub type History = ConfigHistory<AcceptAll>;
+
+/// A process and what the invariants need to know of its past.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ConfigProcess {
+    /// The real history.
+    pub history: History,
+    /// Offset of the next record to read.
+    pub(crate) next: LogOffset,
+    pub(crate) access: LogAccess,
+    /// Edits that this process accepted from the log, with the version that each builds on.
+    pub(crate) accepted: Vec<(RecordId, ConfigVersion)>,
+}
+
+impl DocumentCheck for AcceptAll {
+    fn check(&self, _environment: &EnvironmentName, _text: &str) -> Result<(), String> {
+        Ok(())
+    }
+}
+
+/// Leaves out texts, which versions and records imply.
+impl Hash for ConfigProcess {
+    fn hash<H: Hasher>(&self, hasher: &mut H) {
+        (self.next, self.history.next_offset(), &self.accepted).hash(hasher);
+        (self.access == LogAccess::Reachable).hash(hasher);
+        for document in self.history.documents() {
+            (document.version, document.record).hash(hasher);
+        }
+    }
+}
+
+impl ConfigProcess {
+    pub(crate) fn new() -> Self {
+        Self {
+            history: ConfigHistory::new(AcceptAll),
+            next: LogOffset(0),
+            access: LogAccess::Reachable,
+            accepted: Vec::new(),
+        }
+    }
+
+    fn versions(&self) -> [ConfigVersion; 2] {
+        [TRIAL, PRODUCTION].map(|name| self.history.version(&EnvironmentName::from(name)))
+    }
+
+    fn note_accepted(&mut self, record: &ConfigRecord) {
+        let ConfigRecord::Edit(edit) = record else { return };
+        if !self.accepted.iter().any(|(id, _)| *id == edit.id) {
+            self.accepted.push((edit.id, edit.base));
+            self.accepted.sort_unstable();
+        }
+    }
+}
+
+/// Returns the documents that the rule of section 5.4 accepts, without the product's code.
+pub(crate) fn expected_documents(log: &[Rc<ConfigEntry>]) -> Vec<VersionedDocument> {
+    let mut documents: Vec<VersionedDocument> = Vec::new();
+    let find = |documents: &[VersionedDocument], name: &EnvironmentName| {
+        documents.iter().find(|document| document.environment == *name).cloned()
+    };
+    let version = |found: &Option<VersionedDocument>| {
+        found.as_ref().map_or(ConfigVersion(0), |document| document.version)
+    };
+    for entry in log {
+        let (environment, record, text) = match &entry.0 {
+            ConfigRecord::Carry(_) => continue,
+            ConfigRecord::Edit(edit) => {
+                if edit.base != version(&find(&documents, &edit.environment)) {
+                    continue;
+                }
+                (&edit.environment, edit.id, edit.text.clone())
+            }
+            ConfigRecord::Promote(promote) => {
+                let source = find(&documents, &promote.source);
+                let target = find(&documents, &promote.target);
+                let is_current = promote.source_version == version(&source)
+                    && promote.target_base == version(&target);
+                let Some(source) = source.filter(|_| is_current) else { continue };
+                (&promote.target, promote.id, source.text)
+            }
+        };
+        let environment = environment.clone();
+        let version = ConfigVersion(version(&find(&documents, &environment)).0 + 1);
+        documents.retain(|document| document.environment != environment);
+        documents.push(VersionedDocument { environment, version, record, text });
+    }
+    documents.sort_by(|left, right| left.environment.cmp(&right.environment));
+    documents
+}
+
+impl<G: ConfigGuards> ConfigModel<G> {
+    pub(crate) fn process_steps(
+        &self,
+        state: &ConfigModelState,
+        index: usize,
+        steps: &mut Vec<(ConfigStep, ConfigModelState)>,
+    ) {
+        let process = &state.processes[index];
+        if process.access == LogAccess::Reachable {
+            if process.next.0 < state.log.len() as u64 || process.next < state.first_retained {
+                let mut next = state.clone();
+                self.read(&mut next, index);
+                steps.push((ConfigStep::Read(index), next));
+            }
+            self.carry_steps(state, index, steps);
+        } else {
+            let mut next = state.clone();
+            Rc::make_mut(&mut next.processes[index]).access = LogAccess::Reachable;
+            steps.push((ConfigStep::Reconnect(index), next));
+        }
+        if let Some(copies_left) = state.copies_left.checked_sub(1) {
+            for from in (0..state.processes.len()).filter(|from| *from != index) {
+                let mut next = ConfigModelState { copies_left, ..state.clone() };
+                self.copy(&mut next, index, from);
+                if next.processes[index] != state.processes[index] {
+                    steps.push((ConfigStep::Copy { to: index, from }, next));
+                }
+            }
+        }
+        let Some(fault) = self.fault(state) else { return };
+        if process.access == LogAccess::Reachable {
+            let mut next = fault.clone();
+            Rc::make_mut(&mut next.processes[index]).access = LogAccess::CutOff;
+            steps.push((ConfigStep::CutOff(index), next));
+        }
+        let mut next = fault;
+        let access = process.access.clone();
+        next.processes[index] = Rc::new(ConfigProcess { access, ..ConfigProcess::new() });
+        steps.push((ConfigStep::Restart(index), next));
+    }
+
+    fn carry_steps(
+        &self,
+        state: &ConfigModelState,
+        index: usize,
+        steps: &mut Vec<(ConfigStep, ConfigModelState)>,
+    ) {
+        let Some(snapshots_left) = state.snapshots_left.checked_sub(1) else { return };
+        let Some(snapshot) = state.processes[index].history.snapshot() else { return };
+        // A snapshot of the empty state is never due.
+        if snapshot.documents.is_empty() {
+            return;
+        }
+        let carry = ConfigRecord::Carry(ConfigCarry { snapshot: snapshot.clone() });
+        let carry = Rc::new(ConfigEntry(carry));
+        let mut next = ConfigModelState { snapshots_left, ..state.clone() };
+        next.log.push(Rc::clone(&carry));
+        steps.push((ConfigStep::Carry(index), next));
+        if let Some(mut next) = self.fault(state) {
+            next.snapshots_left = snapshots_left;
+            next.delayed.push(carry);
+            steps.push((ConfigStep::CarryDelayed(index), next));
+        }
+    }
+
+    /// Reads the next record, or learns that retention dropped it, as the daemon's follower does.
+    fn read(&self, state: &mut ConfigModelState, index: usize) {
+        let process = Rc::make_mut(&mut state.processes[index]);
+        if process.next < state.first_retained {
+            process.next = state.first_retained;
+            process.history.note_retention(state.first_retained);
+            return;
+        }
+        let record = &state.log[process.next.0 as usize].0;
+        let before = process.versions();
+        let offset = process.next;
+        process.next = offset.next();
+        match self.guards.apply(&mut process.history, offset, record) {
+            ConfigOutcome::Accepted { .. } => process.note_accepted(record),
+            ConfigOutcome::Restored(from) => process.next = from,
+            ConfigOutcome::Conflict(_) | ConfigOutcome::Refused(_) => {}
+        }
+        let fell = before.iter().zip(process.versions()).any(|(before, after)| after < *before);
+        let invariant = match record {
+            ConfigRecord::Carry(_) => SNAPSHOT_YIELDS,
+            ConfigRecord::Edit(_) | ConfigRecord::Promote(_) => NEVER_FALLS,
+        };
+        state.broken = state.broken.or(fell.then_some(invariant));
+    }
+
+    fn copy(&self, state: &mut ConfigModelState, to: usize, from: usize) {
+        let given = self.guards.given(&state.processes[from].history);
+        let snapshot = state.processes[from].history.snapshot().cloned();
+        let process = Rc::make_mut(&mut state.processes[to]);
+        let before = process.versions();
+        if let Some(snapshot) = snapshot
+            && let ConfigOutcome::Restored(next) = process.history.adopt_snapshot(&snapshot)
+        {
+            process.next = self.guards.continue_at(process.next, next);
+        }
+        for document in &given {
+            self.guards.adopt(&mut process.history, document);
+        }
+        let fell = before.iter().zip(process.versions()).any(|(before, after)| after < *before);
+        state.broken = state.broken.or(fell.then_some(NEVER_FALLS));
+    }
+}
--- a/crates/model-check/src/lib.rs
+++ b/crates/model-check/src/lib.rs
@@ -3,9 +3,10 @@
 //! A [`Specification`] describes processes, network and platform around the real state machines.
 //! [`explore`] visits every reachable state, [`counterexample`] finds a shortest path to a state
 //! that breaks an invariant. [`authority`] covers leases and orders, [`usage`] covers windows and
-//! their reports.
+//! their reports, [`configuration`] covers edits, promotions, snapshots and peers' copies.
 
 pub mod authority;
+pub mod configuration;
 mod search;
 pub mod usage;
 
