--- a/crates/document/src/settings.rs
+++ b/crates/document/src/settings.rs
@@ -23,6 +23,8 @@
         pub admin: SocketAddr,
         /// Address of the platform.
         pub platform: SocketAddr,
+        /// Receiver of metrics in the StatsD format over UDP, if any.
+        pub metrics: Option<SocketAddr>,
         /// Number of traffic threads.
         pub traffic_threads: u32,
         /// Seed of the random number generators, or `None` to draw one at the start.
@@ -51,7 +53,7 @@
         pub queued_requests: u32,
         /// Bytes of one request body.
         pub request_bytes: u32,
-        /// Bytes of one answer held for a caller that reads slowly.
+        /// Bytes of one answer of a plain service, which is checked whole before it is passed on.
         pub answer_bytes: u32,
         /// Messages in a channel between a traffic thread and the control thread.
         pub channel_messages: u32,
@@ -158,6 +160,7 @@
         peer: address(root, "peer"),
         admin: address(root, "admin"),
         platform: address(root, "platform"),
+        metrics: root.has("metrics").then(|| address(root, "metrics")),
         traffic_threads: root.small_integer("traffic_threads", 1..=256),
         seed: root.has("seed").then(|| root.integer("seed", 0..=i64::MAX as u64)),
         initial_peers: root.list_of("initial_peers", ADDRESS_RULE, |text| text.parse().ok()),
--- a/crates/hibiscushinged/src/control.rs
+++ b/crates/hibiscushinged/src/control.rs
@@ -4,14 +4,21 @@
 mod authority;
 mod claims;
 pub(crate) mod config;
+mod fleet;
 mod follow;
+mod generate;
 mod limits;
 mod orders;
 mod peers;
+mod sample_store;
+mod samples;
+mod score;
 mod server;
 mod suspects;
+mod trainers;
 mod usage;
 mod watch;
+mod weights;
 
 use std::{
     cell::{RefCell, RefMut},
@@ -39,6 +46,9 @@
 /// Period of the timers of all state machines. It bounds how late a timer can act.
 const TICK: Duration = Duration::from_millis(50);
 
+/// Period of the gauges among the metrics.
+const GAUGE_PERIOD: Duration = Duration::from_secs(1);
+
 /// The control thread's view of the daemon. Clones of the `Rc` are held by its tasks.
 pub(crate) struct Control {
     pub(crate) shared: Arc<SharedState>,
@@ -59,7 +69,10 @@
     pub(crate) usage: usage::UsageDriver,
     pub(crate) claims: claims::ClaimDriver,
     pub(crate) limits: limits::LimitDriver,
+    pub(crate) fleet: fleet::FleetDriver,
     pub(crate) watch: watch::WatchDriver,
+    pub(crate) samples: samples::SampleDriver,
+    pub(crate) weights: weights::WeightDriver,
     pub(crate) trace: DecisionTrace,
 }
 
@@ -77,10 +90,13 @@
     authority::start(&control);
     usage::start(&control);
     claims::start(&control);
+    samples::start(&control);
     suspects::start(&control);
     peers::start(&control);
     watch::start(&control);
+    fleet::start(&control);
     actix_rt::spawn(tick_loop(Rc::clone(&control)));
+    actix_rt::spawn(gauge_loop(Rc::clone(&control)));
     receive(control, input).await;
 }
 
@@ -93,6 +109,19 @@
     }
 }
 
+async fn gauge_loop(control: Rc<Control>) {
+    loop {
+        let queued_tokens = control.shared.desk().queued_tokens();
+        control.shared.metrics.load(control.shared.in_flight(), queued_tokens);
+        {
+            let (now, state) = (control.now(), control.state());
+            let buffered = state.writer.buffered_records();
+            control.shared.metrics.log(state.log.silence(now), buffered);
+        }
+        actix_rt::time::sleep(GAUGE_PERIOD).await;
+    }
+}
+
 async fn receive(control: Rc<Control>, mut input: mpsc::Receiver<ControlInput>) {
     while let Some(message) = input.recv().await {
         match message {
@@ -110,10 +139,8 @@
             }
             ControlInput::Suspicion(actions) => control.spread(actions),
             ControlInput::Decision(line) => control.state().trace.record(line),
-            ControlInput::Trainer { reply, .. } => {
-                let message = "the trainer interface is not available";
-                let code = base::RefusalCode::NoUpstream;
-                let _ = reply.send(Err(base::Refusal::not_run(code, message)));
+            ControlInput::Trainer { ask, reply } => {
+                actix_rt::spawn(Rc::clone(&control).trainer_asked(ask, reply));
             }
             ControlInput::Drain(done) => {
                 let control = Rc::clone(&control);
@@ -210,6 +237,8 @@
         self.tick_claims(now);
         self.tick_peers(now);
         self.tick_limits(now);
+        self.tick_samples(now);
+        self.tick_demand(now);
     }
 }
 
@@ -235,7 +264,10 @@
             usage: usage::UsageDriver::new(),
             claims: claims::ClaimDriver::new(),
             limits: limits::LimitDriver::default(),
+            fleet: fleet::FleetDriver::new(now),
             watch: watch::WatchDriver::new(settings),
+            samples: samples::SampleDriver::new(settings),
+            weights: weights::WeightDriver::new(now),
             trace: DecisionTrace::default(),
         }
     }
