Measure usage billed against usage answered under kills

Ruled out: one customer for all processes, since a loss on one could hide a double count on another; a fixed figure as the bound, since it follows from what each killed node alone held.

Change: `experiments kill-schedules` runs the real meter, pending batches, replica store, ledger and log writer of six nodes in three zones in virtual time, with log outages, lost and late messages. A baseline without replica holders stands beside each row.

--- a/crates/experiments/src/flags.rs
+++ b/crates/experiments/src/flags.rs
@@ -34,6 +34,11 @@
             /// Seed of every random draw.
             required --seed seed: u64
         }
+        /// Compares usage answered with usage billed while nodes and zones are killed.
+        cmd kill-schedules {
+            /// Number of schedules of each kind, 200 by default.
+            optional --seeds count: u64
+        }
         /// Measures the time of one choice among many upstreams on this machine.
         cmd pick-cost {
             /// Number of upstreams, 600 by default.
--- a/crates/experiments/src/main.rs
+++ b/crates/experiments/src/main.rs
@@ -5,6 +5,7 @@
 
 mod flags;
 mod fleet;
+mod kills;
 mod pick_cost;
 mod report;
 mod rollout;
@@ -46,6 +47,7 @@
         ExperimentsCmd::Rollout(flags) => rollout::run(flags)?,
         ExperimentsCmd::Fleet(flags) => fleet::run(flags)?,
         ExperimentsCmd::PickCost(flags) => pick_cost::run(flags),
+        ExperimentsCmd::KillSchedules(flags) => kills::run(flags)?,
     };
     if flags.json {
         println!("{}", report.to_json()?);
