--- a/crates/experiments/src/main.rs
+++ b/crates/experiments/src/main.rs
@@ -6,6 +6,7 @@
 mod control_cost;
 mod flags;
 mod fleet;
+mod kills;
 mod pick_cost;
 mod report;
 mod rollout;
@@ -50,6 +51,7 @@
         ExperimentsCmd::ControlCost(flags) => control_cost::run(flags)?,
         ExperimentsCmd::StateSpread(flags) => state_spread::run(flags)?,
         ExperimentsCmd::PickCost(flags) => pick_cost::run(flags),
+        ExperimentsCmd::KillSchedules(flags) => kills::run(flags)?,
     };
     if flags.json {
         println!("{}", report.to_json()?);
