Check usage windows after the one that is reported

Cause: the usage test ended at the first report with all calls, so it passed on a trial copy whose ledger bills open usage again in the next window. The test of planned stops could begin before the second engine took work.

Ruled out: none.

Change: the usage test waits for the report of the next window and sums again; the stop test waits until both engines serve.

Conclusion: holder_that_was_paused_sends_no_order also passes on a trial copy without the clock checks of the lease. It shows the sequence and does not prove the check; its comment says so.

--- a/crates/process-tests/tests/authority.rs
+++ b/crates/process-tests/tests/authority.rs
@@ -103,9 +103,9 @@
 
 /// Guards against an order by a process that was paused until its lease had ended.
 ///
-/// The platform ignores fencing numbers, so that only the holder's own clock stops the order. The
-/// holder is paused while it waits to be told that the platform does not know the order, after which
-/// it would send it.
+/// The platform ignores fencing numbers. The holder is paused while it waits to be told that the
+/// platform does not know the order. By the time it continues, the order timeout of its desk has
+/// passed too, so this run does not depend on the lease's clock check alone.
 #[actix_rt::test]
 async fn holder_that_was_paused_sends_no_order() {
     let fleet =
@@ -231,19 +231,31 @@
     }
     fleet.daemons[holder.daemon].kill();
     wait_for("a successor", || held_lease(&fleet, "usage")).await;
-    let billed = wait_for("the reports of all calls", || async {
-        let mut windows = BTreeMap::new();
-        for one in reports(&fleet).await {
-            let report = &one["report"];
-            let figures = &report["figures"];
-            let known = windows.insert(report["window"].as_u64()?, figures.clone());
-            assert!(known.is_none_or(|known| known == *figures), "{report:#} differs");
-            assert_eq!(one["accepted"], true, "{one:#}");
-        }
-        let requests = windows.values().map(|one| one["cordial"]["requests"].as_u64());
-        let sum = requests.sum::<Option<u64>>()?;
-        (sum >= CALLS).then_some(sum)
+    wait_for("the reports of all calls", || async {
+        (check_figures(&fleet).await.values().sum::<u64>() >= CALLS).then_some(())
+    })
+    .await;
+    let last = *check_figures(&fleet).await.keys().last().expect("a window holds the calls");
+    wait_for("the report of the next window", || async {
+        let seen = fleet.inspect().await;
+        let mut reports = seen["reports"].as_array()?.iter();
+        reports.any(|one| one["report"]["window"].as_u64() > Some(last)).then_some(())
     })
     .await;
-    assert_eq!(billed, CALLS);
+    assert_eq!(check_figures(&fleet).await.values().sum::<u64>(), CALLS);
+}
+
+/// Checks that each window has one set of figures, and returns its requests.
+async fn check_figures(fleet: &TestFleet) -> BTreeMap<u64, u64> {
+    let mut windows = BTreeMap::new();
+    for one in reports(fleet).await {
+        let report = &one["report"];
+        let figures = report["figures"].clone();
+        let window = report["window"].as_u64().expect("a number");
+        let known = windows.insert(window, figures.clone());
+        assert!(known.is_none_or(|known| known == figures), "{report:#} differs");
+        assert_eq!(one["accepted"], true, "{one:#}");
+    }
+    let requests = |figures: Value| figures["cordial"]["requests"].as_u64().expect("a number");
+    windows.into_iter().map(|(window, figures)| (window, requests(figures))).collect()
 }
--- a/crates/process-tests/tests/fleet.rs
+++ b/crates/process-tests/tests/fleet.rs
@@ -67,6 +67,16 @@
         (stream(&fleet, 1).await.await.unwrap().0 == 200).then_some(())
     })
     .await;
+    wait_for("both engines to take work", || async {
+        let status = get_json(fleet.daemons[0].address(2), "/admin/status").await?;
+        let upstreams = status["upstreams"].as_array()?.iter();
+        let of_service = |one: &&Value| {
+            let name = one["upstream"].as_str().unwrap_or_default();
+            name.starts_with(ORDERED_SERVICE) && one["phase"] == "Serving"
+        };
+        (upstreams.filter(of_service).count() == 2).then_some(())
+    })
+    .await;
     let mut streams = Vec::new();
     while running(&fleet).await.contains(&0) {
         assert!(streams.len() < 6, "no stream reached the second engine");
