--- a/crates/experiments/src/control_cost.rs
+++ b/crates/experiments/src/control_cost.rs
@@ -5,7 +5,11 @@
 #[cfg(test)]
 mod tests;
 
-use std::time::{Duration, Instant};
+use std::{
+    cell::Cell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use configuration::ConfigVersion;
 use error_stack::ResultExt as _;
@@ -32,10 +36,10 @@
 /// Versions of the document whose arrival is timed, per fleet.
 const EDITS: u64 = 5;
 
-/// Time for heartbeats, leases and caches to settle before the measurement.
-const SETTLING: Duration = Duration::from_secs(5);
+/// Seconds before the measurement. After 5 s, hardly any usage batch had reached the log yet.
+const SETTLING_SECONDS: u64 = 40;
 
-const COLUMNS: [&str; 10] = [
+const COLUMNS: [&str; 11] = [
     "cpu % of core",
     "cpu max",
     "MB",
@@ -46,6 +50,7 @@
     "upstream B/s",
     "log reads/s, all",
     "appends/s, all",
+    "answers/s, all",
 ];
 
 /// Kinds of exchange as `/admin/status` names them, grouped by column.
@@ -75,6 +80,8 @@
 
 async fn measure(flags: &ControlCost, counts: &[usize], length: Duration) -> RunResult {
     let rate = flags.rate.unwrap_or(1);
+    let settling = flags.settle.unwrap_or(SETTLING_SECONDS).min(MAX_SECONDS);
+    let settling = Duration::from_secs(settling);
     let mut cost = ReportTable::new("daemons", &COLUMNS);
     let mut edits = ReportTable::new("daemons", &["median ms", "max ms", "edits"]);
     let mut takeovers = ReportTable::new("takeover", &["median ms", "max ms", "kills", "daemons"]);
@@ -82,7 +89,7 @@
     for (index, count) in counts.iter().enumerate() {
         eprintln!("{count} daemons: starting");
         let mut fleet = start(*count).await;
-        let values = measure_fleet(&fleet, length, rate).await?;
+        let values = measure_fleet(&fleet, settling, length, rate).await?;
         cost.push(count.to_string(), values.clone());
         points.push((*count as f64, values));
         eprintln!("{count} daemons: editing the document");
@@ -140,8 +147,15 @@
     fleet
 }
 
-async fn measure_fleet(fleet: &TestFleet, length: Duration, rate: u64) -> RunResult<Vec<f64>> {
+async fn measure_fleet(
+    fleet: &TestFleet,
+    settling: Duration,
+    length: Duration,
+    rate: u64,
+) -> RunResult<Vec<f64>> {
+    let answered = Rc::new(Cell::new(0_u64));
     let load = fleet.daemons.iter().map(|daemon| {
+        let answered = Rc::clone(&answered);
         let address = daemon.address(0);
         actix_rt::spawn(async move {
             let key = format!("Bearer {}", caller_key("derwent"));
@@ -149,14 +163,18 @@
             let mut ticks = tokio::time::interval(period);
             loop {
                 ticks.tick().await;
-                call(address, "/v1/order", &[("authorization", key.clone())], "{}").await;
+                let headers = [("authorization", key.clone())];
+                let answer = call(address, "/v1/order", &headers, "{}").await;
+                answered.set(answered.get() + u64::from(answer.status == 200));
             }
         })
     });
     let load = load.collect::<Vec<_>>();
-    actix_rt::time::sleep(SETTLING).await;
+    actix_rt::time::sleep(settling).await;
     let (begin, before, log_before) = (Instant::now(), sample(fleet).await?, log(fleet).await);
+    let answered_before = answered.get();
     actix_rt::time::sleep(length).await;
+    let answers = answered.get() - answered_before;
     let (after, log_after) = (sample(fleet).await?, log(fleet).await);
     let elapsed = begin.elapsed().as_secs_f64();
     for task in load {
@@ -174,6 +192,7 @@
     values.extend((1..KINDS.len()).map(|kind| mean(&per_second(&|sample| sample.bytes[kind]))));
     values.push((log_after.0 - log_before.0) / elapsed);
     values.push((log_after.1 - log_before.1) / elapsed);
+    values.push(answers as f64 / elapsed);
     Ok(values)
 }
 
--- a/crates/experiments/src/flags.rs
+++ b/crates/experiments/src/flags.rs
@@ -3,7 +3,7 @@
 // The macro generates public items without documentation.
 #![allow(missing_docs, unreachable_pub)]
 
-use std::path::PathBuf;
+use std::{net::SocketAddr, path::PathBuf};
 
 xflags::xflags! {
     /// Measures policies of the service against baselines in virtual time.
@@ -40,6 +40,8 @@
             required --daemons counts: String
             /// Length of each measurement, 20 by default.
             optional --seconds count: u64
+            /// Seconds before each measurement, 40 by default.
+            optional --settle count: u64
             /// Requests a second that each daemon serves meanwhile, 1 by default.
             optional --rate count: u64
             /// Times that the holder of a lease is killed, 5 by default.
@@ -52,6 +54,30 @@
             /// Measured virtual seconds, 60 by default.
             optional --seconds count: u64
         }
+        /// Sends requests to an address of this machine at times fixed beforehand.
+        cmd load {
+            /// Address of a daemon or a service.
+            required --target address: SocketAddr
+            /// Key of a customer.
+            required --key key: String
+            /// Path of the request, for example v1/draft.
+            required --route path: String
+            /// Requests per second.
+            required --rate rate: u64
+            /// Length of the run, 600 at most.
+            required --seconds count: u64
+            /// Sessions whose prompts share a beginning, 1 by default.
+            optional --sessions count: u64
+            /// Percentage of calls whose caller gives up within 0.2 s, 0 by default.
+            optional --abandon percent: u32
+            /// Seed of the arrivals, 1 by default.
+            optional --seed seed: u64
+        }
+        /// Measures the added time and the highest rate of the daemon against a direct call.
+        cmd overhead {
+            /// Length of each rate measurement, 5 by default.
+            optional --seconds count: u64
+        }
         /// Measures the time of one choice among many upstreams on this machine.
         cmd pick-cost {
             /// Number of upstreams, 600 by default.
--- a/crates/experiments/src/main.rs
+++ b/crates/experiments/src/main.rs
@@ -6,6 +6,8 @@
 mod control_cost;
 mod flags;
 mod fleet;
+mod load;
+mod overhead;
 mod pick_cost;
 mod report;
 mod rollout;
@@ -49,6 +51,8 @@
         ExperimentsCmd::Fleet(flags) => fleet::run(flags)?,
         ExperimentsCmd::ControlCost(flags) => control_cost::run(flags)?,
         ExperimentsCmd::StateSpread(flags) => state_spread::run(flags)?,
+        ExperimentsCmd::Load(flags) => load::run(flags)?,
+        ExperimentsCmd::Overhead(flags) => overhead::run(flags)?,
         ExperimentsCmd::PickCost(flags) => pick_cost::run(flags),
     };
     if flags.json {
--- /dev/null
+++ b/crates/experiments/src/overhead.rs
@@ -0,0 +1,176 @@
+//! What the daemon adds to a call of a plain service, and its highest rate of small requests.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use base::Span;
+use bytes::Bytes;
+use clients::{HttpClient, Outgoing};
+use error_stack::ResultExt as _;
+use futures_util::future::join_all;
+use hdrhistogram::Histogram;
+use process_tests::{FleetOptions, TestFleet};
+
+use crate::{
+    RunFailed, RunResult,
+    flags::Overhead,
+    report::{ReportTable, RunReport, TargetBound, TargetLine},
+};
+
+const TRAFFIC_THREADS: u32 = 2;
+const SERVICES: usize = 4;
+const CALLS: usize = 5_000;
+const WARM_UP_CALLS: usize = 500;
+const CLIENT_THREADS: usize = 3;
+const CONNECTIONS_PER_THREAD: usize = 16;
+const CALL_LIMIT: Span = Span::from_secs(10);
+
+/// What became of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CallOutcome {
+    Answered,
+    /// The daemon was overloaded by its own estimate.
+    Refused,
+}
+
+/// An open route, so that no customer's limit bounds the rate.
+const ROUTE: &str = "/v1/open";
+
+pub(crate) fn run(flags: &Overhead) -> RunResult {
+    let seconds = flags.seconds.unwrap_or(5).clamp(1, 60);
+    actix_rt::System::new().block_on(measure(Duration::from_secs(seconds)))
+}
+
+async fn measure(length: Duration) -> RunResult {
+    let fleet = TestFleet::start(FleetOptions {
+        daemons: vec!["hobart-a"],
+        engines: Vec::new(),
+        plain: vec![vec![String::from("--service-time"), String::from("0")]; SERVICES],
+        traffic_threads: TRAFFIC_THREADS,
+        limit_grant: "10s",
+        ..FleetOptions::default()
+    })
+    .await;
+    fleet.first_document(&["derwent"]).await;
+    let daemon = fleet.caller_address(0);
+    let services = fleet.plain.iter().map(|plain| plain.address(0)).collect::<Vec<_>>();
+    let mut refused_alone = 0;
+    let (direct, through) = latencies(services[0], daemon, &mut refused_alone).await?;
+    let (direct_rate, _) = highest_rate(services, "/open", length).await?;
+    let (daemon_rate, refused) = highest_rate(vec![daemon], ROUTE, length).await?;
+    let millis = |latency: &Histogram<u64>, quantile: f64| {
+        latency.value_at_quantile(quantile) as f64 / 1_000.0
+    };
+    let mut latency = ReportTable::new("one call at a time", &["p50 ms", "p99 ms", "calls"]);
+    for (name, histogram) in [("direct", &direct), ("through the daemon", &through)] {
+        let values = vec![millis(histogram, 0.5), millis(histogram, 0.99), histogram.len() as f64];
+        latency.push(name, values);
+    }
+    let mut rate = ReportTable::new("closed loop", &["requests/s", "share of direct", "refused"]);
+    rate.push("direct", vec![direct_rate, 1.0, 0.0]);
+    rate.push("through the daemon", vec![daemon_rate, daemon_rate / direct_rate, refused as f64]);
+    let added = millis(&through, 0.5) - millis(&direct, 0.5);
+    let targets = vec![
+        TargetLine::new("added p50 in ms", TargetBound::Below, 0.3, added),
+        TargetLine::new("requests/s on 2 threads", TargetBound::AtLeast, 10_000.0, daemon_rate),
+        TargetLine::new(
+            "refused, one call at a time",
+            TargetBound::AtMost,
+            0.0,
+            refused_alone as f64,
+        ),
+        TargetLine::new("refused, closed loop", TargetBound::AtMost, 0.0, refused as f64),
+    ];
+    let title = format!(
+        "overhead, {SERVICES} plain services, {CLIENT_THREADS} client threads with \
+         {CONNECTIONS_PER_THREAD} connections each"
+    );
+    Ok(RunReport { title, tables: vec![latency, rate], targets, plot: None })
+}
+
+/// Calls both in turn, so that other work on the machine disturbs both alike.
+async fn latencies(
+    service: SocketAddr,
+    daemon: SocketAddr,
+    refused: &mut u64,
+) -> RunResult<(Histogram<u64>, Histogram<u64>)> {
+    let http = HttpClient::new(Span::from_secs(5));
+    let new = || {
+        Histogram::<u64>::new_with_bounds(1, CALL_LIMIT.0, 3)
+            .change_context_lazy(|| RunFailed(String::from("building the histogram")))
+    };
+    let (mut direct, mut through) = (new()?, new()?);
+    for number in 0..CALLS + WARM_UP_CALLS {
+        for (address, path, histogram) in
+            [(service, "/open", &mut direct), (daemon, ROUTE, &mut through)]
+        {
+            let begin = Instant::now();
+            let outcome = call(&http, address, path).await?;
+            *refused += u64::from(outcome == CallOutcome::Refused);
+            if number >= WARM_UP_CALLS && outcome == CallOutcome::Answered {
+                // Nanoseconds are lost, which is below a hundredth of the target.
+                histogram.saturating_record(begin.elapsed().as_micros() as u64);
+            }
+        }
+    }
+    Ok((direct, through))
+}
+
+async fn call(http: &HttpClient, address: SocketAddr, path: &str) -> RunResult<CallOutcome> {
+    let outgoing = Outgoing::post(address, path, Bytes::from_static(b"{}"));
+    let answer = http.exchange(outgoing, CALL_LIMIT, 1 << 20).await;
+    let answer = answer.change_context_lazy(|| RunFailed(format!("a call to {address}")))?;
+    match answer.status.as_u16() {
+        200 => Ok(CallOutcome::Answered),
+        503 => Ok(CallOutcome::Refused),
+        status => Err(RunFailed(format!("a call with the status {status}")).into()),
+    }
+}
+
+/// Returns the answers a second with all connections busy, and the number of refusals.
+async fn highest_rate(
+    addresses: Vec<SocketAddr>,
+    path: &'static str,
+    length: Duration,
+) -> RunResult<(f64, u64)> {
+    let threads = (0..CLIENT_THREADS).map(|_| {
+        let addresses = addresses.clone();
+        std::thread::spawn(move || {
+            actix_rt::System::new().block_on(async move {
+                let begin = Instant::now();
+                let connections = (0..CONNECTIONS_PER_THREAD).map(|connection| {
+                    let address = addresses[connection % addresses.len()];
+                    async move {
+                        let http = HttpClient::new(Span::from_secs(5));
+                        let (mut answered, mut refused) = (0_u64, 0_u64);
+                        while begin.elapsed() < length {
+                            match call(&http, address, path).await? {
+                                CallOutcome::Answered => answered += 1,
+                                CallOutcome::Refused => refused += 1,
+                            }
+                        }
+                        RunResult::Ok((answered, refused))
+                    }
+                });
+                let counts =
+                    join_all(connections).await.into_iter().collect::<RunResult<Vec<_>>>()?;
+                let answered = counts.iter().map(|(answered, _)| answered).sum::<u64>();
+                let refused = counts.iter().map(|(_, refused)| refused).sum::<u64>();
+                RunResult::Ok((answered as f64 / begin.elapsed().as_secs_f64(), refused))
+            })
+        })
+    });
+    let threads = threads.collect::<Vec<_>>();
+    let joined = actix_rt::task::spawn_blocking(move || {
+        let rates = threads.into_iter().map(|thread| match thread.join() {
+            Ok(rate) => rate,
+            Err(_) => Err(RunFailed(String::from("a client thread")).into()),
+        });
+        let rates = rates.collect::<RunResult<Vec<_>>>()?;
+        let rate = rates.iter().map(|(rate, _)| rate).sum();
+        RunResult::Ok((rate, rates.iter().map(|(_, refused)| refused).sum()))
+    });
+    joined.await.change_context_lazy(|| RunFailed(String::from("waiting for the clients")))?
+}
--- a/crates/process-tests/src/fleet.rs
+++ b/crates/process-tests/src/fleet.rs
@@ -29,6 +29,8 @@
     pub platform: Vec<String>,
     /// Lines added to the settings of every daemon.
     pub settings: String,
+    /// Traffic threads of each daemon.
+    pub traffic_threads: u32,
     /// How long a share of a customer's limit lasts.
     pub limit_grant: &'static str,
     /// Lines put before the tables of the document.
@@ -122,6 +124,7 @@
             plain: vec![Vec::new()],
             platform: Vec::new(),
             settings: String::new(),
+            traffic_threads: 1,
             limit_grant: "1s",
             document: String::new(),
         }
@@ -160,8 +163,9 @@
         let settings = format!(
             "vm_name = \"entry-{index}\"\nzone = \"{zone}\"\nenvironment = \"production\"\n\
              listen = \"127.0.0.1:0\"\npeer = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\n\
-             platform = \"{}\"\ntraffic_threads = 1\n{}[timeouts]\nlimit_grant = \"{}\"\n",
+             platform = \"{}\"\ntraffic_threads = {}\n{}[timeouts]\nlimit_grant = \"{}\"\n",
             self.platform.address(0),
+            self.options.traffic_threads,
             self.options.settings,
             self.options.limit_grant
         );
