--- a/crates/experiments/src/main.rs
+++ b/crates/experiments/src/main.rs
@@ -7,6 +7,8 @@
 mod flags;
 mod fleet;
 mod kills;
+mod load;
+mod overhead;
 mod pick_cost;
 mod report;
 mod rollout;
@@ -50,6 +52,8 @@
         ExperimentsCmd::Fleet(flags) => fleet::run(flags)?,
         ExperimentsCmd::ControlCost(flags) => control_cost::run(flags)?,
         ExperimentsCmd::StateSpread(flags) => state_spread::run(flags)?,
+        ExperimentsCmd::Load(flags) => load::run(flags)?,
+        ExperimentsCmd::Overhead(flags) => overhead::run(flags)?,
         ExperimentsCmd::PickCost(flags) => pick_cost::run(flags),
         ExperimentsCmd::KillSchedules(flags) => kills::run(flags)?,
     };
--- a/crates/process-tests/src/fleet.rs
+++ b/crates/process-tests/src/fleet.rs
@@ -29,6 +29,8 @@
     pub platform: Vec<String>,
     /// Lines added to the settings of every daemon.
     pub settings: String,
+    /// Traffic threads of each daemon.
+    pub traffic_threads: u32,
     /// How long a share of a customer's limit lasts.
     pub limit_grant: &'static str,
     /// Lines put before the tables of the document.
@@ -127,6 +129,7 @@
             plain: vec![Vec::new()],
             platform: Vec::new(),
             settings: String::new(),
+            traffic_threads: 1,
             limit_grant: "1s",
             document: String::new(),
             tables: String::new(),
@@ -183,8 +186,9 @@
         let text = format!(
             "vm_name = \"entry-{index}\"\nzone = \"{zone}\"\nenvironment = \"production\"\n\
              listen = \"127.0.0.1:0\"\npeer = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\n\
-             platform = \"{platform}\"\ntraffic_threads = 1\n{settings}[timeouts]\n\
+             platform = \"{platform}\"\ntraffic_threads = {}\n{settings}[timeouts]\n\
              limit_grant = \"{}\"\n",
+            self.options.traffic_threads,
             self.options.limit_grant
         );
         let file = self.folder.join(format!("daemon-{index}.toml"));
