--- a/crates/hibiscushinged/src/control/peers.rs
+++ b/crates/hibiscushinged/src/control/peers.rs
@@ -204,15 +204,18 @@
         self.tell_all_peers(&PeerMessage::Upstreams(upstreams));
     }
 
+    /// Counts a message that cannot be read.
+    pub(crate) fn refuse_peer_message(&self, sender: &str, error: &str) -> PeerMessage {
+        log_event!(warn, PeerMessageRefused, sender, error);
+        self.state().peers.malformed += 1;
+        PeerMessage::Missing
+    }
+
     /// Answers a message of a peer.
-    pub(crate) fn peer_message(self: &Rc<Self>, body: &[u8]) -> PeerMessage {
+    pub(crate) fn peer_message(self: &Rc<Self>, sender: &str, body: &[u8]) -> PeerMessage {
         let message = match decode_message::<PeerMessage>(body) {
             Ok(message) => message,
-            Err(error) => {
-                log_event!(warn, PeerMessageRefused, %error);
-                self.state().peers.malformed += 1;
-                return PeerMessage::Missing;
-            }
+            Err(error) => return self.refuse_peer_message(sender, &error.to_string()),
         };
         match message {
             PeerMessage::Heartbeat(wire) => self.heartbeat(wire.into()),
--- a/crates/hibiscushinged/src/control/server.rs
+++ b/crates/hibiscushinged/src/control/server.rs
@@ -5,7 +5,7 @@
 use actix_http::{HttpService, Method, Request, Response, StatusCode, body::BoxBody};
 use actix_service::{Service as _, ServiceFactory as _};
 use bytes::Bytes;
-use protocol::{MAX_MESSAGE_BYTES, PeerMessage, encode_message};
+use protocol::{MAX_MESSAGE_BYTES, encode_message};
 use serde_json::json;
 
 use crate::{
@@ -65,9 +65,10 @@
     if request.path() != PEER_PATH || *request.method() != Method::POST {
         return Response::with_body(StatusCode::NOT_FOUND, BoxBody::new(Bytes::new()));
     }
+    let sender = request.peer_addr().map(|address| address.to_string()).unwrap_or_default();
     let message = match request::body(&mut request, MAX_MESSAGE_BYTES).await {
-        Ok(body) => control.peer_message(&body),
-        Err(_) => PeerMessage::Missing,
+        Ok(body) => control.peer_message(&sender, &body),
+        Err(refusal) => control.refuse_peer_message(&sender, &refusal.message),
     };
     let body = Bytes::from(encode_message(&message));
     answer::with_body(StatusCode::OK, "application/msgpack", body)
