--- a/crates/hibiscushinged/src/control/peers.rs
+++ b/crates/hibiscushinged/src/control/peers.rs
@@ -51,7 +51,7 @@
         let own = VmIdentity {
             name: settings.vm_name.clone(),
             zone: settings.zone.clone(),
-            address: settings.peer.to_string(),
+            address: settings.peer_advertised.unwrap_or(settings.peer).to_string(),
             generation: u64::try_from(wall_now().0).unwrap_or_default(),
             incarnation: shared.incarnation,
         };
@@ -317,7 +317,7 @@
     ) -> Option<PeerMessage> {
         let outgoing = Outgoing::post(address, PEER_PATH, Bytes::from(encode_message(message)));
         let timeout = self.shared.settings.timeouts.peer;
-        let answer = self.http.exchange(outgoing, timeout, MAX_MESSAGE_BYTES).await.ok()?;
+        let answer = self.peer_http.exchange(outgoing, timeout, MAX_MESSAGE_BYTES).await.ok()?;
         decode_message(&answer.success().ok()?.body).ok()
     }
 }
--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -12,6 +12,6 @@
     claims::{WireClaim, WireVerdict},
     config::{WireConfig, WireSnapshot},
     demand::WireDemand,
-    samples::{OpenedStep, SampleEntry, WireSample},
+    samples::{OpenedStep, SampleCarry, SampleEntry, WireSample},
     usage::{UsageEntry, WireBatch, WireUsage},
 };
