--- a/crates/hibiscushinged/src/control/server.rs
+++ b/crates/hibiscushinged/src/control/server.rs
@@ -8,7 +8,7 @@
 use actix_service::{Service as _, ServiceFactory as _};
 use bytes::Bytes;
 use clients::head_bytes;
-use protocol::{MAX_MESSAGE_BYTES, PeerMessage, encode_message};
+use protocol::{MAX_MESSAGE_BYTES, encode_message};
 use serde_json::json;
 
 use crate::{
@@ -68,14 +68,15 @@
     if request.path() != PEER_PATH || *request.method() != Method::POST {
         return Response::with_body(StatusCode::NOT_FOUND, BoxBody::new(Bytes::new()));
     }
+    let sender = request.peer_addr().map(|address| address.to_string()).unwrap_or_default();
     let first_line = "POST  HTTP/1.1".len() + PEER_PATH.len();
     let head = head_bytes(first_line, request.headers());
     let message = match request::body(&mut request, MAX_MESSAGE_BYTES).await {
         Ok(body) => {
             control.transfer.peers_served.begin(0, head + body.len());
-            control.peer_message(&body)
+            control.peer_message(&sender, &body)
         }
-        Err(_) => PeerMessage::Missing,
+        Err(refusal) => control.refuse_peer_message(&sender, &refusal.message),
     };
     let body = Bytes::from(encode_message(&message));
     control.transfer.peers_served.add(transfer::answer_bytes(body.len()), 0);
