hibiscushinge: demo waits for the open window as a follower sees it

Daemon 0 reads the close of a window up to 500 ms after its holder has reported it, and the check read it once.

Change: the check waits for the empty open window and then compares the reported figures with the counted ones again, so usage that is billed twice breaks it. Streams of the crash step have 400 tokens and routes a deadline of 90 s, since suspects run one after the other.

Conclusion: the fault was in the demo.

--- a/crates/hibiscushinge/src/demo/caller.rs
+++ b/crates/hibiscushinge/src/demo/caller.rs
@@ -13,8 +13,8 @@
 use serde_json::{Value, json};
 use stand_ins::token_text;
 
-/// Longest exchange. The deadlines of the document end requests earlier.
-const EXCHANGE_LIMIT: Duration = Duration::from_secs(60);
+/// Longest exchange. It exceeds the deadlines of the document.
+const EXCHANGE_LIMIT: Duration = Duration::from_secs(100);
 
 /// How often a refusal that offers a retry is followed by one.
 const MAX_TRIES: u32 = 20;
--- a/crates/hibiscushinge/src/demo/config.rs
+++ b/crates/hibiscushinge/src/demo/config.rs
@@ -41,7 +41,7 @@
     ] {
         let route = format!(
             "path = \"{path}\"\nservice = \"{service}\"\nidempotent = {idempotent}\n\
-             max_deadline = \"45s\""
+             max_deadline = \"90s\""
         );
         push(&mut text, "routes", &route);
     }
--- a/crates/hibiscushinge/src/demo/steps/billing.rs
+++ b/crates/hibiscushinge/src/demo/steps/billing.rs
@@ -50,14 +50,19 @@
         },
     );
 
-    // Usage that is billed a second time would be in the open window by now.
+    // A daemon reads the close of a window up to 500 ms after its holder has reported it.
     let node = world.daemons[0].addresses.admin;
-    let usage = world.admin.usage(node).await.map_err(|error| error.to_string())?;
-    let open = &usage["open"];
+    let read = || async {
+        let usage = world.admin.usage(node).await.unwrap_or_default();
+        usage["open"].clone()
+    };
+    let is_empty = |open: &Value| open.as_object().is_some_and(serde_json::Map::is_empty);
+    let open = observe(read, is_empty).await;
+    let billed = self::billed(&received(&world.platform.inspect()));
     account.check(
-        "Nothing waits to be billed again",
-        open.as_object().is_some_and(serde_json::Map::is_empty),
-        format!("the open window holds {open}"),
+        "Nothing is billed again",
+        is_empty(&open) && billed == counted,
+        format!("the open window holds {open}; reported by then: {}", billed.summary()),
     );
     Ok(())
 }
--- a/crates/hibiscushinge/src/demo/steps/crash.rs
+++ b/crates/hibiscushinge/src/demo/steps/crash.rs
@@ -7,8 +7,9 @@
 use super::{StepResult, end_streams, start_stream, wait_for_lines, whole_text};
 use crate::demo::{account::PromiseAccount, world::DemoWorld};
 
-/// Tokens of each stream, for 3 s at the engine's speed.
-const TOKENS: u32 = 600;
+/// Tokens of each stream, for 2 s at the engine's speed. Streams of the crashed engine run one after
+/// the other, since suspects share no upstream.
+const TOKENS: u32 = 400;
 
 /// Time for which the engine stays down.
 const DOWN: Duration = Duration::from_secs(2);
