Assume a mean time per token of upstreams without completed requests

Cause: an upstream without a completed request counted as fast as the initial speed and with no time per token, so it looked faster than all others and got every request until its first answer. Seen in the process test planned_stop_waits_for_running_streams: six of six streams on one engine. The document's speed of a pool had no effect on routing. Ruled out: a lower initial speed, which only hides new upstreams instead. Change: the mean time per token over all upstreams stands in for an unknown one; the pool's speed is the initial speed. The process test gives its streams prompts without a common prefix, since those of a common one belong to one engine by design; its bound of six streams is unchanged.

--- a/crates/hibiscushinged/src/control/watch.rs
+++ b/crates/hibiscushinged/src/control/watch.rs
@@ -13,7 +13,7 @@
     clock::wall_now,
     control::Control,
     telemetry::log_event,
-    view::{RoutingView, UpstreamTarget},
+    view::{CALL_TOKENS, RoutingView, UpstreamTarget},
 };
 
 /// Time between two reads of the platform's list of upstreams.
@@ -113,6 +113,7 @@
         }
         let mut changed = RoutingView::clone(&view);
         let price = if info.cheap { UpstreamPrice::Cheap } else { UpstreamPrice::Regular };
+        let speed = self.pool_speed(info);
         let zone = {
             let mut state = self.state();
             state.watch.zones.insert(info.name.clone(), info.zone.clone());
@@ -129,8 +130,11 @@
         {
             let mut desk = self.shared.desk();
             let node_hash = stable_hash(&info.name);
-            let added =
-                desk.add_upstream(&info.service, routing::UpstreamInfo { node_hash, zone, price });
+            let added = desk.add_upstream(
+                &info.service,
+                routing::UpstreamInfo { node_hash, zone, price },
+                speed,
+            );
             assert_eq!(added, key, "view and desk list upstreams in the same order");
             // It takes no work until a watcher has seen it answer.
             desk.set_state(key, routing::UpstreamState::Down);
@@ -140,6 +144,19 @@
         self.apply_board(self.now(), &info.name);
     }
 
+    /// Returns the speed in tokens per second that the document expects of an upstream.
+    fn pool_speed(&self, info: &UpstreamInfo) -> Option<u32> {
+        let state = self.state();
+        let document = state.config.document.as_ref()?;
+        let pool = document.pools.iter().find(|pool| {
+            pool.service == info.service && pool.zone == info.zone && pool.cheap == info.cheap
+        })?;
+        match document.service(&pool.service)?.kind {
+            ServiceKind::Model => Some(pool.speed),
+            ServiceKind::Plain => Some(pool.speed.saturating_mul(CALL_TOKENS)),
+        }
+    }
+
     pub(crate) fn mark_leaving(self: &Rc<Self>, upstream: &str, cause: LeavingCause) {
         let now = self.now();
         self.state().peers.board.mark_leaving(now, upstream, cause);
--- a/crates/hibiscushinged/src/desk.rs
+++ b/crates/hibiscushinged/src/desk.rs
@@ -131,8 +131,16 @@
     }
 
     /// Adds an upstream. Its key equals the one in the routing view.
-    pub(crate) fn add_upstream(&mut self, service: &str, info: UpstreamInfo) -> UpstreamKey {
-        let key = self.table.add(info);
+    pub(crate) fn add_upstream(
+        &mut self,
+        service: &str,
+        info: UpstreamInfo,
+        speed: Option<u32>,
+    ) -> UpstreamKey {
+        let key = match speed {
+            Some(speed) => self.table.add_expecting(info, speed),
+            None => self.table.add(info),
+        };
         self.service_of.insert(key, String::from(service));
         let seed = self.rng.random();
         let desk = self
--- a/crates/hibiscushinged/src/traffic/caller.rs
+++ b/crates/hibiscushinged/src/traffic/caller.rs
@@ -27,15 +27,12 @@
         server::TrafficWorker,
         stream,
     },
-    view::RouteTarget,
+    view::{CALL_TOKENS, RouteTarget},
 };
 
 /// Bytes of a prompt that count as one token in estimates.
 const BYTES_PER_TOKEN: usize = 4;
 
-/// Cost of one call to a plain service, in tokens.
-const PLAIN_TOKENS: u32 = 50;
-
 /// An admitted request.
 pub(crate) struct CallerRequest {
     pub(crate) id: RequestId,
@@ -132,7 +129,7 @@
             let tokens = generate.max_tokens.saturating_add(prompt);
             (RequestWork::Generate(generate), tokens)
         }
-        ServiceKind::Plain => (RequestWork::Plain, PLAIN_TOKENS),
+        ServiceKind::Plain => (RequestWork::Plain, CALL_TOKENS),
     };
     let customer = owner.as_ref().map(|owner| owner.customer.as_str());
     let name = customer.unwrap_or("");
--- a/crates/hibiscushinged/src/traffic/plain.rs
+++ b/crates/hibiscushinged/src/traffic/plain.rs
@@ -19,11 +19,9 @@
         choice::{self, ChosenUpstream},
         server::TrafficWorker,
     },
+    view::CALL_TOKENS,
 };
 
-/// Work of one call in the units of the choice.
-const CALL_TOKENS: u32 = 50;
-
 /// A call, also of a caller that disconnects before the answer.
 struct PlainCall {
     worker: Rc<TrafficWorker>,
--- a/crates/hibiscushinged/src/view.rs
+++ b/crates/hibiscushinged/src/view.rs
@@ -100,3 +100,6 @@
 
 /// Shares the queue place of callers on open routes, who belong to no customer.
 pub(crate) const OPEN_CALLERS: CustomerKey = CustomerKey(0);
+
+/// Work of one call to a plain service, in the tokens that limits, queues and choices count.
+pub(crate) const CALL_TOKENS: u32 = 50;
--- a/crates/process-tests/src/fleet.rs
+++ b/crates/process-tests/src/fleet.rs
@@ -188,8 +188,7 @@
              listen = \"127.0.0.1:0\"\npeer = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\n\
              platform = \"{platform}\"\ntraffic_threads = {}\n{settings}[timeouts]\n\
              limit_grant = \"{}\"\n",
-            self.options.traffic_threads,
-            self.options.limit_grant
+            self.options.traffic_threads, self.options.limit_grant
         );
         let file = self.folder.join(format!("daemon-{index}.toml"));
         fs::write(&file, text).expect("the settings can be written");
--- a/crates/process-tests/tests/fleet.rs
+++ b/crates/process-tests/tests/fleet.rs
@@ -35,10 +35,16 @@
     check_plan(&fleet, "2 regular and 0 cheap").await;
 }
 
-async fn stream(fleet: &TestFleet, tokens: u32) -> actix_rt::task::JoinHandle<(u16, usize)> {
+/// Starts a stream. Streams of different numbers have prompts without a common prefix, so that they
+/// do not all belong to the engine whose cache may hold it.
+async fn stream(
+    fleet: &TestFleet,
+    number: usize,
+    tokens: u32,
+) -> actix_rt::task::JoinHandle<(u16, usize)> {
     let address = fleet.caller_address(0);
     actix_rt::spawn(async move {
-        let body = format!("{{\"prompt\": \"a sleeve\", \"max_tokens\": {tokens}}}");
+        let body = format!("{{\"prompt\": \"{number} sleeves\", \"max_tokens\": {tokens}}}");
         let headers = [("authorization", format!("Bearer {}", caller_key("cordial")))];
         let answer = call(address, "/v1/proof", &headers, &body).await;
         (answer.status, answer.body.lines().count())
@@ -64,7 +70,7 @@
     let options = lease_options(vec![ORDERED_ZONE], &["--engine-speed", "25"]);
     let fleet = start_ordered(options, 2, 0).await;
     wait_for("an admitted request", || async {
-        (stream(&fleet, 1).await.await.unwrap().0 == 200).then_some(())
+        (stream(&fleet, 0, 1).await.await.unwrap().0 == 200).then_some(())
     })
     .await;
     wait_for("both engines to take work", || async {
@@ -80,7 +86,7 @@
     let mut streams = Vec::new();
     while running(&fleet).await.contains(&0) {
         assert!(streams.len() < 6, "no stream reached the second engine");
-        streams.push(stream(&fleet, TOKENS).await);
+        streams.push(stream(&fleet, streams.len(), TOKENS).await);
         wait_for("the stream to run", || async {
             (running(&fleet).await.iter().sum::<u64>() == streams.len() as u64).then_some(())
         })
--- a/crates/routing/src/picker.rs
+++ b/crates/routing/src/picker.rs
@@ -209,7 +209,7 @@
 /// included.
 fn cost(table: &UpstreamTable, row: &UpstreamRow, work: f32) -> f32 {
     let network = table.distance(row.info.zone).0 as f32 * 2e-6;
-    row.expected(work, table.own_weight()) + network
+    row.expected(work, table.own_weight(), table.mean_token_time()) + network
 }
 
 fn span(seconds: f32) -> Span {
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -20,6 +20,9 @@
 /// Own work counts at most for this many nodes. Beyond it, it outweighs the reports anyway.
 const MAX_OWN_WEIGHT: u32 = 32;
 
+/// Weight of one completed request in the means over all upstreams.
+const MEAN_WEIGHT: f32 = 1.0 / 64.0;
+
 /// State of the upstreams, addressed by [`UpstreamKey`].
 #[derive(Debug, Clone)]
 pub struct UpstreamTable {
@@ -27,6 +30,7 @@
     rows: Arena<UpstreamKey, UpstreamRow>,
     distances: Vec<Span>,
     mean_request: f32,
+    mean_token_time: f32,
     max_speed: f32,
     own_weight: f32,
 }
@@ -47,6 +51,7 @@
             rows: Arena::new(),
             distances,
             mean_request: settings.initial_request as f32,
+            mean_token_time: 0.0,
             max_speed: settings.initial_speed as f32,
             own_weight: 1.0,
         }
@@ -62,7 +67,13 @@
 
     /// Adds an upstream that takes work.
     pub fn add(&mut self, info: UpstreamInfo) -> UpstreamKey {
-        self.rows.push(UpstreamRow::new(info, self.settings.initial_speed as f32))
+        self.add_expecting(info, self.settings.initial_speed)
+    }
+
+    /// Adds an upstream that takes work at an expected speed in tokens per second, which holds until
+    /// completed requests show its true one.
+    pub fn add_expecting(&mut self, info: UpstreamInfo, speed: u32) -> UpstreamKey {
+        self.rows.push(UpstreamRow::new(info, speed.max(1) as f32))
     }
 
     /// Changes whether an upstream may be chosen. Leaving is final, except that it can go down.
@@ -129,10 +140,13 @@
         row.outstanding = row.outstanding.saturating_sub(work.tokens);
         row.own_requests = row.own_requests.saturating_sub(1);
         let WorkEnd::Completed { tokens } = end else { return };
-        self.mean_request += (tokens as f32 - self.mean_request) / 64.0;
+        self.mean_request += (tokens as f32 - self.mean_request) * MEAN_WEIGHT;
         let took = now.since(work.started_at).0.max(1) as f32 / 1e6;
         let backlog = (work.backlog as f32 + row.backlog() as f32) / 2.0;
         row.learn(tokens as f32, took, backlog, self.mean_request);
+        let token_time = took / tokens.max(1) as f32;
+        let weight = if self.mean_token_time > 0.0 { MEAN_WEIGHT } else { 1.0 };
+        self.mean_token_time += (token_time - self.mean_token_time) * weight;
         self.max_speed = self.max_speed.max(row.speed);
     }
 
@@ -218,6 +232,10 @@
         self.own_weight
     }
 
+    pub(crate) const fn mean_token_time(&self) -> f32 {
+        self.mean_token_time
+    }
+
     pub(crate) const fn max_speed(&self) -> f32 {
         self.max_speed
     }
--- a/crates/routing/src/upstream.rs
+++ b/crates/routing/src/upstream.rs
@@ -189,10 +189,13 @@
     }
 
     /// Expected time in seconds of a request of `work` tokens that starts now, when each token of
-    /// own outstanding work counts `own_weight` times.
-    pub(crate) fn expected(&self, work: f32, own_weight: f32) -> f32 {
+    /// own outstanding work counts `own_weight` times. `mean_token_time` stands in for the time per
+    /// token of an upstream that has not completed a request; without it a new upstream would look
+    /// faster than all others until its first answer, and attract every request.
+    pub(crate) fn expected(&self, work: f32, own_weight: f32, mean_token_time: f32) -> f32 {
         let backlog = self.others + self.outstanding as f32 * own_weight;
-        ((backlog + work) / self.speed.max(1.0)).max(work * self.token_time)
+        let token_time = if self.token_time > 0.0 { self.token_time } else { mean_token_time };
+        ((backlog + work) / self.speed.max(1.0)).max(work * token_time)
     }
 
     /// Records the own outstanding work before it changes at `now`.
--- a/crates/routing/tests/picker.rs
+++ b/crates/routing/tests/picker.rs
@@ -207,6 +207,18 @@
     assert_eq!(table.speed(upstream), Some(under_load));
 }
 
+/// Guards against a new upstream that looks faster than all others and attracts every request until
+/// its first answer.
+#[test]
+fn new_upstream_is_assumed_to_be_as_fast_as_the_others() {
+    let mut table = table(&[0, 0], Span::ZERO);
+    // Alone on the upstream, a token takes 40 ms; nothing is known of the other one.
+    let work = table.start(NOW, UpstreamKey(0), 10);
+    table.finish(NOW + Span::from_millis(400), work, WorkEnd::Completed { tokens: 10 });
+    let mut picker = RoutePicker::default();
+    check(&mut picker, &table, &PLAIN, |counts| counts.iter().all(|count| *count > 200));
+}
+
 #[test]
 fn own_work_stands_for_that_of_the_other_nodes_until_they_report() {
     let mut table = table(&[0, 0], Span::ZERO);
