Refuse as overloaded only when there is an overload

The rate of a service counted only upstreams that are up. One refused connection makes an upstream suspect until its watcher reports it again, the rate fell to 1 token/s, and a call of 50 tokens seemed to take 50 s. Ruled out: load reports or limits (the calls were alone); a longer deadline. Change: suspect upstreams count, since they can be chosen; without any upstream the last rate stays and the choice refuses with its own reason.

--- a/crates/hibiscushinged/src/control/follow.rs
+++ b/crates/hibiscushinged/src/control/follow.rs
@@ -10,11 +10,22 @@
 };
 use tokio::sync::Notify;
 
-use crate::{control::Control, telemetry::log_event};
+use crate::{
+    control::{Control, config::CONFIG_STREAM},
+    telemetry::log_event,
+};
 
-/// Time between two reads of a stream. Configuration must be in force everywhere within 2 s.
+/// Time between two reads of a stream that has news. Configuration must be in force everywhere within
+/// 2 s, so its stream is always read this often.
 const POLL: Duration = Duration::from_millis(500);
 
+/// Time between two reads of any other stream without news. A node that appends reads back at once,
+/// whatever this is; other nodes learn of the first record this much later.
+const IDLE_POLL: Duration = Duration::from_secs(2);
+
+/// How long a stream counts as having news after a record.
+const NEWS: Span = Span::from_secs(10);
+
 /// Records asked for in one read.
 const PAGE: u32 = 500;
 
@@ -72,6 +83,7 @@
         let kick = control.kick(&stream);
         let mut follower = LogFollower::new(FollowerSettings::default(), LogOffset(0));
         let mut started = false;
+        let mut news_at = control.now();
         loop {
             let Ok(page) = control.log.read(&stream, follower.next_offset(), PAGE).await else {
                 control.log_failed(&stream);
@@ -80,6 +92,9 @@
             };
             control.log_answered();
             let behind = page.records.len() >= PAGE as usize;
+            if !page.records.is_empty() {
+                news_at = control.now();
+            }
             if !started {
                 started = true;
                 // A stream that was trimmed before this process started has no gap to report.
@@ -105,8 +120,10 @@
             if behind {
                 continue;
             }
+            let is_idle = control.now().since(news_at) > NEWS && stream != CONFIG_STREAM;
+            let period = if is_idle { IDLE_POLL } else { POLL };
             tokio::select! {
-                () = actix_rt::time::sleep(POLL) => {}
+                () = actix_rt::time::sleep(period) => {}
                 () = kick.notified() => {}
             }
         }
--- a/crates/hibiscushinged/src/control/peers.rs
+++ b/crates/hibiscushinged/src/control/peers.rs
@@ -136,9 +136,16 @@
     fn peer_event(self: &Rc<Self>, event: PeerEvent) {
         let now = self.now();
         let actions = self.state().peers.table.handle(now, event);
+        // All receivers get the same changes. A change taken anew for each of them would reach only
+        // the first.
+        let mut changes = None;
         for action in actions {
             match action {
-                PeerAction::SendHeartbeat { to, beat } => self.send_heartbeat(now, to, beat),
+                PeerAction::SendHeartbeat { to, beat } => {
+                    let changes =
+                        changes.get_or_insert_with(|| self.state().peers.board.delta(now));
+                    self.send_heartbeat(now, to, beat, changes.clone());
+                }
                 PeerAction::SendSummary { to, beat } => self.send_summary(now, to, beat),
                 PeerAction::Changed { vm, state } => self.peer_changed(now, vm, state),
                 PeerAction::Replaced { incarnation, .. } => {
@@ -166,14 +173,20 @@
         }
     }
 
-    fn send_heartbeat(self: &Rc<Self>, now: Moment, to: VmKey, beat: PeerBeat) {
+    fn send_heartbeat(
+        self: &Rc<Self>,
+        now: Moment,
+        to: VmKey,
+        beat: PeerBeat,
+        upstreams: Vec<UpstreamEntry>,
+    ) {
         let (address, heartbeat) = {
-            let mut state = self.state();
+            let state = self.state();
             let heartbeat = Heartbeat {
                 beat,
                 config_version: state.config.version().0,
                 contact_age: state.config.contact_age(now),
-                upstreams: state.peers.board.delta(now),
+                upstreams,
             };
             (state.peers.address(to), heartbeat)
         };
--- a/crates/hibiscushinged/src/desk.rs
+++ b/crates/hibiscushinged/src/desk.rs
@@ -3,6 +3,9 @@
 //! All traffic threads of a node share one desk behind a lock, so that queues, limits and isolated
 //! runs cover the whole node. Each call is one decision and does not wait.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::HashMap;
 
 use admission::{
@@ -321,8 +324,10 @@
         self.table.refresh();
         for service in self.services.values_mut() {
             let rate = service.rate(&self.table, self.live_nodes);
-            let mut actions = service.queue.handle(now, QueueEvent::RateChanged(rate));
-            actions.extend(service.queue.handle(now, QueueEvent::Tick));
+            let mut actions = service.queue.handle(now, QueueEvent::Tick);
+            if let Some(rate) = rate {
+                actions.extend(service.queue.handle(now, QueueEvent::RateChanged(rate)));
+            }
             service.apply(actions);
         }
         self.suspect(now, wall, SuspectEvent::Tick)
@@ -384,23 +389,28 @@
     }
 
     /// Returns what this node can expect: its equal part of the service, or what the other nodes
-    /// leave unused when that is more.
-    fn rate(&self, table: &UpstreamTable, live_nodes: u32) -> ServiceRate {
+    /// leave unused when that is more. `None` while no upstream can be chosen: the choice then
+    /// refuses for the true reason, where a rate of zero would claim an overload.
+    fn rate(&self, table: &UpstreamTable, live_nodes: u32) -> Option<ServiceRate> {
         let mut total = 0.0;
         let mut others = 0.0;
         for key in &self.upstreams {
-            if table.state(*key) != Some(UpstreamState::Up) {
+            // A suspect upstream may have closed one idle connection only, and can be chosen.
+            if !matches!(table.state(*key), Some(UpstreamState::Up | UpstreamState::Suspect)) {
                 continue;
             }
             total += table.speed(*key).unwrap_or(0.0);
             others += table.others(*key).unwrap_or(0.0);
         }
+        if total <= 0.0 {
+            return None;
+        }
         let horizon = SERVICE_HORIZON.as_secs_f64() as f32;
         let unused = (1.0 - others / (total * horizon).max(1.0)).max(0.0);
         let share = unused.max(1.0 / live_nodes as f32);
         let tokens_per_second = (total * share).max(1.0) as u32;
         let max_in_service = ((tokens_per_second as f32 * horizon) as u32).max(MIN_IN_SERVICE);
-        ServiceRate { tokens_per_second, max_in_service }
+        Some(ServiceRate { tokens_per_second, max_in_service })
     }
 
     fn apply(&mut self, actions: QueueActions) {
