Wait longer towards receivers that ignore fencing numbers, as the document says

Cause: the document states for each pool whether its engines refuse old fencing numbers, and the daemon treated all receivers as if they did, the platform included. Change: weight orders use the pool's `fencing`; orders and reports to the platform use the new setting platform_fencing, `ignored` unless stated. The stand-in checks, so the tests and the demo state `checked`.

--- a/crates/document/src/environment.rs
+++ b/crates/document/src/environment.rs
@@ -12,6 +12,9 @@
 /// Names of lease scopes. A zone of such a name would share its log stream with the scope.
 const RESERVED_ZONES: [&str; 2] = ["fleet", "usage"];
 
+pub(crate) const FENCING: [(&str, FencingCheck); 2] =
+    [("checked", FencingCheck::Checked), ("ignored", FencingCheck::Ignored)];
+
 const MAX_LENGTH: Span = Span::from_secs(24 * 3_600);
 
 /// One accepted version of an environment's configuration.
@@ -311,10 +314,7 @@
         price_cents_per_hour: section.small_integer("price_cents_per_hour", 0..=MAX_COUNT),
         startup: section.duration("startup", Span::ZERO..=MAX_LENGTH),
         speed: section.small_integer("speed", 1..=MAX_COUNT),
-        fencing: section.choice(
-            "fencing",
-            &[("checked", FencingCheck::Checked), ("ignored", FencingCheck::Ignored)],
-        ),
+        fencing: section.choice("fencing", &FENCING),
         addresses,
     }
 }
--- a/crates/document/src/settings.rs
+++ b/crates/document/src/settings.rs
@@ -4,7 +4,7 @@
 
 use base::{Span, plain};
 
-use crate::{DocumentProblem, load, section::Section};
+use crate::{DocumentProblem, FencingCheck, environment::FENCING, load, section::Section};
 
 plain! {
     /// Settings of one daemon.
@@ -25,6 +25,8 @@
         pub admin: SocketAddr,
         /// Address of the platform.
         pub platform: SocketAddr,
+        /// Whether the platform refuses orders with old fencing numbers.
+        pub platform_fencing: FencingCheck,
         /// Receiver of metrics in the StatsD format over UDP, if any.
         pub metrics: Option<SocketAddr>,
         /// Number of traffic threads.
@@ -163,6 +165,8 @@
         peer_advertised: root.has("peer_advertised").then(|| address(root, "peer_advertised")),
         admin: address(root, "admin"),
         platform: address(root, "platform"),
+        // The safe assumption costs a new holder the extra wait before its first order.
+        platform_fencing: root.choice_or("platform_fencing", &FENCING, FencingCheck::Ignored),
         metrics: root.has("metrics").then(|| address(root, "metrics")),
         traffic_threads: root.small_integer("traffic_threads", 1..=256),
         seed: root.has("seed").then(|| root.integer("seed", 0..=i64::MAX as u64)),
--- a/crates/document/tests/checks.rs
+++ b/crates/document/tests/checks.rs
@@ -2,7 +2,8 @@
 
 use base::Span;
 use document::{
-    BufferBounds, DaemonSettings, EnvironmentDocument, IsolatedKeys, LeaseSettings, TimeoutSettings,
+    BufferBounds, DaemonSettings, EnvironmentDocument, FencingCheck, IsolatedKeys, LeaseSettings,
+    TimeoutSettings,
 };
 use rstest::rstest;
 
@@ -90,6 +91,10 @@
     let settings = DaemonSettings::parse("daemon.toml", SETTINGS).unwrap();
     assert_eq!(settings.lease.term, Span::from_secs(10));
     assert_eq!(settings.bounds.log_records, 10_000);
+    assert_eq!(settings.platform_fencing, FencingCheck::Ignored);
+    let text = format!("platform_fencing = \"checked\"\n{SETTINGS}");
+    let settings = DaemonSettings::parse("daemon.toml", &text).unwrap();
+    assert_eq!(settings.platform_fencing, FencingCheck::Checked);
 }
 
 /// Guards against a faulty value that is accepted, or reported without its place and its rule.
--- a/crates/hibiscushinge/src/demo/world.rs
+++ b/crates/hibiscushinge/src/demo/world.rs
@@ -248,7 +248,7 @@
     let text = format!(
         "vm_name = \"{vm}\"\nzone = \"{zone}\"\nenvironment = \"production\"\n\
          listen = \"127.0.0.1:0\"\npeer = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\n\
-         platform = \"{platform}\"\ntraffic_threads = 1\nseed = {seed}\n\
+         platform = \"{platform}\"\nplatform_fencing = \"checked\"\ntraffic_threads = 1\nseed = {seed}\n\
          [timeouts]\nlimit_grant = \"1s\"\n"
     );
     DaemonSettings::parse("demo", &text)
--- a/crates/hibiscushinge/tests/common/mod.rs
+++ b/crates/hibiscushinge/tests/common/mod.rs
@@ -58,7 +58,7 @@
     let text = format!(
         "vm_name = \"{vm}\"\nzone = \"{zone}\"\nenvironment = \"production\"\n\
          listen = \"127.0.0.1:0\"\npeer = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\n\
-         platform = \"{}\"\ntraffic_threads = 1\n",
+         platform = \"{}\"\nplatform_fencing = \"checked\"\ntraffic_threads = 1\n",
         platform.address()
     );
     Daemon::start(DaemonSettings::parse("daemon", &text).unwrap()).unwrap()
--- a/crates/hibiscushinged/src/control/authority.rs
+++ b/crates/hibiscushinged/src/control/authority.rs
@@ -8,6 +8,7 @@
 };
 use base::{FencingNumber, Incarnation, LogOffset, Moment, Span, rendezvous_weight};
 use clients::SendPermit;
+use document::FencingCheck;
 
 use crate::{
     control::{
@@ -73,13 +74,21 @@
         let desk_settings = DeskSettings {
             order_timeout: lease.order_timeout,
             ask_retry: Span::from_secs(1),
-            receiver: FencingSupport::Checked,
+            receiver: fencing_support(shared.settings.platform_fencing),
         };
         let desk = OrderDesk::new(desk_settings, scope.clone(), incarnation);
         Self { scope, keeper, desk, was_held: None }
     }
 }
 
+/// Translates what the operators state about a receiver of orders.
+pub(crate) const fn fencing_support(check: FencingCheck) -> FencingSupport {
+    match check {
+        FencingCheck::Checked => FencingSupport::Checked,
+        FencingCheck::Ignored => FencingSupport::Ignored,
+    }
+}
+
 fn claim_delay(incarnation: Incarnation, scope: &Scope) -> Span {
     let scope_number = match scope {
         Scope::Zone(_) => 0,
@@ -97,9 +106,7 @@
 
     /// Returns the fencing number while this node holds the lease of a scope.
     pub(crate) fn fencing(&self, scope: &Scope, now: Moment) -> Option<FencingNumber> {
-        let state = self.state();
-        let found = state.scopes.iter().find(|driver| driver.scope == *scope);
-        found.and_then(|driver| driver.keeper.held(now))
+        self.permit(scope, now, FencingSupport::Checked)
     }
 
     /// Returns the check for orders under a lease to receivers that need no record in the log, such as
@@ -108,14 +115,27 @@
         self: &Rc<Self>,
         scope: &Scope,
         fencing: FencingNumber,
+        receiver: FencingSupport,
     ) -> impl Fn() -> SendPermit + 'static {
         let (control, scope) = (Rc::clone(self), scope.clone());
-        move || match control.fencing(&scope, control.now()) {
+        move || match control.permit(&scope, control.now(), receiver) {
             Some(held) if held == fencing => SendPermit::Granted,
             _ => SendPermit::Denied,
         }
     }
 
+    /// Returns the fencing number under which an order may go to this kind of receiver now.
+    pub(crate) fn permit(
+        &self,
+        scope: &Scope,
+        now: Moment,
+        receiver: FencingSupport,
+    ) -> Option<FencingNumber> {
+        let state = self.state();
+        let found = state.scopes.iter().find(|driver| driver.scope == *scope);
+        found.and_then(|driver| driver.keeper.permit(now, receiver).ok())
+    }
+
     fn on_authority(self: &Rc<Self>, scope: &Scope, event: StreamEvent<AuthorityRecord>) {
         match event {
             StreamEvent::ReadingFrom(offset) => self.lease_reading_from(scope, offset),
--- a/crates/hibiscushinged/src/control/usage.rs
+++ b/crates/hibiscushinged/src/control/usage.rs
@@ -16,6 +16,7 @@
     clock::wall_now,
     control::{
         Control,
+        authority::fencing_support,
         follow::{NextRead, StreamEvent, follow},
     },
     telemetry::log_event,
@@ -275,7 +276,9 @@
 
     async fn send_report(self: Rc<Self>, report: WindowReport) {
         let window = report.window;
-        let guarded = self.platform.guarded(self.lease_check(&Scope::Usage, report.fencing));
+        let receiver = fencing_support(self.shared.settings.platform_fencing);
+        let check = self.lease_check(&Scope::Usage, report.fencing, receiver);
+        let guarded = self.platform.guarded(check);
         let answer = match guarded.report_usage(&wire_report(&report)).await {
             Ok(ReportOutcome::Accepted) => ReportAnswer::Accepted,
             Ok(ReportOutcome::Conflict) => {
--- a/crates/hibiscushinged/src/control/weights.rs
+++ b/crates/hibiscushinged/src/control/weights.rs
@@ -3,14 +3,18 @@
 
 use std::{net::SocketAddr, rc::Rc};
 
-use authority::Scope;
+use authority::{FencingSupport, Scope};
 use base::{EventCode, FencingNumber, Moment, Span, UpstreamKey, WeightVersion};
 use clients::{CallFailure, EngineControl as _, WeightOrder};
 use document::ServiceKind;
 use rollout::{WeightAction, WeightPlan, WeightSettings};
-use routing::UpstreamState;
+use routing::{UpstreamPrice, UpstreamState};
 
-use crate::{control::Control, shared::SharedState, telemetry::log_event};
+use crate::{
+    control::{Control, authority::fencing_support},
+    shared::SharedState,
+    telemetry::log_event,
+};
 
 /// Time between two comparisons of the engines with the plans.
 const UPDATE_PERIOD: Span = Span::from_millis(200);
@@ -147,11 +151,17 @@
         let target = self.engine_target(upstream);
         let Some((name, model, address)) = target else { return };
         let scope = own_scope(&self.shared);
-        let Some(fencing) = self.fencing(&scope, self.now()) else { return };
+        let receiver = self.engine_fencing(upstream);
+        let now = self.now();
+        let Some(fencing) = self.permit(&scope, now, receiver) else {
+            // A new holder waits longer towards engines that ignore fencing numbers.
+            self.state().weights.orders.load_failed(now, upstream);
+            return;
+        };
         let order = WeightOrder { model, version, fencing };
         // The call may first wait for a connection, so the clock is checked again by the last step
         // before the bytes.
-        let guarded = self.engines.guarded(self.lease_check(&scope, fencing));
+        let guarded = self.engines.guarded(self.lease_check(&scope, fencing, receiver));
         let result = guarded.load_version(address, &order).await;
         if result.as_ref().is_err_and(|error| error.failure == CallFailure::Denied) {
             return;
@@ -180,6 +190,22 @@
     }
 
     /// Returns name, service and address of an upstream.
+    /// Tells what an engine does with old fencing numbers, by the document. An engine that the document
+    /// does not name is taken to ignore them.
+    fn engine_fencing(&self, upstream: UpstreamKey) -> FencingSupport {
+        let view = self.shared.view.load();
+        let Some(target) = view.upstreams.get(upstream) else { return FencingSupport::Ignored };
+        let is_cheap = target.price == UpstreamPrice::Cheap;
+        let state = self.state();
+        let pools = state.config.document.iter().flat_map(|document| &document.pools);
+        let mut pools = pools.filter(|pool| {
+            pool.service == target.service
+                && pool.zone == target.zone_name
+                && pool.cheap == is_cheap
+        });
+        pools.next().map_or(FencingSupport::Ignored, |pool| fencing_support(pool.fencing))
+    }
+
     pub(crate) fn engine_target(
         &self,
         upstream: UpstreamKey,
--- a/crates/process-tests/src/fleet.rs
+++ b/crates/process-tests/src/fleet.rs
@@ -186,7 +186,7 @@
         let text = format!(
             "vm_name = \"entry-{index}\"\nzone = \"{zone}\"\nenvironment = \"production\"\n\
              listen = \"127.0.0.1:0\"\npeer = \"127.0.0.1:0\"\nadmin = \"127.0.0.1:0\"\n\
-             platform = \"{platform}\"\ntraffic_threads = {}\n{settings}[timeouts]\n\
+             platform = \"{platform}\"\nplatform_fencing = \"checked\"\ntraffic_threads = {}\n{settings}[timeouts]\n\
              limit_grant = \"{}\"\n",
             self.options.traffic_threads, self.options.limit_grant
         );
