--- a/crates/base/src/digest.rs
+++ b/crates/base/src/digest.rs
@@ -29,7 +29,7 @@
     ///
     /// Returns [`KeyDigestError`] for any other text.
     pub fn parse(text: &str) -> Result<Self, KeyDigestError> {
-        if text.len() != 64 || !text.is_ascii() {
+        if text.len() != 64 || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
             return Err(KeyDigestError);
         }
         let mut bytes = [0; 32];
