Hash names in one place

Cause: membership and rollout each had the same FNV-1a loop, and a trainer's identity must be equal on every node like the hash of a VM's name. Ruled out: rollout depending on membership for one function; domain crates depend on base only. Change: base::stable_hash serves both; membership re-exports it for its callers. Values are unchanged. The process tests were not run again. Conclusion: one loop less; behaviour as before.

--- a/crates/base/src/digest.rs
+++ b/crates/base/src/digest.rs
@@ -83,6 +83,21 @@
 
 impl std::error::Error for KeyDigestError {}
 
+/// Returns a hash of `name` that is equal on every node and in every build.
+///
+/// FNV-1a with 64 bits (Fowler, Noll and Vo).
+#[must_use]
+pub const fn stable_hash(name: &str) -> u64 {
+    let bytes = name.as_bytes();
+    let mut hash = 0xcbf2_9ce4_8422_2325_u64;
+    let mut index = 0;
+    while index < bytes.len() {
+        hash = (hash ^ bytes[index] as u64).wrapping_mul(0x0100_0000_01b3);
+        index += 1;
+    }
+    hash
+}
+
 /// Returns the weight of `node` for `item`; the node with the highest weight owns the item.
 ///
 /// Rendezvous hashing after Thaler and Ravishankar, "Using name-based mappings to increase hit
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -12,7 +12,7 @@
 
 pub use crate::{
     arena::{Arena, ArenaKey},
-    digest::{KeyDigest, KeyDigestError, rendezvous_weight},
+    digest::{KeyDigest, KeyDigestError, rendezvous_weight, stable_hash},
     event::EventCode,
     ids::{
         CustomerKey, FencingNumber, Incarnation, LogOffset, RecordId, RouteKey, UpstreamKey, VmKey,
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -9,6 +9,8 @@
 mod table;
 mod watch;
 
+pub use base::stable_hash;
+
 pub use crate::{
     board::{BoardSettings, UpstreamBoard, UpstreamView},
     change::{ListState, ListedVm, PeerAction, PeerEvent, PeerSettings, PeerState, VmRecord},
@@ -16,7 +18,7 @@
         Heartbeat, LeavingCause, LoadReport, NoticeState, PeerBeat, PeerNotice, UpstreamEntry,
         UpstreamPhase, VmIdentity, ZoneSummary,
     },
-    placement::{rank_by_weight, stable_hash},
+    placement::rank_by_weight,
     table::PeerTable,
     watch::{WatchChange, WatchPlan},
 };
--- a/crates/membership/src/placement.rs
+++ b/crates/membership/src/placement.rs
@@ -1,21 +1,6 @@
 //! Rendezvous hashing over names.
 
-use base::rendezvous_weight;
-
-/// Returns a hash of `name` that is equal on every node and in every build.
-///
-/// FNV-1a with 64 bits (Fowler, Noll and Vo).
-#[must_use]
-pub const fn stable_hash(name: &str) -> u64 {
-    let bytes = name.as_bytes();
-    let mut hash = 0xcbf2_9ce4_8422_2325_u64;
-    let mut index = 0;
-    while index < bytes.len() {
-        hash = (hash ^ bytes[index] as u64).wrapping_mul(0x0100_0000_01b3);
-        index += 1;
-    }
-    hash
-}
+use base::{rendezvous_weight, stable_hash};
 
 /// Returns the names with the highest rendezvous weight for `item` first.
 ///
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -2,13 +2,13 @@
 
 use std::collections::BTreeMap;
 
-use base::{Arena, Moment, Span, VmKey};
+use base::{Arena, Moment, Span, VmKey, stable_hash};
 use smallvec::SmallVec;
 
 use crate::{
     ListState, ListedVm, PeerAction, PeerBeat, PeerEvent, PeerSettings, PeerState, VmIdentity,
     VmRecord,
-    placement::{heaviest, rank_by_weight, stable_hash},
+    placement::{heaviest, rank_by_weight},
     ring::{RingSlot, Walk, neighbours},
     spread::Occasion,
 };
--- a/crates/rollout/src/records.rs
+++ b/crates/rollout/src/records.rs
@@ -1,6 +1,6 @@
 //! Records of the log stream `samples` as the domain sees them.
 
-use base::{Incarnation, RecordId, WeightVersion, key, plain};
+use base::{Incarnation, RecordId, WeightVersion, key, plain, stable_hash};
 use smallvec::SmallVec;
 
 use crate::spans::VersionSpan;
@@ -121,14 +121,7 @@
     /// Derives the identity of the trainer called `name` by FNV-1a (Fowler, Noll and Vo, 1991).
     #[must_use]
     pub const fn from_name(name: &str) -> Self {
-        let bytes = name.as_bytes();
-        let mut hash = 0xcbf2_9ce4_8422_2325_u64;
-        let mut index = 0;
-        while index < bytes.len() {
-            hash = (hash ^ bytes[index] as u64).wrapping_mul(0x0100_0000_01b3);
-            index += 1;
-        }
-        Self(hash)
+        Self(stable_hash(name))
     }
 }
 
