--- a/crates/base/src/arena.rs
+++ b/crates/base/src/arena.rs
@@ -1,6 +1,9 @@
 //! Append-only storage addressed by small typed keys.
 
-use std::marker::PhantomData;
+use std::{
+    marker::PhantomData,
+    ops::{Index, IndexMut},
+};
 
 /// A small copyable index into an [`Arena`].
 pub trait ArenaKey: Copy {
@@ -72,6 +75,26 @@
     }
 }
 
+/// # Panics
+///
+/// Panics for a key of another arena.
+impl<K: ArenaKey, T> Index<K> for Arena<K, T> {
+    type Output = T;
+
+    fn index(&self, key: K) -> &T {
+        &self.items[key.index()]
+    }
+}
+
+/// # Panics
+///
+/// Panics for a key of another arena.
+impl<K: ArenaKey, T> IndexMut<K> for Arena<K, T> {
+    fn index_mut(&mut self, key: K) -> &mut T {
+        &mut self.items[key.index()]
+    }
+}
+
 impl<K: ArenaKey, T> Default for Arena<K, T> {
     fn default() -> Self {
         Self::new()
--- a/crates/base/src/refusal.rs
+++ b/crates/base/src/refusal.rs
@@ -41,6 +41,10 @@
         Draining,
         /// The node is cut off and its setting says to refuse.
         Isolated,
+        /// The body is longer than callers may send.
+        BodyTooLong,
+        /// The request did not arrive in time.
+        RequestTimeout,
     }
 }
 
@@ -108,6 +112,8 @@
             Self::Convicted => "convicted",
             Self::Draining => "draining",
             Self::Isolated => "isolated",
+            Self::BodyTooLong => "body-too-long",
+            Self::RequestTimeout => "request-timeout",
         }
     }
 
@@ -118,7 +124,9 @@
             Self::KeyRefused => 401,
             Self::RouteUnknown => 404,
             Self::RequestInvalid => 400,
+            Self::RequestTimeout => 408,
             Self::AlreadyClaimed => 409,
+            Self::BodyTooLong => 413,
             Self::Convicted => 422,
             Self::LimitReached => 429,
             Self::UpstreamFailed => 502,
--- a/crates/clients/src/error.rs
+++ b/crates/clients/src/error.rs
@@ -51,6 +51,12 @@
         Self { execution: Execution::MayHaveRun, ..Self::not_sent(failure, message) }
     }
 
+    /// Builds an error of a message that does not have the described format.
+    #[must_use]
+    pub fn malformed(reason: impl fmt::Display) -> Self {
+        Self::maybe_run(CallFailure::Malformed, reason.to_string())
+    }
+
     /// Tells whether the request may have taken effect.
     #[must_use]
     pub fn may_have_run(&self) -> bool {
--- /dev/null
+++ b/crates/dispatch/src/pick.rs
@@ -0,0 +1,159 @@
+//! Choice of an upstream for one request.
+
+use base::{Moment, Span, UpstreamKey, WeightVersion, key, rendezvous_weight};
+
+use crate::{UpstreamBoard, row::UpstreamRow};
+
+key! {
+    /// A model and the oldest version of its weights that may run a request.
+    pub struct ModelNeed<'a> {
+        /// Name of the model.
+        pub model: &'a str,
+        /// Oldest version that may be used.
+        pub least: WeightVersion,
+    }
+
+    /// A plain request that needs an upstream.
+    pub struct PlainAsk<'a> {
+        /// Service that runs the request.
+        pub service: &'a str,
+        /// Availability zone of this node.
+        pub zone: &'a str,
+        /// Upstreams that the request was sent to before.
+        pub tried: &'a [UpstreamKey],
+        /// Random number that spreads equal choices of several nodes.
+        pub draw: u64,
+    }
+
+    /// A generation that needs an engine.
+    pub struct GenerationAsk<'a> {
+        /// Service that runs the generation.
+        pub service: &'a str,
+        /// Model and version.
+        pub need: ModelNeed<'a>,
+        /// Engines that failed the generation. They are used only when no other is left.
+        pub tried: &'a [UpstreamKey],
+        /// Engine that has read the shared part of the prompt, if any.
+        pub warm: Option<UpstreamKey>,
+        /// Random number that spreads equal choices of several nodes.
+        pub draw: u64,
+    }
+}
+
+/// Time of a plain request on an upstream of which nothing is known, in microseconds.
+const ASSUMED_ANSWER: f64 = 30_000.0;
+
+/// Time between two events of an engine of which nothing is known, in microseconds.
+const ASSUMED_EVENT: f64 = 30_000.0;
+
+/// Time that a hop to another availability zone and back adds, in microseconds.
+const ZONE_HOP: f64 = 2_000.0;
+
+/// Part by which each running request slows the others of an engine.
+const SLOT_SLOWDOWN: f64 = 0.04;
+
+/// Random part of a cost, which keeps nodes with equal knowledge from choosing alike.
+const JITTER: f64 = 0.15;
+
+/// An engine that has read the shared prompt is preferred while its cost is below the best one's
+/// times this.
+const WARM_BOUND: f64 = 1.2;
+
+impl UpstreamBoard {
+    /// Chooses the upstream with the least expected time for a plain request. Suspended upstreams,
+    /// then those that failed the request, are used only when no other is left.
+    #[must_use]
+    pub fn pick_plain(&self, now: Moment, ask: &PlainAsk<'_>) -> Option<UpstreamKey> {
+        let mut best: Option<(u8, f64, UpstreamKey)> = None;
+        for upstream in self.members(ask.service) {
+            if !self.is_usable(now, *upstream) {
+                continue;
+            }
+            let row = &self.rows[*upstream];
+            let rank = self.rank(now, *upstream, ask.tried);
+            let cost = plain_cost(now, row, ask) * jitter(ask.draw, *upstream);
+            if best.is_none_or(|(top, least, _)| (rank, cost) < (top, least)) {
+                best = Some((rank, cost, *upstream));
+            }
+        }
+        best.map(|(_, _, upstream)| upstream)
+    }
+
+    /// Chooses an engine with a free slot for a generation, or `None` while all are taken.
+    #[must_use]
+    pub fn pick_generation(&self, now: Moment, ask: &GenerationAsk<'_>) -> Option<UpstreamKey> {
+        let mut best: Option<(u8, f64, UpstreamKey)> = None;
+        let mut warm = None;
+        for upstream in self.members(ask.service) {
+            let row = &self.rows[*upstream];
+            if !self.accepts(now, *upstream, ask.need) || row.load(now) >= row.entry.slots {
+                continue;
+            }
+            let rank = self.rank(now, *upstream, ask.tried);
+            let cost = generation_cost(now, row) * jitter(ask.draw, *upstream);
+            if ask.warm == Some(*upstream) {
+                warm = Some((rank, cost, *upstream));
+            }
+            if best.is_none_or(|(top, least, _)| (rank, cost) < (top, least)) {
+                best = Some((rank, cost, *upstream));
+            }
+        }
+        let (rank, cost, upstream) = best?;
+        match warm {
+            Some((warm_rank, warm_cost, warm))
+                if warm_rank == rank && warm_cost <= cost * WARM_BOUND =>
+            {
+                Some(warm)
+            }
+            _ => Some(upstream),
+        }
+    }
+
+    /// Tells whether an engine may run a generation now, whatever its load.
+    #[must_use]
+    pub fn accepts(&self, now: Moment, upstream: UpstreamKey, need: ModelNeed<'_>) -> bool {
+        let version = self.rows[upstream].entry.version(need.model);
+        self.is_usable(now, upstream) && version.is_some_and(|version| version >= need.least)
+    }
+
+    /// Returns the expected time between events on an engine, if one was seen.
+    #[must_use]
+    pub fn event_time(&self, upstream: UpstreamKey) -> Option<Span> {
+        self.rows[upstream].event_time.map(|time| Span(time as u64))
+    }
+
+    fn rank(&self, now: Moment, upstream: UpstreamKey, tried: &[UpstreamKey]) -> u8 {
+        let row = &self.rows[upstream];
+        let mut rank = 0;
+        if row.is_suspended(now) {
+            rank += 1;
+        }
+        if row.removed_until.is_some() {
+            rank += 2;
+        }
+        if tried.contains(&upstream) {
+            rank += 4;
+        }
+        rank
+    }
+}
+
+fn plain_cost(now: Moment, row: &UpstreamRow, ask: &PlainAsk<'_>) -> f64 {
+    let time = row.answer_time.unwrap_or(ASSUMED_ANSWER) * row.failure_factor();
+    let slots = f64::from(row.entry.slots.max(1));
+    let share = f64::from(row.load(now) + 1) / slots;
+    // A free slot runs the request at once; beyond that it waits for its share of the queue.
+    let wait = if share <= 1.0 { 1.0 + share * 0.2 } else { 1.2 * share };
+    let hop = if row.entry.zone == ask.zone { 0.0 } else { ZONE_HOP };
+    time * wait + hop
+}
+
+fn generation_cost(now: Moment, row: &UpstreamRow) -> f64 {
+    let time = row.event_time.unwrap_or(ASSUMED_EVENT) * row.failure_factor();
+    time * (1.0 + SLOT_SLOWDOWN * f64::from(row.load(now)))
+}
+
+fn jitter(draw: u64, upstream: UpstreamKey) -> f64 {
+    let weight = rendezvous_weight(u64::from(upstream.0), draw) >> 11;
+    1.0 + JITTER * (weight as f64 / (1u64 << 53) as f64)
+}
--- a/crates/document/src/lib.rs
+++ b/crates/document/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod duration;
 mod environment;
+mod gateway;
 mod problem;
 mod section;
 mod settings;
@@ -14,6 +15,7 @@
         CustomerEntry, EnvironmentDocument, FencingCheck, IsolatedKeys, PoolEntry, RouteEntry,
         RoutePriority, ServiceEntry, ServiceKind, TrainerEntry, ZoneEntry,
     },
+    gateway::{GatewaySettings, PromiseSettings, StoreSettings},
     problem::DocumentProblem,
     settings::{BufferBounds, DaemonSettings, LeaseSettings, TimeoutSettings},
 };
--- a/crates/hibiscushinged/src/flags.rs
+++ b/crates/hibiscushinged/src/flags.rs
@@ -11,7 +11,10 @@
     /// that it is not ready, finishes its requests, hands over usage and leases, and exits with 0.
     cmd hibiscushinged {
         /// Settings of this daemon in TOML. See docs/operators.md for every key.
-        required --settings file: PathBuf
+        optional --settings file: PathBuf
+        /// Settings of a daemon on a platform whose store keeps all lasting state, in TOML. It takes
+        /// the place of --settings. Logs go to standard output. See docs/OPERATIONS.md.
+        optional --gateway file: PathBuf
         /// Checks the settings and exits.
         optional --check
     }
--- /dev/null
+++ b/crates/hibiscushinged/src/gateway/answer.rs
@@ -0,0 +1,55 @@
+//! Answers to callers and trainers of a gateway.
+
+use actix_http::{
+    ConnectionType, Response, StatusCode,
+    body::BoxBody,
+    header::{HeaderValue, RETRY_AFTER},
+};
+use base::Refusal;
+use bytes::Bytes;
+use serde_json::json;
+
+use crate::{
+    gateway::{attempt::WholeAnswer, node::NodeState},
+    shared::ServicePhase,
+    traffic::answer::{error_value, json_body},
+};
+
+/// Builds the answer to a refused request. The time to come back has a fraction, since many callers
+/// wait for less than a second in all.
+pub(crate) fn refusal(refusal: &Refusal) -> Response<BoxBody> {
+    let status = StatusCode::from_u16(refusal.code.http_status());
+    let mut response = json_body(
+        status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR),
+        &json!({ "error": error_value(refusal) }),
+    );
+    if let Some(span) = refusal.retry_after {
+        let seconds = format!("{:.3}", span.as_secs_f64());
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+/// Builds an answer without content.
+pub(crate) fn status(status: StatusCode) -> Response<BoxBody> {
+    Response::with_body(status, BoxBody::new(Bytes::new()))
+}
+
+/// Passes an upstream's answer on.
+pub(crate) fn relayed(answer: WholeAnswer) -> Response<BoxBody> {
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = Response::with_body(status, BoxBody::new(answer.body));
+    for (name, value) in answer.headers {
+        response.headers_mut().append(name, value);
+    }
+    response
+}
+
+/// Asks the caller to use another connection next time, when this node is about to stop.
+pub(crate) fn close_when_draining(node: &NodeState, response: &mut Response<BoxBody>) {
+    if node.phase() == ServicePhase::Draining {
+        response.head_mut().set_connection_type(ConnectionType::Close);
+    }
+}
--- /dev/null
+++ b/crates/hibiscushinged/src/gateway/attempt.rs
@@ -0,0 +1,250 @@
+//! One request to one upstream.
+
+use std::{rc::Rc, time::Duration};
+
+use actix_http::{Method, RequestHead, header::HeaderMap};
+use base::{Span, UpstreamKey};
+use bytes::{Bytes, BytesMut};
+use dispatch::ExchangeEnd;
+use platform::ReplyMarks;
+
+use crate::{
+    clock::to_duration,
+    gateway::{
+        board::TrafficState,
+        channel::{ChannelFault, Exchange, UpstreamChannel},
+        node::UsageMark,
+    },
+    telemetry::log_event,
+};
+
+/// Longest time for a connection to an upstream. A hop takes one or two milliseconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Longest body of a plain answer.
+const MAX_ANSWER: usize = 32 << 20;
+
+/// A request for one upstream.
+pub(crate) struct AttemptCall<'a> {
+    pub(crate) upstream: UpstreamKey,
+    pub(crate) id: &'a str,
+    pub(crate) method: Method,
+    pub(crate) path: &'a str,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    /// Customer whose usage counts the request.
+    pub(crate) billed: Option<&'a str>,
+}
+
+/// A whole answer of an upstream.
+#[derive(Debug)]
+pub(crate) struct WholeAnswer {
+    pub(crate) status: u16,
+    pub(crate) headers: Vec<(actix_http::header::HeaderName, actix_http::header::HeaderValue)>,
+    pub(crate) marks: ReplyMarks,
+    pub(crate) body: Bytes,
+}
+
+/// Why an attempt has no answer that can be passed on.
+#[derive(Debug)]
+pub(crate) enum AttemptFault {
+    /// The request was not sent, or the upstream says that it did not run it.
+    NotRun(String),
+    /// The request may have run.
+    MaybeRun(String),
+}
+
+/// The place that a request takes at its upstream. Dropping it without an end gives it back.
+pub(crate) struct PlaceGuard {
+    traffic: Rc<TrafficState>,
+    upstream: UpstreamKey,
+    ended: bool,
+}
+
+impl PlaceGuard {
+    pub(crate) fn take(traffic: &Rc<TrafficState>, upstream: UpstreamKey) -> Self {
+        traffic.board.borrow_mut().begin(upstream);
+        Self { traffic: Rc::clone(traffic), upstream, ended: false }
+    }
+
+    pub(crate) fn end(mut self, end: ExchangeEnd) {
+        self.finish(end);
+    }
+
+    fn finish(&mut self, end: ExchangeEnd) {
+        if !std::mem::replace(&mut self.ended, true) {
+            let now = self.traffic.node.now();
+            self.traffic.board.borrow_mut().finish(now, self.upstream, end);
+        }
+    }
+}
+
+impl Drop for PlaceGuard {
+    fn drop(&mut self) {
+        self.finish(ExchangeEnd::Cancelled);
+    }
+}
+
+/// Sends a request and returns the exchange once the head of its answer is there. An answer that says
+/// the request did not run is a fault.
+///
+/// # Errors
+///
+/// Returns a fault when there is no answer to pass on. The end of the exchange is not yet recorded on
+/// the board.
+pub(crate) async fn open_exchange(
+    traffic: &Rc<TrafficState>,
+    call: AttemptCall<'_>,
+) -> Result<Exchange, (AttemptFault, ExchangeEnd)> {
+    let address = traffic.board.borrow().entry(call.upstream).address;
+    let mut head = RequestHead::default();
+    head.method = call.method.clone();
+    head.uri =
+        call.path.parse().map_err(|error| not_sent(format!("the path is invalid: {error}")))?;
+    head.headers = call.headers;
+    let channel = match traffic.pool.take(traffic.node.now(), call.upstream) {
+        Some(channel) => channel,
+        None => {
+            traffic.node.metrics.channels_opened.inc();
+            let opening = UpstreamChannel::open(address, traffic.pool.config());
+            match tokio::time::timeout(CONNECT_TIMEOUT, opening).await {
+                Ok(Ok(channel)) => channel,
+                Ok(Err(error)) => {
+                    let reason = format!("no connection to {address}: {error}");
+                    return Err((AttemptFault::NotRun(reason), ExchangeEnd::Broken));
+                }
+                Err(_) => {
+                    let reason = format!("no connection to {address} in time");
+                    return Err((AttemptFault::NotRun(reason), ExchangeEnd::Silent));
+                }
+            }
+        }
+    };
+    let mark = call.billed.map(|customer| traffic.node.count_begin(customer));
+    let take_back = |mark: &Option<UsageMark>| {
+        if let Some(mark) = mark {
+            traffic.node.take_back(mark);
+        }
+    };
+    let exchange = match channel.send(head, call.body, call.id).await {
+        Ok(exchange) => exchange,
+        Err(fault) => return Err((AttemptFault::MaybeRun(fault.to_string()), ExchangeEnd::Broken)),
+    };
+    let marks = exchange.marks();
+    if let Some(load) = marks.load {
+        traffic.board.borrow_mut().report(traffic.node.now(), call.upstream, load);
+    }
+    if !marks.not_run {
+        return Ok(exchange);
+    }
+    take_back(&mark);
+    let misdirected = marks.misdirected;
+    let status = exchange.head().status.as_u16();
+    finish_exchange(traffic, call.upstream, exchange).await;
+    let end = if misdirected { ExchangeEnd::Misdirected } else { ExchangeEnd::Full };
+    Err((AttemptFault::NotRun(format!("refused with status {status}")), end))
+}
+
+/// Reads the rest of an answer, whose content is not needed, and keeps the connection.
+async fn finish_exchange(
+    traffic: &Rc<TrafficState>,
+    upstream: UpstreamKey,
+    mut exchange: Exchange,
+) {
+    /// Longest wait for the rest of a refusal, which has little or no body.
+    const REST: Duration = Duration::from_millis(50);
+    let rest = async { while let Ok(Some(_)) = exchange.chunk().await {} };
+    if tokio::time::timeout(REST, rest).await.is_ok() {
+        traffic.keep_channel(upstream, exchange);
+    }
+}
+
+/// Sends a request, reads its whole answer, and records the end of the exchange on the board.
+///
+/// # Errors
+///
+/// Returns a fault when there is no whole answer to pass on.
+pub(crate) async fn whole_exchange(
+    traffic: &Rc<TrafficState>,
+    call: AttemptCall<'_>,
+) -> Result<WholeAnswer, AttemptFault> {
+    let upstream = call.upstream;
+    let place = PlaceGuard::take(traffic, upstream);
+    let started = traffic.node.now();
+    let mut exchange = match open_exchange(traffic, call).await {
+        Ok(exchange) => exchange,
+        Err((fault, end)) => {
+            place.end(end);
+            return Err(fault);
+        }
+    };
+    match read_body(&mut exchange).await {
+        Ok(body) => {
+            let took = traffic.node.now().since(started);
+            let status = exchange.head().status.as_u16();
+            let end = if status < 500 { ExchangeEnd::Answered(took) } else { ExchangeEnd::Failed };
+            place.end(end);
+            let headers = platform::relay_headers(exchange.head());
+            let marks = exchange.marks().clone();
+            traffic.keep_channel(upstream, exchange);
+            Ok(WholeAnswer { status, headers, marks, body })
+        }
+        Err(fault) => {
+            place.end(ExchangeEnd::Broken);
+            Err(AttemptFault::MaybeRun(fault.to_string()))
+        }
+    }
+}
+
+async fn read_body(exchange: &mut Exchange) -> Result<Bytes, ChannelFault> {
+    let Some(first) = exchange.chunk().await? else { return Ok(Bytes::new()) };
+    let mut body = BytesMut::from(first);
+    while let Some(chunk) = exchange.chunk().await? {
+        if body.len() + chunk.len() > MAX_ANSWER {
+            return Err(ChannelFault::Malformed(String::from("the answer exceeds 32 MiB")));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
+const fn not_sent(reason: String) -> (AttemptFault, ExchangeEnd) {
+    (AttemptFault::NotRun(reason), ExchangeEnd::Cancelled)
+}
+
+/// Logs the choice of an upstream with what decided it.
+pub(crate) fn log_attempt(
+    traffic: &TrafficState,
+    request: &str,
+    upstream: UpstreamKey,
+    attempt: usize,
+    left: Span,
+) {
+    let board = traffic.board.borrow();
+    let entry = board.entry(upstream);
+    let (slots, load) = board.occupancy(traffic.node.now(), &entry.service);
+    log_event!(
+        AttemptStarted,
+        request,
+        upstream = entry.id,
+        service = entry.service,
+        zone = entry.zone,
+        attempt,
+        left_ms = left.as_millis(),
+        service_load = load,
+        service_slots = slots,
+    );
+}
+
+/// Waits until a moment of the node's clock.
+pub(crate) async fn wait_until(traffic: &TrafficState, until: base::Moment) {
+    tokio::time::sleep(to_duration(until.since(traffic.node.now()))).await;
+}
+
+impl AttemptFault {
+    pub(crate) fn reason(&self) -> &str {
+        match self {
+            Self::NotRun(reason) | Self::MaybeRun(reason) => reason,
+        }
+    }
+}
--- /dev/null
+++ b/crates/hibiscushinged/src/gateway/control.rs
@@ -0,0 +1,219 @@
+//! The control thread: follows the store and runs the duties of the lease holder.
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, HashSet},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use base::{Span, WeightVersion};
+use dispatch::{RemovalCause, UpstreamEntry};
+use platform::{
+    OPERATOR_TOPIC, OperatorKey, UPSTREAM_TOPIC, decode_entry, decode_manifest,
+    decode_named_version, operator_key,
+};
+use routebook::{BookHistory, BookOutcome};
+use tokio::sync::mpsc;
+
+use crate::{
+    gateway::{
+        board::UpstreamNews,
+        duties,
+        fetch::{FetchedKeys, KeyChange, PartitionName, fetch},
+        lease::{LeaseHolder, keep_lease},
+        loads,
+        node::NodeState,
+        store::StoreSession,
+        usage,
+    },
+    shared::ServicePhase,
+    telemetry::log_event,
+};
+
+/// Longest wait of a read for changes. It bounds how long a connection that has gone silent hides a
+/// change, together with the time-out of a call.
+const POLL_WAIT: Span = Span::from_millis(500);
+
+/// Pause after a failed read.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// State of the control thread.
+pub(crate) struct ControlState {
+    pub(crate) node: Arc<NodeState>,
+    pub(crate) store: StoreSession,
+    pub(crate) lease: LeaseHolder,
+    /// Entries of upstreams by id.
+    pub(crate) entries: RefCell<BTreeMap<String, UpstreamEntry>>,
+    /// Newest version of each model.
+    pub(crate) versions: RefCell<BTreeMap<String, WeightVersion>>,
+}
+
+/// Takes the changes of a followed topic.
+trait ChangeSink {
+    /// Takes the newest value of every key.
+    fn replace(&self, changes: Vec<KeyChange>);
+
+    /// Takes one change.
+    fn apply(&self, change: KeyChange);
+}
+
+/// What the operator and the trainers write.
+struct OperatorSink {
+    control: Rc<ControlState>,
+    history: RefCell<BookHistory>,
+}
+
+/// Entries of upstreams.
+struct UpstreamSink {
+    control: Rc<ControlState>,
+    news: mpsc::UnboundedSender<UpstreamNews>,
+}
+
+/// Runs the control thread until the process ends.
+pub(crate) async fn run(node: Arc<NodeState>, news: mpsc::UnboundedSender<UpstreamNews>) {
+    let control = Rc::new(ControlState {
+        store: StoreSession::new(Arc::clone(&node)),
+        lease: LeaseHolder::new(&node),
+        entries: RefCell::default(),
+        versions: RefCell::default(),
+        node,
+    });
+    let upstreams = UpstreamSink { control: Rc::clone(&control), news };
+    let operator = OperatorSink { control: Rc::clone(&control), history: RefCell::default() };
+    actix_rt::spawn(follow(Rc::clone(&control), UPSTREAM_TOPIC, upstreams));
+    actix_rt::spawn(follow(Rc::clone(&control), OPERATOR_TOPIC, operator));
+    actix_rt::spawn(keep_lease(Rc::clone(&control)));
+    actix_rt::spawn(loads::order_loads(Rc::clone(&control)));
+    actix_rt::spawn(usage::store_usage(Rc::clone(&control)));
+    duties::run(control).await;
+}
+
+async fn follow(control: Rc<ControlState>, topic: &'static str, sink: impl ChangeSink) {
+    let name = PartitionName { topic: String::from(topic), part: 0 };
+    let mut next = None;
+    loop {
+        let Ok(fetched) = fetch(&control.store, &name, next, POLL_WAIT).await else {
+            // The session has logged the failure.
+            tokio::time::sleep(RETRY_PAUSE).await;
+            continue;
+        };
+        next = Some(fetched.next);
+        match fetched.keys {
+            FetchedKeys::All(changes) => sink.replace(changes),
+            FetchedKeys::Changes(changes) => {
+                for change in changes {
+                    sink.apply(change);
+                }
+            }
+        }
+    }
+}
+
+impl ChangeSink for OperatorSink {
+    fn replace(&self, changes: Vec<KeyChange>) {
+        for change in changes {
+            self.apply(change);
+        }
+    }
+
+    fn apply(&self, change: KeyChange) {
+        let Some(value) = change.value else { return };
+        let refused = |reason: String| {
+            let (key, offset) = (&change.key, change.offset);
+            log_event!(warn, LogRecordRefused, topic = OPERATOR_TOPIC, key, offset, reason);
+        };
+        match operator_key(&change.key) {
+            OperatorKey::Configuration => match decode_manifest(&value) {
+                Ok(config) => self.offer(config, change.offset),
+                Err(error) => refused(error.to_string()),
+            },
+            OperatorKey::Version(_) => match decode_named_version(&value) {
+                Ok((model, version)) => {
+                    let mut versions = self.control.versions.borrow_mut();
+                    let newest = versions.entry(model).or_insert(version);
+                    *newest = (*newest).max(version);
+                }
+                Err(error) => refused(error.to_string()),
+            },
+            OperatorKey::Other => {}
+        }
+    }
+}
+
+impl OperatorSink {
+    fn offer(&self, config: routebook::SiteConfig, offset: u64) {
+        let version = config.version;
+        let routes = config.routes.len();
+        let mut history = self.history.borrow_mut();
+        if history.offer(config) == BookOutcome::NotNewer {
+            return;
+        }
+        let node = &self.control.node;
+        node.book.store(history.newest().cloned());
+        node.enter(ServicePhase::Serving);
+        log_event!(ConfigApplied, version, offset, routes);
+    }
+}
+
+impl ChangeSink for UpstreamSink {
+    /// Entries that are missing may have lapsed while the store or this node was cut off.
+    fn replace(&self, changes: Vec<KeyChange>) {
+        let listed: HashSet<&str> = changes.iter().map(|change| change.key.as_str()).collect();
+        let entries = self.control.entries.borrow();
+        let missing = entries.keys().filter(|id| !listed.contains(id.as_str()));
+        let missing: Vec<String> = missing.cloned().collect();
+        drop(entries);
+        for id in missing {
+            self.remove(id, RemovalCause::Lapsed);
+        }
+        for change in changes {
+            self.apply(change);
+        }
+    }
+
+    fn apply(&self, change: KeyChange) {
+        let Some(value) = change.value else {
+            let unsettled = self.control.node.store_unsettled();
+            let cause = if unsettled { RemovalCause::Lapsed } else { RemovalCause::Left };
+            self.remove(change.key, cause);
+            return;
+        };
+        match decode_entry(&change.key, &value) {
+            Ok(entry) => {
+                let known = self.control.entries.borrow_mut().insert(change.key, entry.clone());
+                if known.as_ref() != Some(&entry) {
+                    self.send(UpstreamNews::Updated(entry));
+                }
+            }
+            Err(error) => {
+                let (upstream, offset) = (&change.key, change.offset);
+                let reason = error.to_string();
+                log_event!(
+                    warn,
+                    LogRecordRefused,
+                    topic = UPSTREAM_TOPIC,
+                    upstream,
+                    offset,
+                    reason
+                );
+                self.remove(change.key, RemovalCause::Left);
+            }
+        }
+    }
+}
+
+impl UpstreamSink {
+    fn remove(&self, id: String, cause: RemovalCause) {
+        if self.control.entries.borrow_mut().remove(&id).is_some() {
+            self.send(UpstreamNews::Removed { id, cause });
+        }
+    }
+
+    fn send(&self, news: UpstreamNews) {
+        if self.news.send(news).is_err() {
+            tracing::debug!("the traffic thread has ended");
+        }
+    }
+}
--- /dev/null
+++ b/crates/hibiscushinged/src/gateway/duties.rs
@@ -0,0 +1,159 @@
+//! Usage reports by the lease holder.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    time::Duration,
+};
+
+use base::{Span, WallTime};
+use clients::{HttpClient, SendPermit};
+use platform::{AppendAnswer, DutyClient, UsageReport, keyed_record};
+use protocol::{UsageKey, decode_usage_record, encode_usage_report};
+use usage::{CustomerCounts, WindowNumber, sum_counts, window_end, window_of};
+
+use crate::{
+    gateway::{
+        control::ControlState,
+        fetch::{FetchedKeys, PartitionName, fetch},
+        lease::ORDER_TIMEOUT,
+        usage::USAGE_TOPIC,
+    },
+    telemetry::log_event,
+};
+
+/// Time between two looks at the windows.
+const PERIOD: Duration = Duration::from_millis(200);
+
+/// Part of the time until a report is due after which its figures are fixed. Nodes that were cut off
+/// for some seconds still get their totals in, and a successor has time to report.
+const CLOSE_SHARE: f64 = 0.6;
+
+/// Windows before the newest one that are looked at.
+const LOOK_BACK: u64 = 6;
+
+/// Longest time for a connection to the platform's interface.
+const CONNECT_TIMEOUT: Span = Span::from_millis(300);
+
+/// Windows as the store holds them.
+#[derive(Default)]
+struct UsageState {
+    next: Option<u64>,
+    totals: BTreeMap<WindowNumber, BTreeMap<u64, CustomerCounts>>,
+    reports: BTreeMap<WindowNumber, CustomerCounts>,
+    confirmed: BTreeSet<WindowNumber>,
+}
+
+/// Reports usage windows for as long as the process lives, while it holds the lease.
+pub(crate) async fn run(control: Rc<ControlState>) {
+    let name = PartitionName { topic: String::from(USAGE_TOPIC), part: 0 };
+    let mut state = UsageState::default();
+    loop {
+        tokio::time::sleep(PERIOD).await;
+        let Some(address) = control.node.settings.duties else { continue };
+        if control.lease.permit(&control.node).is_none() {
+            continue;
+        }
+        for window in due_windows(&control, &state) {
+            if !state.reports.contains_key(&window) {
+                fix(&control, &name, &mut state, window).await;
+            }
+            if let Some(counts) = state.reports.get(&window).cloned() {
+                let report = UsageReport { window: window.0, counts };
+                if send(&control, address, &report).await {
+                    state.confirmed.insert(window);
+                }
+            }
+        }
+    }
+}
+
+fn due_windows(control: &ControlState, state: &UsageState) -> Vec<WindowNumber> {
+    let promises = &control.node.settings.promises;
+    let delay = (promises.usage_due.as_millis() as f64 * CLOSE_SHARE) as i64;
+    let now = control.node.wall();
+    let newest = window_of(now, promises.window);
+    let windows = (newest.0.saturating_sub(LOOK_BACK)..newest.0).map(WindowNumber);
+    let due = windows.filter(|window| {
+        let end = window_end(*window, promises.window);
+        WallTime(end.0 + delay) <= now && !state.confirmed.contains(window)
+    });
+    due.collect()
+}
+
+/// Fixes the figures of a window by a record in the store, so that every holder sends the same ones.
+/// The record is conditional on the end of the totals that were summed.
+async fn fix(
+    control: &ControlState,
+    name: &PartitionName,
+    state: &mut UsageState,
+    window: WindowNumber,
+) {
+    if !read(control, name, state).await || state.reports.contains_key(&window) {
+        return;
+    }
+    let totals = state.totals.get(&window);
+    let counts = sum_counts(totals.into_iter().flat_map(BTreeMap::values));
+    let (key, value) = encode_usage_report(window, &counts);
+    let record = keyed_record(&key, Some(&value));
+    let stored = control.store.append(USAGE_TOPIC, 0, state.next, &[record]).await;
+    if let Ok(AppendAnswer::Appended { offset, end }) = stored {
+        let requests: u64 = counts.values().sum();
+        log_event!(UsageWindowClosed, window = window.0, offset, requests);
+        state.next = Some(end);
+        state.reports.insert(window, counts);
+    }
+}
+
+async fn read(control: &ControlState, name: &PartitionName, state: &mut UsageState) -> bool {
+    let Ok(fetched) = fetch(&control.store, name, state.next, Span::ZERO).await else {
+        return false;
+    };
+    state.next = Some(fetched.next);
+    let changes = match fetched.keys {
+        FetchedKeys::All(changes) | FetchedKeys::Changes(changes) => changes,
+    };
+    for change in changes {
+        let Some(value) = change.value else { continue };
+        match decode_usage_record(&change.key, &value) {
+            Ok((UsageKey::Totals { window, writer }, counts)) => {
+                state.totals.entry(window).or_default().insert(writer.0, counts);
+            }
+            Ok((UsageKey::Report { window }, counts)) => {
+                state.reports.entry(window).or_insert(counts);
+            }
+            Err(error) => {
+                let offset = change.offset;
+                log_event!(warn, LogRecordRefused, topic = USAGE_TOPIC, offset, reason = %error);
+            }
+        }
+    }
+    true
+}
+
+async fn send(
+    control: &Rc<ControlState>,
+    address: std::net::SocketAddr,
+    report: &UsageReport,
+) -> bool {
+    let Some(mark) = control.lease.mark(&control.node) else { return false };
+    let checked = Rc::clone(control);
+    let http = HttpClient::new(CONNECT_TIMEOUT).guarded(move || {
+        let permit = checked.lease.permit(&checked.node);
+        if permit.is_some() { SendPermit::Granted } else { SendPermit::Denied }
+    });
+    let client = DutyClient::new(http, address);
+    match client.report_usage(&mark, report, ORDER_TIMEOUT).await {
+        Ok(()) => {
+            control.node.metrics.usage_reports.inc();
+            let requests: u64 = report.counts.values().sum();
+            let fencing = mark.fencing.0;
+            log_event!(UsageWindowReported, window = report.window, requests, fencing);
+            true
+        }
+        Err(error) => {
+            tracing::warn!(window = report.window, %error, "a usage report was not confirmed");
+            false
+        }
+    }
+}
--- /dev/null
+++ b/crates/hibiscushinged/src/gateway/fetch.rs
@@ -0,0 +1,99 @@
+//! Reading a keyed partition: the newest record of every key first, then what follows.
+
+use base::Span;
+use bytes::Bytes;
+use clients::CallError;
+use platform::{ReadAnswer, StoredRecord, split_keyed};
+
+use crate::{gateway::store::StoreSession, telemetry::log_event};
+
+/// A keyed partition of a topic.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct PartitionName {
+    pub(crate) topic: String,
+    pub(crate) part: u32,
+}
+
+/// Change of one key. Without a value the key is dropped.
+#[derive(Debug, Clone)]
+pub(crate) struct KeyChange {
+    pub(crate) offset: u64,
+    pub(crate) key: String,
+    pub(crate) value: Option<Bytes>,
+}
+
+/// What a partition holds.
+#[derive(Debug)]
+pub(crate) enum FetchedKeys {
+    /// The newest value of every key.
+    All(Vec<KeyChange>),
+    /// Changes since the offset asked for.
+    Changes(Vec<KeyChange>),
+}
+
+/// Content of a partition up to an offset.
+#[derive(Debug)]
+pub(crate) struct FetchedPart {
+    pub(crate) keys: FetchedKeys,
+    /// Offset from which to go on.
+    pub(crate) next: u64,
+}
+
+/// Reads a partition from `next`, or all keys without it or when the records from there are gone.
+///
+/// # Errors
+///
+/// Returns an error when a call fails.
+pub(crate) async fn fetch(
+    store: &StoreSession,
+    name: &PartitionName,
+    next: Option<u64>,
+    wait: Span,
+) -> Result<FetchedPart, CallError> {
+    if let Some(from) = next {
+        match store.read(&name.topic, name.part, from, wait).await? {
+            ReadAnswer::Records { records, .. } => {
+                let next = records.last().map_or(from, |record| record.offset + 1);
+                let changes = records.into_iter().filter_map(|record| split(name, record));
+                return Ok(FetchedPart { keys: FetchedKeys::Changes(changes.collect()), next });
+            }
+            ReadAnswer::Trimmed { first } => {
+                log_event!(warn, LogGapFound, topic = name.topic, part = name.part, from, first);
+            }
+        }
+    }
+    fetch_all(store, name).await
+}
+
+/// Reads the newest value of every key. Pages are no snapshot, so the changes since the first page are
+/// read next.
+async fn fetch_all(store: &StoreSession, name: &PartitionName) -> Result<FetchedPart, CallError> {
+    let mut items = Vec::new();
+    let mut first_end = None;
+    loop {
+        let after = items.last().map(|change: &KeyChange| change.key.clone());
+        let page = store.newest(&name.topic, name.part, after.as_deref()).await?;
+        let next = *first_end.get_or_insert(page.end);
+        let empty = page.items.is_empty();
+        items.extend(page.items.into_iter().map(|(key, value)| KeyChange {
+            offset: next,
+            key,
+            value: Some(value),
+        }));
+        if !page.more || empty {
+            return Ok(FetchedPart { keys: FetchedKeys::All(items), next });
+        }
+    }
+}
+
+fn split(name: &PartitionName, record: StoredRecord) -> Option<KeyChange> {
+    let offset = record.offset;
+    match split_keyed(&record.bytes) {
+        Some((key, value)) => Some(KeyChange { offset, key, value }),
+        None => {
+            let topic = &name.topic;
+            log_event!(warn, LogRecordRefused, topic, offset, reason = "it has no key");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/hibiscushinged/src/gateway/generation.rs
@@ -0,0 +1,191 @@
+//! One run of an item at one engine.
+
+use std::{rc::Rc, time::Duration};
+
+use actix_http::Method;
+use base::{Moment, UpstreamKey};
+use dispatch::ExchangeEnd;
+use platform::{EventReader, UpstreamCall, item_headers};
+use submissions::ItemResult;
+
+use crate::{
+    gateway::{
+        attempt::{AttemptCall, PlaceGuard, open_exchange},
+        board::TrafficState,
+        channel::Exchange,
+        reward,
+        runner::ItemJob,
+    },
+    telemetry::log_event,
+};
+
+/// Longest silence of an engine before the first event and between two. A weight load takes 0.9 s
+/// and holds up the runs of its engine.
+const MOST_SILENCE: Duration = Duration::from_millis(1_800);
+
+/// Answers of 500 after which an item is given up, where the route states none.
+const DEFAULT_ATTEMPTS: u32 = 3;
+
+/// How a run ended.
+enum RunEnd {
+    /// The text is whole.
+    Whole,
+    /// The engine answered with 500.
+    Failed,
+    /// The item can never be done.
+    Hopeless,
+    /// The run broke off or did not begin. The text goes on elsewhere.
+    Interrupted(String),
+}
+
+/// Runs an item at an engine and takes the consequences.
+pub(crate) async fn run(
+    traffic: Rc<TrafficState>,
+    job: Rc<ItemJob>,
+    upstream: UpstreamKey,
+    place: PlaceGuard,
+) {
+    let started = traffic.node.now();
+    let resume_after = job.progress.borrow().text.last_id();
+    let engine = traffic.board.borrow().entry(upstream).id.clone();
+    let (submission, item) = (&job.head.id, &job.item.id);
+    log_event!(ItemStarted, submission, item, upstream = engine, resume_after);
+    let (end, exchange_end) = generate(&traffic, &job, upstream, &engine, started).await;
+    place.end(exchange_end);
+    traffic.node.metrics.observe_run(traffic.node.now().since(started));
+    match end {
+        RunEnd::Whole => reward::finish(&traffic, &job).await,
+        RunEnd::Hopeless => traffic.runner.resolve(&job, ItemResult::errored(item.as_str())),
+        RunEnd::Failed => {
+            let failures = {
+                let mut progress = job.progress.borrow_mut();
+                progress.failures += 1;
+                progress.tried.push(upstream);
+                progress.failures
+            };
+            log_event!(
+                ItemInterrupted,
+                submission,
+                item,
+                upstream = engine,
+                status = 500,
+                failures
+            );
+            if failures >= most_failures(&traffic, &job) {
+                traffic.runner.resolve(&job, ItemResult::errored(item.as_str()));
+            } else {
+                traffic.runner.requeue(&traffic, &job);
+            }
+        }
+        RunEnd::Interrupted(reason) => {
+            let events = job.progress.borrow().text.last_id();
+            log_event!(ItemInterrupted, submission, item, upstream = engine, reason, events);
+            job.progress.borrow_mut().tried.push(upstream);
+            traffic.runner.requeue(&traffic, &job);
+        }
+    }
+}
+
+fn most_failures(traffic: &TrafficState, job: &ItemJob) -> u32 {
+    let routes = traffic.node.book.load();
+    let route = routes.as_ref().and_then(|routes| routes.route(&job.head.host, &job.head.path));
+    route.map_or(DEFAULT_ATTEMPTS, |route| route.attempts)
+}
+
+async fn generate(
+    traffic: &Rc<TrafficState>,
+    job: &ItemJob,
+    upstream: UpstreamKey,
+    engine: &str,
+    started: Moment,
+) -> (RunEnd, ExchangeEnd) {
+    let last_id = job.progress.borrow().text.last_id();
+    let call = UpstreamCall {
+        id: &job.item.id,
+        host: &job.head.host,
+        customer: Some(&job.head.customer),
+        instance: engine,
+        deadline: None,
+        resume_after: (last_id > 0).then_some(last_id),
+        urgency: None,
+    };
+    let call = AttemptCall {
+        upstream,
+        id: &job.item.id,
+        method: Method::POST,
+        path: &job.item.path,
+        headers: item_headers(&job.item.headers, &call),
+        body: job.item.body.clone(),
+        billed: None,
+    };
+    let opened = tokio::time::timeout(MOST_SILENCE, open_exchange(traffic, call)).await;
+    let mut exchange = match opened {
+        Ok(Ok(exchange)) => exchange,
+        Ok(Err((fault, end))) => {
+            return (RunEnd::Interrupted(String::from(fault.reason())), end);
+        }
+        Err(_) => {
+            return (RunEnd::Interrupted(String::from("no answer")), ExchangeEnd::Silent);
+        }
+    };
+    match exchange.head().status.as_u16() {
+        200 => {}
+        422 => {
+            let took = traffic.node.now().since(started);
+            return (RunEnd::Hopeless, ExchangeEnd::Answered(took));
+        }
+        500 => return (RunEnd::Failed, ExchangeEnd::Failed),
+        status => {
+            return (RunEnd::Interrupted(format!("status {status}")), ExchangeEnd::Failed);
+        }
+    }
+    if let Some(version) = exchange.marks().version {
+        traffic.board.borrow_mut().learn_version(upstream, &job.head.model, version);
+        if let Err(fault) = job.progress.borrow_mut().text.begin_run(version) {
+            return (RunEnd::Interrupted(fault.to_string()), ExchangeEnd::Cancelled);
+        }
+    }
+    match read_events(traffic, job, upstream, &mut exchange).await {
+        Ok(()) => {
+            traffic.keep_channel(upstream, exchange);
+            // The time of a generation says nothing about that of a plain request.
+            (RunEnd::Whole, ExchangeEnd::Cancelled)
+        }
+        Err((reason, end)) => (RunEnd::Interrupted(reason), end),
+    }
+}
+
+async fn read_events(
+    traffic: &TrafficState,
+    job: &ItemJob,
+    upstream: UpstreamKey,
+    exchange: &mut Exchange,
+) -> Result<(), (String, ExchangeEnd)> {
+    let mut reader = EventReader::default();
+    let mut last_event: Option<Moment> = None;
+    loop {
+        let chunk = match tokio::time::timeout(MOST_SILENCE, exchange.chunk()).await {
+            Ok(Ok(Some(chunk))) => chunk,
+            Ok(Ok(None)) => break,
+            Ok(Err(fault)) => return Err((fault.to_string(), ExchangeEnd::Broken)),
+            Err(_) => return Err((String::from("silence"), ExchangeEnd::Silent)),
+        };
+        reader.feed(&chunk);
+        loop {
+            let event = match reader.next_event() {
+                Ok(Some(event)) => event,
+                Ok(None) => break,
+                Err(error) => return Err((error.to_string(), ExchangeEnd::Broken)),
+            };
+            if let Err(fault) = job.progress.borrow_mut().text.push(&event) {
+                return Err((fault.to_string(), ExchangeEnd::Broken));
+            }
+            let now = traffic.node.now();
+            if let Some(last) = last_event.replace(now) {
+                traffic.board.borrow_mut().learn_event(upstream, now.since(last));
+            }
+        }
+    }
+    let whole = reader.is_empty() && job.progress.borrow().text.last_id() > 0;
+    if whole { Ok(()) } else { Err((String::from("the text broke off"), ExchangeEnd::Broken)) }
+}
--- /dev/null
+++ b/crates/hibiscushinged/src/gateway/group.rs
@@ -0,0 +1,68 @@
+//! Membership in the group that shares the partitions of submissions out over the nodes.
+
+use std::{collections::BTreeSet, rc::Rc, time::Duration};
+
+use base::Span;
+
+use crate::{
+    gateway::{board::TrafficState, commit::SUBMISSION_TOPIC},
+    shared::ServicePhase,
+    telemetry::log_event,
+};
+
+const GROUP: &str = "submissions";
+
+/// Silence after which the store gives a member's partitions to others, unless the store asks for
+/// more. A node that lives sends three calls in this time.
+const MEMBER_LIFE: Span = Span::from_millis(1_200);
+
+/// Time between two calls.
+const JOIN_PERIOD: Duration = Duration::from_millis(350);
+
+/// Keeps this node in the group and follows its partitions until it drains.
+pub(crate) async fn stay_in_group(traffic: Rc<TrafficState>) {
+    let life = MEMBER_LIFE.max(traffic.node.settings.store.least_member_life);
+    let member = member_name(&traffic);
+    let topics = [String::from(SUBMISSION_TOPIC)];
+    while traffic.node.phase() != ServicePhase::Draining {
+        let generation = traffic.partitions.generation.get();
+        let joined = traffic.store.join(GROUP, &member, &topics, life, generation).await;
+        // While the store does not answer, this node goes on with what it has: its appends are
+        // conditional, so a successor that runs the same items costs work and nothing else.
+        if let Ok(share) = joined {
+            traffic.partitions.generation.set(share.generation);
+            let parts = share.parts.into_iter().filter(|(topic, _)| topic == SUBMISSION_TOPIC);
+            take_parts(&traffic, parts.map(|(_, part)| part).collect());
+        }
+        tokio::time::sleep(JOIN_PERIOD).await;
+    }
+}
+
+/// Gives all partitions back, so that their items go on elsewhere at once.
+pub(crate) async fn leave_group(traffic: &Rc<TrafficState>) {
+    let member = member_name(traffic);
+    take_parts(traffic, BTreeSet::new());
+    // Without an answer the membership ends by itself; the session has logged the failure.
+    let _ = traffic.store.leave(GROUP, &member).await;
+}
+
+fn take_parts(traffic: &Rc<TrafficState>, parts: BTreeSet<u32>) {
+    let changed = traffic.partitions.set_owned(parts.clone());
+    if !changed {
+        return;
+    }
+    let generation = traffic.partitions.generation.get();
+    log_event!(PartitionsAssigned, ?parts, generation);
+    for part in parts {
+        if let Some(mirror) = traffic.partitions.get(part) {
+            mirror.follow(traffic);
+            traffic.runner.watch(traffic, mirror);
+        }
+    }
+    traffic.runner.wake();
+}
+
+fn member_name(traffic: &TrafficState) -> String {
+    let node = &traffic.node;
+    format!("{}/{:016x}", node.settings.vm_name, node.incarnation.0)
+}
--- /dev/null
+++ b/crates/hibiscushinged/src/gateway/lease.rs
@@ -0,0 +1,185 @@
+//! The lease of the duties, kept in the store's log.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use authority::{
+    AuthorityRecord, Candidacy, FencingSupport, LeaseAction, LeaseKeeper, LeaseSettings, Scope,
+};
+use base::{FencingNumber, LogOffset, Moment, Span};
+use bytes::Bytes;
+use platform::{AppendAnswer, HolderMark, ReadAnswer};
+use protocol::{StreamRecord as _, WireAuthority, decode_message, encode_message};
+
+use crate::{
+    clock::to_duration,
+    gateway::{control::ControlState, node::NodeState},
+    shared::ServicePhase,
+    telemetry::log_event,
+};
+
+/// Topic of the lease records.
+const LEASE_TOPIC: &str = "authority";
+
+/// Length of the lease. A successor acts about a second after it has run out.
+const TERM: Span = Span::from_millis(2_000);
+
+/// Time between renewals. Three may fail before the lease runs out.
+const RENEWAL: Span = Span::from_millis(500);
+
+/// The holder stops this much before the term ends, and a successor waits this much longer.
+const MARGIN: Span = Span::from_millis(300);
+
+/// Longest time from the check of the lease before a call until the receiver has acted on it.
+pub(crate) const ORDER_TIMEOUT: Span = Span::from_millis(600);
+
+/// Longest wait of a read for lease records.
+const POLL_WAIT: Span = Span::from_millis(400);
+
+/// Time between two looks at the clock.
+const TICK: Duration = Duration::from_millis(50);
+
+/// Pause after a failed read.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Nodes with equal knowledge claim at different times within this span.
+const CLAIM_SPREAD: Span = Span::from_millis(250);
+
+/// The lease as the tasks of this node use it.
+pub(crate) struct LeaseHolder {
+    keeper: RefCell<LeaseKeeper>,
+    /// A node that held the lease, or may have held it before its start, claims again only after
+    /// this moment. Holders must not take turns faster than the platform allows.
+    rests_until: RefCell<Moment>,
+}
+
+impl LeaseHolder {
+    pub(crate) fn new(node: &NodeState) -> Self {
+        let settings = LeaseSettings {
+            term: TERM,
+            renewal: RENEWAL,
+            margin: MARGIN,
+            order_timeout: ORDER_TIMEOUT,
+            extra_wait: Span::ZERO,
+        };
+        let mut keeper =
+            LeaseKeeper::new(settings, Scope::Fleet, node.incarnation, Candidacy::Abstaining);
+        keeper.set_claim_delay(Span(rand::random_range(0..CLAIM_SPREAD.0)));
+        let rest = if node.settings.first_start { Span::ZERO } else { rest(node) };
+        let rests_until = RefCell::new(node.now() + rest);
+        Self { keeper: RefCell::new(keeper), rests_until }
+    }
+
+    /// Returns the number of the lease while this node may act.
+    pub(crate) fn permit(&self, node: &NodeState) -> Option<FencingNumber> {
+        if node.phase() == ServicePhase::Draining {
+            return None;
+        }
+        self.keeper.borrow().permit(node.now(), FencingSupport::Ignored).ok()
+    }
+
+    /// Returns how calls of the holder are marked, while this node may act.
+    pub(crate) fn mark(&self, node: &NodeState) -> Option<HolderMark> {
+        let fencing = self.permit(node)?;
+        Some(HolderMark { holder: node.settings.vm_name.clone(), fencing })
+    }
+}
+
+fn rest(node: &NodeState) -> Span {
+    node.settings.promises.lease + MARGIN
+}
+
+/// Follows the lease records, and claims, renews and gives up the lease.
+pub(crate) async fn keep_lease(control: Rc<ControlState>) {
+    actix_rt::spawn(follow_records(Rc::clone(&control)));
+    loop {
+        tokio::time::sleep(TICK).await;
+        let now = control.node.now();
+        let draining = control.node.phase() == ServicePhase::Draining;
+        let actions = {
+            let mut keeper = control.lease.keeper.borrow_mut();
+            let rested = now >= *control.lease.rests_until.borrow();
+            let stands = rested && !draining && control.node.phase() == ServicePhase::Serving;
+            keeper.set_candidacy(if stands { Candidacy::Standing } else { Candidacy::Abstaining });
+            if draining { keeper.resign() } else { keeper.tick(now) }
+        };
+        for action in actions {
+            act(&control, action);
+        }
+    }
+}
+
+async fn follow_records(control: Rc<ControlState>) {
+    let mut next = 0;
+    let mut begun = false;
+    loop {
+        match control.store.read(LEASE_TOPIC, 0, next, POLL_WAIT).await {
+            Ok(ReadAnswer::Records { records, .. }) => {
+                if !begun {
+                    begun = true;
+                    restart(&control, next);
+                }
+                for record in records {
+                    next = record.offset + 1;
+                    take_record(&control, record.offset, &record.bytes);
+                }
+            }
+            Ok(ReadAnswer::Trimmed { first }) => {
+                begun = true;
+                next = first;
+                restart(&control, first);
+            }
+            Err(_) => tokio::time::sleep(RETRY_PAUSE).await,
+        }
+    }
+}
+
+fn restart(control: &Rc<ControlState>, first: u64) {
+    let now = control.node.now();
+    let actions = control.lease.keeper.borrow_mut().reading_from(now, LogOffset(first));
+    for action in actions {
+        act(control, action);
+    }
+}
+
+fn take_record(control: &Rc<ControlState>, offset: u64, bytes: &Bytes) {
+    let record = decode_message::<WireAuthority>(bytes).and_then(AuthorityRecord::from_wire);
+    let record = match record {
+        Ok(record) => record,
+        Err(error) => {
+            log_event!(warn, LogRecordRefused, topic = LEASE_TOPIC, offset, reason = %error);
+            return;
+        }
+    };
+    let now = control.node.now();
+    let actions = control.lease.keeper.borrow_mut().read(now, LogOffset(offset), &record);
+    for action in actions {
+        act(control, action);
+    }
+}
+
+fn act(control: &Rc<ControlState>, action: LeaseAction) {
+    match action {
+        LeaseAction::Acquired(fencing) => {
+            log_event!(LeaseAcquired, fencing = fencing.0);
+        }
+        LeaseAction::Lost { fencing, cause } => {
+            let node = &control.node;
+            control.lease.rests_until.replace(node.now() + rest(node));
+            log_event!(LeaseLost, fencing = fencing.0, ?cause);
+        }
+        LeaseAction::Append(record) => {
+            let control = Rc::clone(control);
+            actix_rt::spawn(async move { append(&control, &record).await });
+        }
+    }
+}
+
+async fn append(control: &ControlState, record: &AuthorityRecord) {
+    let records = [Bytes::from(encode_message(&WireAuthority::from(record)))];
+    let append = control.store.append(LEASE_TOPIC, 0, None, &records);
+    // A renewal that takes longer than the time between two is of no use.
+    let appended = tokio::time::timeout(to_duration(RENEWAL), append).await;
+    if !matches!(appended, Ok(Ok(AppendAnswer::Appended { .. }))) {
+        control.lease.keeper.borrow_mut().append_refused();
+    }
+}
--- /dev/null
+++ b/crates/hibiscushinged/src/gateway/loads.rs
@@ -0,0 +1,197 @@
+//! Orders of weight loads by the lease holder.
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+    time::Duration,
+};
+
+use base::{Moment, Span, WeightVersion};
+use clients::{HttpClient, SendPermit};
+use dispatch::{EngineLoad, EntryState, LoadOrder, LoadPlan, UpstreamEntry, plan_loads};
+use platform::{EngineSurface, LoadRequest, OrderAnswer};
+
+use crate::{
+    gateway::{control::ControlState, lease::ORDER_TIMEOUT},
+    telemetry::log_event,
+};
+
+/// Time between two looks at the plan.
+const PLAN_PERIOD: Duration = Duration::from_millis(100);
+
+/// Time between two questions to an engine that loads.
+const REPORT_PERIOD: Duration = Duration::from_millis(350);
+
+/// Questions to an engine that loads before its load counts as failed. A load takes 0.9 s, longer
+/// while many engines load.
+const MOST_REPORTS: u32 = 10;
+
+/// Pause before an engine that refused an order, or did not answer, gets another one.
+const FAILURE_PAUSE: Span = Span::from_millis(700);
+
+/// Longest time for a connection to an engine.
+const CONNECT_TIMEOUT: Span = Span::from_millis(300);
+
+/// Loads in progress as this node knows them.
+#[derive(Default)]
+struct LoadDesk {
+    loading: RefCell<HashMap<String, (String, WeightVersion, Moment)>>,
+    /// Versions that reports have shown, which may be newer than the entries.
+    shown: RefCell<HashMap<String, Vec<(String, WeightVersion)>>>,
+    paused: RefCell<HashMap<String, Moment>>,
+}
+
+/// Orders loads for as long as the process lives, while it holds the lease.
+pub(crate) async fn order_loads(control: Rc<ControlState>) {
+    let desk = Rc::new(LoadDesk::default());
+    loop {
+        tokio::time::sleep(PLAN_PERIOD).await;
+        if control.lease.permit(&control.node).is_none() {
+            desk.loading.borrow_mut().clear();
+            continue;
+        }
+        for order in plan(&control, &desk) {
+            let now = control.node.now();
+            let load = (order.model.clone(), order.version, now);
+            desk.loading.borrow_mut().insert(order.engine.clone(), load);
+            let (control, desk) = (Rc::clone(&control), Rc::clone(&desk));
+            actix_rt::spawn(async move { carry_out(&control, &desk, &order).await });
+        }
+    }
+}
+
+fn plan(control: &ControlState, desk: &LoadDesk) -> Vec<LoadOrder> {
+    let now = control.node.now();
+    let Some(book) = control.node.book.load_full() else { return Vec::new() };
+    let entries = control.entries.borrow();
+    let versions = control.versions.borrow();
+    let mut orders = Vec::new();
+    for service in book.services() {
+        let Some(engine) = &service.engine else { continue };
+        let named = named_versions(&versions, &engine.models);
+        let members = entries
+            .values()
+            .filter(|entry| entry.service == service.name && entry.state == EntryState::Ready);
+        let engines: Vec<EngineLoad> = members.map(|entry| desk.engine(entry)).collect();
+        let plan = LoadPlan::of(engines.len(), engine.models.len());
+        orders.extend(plan_loads(now, &engines, &named, &plan));
+    }
+    let paused = desk.paused.borrow();
+    orders.retain(|order| paused.get(&order.engine).is_none_or(|until| now >= *until));
+    orders
+}
+
+fn named_versions(
+    versions: &BTreeMap<String, WeightVersion>,
+    models: &[String],
+) -> Vec<(String, WeightVersion)> {
+    let named = models.iter().filter_map(|model| Some((model.clone(), *versions.get(model)?)));
+    named.collect()
+}
+
+impl LoadDesk {
+    fn engine(&self, entry: &UpstreamEntry) -> EngineLoad {
+        let mut versions = entry.versions.clone();
+        if let Some(shown) = self.shown.borrow().get(&entry.id) {
+            for (model, version) in &mut versions {
+                let newer = shown.iter().find(|(name, _)| name == model);
+                *version = newer.map_or(*version, |(_, newer)| (*version).max(*newer));
+            }
+        }
+        let loading = self.loading.borrow().get(&entry.id).cloned();
+        EngineLoad { id: entry.id.clone(), versions, loading }
+    }
+
+    fn end(&self, engine: &str, pause_until: Option<Moment>) {
+        self.loading.borrow_mut().remove(engine);
+        if let Some(until) = pause_until {
+            self.paused.borrow_mut().insert(String::from(engine), until);
+        }
+    }
+}
+
+async fn carry_out(control: &Rc<ControlState>, desk: &LoadDesk, order: &LoadOrder) {
+    let entry = control.entries.borrow().get(&order.engine).cloned();
+    let Some(entry) = entry else {
+        desk.end(&order.engine, None);
+        return;
+    };
+    let done = load(control, desk, order, &entry).await;
+    let (engine, model, version) = (&order.engine, &order.model, order.version.0);
+    let pause = match done {
+        Ok(()) => None,
+        Err(reason) => {
+            log_event!(warn, WeightLoadFailed, engine, model, version, reason);
+            Some(control.node.now() + FAILURE_PAUSE)
+        }
+    };
+    desk.end(engine, pause);
+}
+
+async fn load(
+    control: &Rc<ControlState>,
+    desk: &LoadDesk,
+    order: &LoadOrder,
+    entry: &UpstreamEntry,
+) -> Result<(), String> {
+    let checked = Rc::clone(control);
+    // The lease is checked again as the last step before the order is written.
+    let http = HttpClient::new(CONNECT_TIMEOUT).guarded(move || {
+        let permit = checked.lease.permit(&checked.node);
+        if permit.is_some() { SendPermit::Granted } else { SendPermit::Denied }
+    });
+    let surface = EngineSurface::new(http);
+    let report = surface.report(entry.address, ORDER_TIMEOUT).await;
+    let report = report.map_err(|error| error.to_string())?;
+    if report.busy {
+        return Err(String::from("another order is in progress"));
+    }
+    desk.shown.borrow_mut().insert(order.engine.clone(), report.versions.clone());
+    if holds(&report.versions, order) {
+        return Ok(());
+    }
+    let Some(mark) = control.lease.mark(&control.node) else {
+        return Err(String::from("the lease has ended"));
+    };
+    let request = LoadRequest {
+        engine: order.engine.clone(),
+        model: order.model.clone(),
+        version: order.version,
+        accepted_orders: report.accepted_orders,
+        holder: mark.holder,
+        fencing: mark.fencing,
+    };
+    log_event!(
+        WeightLoadOrdered,
+        engine = order.engine,
+        model = order.model,
+        version = order.version.0,
+        accepted_orders = report.accepted_orders,
+        fencing = mark.fencing.0,
+    );
+    control.node.metrics.loads_ordered.inc();
+    match surface.load(entry.address, &request, ORDER_TIMEOUT).await {
+        Ok(OrderAnswer::Accepted | OrderAnswer::Holds) => {}
+        Ok(answer) => return Err(format!("the engine answers {answer:?}")),
+        // The order may have been accepted, which the reports show.
+        Err(error) if error.may_have_run() => {}
+        Err(error) => return Err(error.to_string()),
+    }
+    for _ in 0..MOST_REPORTS {
+        tokio::time::sleep(REPORT_PERIOD).await;
+        let Ok(report) = surface.report(entry.address, ORDER_TIMEOUT).await else { continue };
+        desk.shown.borrow_mut().insert(order.engine.clone(), report.versions.clone());
+        if holds(&report.versions, order) {
+            return Ok(());
+        }
+        if !report.busy && report.accepted_orders == request.accepted_orders {
+            return Err(String::from("the engine has not accepted the order"));
+        }
+    }
+    Err(String::from("the version did not appear in time"))
+}
+
+fn holds(versions: &[(String, WeightVersion)], order: &LoadOrder) -> bool {
+    versions.iter().any(|(model, version)| *model == order.model && *version >= order.version)
+}
--- /dev/null
+++ b/crates/hibiscushinged/src/gateway/metrics.rs
@@ -0,0 +1,107 @@
+//! Counters and latency histograms, served as text.
+
+use std::sync::atomic::AtomicU64;
+
+use base::{RefusalCode, Span};
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StatusLabel {
+    status: u32,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CodeLabel {
+    code: String,
+}
+
+/// Metrics of one gateway. Times are in seconds.
+#[derive(Debug)]
+pub(crate) struct GatewayMetrics {
+    answers: Family<StatusLabel, Counter>,
+    answer_time: Histogram,
+    refusals: Family<CodeLabel, Counter>,
+    run_time: Histogram,
+    reward_time: Histogram,
+    pub(crate) store_failures: Counter,
+    pub(crate) channels_opened: Counter,
+    pub(crate) loads_ordered: Counter<u64, AtomicU64>,
+    pub(crate) usage_reports: Counter,
+}
+
+impl Default for GatewayMetrics {
+    fn default() -> Self {
+        // From 1 ms to 16 s in steps of two.
+        let times = || Histogram::new(exponential_buckets(0.001, 2.0, 15));
+        Self {
+            answers: Family::default(),
+            answer_time: times(),
+            refusals: Family::default(),
+            run_time: times(),
+            reward_time: times(),
+            store_failures: Counter::default(),
+            channels_opened: Counter::default(),
+            loads_ordered: Counter::default(),
+            usage_reports: Counter::default(),
+        }
+    }
+}
+
+impl GatewayMetrics {
+    /// Counts an answered request with its time from arrival.
+    pub(crate) fn observe_answer(&self, status: u16, took: Span) {
+        let label = StatusLabel { status: u32::from(status) };
+        self.answers.get_or_create(&label).inc();
+        self.answer_time.observe(took.as_secs_f64());
+    }
+
+    /// Counts a refused request.
+    pub(crate) fn observe_refusal(&self, code: RefusalCode) {
+        let label = CodeLabel { code: String::from(code.as_str()) };
+        self.refusals.get_or_create(&label).inc();
+    }
+
+    /// Takes the time of a run of an item.
+    pub(crate) fn observe_run(&self, took: Span) {
+        self.run_time.observe(took.as_secs_f64());
+    }
+
+    /// Takes the time of a reward call.
+    pub(crate) fn observe_reward(&self, took: Span) {
+        self.reward_time.observe(took.as_secs_f64());
+    }
+
+    /// Writes all metrics as text.
+    pub(crate) fn render(&self) -> String {
+        let mut registry = Registry::with_prefix("hibiscushinge");
+        let answers = "Requests answered, by status";
+        registry.register("answers", answers, self.answers.clone());
+        let time = "Seconds from arrival to the answer";
+        registry.register("answer_seconds", time, self.answer_time.clone());
+        registry.register("refusals", "Requests refused, by code", self.refusals.clone());
+        registry.register("run_seconds", "Seconds of a run of an item", self.run_time.clone());
+        let reward = "Seconds of a reward call";
+        registry.register("reward_seconds", reward, self.reward_time.clone());
+        let store = "Calls to the store that failed";
+        registry.register("store_failures", store, self.store_failures.clone());
+        let channels = "Connections opened to upstreams";
+        registry.register("channels_opened", channels, self.channels_opened.clone());
+        let loads = "Weight loads ordered";
+        registry.register("loads_ordered", loads, self.loads_ordered.clone());
+        let usage = "Usage windows reported";
+        registry.register("usage_reports", usage, self.usage_reports.clone());
+        let mut page = String::new();
+        if let Err(error) = encode(&mut page, &registry) {
+            tracing::warn!(%error, "the metrics could not be written");
+        }
+        page
+    }
+}
--- /dev/null
+++ b/crates/hibiscushinged/src/gateway/node.rs
@@ -0,0 +1,160 @@
+//! State that the control thread and the traffic thread share.
+
+use std::sync::{
+    Arc, Mutex, MutexGuard,
+    atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering},
+};
+
+use arc_swap::ArcSwapOption;
+use base::{Incarnation, Moment, Span, WallTime};
+use document::GatewaySettings;
+use routebook::RouteBook;
+use usage::{WindowNumber, WindowTally, window_of};
+
+use crate::{
+    clock::{ProcessClock, wall_now},
+    gateway::metrics::GatewayMetrics,
+    shared::ServicePhase,
+    telemetry::log_event,
+};
+
+/// Silence of the store after which this node counts as cut off. Calls take some milliseconds, and
+/// a quarter of a second when the store is slow.
+const STORE_SILENCE: Span = Span::from_millis(1_500);
+
+/// Time after a silence of the store in which missing entries may come back.
+const STORE_SETTLING: Span = Span::from_secs(3);
+
+/// Shared state of one gateway.
+pub(crate) struct NodeState {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) clock: ProcessClock,
+    pub(crate) book: ArcSwapOption<RouteBook>,
+    pub(crate) metrics: GatewayMetrics,
+    tally: Mutex<WindowTally>,
+    phase: AtomicU8,
+    in_flight: AtomicUsize,
+    store_contact: AtomicU64,
+    store_trouble: AtomicU64,
+    store_lost: AtomicBool,
+}
+
+/// Counts a request as running until dropped.
+pub(crate) struct FlightMark {
+    node: Arc<NodeState>,
+}
+
+/// A request that was counted for usage.
+pub(crate) struct UsageMark {
+    window: WindowNumber,
+    customer: String,
+}
+
+impl NodeState {
+    pub(crate) fn new(
+        settings: GatewaySettings,
+        incarnation: Incarnation,
+        clock: ProcessClock,
+        metrics: GatewayMetrics,
+    ) -> Self {
+        Self {
+            settings,
+            incarnation,
+            clock,
+            book: ArcSwapOption::empty(),
+            metrics,
+            tally: Mutex::new(WindowTally::default()),
+            phase: AtomicU8::new(0),
+            in_flight: AtomicUsize::new(0),
+            store_contact: AtomicU64::new(0),
+            store_trouble: AtomicU64::new(0),
+            store_lost: AtomicBool::new(false),
+        }
+    }
+
+    pub(crate) fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
+    pub(crate) fn phase(&self) -> ServicePhase {
+        ServicePhase::from_code(self.phase.load(Ordering::Acquire))
+    }
+
+    /// Moves on to `phase`. A process never goes back to an earlier phase.
+    pub(crate) fn enter(&self, phase: ServicePhase) {
+        self.phase.fetch_max(phase.code(), Ordering::AcqRel);
+    }
+
+    pub(crate) fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn enter_flight(self: &Arc<Self>) -> FlightMark {
+        self.in_flight.fetch_add(1, Ordering::AcqRel);
+        FlightMark { node: Arc::clone(self) }
+    }
+
+    pub(crate) fn tally(&self) -> MutexGuard<'_, WindowTally> {
+        self.tally.lock().expect("no holder of the tally panics")
+    }
+
+    /// Counts a request that begins to run now.
+    pub(crate) fn count_begin(&self, customer: &str) -> UsageMark {
+        let window = window_of(wall_now(), self.settings.promises.window);
+        self.tally().add(window, customer);
+        UsageMark { window, customer: String::from(customer) }
+    }
+
+    /// Takes back a request that the upstream did not run.
+    pub(crate) fn take_back(&self, mark: &UsageMark) {
+        self.tally().take_back(mark.window, &mark.customer);
+    }
+
+    /// Records that the store answered.
+    pub(crate) fn store_answered(&self) {
+        let now = self.now();
+        self.store_contact.store(now.0, Ordering::Release);
+        if self.store_lost.swap(false, Ordering::AcqRel) {
+            self.store_trouble.store(now.0, Ordering::Release);
+            log_event!(StoreRegained, store = %self.settings.store.address);
+        }
+    }
+
+    /// Records that a call to the store failed.
+    pub(crate) fn store_failed(&self, call: &str, reason: &str) {
+        let now = self.now();
+        self.store_trouble.store(now.0, Ordering::Release);
+        self.metrics.store_failures.inc();
+        let silence = self.store_silence();
+        if silence >= STORE_SILENCE && !self.store_lost.swap(true, Ordering::AcqRel) {
+            log_event!(warn, StoreLost, call, reason, silence_ms = silence.as_millis());
+        }
+    }
+
+    pub(crate) fn store_silence(&self) -> Span {
+        self.now().since(Moment(self.store_contact.load(Ordering::Acquire)))
+    }
+
+    /// Tells whether this node has heard from the store a short while ago.
+    pub(crate) fn store_in_reach(&self) -> bool {
+        self.store_silence() < STORE_SILENCE
+    }
+
+    /// Tells whether calls to the store failed a short while ago, so that entries may be missing
+    /// which come back.
+    pub(crate) fn store_unsettled(&self) -> bool {
+        let trouble = self.store_trouble.load(Ordering::Acquire);
+        trouble > 0 && self.now().since(Moment(trouble)) < STORE_SETTLING
+    }
+
+    pub(crate) fn wall(&self) -> WallTime {
+        wall_now()
+    }
+}
+
+impl Drop for FlightMark {
+    fn drop(&mut self) {
+        self.node.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/crates/hibiscushinged/src/gateway/relay.rs
@@ -0,0 +1,164 @@
+//! Streams that are passed on as they arrive.
+
+use std::rc::Rc;
+
+use actix_http::{
+    Response, StatusCode,
+    body::{BodyStream, BoxBody},
+};
+use base::{Refusal, RefusalCode, Span, UpstreamKey};
+use dispatch::{ExchangeEnd, PlainAsk};
+use futures_util::stream;
+use platform::{UpstreamCall, forward_headers, relay_headers};
+use smallvec::SmallVec;
+
+use crate::{
+    gateway::{
+        attempt::{AttemptCall, AttemptFault, PlaceGuard, log_attempt, open_exchange},
+        board::TrafficState,
+        channel::Exchange,
+        node::FlightMark,
+        plain::PlainJob,
+    },
+    telemetry::log_event,
+};
+
+/// Pause before a refused caller may try again.
+const RETRY_PAUSE: Span = Span::from_millis(150);
+
+/// What a stream holds while it runs.
+struct RelayState {
+    traffic: Rc<TrafficState>,
+    upstream: UpstreamKey,
+    exchange: Option<Exchange>,
+    place: Option<PlaceGuard>,
+    _flight: FlightMark,
+}
+
+/// Sends a request whose answer is a stream, and passes the events on as they come. A stream that
+/// breaks off ends the caller's connection, so that it does not look complete.
+///
+/// # Errors
+///
+/// Returns a refusal when no upstream has begun to answer.
+pub(crate) async fn relay(
+    traffic: &Rc<TrafficState>,
+    job: &PlainJob<'_>,
+    flight: FlightMark,
+) -> Result<Response<BoxBody>, Refusal> {
+    let mut tried: SmallVec<[UpstreamKey; 4]> = SmallVec::new();
+    let mut reason = String::from("no upstream is usable");
+    while tried.len() < job.attempts {
+        let left = job.deadline.since(traffic.node.now());
+        let zone = &traffic.node.settings.zone;
+        let ask = PlainAsk { service: job.service, zone, tried: &tried, draw: rand::random() };
+        let picked = traffic.board.borrow().pick_plain(traffic.node.now(), &ask);
+        let Some(upstream) = picked else { break };
+        tried.push(upstream);
+        log_attempt(traffic, job.id, upstream, tried.len(), left);
+        let place = PlaceGuard::take(traffic, upstream);
+        match begin(traffic, job, upstream, left).await {
+            Ok(exchange) => return Ok(response(traffic, upstream, exchange, place, flight)),
+            Err((AttemptFault::NotRun(why), end)) => {
+                place.end(end);
+                log_event!(AttemptFailed, request = job.id, may_have_run = false, reason = why);
+                reason = why;
+            }
+            Err((AttemptFault::MaybeRun(why), end)) => {
+                place.end(end);
+                log_event!(AttemptFailed, request = job.id, may_have_run = true, reason = why);
+                if !job.repeatable {
+                    return Err(Refusal::may_have_run(RefusalCode::UpstreamFailed, why));
+                }
+                reason = why;
+            }
+        }
+    }
+    Err(Refusal::not_run(RefusalCode::Overloaded, reason).with_retry_after(RETRY_PAUSE))
+}
+
+async fn begin(
+    traffic: &Rc<TrafficState>,
+    job: &PlainJob<'_>,
+    upstream: UpstreamKey,
+    left: Span,
+) -> Result<Exchange, (AttemptFault, ExchangeEnd)> {
+    let instance = traffic.board.borrow().entry(upstream).id.clone();
+    let call = UpstreamCall {
+        id: job.id,
+        host: job.host,
+        customer: job.customer,
+        instance: &instance,
+        deadline: Some(left),
+        resume_after: None,
+        urgency: None,
+    };
+    let call = AttemptCall {
+        upstream,
+        id: job.id,
+        method: job.method.clone(),
+        path: job.path,
+        headers: forward_headers(job.headers, &call),
+        body: job.body.clone(),
+        billed: job.customer,
+    };
+    let timeout = crate::clock::to_duration(left);
+    match tokio::time::timeout(timeout, open_exchange(traffic, call)).await {
+        Ok(result) => result,
+        Err(_) => {
+            let reason = String::from("no answer before the deadline");
+            Err((AttemptFault::MaybeRun(reason), ExchangeEnd::Silent))
+        }
+    }
+}
+
+fn response(
+    traffic: &Rc<TrafficState>,
+    upstream: UpstreamKey,
+    exchange: Exchange,
+    place: PlaceGuard,
+    flight: FlightMark,
+) -> Response<BoxBody> {
+    let status = exchange.head().status;
+    let headers = relay_headers(exchange.head());
+    let state = RelayState {
+        traffic: Rc::clone(traffic),
+        upstream,
+        exchange: Some(exchange),
+        place: Some(place),
+        _flight: flight,
+    };
+    let body = BodyStream::new(Box::pin(stream::unfold(state, next_chunk)));
+    let mut response = Response::with_body(
+        StatusCode::from_u16(status.as_u16()).unwrap_or(StatusCode::BAD_GATEWAY),
+        BoxBody::new(body),
+    );
+    for (name, value) in headers {
+        response.headers_mut().append(name, value);
+    }
+    response
+}
+
+async fn next_chunk(
+    mut state: RelayState,
+) -> Option<(Result<bytes::Bytes, std::io::Error>, RelayState)> {
+    let exchange = state.exchange.as_mut()?;
+    match exchange.chunk().await {
+        Ok(Some(chunk)) => Some((Ok(chunk), state)),
+        Ok(None) => {
+            let exchange = state.exchange.take()?;
+            state.traffic.keep_channel(state.upstream, exchange);
+            if let Some(place) = state.place.take() {
+                place.end(ExchangeEnd::Cancelled);
+            }
+            None
+        }
+        Err(fault) => {
+            state.exchange = None;
+            if let Some(place) = state.place.take() {
+                place.end(ExchangeEnd::Broken);
+            }
+            Some((Err(std::io::Error::other(fault.to_string())), state))
+        }
+    }
+}
--- /dev/null
+++ b/crates/hibiscushinged/src/gateway/reward.rs
@@ -0,0 +1,114 @@
+//! The call that scores a whole text.
+
+use std::{rc::Rc, time::Duration};
+
+use actix_http::{Method, header::HeaderMap};
+use submissions::{ItemResult, ItemState, RewardCall};
+
+use crate::{
+    gateway::{
+        board::TrafficState,
+        plain::{PlainJob, run_plain},
+        runner::ItemJob,
+    },
+    telemetry::log_event,
+};
+
+/// Pause before a reward call that was refused or failed is made again.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Upstreams to which one call may be sent before its end is counted. The second one covers a lost
+/// answer.
+const TRIES: usize = 2;
+
+/// How one reward call ended.
+enum CallEnd {
+    Scored(String),
+    /// The service answered with 500.
+    Failed,
+    /// There is no answer to go by.
+    Again,
+    /// No route leads to the service.
+    NoRoute,
+}
+
+/// Scores a whole text and resolves its item.
+pub(crate) async fn finish(traffic: &Rc<TrafficState>, job: &Rc<ItemJob>) {
+    let Some(reward) = &job.item.reward else {
+        traffic.runner.resolve(job, finished(job, None));
+        return;
+    };
+    let mut failures = 0;
+    while traffic.runner.is_wanted(job) {
+        match call(traffic, reward).await {
+            CallEnd::Scored(score) => {
+                traffic.runner.resolve(job, finished(job, Some(score)));
+                return;
+            }
+            CallEnd::Failed => {
+                failures += 1;
+                log_event!(AttemptFailed, request = reward.id, status = 500, failures);
+                if failures >= attempts(traffic, reward) {
+                    traffic.runner.resolve(job, ItemResult::errored(job.item.id.as_str()));
+                    return;
+                }
+            }
+            CallEnd::NoRoute => {
+                let (request, host, path) = (&reward.id, &reward.host, &reward.path);
+                log_event!(warn, RequestRefused, request, host, path, reason = "no route");
+                traffic.runner.resolve(job, ItemResult::errored(job.item.id.as_str()));
+                return;
+            }
+            CallEnd::Again => {}
+        }
+        tokio::time::sleep(RETRY_PAUSE).await;
+    }
+}
+
+async fn call(traffic: &Rc<TrafficState>, reward: &RewardCall) -> CallEnd {
+    let Some(routes) = traffic.node.book.load_full() else { return CallEnd::Again };
+    let Some(route) = routes.route(&reward.host, &reward.path) else { return CallEnd::NoRoute };
+    let Some(service) = route.target(rand::random()) else { return CallEnd::NoRoute };
+    let mut headers = HeaderMap::new();
+    platform::set_request_head(&mut headers, &reward.host, &reward.id);
+    let plain = PlainJob {
+        id: &reward.id,
+        method: Method::POST,
+        path: &reward.path,
+        host: &reward.host,
+        headers: &headers,
+        body: reward.body.clone(),
+        customer: None,
+        service,
+        deadline: traffic.node.now() + route.timeout,
+        objective: route.objective,
+        attempts: TRIES,
+        repeatable: true,
+    };
+    let started = traffic.node.now();
+    match run_plain(traffic, &plain).await {
+        Ok(answer) if answer.status < 300 => {
+            traffic.node.metrics.observe_reward(traffic.node.now().since(started));
+            answer.marks.stamp.map_or(CallEnd::Again, CallEnd::Scored)
+        }
+        Ok(answer) if answer.status == 500 => CallEnd::Failed,
+        Ok(_) | Err(_) => CallEnd::Again,
+    }
+}
+
+fn attempts(traffic: &TrafficState, reward: &RewardCall) -> u32 {
+    let routes = traffic.node.book.load();
+    let route = routes.as_ref().and_then(|routes| routes.route(&reward.host, &reward.path));
+    route.map_or(1, |route| route.attempts)
+}
+
+fn finished(job: &ItemJob, score: Option<String>) -> ItemResult {
+    let progress = job.progress.borrow();
+    ItemResult {
+        item: job.item.id.clone(),
+        state: ItemState::Finished,
+        output: String::from(progress.text.output()),
+        versions: progress.text.versions().clone(),
+        score,
+    }
+}
--- /dev/null
+++ b/crates/hibiscushinged/src/gateway/serve.rs
@@ -0,0 +1,366 @@
+//! The server for callers and trainers.
+
+use std::{convert::Infallible, io, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+
+use actix_http::{HttpService, KeepAlive, Request, Response, StatusCode, body::BoxBody};
+use actix_service::{Service as _, ServiceFactory as _};
+use base::{Moment, Refusal, RefusalCode, Span};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt as _;
+use platform::{CallHead, CallTarget, read_head, read_target};
+use routebook::{RequestKind, RouteBook, RouteRule};
+use tokio::{net::TcpListener, sync::mpsc};
+
+use crate::{
+    clock::to_duration,
+    gateway::{
+        answer,
+        board::{TrafficState, UpstreamNews, follow_news, sweep_channels},
+        group,
+        node::{FlightMark, NodeState},
+        plain::{PlainJob, run_plain},
+        relay, runner,
+        submit::{self, Arrival, Inquiry},
+    },
+    telemetry::log_event,
+};
+
+/// Idle time of callers' connections. It is above any limit that an operator states, so that a
+/// caller that keeps to its limit never meets a close.
+const CALLER_IDLE: Duration = Duration::from_secs(120);
+
+/// Longest time for the head of a request. Operators allow 3 s.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Longest time for the body of a request that has no deadline.
+const BODY_TIMEOUT: Span = Span::from_secs(10);
+
+/// Pause before a caller may come back to a system that has no configuration yet.
+const START_PAUSE: Span = Span::from_millis(300);
+
+/// Time from the start of a planned stop in which the balancer may still send new connections. It
+/// takes two misses of a check each second.
+const BALANCER_LAG: Span = Span::from_millis(2_600);
+
+/// Part of the time before the kill that is left for what follows the last request.
+const STOP_RESERVE: Span = Span::from_millis(1_300);
+
+/// Longest wait for running items at a planned stop.
+const ITEM_PATIENCE: Span = Span::from_secs(3);
+
+/// Time between two checks of whether the process may end.
+const DRAIN_CHECK: Duration = Duration::from_millis(50);
+
+/// The traffic thread's tasks.
+pub(crate) struct TrafficServer {
+    traffic: Rc<TrafficState>,
+}
+
+/// A request with its body and what is known of its sender.
+struct CallerRequest<'a> {
+    request: &'a Request,
+    call: &'a CallHead,
+    path: &'a str,
+    body: Bytes,
+    arrived: Moment,
+}
+
+impl TrafficServer {
+    /// Binds the address of callers and starts all tasks of the traffic thread.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the address cannot be bound.
+    pub(crate) fn start(
+        node: Arc<NodeState>,
+        changes: mpsc::UnboundedReceiver<UpstreamNews>,
+    ) -> io::Result<Self> {
+        let listener = listen(node.settings.listen)?;
+        let traffic = Rc::new(TrafficState::new(node));
+        actix_rt::spawn(accept_callers(Rc::clone(&traffic), listener));
+        actix_rt::spawn(follow_news(Rc::clone(&traffic), changes));
+        actix_rt::spawn(sweep_channels(Rc::clone(&traffic)));
+        actix_rt::spawn(group::stay_in_group(Rc::clone(&traffic)));
+        actix_rt::spawn(runner::place_items(Rc::clone(&traffic)));
+        actix_rt::spawn(runner::store_results(Rc::clone(&traffic)));
+        Ok(Self { traffic })
+    }
+
+    /// Hands the partitions over, finishes what runs, and returns when the process may end.
+    pub(crate) async fn drain(&self) {
+        let node = &self.traffic.node;
+        let started = node.now();
+        let last = started + node.settings.promises.grace.saturating_sub(STOP_RESERVE);
+        self.traffic.runner.stop();
+        group::leave_group(&self.traffic).await;
+        loop {
+            let now = node.now();
+            let items = self.traffic.runner.unfinished() > 0 && now.since(started) < ITEM_PATIENCE;
+            let busy = node.in_flight() > 0 || items || now.since(started) < BALANCER_LAG;
+            if !busy || now >= last {
+                return;
+            }
+            tokio::time::sleep(DRAIN_CHECK).await;
+        }
+    }
+}
+
+/// Binds a listening socket.
+///
+/// # Errors
+///
+/// Returns an error when the address cannot be bound.
+pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let listener = std::net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    TcpListener::from_std(listener)
+}
+
+async fn accept_callers(traffic: Rc<TrafficState>, listener: TcpListener) {
+    let state = Rc::clone(&traffic);
+    let service = HttpService::build()
+        .keep_alive(KeepAlive::Timeout(CALLER_IDLE))
+        .client_request_timeout(HEAD_TIMEOUT)
+        .client_disconnect_timeout(Duration::from_secs(1))
+        .h1_allow_half_closed(false)
+        .tcp_nodelay(true)
+        .finish(move |request| {
+            let traffic = Rc::clone(&state);
+            async move { Ok::<_, Infallible>(serve(traffic, request).await) }
+        })
+        .tcp();
+    let Ok(handler) = service.new_service(()).await else { return };
+    let handler = Rc::new(handler);
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let handler = Rc::clone(&handler);
+                actix_rt::spawn(async move {
+                    // Failures of a caller's connection concern the caller alone.
+                    if let Err(error) = handler.call(stream).await {
+                        tracing::debug!(%error, "a caller's connection ended");
+                    }
+                });
+            }
+            Err(error) => {
+                tracing::warn!(%error, "no connection could be accepted");
+                tokio::time::sleep(DRAIN_CHECK).await;
+            }
+        }
+    }
+}
+
+async fn serve(traffic: Rc<TrafficState>, mut request: Request) -> Response<BoxBody> {
+    let arrived = traffic.node.now();
+    let flight = traffic.node.enter_flight();
+    let call = read_head(request.head());
+    let path = request.uri().path_and_query().map_or_else(String::new, ToString::to_string);
+    let result = match read_body(&traffic, &call, &mut request).await {
+        Ok(body) => {
+            let caller =
+                CallerRequest { request: &request, call: &call, path: &path, body, arrived };
+            dispatch(&traffic, &caller, flight).await
+        }
+        Err(refusal) => Err(refusal),
+    };
+    let id = call.id.as_deref().unwrap_or_default();
+    let took_ms = traffic.node.now().since(arrived).as_millis();
+    let mut response = match result {
+        Ok(response) => {
+            let status = response.status().as_u16();
+            traffic.node.metrics.observe_answer(status, traffic.node.now().since(arrived));
+            log_event!(RequestCompleted, request = id, status, took_ms);
+            response
+        }
+        Err(refusal) => {
+            traffic.node.metrics.observe_refusal(refusal.code);
+            log_event!(
+                RequestRefused,
+                request = id,
+                host = call.host,
+                path,
+                code = refusal.code.as_str(),
+                ran = refusal.execution.as_str(),
+                reason = refusal.message,
+                config = traffic.node.book.load().as_ref().map(|book| book.version()),
+                took_ms,
+            );
+            answer::refusal(&refusal)
+        }
+    };
+    answer::close_when_draining(&traffic.node, &mut response);
+    response
+}
+
+async fn read_body(
+    traffic: &TrafficState,
+    call: &CallHead,
+    request: &mut Request,
+) -> Result<Bytes, Refusal> {
+    let book = traffic.node.book.load();
+    let most = book.as_ref().map_or(usize::MAX, |book| book.limits().body_bytes);
+    let mut payload = request.take_payload();
+    let mut body = BytesMut::new();
+    let reading = async {
+        while let Some(chunk) = payload.next().await {
+            let chunk = chunk.map_err(|error| {
+                Refusal::not_run(
+                    RefusalCode::RequestInvalid,
+                    format!("the body broke off: {error}"),
+                )
+            })?;
+            if body.len() + chunk.len() > most {
+                let message = format!("the body exceeds {most} bytes");
+                return Err(Refusal::not_run(RefusalCode::BodyTooLong, message));
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(())
+    };
+    let timeout = call.deadline.unwrap_or(BODY_TIMEOUT);
+    match tokio::time::timeout(to_duration(timeout), reading).await {
+        Ok(result) => result.map(|()| body.freeze()),
+        Err(_) => {
+            let message = "the body did not arrive in time";
+            Err(Refusal::not_run(RefusalCode::RequestTimeout, message))
+        }
+    }
+}
+
+async fn dispatch(
+    traffic: &Rc<TrafficState>,
+    caller: &CallerRequest<'_>,
+    flight: FlightMark,
+) -> Result<Response<BoxBody>, Refusal> {
+    let Some(book) = traffic.node.book.load_full() else {
+        let message = "this node has no configuration yet";
+        return Err(Refusal::not_run(RefusalCode::Isolated, message).with_retry_after(START_PAUSE));
+    };
+    let target = read_target(&caller.request.head().method, caller.path);
+    let submission = match target {
+        CallTarget::Route => return route_call(traffic, caller, &book, flight).await,
+        CallTarget::Results { submission, .. }
+        | CallTarget::ItemBody { submission, .. }
+        | CallTarget::End { submission } => submission,
+    };
+    let Some(customer) = customer(&book, caller)? else {
+        return Err(key_refused());
+    };
+    let inquiry = Inquiry { submission, customer };
+    match target {
+        CallTarget::Results { after, .. } => {
+            let wait = caller.call.wait.unwrap_or(Span::ZERO).min(Span::from_secs(1));
+            submit::results(traffic, &inquiry, after, wait).await
+        }
+        CallTarget::ItemBody { item, .. } => submit::item_body(traffic, &inquiry, item).await,
+        CallTarget::End { .. } | CallTarget::Route => submit::end(traffic, &inquiry).await,
+    }
+}
+
+fn customer<'b>(
+    book: &'b RouteBook,
+    caller: &CallerRequest<'_>,
+) -> Result<Option<&'b str>, Refusal> {
+    if !book.needs_keys() {
+        return Ok(None);
+    }
+    let found = caller.call.key.and_then(|key| book.customer(key));
+    found.map(|customer| Some(customer.name.as_str())).ok_or_else(key_refused)
+}
+
+fn key_refused() -> Refusal {
+    Refusal::not_run(RefusalCode::KeyRefused, "the request shows no key that is in force")
+}
+
+async fn route_call(
+    traffic: &Rc<TrafficState>,
+    caller: &CallerRequest<'_>,
+    book: &RouteBook,
+    flight: FlightMark,
+) -> Result<Response<BoxBody>, Refusal> {
+    let (call, path) = (caller.call, caller.path);
+    let Some(route) = book.route(&call.host, path) else {
+        let message = format!("no route of host \"{}\" leads to \"{path}\"", call.host);
+        return Err(Refusal::not_run(RefusalCode::RouteUnknown, message));
+    };
+    let customer = if route.open { None } else { customer(book, caller)? };
+    let id = call.id.as_deref().unwrap_or_default();
+    let timeout = call.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
+    let deadline = caller.arrived + timeout;
+    if route.kind == RequestKind::Submission {
+        let Some(customer) = customer else { return Err(key_refused()) };
+        // The route's time-out holds for its items; the sender's own deadline bounds the append.
+        let deadline = caller.arrived + call.deadline.unwrap_or(BODY_TIMEOUT);
+        let host = call.host.as_str();
+        let arrival = Arrival { id, customer, host, path, body: &caller.body, deadline };
+        if id.is_empty() {
+            let message = "the submission has no identifier";
+            return Err(Refusal::not_run(RefusalCode::RequestInvalid, message));
+        }
+        return submit::accept(traffic, &arrival).await;
+    }
+    let job = plain_job(caller, route, customer, id, deadline)?;
+    if route.kind == RequestKind::Stream {
+        return relay::relay(traffic, &job, flight).await;
+    }
+    run_plain(traffic, &job).await.map(answer::relayed)
+}
+
+fn plain_job<'a>(
+    caller: &'a CallerRequest<'_>,
+    route: &'a RouteRule,
+    customer: Option<&'a str>,
+    id: &'a str,
+    deadline: Moment,
+) -> Result<PlainJob<'a>, Refusal> {
+    let Some(service) = route.target(rand::random()) else {
+        let message = format!("route \"{}\" leads to no service", route.name);
+        return Err(Refusal::not_run(RefusalCode::NoUpstream, message));
+    };
+    let head = caller.request.head();
+    Ok(PlainJob {
+        id,
+        method: head.method.clone(),
+        path: caller.path,
+        host: &caller.call.host,
+        headers: &head.headers,
+        body: caller.body.clone(),
+        customer,
+        service,
+        deadline,
+        objective: route.objective,
+        attempts: route.attempts as usize,
+        repeatable: route.repeatable(),
+    })
+}
+
+/// Serves one small endpoint, such as readiness, on an address of its own.
+pub(crate) fn serve_endpoint(
+    listener: TcpListener,
+    answer: impl Fn(&Request) -> Response<BoxBody> + Clone + 'static,
+) {
+    actix_rt::spawn(async move {
+        let service = HttpService::build()
+            .client_disconnect_timeout(Duration::from_secs(1))
+            .finish(move |request: Request| {
+                let answer = answer.clone();
+                async move { Ok::<_, Infallible>(answer(&request)) }
+            })
+            .tcp();
+        let Ok(handler) = service.new_service(()).await else { return };
+        let handler = Rc::new(handler);
+        while let Ok((stream, _)) = listener.accept().await {
+            let handler = Rc::clone(&handler);
+            actix_rt::spawn(async move {
+                if let Err(error) = handler.call(stream).await {
+                    tracing::debug!(%error, "a connection of an endpoint ended");
+                }
+            });
+        }
+    });
+}
+
+/// Answers with a status alone.
+pub(crate) fn plain_status(ok: bool) -> Response<BoxBody> {
+    answer::status(if ok { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
+}
--- /dev/null
+++ b/crates/hibiscushinged/src/gateway/submit.rs
@@ -0,0 +1,278 @@
+//! Calls about submissions: handing in, reading results and bodies, ending.
+
+use std::{rc::Rc, time::Duration};
+
+use actix_http::{Response, StatusCode, body::BoxBody};
+use base::{Moment, Refusal, RefusalCode, Span};
+use bytes::Bytes;
+use platform::{SubmissionBody, decode_submission, encode_results};
+use submissions::{BookRecord, SubmissionHead, SubmissionItem};
+
+use crate::{
+    clock::to_duration,
+    gateway::{
+        board::TrafficState,
+        commit::{CommitFault, commit},
+        mirror::PartitionMirror,
+    },
+    telemetry::log_event,
+    traffic::answer::with_body,
+};
+
+/// Time for which an append is tried. Senders come back to another node after a refusal.
+const COMMIT_PATIENCE: Span = Span::from_millis(1_500);
+
+/// Pause before a sender may come back while the store is away from this node.
+const STORE_PAUSE: Span = Span::from_millis(300);
+
+/// Part of the time within which all nodes must agree, after which a copy is read again before it is
+/// answered from.
+const FRESH_SHARE: f64 = 0.6;
+
+/// Part of the longest record that a chunk of items fills.
+const CHUNK_SHARE: f64 = 0.6;
+
+/// Bytes that an item takes beside its bodies and headers.
+const ITEM_OVERHEAD: usize = 300;
+
+/// A submission that arrived.
+pub(crate) struct Arrival<'a> {
+    pub(crate) id: &'a str,
+    pub(crate) customer: &'a str,
+    pub(crate) host: &'a str,
+    pub(crate) path: &'a str,
+    pub(crate) body: &'a Bytes,
+    pub(crate) deadline: Moment,
+}
+
+/// A call about a submission that was handed in before.
+pub(crate) struct Inquiry<'a> {
+    pub(crate) submission: &'a str,
+    pub(crate) customer: &'a str,
+}
+
+/// Accepts a submission. It is accepted once its records are in the store.
+///
+/// # Errors
+///
+/// Returns a refusal that says whether any part of it may run.
+pub(crate) async fn accept(
+    traffic: &Rc<TrafficState>,
+    arrival: &Arrival<'_>,
+) -> Result<Response<BoxBody>, Refusal> {
+    let body = decode_submission(arrival.body)
+        .map_err(|error| Refusal::not_run(RefusalCode::RequestInvalid, error.to_string()))?;
+    let mirror = traffic.partitions.of_customer(arrival.customer);
+    mirror.follow(traffic);
+    let records = records(traffic, arrival, body);
+    let left = arrival.deadline.since(traffic.node.now());
+    let patience = COMMIT_PATIENCE.min(left);
+    let items: usize = records.iter().map(items_of).sum();
+    let mut known = true;
+    let stored = commit(traffic, mirror, patience, |book| {
+        known = book.get(arrival.id).is_some();
+        (!known).then(|| records.clone())
+    });
+    match stored.await {
+        Ok(()) => {
+            let (submission, customer) = (arrival.id, arrival.customer);
+            let part = mirror.name.part;
+            log_event!(SubmissionAccepted, submission, customer, part, items, repeated = known);
+            Ok(super::answer::status(StatusCode::ACCEPTED))
+        }
+        Err(fault) => Err(unsettled(fault)),
+    }
+}
+
+fn unsettled(fault: CommitFault) -> Refusal {
+    let code = RefusalCode::LogUnavailable;
+    match fault {
+        CommitFault::NotStored => Refusal::not_run(code, "the store does not take the records"),
+        CommitFault::Unknown => {
+            // The status must not promise that the submission will not run.
+            Refusal::may_have_run(RefusalCode::UpstreamFailed, "the store has not answered")
+        }
+    }
+    .with_retry_after(STORE_PAUSE)
+}
+
+fn items_of(record: &BookRecord) -> usize {
+    if let BookRecord::Items { items, .. } = record { items.len() } else { 0 }
+}
+
+fn records(traffic: &TrafficState, arrival: &Arrival<'_>, body: SubmissionBody) -> Vec<BookRecord> {
+    let most = (f64::from(traffic.node.settings.store.record_bytes) * CHUNK_SHARE) as usize;
+    let mut records = vec![BookRecord::Opened(SubmissionHead {
+        id: String::from(arrival.id),
+        customer: String::from(arrival.customer),
+        host: String::from(arrival.host),
+        path: String::from(arrival.path),
+        model: body.model,
+        step: body.step,
+        least_version: body.least_version,
+        target_groups: body.target_groups,
+        accepted_at: traffic.node.wall(),
+        items: body.items.len() as u32,
+    })];
+    let mut chunk: Vec<SubmissionItem> = Vec::new();
+    let (mut first, mut size) = (0, 0);
+    for item in body.items {
+        let length = item_bytes(&item);
+        if size + length > most && !chunk.is_empty() {
+            let items = std::mem::take(&mut chunk);
+            let count = items.len() as u32;
+            records.push(BookRecord::Items { submission: String::from(arrival.id), first, items });
+            first += count;
+            size = 0;
+        }
+        size += length;
+        chunk.push(item);
+    }
+    let submission = String::from(arrival.id);
+    records.push(BookRecord::Items { submission, first, items: chunk });
+    records
+}
+
+fn item_bytes(item: &SubmissionItem) -> usize {
+    let headers: usize = item.headers.iter().map(|(name, value)| name.len() + value.len()).sum();
+    let reward = item.reward.as_ref().map_or(0, |reward| reward.body.len());
+    ITEM_OVERHEAD + headers + item.body.len() + reward
+}
+
+/// Answers a read of results. It waits up to `wait` for the first one.
+///
+/// # Errors
+///
+/// Returns a refusal when this node cannot be sure of what there is.
+pub(crate) async fn results(
+    traffic: &Rc<TrafficState>,
+    inquiry: &Inquiry<'_>,
+    after: u32,
+    wait: Span,
+) -> Result<Response<BoxBody>, Refusal> {
+    let mirror = traffic.partitions.of_customer(inquiry.customer);
+    let mut changes = mirror.subscribe();
+    require(traffic, mirror, inquiry).await?;
+    let until = traffic.node.now() + wait;
+    loop {
+        let listed = listed(mirror, inquiry);
+        if listed < after {
+            // Another node has listed more than this copy holds.
+            catch_up(traffic, mirror).await?;
+        }
+        let left = until.since(traffic.node.now());
+        if listed > after || is_complete(mirror, inquiry) || left == Span::ZERO {
+            refresh(traffic, mirror).await?;
+            return Ok(results_answer(mirror, inquiry, after));
+        }
+        changes.borrow_and_update();
+        // A time-out ends the wait as the check above says.
+        let _ = tokio::time::timeout(to_duration(left), changes.changed()).await;
+    }
+}
+
+fn listed(mirror: &PartitionMirror, inquiry: &Inquiry<'_>) -> u32 {
+    mirror.book().get(inquiry.submission).map_or(0, submissions::SubmissionState::listed)
+}
+
+fn is_complete(mirror: &PartitionMirror, inquiry: &Inquiry<'_>) -> bool {
+    mirror.book().get(inquiry.submission).is_none_or(|state| !state.is_open())
+}
+
+fn results_answer(
+    mirror: &PartitionMirror,
+    inquiry: &Inquiry<'_>,
+    after: u32,
+) -> Response<BoxBody> {
+    let book = mirror.book();
+    let Some(state) = book.get(inquiry.submission) else {
+        return super::answer::status(StatusCode::NOT_FOUND);
+    };
+    let total = state.head().items;
+    let results = state.results(after).map(std::convert::AsRef::as_ref);
+    with_body(StatusCode::OK, "application/json", encode_results(total, after, results))
+}
+
+/// Answers a read of an item's body.
+///
+/// # Errors
+///
+/// Returns a refusal when this node cannot be sure of what there is.
+pub(crate) async fn item_body(
+    traffic: &Rc<TrafficState>,
+    inquiry: &Inquiry<'_>,
+    item: &str,
+) -> Result<Response<BoxBody>, Refusal> {
+    let mirror = traffic.partitions.of_customer(inquiry.customer);
+    require(traffic, mirror, inquiry).await?;
+    let book = mirror.book();
+    let found = book.get(inquiry.submission).and_then(|state| state.item(item));
+    let Some(item) = found else { return Ok(super::answer::status(StatusCode::NOT_FOUND)) };
+    Ok(with_body(StatusCode::OK, "application/octet-stream", item.body.clone()))
+}
+
+/// Ends a submission.
+///
+/// # Errors
+///
+/// Returns a refusal when the end is not in the store.
+pub(crate) async fn end(
+    traffic: &Rc<TrafficState>,
+    inquiry: &Inquiry<'_>,
+) -> Result<Response<BoxBody>, Refusal> {
+    let mirror = traffic.partitions.of_customer(inquiry.customer);
+    require(traffic, mirror, inquiry).await?;
+    let submission = inquiry.submission;
+    let stored = commit(traffic, mirror, COMMIT_PATIENCE, |book| {
+        let open = book.get(submission).is_some_and(|state| !state.is_ended());
+        open.then(|| vec![BookRecord::Ended { submission: String::from(submission) }])
+    });
+    stored.await.map_err(unsettled)?;
+    log_event!(SubmissionEnded, submission, customer = inquiry.customer);
+    Ok(super::answer::status(StatusCode::OK))
+}
+
+/// Makes sure that the submission is known and belongs to the customer.
+async fn require(
+    traffic: &Rc<TrafficState>,
+    mirror: &Rc<PartitionMirror>,
+    inquiry: &Inquiry<'_>,
+) -> Result<(), Refusal> {
+    let known = |mirror: &PartitionMirror| {
+        let book = mirror.book();
+        let state = book.get(inquiry.submission);
+        state.is_some_and(|state| state.head().customer == inquiry.customer)
+    };
+    if known(mirror) {
+        mirror.follow(traffic);
+        return refresh(traffic, mirror).await;
+    }
+    catch_up(traffic, mirror).await?;
+    mirror.follow(traffic);
+    if known(mirror) {
+        return Ok(());
+    }
+    let message = format!("submission \"{}\" does not exist", inquiry.submission);
+    Err(Refusal::not_run(RefusalCode::RouteUnknown, message))
+}
+
+/// Reads the partition again when the copy may be older than other nodes' answers.
+async fn refresh(traffic: &Rc<TrafficState>, mirror: &PartitionMirror) -> Result<(), Refusal> {
+    let settle = traffic.node.settings.promises.settle.0 as f64;
+    let fresh = Span((settle * FRESH_SHARE) as u64);
+    if mirror.age(traffic.node.now()).is_some_and(|age| age <= fresh) {
+        return Ok(());
+    }
+    catch_up(traffic, mirror).await
+}
+
+async fn catch_up(traffic: &Rc<TrafficState>, mirror: &PartitionMirror) -> Result<(), Refusal> {
+    /// Time for which a read is tried before the caller is sent to another node.
+    const PATIENCE: Duration = Duration::from_millis(1_000);
+    let caught_up = tokio::time::timeout(PATIENCE, mirror.catch_up(traffic)).await;
+    if matches!(caught_up, Ok(Ok(()))) {
+        return Ok(());
+    }
+    let message = "the store does not answer, so results may be missing here";
+    Err(Refusal::not_run(RefusalCode::LogUnavailable, message).with_retry_after(STORE_PAUSE))
+}
--- a/crates/hibiscushinged/src/lib.rs
+++ b/crates/hibiscushinged/src/lib.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod control;
 mod desk;
+mod gateway;
 mod input;
 mod metrics;
 mod shared;
@@ -30,7 +31,10 @@
     shared::SharedState, telemetry::log_event,
 };
 
-pub use crate::control::config::{CONFIG_STREAM, check_document};
+pub use crate::{
+    control::config::{CONFIG_STREAM, check_document},
+    gateway::Gateway,
+};
 
 /// A running daemon.
 pub struct Daemon {
--- a/crates/hibiscushinged/src/main.rs
+++ b/crates/hibiscushinged/src/main.rs
@@ -2,16 +2,20 @@
 
 mod flags;
 
-use std::{fmt, process::ExitCode};
+use std::{fmt, path::Path, process::ExitCode};
 
-use document::DaemonSettings;
+use document::{DaemonSettings, DocumentProblem, GatewaySettings};
 use error_stack::{Report, ResultExt as _};
-use hibiscushinged::Daemon;
-use tokio::signal::unix::{SignalKind, signal};
+use hibiscushinged::{Daemon, Gateway};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tracing_subscriber::EnvFilter;
 
 use crate::flags::Hibiscushinged;
 
+/// Log lines that wait for the writing thread. More are dropped and counted, so that a slow reader
+/// never holds a request up.
+const LOG_LINES: usize = 16_384;
+
 /// The daemon could not start.
 #[derive(Debug)]
 struct StartFailed(String);
@@ -36,31 +40,64 @@
 }
 
 fn run(flags: &Hibiscushinged) -> Result<(), Report<StartFailed>> {
-    let settings = read_settings(flags)?;
-    if flags.check {
-        println!("{}: settings are valid", flags.settings.display());
+    match (&flags.settings, &flags.gateway) {
+        (Some(file), None) => run_daemon(file, flags.check),
+        (None, Some(file)) => run_gateway(file, flags.check),
+        _ => Err(Report::new(StartFailed(String::from(
+            "exactly one of --settings and --gateway is required",
+        )))),
+    }
+}
+
+fn run_daemon(file: &Path, check: bool) -> Result<(), Report<StartFailed>> {
+    let settings = read_settings(file, DaemonSettings::parse)?;
+    if check {
+        println!("{}: settings are valid", file.display());
         return Ok(());
     }
-    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
-    tracing_subscriber::fmt().json().with_env_filter(filter).with_writer(std::io::stderr).init();
+    tracing_subscriber::fmt()
+        .json()
+        .with_env_filter(log_filter())
+        .with_writer(std::io::stderr)
+        .init();
     actix_rt::System::new().block_on(serve(settings))
 }
 
-fn read_settings(flags: &Hibiscushinged) -> Result<DaemonSettings, Report<StartFailed>> {
-    let file = flags.settings.display().to_string();
-    let text = std::fs::read_to_string(&flags.settings)
-        .change_context_lazy(|| StartFailed(format!("reading the settings file \"{file}\"")))?;
-    DaemonSettings::parse(&file, &text).map_err(|problems| {
+fn run_gateway(file: &Path, check: bool) -> Result<(), Report<StartFailed>> {
+    let settings = read_settings(file, GatewaySettings::parse)?;
+    if check {
+        println!("{}: settings are valid", file.display());
+        return Ok(());
+    }
+    let (writer, _guard) = tracing_appender::non_blocking::NonBlockingBuilder::default()
+        .buffered_lines_limit(LOG_LINES)
+        .lossy(true)
+        .finish(std::io::stdout());
+    tracing_subscriber::fmt().json().with_env_filter(log_filter()).with_writer(writer).init();
+    actix_rt::System::new().block_on(serve_gateway(file, settings))
+}
+
+fn log_filter() -> EnvFilter {
+    EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"))
+}
+
+fn read_settings<T>(
+    file: &Path,
+    parse: impl FnOnce(&str, &str) -> Result<T, Vec<DocumentProblem>>,
+) -> Result<T, Report<StartFailed>> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file)
+        .change_context_lazy(|| StartFailed(format!("reading the settings file \"{name}\"")))?;
+    parse(&name, &text).map_err(|problems| {
         let lines = problems.iter().map(ToString::to_string).collect::<Vec<_>>();
         Report::new(StartFailed(lines.join("\n")))
     })
 }
 
 async fn serve(settings: DaemonSettings) -> Result<(), Report<StartFailed>> {
-    let failed = || StartFailed(String::from("starting the daemon"));
-    let mut terminate = signal(SignalKind::terminate()).change_context_lazy(failed)?;
-    let mut interrupt = signal(SignalKind::interrupt()).change_context_lazy(failed)?;
-    let daemon = Daemon::start(settings).change_context_lazy(failed)?;
+    let mut terminate = on_signal(SignalKind::terminate())?;
+    let mut interrupt = on_signal(SignalKind::interrupt())?;
+    let daemon = Daemon::start(settings).change_context_lazy(start_failed)?;
     let addresses = daemon.addresses();
     println!("listening {} {} {}", addresses.listen, addresses.peer, addresses.admin);
     tokio::select! {
@@ -70,3 +107,31 @@
     daemon.drain().await;
     Ok(())
 }
+
+async fn serve_gateway(file: &Path, settings: GatewaySettings) -> Result<(), Report<StartFailed>> {
+    let mut terminate = on_signal(SignalKind::terminate())?;
+    let mut interrupt = on_signal(SignalKind::interrupt())?;
+    let mut reload = on_signal(SignalKind::hangup())?;
+    let running = settings.clone();
+    let gateway = Gateway::start(settings).await.change_context_lazy(start_failed)?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = reload.recv() => {
+                let read = read_settings(file, GatewaySettings::parse);
+                gateway.reload(&running, read.map_err(|report| report.to_string()));
+            }
+        }
+    }
+    gateway.drain().await;
+    Ok(())
+}
+
+fn on_signal(kind: SignalKind) -> Result<Signal, Report<StartFailed>> {
+    signal(kind).change_context_lazy(start_failed)
+}
+
+fn start_failed() -> StartFailed {
+    StartFailed(String::from("starting the daemon"))
+}
--- a/crates/hibiscushinged/src/shared.rs
+++ b/crates/hibiscushinged/src/shared.rs
@@ -74,21 +74,12 @@
     }
 
     pub(crate) fn phase(&self) -> ServicePhase {
-        match self.phase.load(Ordering::Acquire) {
-            0 => ServicePhase::Starting,
-            1 => ServicePhase::Serving,
-            _ => ServicePhase::Draining,
-        }
+        ServicePhase::from_code(self.phase.load(Ordering::Acquire))
     }
 
     /// Moves on to `phase`. The daemon never goes back to an earlier phase.
     pub(crate) fn enter(&self, phase: ServicePhase) {
-        let value = match phase {
-            ServicePhase::Starting => 0,
-            ServicePhase::Serving => 1,
-            ServicePhase::Draining => 2,
-        };
-        self.phase.fetch_max(value, Ordering::AcqRel);
+        self.phase.fetch_max(phase.code(), Ordering::AcqRel);
     }
 
     pub(crate) fn in_flight(&self) -> usize {
@@ -101,6 +92,26 @@
     }
 }
 
+impl ServicePhase {
+    /// Returns the phase of a stored code.
+    pub(crate) const fn from_code(code: u8) -> Self {
+        match code {
+            0 => Self::Starting,
+            1 => Self::Serving,
+            _ => Self::Draining,
+        }
+    }
+
+    /// Returns a code that rises with the phases.
+    pub(crate) const fn code(self) -> u8 {
+        match self {
+            Self::Starting => 0,
+            Self::Serving => 1,
+            Self::Draining => 2,
+        }
+    }
+}
+
 impl FlightGuard {
     pub(crate) fn enter(shared: &Arc<SharedState>) -> Self {
         shared.in_flight.fetch_add(1, Ordering::AcqRel);
--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -5,6 +5,8 @@
 mod config;
 mod demand;
 mod samples;
+mod submissions;
+mod totals;
 mod usage;
 
 pub use self::{
@@ -13,5 +15,7 @@
     config::{WireConfig, WireSnapshot},
     demand::WireDemand,
     samples::{OpenedStep, SampleCarry, SampleEntry, WireSample},
+    submissions::{decode_book_record, encode_book_record},
+    totals::{UsageKey, decode_usage_record, encode_usage_report, encode_usage_totals},
     usage::{UsageEntry, WireBatch, WireUsage},
 };
--- /dev/null
+++ b/crates/protocol/src/record/submissions.rs
@@ -0,0 +1,225 @@
+//! Records of submissions in keyed topics of the platform's store.
+//!
+//! A key names the submission and what the record holds. No key is written twice with different
+//! content, so the newest record of a key is also its first.
+
+// Wire fields mirror the fields of the domain types, which document them.
+#![allow(missing_docs)]
+
+use base::{WallTime, WeightVersion};
+use bytes::Bytes;
+use submissions::{BookRecord, ItemResult, ItemState, RewardCall, SubmissionHead, SubmissionItem};
+
+use crate::codec::{MalformedMessage, decode_message, encode_message, wire};
+
+wire! {
+    pub enum WireBookRecord {
+        Opened {
+            customer: String,
+            host: String,
+            path: String,
+            model: String,
+            step: u64,
+            least_version: u64,
+            target_groups: u32,
+            accepted_ms: i64,
+            items: u32,
+        },
+        Items { items: Vec<WireItem> },
+        Result {
+            item: String,
+            finished: bool,
+            output: String,
+            versions: Vec<u64>,
+            score: Option<String>,
+        },
+        Ended,
+    }
+
+    pub struct WireItem {
+        id: String,
+        path: String,
+        headers: Vec<(String, String)>,
+        body: Bytes,
+        group: String,
+        expected_tokens: u32,
+        shared_prompt: Option<String>,
+        reward: Option<WireReward>,
+    }
+
+    pub struct WireReward {
+        id: String,
+        host: String,
+        path: String,
+        body: Bytes,
+    }
+}
+
+/// Key and value of a record.
+#[must_use]
+pub fn encode_book_record(record: &BookRecord) -> (String, Option<Vec<u8>>) {
+    match record {
+        BookRecord::Opened(head) => {
+            let value = WireBookRecord::Opened {
+                customer: head.customer.clone(),
+                host: head.host.clone(),
+                path: head.path.clone(),
+                model: head.model.clone(),
+                step: head.step,
+                least_version: head.least_version.0,
+                target_groups: head.target_groups,
+                accepted_ms: head.accepted_at.0,
+                items: head.items,
+            };
+            (format!("o/{}", head.id), Some(encode_message(&value)))
+        }
+        BookRecord::Items { submission, first, items } => {
+            let items = items.iter().map(WireItem::from).collect();
+            let value = encode_message(&WireBookRecord::Items { items });
+            (format!("i/{submission}/{first}"), Some(value))
+        }
+        BookRecord::Result { submission, position, result } => {
+            let value = encode_message(&WireBookRecord::from(result));
+            (format!("r/{submission}/{position}"), Some(value))
+        }
+        BookRecord::Ended { submission } => {
+            (format!("e/{submission}"), Some(encode_message(&WireBookRecord::Ended)))
+        }
+        BookRecord::Dropped { submission } => (format!("o/{submission}"), None),
+    }
+}
+
+/// Decodes a record from its key and value. A record without a value drops its key; only that of the
+/// submission itself means something, the others yield `None`.
+///
+/// # Errors
+///
+/// Returns [`MalformedMessage`] when the key or the value does not have the expected shape.
+pub fn decode_book_record(
+    key: &str,
+    value: Option<&[u8]>,
+) -> Result<Option<BookRecord>, MalformedMessage> {
+    let mut parts = key.split('/');
+    let (kind, submission) = (parts.next(), parts.next());
+    let number = parts.next().map(str::parse::<u32>).transpose();
+    let number =
+        number.map_err(|_| MalformedMessage::new(format!("key \"{key}\" has no number")))?;
+    let (Some(kind), Some(submission)) = (kind, submission) else {
+        return Err(MalformedMessage::new(format!("key \"{key}\" names no submission")));
+    };
+    let submission = String::from(submission);
+    let Some(value) = value else {
+        return Ok((kind == "o").then_some(BookRecord::Dropped { submission }));
+    };
+    let record = match (kind, number, decode_message(value)?) {
+        ("o", None, opened @ WireBookRecord::Opened { .. }) => head(submission, opened)?,
+        ("i", Some(first), WireBookRecord::Items { items }) => {
+            let items = items.into_iter().map(SubmissionItem::from).collect();
+            BookRecord::Items { submission, first, items }
+        }
+        ("r", Some(position), result @ WireBookRecord::Result { .. }) => {
+            BookRecord::Result { submission, position, result: result.try_into()? }
+        }
+        ("e", None, WireBookRecord::Ended) => BookRecord::Ended { submission },
+        _ => return Err(MalformedMessage::new(format!("key \"{key}\" does not fit its value"))),
+    };
+    Ok(Some(record))
+}
+
+fn head(id: String, wire: WireBookRecord) -> Result<BookRecord, MalformedMessage> {
+    let WireBookRecord::Opened {
+        customer,
+        host,
+        path,
+        model,
+        step,
+        least_version,
+        target_groups,
+        accepted_ms,
+        items,
+    } = wire
+    else {
+        return Err(MalformedMessage::new("the record does not open a submission"));
+    };
+    Ok(BookRecord::Opened(SubmissionHead {
+        id,
+        customer,
+        host,
+        path,
+        model,
+        step,
+        least_version: WeightVersion(least_version),
+        target_groups,
+        accepted_at: WallTime(accepted_ms),
+        items,
+    }))
+}
+
+impl From<&ItemResult> for WireBookRecord {
+    fn from(result: &ItemResult) -> Self {
+        Self::Result {
+            item: result.item.clone(),
+            finished: result.state == ItemState::Finished,
+            output: result.output.clone(),
+            versions: result.versions.iter().map(|version| version.0).collect(),
+            score: result.score.clone(),
+        }
+    }
+}
+
+impl TryFrom<WireBookRecord> for ItemResult {
+    type Error = MalformedMessage;
+
+    fn try_from(wire: WireBookRecord) -> Result<Self, MalformedMessage> {
+        let WireBookRecord::Result { item, finished, output, versions, score } = wire else {
+            return Err(MalformedMessage::new("the record is no result"));
+        };
+        let state = if finished { ItemState::Finished } else { ItemState::Errored };
+        let versions = versions.into_iter().map(WeightVersion).collect();
+        Ok(Self { item, state, output, versions, score })
+    }
+}
+
+impl From<&SubmissionItem> for WireItem {
+    fn from(item: &SubmissionItem) -> Self {
+        Self {
+            id: item.id.clone(),
+            path: item.path.clone(),
+            headers: item.headers.clone(),
+            body: item.body.clone(),
+            group: item.group.clone(),
+            expected_tokens: item.expected_tokens,
+            shared_prompt: item.shared_prompt.clone(),
+            reward: item.reward.as_ref().map(WireReward::from),
+        }
+    }
+}
+
+impl From<WireItem> for SubmissionItem {
+    fn from(wire: WireItem) -> Self {
+        Self {
+            id: wire.id,
+            path: wire.path,
+            headers: wire.headers,
+            body: wire.body,
+            group: wire.group,
+            expected_tokens: wire.expected_tokens,
+            shared_prompt: wire.shared_prompt,
+            reward: wire.reward.map(RewardCall::from),
+        }
+    }
+}
+
+impl From<&RewardCall> for WireReward {
+    fn from(call: &RewardCall) -> Self {
+        let RewardCall { id, host, path, body } = call.clone();
+        Self { id, host, path, body }
+    }
+}
+
+impl From<WireReward> for RewardCall {
+    fn from(wire: WireReward) -> Self {
+        let WireReward { id, host, path, body } = wire;
+        Self { id, host, path, body }
+    }
+}
--- /dev/null
+++ b/crates/protocol/src/record/totals.rs
@@ -0,0 +1,68 @@
+//! Usage totals of nodes and reports of windows, in a keyed topic of the platform's store.
+
+use std::collections::BTreeMap;
+
+use base::{Incarnation, key};
+use usage::{CustomerCounts, WindowNumber};
+
+use crate::codec::{MalformedMessage, decode_message, encode_message};
+
+key! {
+    /// What a record of the usage topic holds.
+    pub enum UsageKey {
+        /// Running totals of one process.
+        Totals {
+            /// Window.
+            window: WindowNumber,
+            /// Process that counted.
+            writer: Incarnation,
+        },
+        /// The fixed figures of a window.
+        Report {
+            /// Window.
+            window: WindowNumber,
+        },
+    }
+}
+
+/// Encodes the totals of a process.
+#[must_use]
+pub fn encode_usage_totals(
+    window: WindowNumber,
+    writer: Incarnation,
+    counts: &CustomerCounts,
+) -> (String, Vec<u8>) {
+    (format!("t/{}/{:x}", window.0, writer.0), encode_message(counts))
+}
+
+/// Encodes the fixed figures of a window.
+#[must_use]
+pub fn encode_usage_report(window: WindowNumber, counts: &CustomerCounts) -> (String, Vec<u8>) {
+    (format!("r/{}", window.0), encode_message(counts))
+}
+
+/// Decodes a record of the usage topic.
+///
+/// # Errors
+///
+/// Returns [`MalformedMessage`] when the key or the value does not have the expected shape.
+pub fn decode_usage_record(
+    key: &str,
+    value: &[u8],
+) -> Result<(UsageKey, CustomerCounts), MalformedMessage> {
+    let malformed = || MalformedMessage::new(format!("key \"{key}\" names no usage record"));
+    let mut parts = key.split('/');
+    let kind = parts.next().ok_or_else(malformed)?;
+    let window = parts.next().and_then(|text| text.parse().ok()).ok_or_else(malformed)?;
+    let window = WindowNumber(window);
+    let key = match (kind, parts.next()) {
+        ("t", Some(writer)) => {
+            let writer = u64::from_str_radix(writer, 16).map_err(|_| malformed())?;
+            UsageKey::Totals { window, writer: Incarnation(writer) }
+        }
+        ("r", None) => UsageKey::Report { window },
+        _ => return Err(malformed()),
+    };
+    let counts: BTreeMap<String, u64> = decode_message(value)?;
+    Ok((key, counts))
+}
--- /dev/null
+++ b/crates/routebook/src/book.rs
@@ -0,0 +1,113 @@
+//! Lookups in one version of the configuration.
+
+use std::collections::HashMap;
+
+use base::{Arena, KeyDigest, RouteKey};
+
+use crate::{CallerLimits, CustomerRule, RouteRule, ServiceRule, SiteConfig};
+
+/// One version of the configuration with its indexes.
+#[derive(Debug)]
+pub struct RouteBook {
+    version: u64,
+    routes: Arena<RouteKey, RouteRule>,
+    /// Routes of a host, longest prefix first.
+    hosts: HashMap<String, Vec<RouteKey>>,
+    services: HashMap<String, ServiceRule>,
+    limits: CallerLimits,
+    customers: Option<CustomerIndex>,
+}
+
+#[derive(Debug)]
+struct CustomerIndex {
+    rules: Vec<CustomerRule>,
+    keys: HashMap<KeyDigest, usize>,
+}
+
+impl RouteBook {
+    /// Builds the indexes of a configuration.
+    #[must_use]
+    pub fn new(config: SiteConfig) -> Self {
+        let mut routes = Arena::new();
+        let mut hosts: HashMap<String, Vec<RouteKey>> = HashMap::new();
+        for route in config.routes {
+            let host = route.host.clone();
+            let route = routes.push(route);
+            hosts.entry(host).or_default().push(route);
+        }
+        for keys in hosts.values_mut() {
+            keys.sort_by_key(|route| std::cmp::Reverse(routes[*route].prefix.len()));
+        }
+        let services = config.services.into_iter();
+        Self {
+            version: config.version,
+            routes,
+            hosts,
+            services: services.map(|service| (service.name.clone(), service)).collect(),
+            limits: config.limits,
+            customers: config.customers.map(CustomerIndex::new),
+        }
+    }
+
+    /// Returns the version of the configuration.
+    #[must_use]
+    pub const fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns what callers may send.
+    #[must_use]
+    pub const fn limits(&self) -> CallerLimits {
+        self.limits
+    }
+
+    /// Finds the route of a request: the one of its host with the longest prefix of `path`.
+    #[must_use]
+    pub fn route(&self, host: &str, path: &str) -> Option<&RouteRule> {
+        let path = path.split(['?', '#']).next().unwrap_or(path);
+        let keys = self.hosts.get(&host.to_ascii_lowercase())?;
+        let found = keys.iter().find(|route| path.starts_with(&self.routes[**route].prefix))?;
+        Some(&self.routes[*found])
+    }
+
+    /// Iterates over the routes.
+    pub fn routes(&self) -> impl Iterator<Item = &RouteRule> {
+        self.routes.iter().map(|(_, route)| route)
+    }
+
+    /// Returns a service.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&ServiceRule> {
+        self.services.get(name)
+    }
+
+    /// Iterates over the services.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceRule> {
+        self.services.values()
+    }
+
+    /// Tells whether requests need a key, unless their route is open.
+    #[must_use]
+    pub const fn needs_keys(&self) -> bool {
+        self.customers.is_some()
+    }
+
+    /// Finds the customer that holds a key.
+    #[must_use]
+    pub fn customer(&self, key: KeyDigest) -> Option<&CustomerRule> {
+        let index = self.customers.as_ref()?;
+        index.keys.get(&key).map(|at| &index.rules[*at])
+    }
+}
+
+impl CustomerIndex {
+    fn new(rules: Vec<CustomerRule>) -> Self {
+        let mut keys = HashMap::new();
+        for (at, rule) in rules.iter().enumerate() {
+            for key in &rule.keys {
+                keys.insert(*key, at);
+            }
+        }
+        Self { rules, keys }
+    }
+}
--- /dev/null
+++ b/crates/routebook/src/rule.rs
@@ -0,0 +1,155 @@
+//! Parts of a configuration.
+
+use base::{KeyDigest, Span, key, plain};
+use smallvec::SmallVec;
+
+key! {
+    /// What may be repeated on a route.
+    pub enum RequestKind {
+        /// A request may run more than once.
+        Safe,
+        /// A request runs at most once.
+        Unsafe,
+        /// The answer is a stream of events. It runs at most once unless it can be resumed.
+        Stream,
+        /// The route takes submissions whose items run later.
+        Submission,
+    }
+
+    /// What callers may send.
+    pub struct CallerLimits {
+        /// Longest head of a request in bytes.
+        pub header_bytes: usize,
+        /// Longest body of a request in bytes.
+        pub body_bytes: usize,
+        /// Longest time that a caller may take to send the head of a request.
+        pub header_timeout: Span,
+        /// Longest time that a connection may stay idle.
+        pub idle_timeout: Span,
+    }
+}
+
+plain! {
+    /// A service and its share of a route's requests.
+    pub struct TargetShare {
+        /// Name of the service.
+        pub service: String,
+        /// Weight relative to the other targets of the route.
+        pub weight: u32,
+    }
+
+    /// Requests of one host below one path prefix.
+    pub struct RouteRule {
+        /// Name of the route.
+        pub name: String,
+        /// Host header that the route matches, in lower case.
+        pub host: String,
+        /// Path prefix that the route matches. It begins and ends with a slash.
+        pub prefix: String,
+        /// Services that run the requests.
+        pub targets: SmallVec<[TargetShare; 2]>,
+        /// What may be repeated.
+        pub kind: RequestKind,
+        /// Longest time that a request may wait for its answer.
+        pub timeout: Span,
+        /// Time within which an answer counts in full.
+        pub objective: Span,
+        /// Most upstreams to which one request may be sent.
+        pub attempts: u32,
+        /// Rank among routes. 0 comes first.
+        pub priority: u8,
+        /// Whether requests need no key.
+        pub open: bool,
+        /// Whether a stream may go on at another upstream after an event.
+        pub can_resume: bool,
+        /// Whether all tokens of a sample must come from one version of the weights.
+        pub one_version: bool,
+        /// Time after which an item of a submission may be given up.
+        pub keep: Option<Span>,
+        /// Time within which all results of a submission are due.
+        pub run_objective: Option<Span>,
+    }
+
+    /// Engines of a service.
+    pub struct EngineRule {
+        /// Names of the models that every engine of the service runs.
+        pub models: Vec<String>,
+        /// Requests that one engine runs at once.
+        pub slots: u32,
+    }
+
+    /// How many upstreams of a service may be ordered.
+    pub struct ScaleRule {
+        /// Least number in an availability zone.
+        pub min: u32,
+        /// Greatest number in an availability zone.
+        pub max: u32,
+        /// Time from an order until a new upstream serves.
+        pub startup: Span,
+    }
+
+    /// A service.
+    pub struct ServiceRule {
+        /// Name of the service.
+        pub name: String,
+        /// Path of the health check.
+        pub health: String,
+        /// Connections that one upstream accepts from all nodes together.
+        pub connections: u32,
+        /// Present when the upstreams are model engines.
+        pub engine: Option<EngineRule>,
+        /// Present when upstreams can be ordered.
+        pub scale: Option<ScaleRule>,
+    }
+
+    /// A customer and its keys.
+    pub struct CustomerRule {
+        /// Name of the customer.
+        pub name: String,
+        /// Digests of the keys in force.
+        pub keys: Vec<KeyDigest>,
+        /// Rank that goes before that of the route, if any.
+        pub priority: Option<u8>,
+    }
+
+    /// A decoded configuration.
+    pub struct SiteConfig {
+        /// Version. Later configurations have higher ones.
+        pub version: u64,
+        /// Routes.
+        pub routes: Vec<RouteRule>,
+        /// Services.
+        pub services: Vec<ServiceRule>,
+        /// What callers may send.
+        pub limits: CallerLimits,
+        /// Customers, or `None` when requests need no keys.
+        pub customers: Option<Vec<CustomerRule>>,
+    }
+}
+
+impl RouteRule {
+    /// Tells whether a request may be sent to a second upstream after the first may have run it.
+    #[must_use]
+    pub const fn repeatable(&self) -> bool {
+        match self.kind {
+            RequestKind::Safe | RequestKind::Submission => true,
+            RequestKind::Stream => self.can_resume,
+            RequestKind::Unsafe => false,
+        }
+    }
+
+    /// Picks the service for a request by the weights, with `draw` from the whole range of `u32`.
+    #[must_use]
+    pub fn target(&self, draw: u32) -> Option<&str> {
+        let total: u64 = self.targets.iter().map(|target| u64::from(target.weight)).sum();
+        let mut rest = u64::from(draw) * total >> 32;
+        for target in &self.targets {
+            let weight = u64::from(target.weight);
+            if rest < weight {
+                return Some(&target.service);
+            }
+            rest -= weight;
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/routebook/tests/book.rs
@@ -0,0 +1,95 @@
+//! Lookups of routes and keys, and versions that only rise.
+
+use base::{KeyDigest, Span};
+use routebook::{
+    BookHistory, BookOutcome, CallerLimits, CustomerRule, RequestKind, RouteBook, RouteRule,
+    SiteConfig, TargetShare,
+};
+use rstest::rstest;
+use smallvec::smallvec;
+
+fn route(name: &str, prefix: &str) -> RouteRule {
+    RouteRule {
+        name: String::from(name),
+        host: String::from("shop.example"),
+        prefix: String::from(prefix),
+        targets: smallvec![TargetShare { service: String::from(name), weight: 1 }],
+        kind: RequestKind::Safe,
+        timeout: Span::from_millis(800),
+        objective: Span::from_millis(150),
+        attempts: 2,
+        priority: 2,
+        open: false,
+        can_resume: false,
+        one_version: false,
+        keep: None,
+        run_objective: None,
+    }
+}
+
+fn config(version: u64) -> SiteConfig {
+    SiteConfig {
+        version,
+        routes: vec![route("short", "/a/"), route("long", "/a/b/")],
+        services: Vec::new(),
+        limits: CallerLimits {
+            header_bytes: 1,
+            body_bytes: 1,
+            header_timeout: Span::ZERO,
+            idle_timeout: Span::ZERO,
+        },
+        customers: Some(vec![CustomerRule {
+            name: String::from("brewer"),
+            keys: vec![KeyDigest::of("k1"), KeyDigest::of("k2")],
+            priority: None,
+        }]),
+    }
+}
+
+#[rstest]
+#[case("shop.example", "/a/b/c", Some("long"))]
+#[case("SHOP.example", "/a/bc", Some("short"))]
+#[case("shop.example", "/a/b?x=/a/b/", Some("short"))]
+#[case("shop.example", "/ab", None)]
+#[case("other.example", "/a/b/c", None)]
+fn check_longest_prefix(#[case] host: &str, #[case] path: &str, #[case] expected: Option<&str>) {
+    let book = RouteBook::new(config(1));
+    assert_eq!(book.route(host, path).map(|route| route.name.as_str()), expected);
+}
+
+/// Guards against a key of one customer that opens another customer's requests.
+#[rstest]
+#[case("k1", Some("brewer"))]
+#[case("k2", Some("brewer"))]
+#[case("k3", None)]
+fn check_customer(#[case] key: &str, #[case] expected: Option<&str>) {
+    let book = RouteBook::new(config(1));
+    let found = book.customer(KeyDigest::of(key)).map(|customer| customer.name.as_str());
+    assert_eq!(found, expected);
+}
+
+/// Guards against a reread of the store that brings an older configuration back into force.
+#[test]
+fn version_only_rises() {
+    let mut history = BookHistory::default();
+    assert_eq!(history.offer(config(4)), BookOutcome::Applied);
+    assert_eq!(history.offer(config(3)), BookOutcome::NotNewer);
+    assert_eq!(history.offer(config(4)), BookOutcome::NotNewer);
+    assert_eq!(history.offer(config(9)), BookOutcome::Applied);
+    assert_eq!(history.newest().map(|book| book.version()), Some(9));
+}
+
+/// Guards against a split that sends requests to a service without weight.
+#[rstest]
+#[case(0, "a")]
+#[case(u32::MAX / 10 * 8, "a")]
+#[case(u32::MAX, "b")]
+fn check_split(#[case] draw: u32, #[case] expected: &str) {
+    let mut rule = route("a", "/");
+    rule.targets = smallvec![
+        TargetShare { service: String::from("a"), weight: 90 },
+        TargetShare { service: String::from("none"), weight: 0 },
+        TargetShare { service: String::from("b"), weight: 10 },
+    ];
+    assert_eq!(rule.target(draw), Some(expected));
+}
--- a/crates/usage/src/lib.rs
+++ b/crates/usage/src/lib.rs
@@ -8,6 +8,7 @@
 mod replica;
 mod report;
 mod seen;
+mod tally;
 
 pub use crate::{
     amount::{UsageAmount, UsageFigures, UsageOverflow},
@@ -18,4 +19,5 @@
     replica::{HoldOutcome, OriginState, ReplicaStore},
     report::{ReportAnswer, ReportDesk, WindowReport},
     seen::{SeenRecords, SequenceRange},
+    tally::{CustomerCounts, WindowTally, sum_counts, window_end, window_of},
 };
--- /dev/null
+++ b/crates/usage/src/tally.rs
@@ -0,0 +1,91 @@
+//! Counts of requests by usage window, as running totals of one process.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use base::{Span, WallTime};
+
+use crate::WindowNumber;
+
+/// Requests by customer.
+pub type CustomerCounts = BTreeMap<String, u64>;
+
+/// Running totals of one process. Each change marks its window for the next write, which replaces
+/// the totals written before, so a repeated write changes nothing.
+#[derive(Debug, Default)]
+pub struct WindowTally {
+    windows: BTreeMap<WindowNumber, CustomerCounts>,
+    changed: BTreeSet<WindowNumber>,
+}
+
+impl WindowTally {
+    /// Counts a request that began to run.
+    pub fn add(&mut self, window: WindowNumber, customer: &str) {
+        let counts = self.windows.entry(window).or_default();
+        match counts.get_mut(customer) {
+            Some(count) => *count += 1,
+            None => {
+                counts.insert(String::from(customer), 1);
+            }
+        }
+        self.changed.insert(window);
+    }
+
+    /// Takes back a request that turned out not to have run.
+    pub fn take_back(&mut self, window: WindowNumber, customer: &str) {
+        let counts = self.windows.entry(window).or_default();
+        if let Some(count) = counts.get_mut(customer) {
+            *count = count.saturating_sub(1);
+            self.changed.insert(window);
+        }
+    }
+
+    /// Returns the windows whose totals changed since the last call, with their totals.
+    pub fn take_changed(&mut self) -> Vec<(WindowNumber, CustomerCounts)> {
+        let changed = std::mem::take(&mut self.changed);
+        changed
+            .into_iter()
+            .filter_map(|window| Some((window, self.windows.get(&window)?.clone())))
+            .collect()
+    }
+
+    /// Marks a window again, after its totals could not be written.
+    pub fn mark(&mut self, window: WindowNumber) {
+        if self.windows.contains_key(&window) {
+            self.changed.insert(window);
+        }
+    }
+
+    /// Forgets windows before `oldest`.
+    pub fn forget_before(&mut self, oldest: WindowNumber) {
+        self.windows = self.windows.split_off(&oldest);
+        self.changed = self.changed.split_off(&oldest);
+    }
+}
+
+/// Returns the window of a point in time, counted from 1970.
+#[must_use]
+pub fn window_of(at: WallTime, length: Span) -> WindowNumber {
+    let millis = u64::try_from(at.0).unwrap_or(0);
+    WindowNumber(millis / length.as_millis().max(1))
+}
+
+/// Returns the end of a window.
+#[must_use]
+pub fn window_end(window: WindowNumber, length: Span) -> WallTime {
+    let millis = (window.0 + 1).saturating_mul(length.as_millis());
+    WallTime(i64::try_from(millis).unwrap_or(i64::MAX))
+}
+
+/// Adds the totals of all processes. Customers without requests are left out.
+#[must_use]
+pub fn sum_counts<'a>(totals: impl IntoIterator<Item = &'a CustomerCounts>) -> CustomerCounts {
+    let mut sum = CustomerCounts::new();
+    for counts in totals {
+        for (customer, count) in counts {
+            if *count > 0 {
+                *sum.entry(customer.clone()).or_default() += count;
+            }
+        }
+    }
+    sum
+}
