Pause an engine for a model whose generations it refuses

Cause: an engine that loads a model refuses its generations for about a second, and waiting items were sent to it every 25 ms.

--- a/crates/dispatch/src/board.rs
+++ b/crates/dispatch/src/board.rs
@@ -126,6 +126,11 @@
         row.finish(now, end);
     }
 
+    /// Records that an engine refused a generation, as it does while it loads the model.
+    pub fn refused_generation(&mut self, now: Moment, upstream: UpstreamKey, model: &str) {
+        self.rows[upstream].pause_model(now, model);
+    }
+
     /// Takes a load report.
     pub fn report(&mut self, now: Moment, upstream: UpstreamKey, report: LoadReport) {
         self.rows[upstream].report(now, report);
--- a/crates/dispatch/src/pick.rs
+++ b/crates/dispatch/src/pick.rs
@@ -86,7 +86,9 @@
         let mut warm = None;
         for upstream in self.members(ask.service) {
             let row = &self.rows[*upstream];
-            if !self.accepts(now, *upstream, ask.need) || row.load(now) >= row.entry.slots {
+            let paused = row.is_model_paused(now, ask.need.model);
+            let full = row.load(now) >= row.entry.slots;
+            if paused || full || !self.accepts(now, *upstream, ask.need) {
                 continue;
             }
             let rank = self.rank(now, *upstream, ask.tried);
--- a/crates/dispatch/src/row.rs
+++ b/crates/dispatch/src/row.rs
@@ -1,6 +1,7 @@
 //! Load and health of one upstream, as one node sees them.
 
 use base::{Moment, Span, key};
+use smallvec::SmallVec;
 
 use crate::UpstreamEntry;
 
@@ -44,6 +45,10 @@
 /// Time for which an upstream that refused a request as full is passed over.
 const FULL_PAUSE: Span = Span::from_millis(60);
 
+/// Time for which an engine that refused a generation gets no other one of the same model. It refuses
+/// them while it loads the model, which takes about a second.
+const MODEL_PAUSE: Span = Span::from_millis(120);
+
 /// Age at which a load report tells nothing any more.
 const REPORT_LIFE: Span = Span::from_millis(1_500);
 
@@ -66,6 +71,8 @@
     failure_streak: u32,
     suspended_until: Moment,
     failure_share: f64,
+    /// Models whose generations the engine refuses, each until a moment.
+    paused_models: SmallVec<[(String, Moment); 2]>,
     /// Mean time of a plain request in microseconds.
     pub(crate) answer_time: Option<f64>,
     /// Mean time between two events of a generation in microseconds.
@@ -73,7 +80,7 @@
 }
 
 impl UpstreamRow {
-    pub(crate) const fn new(entry: UpstreamEntry) -> Self {
+    pub(crate) fn new(entry: UpstreamEntry) -> Self {
         Self {
             entry,
             removed_until: None,
@@ -83,6 +90,7 @@
             failure_streak: 0,
             suspended_until: Moment(0),
             failure_share: 0.0,
+            paused_models: SmallVec::new(),
             answer_time: None,
             event_time: None,
         }
@@ -125,6 +133,16 @@
         self.suspended_until = now + Span(doubled).min(LONGEST_SUSPENSION);
     }
 
+    /// Passes the engine over for generations of a model for a short time.
+    pub(crate) fn pause_model(&mut self, now: Moment, model: &str) {
+        self.paused_models.retain(|(name, until)| name != model && now < *until);
+        self.paused_models.push((String::from(model), now + MODEL_PAUSE));
+    }
+
+    pub(crate) fn is_model_paused(&self, now: Moment, model: &str) -> bool {
+        self.paused_models.iter().any(|(name, until)| name == model && now < *until)
+    }
+
     pub(crate) fn is_suspended(&self, now: Moment) -> bool {
         now < self.suspended_until
     }
--- a/crates/hibiscushinged/src/gateway/generation.rs
+++ b/crates/hibiscushinged/src/gateway/generation.rs
@@ -34,6 +34,8 @@
     Failed,
     /// The item can never be done.
     Hopeless,
+    /// The engine did not take the run, because it is full or loads the model.
+    Refused(String),
     /// The run broke off or did not begin. The text goes on elsewhere.
     Interrupted(String),
 }
@@ -77,6 +79,11 @@
                 traffic.runner.requeue(&traffic, &job);
             }
         }
+        RunEnd::Refused(reason) => {
+            let events = job.progress.borrow().text.last_id();
+            log_event!(ItemInterrupted, submission, item, upstream = engine, reason, events);
+            traffic.runner.requeue(&traffic, &job);
+        }
         RunEnd::Interrupted(reason) => {
             let events = job.progress.borrow().text.last_id();
             log_event!(ItemInterrupted, submission, item, upstream = engine, reason, events);
@@ -121,6 +128,12 @@
     let opened = tokio::time::timeout(MOST_SILENCE, open_exchange(traffic, call)).await;
     let mut exchange = match opened {
         Ok(Ok(exchange)) => exchange,
+        Ok(Err((fault, ExchangeEnd::Full))) => {
+            let now = traffic.node.now();
+            traffic.board.borrow_mut().refused_generation(now, upstream, &job.head.model);
+            // Other models of the engine are not affected.
+            return (RunEnd::Refused(String::from(fault.reason())), ExchangeEnd::Cancelled);
+        }
         Ok(Err((fault, end))) => {
             return (RunEnd::Interrupted(String::from(fault.reason())), end);
         }
