Spread weight loads over the engines of a service

A step accepts the version before the newest, so loads now go to the model with the fewest usable engines and there to an engine that is not usable; two run at once.

--- a/crates/dispatch/src/loads.rs
+++ b/crates/dispatch/src/loads.rs
@@ -1,13 +1,12 @@
 //! Which engines load which version of the weights.
 //!
-//! Engines are shared out over the models of a service: each model keeps its share of the engines at
-//! the newest version. A step accepts the version before the newest, so an engine serves on while
-//! others of its share load. An engine that is current for a model stays in its share, because it is
-//! the one with the least lag when the next version is named.
+//! A step accepts the newest version and the one before it, so an engine that has loaded a version
+//! serves two steps. The plan keeps as many engines as possible within one version of the newest:
+//! loads go to the model with the fewest usable engines, and there to an engine that is not usable.
 
-use std::collections::HashMap;
+use std::collections::HashSet;
 
-use base::{Moment, Span, WeightVersion, plain};
+use base::{Moment, Span, WeightVersion, key, plain};
 
 plain! {
     /// An engine of one service, as the plan sees it.
@@ -29,19 +28,27 @@
         /// Version.
         pub version: WeightVersion,
     }
+}
 
+key! {
     /// Bounds of a plan.
     pub struct LoadPlan {
         /// Engines that may load at once. The weight store slows down beyond.
         pub at_once: usize,
-        /// Engines that each model keeps current.
-        pub per_model: usize,
+        /// Engines that each model keeps at the newest version.
+        pub current: usize,
     }
 }
 
-/// Part of the engines that may load at once. On the sheets the store slows down beyond a fifth to a
-/// quarter of them.
-const AT_ONCE_SHARE: f64 = 0.24;
+/// Part of the engines that may load at once. On the sheets the store slows down beyond about a fifth
+/// of them.
+const AT_ONCE_SHARE: f64 = 0.21;
+
+/// Least number of engines that may load at once, also when few are left.
+const LEAST_AT_ONCE: usize = 2;
+
+/// Versions behind the newest one that a step still accepts.
+const ACCEPTED_LAG: u64 = 1;
 
 /// Time after which a load that shows no effect no longer counts as in progress.
 const LOAD_LIFE: Span = Span::from_secs(4);
@@ -50,71 +57,118 @@
     /// Returns the bounds for a service with so many engines and models.
     #[must_use]
     pub fn of(engines: usize, models: usize) -> Self {
-        let at_once = (engines as f64 * AT_ONCE_SHARE) as usize;
-        Self { at_once: at_once.max(1), per_model: engines.div_ceil(models.max(1)) }
+        let at_once = (engines as f64 * AT_ONCE_SHARE).round() as usize;
+        Self { at_once: at_once.max(LEAST_AT_ONCE), current: engines.div_ceil(models.max(1)) }
     }
 }
 
+/// What a model still needs.
+#[derive(Debug)]
+struct ModelState<'a> {
+    model: &'a str,
+    version: WeightVersion,
+    /// Engines that a step accepts now or after their load.
+    usable: usize,
+    /// Engines that have the newest version or are loading it.
+    current: usize,
+}
+
 /// Says which loads to order now. `named` holds the newest version of each model.
 #[must_use]
 pub fn plan_loads(
     now: Moment,
     engines: &[EngineLoad],
     named: &[(String, WeightVersion)],
-    plan: &LoadPlan,
+    plan: LoadPlan,
 ) -> Vec<LoadOrder> {
-    let running = |engine: &EngineLoad| {
-        engine.loading.as_ref().is_some_and(|(_, _, at)| now.since(*at) < LOAD_LIFE)
-    };
-    let mut free = plan.at_once.saturating_sub(engines.iter().filter(|e| running(e)).count());
-    let mut chosen: HashMap<&str, LoadOrder> = HashMap::new();
-    let mut wanted: Vec<_> = named.iter().map(|(model, version)| (model, *version)).collect();
-    // The model with the fewest current engines comes first.
-    wanted.sort_by_key(|(model, version)| current(engines, model, *version));
-    for (model, version) in wanted {
-        let mut have = current(engines, model, version);
-        let mut behind: Vec<_> = engines.iter().filter(|e| lag(e, model, version) > 0).collect();
-        behind.sort_by_key(|engine| {
-            (lag(engine, model, version), other_current(engine, model, named), &engine.id)
-        });
-        for engine in behind {
-            if free == 0 || have >= plan.per_model {
+    let loading = |engine: &&EngineLoad| engine.is_loading(now);
+    let free = plan.at_once.saturating_sub(engines.iter().filter(loading).count());
+    let mut models: Vec<ModelState<'_>> =
+        named.iter().map(|(model, version)| ModelState::of(engines, model, *version)).collect();
+    let mut taken: HashSet<&str> = HashSet::new();
+    let mut orders = Vec::new();
+    while orders.len() < free {
+        models.sort_by_key(|state| (state.usable, state.current, state.model));
+        let mut chosen = None;
+        for (at, state) in models.iter().enumerate() {
+            let idle = engines
+                .iter()
+                .filter(|engine| !engine.is_loading(now) && !taken.contains(engine.id.as_str()));
+            if let Some(engine) = state.choose(idle, named, plan) {
+                chosen = Some((at, engine));
                 break;
             }
-            if running(engine) || chosen.contains_key(engine.id.as_str()) {
-                continue;
-            }
-            chosen.insert(
-                &engine.id,
-                LoadOrder { engine: engine.id.clone(), model: model.clone(), version },
-            );
-            free -= 1;
-            have += 1;
         }
+        let Some((at, engine)) = chosen else { break };
+        let state = &mut models[at];
+        if engine.lag(state.model, state.version) > ACCEPTED_LAG {
+            state.usable += 1;
+        }
+        state.current += 1;
+        taken.insert(&engine.id);
+        orders.push(LoadOrder {
+            engine: engine.id.clone(),
+            model: String::from(state.model),
+            version: state.version,
+        });
     }
-    let mut orders: Vec<_> = chosen.into_values().collect();
-    orders.sort_by(|a, b| a.engine.cmp(&b.engine));
     orders
 }
 
-/// Engines that have a version or are loading it.
-fn current(engines: &[EngineLoad], model: &str, version: WeightVersion) -> usize {
-    engines.iter().filter(|engine| lag(engine, model, version) == 0).count()
-}
+impl<'a> ModelState<'a> {
+    fn of(engines: &[EngineLoad], model: &'a str, version: WeightVersion) -> Self {
+        let lags = engines.iter().map(|engine| engine.lag(model, version));
+        let (mut usable, mut current) = (0, 0);
+        for lag in lags {
+            usable += usize::from(lag <= ACCEPTED_LAG);
+            current += usize::from(lag == 0);
+        }
+        Self { model, version, usable, current }
+    }
 
-fn lag(engine: &EngineLoad, model: &str, version: WeightVersion) -> u64 {
-    if let Some((loading, to, _)) = &engine.loading
-        && loading == model
-        && *to >= version
-    {
-        return 0;
+    /// Chooses the engine whose load helps most: one that is not usable yet, with the fewest other
+    /// models, or else one that the next version would make unusable.
+    fn choose<'e>(
+        &self,
+        engines: impl Iterator<Item = &'e EngineLoad>,
+        named: &[(String, WeightVersion)],
+        plan: LoadPlan,
+    ) -> Option<&'e EngineLoad> {
+        let mut best: Option<((bool, usize, &str), &EngineLoad)> = None;
+        for engine in engines {
+            let lag = engine.lag(self.model, self.version);
+            if lag == 0 || (lag <= ACCEPTED_LAG && self.current >= plan.current) {
+                continue;
+            }
+            let rank = (lag <= ACCEPTED_LAG, engine.usable_models(named), engine.id.as_str());
+            if best.as_ref().is_none_or(|(least, _)| rank < *least) {
+                best = Some((rank, engine));
+            }
+        }
+        best.map(|(_, engine)| engine)
     }
-    let known = engine.versions.iter().find(|(name, _)| name == model);
-    known.map_or(u64::MAX, |(_, known)| version.0.saturating_sub(known.0))
 }
 
-/// Counts the other models for which an engine is current, which its share would lose.
-fn other_current(engine: &EngineLoad, model: &str, named: &[(String, WeightVersion)]) -> usize {
-    let others = named.iter().filter(|(name, _)| name != model);
-    others.filter(|(name, version)| lag(engine, name, *version) <= 1).count()
+impl EngineLoad {
+    fn is_loading(&self, now: Moment) -> bool {
+        self.loading.as_ref().is_some_and(|(_, _, at)| now.since(*at) < LOAD_LIFE)
+    }
+
+    /// Versions that the engine is behind, after the load in progress.
+    fn lag(&self, model: &str, version: WeightVersion) -> u64 {
+        if let Some((loading, to, _)) = &self.loading
+            && loading == model
+            && *to >= version
+        {
+            return 0;
+        }
+        let known = self.versions.iter().find(|(name, _)| name == model);
+        known.map_or(u64::MAX, |(_, known)| version.0.saturating_sub(known.0))
+    }
+
+    fn usable_models(&self, named: &[(String, WeightVersion)]) -> usize {
+        let usable =
+            named.iter().filter(|(name, version)| self.lag(name, *version) <= ACCEPTED_LAG);
+        usable.count()
+    }
 }
--- a/crates/hibiscushinged/src/gateway/lease.rs
+++ b/crates/hibiscushinged/src/gateway/lease.rs
@@ -79,7 +79,8 @@
 
     /// Returns how calls of the holder are marked, while this node may act.
     pub(crate) fn mark(&self, node: &NodeState) -> Option<HolderMark> {
-        let fencing = self.permit(node)?;
+        // The first record of a log has offset 0, which a receiver may take for no number at all.
+        let fencing = FencingNumber(self.permit(node)?.0 + 1);
         Some(HolderMark { holder: node.settings.vm_name.clone(), fencing })
     }
 }
--- a/crates/hibiscushinged/src/gateway/loads.rs
+++ b/crates/hibiscushinged/src/gateway/loads.rs
@@ -20,12 +20,14 @@
 /// Time between two looks at the plan.
 const PLAN_PERIOD: Duration = Duration::from_millis(100);
 
-/// Time between two questions to an engine that loads.
-const REPORT_PERIOD: Duration = Duration::from_millis(350);
+/// Time from an order to the first question about its load, which takes 0.9 s when few engines load.
+const FIRST_REPORT: Duration = Duration::from_millis(950);
 
-/// Questions to an engine that loads before its load counts as failed. A load takes 0.9 s, longer
-/// while many engines load.
-const MOST_REPORTS: u32 = 10;
+/// Time between two further questions. Reports are 100 to 200 ms old.
+const REPORT_PERIOD: Duration = Duration::from_millis(120);
+
+/// Questions to an engine that loads before its load counts as failed.
+const MOST_REPORTS: u32 = 20;
 
 /// Pause before an engine that refused an order, or did not answer, gets another one.
 const FAILURE_PAUSE: Span = Span::from_millis(700);
@@ -75,7 +77,7 @@
             .filter(|entry| entry.service == service.name && entry.state == EntryState::Ready);
         let engines: Vec<EngineLoad> = members.map(|entry| desk.engine(entry)).collect();
         let plan = LoadPlan::of(engines.len(), engine.models.len());
-        orders.extend(plan_loads(now, &engines, &named, &plan));
+        orders.extend(plan_loads(now, &engines, &named, plan));
     }
     let paused = desk.paused.borrow();
     orders.retain(|order| paused.get(&order.engine).is_none_or(|until| now >= *until));
@@ -178,8 +180,8 @@
         Err(error) if error.may_have_run() => {}
         Err(error) => return Err(error.to_string()),
     }
-    for _ in 0..MOST_REPORTS {
-        tokio::time::sleep(REPORT_PERIOD).await;
+    for asked in 0..MOST_REPORTS {
+        tokio::time::sleep(if asked == 0 { FIRST_REPORT } else { REPORT_PERIOD }).await;
         let Ok(report) = surface.report(entry.address, ORDER_TIMEOUT).await else { continue };
         desk.shown.borrow_mut().insert(order.engine.clone(), report.versions.clone());
         if holds(&report.versions, order) {
