--- a/crates/hibiscushinged/src/gateway/commit.rs
+++ b/crates/hibiscushinged/src/gateway/commit.rs
@@ -62,10 +62,6 @@
         self.owned.borrow().contains(&part)
     }
 
-    pub(crate) fn owned(&self) -> BTreeSet<u32> {
-        self.owned.borrow().clone()
-    }
-
     /// Replaces the owned partitions and tells whether they changed.
     pub(crate) fn set_owned(&self, owned: BTreeSet<u32>) -> bool {
         self.owned.replace(owned.clone()) != owned
--- a/crates/hibiscushinged/src/gateway/duties.rs
+++ b/crates/hibiscushinged/src/gateway/duties.rs
@@ -15,7 +15,7 @@
 use crate::{
     gateway::{
         control::ControlState,
-        fetch::{FetchedKeys, PartitionName, fetch},
+        fetch::{FetchedKeys, KeyChange, PartitionName, fetch},
         lease::ORDER_TIMEOUT,
         usage::USAGE_TOPIC,
     },
@@ -106,21 +106,32 @@
 }
 
 async fn read(control: &ControlState, name: &PartitionName, state: &mut UsageState) -> bool {
-    let Ok(fetched) = fetch(&control.store, name, state.next, Span::ZERO).await else {
-        return false;
-    };
-    state.next = Some(fetched.next);
-    let changes = match fetched.keys {
-        FetchedKeys::All(changes) | FetchedKeys::Changes(changes) => changes,
-    };
-    for change in changes {
-        let Some(value) = change.value else { continue };
+    loop {
+        let Ok(fetched) = fetch(&control.store, name, state.next, Span::ZERO).await else {
+            return false;
+        };
+        state.next = Some(fetched.next);
+        let changes = match fetched.keys {
+            FetchedKeys::All(changes) | FetchedKeys::Changes(changes) => changes,
+        };
+        for change in changes {
+            state.apply(change);
+        }
+        if fetched.complete {
+            return true;
+        }
+    }
+}
+
+impl UsageState {
+    fn apply(&mut self, change: KeyChange) {
+        let Some(value) = change.value else { return };
         match decode_usage_record(&change.key, &value) {
             Ok((UsageKey::Totals { window, writer }, counts)) => {
-                state.totals.entry(window).or_default().insert(writer.0, counts);
+                self.totals.entry(window).or_default().insert(writer.0, counts);
             }
             Ok((UsageKey::Report { window }, counts)) => {
-                state.reports.entry(window).or_insert(counts);
+                self.reports.entry(window).or_insert(counts);
             }
             Err(error) => {
                 let offset = change.offset;
@@ -128,7 +139,6 @@
             }
         }
     }
-    true
 }
 
 async fn send(
--- a/crates/hibiscushinged/src/gateway/fetch.rs
+++ b/crates/hibiscushinged/src/gateway/fetch.rs
@@ -37,6 +37,8 @@
     pub(crate) keys: FetchedKeys,
     /// Offset from which to go on.
     pub(crate) next: u64,
+    /// Whether the partition ended there. One answer holds a bounded number of bytes.
+    pub(crate) complete: bool,
 }
 
 /// Reads a partition from `next`, or all keys without it or when the records from there are gone.
@@ -52,10 +54,11 @@
 ) -> Result<FetchedPart, CallError> {
     if let Some(from) = next {
         match store.read(&name.topic, name.part, from, wait).await? {
-            ReadAnswer::Records { records, .. } => {
+            ReadAnswer::Records { records, end } => {
                 let next = records.last().map_or(from, |record| record.offset + 1);
                 let changes = records.into_iter().filter_map(|record| split(name, record));
-                return Ok(FetchedPart { keys: FetchedKeys::Changes(changes.collect()), next });
+                let keys = FetchedKeys::Changes(changes.collect());
+                return Ok(FetchedPart { keys, next, complete: next >= end });
             }
             ReadAnswer::Trimmed { first } => {
                 log_event!(warn, LogGapFound, topic = name.topic, part = name.part, from, first);
@@ -66,7 +69,7 @@
 }
 
 /// Reads the newest value of every key. Pages are no snapshot, so the changes since the first page are
-/// read next.
+/// read next, and the result counts as complete only when there was one page.
 async fn fetch_all(store: &StoreSession, name: &PartitionName) -> Result<FetchedPart, CallError> {
     let mut items = Vec::new();
     let mut first_end = None;
@@ -75,13 +78,14 @@
         let page = store.newest(&name.topic, name.part, after.as_deref()).await?;
         let next = *first_end.get_or_insert(page.end);
         let empty = page.items.is_empty();
+        let single = items.is_empty();
         items.extend(page.items.into_iter().map(|(key, value)| KeyChange {
             offset: next,
             key,
             value: Some(value),
         }));
         if !page.more || empty {
-            return Ok(FetchedPart { keys: FetchedKeys::All(items), next });
+            return Ok(FetchedPart { keys: FetchedKeys::All(items), next, complete: single });
         }
     }
 }
--- a/crates/hibiscushinged/src/gateway/mirror.rs
+++ b/crates/hibiscushinged/src/gateway/mirror.rs
@@ -73,23 +73,28 @@
         self.confirmed_at.get().map(|at| now.since(at))
     }
 
-    /// Reads what is new, without waiting.
+    /// Reads everything that is new, without waiting for more.
     ///
     /// # Errors
     ///
     /// Returns an error when the store does not answer.
     pub(crate) async fn catch_up(&self, traffic: &TrafficState) -> Result<(), CallError> {
-        self.poll(traffic, Span::ZERO).await
+        while !self.poll(traffic, Span::ZERO).await? {}
+        Ok(())
     }
 
-    async fn poll(&self, traffic: &TrafficState, wait: Span) -> Result<(), CallError> {
+    /// Reads a part of what is new, and tells whether the copy is complete.
+    async fn poll(&self, traffic: &TrafficState, wait: Span) -> Result<bool, CallError> {
         // The copy is complete as of the moment at which the read was sent.
         let sent_at = traffic.node.now();
         let fetched = fetch(&traffic.store, &self.name, self.next.get(), wait).await?;
+        let complete = fetched.complete;
         self.apply(fetched);
-        let at = self.confirmed_at.get().map_or(sent_at, |at| at.max(sent_at));
-        self.confirmed_at.set(Some(at));
-        Ok(())
+        if complete {
+            let at = self.confirmed_at.get().map_or(sent_at, |at| at.max(sent_at));
+            self.confirmed_at.set(Some(at));
+        }
+        Ok(complete)
     }
 
     /// Takes records that this node has appended itself.
