--- a/crates/hibiscushinged/src/gateway/mirror.rs
+++ b/crates/hibiscushinged/src/gateway/mirror.rs
@@ -1,5 +1,8 @@
 //! A node's copy of one partition of submissions.
 
+#[cfg(test)]
+mod tests;
+
 use std::{
     cell::{Cell, Ref, RefCell},
     rc::Rc,
--- /dev/null
+++ b/crates/hibiscushinged/src/gateway/mirror/tests.rs
@@ -0,0 +1,118 @@
+//! Copies of partitions against a store.
+
+use std::{net::SocketAddr, rc::Rc, sync::Arc};
+
+use base::{Incarnation, WallTime, WeightVersion};
+use document::GatewaySettings;
+use platform::keyed_record;
+use protocol::encode_book_record;
+use site_stand_in::{SiteStore, StoreOptions};
+use submissions::{BookRecord, ItemResult, SubmissionHead, SubmissionItem};
+
+use crate::{
+    clock::ProcessClock,
+    gateway::{
+        board::TrafficState, commit::SUBMISSION_TOPIC, metrics::GatewayMetrics, node::NodeState,
+    },
+};
+
+const ITEMS: u32 = 40;
+
+fn traffic(store: SocketAddr) -> Rc<TrafficState> {
+    let text = format!(
+        r#"
+        vm_name = "a"
+        zone = "z"
+        cores = 1
+        listen = "127.0.0.1:0"
+        ready = "127.0.0.1:0"
+        metrics = "127.0.0.1:0"
+        [store]
+        address = "{store}"
+        partitions = 1
+        record_bytes = 262144
+        call_bytes = 2097152
+        least_member_life_ms = 1000
+        [promises]
+        drain_ms = 2000
+        grace_s = 8
+        lease_ms = 3000
+        window_s = 5
+        usage_due_s = 10
+        results_s = 120
+        settle_ms = 1000
+        "#
+    );
+    let settings = GatewaySettings::parse("test", &text).unwrap();
+    let metrics = GatewayMetrics::default();
+    let node = NodeState::new(settings, Incarnation(1), ProcessClock::start(), metrics);
+    Rc::new(TrafficState::new(Arc::new(node)))
+}
+
+fn bytes(record: &BookRecord) -> bytes::Bytes {
+    let (key, value) = encode_book_record(record);
+    keyed_record(&key, value.as_deref())
+}
+
+fn submission() -> Vec<BookRecord> {
+    let head = SubmissionHead {
+        id: String::from("s"),
+        customer: String::from("brewer"),
+        host: String::from("h"),
+        path: String::from("/p/"),
+        model: String::from("m"),
+        step: 0,
+        least_version: WeightVersion(1),
+        target_groups: 1,
+        accepted_at: WallTime(0),
+        items: ITEMS,
+    };
+    let items = (0..ITEMS).map(|index| SubmissionItem {
+        id: format!("i{index}"),
+        path: String::from("/p/1"),
+        headers: Vec::new(),
+        body: bytes::Bytes::from_static(&[7; 200]),
+        group: String::from("g"),
+        expected_tokens: 1,
+        shared_prompt: None,
+        reward: None,
+    });
+    let items =
+        BookRecord::Items { submission: String::from("s"), first: 0, items: items.collect() };
+    vec![BookRecord::Opened(head), items]
+}
+
+/// Guards against a copy that counts as complete after one answer of the store, which holds a bounded
+/// number of bytes. A submission beyond it was answered 404 (hunt, trouble-1 --seed 251781471259).
+#[actix_rt::test]
+async fn copy_is_read_to_the_end_of_the_partition() {
+    let options = StoreOptions { read_bytes: 2_000, ..Default::default() };
+    let store = SiteStore::start(options).unwrap();
+    let traffic = traffic(store.address());
+    let mirror = traffic.partitions.get(0).unwrap();
+    mirror.catch_up(&traffic).await.unwrap();
+
+    store.append(SUBMISSION_TOPIC, 0, submission().iter().map(bytes).collect());
+    let results = (0..ITEMS).map(|position| {
+        let result = ItemResult::errored(format!("i{position}"));
+        bytes(&BookRecord::Result { submission: String::from("s"), position, result })
+    });
+    store.append(SUBMISSION_TOPIC, 0, results.collect());
+
+    mirror.catch_up(&traffic).await.unwrap();
+    let book = mirror.book();
+    assert_eq!(book.get("s").map(|state| state.listed()), Some(ITEMS));
+}
+
+/// Guards against a copy that stays behind after the store has dropped the history that it needs.
+#[actix_rt::test]
+async fn forgotten_history_is_read_again_by_keys() {
+    let store = SiteStore::start(StoreOptions::default()).unwrap();
+    let traffic = traffic(store.address());
+    let mirror = traffic.partitions.get(0).unwrap();
+    mirror.catch_up(&traffic).await.unwrap();
+    store.append(SUBMISSION_TOPIC, 0, submission().iter().map(bytes).collect());
+    store.forget();
+    mirror.catch_up(&traffic).await.unwrap();
+    assert!(mirror.book().get("s").is_some());
+}
--- a/crates/process-tests/src/lib.rs
+++ b/crates/process-tests/src/lib.rs
@@ -8,6 +8,7 @@
 mod ordered;
 mod process;
 mod relay;
+mod site;
 
 pub use crate::{
     call::{CallAnswer, call, get, get_json, post_json},
@@ -18,4 +19,5 @@
     },
     process::{ProcessHandle, wait_for},
     relay::TcpRelay,
+    site::{GatewayProcess, SiteFleet, SiteShape, submission},
 };
--- a/crates/process-tests/src/process.rs
+++ b/crates/process-tests/src/process.rs
@@ -109,7 +109,7 @@
     }
 }
 
-fn binary_path(binary: &str) -> PathBuf {
+pub(crate) fn binary_path(binary: &str) -> PathBuf {
     // Test binaries lie in `deps`, one folder below the binaries of the workspace.
     let mut path = std::env::current_exe().expect("the test has a path");
     path.pop();
--- a/crates/stand-ins/src/http.rs
+++ b/crates/stand-ins/src/http.rs
@@ -5,7 +5,7 @@
 use actix_http::{
     HttpService, KeepAlive, Method, Request, Response, StatusCode,
     body::{BodyStream, BoxBody, MessageBody as _},
-    header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+    header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER},
 };
 use actix_server::{Server, ServerHandle};
 use bytes::{Bytes, BytesMut};
@@ -30,36 +30,72 @@
 
 /// A request that has been read completely.
 #[derive(Debug)]
-pub(crate) struct Call {
-    pub(crate) method: Method,
-    pub(crate) path: String,
-    pub(crate) query: String,
-    pub(crate) headers: Vec<(String, String)>,
-    pub(crate) body: Bytes,
+pub struct Call {
+    /// Method.
+    pub method: Method,
+    /// Path without query.
+    pub path: String,
+    /// Query, without the question mark.
+    pub query: String,
+    /// Headers with their names in lower case.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: Bytes,
 }
 
-pub(crate) type ByteStream = Pin<Box<dyn Stream<Item = io::Result<Bytes>>>>;
+/// Parts of an answer as they come.
+pub type ByteStream = Pin<Box<dyn Stream<Item = io::Result<Bytes>>>>;
 
 /// An answer.
-pub(crate) enum Reply {
+pub enum Reply {
     /// A body with its length.
-    Whole { status: StatusCode, retry_after: Option<u64>, body: Bytes },
+    Whole {
+        /// Status.
+        status: StatusCode,
+        /// Seconds after which the caller may come back.
+        retry_after: Option<u64>,
+        /// Body.
+        body: Bytes,
+    },
+    /// A body with headers of its own.
+    Marked {
+        /// Status.
+        status: StatusCode,
+        /// Names and values of the headers.
+        headers: Vec<(&'static str, String)>,
+        /// Body, whole or as it comes.
+        body: ReplyBody,
+    },
     /// Lines that are sent as they come.
     Lines(ByteStream),
     /// A body that breaks off after these bytes although its head states more.
-    Truncated { stated: usize, body: Bytes },
+    Truncated {
+        /// Bytes that the head states.
+        stated: usize,
+        /// Bytes that are sent.
+        body: Bytes,
+    },
     /// The connection is closed without an answer.
     Lost,
 }
 
+/// Body of an answer.
+pub enum ReplyBody {
+    /// All at once, with its length.
+    Whole(Bytes),
+    /// As it comes, in chunks.
+    Parts(ByteStream),
+}
+
 /// Serves requests. Clones share their state.
-pub(crate) trait CallHandler: Clone + Send + 'static {
+pub trait CallHandler: Clone + Send + 'static {
+    /// Answers a request.
     fn handle(&self, call: Call) -> impl Future<Output = Reply>;
 }
 
 /// A running HTTP server that can crash and come back at the same address.
 #[derive(Debug, Clone)]
-pub(crate) struct ServerControl {
+pub struct ServerControl {
     address: SocketAddr,
     commands: mpsc::UnboundedSender<Command>,
 }
@@ -72,34 +108,38 @@
 
 impl Call {
     /// Reads the body as JSON, or returns the answer that refuses it.
-    pub(crate) fn json<T: DeserializeOwned>(&self) -> Result<T, Reply> {
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, Reply> {
         serde_json::from_slice(&self.body)
             .map_err(|error| Reply::text(StatusCode::BAD_REQUEST, &error.to_string()))
     }
 
     /// Returns a number of the query string.
-    pub(crate) fn query_number(&self, name: &str) -> Option<u64> {
+    pub fn query_number(&self, name: &str) -> Option<u64> {
         let pairs = self.query.split('&').filter_map(|pair| pair.split_once('='));
         pairs.filter(|(key, _)| *key == name).find_map(|(_, value)| value.parse().ok())
     }
 
-    pub(crate) fn header(&self, name: &str) -> Option<&str> {
+    /// Returns the value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.iter().find(|(key, _)| key == name).map(|(_, value)| value.as_str())
     }
 }
 
 impl Reply {
-    pub(crate) fn json<T: Serialize>(value: &T) -> Self {
+    /// Answers 200 with a JSON body.
+    pub fn json<T: Serialize>(value: &T) -> Self {
         let body = serde_json::to_vec(value).expect("plain data serializes");
         Self::Whole { status: StatusCode::OK, retry_after: None, body: Bytes::from(body) }
     }
 
-    pub(crate) fn text(status: StatusCode, text: &str) -> Self {
+    /// Answers with a text.
+    pub fn text(status: StatusCode, text: &str) -> Self {
         let body = Bytes::copy_from_slice(text.as_bytes());
         Self::Whole { status, retry_after: None, body }
     }
 
-    pub(crate) fn status(status: StatusCode) -> Self {
+    /// Answers with a status alone.
+    pub fn status(status: StatusCode) -> Self {
         Self::text(status, "")
     }
 
@@ -120,6 +160,19 @@
                 }
                 response
             }
+            Self::Marked { status, headers, body } => {
+                let body = match body {
+                    ReplyBody::Whole(bytes) => bytes.boxed(),
+                    ReplyBody::Parts(parts) => BodyStream::new(parts).boxed(),
+                };
+                let mut response = Response::with_body(status, body);
+                for (name, value) in headers {
+                    let name = HeaderName::from_static(name);
+                    let value = HeaderValue::from_str(&value).expect("headers are plain text");
+                    response.headers_mut().insert(name, value);
+                }
+                response
+            }
             Self::Lines(lines) => {
                 let mut response =
                     Response::with_body(StatusCode::OK, BodyStream::new(lines).boxed());
@@ -142,7 +195,7 @@
 
 impl ServerControl {
     /// Starts a server. `build` gets its control and returns the handler.
-    pub(crate) fn start<H: CallHandler>(
+    pub fn start<H: CallHandler>(
         listen: SocketAddr,
         workers: usize,
         build: impl FnOnce(Self) -> H,
@@ -185,18 +238,19 @@
         Ok(control)
     }
 
-    pub(crate) const fn address(&self) -> SocketAddr {
+    /// Returns the address in use.
+    pub const fn address(&self) -> SocketAddr {
         self.address
     }
 
     /// Drops all connections.
-    pub(crate) fn crash(&self, action: CrashAction) {
+    pub fn crash(&self, action: CrashAction) {
         // Sending fails only when the server has stopped already.
         let _ = self.commands.send(Command::Crash(action));
     }
 
     /// Closes the listener and all connections.
-    pub(crate) async fn stop(&self) {
+    pub async fn stop(&self) {
         let (done, stopped) = oneshot::channel();
         if self.commands.send(Command::Stop(done)).is_ok() {
             let _ = stopped.await;
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -4,7 +4,7 @@
 //! must be called inside an `actix_rt` system.
 
 mod engine;
-mod http;
+pub mod http;
 mod lag;
 mod plain;
 mod platform;
