Read single submissions instead of whole partitions; small nodes run no items

Ruled out: lost records, since other nodes answered. Keys of a submission share a prefix now, and a copy loads just those and follows the log from there; markers of open submissions tell a new owner its work.

--- a/crates/hibiscushinged/src/gateway/commit.rs
+++ b/crates/hibiscushinged/src/gateway/commit.rs
@@ -8,6 +8,7 @@
 
 use base::{Span, key, stable_hash};
 use bytes::Bytes;
+use clients::CallError;
 use document::StoreSettings;
 use platform::{AppendAnswer, keyed_record};
 use protocol::encode_book_record;
@@ -68,8 +69,8 @@
     }
 }
 
-/// Appends the records that `build` wants, given the whole partition. `build` returns `None` when
-/// nothing is left to append, for example because an append without an answer has taken effect.
+/// Appends the records that `build` wants, given all records of `submissions`. `build` returns `None`
+/// when nothing is left to append, for example because an append without an answer has taken effect.
 ///
 /// The append is conditional on the end of what `build` has seen, so two writers never store results
 /// for one item or position.
@@ -81,6 +82,7 @@
     traffic: &Rc<TrafficState>,
     mirror: &Rc<PartitionMirror>,
     patience: Span,
+    submissions: &[&str],
     mut build: impl FnMut(&SubmissionBook) -> Option<Vec<BookRecord>>,
 ) -> Result<(), CommitFault> {
     let until = traffic.node.now() + patience;
@@ -92,14 +94,25 @@
         if traffic.node.now() >= until {
             return Err(fault);
         }
-        if !known && mirror.catch_up(traffic).await.is_err() {
+        let ready = async {
+            if !known {
+                mirror.catch_up(traffic).await?;
+            }
+            // A copy that had to begin anew while it caught up needs them again.
+            for submission in submissions {
+                mirror.load(traffic, submission).await?;
+            }
+            Ok::<(), CallError>(())
+        };
+        if ready.await.is_err() {
             tokio::time::sleep(RETRY_PAUSE).await;
             continue;
         }
+        let Some(at) = mirror.next() else { continue };
         let Some(records) = build(&mirror.book()) else { return Ok(()) };
         let bytes = encode(&records);
         let part = mirror.name.part;
-        let appended = traffic.store.append(&mirror.name.topic, part, mirror.next(), &bytes).await;
+        let appended = traffic.store.append(&mirror.name.topic, part, Some(at), &bytes).await;
         match appended {
             Ok(AppendAnswer::Appended { offset, end }) => {
                 mirror.appended(offset, end, records);
--- a/crates/hibiscushinged/src/gateway/fetch.rs
+++ b/crates/hibiscushinged/src/gateway/fetch.rs
@@ -90,7 +90,40 @@
     }
 }
 
-fn split(name: &PartitionName, record: StoredRecord) -> Option<KeyChange> {
+/// Reads the newest values of the keys with a prefix, and returns them with the end of the partition as
+/// of the first page. What is appended from there on may be missing.
+///
+/// # Errors
+///
+/// Returns an error when a call fails.
+pub(crate) async fn fetch_prefix(
+    store: &StoreSession,
+    name: &PartitionName,
+    prefix: &str,
+) -> Result<(Vec<KeyChange>, u64), CallError> {
+    // The prefix without its last character comes before all keys with the prefix.
+    let mut after = String::from(&prefix[..prefix.len() - 1]);
+    let mut items = Vec::new();
+    let mut first_end = None;
+    loop {
+        let page = store.newest(&name.topic, name.part, Some(&after)).await?;
+        let end = *first_end.get_or_insert(page.end);
+        let last = page.items.last().map(|(key, _)| key.clone());
+        let beyond = last.as_ref().is_none_or(|key| !key.starts_with(prefix));
+        for (key, value) in page.items {
+            if key.starts_with(prefix) {
+                items.push(KeyChange { offset: end, key, value: Some(value) });
+            }
+        }
+        match last {
+            Some(last) if page.more && !beyond => after = last,
+            _ => return Ok((items, end)),
+        }
+    }
+}
+
+/// Splits a record into key and value. A record without a key is logged and skipped.
+pub(crate) fn split(name: &PartitionName, record: StoredRecord) -> Option<KeyChange> {
     let offset = record.offset;
     match split_keyed(&record.bytes) {
         Some((key, value)) => Some(KeyChange { offset, key, value }),
--- a/crates/hibiscushinged/src/gateway/group.rs
+++ b/crates/hibiscushinged/src/gateway/group.rs
@@ -19,8 +19,18 @@
 /// Time between two calls.
 const JOIN_PERIOD: Duration = Duration::from_millis(350);
 
-/// Keeps this node in the group and follows its partitions until it drains.
+/// Processor time, in thousandths of a core, from which a node runs items whatever others there are.
+const WORKER_MILLICORES: u32 = 250;
+
+/// Time between two looks of a smaller node at the group.
+const LOOK_PERIOD: Duration = Duration::from_secs(2);
+
+/// Keeps this node in the group and follows its partitions until it drains. A small node joins only
+/// while there is no larger one in the group.
 pub(crate) async fn stay_in_group(traffic: Rc<TrafficState>) {
+    if traffic.node.settings.millicores < WORKER_MILLICORES {
+        wait_for_need(&traffic).await;
+    }
     let life = MEMBER_LIFE.max(traffic.node.settings.store.least_member_life);
     let member = member_name(&traffic);
     let topics = [String::from(SUBMISSION_TOPIC)];
@@ -38,6 +48,24 @@
     }
 }
 
+/// Waits until the group has no member that is larger than this node.
+async fn wait_for_need(traffic: &TrafficState) {
+    let own = traffic.node.settings.millicores;
+    loop {
+        // Larger nodes have joined before the first look.
+        tokio::time::sleep(LOOK_PERIOD).await;
+        let Ok(members) = traffic.store.members(GROUP).await else { continue };
+        let larger = members.iter().filter_map(|member| member_millicores(member)).any(|m| m > own);
+        if !larger {
+            return;
+        }
+    }
+}
+
+fn member_millicores(member: &str) -> Option<u32> {
+    member.rsplit('/').next()?.parse().ok()
+}
+
 /// Gives all partitions back, so that their items go on elsewhere at once.
 pub(crate) async fn leave_group(traffic: &Rc<TrafficState>) {
     let member = member_name(traffic);
@@ -64,5 +92,6 @@
 
 fn member_name(traffic: &TrafficState) -> String {
     let node = &traffic.node;
-    format!("{}/{:016x}", node.settings.vm_name, node.incarnation.0)
+    let settings = &node.settings;
+    format!("{}/{:016x}/{}", settings.vm_name, node.incarnation.0, settings.millicores)
 }
--- a/crates/hibiscushinged/src/gateway/mirror.rs
+++ b/crates/hibiscushinged/src/gateway/mirror.rs
@@ -1,23 +1,28 @@
 //! A node's copy of one partition of submissions.
+//!
+//! The copy holds the submissions that this node was asked for, and what has been appended since. It
+//! never holds the whole partition, which would take a small node seconds to read.
 
 #[cfg(test)]
 mod tests;
 
 use std::{
     cell::{Cell, Ref, RefCell},
+    collections::HashSet,
     rc::Rc,
 };
 
 use base::{Moment, Span};
 use clients::CallError;
-use protocol::decode_book_record;
+use platform::ReadAnswer;
+use protocol::{OPEN_PREFIX, decode_book_record, submission_prefix};
 use submissions::{BookRecord, SubmissionBook};
 use tokio::sync::{Mutex, watch};
 
 use crate::{
     gateway::{
         board::TrafficState,
-        fetch::{FetchedKeys, FetchedPart, KeyChange, PartitionName, fetch},
+        fetch::{KeyChange, PartitionName, fetch_prefix, split},
     },
     telemetry::log_event,
 };
@@ -25,17 +30,24 @@
 /// Longest wait of a read for new records. Each answer confirms that the copy is fresh.
 const POLL_WAIT: Span = Span::from_millis(400);
 
-/// Pause after a failed read.
+/// Pause after a failed read, or while nothing was asked for yet.
 const RETRY_PAUSE: std::time::Duration = std::time::Duration::from_millis(100);
 
-/// A copy that nobody asked for in this time is no longer followed.
+/// A copy that nobody asked for in this time is given up.
 const IDLE_LIFE: Span = Span::from_secs(20);
 
 /// Copy of one partition.
 pub(crate) struct PartitionMirror {
     pub(crate) name: PartitionName,
     book: RefCell<SubmissionBook>,
+    /// Offset up to which appended records are known, once anything was read.
     next: Cell<Option<u64>>,
+    /// Submissions of which the copy misses nothing up to `next`.
+    loaded: RefCell<HashSet<String>>,
+    /// Counts how often the copy had to begin anew.
+    resets: Cell<u64>,
+    /// Whether all open submissions were looked for.
+    scanned: Cell<bool>,
     confirmed_at: Cell<Option<Moment>>,
     used_at: Cell<Moment>,
     following: Cell<bool>,
@@ -50,6 +62,9 @@
             name,
             book: RefCell::default(),
             next: Cell::new(None),
+            loaded: RefCell::default(),
+            resets: Cell::new(0),
+            scanned: Cell::new(false),
             confirmed_at: Cell::new(None),
             used_at: Cell::new(Moment(0)),
             following: Cell::new(false),
@@ -76,6 +91,55 @@
         self.confirmed_at.get().map(|at| now.since(at))
     }
 
+    pub(crate) fn is_loaded(&self, submission: &str) -> bool {
+        self.loaded.borrow().contains(submission)
+    }
+
+    /// Makes sure that the copy holds a submission, if it exists.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the store does not answer.
+    pub(crate) async fn load(
+        &self,
+        traffic: &TrafficState,
+        submission: &str,
+    ) -> Result<(), CallError> {
+        while !self.is_loaded(submission) {
+            let (resets, sent_at) = (self.resets.get(), traffic.node.now());
+            let prefix = submission_prefix(submission);
+            let (changes, end) = fetch_prefix(&traffic.store, &self.name, &prefix).await?;
+            if self.resets.get() != resets {
+                continue;
+            }
+            self.begin_at(end, sent_at);
+            self.loaded.borrow_mut().insert(String::from(submission));
+            self.apply(changes);
+        }
+        Ok(())
+    }
+
+    /// Loads all open submissions, for a node that begins to run them.
+    async fn load_open(&self, traffic: &TrafficState) -> Result<(), CallError> {
+        let sent_at = traffic.node.now();
+        let (markers, end) = fetch_prefix(&traffic.store, &self.name, OPEN_PREFIX).await?;
+        self.begin_at(end, sent_at);
+        for marker in markers {
+            let submission = marker.key.trim_start_matches(OPEN_PREFIX);
+            self.load(traffic, submission).await?;
+        }
+        self.scanned.set(true);
+        Ok(())
+    }
+
+    /// What follows `end` is read from the log, unless an earlier offset is known.
+    fn begin_at(&self, end: u64, sent_at: Moment) {
+        if self.next.get().is_none() {
+            self.next.set(Some(end));
+            self.confirmed_at.set(Some(sent_at));
+        }
+    }
+
     /// Reads everything that is new, without waiting for more.
     ///
     /// # Errors
@@ -86,18 +150,43 @@
         Ok(())
     }
 
-    /// Reads a part of what is new, and tells whether the copy is complete.
+    /// Reads a part of what is new, and tells whether the copy is complete. One answer of the store
+    /// holds a bounded number of bytes.
     async fn poll(&self, traffic: &TrafficState, wait: Span) -> Result<bool, CallError> {
+        let Some(from) = self.next.get() else { return Ok(true) };
         // The copy is complete as of the moment at which the read was sent.
         let sent_at = traffic.node.now();
-        let fetched = fetch(&traffic.store, &self.name, self.next.get(), wait).await?;
-        let complete = fetched.complete;
-        self.apply(fetched);
-        if complete {
-            let at = self.confirmed_at.get().map_or(sent_at, |at| at.max(sent_at));
-            self.confirmed_at.set(Some(at));
+        match traffic.store.read(&self.name.topic, self.name.part, from, wait).await? {
+            ReadAnswer::Records { records, end } => {
+                let read_to = records.last().map_or(from, |record| record.offset + 1);
+                let Some(known) = self.next.get() else { return Ok(true) };
+                let changes = records.into_iter().filter(|record| record.offset >= known);
+                let changes = changes.filter_map(|record| split(&self.name, record)).collect();
+                self.next.set(Some(known.max(read_to)));
+                self.apply(changes);
+                if read_to < end {
+                    return Ok(false);
+                }
+                let at = self.confirmed_at.get().map_or(sent_at, |at| at.max(sent_at));
+                self.confirmed_at.set(Some(at));
+                Ok(true)
+            }
+            ReadAnswer::Trimmed { first } => {
+                let (topic, part) = (&self.name.topic, self.name.part);
+                log_event!(warn, LogGapFound, topic, part, from, first);
+                self.reset();
+                Ok(true)
+            }
         }
-        Ok(complete)
+    }
+
+    /// Begins anew: what is known stays true, but newer records may be missing.
+    fn reset(&self) {
+        self.next.set(None);
+        self.loaded.borrow_mut().clear();
+        self.scanned.set(false);
+        self.confirmed_at.set(None);
+        self.resets.set(self.resets.get() + 1);
     }
 
     /// Takes records that this node has appended itself.
@@ -107,44 +196,35 @@
         }
         self.next.set(Some(end));
         for record in records {
-            self.book.borrow_mut().apply(record);
+            self.apply_record(record);
         }
         self.changes.send_modify(|count| *count += 1);
     }
 
-    fn apply(&self, fetched: FetchedPart) {
-        let known = self.next.get();
-        let changes = match fetched.keys {
-            FetchedKeys::All(changes) if known.is_none_or(|known| known <= fetched.next) => changes,
-            // Another task has read further meanwhile.
-            FetchedKeys::All(_) => return,
-            FetchedKeys::Changes(changes) => changes
-                .into_iter()
-                .filter(|change| known.is_none_or(|known| change.offset >= known))
-                .collect(),
-        };
-        self.next.set(Some(known.map_or(fetched.next, |known| known.max(fetched.next))));
+    fn apply(&self, changes: Vec<KeyChange>) {
         if changes.is_empty() {
             return;
         }
         for change in changes {
-            self.apply_change(change);
+            match decode_book_record(&change.key, change.value.as_deref()) {
+                Ok(Some(record)) => self.apply_record(record),
+                Ok(None) => {}
+                Err(error) => {
+                    let topic = &self.name.topic;
+                    let (part, offset) = (self.name.part, change.offset);
+                    log_event!(warn, LogRecordRefused, topic, part, offset, reason = %error);
+                }
+            }
         }
         self.changes.send_modify(|count| *count += 1);
     }
 
-    fn apply_change(&self, change: KeyChange) {
-        match decode_book_record(&change.key, change.value.as_deref()) {
-            Ok(Some(record)) => {
-                self.book.borrow_mut().apply(record);
-            }
-            Ok(None) => {}
-            Err(error) => {
-                let topic = &self.name.topic;
-                let (part, offset) = (self.name.part, change.offset);
-                log_event!(warn, LogRecordRefused, topic, part, offset, reason = %error);
-            }
+    fn apply_record(&self, record: BookRecord) {
+        if let BookRecord::Opened(head) = &record {
+            // Everything about it comes later in the log.
+            self.loaded.borrow_mut().insert(head.id.clone());
         }
+        self.book.borrow_mut().apply(record);
     }
 
     /// Marks the copy as needed and follows the partition from now on.
@@ -156,15 +236,32 @@
         let (mirror, traffic) = (Rc::clone(self), Rc::clone(traffic));
         actix_rt::spawn(async move {
             while mirror.is_needed(&traffic) {
-                if mirror.poll(&traffic, POLL_WAIT).await.is_err() {
+                if mirror.step(&traffic).await.is_err() {
                     // The session has logged the failure.
                     tokio::time::sleep(RETRY_PAUSE).await;
                 }
             }
+            mirror.reset();
+            mirror.book.borrow_mut().clear();
             mirror.following.set(false);
         });
     }
 
+    async fn step(&self, traffic: &TrafficState) -> Result<(), CallError> {
+        let owned = traffic.partitions.is_owned(self.name.part);
+        if owned && !self.scanned.get() {
+            return self.load_open(traffic).await;
+        }
+        if !owned {
+            self.scanned.set(false);
+        }
+        if self.next.get().is_none() {
+            tokio::time::sleep(RETRY_PAUSE).await;
+            return Ok(());
+        }
+        self.poll(traffic, POLL_WAIT).await.map(|_| ())
+    }
+
     fn is_needed(&self, traffic: &TrafficState) -> bool {
         traffic.partitions.is_owned(self.name.part)
             || traffic.node.now().since(self.used_at.get()) < IDLE_LIFE
--- a/crates/hibiscushinged/src/gateway/mirror/tests.rs
+++ b/crates/hibiscushinged/src/gateway/mirror/tests.rs
@@ -90,7 +90,7 @@
     let store = SiteStore::start(options).unwrap();
     let traffic = traffic(store.address());
     let mirror = traffic.partitions.get(0).unwrap();
-    mirror.catch_up(&traffic).await.unwrap();
+    mirror.load(&traffic, "s").await.unwrap();
 
     store.append(SUBMISSION_TOPIC, 0, submission().iter().map(bytes).collect());
     let results = (0..ITEMS).map(|position| {
@@ -110,9 +110,38 @@
     let store = SiteStore::start(StoreOptions::default()).unwrap();
     let traffic = traffic(store.address());
     let mirror = traffic.partitions.get(0).unwrap();
-    mirror.catch_up(&traffic).await.unwrap();
+    mirror.load(&traffic, "s").await.unwrap();
     store.append(SUBMISSION_TOPIC, 0, submission().iter().map(bytes).collect());
     store.forget();
     mirror.catch_up(&traffic).await.unwrap();
+    assert!(!mirror.is_loaded("s"));
+    mirror.load(&traffic, "s").await.unwrap();
     assert!(mirror.book().get("s").is_some());
 }
+
+/// Pattern: a partition of many large submissions, and a small node that is asked for one of them.
+///
+/// Guards against a node that reads the whole partition first: on the grown site nodes of 0.09 core
+/// needed longer than callers wait, and answered 503 until the end of the day (trouble-1, LOST).
+#[actix_rt::test]
+async fn one_submission_is_read_without_the_others() {
+    let store = SiteStore::start(StoreOptions::default()).unwrap();
+    let traffic = traffic(store.address());
+    let mirror = traffic.partitions.get(0).unwrap();
+    for other in ["a", "s1", "z"] {
+        let mut records = submission();
+        for record in &mut records {
+            match record {
+                BookRecord::Opened(head) => head.id = String::from(other),
+                BookRecord::Items { submission, .. } => *submission = String::from(other),
+                _ => {}
+            }
+        }
+        store.append(SUBMISSION_TOPIC, 0, records.iter().map(bytes).collect());
+    }
+    store.append(SUBMISSION_TOPIC, 0, submission().iter().map(bytes).collect());
+    mirror.load(&traffic, "s").await.unwrap();
+    let book = mirror.book();
+    assert!(book.get("s").is_some());
+    assert_eq!(book.iter().count(), 1);
+}
--- a/crates/hibiscushinged/src/gateway/runner.rs
+++ b/crates/hibiscushinged/src/gateway/runner.rs
@@ -338,7 +338,11 @@
 async fn store_part(traffic: &Rc<TrafficState>, part: u32) {
     let Some(mirror) = traffic.partitions.get(part) else { return };
     let Some(results) = traffic.runner.state.borrow_mut().results.remove(&part) else { return };
-    let stored = commit(traffic, mirror, COMMIT_PATIENCE, |book| records_of(book, &results)).await;
+    let submissions: BTreeSet<&str> =
+        results.iter().map(|(submission, _)| submission.as_str()).collect();
+    let submissions: Vec<&str> = submissions.into_iter().collect();
+    let build = |book: &SubmissionBook| records_of(book, &results);
+    let stored = commit(traffic, mirror, COMMIT_PATIENCE, &submissions, build).await;
     if stored.is_ok() {
         return;
     }
--- a/crates/hibiscushinged/src/gateway/store.rs
+++ b/crates/hibiscushinged/src/gateway/store.rs
@@ -79,6 +79,12 @@
         self.note("join", result)
     }
 
+    pub(crate) async fn members(&self, group: &str) -> Result<Vec<String>, CallError> {
+        let client = self.client();
+        let result = client.members(group, CALL_TIMEOUT).await;
+        self.note("members", result)
+    }
+
     pub(crate) async fn leave(&self, group: &str, member: &str) -> Result<(), CallError> {
         let client = self.client();
         let result = client.leave(group, member, CALL_TIMEOUT).await;
--- a/crates/hibiscushinged/src/gateway/submit.rs
+++ b/crates/hibiscushinged/src/gateway/submit.rs
@@ -69,7 +69,8 @@
     let patience = COMMIT_PATIENCE.min(left);
     let items: usize = records.iter().map(items_of).sum();
     let mut known = true;
-    let stored = commit(traffic, mirror, patience, |book| {
+    let submissions = [arrival.id];
+    let stored = commit(traffic, mirror, patience, &submissions, |book| {
         known = book.get(arrival.id).is_some();
         (!known).then(|| records.clone())
     });
@@ -130,6 +131,7 @@
     }
     let submission = String::from(arrival.id);
     records.push(BookRecord::Items { submission, first, items: chunk });
+    records.push(BookRecord::Marked { submission: String::from(arrival.id) });
     records
 }
 
@@ -158,11 +160,11 @@
         let listed = listed(mirror, inquiry);
         if listed < after {
             // Another node has listed more than this copy holds.
-            catch_up(traffic, mirror).await?;
+            catch_up(traffic, mirror, inquiry).await?;
         }
         let left = until.since(traffic.node.now());
         if listed > after || is_complete(mirror, inquiry) || left == Span::ZERO {
-            refresh(traffic, mirror).await?;
+            refresh(traffic, mirror, inquiry).await?;
             return Ok(results_answer(mirror, inquiry, after));
         }
         changes.borrow_and_update();
@@ -223,54 +225,64 @@
     let mirror = traffic.partitions.of_customer(inquiry.customer);
     require(traffic, mirror, inquiry).await?;
     let submission = inquiry.submission;
-    let stored = commit(traffic, mirror, COMMIT_PATIENCE, |book| {
+    let submissions = [submission];
+    let stored = commit(traffic, mirror, COMMIT_PATIENCE, &submissions, |book| {
         let open = book.get(submission).is_some_and(|state| !state.is_ended());
-        open.then(|| vec![BookRecord::Ended { submission: String::from(submission) }])
+        let id = || String::from(submission);
+        open.then(|| {
+            vec![BookRecord::Ended { submission: id() }, BookRecord::Unmarked { submission: id() }]
+        })
     });
     stored.await.map_err(unsettled)?;
     log_event!(SubmissionEnded, submission, customer = inquiry.customer);
     Ok(super::answer::status(StatusCode::OK))
 }
 
-/// Makes sure that the submission is known and belongs to the customer.
+/// Makes sure that the submission is known, belongs to the customer, and is fresh.
 async fn require(
     traffic: &Rc<TrafficState>,
     mirror: &Rc<PartitionMirror>,
     inquiry: &Inquiry<'_>,
 ) -> Result<(), Refusal> {
-    let known = |mirror: &PartitionMirror| {
-        let book = mirror.book();
-        let state = book.get(inquiry.submission);
-        state.is_some_and(|state| state.head().customer == inquiry.customer)
-    };
-    if known(mirror) {
-        mirror.follow(traffic);
-        return refresh(traffic, mirror).await;
-    }
-    catch_up(traffic, mirror).await?;
     mirror.follow(traffic);
-    if known(mirror) {
+    refresh(traffic, mirror, inquiry).await?;
+    let book = mirror.book();
+    let state = book.get(inquiry.submission);
+    if state.is_some_and(|state| state.head().customer == inquiry.customer) {
         return Ok(());
     }
     let message = format!("submission \"{}\" does not exist", inquiry.submission);
     Err(Refusal::not_run(RefusalCode::RouteUnknown, message))
 }
 
-/// Reads the partition again when the copy may be older than other nodes' answers.
-async fn refresh(traffic: &Rc<TrafficState>, mirror: &PartitionMirror) -> Result<(), Refusal> {
+/// Reads what is new when the copy may be older than other nodes' answers.
+async fn refresh(
+    traffic: &Rc<TrafficState>,
+    mirror: &PartitionMirror,
+    inquiry: &Inquiry<'_>,
+) -> Result<(), Refusal> {
     let settle = traffic.node.settings.promises.settle.0 as f64;
     let fresh = Span((settle * FRESH_SHARE) as u64);
-    if mirror.age(traffic.node.now()).is_some_and(|age| age <= fresh) {
+    let is_fresh = || mirror.age(traffic.node.now()).is_some_and(|age| age <= fresh);
+    if mirror.is_loaded(inquiry.submission) && is_fresh() {
         return Ok(());
     }
-    catch_up(traffic, mirror).await
+    catch_up(traffic, mirror, inquiry).await
 }
 
-async fn catch_up(traffic: &Rc<TrafficState>, mirror: &PartitionMirror) -> Result<(), Refusal> {
-    /// Time for which a read is tried before the caller is sent to another node.
-    const PATIENCE: Duration = Duration::from_millis(1_000);
-    let caught_up = tokio::time::timeout(PATIENCE, mirror.catch_up(traffic)).await;
-    if matches!(caught_up, Ok(Ok(()))) {
+async fn catch_up(
+    traffic: &Rc<TrafficState>,
+    mirror: &PartitionMirror,
+    inquiry: &Inquiry<'_>,
+) -> Result<(), Refusal> {
+    /// Time for which a read is tried before the caller is sent to another node. A small node takes
+    /// half a second for a large submission.
+    const PATIENCE: Duration = Duration::from_millis(1_200);
+    let work = async {
+        mirror.catch_up(traffic).await?;
+        mirror.load(traffic, inquiry.submission).await
+    };
+    if matches!(tokio::time::timeout(PATIENCE, work).await, Ok(Ok(()))) {
         return Ok(());
     }
     let message = "the store does not answer, so results may be missing here";
--- a/crates/protocol/src/record/submissions.rs
+++ b/crates/protocol/src/record/submissions.rs
@@ -1,7 +1,9 @@
 //! Records of submissions in keyed topics of the platform's store.
 //!
 //! A key names the submission and what the record holds. No key is written twice with different
-//! content, so the newest record of a key is also its first.
+//! content, so the newest record of a key is also its first. All keys of a submission share a prefix,
+//! so that a node can read one submission without its partition; markers of open submissions share
+//! another, so that a new owner finds its work.
 
 // Wire fields mirror the fields of the domain types, which document them.
 #![allow(missing_docs)]
@@ -34,6 +36,7 @@
             score: Option<String>,
         },
         Ended,
+        Marked,
     }
 
     pub struct WireItem {
@@ -55,7 +58,16 @@
     }
 }
 
-/// Key and value of a record.
+/// Prefix of the markers of open submissions.
+pub const OPEN_PREFIX: &str = "a/";
+
+/// Returns the prefix of all keys of a submission but its marker.
+#[must_use]
+pub fn submission_prefix(submission: &str) -> String {
+    format!("s/{submission}/")
+}
+
+/// Key and value of a record. Without a value the key is dropped.
 #[must_use]
 pub fn encode_book_record(record: &BookRecord) -> (String, Option<Vec<u8>>) {
     match record {
@@ -71,26 +83,29 @@
                 accepted_ms: head.accepted_at.0,
                 items: head.items,
             };
-            (format!("o/{}", head.id), Some(encode_message(&value)))
+            (format!("s/{}/o", head.id), Some(encode_message(&value)))
         }
         BookRecord::Items { submission, first, items } => {
             let items = items.iter().map(WireItem::from).collect();
             let value = encode_message(&WireBookRecord::Items { items });
-            (format!("i/{submission}/{first}"), Some(value))
+            (format!("s/{submission}/i/{first}"), Some(value))
         }
         BookRecord::Result { submission, position, result } => {
             let value = encode_message(&WireBookRecord::from(result));
-            (format!("r/{submission}/{position}"), Some(value))
+            (format!("s/{submission}/r/{position}"), Some(value))
         }
         BookRecord::Ended { submission } => {
-            (format!("e/{submission}"), Some(encode_message(&WireBookRecord::Ended)))
+            (format!("s/{submission}/e"), Some(encode_message(&WireBookRecord::Ended)))
         }
-        BookRecord::Dropped { submission } => (format!("o/{submission}"), None),
+        BookRecord::Marked { submission } => {
+            (format!("{OPEN_PREFIX}{submission}"), Some(encode_message(&WireBookRecord::Marked)))
+        }
+        BookRecord::Unmarked { submission } => (format!("{OPEN_PREFIX}{submission}"), None),
     }
 }
 
-/// Decodes a record from its key and value. A record without a value drops its key; only that of the
-/// submission itself means something, the others yield `None`.
+/// Decodes a record from its key and value. Only markers are dropped on their own; another record
+/// without a value yields `None`.
 ///
 /// # Errors
 ///
@@ -99,18 +114,23 @@
     key: &str,
     value: Option<&[u8]>,
 ) -> Result<Option<BookRecord>, MalformedMessage> {
-    let mut parts = key.split('/');
-    let (kind, submission) = (parts.next(), parts.next());
+    if let Some(submission) = key.strip_prefix(OPEN_PREFIX) {
+        let submission = String::from(submission);
+        return Ok(Some(match value {
+            Some(_) => BookRecord::Marked { submission },
+            None => BookRecord::Unmarked { submission },
+        }));
+    }
+    let Some(value) = value else { return Ok(None) };
+    let mut parts = key.split('/').skip(1);
+    let (submission, kind) = (parts.next(), parts.next());
     let number = parts.next().map(str::parse::<u32>).transpose();
     let number =
         number.map_err(|_| MalformedMessage::new(format!("key \"{key}\" has no number")))?;
-    let (Some(kind), Some(submission)) = (kind, submission) else {
+    let (Some(submission), Some(kind)) = (submission, kind) else {
         return Err(MalformedMessage::new(format!("key \"{key}\" names no submission")));
     };
     let submission = String::from(submission);
-    let Some(value) = value else {
-        return Ok((kind == "o").then_some(BookRecord::Dropped { submission }));
-    };
     let record = match (kind, number, decode_message(value)?) {
         ("o", None, opened @ WireBookRecord::Opened { .. }) => head(submission, opened)?,
         ("i", Some(first), WireBookRecord::Items { items }) => {
--- a/crates/submissions/src/book.rs
+++ b/crates/submissions/src/book.rs
@@ -34,8 +34,13 @@
             /// Identifier of the submission.
             submission: String,
         },
-        /// All records of a submission were deleted.
-        Dropped {
+        /// The submission is open, for nodes that look for work.
+        Marked {
+            /// Identifier of the submission.
+            submission: String,
+        },
+        /// The submission is no longer open.
+        Unmarked {
             /// Identifier of the submission.
             submission: String,
         },
@@ -97,9 +102,7 @@
                 }
                 Some(submission)
             }
-            BookRecord::Dropped { submission } => {
-                self.submissions.remove(&submission).map(|_| submission)
-            }
+            BookRecord::Marked { .. } | BookRecord::Unmarked { .. } => None,
         }
     }
 
@@ -114,7 +117,7 @@
         self.submissions.values().filter(|state| state.is_complete())
     }
 
-    /// Forgets everything, before the newest records of all keys are read again.
+    /// Forgets everything, when the partition is no longer followed.
     pub fn clear(&mut self) {
         self.submissions.clear();
     }
