--- a/crates/dispatch/src/pick.rs
+++ b/crates/dispatch/src/pick.rs
@@ -21,6 +21,8 @@
         pub zone: &'a str,
         /// Upstreams that the request was sent to before.
         pub tried: &'a [UpstreamKey],
+        /// Upstreams to which an idle connection is open.
+        pub connected: &'a [UpstreamKey],
         /// Random number that spreads equal choices of several nodes.
         pub draw: u64,
     }
@@ -35,6 +37,8 @@
         pub tried: &'a [UpstreamKey],
         /// Engine that has read the shared part of the prompt, if any.
         pub warm: Option<UpstreamKey>,
+        /// Engines to which an idle connection is open.
+        pub connected: &'a [UpstreamKey],
         /// Random number that spreads equal choices of several nodes.
         pub draw: u64,
     }
@@ -55,6 +59,14 @@
 /// Random part of a cost, which keeps nodes with equal knowledge from choosing alike.
 const JITTER: f64 = 0.15;
 
+/// Factor on the cost of an upstream to which an idle connection is open. Connections are priced, and
+/// opening one costs a round trip.
+const CONNECTED_FACTOR: f64 = 0.8;
+
+/// A running generation is moved when the other engine needs less than this part of the time between
+/// events. The prompt and text are read again, which takes some milliseconds.
+const MOVE_BOUND: f64 = 0.6;
+
 /// An engine that has read the shared prompt is preferred while its cost is below the best one's
 /// times this.
 const WARM_BOUND: f64 = 1.2;
@@ -71,7 +83,9 @@
             }
             let row = &self.rows[*upstream];
             let rank = self.rank(now, *upstream, ask.tried);
-            let cost = plain_cost(now, row, ask) * jitter(ask.draw, *upstream);
+            let cost = plain_cost(now, row, ask)
+                * jitter(ask.draw, *upstream)
+                * connected_factor(ask.connected, *upstream);
             if best.is_none_or(|(top, least, _)| (rank, cost) < (top, least)) {
                 best = Some((rank, cost, *upstream));
             }
@@ -92,7 +106,9 @@
                 continue;
             }
             let rank = self.rank(now, *upstream, ask.tried);
-            let cost = generation_cost(now, row) * jitter(ask.draw, *upstream);
+            let cost = generation_cost(now, row)
+                * jitter(ask.draw, *upstream)
+                * connected_factor(ask.connected, *upstream);
             if ask.warm == Some(*upstream) {
                 warm = Some((rank, cost, *upstream));
             }
@@ -118,6 +134,16 @@
         self.is_usable(now, upstream) && version.is_some_and(|version| version >= need.least)
     }
 
+    /// Tells whether a generation that runs on an engine should go on at another one, which is known to
+    /// be much faster.
+    #[must_use]
+    pub fn is_worth_moving(&self, now: Moment, from: UpstreamKey, to: UpstreamKey) -> bool {
+        let (from, to) = (&self.rows[from], &self.rows[to]);
+        let (Some(slow), Some(fast)) = (from.event_time, to.event_time) else { return false };
+        let added = 1.0 + SLOT_SLOWDOWN * f64::from(to.load(now));
+        fast * added * to.failure_factor() < slow * MOVE_BOUND
+    }
+
     /// Returns the expected time between events on an engine, if one was seen.
     #[must_use]
     pub fn event_time(&self, upstream: UpstreamKey) -> Option<Span> {
@@ -155,6 +181,10 @@
     time * (1.0 + SLOT_SLOWDOWN * f64::from(row.load(now)))
 }
 
+fn connected_factor(connected: &[UpstreamKey], upstream: UpstreamKey) -> f64 {
+    if connected.contains(&upstream) { CONNECTED_FACTOR } else { 1.0 }
+}
+
 fn jitter(draw: u64, upstream: UpstreamKey) -> f64 {
     let weight = rendezvous_weight(u64::from(upstream.0), draw) >> 11;
     1.0 + JITTER * (weight as f64 / (1u64 << 53) as f64)
--- a/crates/hibiscushinged/src/gateway/control.rs
+++ b/crates/hibiscushinged/src/gateway/control.rs
@@ -34,7 +34,7 @@
 
 /// Longest wait of a read for changes. It bounds how long a connection that has gone silent hides a
 /// change, together with the time-out of a call.
-const POLL_WAIT: Span = Span::from_millis(500);
+const POLL_WAIT: Span = Span::from_millis(250);
 
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
--- a/crates/hibiscushinged/src/gateway/duties.rs
+++ b/crates/hibiscushinged/src/gateway/duties.rs
@@ -10,7 +10,7 @@
 use clients::{HttpClient, SendPermit};
 use platform::{AppendAnswer, DutyClient, UsageReport, keyed_record};
 use protocol::{UsageKey, decode_usage_record, encode_usage_report};
-use usage::{CustomerCounts, WindowNumber, sum_counts, window_end, window_of};
+use usage::{CustomerCounts, WindowBoard, WindowNumber, window_end, window_of};
 
 use crate::{
     gateway::{
@@ -25,8 +25,9 @@
 /// Time between two looks at the windows.
 const PERIOD: Duration = Duration::from_millis(200);
 
-/// Part of the time until a report is due after which its figures are fixed. Nodes that were cut off
-/// for some seconds still get their totals in, and a successor has time to report.
+/// Part of the time until a report is due for which nodes that have not closed the window are waited
+/// for. Nodes that were cut off for some seconds still get their totals in, and a successor has time to
+/// report.
 const CLOSE_SHARE: f64 = 0.6;
 
 /// Windows before the newest one that are looked at.
@@ -39,7 +40,7 @@
 #[derive(Default)]
 struct UsageState {
     next: Option<u64>,
-    totals: BTreeMap<WindowNumber, BTreeMap<u64, CustomerCounts>>,
+    board: WindowBoard,
     reports: BTreeMap<WindowNumber, CustomerCounts>,
     confirmed: BTreeSet<WindowNumber>,
 }
@@ -69,16 +70,17 @@
 }
 
 fn due_windows(control: &ControlState, state: &UsageState) -> Vec<WindowNumber> {
+    let newest = window_of(control.node.wall(), control.node.settings.promises.window);
+    let windows = (newest.0.saturating_sub(LOOK_BACK)..newest.0).map(WindowNumber);
+    windows.filter(|window| !state.confirmed.contains(window)).collect()
+}
+
+/// Tells whether nodes that have not closed the window are no longer waited for.
+fn is_overdue(control: &ControlState, window: WindowNumber) -> bool {
     let promises = &control.node.settings.promises;
     let delay = (promises.usage_due.as_millis() as f64 * CLOSE_SHARE) as i64;
-    let now = control.node.wall();
-    let newest = window_of(now, promises.window);
-    let windows = (newest.0.saturating_sub(LOOK_BACK)..newest.0).map(WindowNumber);
-    let due = windows.filter(|window| {
-        let end = window_end(*window, promises.window);
-        WallTime(end.0 + delay) <= now && !state.confirmed.contains(window)
-    });
-    due.collect()
+    let end = window_end(window, promises.window);
+    WallTime(end.0 + delay) <= control.node.wall()
 }
 
 /// Fixes the figures of a window by a record in the store, so that every holder sends the same ones.
@@ -92,8 +94,10 @@
     if !read(control, name, state).await || state.reports.contains_key(&window) {
         return;
     }
-    let totals = state.totals.get(&window);
-    let counts = sum_counts(totals.into_iter().flat_map(BTreeMap::values));
+    if !state.board.is_closed(window) && !is_overdue(control, window) {
+        return;
+    }
+    let counts = state.board.figures(window);
     let (key, value) = encode_usage_report(window, &counts);
     let record = keyed_record(&key, Some(&value));
     let stored = control.store.append(USAGE_TOPIC, 0, state.next, &[record]).await;
@@ -127,8 +131,8 @@
     fn apply(&mut self, change: KeyChange) {
         let Some(value) = change.value else { return };
         match decode_usage_record(&change.key, &value) {
-            Ok((UsageKey::Totals { window, writer }, counts)) => {
-                self.totals.entry(window).or_default().insert(writer.0, counts);
+            Ok((UsageKey::Totals { window, writer, closed }, counts)) => {
+                self.board.take(window, writer.0, counts, closed);
             }
             Ok((UsageKey::Report { window }, counts)) => {
                 self.reports.entry(window).or_insert(counts);
--- a/crates/hibiscushinged/src/gateway/node.rs
+++ b/crates/hibiscushinged/src/gateway/node.rs
@@ -18,9 +18,9 @@
     telemetry::log_event,
 };
 
-/// Silence of the store after which this node counts as cut off. Calls take some milliseconds, and
-/// a quarter of a second when the store is slow.
-const STORE_SILENCE: Span = Span::from_millis(1_500);
+/// Silence of the store after which this node counts as cut off. The followers' reads wait a quarter of a
+/// second at most, and calls take another quarter when the store is slow.
+const STORE_SILENCE: Span = Span::from_millis(750);
 
 /// Time after a silence of the store in which missing entries may come back.
 const STORE_SETTLING: Span = Span::from_secs(3);
--- a/crates/hibiscushinged/src/gateway/plain.rs
+++ b/crates/hibiscushinged/src/gateway/plain.rs
@@ -111,7 +111,9 @@
 
 fn pick(traffic: &TrafficState, job: &PlainJob<'_>, tried: &[UpstreamKey]) -> Option<UpstreamKey> {
     let zone = &traffic.node.settings.zone;
-    let ask = PlainAsk { service: job.service, zone, tried, draw: rand::random() };
+    let connected = &traffic.pool.connected();
+    let draw = rand::random();
+    let ask = PlainAsk { service: job.service, zone, tried, connected, draw };
     traffic.board.borrow().pick_plain(traffic.node.now(), &ask)
 }
 
--- a/crates/hibiscushinged/src/gateway/pool.rs
+++ b/crates/hibiscushinged/src/gateway/pool.rs
@@ -4,6 +4,7 @@
 
 use actix_http::ServiceConfig;
 use base::{Moment, Span, UpstreamKey};
+use smallvec::SmallVec;
 
 use crate::gateway::channel::UpstreamChannel;
 
@@ -66,6 +67,12 @@
         }
     }
 
+    /// Returns the upstreams to which an idle connection is open.
+    pub(crate) fn connected(&self) -> SmallVec<[UpstreamKey; 16]> {
+        let idle = self.idle.borrow();
+        idle.iter().filter(|(_, channels)| !channels.is_empty()).map(|(key, _)| *key).collect()
+    }
+
     /// Closes all idle connections of an upstream that has gone or restarted.
     pub(crate) fn close(&self, upstream: UpstreamKey) {
         self.idle.borrow_mut().remove(&upstream);
--- a/crates/hibiscushinged/src/gateway/relay.rs
+++ b/crates/hibiscushinged/src/gateway/relay.rs
@@ -51,7 +51,9 @@
     while tried.len() < job.attempts {
         let left = job.deadline.since(traffic.node.now());
         let zone = &traffic.node.settings.zone;
-        let ask = PlainAsk { service: job.service, zone, tried: &tried, draw: rand::random() };
+        let connected = &traffic.pool.connected();
+        let draw = rand::random();
+        let ask = PlainAsk { service: job.service, zone, tried: &tried, connected, draw };
         let picked = traffic.board.borrow().pick_plain(traffic.node.now(), &ask);
         let Some(upstream) = picked else { break };
         tried.push(upstream);
--- a/crates/hibiscushinged/src/gateway/reward.rs
+++ b/crates/hibiscushinged/src/gateway/reward.rs
@@ -1,9 +1,10 @@
 //! The call that scores a whole text.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use actix_http::{Method, header::HeaderMap};
 use submissions::{ItemResult, ItemState, RewardCall};
+use tokio::sync::Notify;
 
 use crate::{
     gateway::{
@@ -21,6 +22,43 @@
 /// answer.
 const TRIES: usize = 2;
 
+/// Part of a service's slots that reward calls of this node may take, so that live callers find the
+/// others free.
+const SLOT_SHARE: u32 = 2;
+
+/// Calls that may run at once whatever the slots.
+const LEAST_CALLS: u32 = 2;
+
+/// Bounds the reward calls in progress.
+#[derive(Default)]
+pub(crate) struct RewardGate {
+    running: Cell<u32>,
+    freed: Notify,
+}
+
+/// A call in progress.
+struct RewardPass<'a>(&'a RewardGate);
+
+impl RewardGate {
+    async fn enter(&self, traffic: &TrafficState, service: &str) -> RewardPass<'_> {
+        loop {
+            let (slots, _) = traffic.board.borrow().occupancy(traffic.node.now(), service);
+            if self.running.get() < (slots / SLOT_SHARE).max(LEAST_CALLS) {
+                self.running.set(self.running.get() + 1);
+                return RewardPass(self);
+            }
+            self.freed.notified().await;
+        }
+    }
+}
+
+impl Drop for RewardPass<'_> {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get() - 1);
+        self.0.freed.notify_one();
+    }
+}
+
 /// How one reward call ended.
 enum CallEnd {
     Scored(String),
@@ -38,6 +76,7 @@
         traffic.runner.resolve(job, finished(job, None));
         return;
     };
+    job.scoring.set(true);
     let mut failures = 0;
     while traffic.runner.is_wanted(job) {
         match call(traffic, reward).await {
@@ -85,7 +124,9 @@
         attempts: TRIES,
         repeatable: true,
     };
+    let _pass = traffic.runner.rewards.enter(traffic, service).await;
     let started = traffic.node.now();
+    let plain = PlainJob { deadline: started + route.timeout, ..plain };
     match run_plain(traffic, &plain).await {
         Ok(answer) if answer.status < 300 => {
             traffic.node.metrics.observe_reward(traffic.node.now().since(started));
--- a/crates/hibiscushinged/src/gateway/runner.rs
+++ b/crates/hibiscushinged/src/gateway/runner.rs
@@ -18,10 +18,10 @@
 use tokio::{sync::Notify, task::AbortHandle};
 
 use crate::{
-    clock::wall_now,
+    clock::{to_duration, wall_now},
     gateway::{
         attempt::PlaceGuard, board::TrafficState, commit::commit, generation,
-        mirror::PartitionMirror,
+        mirror::PartitionMirror, reward::RewardGate,
     },
     shared::ServicePhase,
     telemetry::log_event,
@@ -43,6 +43,18 @@
 /// when the item returns.
 const TEXT_LIFE: Span = Span::from_secs(30);
 
+/// Time that a run stays where it is at least. It covers a usual prompt and some events.
+const LEAST_STAY: Span = Span::from_millis(400);
+
+/// Time between two looks for runs that would be faster elsewhere.
+const MOVE_PERIOD: Span = Span::from_millis(250);
+
+/// Runs that are moved at one look.
+const MOST_MOVES: usize = 4;
+
+/// Due time by which items of a less urgent route stand behind, for each rank.
+const RANK_DELAY: Span = Span::from_millis(1_500);
+
 /// Due time of results where the route states none.
 const DEFAULT_DUE: Span = Span::from_secs(10);
 
@@ -52,7 +64,16 @@
     pub(crate) head: Arc<SubmissionHead>,
     pub(crate) item: Arc<SubmissionItem>,
     pub(crate) progress: RefCell<JobProgress>,
-    abort: RefCell<Option<AbortHandle>>,
+    /// Whether the text is whole and waits for its score.
+    pub(crate) scoring: Cell<bool>,
+    run: RefCell<Option<ItemRun>>,
+}
+
+/// A run in progress.
+struct ItemRun {
+    abort: AbortHandle,
+    upstream: UpstreamKey,
+    started_at: Moment,
 }
 
 /// How far an item is.
@@ -71,7 +92,6 @@
     kept_at: Moment,
 }
 
-#[derive(Default)]
 struct RunnerState {
     queue: ItemQueue<Rc<ItemJob>>,
     jobs: HashMap<JobKey, Rc<ItemJob>>,
@@ -80,6 +100,21 @@
     warm: HashMap<String, UpstreamKey>,
     results: HashMap<u32, Vec<(String, ItemResult)>>,
     watched: HashSet<u32>,
+    moved_at: Moment,
+}
+
+impl Default for RunnerState {
+    fn default() -> Self {
+        Self {
+            queue: ItemQueue::default(),
+            jobs: HashMap::new(),
+            kept: HashMap::new(),
+            warm: HashMap::new(),
+            results: HashMap::new(),
+            watched: HashSet::new(),
+            moved_at: Moment(0),
+        }
+    }
 }
 
 /// Items of this node.
@@ -89,6 +124,7 @@
     wake: Notify,
     results: Notify,
     stopped: Cell<bool>,
+    pub(crate) rewards: RewardGate,
 }
 
 impl ItemRunner {
@@ -106,7 +142,7 @@
     /// Number of items that are running or whose results are not stored yet.
     pub(crate) fn unfinished(&self) -> usize {
         let state = self.state.borrow();
-        let running = state.jobs.values().filter(|job| job.abort.borrow().is_some()).count();
+        let running = state.jobs.values().filter(|job| job.run.borrow().is_some()).count();
         running + state.results.values().map(Vec::len).sum::<usize>()
     }
 
@@ -182,8 +218,8 @@
         for key in over {
             let Some(job) = state.jobs.remove(&key) else { continue };
             // Dropping the run closes its connection, and the engine drops the request.
-            if let Some(abort) = job.abort.take() {
-                abort.abort();
+            if let Some(run) = job.run.take() {
+                run.abort.abort();
             }
             let text = job.progress.borrow().text.clone();
             if text.last_id() > 0 {
@@ -203,6 +239,7 @@
         let state = &mut *state;
         let mut full: BTreeSet<(String, u64)> = BTreeSet::new();
         let warm = &mut state.warm;
+        let connected = traffic.pool.connected();
         state.queue.place(|job| {
             let head = &job.head;
             let need = (head.model.clone(), head.least_version.0);
@@ -218,6 +255,7 @@
                 need: ModelNeed { model: &head.model, least: head.least_version },
                 tried: &progress.tried,
                 warm: prompt.and_then(|prompt| warm.get(prompt).copied()),
+                connected: &connected,
                 draw: rand::random(),
             };
             let Some(upstream) = traffic.board.borrow().pick_generation(now, &ask) else {
@@ -233,9 +271,30 @@
         });
     }
 
+    /// Moves runs from slow engines to free slots of much faster ones. It waits while items wait, since
+    /// these need the slots more.
+    fn move_runs(&self, traffic: &Rc<TrafficState>) {
+        let now = traffic.node.now();
+        let mut state = self.state.borrow_mut();
+        let rested = now.since(state.moved_at) >= MOVE_PERIOD;
+        if !rested || !state.queue.is_empty() || self.stopped.get() {
+            return;
+        }
+        state.moved_at = now;
+        let jobs: Vec<Rc<ItemJob>> = state.jobs.values().cloned().collect();
+        drop(state);
+        let mut moves = 0;
+        for job in jobs {
+            if moves == MOST_MOVES {
+                return;
+            }
+            moves += usize::from(job.move_elsewhere(traffic, now));
+        }
+    }
+
     /// Puts an interrupted item back into the queue.
     pub(crate) fn requeue(&self, traffic: &Rc<TrafficState>, job: &Rc<ItemJob>) {
-        job.abort.take();
+        job.run.take();
         let mut state = self.state.borrow_mut();
         if !state.jobs.contains_key(&job.key()) || self.stopped.get() {
             return;
@@ -251,7 +310,7 @@
 
     /// Takes the final result of an item.
     pub(crate) fn resolve(&self, job: &ItemJob, result: ItemResult) {
-        job.abort.take();
+        job.run.take();
         let events = job.progress.borrow().text.last_id();
         let (submission, item, state) = (&job.head.id, &job.item.id, result.state);
         log_event!(ItemResolved, submission, item, ?state, events, versions = ?result.versions);
@@ -285,7 +344,8 @@
             head: Arc::clone(head),
             item: Arc::clone(item),
             progress: RefCell::new(progress),
-            abort: RefCell::new(None),
+            scoring: Cell::new(false),
+            run: RefCell::new(None),
         }
     }
 
@@ -293,11 +353,50 @@
         (self.head.id.clone(), self.item.id.clone())
     }
 
+    /// Moves a run whose text has begun to a much faster engine, if one has a free slot.
+    fn move_elsewhere(self: &Rc<Self>, traffic: &Rc<TrafficState>, now: Moment) -> bool {
+        let run = self.run.borrow();
+        let Some(current) = run.as_ref() else { return false };
+        let (from, stayed) = (current.upstream, now.since(current.started_at));
+        let progress = self.progress.borrow();
+        if stayed < LEAST_STAY || progress.text.last_id() == 0 || self.scoring.get() {
+            return false;
+        }
+        let service = traffic.board.borrow().entry(from).service.clone();
+        let ask = GenerationAsk {
+            service: &service,
+            need: ModelNeed { model: &self.head.model, least: self.head.least_version },
+            tried: &[from],
+            warm: None,
+            connected: &traffic.pool.connected(),
+            draw: rand::random(),
+        };
+        let board = traffic.board.borrow();
+        let picked = board.pick_generation(now, &ask);
+        let Some(to) = picked.filter(|to| *to != from && board.is_worth_moving(now, from, *to))
+        else {
+            return false;
+        };
+        let (submission, item) = (&self.head.id, &self.item.id);
+        let (upstream, next) = (&board.entry(from).id, &board.entry(to).id);
+        let events = progress.text.last_id();
+        let reason = "a faster engine has a free slot";
+        log_event!(ItemInterrupted, submission, item, upstream, next, reason, events);
+        drop((board, progress, run));
+        if let Some(run) = self.run.take() {
+            run.abort.abort();
+        }
+        self.start(traffic, to);
+        true
+    }
+
     fn start(self: &Rc<Self>, traffic: &Rc<TrafficState>, upstream: UpstreamKey) {
         let place = PlaceGuard::take(traffic, upstream);
         let (job, traffic) = (Rc::clone(self), Rc::clone(traffic));
-        let run = actix_rt::spawn(generation::run(traffic, job, upstream, place));
-        self.abort.replace(Some(run.abort_handle()));
+        let started_at = traffic.node.now();
+        let task = actix_rt::spawn(generation::run(traffic, job, upstream, place));
+        let run = ItemRun { abort: task.abort_handle(), upstream, started_at };
+        self.run.replace(Some(run));
     }
 }
 
@@ -305,20 +404,27 @@
     let objective = route.run_objective.unwrap_or(DEFAULT_DUE);
     let age = wall_now().0.saturating_sub(head.accepted_at.0);
     let age = Span::from_millis(u64::try_from(age).unwrap_or(0));
-    traffic.node.now() + objective.saturating_sub(age)
+    let rank = Span(RANK_DELAY.0 * u64::from(route.priority));
+    traffic.node.now() + objective.saturating_sub(age) + rank
 }
 
 /// Places items until the process ends.
 pub(crate) async fn place_items(traffic: Rc<TrafficState>) {
     loop {
         let waiting = !traffic.runner.state.borrow().queue.is_empty();
-        let period = if waiting { QUEUE_PERIOD } else { IDLE_PERIOD };
+        let running = traffic.runner.unfinished() > 0;
+        let period = match (waiting, running) {
+            (true, _) => QUEUE_PERIOD,
+            (false, true) => to_duration(MOVE_PERIOD),
+            (false, false) => IDLE_PERIOD,
+        };
         tokio::select! {
             () = traffic.runner.wake.notified() => {}
             () = tokio::time::sleep(period) => {}
         }
         if traffic.node.phase() != ServicePhase::Draining {
             traffic.runner.place(&traffic);
+            traffic.runner.move_runs(&traffic);
         }
     }
 }
--- a/crates/hibiscushinged/src/gateway/usage.rs
+++ b/crates/hibiscushinged/src/gateway/usage.rs
@@ -2,10 +2,11 @@
 
 use std::{rc::Rc, time::Duration};
 
+use base::{Span, WallTime};
 use bytes::Bytes;
 use platform::{AppendAnswer, keyed_record};
 use protocol::encode_usage_totals;
-use usage::{WindowNumber, window_of};
+use usage::{CustomerCounts, WindowNumber, window_of};
 
 use crate::{gateway::control::ControlState, telemetry::log_event};
 
@@ -18,26 +19,33 @@
 /// Windows whose totals this node keeps for repeats.
 const KEPT_WINDOWS: u64 = 8;
 
-/// Writes changed totals until the process ends.
+/// Time after the end of a window from which this node counts it as closed. Requests that turn out not
+/// to have run are taken back by then.
+const CLOSE_DELAY: Span = Span::from_millis(300);
+
+/// Writes changed totals, and those of windows that have ended, until the process ends.
 pub(crate) async fn store_usage(control: Rc<ControlState>) {
+    let length = control.node.settings.promises.window;
+    let first = window_of(control.node.wall(), length);
+    let mut closed = WindowNumber(first.0.saturating_sub(1));
     loop {
         tokio::time::sleep(WRITE_PERIOD).await;
-        let changed = control.node.tally().take_changed();
+        let ended = WallTime(control.node.wall().0 - CLOSE_DELAY.as_millis() as i64);
+        // The window before the one that is running has ended.
+        let ended = WindowNumber(window_of(ended, length).0.saturating_sub(1));
+        let mut changed = control.node.tally().take_changed();
+        if ended > closed && !changed.iter().any(|(window, _)| *window == ended) {
+            let totals = control.node.tally().totals(ended);
+            changed.push((ended, totals));
+        }
         if changed.is_empty() {
             continue;
         }
-        let writer = control.node.incarnation;
-        let records: Vec<Bytes> = changed
-            .iter()
-            .map(|(window, counts)| {
-                let (key, value) = encode_usage_totals(*window, writer, counts);
-                keyed_record(&key, Some(&value))
-            })
-            .collect();
-        let stored = control.store.append(USAGE_TOPIC, 0, None, &records).await;
-        if matches!(stored, Ok(AppendAnswer::Appended { .. })) {
-            let windows = changed.len();
-            log_event!(UsageBatchAppended, windows, newest = changed.last().map(|(w, _)| w.0));
+        let stored = write(&control, &changed, ended).await;
+        if stored {
+            closed = closed.max(ended);
+            let (windows, newest) = (changed.len(), changed.last().map(|(window, _)| window.0));
+            log_event!(UsageBatchAppended, windows, newest);
         } else {
             // Totals replace each other, so a write whose answer was lost is made again.
             let mut tally = control.node.tally();
@@ -45,8 +53,24 @@
                 tally.mark(*window);
             }
         }
-        let newest = window_of(control.node.wall(), control.node.settings.promises.window);
-        let oldest = WindowNumber(newest.0.saturating_sub(KEPT_WINDOWS));
+        let oldest = WindowNumber(ended.0.saturating_sub(KEPT_WINDOWS));
         control.node.tally().forget_before(oldest);
     }
 }
+
+async fn write(
+    control: &ControlState,
+    changed: &[(WindowNumber, CustomerCounts)],
+    ended: WindowNumber,
+) -> bool {
+    let writer = control.node.incarnation;
+    let records: Vec<Bytes> = changed
+        .iter()
+        .map(|(window, counts)| {
+            let (key, value) = encode_usage_totals(*window, writer, counts, *window <= ended);
+            keyed_record(&key, Some(&value))
+        })
+        .collect();
+    let stored = control.store.append(USAGE_TOPIC, 0, None, &records).await;
+    matches!(stored, Ok(AppendAnswer::Appended { .. }))
+}
--- a/crates/protocol/src/record/totals.rs
+++ b/crates/protocol/src/record/totals.rs
@@ -5,7 +5,7 @@
 use base::{Incarnation, key};
 use usage::{CustomerCounts, WindowNumber};
 
-use crate::codec::{MalformedMessage, decode_message, encode_message};
+use crate::codec::{MalformedMessage, decode_message, encode_message, wire};
 
 key! {
     /// What a record of the usage topic holds.
@@ -16,6 +16,8 @@
             window: WindowNumber,
             /// Process that counted.
             writer: Incarnation,
+            /// Whether the window had ended for the process.
+            closed: bool,
         },
         /// The fixed figures of a window.
         Report {
@@ -25,14 +27,24 @@
     }
 }
 
-/// Encodes the totals of a process.
+wire! {
+    struct WireTotals {
+        counts: BTreeMap<String, u64>,
+        /// Whether the window had ended when the totals were written.
+        closed: bool,
+    }
+}
+
+/// Encodes the totals of a process. `closed` says that the window has ended for it.
 #[must_use]
 pub fn encode_usage_totals(
     window: WindowNumber,
     writer: Incarnation,
     counts: &CustomerCounts,
+    closed: bool,
 ) -> (String, Vec<u8>) {
-    (format!("t/{}/{:x}", window.0, writer.0), encode_message(counts))
+    let totals = WireTotals { counts: counts.clone(), closed };
+    (format!("t/{}/{:x}", window.0, writer.0), encode_message(&totals))
 }
 
 /// Encodes the fixed figures of a window.
@@ -55,14 +67,14 @@
     let kind = parts.next().ok_or_else(malformed)?;
     let window = parts.next().and_then(|text| text.parse().ok()).ok_or_else(malformed)?;
     let window = WindowNumber(window);
-    let key = match (kind, parts.next()) {
+    match (kind, parts.next()) {
         ("t", Some(writer)) => {
             let writer = u64::from_str_radix(writer, 16).map_err(|_| malformed())?;
-            UsageKey::Totals { window, writer: Incarnation(writer) }
+            let totals: WireTotals = decode_message(value)?;
+            let writer = Incarnation(writer);
+            Ok((UsageKey::Totals { window, writer, closed: totals.closed }, totals.counts))
         }
-        ("r", None) => UsageKey::Report { window },
-        _ => return Err(malformed()),
-    };
-    let counts: BTreeMap<String, u64> = decode_message(value)?;
-    Ok((key, counts))
+        ("r", None) => Ok((UsageKey::Report { window }, decode_message(value)?)),
+        _ => Err(malformed()),
+    }
 }
--- a/crates/usage/src/lib.rs
+++ b/crates/usage/src/lib.rs
@@ -19,5 +19,5 @@
     replica::{HoldOutcome, OriginState, ReplicaStore},
     report::{ReportAnswer, ReportDesk, WindowReport},
     seen::{SeenRecords, SequenceRange},
-    tally::{CustomerCounts, WindowTally, sum_counts, window_end, window_of},
+    tally::{CustomerCounts, WindowBoard, WindowTally, sum_counts, window_end, window_of},
 };
--- a/crates/usage/src/tally.rs
+++ b/crates/usage/src/tally.rs
@@ -55,6 +55,12 @@
         }
     }
 
+    /// Returns the totals of a window, which may be empty.
+    #[must_use]
+    pub fn totals(&self, window: WindowNumber) -> CustomerCounts {
+        self.windows.get(&window).cloned().unwrap_or_default()
+    }
+
     /// Forgets windows before `oldest`.
     pub fn forget_before(&mut self, oldest: WindowNumber) {
         self.windows = self.windows.split_off(&oldest);
@@ -89,3 +95,56 @@
     }
     sum
 }
+
+/// Totals of all processes, for the one that reports a window.
+#[derive(Debug, Default)]
+pub struct WindowBoard {
+    totals: BTreeMap<WindowNumber, BTreeMap<u64, ProcessTotals>>,
+}
+
+#[derive(Debug, Default)]
+struct ProcessTotals {
+    counts: CustomerCounts,
+    closed: bool,
+}
+
+impl WindowBoard {
+    /// Takes the totals of a process. Later ones replace earlier ones.
+    pub fn take(
+        &mut self,
+        window: WindowNumber,
+        process: u64,
+        counts: CustomerCounts,
+        closed: bool,
+    ) {
+        let totals = ProcessTotals { counts, closed };
+        self.totals.entry(window).or_default().insert(process, totals);
+    }
+
+    /// Tells whether all processes that are known to live have closed a window: those that closed the
+    /// one before, and those that counted in this one.
+    #[must_use]
+    pub fn is_closed(&self, window: WindowNumber) -> bool {
+        let Some(before) = window.0.checked_sub(1).and_then(|w| self.totals.get(&WindowNumber(w)))
+        else {
+            return false;
+        };
+        let Some(now) = self.totals.get(&window) else { return false };
+        let closed = |process: &u64| now.get(process).is_some_and(|totals| totals.closed);
+        before.iter().filter(|(_, totals)| totals.closed).all(|(process, _)| closed(process))
+            && now.keys().all(closed)
+            && before.values().any(|totals| totals.closed)
+    }
+
+    /// Returns the figures of a window.
+    #[must_use]
+    pub fn figures(&self, window: WindowNumber) -> CustomerCounts {
+        let totals = self.totals.get(&window).into_iter().flat_map(BTreeMap::values);
+        sum_counts(totals.map(|totals| &totals.counts))
+    }
+
+    /// Forgets windows before `oldest`.
+    pub fn forget_before(&mut self, oldest: WindowNumber) {
+        self.totals = self.totals.split_off(&oldest);
+    }
+}
--- /dev/null
+++ b/crates/usage/tests/tally.rs
@@ -0,0 +1,71 @@
+//! Running totals by window, and when a window may be reported.
+
+use base::{Span, WallTime};
+use rstest::rstest;
+use usage::{CustomerCounts, WindowBoard, WindowNumber, WindowTally, window_end, window_of};
+
+const WINDOW: Span = Span::from_secs(5);
+
+fn counts(pairs: &[(&str, u64)]) -> CustomerCounts {
+    pairs.iter().map(|(name, count)| (String::from(*name), *count)).collect()
+}
+
+/// Guards against a repeated write that bills a request twice, and a write that bills one that did not
+/// run.
+#[test]
+fn totals_are_written_again_only_when_they_change() {
+    let mut tally = WindowTally::default();
+    tally.add(WindowNumber(7), "brewer");
+    tally.add(WindowNumber(7), "brewer");
+    tally.add(WindowNumber(8), "studio");
+    tally.take_back(WindowNumber(7), "brewer");
+    let changed = tally.take_changed();
+    assert_eq!(
+        changed,
+        vec![
+            (WindowNumber(7), counts(&[("brewer", 1)])),
+            (WindowNumber(8), counts(&[("studio", 1)])),
+        ]
+    );
+    assert!(tally.take_changed().is_empty());
+    tally.mark(WindowNumber(8));
+    assert_eq!(tally.take_changed().len(), 1);
+}
+
+#[rstest]
+#[case(0, 0)]
+#[case(4_999, 0)]
+#[case(5_000, 1)]
+#[case(-3, 0)]
+fn check_window(#[case] millis: i64, #[case] window: u64) {
+    assert_eq!(window_of(WallTime(millis), WINDOW), WindowNumber(window));
+    assert_eq!(window_end(WindowNumber(window), WINDOW).0, (window as i64 + 1) * 5_000);
+}
+
+/// Pattern: the store is away from 3 s after a window's end until after its report is due.
+///
+/// Guards against a report that waits for nodes which have all closed the window already (trouble-2 of
+/// derwent-sleeves missed the window before an outage).
+#[test]
+fn window_is_closed_once_every_known_process_has_closed_it() {
+    let mut board = WindowBoard::default();
+    for process in [1, 2] {
+        board.take(WindowNumber(6), process, counts(&[]), true);
+    }
+    board.take(WindowNumber(7), 1, counts(&[("brewer", 3)]), true);
+    assert!(!board.is_closed(WindowNumber(7)), "process 2 may still count");
+    board.take(WindowNumber(7), 2, counts(&[("brewer", 1)]), false);
+    assert!(!board.is_closed(WindowNumber(7)));
+    board.take(WindowNumber(7), 2, counts(&[("brewer", 2), ("studio", 1)]), true);
+    assert!(board.is_closed(WindowNumber(7)));
+    assert_eq!(board.figures(WindowNumber(7)), counts(&[("brewer", 5), ("studio", 1)]));
+}
+
+/// Guards against a window that counts as closed before any process is known.
+#[test]
+fn unknown_window_is_not_closed() {
+    let mut board = WindowBoard::default();
+    assert!(!board.is_closed(WindowNumber(0)));
+    board.take(WindowNumber(7), 1, counts(&[]), true);
+    assert!(!board.is_closed(WindowNumber(7)));
+}
