--- a/crates/hibiscushinged/src/gateway/channel.rs
+++ b/crates/hibiscushinged/src/gateway/channel.rs
@@ -93,7 +93,7 @@
         };
         let mut codec = ClientCodec::new(self.config.clone());
         let head = RequestHeadType::Owned(head);
-        codec.encode(Message::Item((head, size)), &mut bytes).map_err(closed)?;
+        codec.encode(Message::Item((head, size)), &mut bytes)?;
         bytes.extend_from_slice(&body);
         self.unsent = bytes.freeze();
         for _ in 0..=SKIPPED_ANSWERS {
@@ -124,7 +124,7 @@
                     return Err(ChannelFault::Malformed(String::from("the head is too long")));
                 }
                 None => {
-                    if self.fill().await.map_err(closed)? == 0 {
+                    if self.fill().await? == 0 {
                         return Err(ChannelFault::Closed(String::from("closed without an answer")));
                     }
                 }
@@ -197,7 +197,7 @@
                 }
                 None => {
                     let until_close = *until_close;
-                    if self.channel.fill().await.map_err(closed)? > 0 {
+                    if self.channel.fill().await? > 0 {
                         continue;
                     }
                     if until_close {
@@ -232,8 +232,10 @@
     }
 }
 
-fn closed(error: io::Error) -> ChannelFault {
-    ChannelFault::Closed(error.to_string())
+impl From<io::Error> for ChannelFault {
+    fn from(error: io::Error) -> Self {
+        Self::Closed(error.to_string())
+    }
 }
 
 impl fmt::Display for ChannelFault {
--- a/crates/hibiscushinged/src/gateway/commit.rs
+++ b/crates/hibiscushinged/src/gateway/commit.rs
@@ -64,8 +64,8 @@
     }
 
     /// Replaces the owned partitions and tells whether they changed.
-    pub(crate) fn set_owned(&self, owned: BTreeSet<u32>) -> bool {
-        self.owned.replace(owned.clone()) != owned
+    pub(crate) fn set_owned(&self, owned: &BTreeSet<u32>) -> bool {
+        self.owned.replace(owned.clone()) != *owned
     }
 }
 
--- a/crates/hibiscushinged/src/gateway/fetch.rs
+++ b/crates/hibiscushinged/src/gateway/fetch.rs
@@ -56,7 +56,7 @@
         match store.read(&name.topic, name.part, from, wait).await? {
             ReadAnswer::Records { records, end } => {
                 let next = records.last().map_or(from, |record| record.offset + 1);
-                let changes = records.into_iter().filter_map(|record| split(name, record));
+                let changes = records.iter().filter_map(|record| split(name, record));
                 let keys = FetchedKeys::Changes(changes.collect());
                 return Ok(FetchedPart { keys, next, complete: next >= end });
             }
@@ -123,7 +123,7 @@
 }
 
 /// Splits a record into key and value. A record without a key is logged and skipped.
-pub(crate) fn split(name: &PartitionName, record: StoredRecord) -> Option<KeyChange> {
+pub(crate) fn split(name: &PartitionName, record: &StoredRecord) -> Option<KeyChange> {
     let offset = record.offset;
     match split_keyed(&record.bytes) {
         Some((key, value)) => Some(KeyChange { offset, key, value }),
--- a/crates/hibiscushinged/src/gateway/group.rs
+++ b/crates/hibiscushinged/src/gateway/group.rs
@@ -75,7 +75,7 @@
 }
 
 fn take_parts(traffic: &Rc<TrafficState>, parts: BTreeSet<u32>) {
-    let changed = traffic.partitions.set_owned(parts.clone());
+    let changed = traffic.partitions.set_owned(&parts);
     if !changed {
         return;
     }
--- a/crates/hibiscushinged/src/gateway/mirror.rs
+++ b/crates/hibiscushinged/src/gateway/mirror.rs
@@ -160,7 +160,7 @@
             ReadAnswer::Records { records, end } => {
                 let read_to = records.last().map_or(from, |record| record.offset + 1);
                 let Some(known) = self.next.get() else { return Ok(true) };
-                let changes = records.into_iter().filter(|record| record.offset >= known);
+                let changes = records.iter().filter(|record| record.offset >= known);
                 let changes = changes.filter_map(|record| split(&self.name, record)).collect();
                 self.next.set(Some(known.max(read_to)));
                 self.apply(changes);
--- a/crates/hibiscushinged/src/gateway/mirror/tests.rs
+++ b/crates/hibiscushinged/src/gateway/mirror/tests.rs
@@ -101,7 +101,7 @@
 
     mirror.catch_up(&traffic).await.unwrap();
     let book = mirror.book();
-    assert_eq!(book.get("s").map(|state| state.listed()), Some(ITEMS));
+    assert_eq!(book.get("s").map(submissions::SubmissionState::listed), Some(ITEMS));
 }
 
 /// Guards against a copy that stays behind after the store has dropped the history that it needs.
--- a/crates/routebook/src/rule.rs
+++ b/crates/routebook/src/rule.rs
@@ -142,7 +142,7 @@
     #[must_use]
     pub fn target(&self, draw: u32) -> Option<&str> {
         let total: u64 = self.targets.iter().map(|target| u64::from(target.weight)).sum();
-        let mut rest = u64::from(draw) * total >> 32;
+        let mut rest = (u64::from(draw) * total) >> 32;
         for target in &self.targets {
             let weight = u64::from(target.weight);
             if rest < weight {
