--- a/crates/dispatch/src/pick.rs
+++ b/crates/dispatch/src/pick.rs
@@ -93,7 +93,7 @@
         best.map(|(_, _, upstream)| upstream)
     }
 
-    /// Chooses an engine with a free slot for a generation, or `None` while all are taken.
+    /// Chooses an engine with a free slot for a generation, or `None` while all are taken or suspended.
     #[must_use]
     pub fn pick_generation(&self, now: Moment, ask: &GenerationAsk<'_>) -> Option<UpstreamKey> {
         let mut best: Option<(u8, f64, UpstreamKey)> = None;
@@ -102,7 +102,8 @@
             let row = &self.rows[*upstream];
             let paused = row.is_model_paused(now, ask.need.model);
             let full = row.load(now) >= row.entry.slots;
-            if paused || full || !self.accepts(now, *upstream, ask.need) {
+            // Waiting for a suspension to end is better than a run that cannot begin.
+            if paused || full || row.is_suspended(now) || !self.accepts(now, *upstream, ask.need) {
                 continue;
             }
             let rank = self.rank(now, *upstream, ask.tried);
--- /dev/null
+++ b/crates/dispatch/tests/pick.rs
@@ -0,0 +1,190 @@
+//! Choice of upstreams under load and failures.
+
+use base::{Moment, Span, UpstreamKey, WeightVersion};
+use dispatch::{
+    EntryState, ExchangeEnd, GenerationAsk, LoadReport, ModelNeed, PlainAsk, RemovalCause,
+    UpstreamBoard, UpstreamEntry,
+};
+use rstest::rstest;
+
+const NOW: Moment = Moment(10_000_000);
+
+fn entry(id: &str, slots: u32) -> UpstreamEntry {
+    UpstreamEntry {
+        id: String::from(id),
+        service: String::from("s"),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: String::from("a"),
+        slots,
+        state: EntryState::Ready,
+        warmup: Span::ZERO,
+        versions: vec![(String::from("m"), WeightVersion(2))],
+        born: Some(1),
+        cheap: false,
+        leaves_in: None,
+    }
+}
+
+fn board(count: usize, slots: u32) -> (UpstreamBoard, Vec<UpstreamKey>) {
+    let mut board = UpstreamBoard::default();
+    let keys = (0..count).map(|index| board.update(entry(&format!("u{index}"), slots)).0);
+    let keys = keys.collect();
+    (board, keys)
+}
+
+fn generation<'a>(draw: u64, tried: &'a [UpstreamKey]) -> GenerationAsk<'a> {
+    let need = ModelNeed { model: "m", least: WeightVersion(2) };
+    GenerationAsk { service: "s", need, tried, warm: None, connected: &[], draw }
+}
+
+fn plain<'a>(draw: u64, tried: &'a [UpstreamKey]) -> PlainAsk<'a> {
+    PlainAsk { service: "s", zone: "a", tried, connected: &[], draw }
+}
+
+/// Pattern: a submission of 72 items arrives at nine engines with 8 slots, one at half the speed.
+///
+/// Guards against slots that stay empty, engines that get more than they run, and a slow engine that
+/// is filled first.
+#[test]
+fn items_of_a_submission_fill_all_slots_fast_engines_first() {
+    let (mut board, keys) = board(9, 8);
+    for key in &keys {
+        let time = if *key == keys[0] { 60 } else { 30 };
+        board.learn_event(*key, Span::from_millis(time));
+    }
+    let mut loads = vec![0; 9];
+    for draw in 0..72 {
+        let picked = board.pick_generation(NOW, &generation(draw, &[])).unwrap();
+        board.begin(picked);
+        loads[picked.0 as usize] += 1;
+        if draw == 63 {
+            assert_eq!(loads[0], 0, "the slow engine waits until the others are full: {loads:?}");
+        }
+    }
+    assert_eq!(loads, vec![8; 9]);
+    assert_eq!(board.pick_generation(NOW, &generation(99, &[])), None);
+}
+
+/// Pattern: a zone is cut off with resets while items wait.
+///
+/// Guards against a queue that sends each waiting item to an engine that refuses connections, every 25
+/// ms (incident inc-ce4e of derwent-sleeves: 4,885 runs that could not begin).
+#[test]
+fn unreachable_engine_is_left_alone_while_suspended() {
+    let (mut board, keys) = board(1, 8);
+    let mut runs = 0;
+    for step in 0..400 {
+        let now = NOW + Span::from_millis(step * 25);
+        if let Some(picked) = board.pick_generation(now, &generation(step, &[])) {
+            board.begin(picked);
+            board.finish(now, picked, ExchangeEnd::Broken);
+            runs += 1;
+        }
+    }
+    assert!(runs <= 8, "{runs} runs in ten seconds");
+    assert_eq!(board.entry(keys[0]).id, "u0");
+}
+
+/// Pattern: two models load in turn on all engines.
+///
+/// Guards against an engine that is shut out for all models while it loads one.
+#[test]
+fn engine_that_loads_one_model_serves_others() {
+    let mut engine = entry("u0", 8);
+    engine.versions.push((String::from("other"), WeightVersion(2)));
+    let mut board = UpstreamBoard::default();
+    let (key, _) = board.update(engine);
+    board.refused_generation(NOW, key, "m");
+    assert_eq!(board.pick_generation(NOW, &generation(1, &[])), None);
+    let need = ModelNeed { model: "other", least: WeightVersion(2) };
+    let ask = GenerationAsk { need, ..generation(1, &[]) };
+    assert_eq!(board.pick_generation(NOW, &ask), Some(key));
+}
+
+/// Guards against tokens of a version that is too old for the step.
+#[rstest]
+#[case(2, true)]
+#[case(3, false)]
+fn check_version(#[case] least: u64, #[case] accepted: bool) {
+    let (board, keys) = board(1, 8);
+    let need = ModelNeed { model: "m", least: WeightVersion(least) };
+    assert_eq!(board.accepts(NOW, keys[0], need), accepted);
+}
+
+/// Pattern: live callers share a plain service with bursts of reward calls of another node.
+///
+/// Guards against a choice that ignores the load that upstreams report.
+#[test]
+fn loaded_upstream_is_passed_over() {
+    let (mut board, keys) = board(3, 6);
+    for key in &keys[..2] {
+        board.report(NOW, *key, LoadReport { running: 6, queued: 6, slots: 6 });
+    }
+    for draw in 0..50 {
+        assert_eq!(board.pick_plain(NOW, &plain(draw, &[])), Some(keys[2]));
+    }
+}
+
+/// Pattern: an upstream fails two of five requests while its health check passes.
+///
+/// Guards against a failing upstream that gets as much as the others.
+#[test]
+fn failing_upstream_gets_less() {
+    let (mut board, keys) = board(3, 6);
+    for key in &keys {
+        for turn in 0..20 {
+            board.begin(*key);
+            let failed = *key == keys[0] && turn % 5 < 2;
+            let answered = ExchangeEnd::Answered(Span::from_millis(25));
+            board.finish(NOW, *key, if failed { ExchangeEnd::Failed } else { answered });
+        }
+    }
+    let picked = (0..300).filter(|draw| board.pick_plain(NOW, &plain(*draw, &[])) == Some(keys[0]));
+    assert!(picked.count() < 10);
+}
+
+/// Guards against a request that is sent again to the upstream that failed it while others are left,
+/// and against one that is refused although the only upstream lives.
+#[test]
+fn tried_upstream_comes_last() {
+    let (board, keys) = board(2, 6);
+    assert_eq!(board.pick_plain(NOW, &plain(1, &[keys[0]])), Some(keys[1]));
+    assert!(board.pick_plain(NOW, &plain(1, &keys)).is_some());
+}
+
+/// Guards against new work for an upstream that has left, and against a refusal of all work when all
+/// entries lapse while the store is away.
+#[rstest]
+#[case(RemovalCause::Left, 0, false)]
+#[case(RemovalCause::Lapsed, 2_000, true)]
+#[case(RemovalCause::Lapsed, 2_300, false)]
+fn check_removed(#[case] cause: RemovalCause, #[case] after_ms: u64, #[case] usable: bool) {
+    let (mut board, keys) = board(1, 6);
+    board.remove(NOW, "u0", cause);
+    let now = NOW + Span::from_millis(after_ms);
+    assert_eq!(board.is_usable(now, keys[0]), usable);
+    board.update(entry("u0", 6));
+    assert!(board.is_usable(now, keys[0]), "an entry that is back counts again");
+}
+
+/// Guards against new work for a draining upstream.
+#[test]
+fn draining_upstream_gets_no_work() {
+    let (mut board, _) = board(1, 6);
+    board.update(UpstreamEntry { state: EntryState::Draining, ..entry("u0", 6) });
+    assert_eq!(board.pick_plain(NOW, &plain(1, &[])), None);
+    assert_eq!(board.pick_generation(NOW, &generation(1, &[])), None);
+}
+
+/// Pattern: an engine turns three times slower while its runs are long.
+///
+/// Guards against runs that stay where they are, and against runs that move for a small gain.
+#[rstest]
+#[case(90, true)]
+#[case(45, false)]
+fn check_move(#[case] slow_ms: u64, #[case] moves: bool) {
+    let (mut board, keys) = board(2, 8);
+    board.learn_event(keys[0], Span::from_millis(slow_ms));
+    board.learn_event(keys[1], Span::from_millis(30));
+    assert_eq!(board.is_worth_moving(NOW, keys[0], keys[1]), moves);
+}
