--- a/crates/clients/src/http_client.rs
+++ b/crates/clients/src/http_client.rs
@@ -22,7 +22,7 @@
 
 /// Idle time after which a connection is not used again. Many servers close theirs after 5 s, and a
 /// request that meets the close may have run.
-const KEEP_ALIVE: Duration = Duration::from_secs(4);
+const KEEP_ALIVE: Span = Span::from_secs(4);
 
 /// A pool of connections that belongs to one thread. Clones share the pool.
 ///
@@ -71,11 +71,18 @@
     /// Builds a client whose connection attempts end after `connect_timeout`.
     #[must_use]
     pub fn new(connect_timeout: Span) -> Self {
+        Self::with_idle(connect_timeout, KEEP_ALIVE)
+    }
+
+    /// Builds a client that uses connections again until they were idle for `idle`. Receivers must keep
+    /// them open for longer.
+    #[must_use]
+    pub fn with_idle(connect_timeout: Span, idle: Span) -> Self {
         // The pool has no limit of its own: a request that waits in it could not be told from one
         // that was sent. The daemon bounds its requests before they get here.
         let connector = Connector::new()
             .timeout(duration(connect_timeout))
-            .conn_keep_alive(KEEP_ALIVE)
+            .conn_keep_alive(duration(idle))
             .limit(0);
         let builder = Client::builder().connector(connector).disable_redirects();
         // Timeouts are applied around whole exchanges below. awc's own would also end long streams.
--- a/crates/dispatch/src/pick.rs
+++ b/crates/dispatch/src/pick.rs
@@ -64,8 +64,9 @@
 const CONNECTED_FACTOR: f64 = 0.8;
 
 /// A running generation is moved when the other engine needs less than this part of the time between
-/// events. The prompt and text are read again, which takes some milliseconds.
-const MOVE_BOUND: f64 = 0.6;
+/// events. The prompt and text are read again, which takes some milliseconds, and the connection is
+/// lost, which is priced; engines that were bought as slower ones stay above this bound.
+const MOVE_BOUND: f64 = 0.4;
 
 /// An engine that has read the shared prompt is preferred while its cost is below the best one's
 /// times this.
--- a/crates/hibiscushinged/src/gateway/loads.rs
+++ b/crates/hibiscushinged/src/gateway/loads.rs
@@ -35,9 +35,13 @@
 /// Longest time for a connection to an engine.
 const CONNECT_TIMEOUT: Span = Span::from_millis(300);
 
+/// Idle time after which a connection to an engine is not used again. Engines state 10 s.
+const IDLE_TIME: Span = Span::from_secs(8);
+
 /// Loads in progress as this node knows them.
-#[derive(Default)]
 struct LoadDesk {
+    /// Checks the lease as the last step before an order is written.
+    surface: EngineSurface,
     loading: RefCell<HashMap<String, (String, WeightVersion, Moment)>>,
     /// Versions that reports have shown, which may be newer than the entries.
     shown: RefCell<HashMap<String, Vec<(String, WeightVersion)>>>,
@@ -46,7 +50,7 @@
 
 /// Orders loads for as long as the process lives, while it holds the lease.
 pub(crate) async fn order_loads(control: Rc<ControlState>) {
-    let desk = Rc::new(LoadDesk::default());
+    let desk = Rc::new(LoadDesk::new(&control));
     loop {
         tokio::time::sleep(PLAN_PERIOD).await;
         if control.lease.permit(&control.node).is_none() {
@@ -93,6 +97,20 @@
 }
 
 impl LoadDesk {
+    fn new(control: &Rc<ControlState>) -> Self {
+        let checked = Rc::clone(control);
+        let http = HttpClient::with_idle(CONNECT_TIMEOUT, IDLE_TIME).guarded(move || {
+            let permit = checked.lease.permit(&checked.node);
+            if permit.is_some() { SendPermit::Granted } else { SendPermit::Denied }
+        });
+        Self {
+            surface: EngineSurface::new(http),
+            loading: RefCell::default(),
+            shown: RefCell::default(),
+            paused: RefCell::default(),
+        }
+    }
+
     fn engine(&self, entry: &UpstreamEntry) -> EngineLoad {
         let mut versions = entry.versions.clone();
         if let Some(shown) = self.shown.borrow().get(&entry.id) {
@@ -137,13 +155,7 @@
     order: &LoadOrder,
     entry: &UpstreamEntry,
 ) -> Result<(), String> {
-    let checked = Rc::clone(control);
-    // The lease is checked again as the last step before the order is written.
-    let http = HttpClient::new(CONNECT_TIMEOUT).guarded(move || {
-        let permit = checked.lease.permit(&checked.node);
-        if permit.is_some() { SendPermit::Granted } else { SendPermit::Denied }
-    });
-    let surface = EngineSurface::new(http);
+    let surface = &desk.surface;
     let report = surface.report(entry.address, ORDER_TIMEOUT).await;
     let report = report.map_err(|error| error.to_string())?;
     if report.busy {
--- a/crates/hibiscushinged/src/gateway/runner.rs
+++ b/crates/hibiscushinged/src/gateway/runner.rs
@@ -44,7 +44,7 @@
 const TEXT_LIFE: Span = Span::from_secs(30);
 
 /// Time that a run stays where it is at least. It covers a usual prompt and some events.
-const LEAST_STAY: Span = Span::from_millis(400);
+const LEAST_STAY: Span = Span::from_millis(600);
 
 /// Time between two looks for runs that would be faster elsewhere.
 const MOVE_PERIOD: Span = Span::from_millis(250);
