--- a/crates/dispatch/src/pick.rs
+++ b/crates/dispatch/src/pick.rs
@@ -2,6 +2,8 @@
 
 use base::{Moment, Span, UpstreamKey, WeightVersion, key, rendezvous_weight};
 
+use smallvec::SmallVec;
+
 use crate::{UpstreamBoard, row::UpstreamRow};
 
 key! {
@@ -50,8 +52,16 @@
 /// Time between two events of an engine of which nothing is known, in microseconds.
 const ASSUMED_EVENT: f64 = 30_000.0;
 
-/// Time that a hop to another availability zone and back adds, in microseconds.
-const ZONE_HOP: f64 = 2_000.0;
+/// Factor on the cost of an upstream in another availability zone. It is below that of an upstream at
+/// half of its slots, so a zone's work stays there until then. Zones can be cut off from each other.
+const ZONE_FACTOR: f64 = 1.2;
+
+/// Factor on the cost of an upstream in the zone of one that has failed the request or is silent. The
+/// zone may be out of reach.
+const SAME_ZONE_FACTOR: f64 = 2.0;
+
+/// Part by which the cost of an upstream has risen when all of its slots are taken.
+const SLOT_RISE: f64 = 0.5;
 
 /// Part by which each running request slows the others of an engine.
 const SLOT_SLOWDOWN: f64 = 0.04;
@@ -77,6 +87,8 @@
     /// then those that failed the request, are used only when no other is left.
     #[must_use]
     pub fn pick_plain(&self, now: Moment, ask: &PlainAsk<'_>) -> Option<UpstreamKey> {
+        let tried = ask.tried.iter().map(|key| self.rows[*key].entry.zone.as_str());
+        let tried: SmallVec<[&str; 4]> = tried.collect();
         let mut best: Option<(u8, f64, UpstreamKey)> = None;
         for upstream in self.members(ask.service) {
             if !self.is_usable(now, *upstream) {
@@ -84,7 +96,7 @@
             }
             let row = &self.rows[*upstream];
             let rank = self.rank(now, *upstream, ask.tried);
-            let cost = plain_cost(now, row, ask)
+            let cost = plain_cost(now, row, &tried, ask)
                 * jitter(ask.draw, *upstream)
                 * connected_factor(ask.connected, *upstream);
             if best.is_none_or(|(top, least, _)| (rank, cost) < (top, least)) {
@@ -168,14 +180,15 @@
     }
 }
 
-fn plain_cost(now: Moment, row: &UpstreamRow, ask: &PlainAsk<'_>) -> f64 {
+fn plain_cost(now: Moment, row: &UpstreamRow, tried: &[&str], ask: &PlainAsk<'_>) -> f64 {
     let time = row.answer_time.unwrap_or(ASSUMED_ANSWER) * row.failure_factor();
     let slots = f64::from(row.entry.slots.max(1));
     let share = f64::from(row.load(now) + 1) / slots;
     // A free slot runs the request at once; beyond that it waits for its share of the queue.
-    let wait = if share <= 1.0 { 1.0 + share * 0.2 } else { 1.2 * share };
-    let hop = if row.entry.zone == ask.zone { 0.0 } else { ZONE_HOP };
-    time * wait + hop
+    let wait = if share <= 1.0 { 1.0 + share * SLOT_RISE } else { (1.0 + SLOT_RISE) * share };
+    let zone = if row.entry.zone == ask.zone { 1.0 } else { ZONE_FACTOR };
+    let again = if tried.contains(&row.entry.zone.as_str()) { SAME_ZONE_FACTOR } else { 1.0 };
+    time * wait * zone * again
 }
 
 fn generation_cost(now: Moment, row: &UpstreamRow) -> f64 {
--- a/crates/dispatch/tests/pick.rs
+++ b/crates/dispatch/tests/pick.rs
@@ -152,6 +152,38 @@
     assert!(board.pick_plain(NOW, &plain(1, &keys)).is_some());
 }
 
+/// Pattern: zones are cut off from each other, silently, while requests run in all of them.
+///
+/// Guards against a second try in the zone that has not answered the first (incident inc-51ce of
+/// hmla-ops: both tries went to zones out of reach).
+#[test]
+fn second_try_goes_to_another_zone() {
+    let mut board = UpstreamBoard::default();
+    let mut keys = Vec::new();
+    for (id, zone) in [("a1", "a"), ("b1", "b"), ("b2", "b"), ("b3", "b")] {
+        keys.push(board.update(UpstreamEntry { zone: String::from(zone), ..entry(id, 6) }).0);
+    }
+    board.report(NOW, keys[0], LoadReport { running: 5, queued: 0, slots: 6 });
+    for draw in 0..50 {
+        assert_eq!(board.pick_plain(NOW, &plain(draw, &[keys[1]])), Some(keys[0]));
+    }
+}
+
+/// Guards against requests that leave their zone while it has free slots, and against ones that stay
+/// when it is busy.
+#[rstest]
+#[case(0, true)]
+#[case(5, false)]
+fn check_own_zone(#[case] running: u32, #[case] stays: bool) {
+    let mut board = UpstreamBoard::default();
+    let (own, _) = board.update(entry("a1", 6));
+    board.update(UpstreamEntry { zone: String::from("b"), ..entry("b1", 6) });
+    board.report(NOW, own, LoadReport { running, queued: 0, slots: 6 });
+    let picked = (0..100).filter(|draw| board.pick_plain(NOW, &plain(*draw, &[])) == Some(own));
+    let own_share = picked.count();
+    assert!(if stays { own_share > 90 } else { own_share < 40 }, "{own_share} of 100");
+}
+
 /// Guards against new work for an upstream that has left, and against a refusal of all work when all
 /// entries lapse while the store is away.
 #[rstest]
--- a/crates/hibiscushinged/src/gateway/channel.rs
+++ b/crates/hibiscushinged/src/gateway/channel.rs
@@ -63,6 +63,9 @@
     pub(crate) async fn open(address: SocketAddr, config: ServiceConfig) -> io::Result<Self> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
+        // A reset discards what a partition holds up. A close would let it arrive after the partition
+        // has healed, when its caller is long gone.
+        stream.set_zero_linger()?;
         Ok(Self { stream, config, buffer: BytesMut::new(), unsent: Bytes::new() })
     }
 
--- a/crates/process-tests/src/lib.rs
+++ b/crates/process-tests/src/lib.rs
@@ -18,6 +18,6 @@
         lease_status, start_ordered, wait_for_ordered,
     },
     process::{ProcessHandle, wait_for},
-    relay::TcpRelay,
+    relay::{RelayFlow, TcpRelay},
     site::{GatewayProcess, SiteFleet, SiteShape, submission},
 };
--- a/crates/process-tests/src/site.rs
+++ b/crates/process-tests/src/site.rs
@@ -121,7 +121,8 @@
             services.push(service);
         }
         store.put_operator("config", &Self::config(1, &["key-1"]));
-        let gateways = (0..shape.gateways).map(|index| GatewayProcess::start(&store, index, true));
+        let gateways =
+            (0..shape.gateways).map(|index| GatewayProcess::start(store.address(), index, true));
         let fleet = Self { gateways: gateways.collect(), store, engines, services };
         for gateway in &fleet.gateways {
             gateway.wait_ready().await;
@@ -201,7 +202,7 @@
     ///
     /// Panics when the process cannot be started.
     #[must_use]
-    pub fn start(store: &SiteStore, index: usize, first_start: bool) -> Self {
+    pub fn start(store: SocketAddr, index: usize, first_start: bool) -> Self {
         static LAST_FLEET: AtomicU32 = AtomicU32::new(0);
         let number = LAST_FLEET.fetch_add(1, Ordering::Relaxed);
         let process = std::process::id();
@@ -237,7 +238,6 @@
             results_s = 120
             settle_ms = 1000
             "#,
-            store = store.address(),
         );
         std::fs::write(&settings, text).expect("the settings can be written");
         let log = folder.join(format!("gateway-{number}.log"));
