--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -12,6 +12,9 @@
 /// Time that is left after the last fault until all submissions must be complete.
 const SETTLING: Duration = Duration::from_secs(45);
 
+/// Time between two writes of the entries.
+const ENTRY_PERIOD: Duration = Duration::from_millis(500);
+
 /// Promises that a run found broken, and what it did.
 #[derive(Debug, Clone, Default)]
 pub struct SoakReport {
@@ -119,6 +122,14 @@
         }
     }
 
+    /// Writes the entries again and again, as engines do when their versions change.
+    async fn refresh_entries(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(ENTRY_PERIOD).await;
+            self.write_entries();
+        }
+    }
+
     pub(crate) fn count(&self, what: &'static str) {
         *self.report.borrow_mut().counts.entry(what).or_default() += 1;
     }
@@ -134,6 +145,7 @@
     /// Injects faults for the length of the run, heals everything, and checks what must hold then.
     pub(crate) async fn run(self: Rc<Self>) -> SoakReport {
         let mut random = ChaCha8Rng::seed_from_u64(self.options.seed);
+        actix_rt::spawn(Rc::clone(&self).refresh_entries());
         let mut callers = Vec::new();
         for index in 0..self.options.callers {
             callers.push(actix_rt::spawn(callers::run(Rc::clone(&self), index)));
