--- a/crates/document/src/gateway.rs
+++ b/crates/document/src/gateway.rs
@@ -38,6 +38,8 @@
         pub address: SocketAddr,
         /// Partitions of a topic.
         pub partitions: u32,
+        /// Reading calls that the store takes a second from all nodes together.
+        pub reads_per_second: u32,
         /// Longest record in bytes.
         pub record_bytes: u32,
         /// Longest append in bytes.
@@ -84,6 +86,7 @@
 struct WireStore {
     address: SocketAddr,
     partitions: u32,
+    reads_per_s: f64,
     record_bytes: u32,
     call_bytes: u32,
     least_member_life_ms: f64,
@@ -134,6 +137,7 @@
     let above_zero = [
         ("cores", wire.cores),
         ("store.partitions", f64::from(wire.store.partitions)),
+        ("store.reads_per_s", wire.store.reads_per_s),
         ("store.record_bytes", f64::from(wire.store.record_bytes)),
         ("store.call_bytes", f64::from(wire.store.call_bytes)),
         ("promises.drain_ms", wire.promises.drain_ms),
@@ -173,6 +177,7 @@
             store: StoreSettings {
                 address: wire.store.address,
                 partitions: wire.store.partitions,
+                reads_per_second: wire.store.reads_per_s as u32,
                 record_bytes: wire.store.record_bytes,
                 call_bytes: wire.store.call_bytes,
                 least_member_life: millis(wire.store.least_member_life_ms),
--- a/crates/hibiscushinged/src/gateway/commit.rs
+++ b/crates/hibiscushinged/src/gateway/commit.rs
@@ -19,6 +19,11 @@
 /// Topic of submissions. It is keyed, because results are read for longer than the log is kept.
 pub(crate) const SUBMISSION_TOPIC: &str = "keyed.submissions";
 
+/// Reads a second of the store for each partition of submissions. A store that takes more calls serves a
+/// larger site, where one owner would be a bottleneck; at a small one, one owner needs the fewest
+/// connections to engines.
+const READS_PER_PARTITION: u32 = 1_500;
+
 /// Pause before an append is tried again.
 const RETRY_PAUSE: std::time::Duration = std::time::Duration::from_millis(60);
 
@@ -42,7 +47,9 @@
 impl PartitionSet {
     pub(crate) fn new(settings: &StoreSettings) -> Self {
         let topic = String::from(SUBMISSION_TOPIC);
-        let mirrors = (0..settings.partitions).map(|part| {
+        let wanted = settings.reads_per_second / READS_PER_PARTITION;
+        let count = wanted.clamp(1, settings.partitions);
+        let mirrors = (0..count).map(|part| {
             Rc::new(PartitionMirror::new(PartitionName { topic: topic.clone(), part }))
         });
         Self { mirrors: mirrors.collect(), owned: RefCell::default(), generation: Cell::new(0) }
@@ -63,9 +70,12 @@
         self.owned.borrow().contains(&part)
     }
 
-    /// Replaces the owned partitions and tells whether they changed.
-    pub(crate) fn set_owned(&self, owned: &BTreeSet<u32>) -> bool {
-        self.owned.replace(owned.clone()) != *owned
+    pub(crate) fn owned(&self) -> BTreeSet<u32> {
+        self.owned.borrow().clone()
+    }
+
+    pub(crate) fn set_owned(&self, owned: &BTreeSet<u32>) {
+        self.owned.replace(owned.clone());
     }
 }
 
--- a/crates/hibiscushinged/src/gateway/group.rs
+++ b/crates/hibiscushinged/src/gateway/group.rs
@@ -75,10 +75,16 @@
 }
 
 fn take_parts(traffic: &Rc<TrafficState>, parts: BTreeSet<u32>) {
-    let changed = traffic.partitions.set_owned(&parts);
-    if !changed {
+    let before = traffic.partitions.owned();
+    if before == parts {
         return;
     }
+    for part in parts.difference(&before) {
+        if let Some(mirror) = traffic.partitions.get(*part) {
+            mirror.begin_ownership();
+        }
+    }
+    traffic.partitions.set_owned(&parts);
     let generation = traffic.partitions.generation.get();
     log_event!(PartitionsAssigned, ?parts, generation);
     for part in parts {
--- a/crates/hibiscushinged/src/gateway/mirror.rs
+++ b/crates/hibiscushinged/src/gateway/mirror.rs
@@ -128,10 +128,24 @@
             let submission = marker.key.trim_start_matches(OPEN_PREFIX);
             self.load(traffic, submission).await?;
         }
+        // Submissions that were known before may have ended since.
+        self.catch_up(traffic).await?;
         self.scanned.set(true);
+        self.changes.send_modify(|count| *count += 1);
         Ok(())
     }
 
+    /// Looks for open submissions anew, when this node becomes the owner.
+    pub(crate) fn begin_ownership(&self) {
+        self.scanned.set(false);
+    }
+
+    /// Tells whether this node knows all open submissions and the ends of the others, so that it may run
+    /// items.
+    pub(crate) fn is_scanned(&self) -> bool {
+        self.scanned.get()
+    }
+
     /// What follows `end` is read from the log, unless an earlier offset is known.
     fn begin_at(&self, end: u64, sent_at: Moment) {
         if self.next.get().is_none() {
--- a/crates/hibiscushinged/src/gateway/mirror/tests.rs
+++ b/crates/hibiscushinged/src/gateway/mirror/tests.rs
@@ -30,6 +30,7 @@
         [store]
         address = "{store}"
         partitions = 1
+        reads_per_s = 1000
         record_bytes = 262144
         call_bytes = 2097152
         least_member_life_ms = 1000
@@ -145,3 +146,47 @@
     assert!(book.get("s").is_some());
     assert_eq!(book.iter().count(), 1);
 }
+
+const CONFIG: &str = r#"{"version":1,"routes":[{"name":"draft","host":"h","prefix":"/p/",
+    "kind":"rollout","deadline_ms":10000,"goal_ms":500,"service":"drafts","public":false}],
+    "services":[],"limits":{"max_header_bytes":1,"max_body_bytes":1,"header_timeout_ms":1,
+    "idle_timeout_ms":1},"tenants":[{"name":"brewer","keys":["k"]}]}"#;
+
+/// Pattern: a node that was cut off from the store is dealt a partition again whose submissions have
+/// ended meanwhile.
+///
+/// Guards against items of an ended submission that a new owner starts from its old copy (hunt,
+/// trouble-1 --seed 656040433454, UNASKED).
+#[rstest::rstest]
+#[case::ended(true, 0)]
+#[case::open(false, ITEMS as usize)]
+#[actix_rt::test]
+async fn check_new_owner(#[case] ended: bool, #[case] waiting: usize) {
+    let store = SiteStore::start(StoreOptions::default()).unwrap();
+    let traffic = traffic(store.address());
+    let config = platform::decode_manifest(CONFIG.as_bytes()).unwrap();
+    traffic.node.book.store(Some(Arc::new(routebook::RouteBook::new(config))));
+    let mirror = traffic.partitions.get(0).unwrap();
+    mirror.load(&traffic, "s").await.unwrap();
+    let mut records = submission();
+    records.push(BookRecord::Marked { submission: String::from("s") });
+    store.append(SUBMISSION_TOPIC, 0, records.iter().map(bytes).collect());
+    mirror.catch_up(&traffic).await.unwrap();
+    if ended {
+        let id = || String::from("s");
+        let records =
+            [BookRecord::Ended { submission: id() }, BookRecord::Unmarked { submission: id() }];
+        store.append(SUBMISSION_TOPIC, 0, records.iter().map(bytes).collect());
+    }
+
+    traffic.partitions.set_owned(&std::collections::BTreeSet::from([0]));
+    traffic.runner.watch(&traffic, mirror);
+    tokio::task::yield_now().await;
+    assert_eq!(traffic.runner.waiting(), 0, "nothing begins before the copy is read");
+
+    let mut changes = mirror.subscribe();
+    mirror.follow(&traffic);
+    changes.wait_for(|_| mirror.is_scanned()).await.unwrap();
+    tokio::task::yield_now().await;
+    assert_eq!(traffic.runner.waiting(), waiting);
+}
--- a/crates/hibiscushinged/src/gateway/runner.rs
+++ b/crates/hibiscushinged/src/gateway/runner.rs
@@ -146,6 +146,12 @@
         running + state.results.values().map(Vec::len).sum::<usize>()
     }
 
+    /// Number of items that wait for an engine.
+    #[cfg(test)]
+    pub(crate) fn waiting(&self) -> usize {
+        self.state.borrow().queue.len()
+    }
+
     /// Follows the submissions of an owned partition.
     pub(crate) fn watch(&self, traffic: &Rc<TrafficState>, mirror: &Rc<PartitionMirror>) {
         let part = mirror.name.part;
@@ -171,13 +177,15 @@
         let part = mirror.name.part;
         let book = mirror.book();
         let owned = traffic.partitions.is_owned(part) && !self.stopped.get();
+        // A copy from before this node became the owner may miss the ends of submissions.
+        let may_begin = owned && mirror.is_scanned();
         self.drop_jobs(traffic, part, |job| {
             let Some(submission) = book.get(&job.head.id) else { return true };
             !owned && !self.stopped.get()
                 || submission.is_ended()
                 || submission.is_resolved(&job.item.id)
         });
-        if !owned {
+        if !may_begin {
             return;
         }
         let Some(routes) = traffic.node.book.load_full() else { return };
--- a/crates/process-tests/src/site.rs
+++ b/crates/process-tests/src/site.rs
@@ -226,6 +226,7 @@
             [store]
             address = "{store}"
             partitions = 12
+            reads_per_s = 4500
             record_bytes = 262144
             call_bytes = 2097152
             least_member_life_ms = 1000
