--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -92,6 +92,7 @@
     3008 ItemStarted "An item was sent to an engine."
     3009 ItemInterrupted "A run of an item broke off; its text is kept and goes on elsewhere."
     3010 ItemResolved "The final result of an item is known and goes to the store."
+    3011 SubmissionDeleted "An ended submission was deleted because its time for reading has passed."
     3101 WeightLoadOrdered "An upstream was told to load a weight version."
     3102 WeightLoadFailed "An upstream failed to load a weight version and will be told again."
     // Fleet.
--- a/crates/clients/src/http_client.rs
+++ b/crates/clients/src/http_client.rs
@@ -6,7 +6,10 @@
     Method, StatusCode,
     header::{CONTENT_LENGTH, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER},
 };
-use awc::{Client, ClientResponse, Connector};
+use actix_rt::net::TcpStream;
+use actix_service::{Service, fn_service};
+use actix_tls::connect::{ConnectError, ConnectInfo, Connection, Connector as TcpConnector};
+use awc::{Client, ClientResponse, Connector, http::Uri};
 use base::{Execution, Span};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
@@ -81,6 +84,7 @@
         // The pool has no limit of its own: a request that waits in it could not be told from one
         // that was sent. The daemon bounds its requests before they get here.
         let connector = Connector::new()
+            .connector(resetting_connector())
             .timeout(duration(connect_timeout))
             .conn_keep_alive(duration(idle))
             .limit(0);
@@ -233,6 +237,26 @@
     }
 }
 
+/// Connects so that a connection which is given up ends with a reset. The network then discards what it
+/// still holds up. After a close, an order that timed out would arrive once the path is free again, when
+/// a successor of its sender may have acted.
+fn resetting_connector() -> impl Service<
+    ConnectInfo<Uri>,
+    Response = Connection<Uri, TcpStream>,
+    Error = ConnectError,
+    Future = impl Future<Output = Result<Connection<Uri, TcpStream>, ConnectError>>,
+> + Clone {
+    let tcp = TcpConnector::default().service();
+    fn_service(move |info: ConnectInfo<Uri>| {
+        let connecting = tcp.call(info);
+        async move {
+            let connection = connecting.await?;
+            connection.io_ref().set_zero_linger().map_err(ConnectError::Io)?;
+            Ok(connection)
+        }
+    })
+}
+
 /// Describes an answer with a status other than success.
 pub(crate) fn status_error(status: StatusCode, headers: &HeaderMap) -> CallError {
     let retry = headers.get(RETRY_AFTER).and_then(|value| value.to_str().ok()?.parse().ok());
--- a/crates/hibiscushinged/src/gateway.rs
+++ b/crates/hibiscushinged/src/gateway.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod board;
 mod channel;
+mod cleanup;
 mod commit;
 mod control;
 mod duties;
--- a/crates/hibiscushinged/src/gateway/mirror.rs
+++ b/crates/hibiscushinged/src/gateway/mirror.rs
@@ -238,6 +238,9 @@
             // Everything about it comes later in the log.
             self.loaded.borrow_mut().insert(head.id.clone());
         }
+        if let BookRecord::Dropped { submission } = &record {
+            self.loaded.borrow_mut().remove(submission);
+        }
         self.book.borrow_mut().apply(record);
     }
 
--- a/crates/hibiscushinged/src/gateway/mirror/tests.rs
+++ b/crates/hibiscushinged/src/gateway/mirror/tests.rs
@@ -190,3 +190,27 @@
     tokio::task::yield_now().await;
     assert_eq!(traffic.runner.waiting(), waiting);
 }
+
+/// Guards against a store that fills up with submissions which nobody may read any more, and against
+/// one that loses submissions which may still be read.
+#[rstest::rstest]
+#[case::old(0, false)]
+#[case::recent(i64::MAX / 4, true)]
+#[actix_rt::test]
+async fn check_deletion(#[case] accepted_ms: i64, #[case] stays: bool) {
+    let store = SiteStore::start(StoreOptions::default()).unwrap();
+    let traffic = traffic(store.address());
+    let mirror = traffic.partitions.get(0).unwrap();
+    let id = || String::from("s");
+    let mut records = submission();
+    records.push(BookRecord::Ended { submission: id() });
+    records.push(BookRecord::Expiring { submission: id(), accepted_at: WallTime(accepted_ms) });
+    store.append(SUBMISSION_TOPIC, 0, records.iter().map(bytes).collect());
+    mirror.load(&traffic, "s").await.unwrap();
+    crate::gateway::cleanup::delete_part(&traffic, mirror).await.unwrap();
+    mirror.catch_up(&traffic).await.unwrap();
+    assert_eq!(mirror.book().get("s").is_some(), stays);
+    for key in ["s/s/o", "s/s/i/0", "s/s/e", "z/s"] {
+        assert_eq!(store.value(SUBMISSION_TOPIC, 0, key).is_some(), stays, "{key}");
+    }
+}
--- a/crates/hibiscushinged/src/gateway/serve.rs
+++ b/crates/hibiscushinged/src/gateway/serve.rs
@@ -16,7 +16,7 @@
     gateway::{
         answer,
         board::{TrafficState, UpstreamNews, follow_news, sweep_channels},
-        group,
+        cleanup, group,
         node::{FlightMark, NodeState},
         plain::{PlainJob, run_plain},
         relay, runner,
@@ -83,6 +83,7 @@
         actix_rt::spawn(group::stay_in_group(Rc::clone(&traffic)));
         actix_rt::spawn(runner::place_items(Rc::clone(&traffic)));
         actix_rt::spawn(runner::store_results(Rc::clone(&traffic)));
+        actix_rt::spawn(cleanup::delete_old(Rc::clone(&traffic)));
         Ok(Self { traffic })
     }
 
--- a/crates/hibiscushinged/src/gateway/submit.rs
+++ b/crates/hibiscushinged/src/gateway/submit.rs
@@ -227,11 +227,13 @@
     let submission = inquiry.submission;
     let submissions = [submission];
     let stored = commit(traffic, mirror, COMMIT_PATIENCE, &submissions, |book| {
-        let open = book.get(submission).is_some_and(|state| !state.is_ended());
+        let state = book.get(submission).filter(|state| !state.is_ended())?;
         let id = || String::from(submission);
-        open.then(|| {
-            vec![BookRecord::Ended { submission: id() }, BookRecord::Unmarked { submission: id() }]
-        })
+        Some(vec![
+            BookRecord::Ended { submission: id() },
+            BookRecord::Unmarked { submission: id() },
+            BookRecord::Expiring { submission: id(), accepted_at: state.head().accepted_at },
+        ])
     });
     stored.await.map_err(unsettled)?;
     log_event!(SubmissionEnded, submission, customer = inquiry.customer);
--- a/crates/process-tests/src/relay.rs
+++ b/crates/process-tests/src/relay.rs
@@ -116,6 +116,15 @@
     Answer,
 }
 
+/// Waits until the sender resets the connection.
+async fn reset(reader: &mut ReadHalf<'_>) {
+    let mut byte = [0];
+    if reader.peek(&mut byte).await.is_ok() {
+        // Bytes or an orderly end have arrived, so a reset can no longer be told from here.
+        std::future::pending::<()>().await;
+    }
+}
+
 async fn copy(
     mut reader: ReadHalf<'_>,
     mut writer: WriteHalf<'_>,
@@ -131,7 +140,12 @@
             RelayFlow::HoldAnswers => direction == Direction::Request,
             RelayFlow::Silent => false,
         };
-        let Ok(passing) = flow.wait_for(passes).await.map(|flow| *flow) else { return };
+        let passing = tokio::select! {
+            passing = flow.wait_for(passes) => passing.map(|flow| *flow),
+            // A network discards what it holds up when its sender resets the connection.
+            () = reset(&mut reader) => return,
+        };
+        let Ok(passing) = passing else { return };
         if let RelayFlow::Delay(delay) = passing {
             tokio::time::sleep(delay).await;
         }
--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -15,7 +15,9 @@
     config::{WireConfig, WireSnapshot},
     demand::WireDemand,
     samples::{OpenedStep, SampleCarry, SampleEntry, WireSample},
-    submissions::{OPEN_PREFIX, decode_book_record, encode_book_record, submission_prefix},
+    submissions::{
+        EXPIRING_PREFIX, OPEN_PREFIX, decode_book_record, encode_book_record, submission_prefix,
+    },
     totals::{UsageKey, decode_usage_record, encode_usage_report, encode_usage_totals},
     usage::{UsageEntry, WireBatch, WireUsage},
 };
--- a/crates/protocol/src/record/submissions.rs
+++ b/crates/protocol/src/record/submissions.rs
@@ -37,6 +37,7 @@
         },
         Ended,
         Marked,
+        Expiring { accepted_ms: i64 },
     }
 
     pub struct WireItem {
@@ -61,7 +62,10 @@
 /// Prefix of the markers of open submissions.
 pub const OPEN_PREFIX: &str = "a/";
 
-/// Returns the prefix of all keys of a submission but its marker.
+/// Prefix of the markers of submissions that can be deleted later.
+pub const EXPIRING_PREFIX: &str = "z/";
+
+/// Returns the prefix of all keys of a submission but its markers.
 #[must_use]
 pub fn submission_prefix(submission: &str) -> String {
     format!("s/{submission}/")
@@ -100,6 +104,11 @@
         BookRecord::Marked { submission } => {
             (format!("{OPEN_PREFIX}{submission}"), Some(encode_message(&WireBookRecord::Marked)))
         }
+        BookRecord::Expiring { submission, accepted_at } => {
+            let value = WireBookRecord::Expiring { accepted_ms: accepted_at.0 };
+            (format!("{EXPIRING_PREFIX}{submission}"), Some(encode_message(&value)))
+        }
+        BookRecord::Dropped { submission } => (format!("{EXPIRING_PREFIX}{submission}"), None),
         BookRecord::Unmarked { submission } => (format!("{OPEN_PREFIX}{submission}"), None),
     }
 }
@@ -121,6 +130,15 @@
             None => BookRecord::Unmarked { submission },
         }));
     }
+    if let Some(submission) = key.strip_prefix(EXPIRING_PREFIX) {
+        let submission = String::from(submission);
+        let Some(value) = value else { return Ok(Some(BookRecord::Dropped { submission })) };
+        let WireBookRecord::Expiring { accepted_ms } = decode_message(value)? else {
+            return Err(MalformedMessage::new(format!("key \"{key}\" does not fit its value")));
+        };
+        let accepted_at = WallTime(accepted_ms);
+        return Ok(Some(BookRecord::Expiring { submission, accepted_at }));
+    }
     let Some(value) = value else { return Ok(None) };
     let mut parts = key.split('/').skip(1);
     let (submission, kind) = (parts.next(), parts.next());
--- a/crates/submissions/src/book.rs
+++ b/crates/submissions/src/book.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, sync::Arc};
 
-use base::plain;
+use base::{WallTime, plain};
 
 use crate::{ItemResult, SubmissionHead, SubmissionItem};
 
@@ -39,6 +39,18 @@
             /// Identifier of the submission.
             submission: String,
         },
+        /// The submission has ended and can be deleted once its time for reading has passed.
+        Expiring {
+            /// Identifier of the submission.
+            submission: String,
+            /// When it was accepted.
+            accepted_at: WallTime,
+        },
+        /// The submission was deleted.
+        Dropped {
+            /// Identifier of the submission.
+            submission: String,
+        },
         /// The submission is no longer open.
         Unmarked {
             /// Identifier of the submission.
@@ -102,7 +114,12 @@
                 }
                 Some(submission)
             }
-            BookRecord::Marked { .. } | BookRecord::Unmarked { .. } => None,
+            BookRecord::Dropped { submission } => {
+                self.submissions.remove(&submission).map(|_| submission)
+            }
+            BookRecord::Marked { .. }
+            | BookRecord::Unmarked { .. }
+            | BookRecord::Expiring { .. } => None,
         }
     }
 
