--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -48,7 +48,7 @@
         match status {
             200 => check_answer(&world, &id, &answer.body),
             401 | 404 => {
-                world.broken(format!("{id} was answered {status}, which no config allows"))
+                world.broken(format!("{id} was answered {status}, which no config allows"));
             }
             status if NOT_RUN.contains(&status) => {
                 world.count("refused");
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -98,7 +98,9 @@
             stopping: RefCell::new(false),
         };
         world.write_entries();
-        for address in world.nodes.borrow().iter().map(|node| node.process.ready()) {
+        let addresses: Vec<_> =
+            world.nodes.borrow().iter().map(|node| node.process.ready()).collect();
+        for address in addresses {
             process_tests::wait_for("a gateway that is ready", || async move {
                 let answer = process_tests::get(address, "/readyz", &[]).await;
                 (answer.status == 200).then_some(())
