Use all partitions at large stores; say truly whether a stream ran; drop unused parts

A stream whose tries may have run is no longer refused as not run. One place builds the request of a try, one the body of a refusal.

--- a/crates/dispatch/src/board.rs
+++ b/crates/dispatch/src/board.rs
@@ -91,17 +91,6 @@
         &self.rows[upstream].entry
     }
 
-    /// Returns the key of an id.
-    #[must_use]
-    pub fn find(&self, id: &str) -> Option<UpstreamKey> {
-        self.ids.get(id).copied()
-    }
-
-    /// Iterates over the ids whose entries are in the store.
-    pub fn listed(&self) -> impl Iterator<Item = &UpstreamEntry> {
-        self.rows.iter().filter(|(_, row)| row.removed_until.is_none()).map(|(_, row)| &row.entry)
-    }
-
     pub(crate) fn members(&self, service: &str) -> &[UpstreamKey] {
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
--- a/crates/dispatch/src/pick.rs
+++ b/crates/dispatch/src/pick.rs
@@ -1,6 +1,6 @@
 //! Choice of an upstream for one request.
 
-use base::{Moment, Span, UpstreamKey, WeightVersion, key, rendezvous_weight};
+use base::{Moment, UpstreamKey, WeightVersion, key, rendezvous_weight};
 
 use smallvec::SmallVec;
 
@@ -158,12 +158,6 @@
         fast * added * to.failure_factor() < slow * MOVE_BOUND
     }
 
-    /// Returns the expected time between events on an engine, if one was seen.
-    #[must_use]
-    pub fn event_time(&self, upstream: UpstreamKey) -> Option<Span> {
-        self.rows[upstream].event_time.map(|time| Span(time as u64))
-    }
-
     fn rank(&self, now: Moment, upstream: UpstreamKey, tried: &[UpstreamKey]) -> u8 {
         let row = &self.rows[upstream];
         let mut rank = 0;
--- a/crates/hibiscushinged/src/gateway/answer.rs
+++ b/crates/hibiscushinged/src/gateway/answer.rs
@@ -7,22 +7,17 @@
 };
 use base::Refusal;
 use bytes::Bytes;
-use serde_json::json;
 
 use crate::{
     gateway::{attempt::WholeAnswer, node::NodeState},
     shared::ServicePhase,
-    traffic::answer::{error_value, json_body},
+    traffic::answer::refusal_body,
 };
 
 /// Builds the answer to a refused request. The time to come back has a fraction, since many callers
 /// wait for less than a second in all.
 pub(crate) fn refusal(refusal: &Refusal) -> Response<BoxBody> {
-    let status = StatusCode::from_u16(refusal.code.http_status());
-    let mut response = json_body(
-        status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR),
-        &json!({ "error": error_value(refusal) }),
-    );
+    let mut response = refusal_body(refusal);
     if let Some(span) = refusal.retry_after {
         let seconds = format!("{:.3}", span.as_secs_f64());
         if let Ok(value) = HeaderValue::from_str(&seconds) {
--- a/crates/hibiscushinged/src/gateway/commit.rs
+++ b/crates/hibiscushinged/src/gateway/commit.rs
@@ -19,10 +19,10 @@
 /// Topic of submissions. It is keyed, because results are read for longer than the log is kept.
 pub(crate) const SUBMISSION_TOPIC: &str = "keyed.submissions";
 
-/// Reads a second of the store for each partition of submissions. A store that takes more calls serves a
-/// larger site, where one owner would be a bottleneck; at a small one, one owner needs the fewest
-/// connections to engines.
-const READS_PER_PARTITION: u32 = 1_500;
+/// Reads a second of the store from which submissions use all partitions. A store that takes fewer calls
+/// serves a small site, where one owner needs the fewest connections to engines; at a large one the
+/// loss of one owner must not hold up every trainer.
+const LARGE_STORE_READS: u32 = 3_000;
 
 /// Pause before an append is tried again.
 const RETRY_PAUSE: std::time::Duration = std::time::Duration::from_millis(60);
@@ -47,8 +47,8 @@
 impl PartitionSet {
     pub(crate) fn new(settings: &StoreSettings) -> Self {
         let topic = String::from(SUBMISSION_TOPIC);
-        let wanted = settings.reads_per_second / READS_PER_PARTITION;
-        let count = wanted.clamp(1, settings.partitions);
+        let large = settings.reads_per_second >= LARGE_STORE_READS;
+        let count = if large { settings.partitions } else { 1 };
         let mirrors = (0..count).map(|part| {
             Rc::new(PartitionMirror::new(PartitionName { topic: topic.clone(), part }))
         });
--- a/crates/hibiscushinged/src/gateway/plain.rs
+++ b/crates/hibiscushinged/src/gateway/plain.rs
@@ -49,6 +49,36 @@
     pub(crate) repeatable: bool,
 }
 
+impl PlainJob<'_> {
+    /// Builds the request for one upstream, with the time that is left.
+    pub(crate) fn call(
+        &self,
+        traffic: &TrafficState,
+        upstream: UpstreamKey,
+        left: Span,
+    ) -> AttemptCall<'_> {
+        let instance = traffic.board.borrow().entry(upstream).id.clone();
+        let call = UpstreamCall {
+            id: self.id,
+            host: self.host,
+            customer: self.customer,
+            instance: &instance,
+            deadline: Some(left),
+            resume_after: None,
+            urgency: None,
+        };
+        AttemptCall {
+            upstream,
+            id: self.id,
+            method: self.method.clone(),
+            path: self.path,
+            headers: forward_headers(self.headers, &call),
+            body: self.body.clone(),
+            billed: self.customer,
+        }
+    }
+}
+
 /// State of the tries of one request.
 #[derive(Default)]
 struct TryState {
@@ -123,25 +153,7 @@
     upstream: UpstreamKey,
     left: Span,
 ) -> (UpstreamKey, Result<WholeAnswer, AttemptFault>) {
-    let instance = traffic.board.borrow().entry(upstream).id.clone();
-    let call = UpstreamCall {
-        id: job.id,
-        host: job.host,
-        customer: job.customer,
-        instance: &instance,
-        deadline: Some(left),
-        resume_after: None,
-        urgency: None,
-    };
-    let call = AttemptCall {
-        upstream,
-        id: job.id,
-        method: job.method.clone(),
-        path: job.path,
-        headers: forward_headers(job.headers, &call),
-        body: job.body.clone(),
-        billed: job.customer,
-    };
+    let call = job.call(traffic, upstream, left);
     (upstream, whole_exchange(traffic, call).await)
 }
 
--- a/crates/hibiscushinged/src/gateway/relay.rs
+++ b/crates/hibiscushinged/src/gateway/relay.rs
@@ -9,12 +9,12 @@
 use base::{Refusal, RefusalCode, Span, UpstreamKey};
 use dispatch::{ExchangeEnd, PlainAsk};
 use futures_util::stream;
-use platform::{UpstreamCall, forward_headers, relay_headers};
+use platform::relay_headers;
 use smallvec::SmallVec;
 
 use crate::{
     gateway::{
-        attempt::{AttemptCall, AttemptFault, PlaceGuard, log_attempt, open_exchange},
+        attempt::{AttemptFault, PlaceGuard, log_attempt, open_exchange},
         board::TrafficState,
         channel::Exchange,
         node::FlightMark,
@@ -48,6 +48,7 @@
 ) -> Result<Response<BoxBody>, Refusal> {
     let mut tried: SmallVec<[UpstreamKey; 4]> = SmallVec::new();
     let mut reason = String::from("no upstream is usable");
+    let mut may_have_run = false;
     while tried.len() < job.attempts {
         let left = job.deadline.since(traffic.node.now());
         let zone = &traffic.node.settings.zone;
@@ -69,13 +70,17 @@
             Err((AttemptFault::MaybeRun(why), end)) => {
                 place.end(end);
                 log_event!(AttemptFailed, request = job.id, may_have_run = true, reason = why);
+                reason = why;
+                may_have_run = true;
                 if !job.repeatable {
-                    return Err(Refusal::may_have_run(RefusalCode::UpstreamFailed, why));
+                    break;
                 }
-                reason = why;
             }
         }
     }
+    if may_have_run {
+        return Err(Refusal::may_have_run(RefusalCode::UpstreamFailed, reason));
+    }
     Err(Refusal::not_run(RefusalCode::Overloaded, reason).with_retry_after(RETRY_PAUSE))
 }
 
@@ -85,25 +90,7 @@
     upstream: UpstreamKey,
     left: Span,
 ) -> Result<Exchange, (AttemptFault, ExchangeEnd)> {
-    let instance = traffic.board.borrow().entry(upstream).id.clone();
-    let call = UpstreamCall {
-        id: job.id,
-        host: job.host,
-        customer: job.customer,
-        instance: &instance,
-        deadline: Some(left),
-        resume_after: None,
-        urgency: None,
-    };
-    let call = AttemptCall {
-        upstream,
-        id: job.id,
-        method: job.method.clone(),
-        path: job.path,
-        headers: forward_headers(job.headers, &call),
-        body: job.body.clone(),
-        billed: job.customer,
-    };
+    let call = job.call(traffic, upstream, left);
     let timeout = crate::clock::to_duration(left);
     match tokio::time::timeout(timeout, open_exchange(traffic, call)).await {
         Ok(result) => result,
--- a/crates/hibiscushinged/src/traffic/answer.rs
+++ b/crates/hibiscushinged/src/traffic/answer.rs
@@ -14,11 +14,7 @@
 
 /// Builds the answer to a refused request.
 pub(crate) fn refusal(refusal: &Refusal) -> Response<BoxBody> {
-    let status = StatusCode::from_u16(refusal.code.http_status());
-    let mut response = json_body(
-        status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR),
-        &json!({ "error": error_value(refusal) }),
-    );
+    let mut response = refusal_body(refusal);
     if let Some(span) = refusal.retry_after {
         // The header counts whole seconds; the body gives milliseconds.
         let seconds = HeaderValue::from(span.0.div_ceil(1_000_000));
@@ -27,6 +23,13 @@
     response
 }
 
+/// Builds the answer to a refused request without the time to come back.
+pub(crate) fn refusal_body(refusal: &Refusal) -> Response<BoxBody> {
+    let status = StatusCode::from_u16(refusal.code.http_status());
+    let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    json_body(status, &json!({ "error": error_value(refusal) }))
+}
+
 /// Builds the `error` member of a refusal.
 pub(crate) fn error_value(refusal: &Refusal) -> Value {
     json!({
--- a/crates/submissions/src/text.rs
+++ b/crates/submissions/src/text.rs
@@ -104,12 +104,6 @@
         Ok(())
     }
 
-    /// Tells whether the text may go on in a submission that allows versions from `least` on.
-    #[must_use]
-    pub fn fits(&self, least: WeightVersion) -> bool {
-        self.versions.iter().all(|version| *version >= least)
-    }
-
     /// Changes the oldest allowed version, when the item returns in a later submission.
     ///
     /// # Errors
