Delete usage records of windows long reported; bound remembered prompts

Found while reading the change: the usage topic and two maps grew for as long as a process or the store lived. Windows older than 24 are deleted by the holder.

--- a/crates/hibiscushinged/src/gateway/duties.rs
+++ b/crates/hibiscushinged/src/gateway/duties.rs
@@ -6,10 +6,12 @@
     time::Duration,
 };
 
-use base::{Span, WallTime};
+use base::{Incarnation, Span, WallTime};
 use clients::{HttpClient, SendPermit};
 use platform::{AppendAnswer, DutyClient, UsageReport, keyed_record};
-use protocol::{UsageKey, decode_usage_record, encode_usage_report};
+use protocol::{
+    UsageKey, decode_usage_record, encode_usage_report, usage_report_key, usage_totals_key,
+};
 use usage::{CustomerCounts, WindowBoard, WindowNumber, window_end, window_of};
 
 use crate::{
@@ -33,6 +35,12 @@
 /// Windows before the newest one that are looked at.
 const LOOK_BACK: u64 = 6;
 
+/// Windows that stay in the store before the newest one. Every report is due long before.
+const KEPT_WINDOWS: u64 = 24;
+
+/// Windows whose records are deleted in one append.
+const DELETED_AT_ONCE: usize = 32;
+
 /// Longest time for a connection to the platform's interface.
 const CONNECT_TIMEOUT: Span = Span::from_millis(300);
 
@@ -66,6 +74,29 @@
                 }
             }
         }
+        delete_old(&control, &mut state).await;
+    }
+}
+
+/// Deletes the records of windows that are long reported, so that the store does not fill up.
+async fn delete_old(control: &ControlState, state: &mut UsageState) {
+    let newest = window_of(control.node.wall(), control.node.settings.promises.window);
+    let oldest = WindowNumber(newest.0.saturating_sub(KEPT_WINDOWS));
+    state.confirmed = state.confirmed.split_off(&oldest);
+    state.reports = state.reports.split_off(&oldest);
+    let old = state.board.forget_before(oldest);
+    for windows in old.chunks(DELETED_AT_ONCE) {
+        let mut records = Vec::new();
+        for (window, processes) in windows {
+            let keys =
+                processes.iter().map(|process| usage_totals_key(*window, Incarnation(*process)));
+            records.extend(keys.map(|key| keyed_record(&key, None)));
+            records.push(keyed_record(&usage_report_key(*window), None));
+        }
+        // What is not deleted now is found again by the next holder, which reads all keys.
+        if let Err(error) = control.store.append(USAGE_TOPIC, 0, None, &records).await {
+            tracing::warn!(%error, "old usage records stay for now");
+        }
     }
 }
 
--- a/crates/hibiscushinged/src/gateway/runner.rs
+++ b/crates/hibiscushinged/src/gateway/runner.rs
@@ -43,6 +43,9 @@
 /// when the item returns.
 const TEXT_LIFE: Span = Span::from_secs(30);
 
+/// Shared prompts whose engine is remembered. A submission has some tens of groups.
+const MOST_PROMPTS: usize = 4_096;
+
 /// Time that a run stays where it is at least. It covers a usual prompt and some events.
 const LEAST_STAY: Span = Span::from_millis(600);
 
@@ -272,6 +275,9 @@
             };
             drop(progress);
             if let Some(prompt) = prompt {
+                if warm.len() >= MOST_PROMPTS {
+                    warm.clear();
+                }
                 warm.insert(prompt.clone(), upstream);
             }
             job.start(traffic, upstream);
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -22,6 +22,7 @@
         EXPIRING_PREFIX, OPEN_PREFIX, OpenedStep, SampleCarry, SampleEntry, UsageEntry, UsageKey,
         WireAuthority, WireBatch, WireClaim, WireConfig, WireDemand, WireSample, WireSnapshot,
         WireUsage, WireVerdict, decode_book_record, decode_usage_record, encode_book_record,
-        encode_usage_report, encode_usage_totals, submission_prefix,
+        encode_usage_report, encode_usage_totals, submission_prefix, usage_report_key,
+        usage_totals_key,
     },
 };
--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -18,6 +18,9 @@
     submissions::{
         EXPIRING_PREFIX, OPEN_PREFIX, decode_book_record, encode_book_record, submission_prefix,
     },
-    totals::{UsageKey, decode_usage_record, encode_usage_report, encode_usage_totals},
+    totals::{
+        UsageKey, decode_usage_record, encode_usage_report, encode_usage_totals, usage_report_key,
+        usage_totals_key,
+    },
     usage::{UsageEntry, WireBatch, WireUsage},
 };
--- a/crates/protocol/src/record/totals.rs
+++ b/crates/protocol/src/record/totals.rs
@@ -44,13 +44,25 @@
     closed: bool,
 ) -> (String, Vec<u8>) {
     let totals = WireTotals { counts: counts.clone(), closed };
-    (format!("t/{}/{:x}", window.0, writer.0), encode_message(&totals))
+    (usage_totals_key(window, writer), encode_message(&totals))
+}
+
+/// Returns the key of the totals of a process.
+#[must_use]
+pub fn usage_totals_key(window: WindowNumber, writer: Incarnation) -> String {
+    format!("t/{}/{:x}", window.0, writer.0)
+}
+
+/// Returns the key of the fixed figures of a window.
+#[must_use]
+pub fn usage_report_key(window: WindowNumber) -> String {
+    format!("r/{}", window.0)
 }
 
 /// Encodes the fixed figures of a window.
 #[must_use]
 pub fn encode_usage_report(window: WindowNumber, counts: &CustomerCounts) -> (String, Vec<u8>) {
-    (format!("r/{}", window.0), encode_message(counts))
+    (usage_report_key(window), encode_message(counts))
 }
 
 /// Decodes a record of the usage topic.
--- a/crates/usage/src/tally.rs
+++ b/crates/usage/src/tally.rs
@@ -143,8 +143,10 @@
         sum_counts(totals.map(|totals| &totals.counts))
     }
 
-    /// Forgets windows before `oldest`.
-    pub fn forget_before(&mut self, oldest: WindowNumber) {
-        self.totals = self.totals.split_off(&oldest);
+    /// Forgets windows before `oldest`, and returns them with the processes that counted in them.
+    pub fn forget_before(&mut self, oldest: WindowNumber) -> Vec<(WindowNumber, Vec<u64>)> {
+        let kept = self.totals.split_off(&oldest);
+        let old = std::mem::replace(&mut self.totals, kept);
+        old.into_iter().map(|(window, totals)| (window, totals.into_keys().collect())).collect()
     }
 }
--- a/crates/usage/tests/tally.rs
+++ b/crates/usage/tests/tally.rs
@@ -69,3 +69,15 @@
     board.take(WindowNumber(7), 1, counts(&[]), true);
     assert!(!board.is_closed(WindowNumber(7)));
 }
+
+/// Guards against totals that are kept, here and in the store, for windows long reported.
+#[test]
+fn old_windows_are_named_for_deletion() {
+    let mut board = WindowBoard::default();
+    board.take(WindowNumber(6), 1, counts(&[]), true);
+    board.take(WindowNumber(6), 2, counts(&[]), true);
+    board.take(WindowNumber(7), 1, counts(&[("brewer", 3)]), true);
+    assert_eq!(board.forget_before(WindowNumber(7)), vec![(WindowNumber(6), vec![1, 2])]);
+    assert!(board.forget_before(WindowNumber(7)).is_empty());
+    assert_eq!(board.figures(WindowNumber(7)), counts(&[("brewer", 3)]));
+}
