--- a/crates/clients/src/http_client.rs
+++ b/crates/clients/src/http_client.rs
@@ -9,7 +9,7 @@
 use actix_rt::net::TcpStream;
 use actix_service::{Service, fn_service};
 use actix_tls::connect::{ConnectError, ConnectInfo, Connection, Connector as TcpConnector};
-use awc::{Client, ClientResponse, Connector, http::Uri};
+use awc::{Client, ClientBuilder, ClientResponse, Connector, http::Uri};
 use base::{Execution, Span};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
@@ -25,7 +25,7 @@
 
 /// Idle time after which a connection is not used again. Many servers close theirs after 5 s, and a
 /// request that meets the close may have run.
-const KEEP_ALIVE: Span = Span::from_secs(4);
+const KEEP_ALIVE: Duration = Duration::from_secs(4);
 
 /// A pool of connections that belongs to one thread. Clones share the pool.
 ///
@@ -74,23 +74,36 @@
     /// Builds a client whose connection attempts end after `connect_timeout`.
     #[must_use]
     pub fn new(connect_timeout: Span) -> Self {
-        Self::with_idle(connect_timeout, KEEP_ALIVE)
+        // The pool has no limit of its own: a request that waits in it could not be told from one
+        // that was sent. The daemon bounds its requests before they get here.
+        let connector = Connector::new()
+            .timeout(duration(connect_timeout))
+            .conn_keep_alive(KEEP_ALIVE)
+            .limit(0);
+        Self::finish(Client::builder().connector(connector))
     }
 
-    /// Builds a client that uses connections again until they were idle for `idle`. Receivers must keep
-    /// them open for longer.
+    /// Builds a client whose connections end with a reset, and are used again until they were idle for
+    /// `idle`. Receivers must keep them open for longer.
     #[must_use]
-    pub fn with_idle(connect_timeout: Span, idle: Span) -> Self {
-        // The pool has no limit of its own: a request that waits in it could not be told from one
-        // that was sent. The daemon bounds its requests before they get here.
+    pub fn resetting(connect_timeout: Span, idle: Span) -> Self {
         let connector = Connector::new()
             .connector(resetting_connector())
             .timeout(duration(connect_timeout))
             .conn_keep_alive(duration(idle))
             .limit(0);
-        let builder = Client::builder().connector(connector).disable_redirects();
+        Self::finish(Client::builder().connector(connector))
+    }
+
+    fn finish<S>(builder: ClientBuilder<S>) -> Self
+    where
+        S: Service<ConnectInfo<Uri>, Response = Connection<Uri, TcpStream>, Error = ConnectError>
+            + Clone
+            + 'static,
+    {
         // Timeouts are applied around whole exchanges below. awc's own would also end long streams.
-        Self { client: builder.disable_timeout().finish(), guard: None, transfer: None }
+        let client = builder.disable_redirects().disable_timeout().finish();
+        Self { client, guard: None, transfer: None }
     }
 
     /// Returns a client of the same pool that writes a request with a body only when `check` grants
--- a/crates/hibiscushinged/src/gateway/duties.rs
+++ b/crates/hibiscushinged/src/gateway/duties.rs
@@ -41,6 +41,9 @@
 /// Windows whose records are deleted in one append.
 const DELETED_AT_ONCE: usize = 32;
 
+/// Idle time after which a connection is not used again. Each report has a connection of its own.
+const IDLE_TIME: Span = Span::from_secs(1);
+
 /// Longest time for a connection to the platform's interface.
 const CONNECT_TIMEOUT: Span = Span::from_millis(300);
 
@@ -183,7 +186,7 @@
 ) -> bool {
     let Some(mark) = control.lease.mark(&control.node) else { return false };
     let checked = Rc::clone(control);
-    let http = HttpClient::new(CONNECT_TIMEOUT).guarded(move || {
+    let http = HttpClient::resetting(CONNECT_TIMEOUT, IDLE_TIME).guarded(move || {
         let permit = checked.lease.permit(&checked.node);
         if permit.is_some() { SendPermit::Granted } else { SendPermit::Denied }
     });
--- a/crates/hibiscushinged/src/gateway/loads.rs
+++ b/crates/hibiscushinged/src/gateway/loads.rs
@@ -99,7 +99,7 @@
 impl LoadDesk {
     fn new(control: &Rc<ControlState>) -> Self {
         let checked = Rc::clone(control);
-        let http = HttpClient::with_idle(CONNECT_TIMEOUT, IDLE_TIME).guarded(move || {
+        let http = HttpClient::resetting(CONNECT_TIMEOUT, IDLE_TIME).guarded(move || {
             let permit = checked.lease.permit(&checked.node);
             if permit.is_some() { SendPermit::Granted } else { SendPermit::Denied }
         });
--- a/crates/hibiscushinged/src/gateway/store.rs
+++ b/crates/hibiscushinged/src/gateway/store.rs
@@ -9,6 +9,9 @@
 
 use crate::gateway::node::NodeState;
 
+/// Idle time after which a connection is not used again. The followers use theirs all the time.
+const IDLE_TIME: Span = Span::from_secs(4);
+
 /// Longest time for a connection to the store. A hop takes a millisecond.
 const CONNECT_TIMEOUT: Span = Span::from_millis(500);
 
@@ -110,5 +113,5 @@
 }
 
 fn connect(node: &NodeState) -> StoreClient {
-    StoreClient::new(HttpClient::new(CONNECT_TIMEOUT), node.settings.store.address)
+    StoreClient::new(HttpClient::resetting(CONNECT_TIMEOUT, IDLE_TIME), node.settings.store.address)
 }
