Check the lease before orders and reports in one place

The guard that checks the lease as the last step before the bytes stood in loads.rs and duties.rs, each with its own connect time-out of 300 ms. Both call holder_client in lease.rs now. Behaviour stays.

--- a/crates/hibiscushinged/src/gateway/duties.rs
+++ b/crates/hibiscushinged/src/gateway/duties.rs
@@ -7,7 +7,6 @@
 };
 
 use base::{Incarnation, Span, WallTime};
-use clients::{HttpClient, SendPermit};
 use platform::{AppendAnswer, DutyClient, UsageReport, keyed_record};
 use protocol::{
     UsageKey, decode_usage_record, encode_usage_report, usage_report_key, usage_totals_key,
@@ -18,7 +17,7 @@
     gateway::{
         control::ControlState,
         fetch::{FetchedKeys, KeyChange, PartitionName, fetch},
-        lease::ORDER_TIMEOUT,
+        lease::{ORDER_TIMEOUT, holder_client},
         usage::USAGE_TOPIC,
     },
     telemetry::log_event,
@@ -44,9 +43,6 @@
 /// Idle time after which a connection is not used again. Each report has a connection of its own.
 const IDLE_TIME: Span = Span::from_secs(1);
 
-/// Longest time for a connection to the platform's interface.
-const CONNECT_TIMEOUT: Span = Span::from_millis(300);
-
 /// Windows as the store holds them.
 #[derive(Default)]
 struct UsageState {
@@ -185,12 +181,7 @@
     report: &UsageReport,
 ) -> bool {
     let Some(mark) = control.lease.mark(&control.node) else { return false };
-    let checked = Rc::clone(control);
-    let http = HttpClient::resetting(CONNECT_TIMEOUT, IDLE_TIME).guarded(move || {
-        let permit = checked.lease.permit(&checked.node);
-        if permit.is_some() { SendPermit::Granted } else { SendPermit::Denied }
-    });
-    let client = DutyClient::new(http, address);
+    let client = DutyClient::new(holder_client(control, IDLE_TIME), address);
     match client.report_usage(&mark, report, ORDER_TIMEOUT).await {
         Ok(()) => {
             control.node.metrics.usage_reports.inc();
--- a/crates/hibiscushinged/src/gateway/lease.rs
+++ b/crates/hibiscushinged/src/gateway/lease.rs
@@ -7,6 +7,7 @@
 };
 use base::{FencingNumber, LogOffset, Moment, Span};
 use bytes::Bytes;
+use clients::{HttpClient, SendPermit};
 use platform::{AppendAnswer, HolderMark, ReadAnswer};
 use protocol::{StreamRecord as _, WireAuthority, decode_message, encode_message};
 
@@ -32,6 +33,9 @@
 /// Longest time from the check of the lease before a call until the receiver has acted on it.
 pub(crate) const ORDER_TIMEOUT: Span = Span::from_millis(600);
 
+/// Longest time for a connection to a receiver of orders or reports.
+const CONNECT_TIMEOUT: Span = Span::from_millis(300);
+
 /// Longest wait of a read for lease records.
 const POLL_WAIT: Span = Span::from_millis(400);
 
@@ -89,6 +93,16 @@
     node.settings.promises.lease + MARGIN
 }
 
+/// Returns a client whose requests with a body are written only while this node holds the lease. The
+/// lease is checked as the last step before the bytes.
+pub(crate) fn holder_client(control: &Rc<ControlState>, idle: Span) -> HttpClient {
+    let control = Rc::clone(control);
+    HttpClient::resetting(CONNECT_TIMEOUT, idle).guarded(move || {
+        let permit = control.lease.permit(&control.node);
+        if permit.is_some() { SendPermit::Granted } else { SendPermit::Denied }
+    })
+}
+
 /// Follows the lease records, and claims, renews and gives up the lease.
 pub(crate) async fn keep_lease(control: Rc<ControlState>) {
     actix_rt::spawn(follow_records(Rc::clone(&control)));
--- a/crates/hibiscushinged/src/gateway/loads.rs
+++ b/crates/hibiscushinged/src/gateway/loads.rs
@@ -8,12 +8,14 @@
 };
 
 use base::{Moment, Span, WeightVersion};
-use clients::{HttpClient, SendPermit};
 use dispatch::{EngineLoad, EntryState, LoadOrder, LoadPlan, UpstreamEntry, plan_loads};
 use platform::{EngineSurface, LoadRequest, OrderAnswer};
 
 use crate::{
-    gateway::{control::ControlState, lease::ORDER_TIMEOUT},
+    gateway::{
+        control::ControlState,
+        lease::{ORDER_TIMEOUT, holder_client},
+    },
     telemetry::log_event,
 };
 
@@ -32,9 +34,6 @@
 /// Pause before an engine that refused an order, or did not answer, gets another one.
 const FAILURE_PAUSE: Span = Span::from_millis(700);
 
-/// Longest time for a connection to an engine.
-const CONNECT_TIMEOUT: Span = Span::from_millis(300);
-
 /// Idle time after which a connection to an engine is not used again. Engines state 10 s.
 const IDLE_TIME: Span = Span::from_secs(8);
 
@@ -98,11 +97,7 @@
 
 impl LoadDesk {
     fn new(control: &Rc<ControlState>) -> Self {
-        let checked = Rc::clone(control);
-        let http = HttpClient::resetting(CONNECT_TIMEOUT, IDLE_TIME).guarded(move || {
-            let permit = checked.lease.permit(&checked.node);
-            if permit.is_some() { SendPermit::Granted } else { SendPermit::Denied }
-        });
+        let http = holder_client(control, IDLE_TIME);
         Self {
             surface: EngineSurface::new(http),
             loading: RefCell::default(),
