Wait for the first batch's copy to end before the log fails

Cause: the test waits until a survivor holds a batch of the first daemon, and took the copy of the first batch for one of the second. One survivor reads the first batch in the log up to 0.4 s after the other (logs of a failed run: 58.18 and 58.40), and the test only waited for the faster one. The daemon was then killed before it had cut the second batch, so that there was nothing to append.

Ruled out: a missing suspicion of the zone's only node. The holder appends a batch after 20 s whether or not it suspects the origin, and the logs of runs that pass have no PeerSuspected either.

Change: the test waits until no survivor holds a batch before the log goes down. All its checks and bounds are as before.

--- a/crates/process-tests/tests/state.rs
+++ b/crates/process-tests/tests/state.rs
@@ -29,6 +29,16 @@
     Some(windows.sum::<u64>() + tokens(&usage["open"]))
 }
 
+/// Returns the number of batches that these daemons hold for others.
+async fn held_batches(fleet: &TestFleet, daemons: &[usize]) -> Option<u64> {
+    let mut held = 0;
+    for daemon in daemons {
+        let admin = fleet.daemons[*daemon].address(2);
+        held += get_json(admin, "/admin/usage").await?["held_batches"].as_u64()?;
+    }
+    Some(held)
+}
+
 /// Guards against usage that is lost or billed twice when a daemon dies before the log takes its
 /// batch: the replica holder must append it.
 #[actix_rt::test]
@@ -37,15 +47,15 @@
     fleet.first_document(&["cordial"]).await;
     admitted(&fleet, 0).await;
     wait_for("the first batch", || async { (billed(&fleet, 1).await? == 1).then_some(()) }).await;
+    // A holder that has not read the first batch in the log yet would pass for one of the second.
+    wait_for("the end of the first copy", || async {
+        (held_batches(&fleet, &[1, 2]).await? == 0).then_some(())
+    })
+    .await;
     fleet.fault(&json!({ "log_down": true })).await;
     assert_eq!(generate(&fleet, 0, 40).await, 200);
     wait_for("the copy of the batch", || async {
-        let mut held = 0;
-        for daemon in [1, 2] {
-            let admin = fleet.daemons[daemon].address(2);
-            held += get_json(admin, "/admin/usage").await?["held_batches"].as_u64()?;
-        }
-        (held > 0).then_some(())
+        (held_batches(&fleet, &[1, 2]).await? > 0).then_some(())
     })
     .await;
     fleet.daemons[0].kill();
