Read an answer without a length to the end of its connection

Cause: the codec of actix-http takes an answer in HTTP/1.1 without a length for an empty one.

Ruled out: an orderly close in the middle of the body, and a reset that was read as an end. A trial with log lines at each read showed that no byte of those bodies was asked for.

Change: where a head has neither a length nor a coding, and the status and method allow a body, it ends with the connection (RFC 9112, 6.3). A reset is still an error. Answers in HTTP/1.0 without a length, which counted as broken, are read the same way.

--- a/crates/hibiscushinged/src/gateway/channel.rs
+++ b/crates/hibiscushinged/src/gateway/channel.rs
@@ -1,11 +1,15 @@
 //! One connection to an upstream, and one exchange on it.
 
+#[cfg(test)]
+mod tests;
+
 use std::{fmt, io, net::SocketAddr};
 
 use actix_http::{
-    RequestHead, RequestHeadType, ResponseHead, ServiceConfig,
+    Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode,
     body::BodySize,
     h1::{ClientCodec, ClientPayloadCodec, Message, MessageType},
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
 };
 use bytes::{Bytes, BytesMut};
 use platform::{ReplyMarks, read_reply};
@@ -52,7 +56,9 @@
 
 enum BodyState {
     /// The body is read with this codec.
-    Framed { codec: ClientPayloadCodec, until_close: bool },
+    Framed(ClientPayloadCodec),
+    /// The body ends with the connection.
+    UntilClose,
     /// The body is complete.
     Complete { keep_alive: bool },
     /// Reading failed.
@@ -89,12 +95,13 @@
         id: &str,
     ) -> Result<Exchange, ChannelFault> {
         let mut bytes = BytesMut::with_capacity(512 + body.len());
-        let size = if body.is_empty() && head.method == actix_http::Method::GET {
+        let size = if body.is_empty() && head.method == Method::GET {
             BodySize::None
         } else {
             BodySize::Sized(body.len() as u64)
         };
         let mut codec = ClientCodec::new(self.config.clone());
+        let method = head.method.clone();
         let head = RequestHeadType::Owned(head);
         codec.encode(Message::Item((head, size)), &mut bytes)?;
         bytes.extend_from_slice(&body);
@@ -102,7 +109,7 @@
         for _ in 0..=SKIPPED_ANSWERS {
             let head = self.read_head(&mut codec).await?;
             let marks = read_reply(&head);
-            let body = body_state(codec);
+            let body = body_state(codec, &method, &head);
             let mut exchange = Exchange { channel: self, head, marks, body };
             if exchange.answers(id) {
                 return Ok(exchange);
@@ -187,23 +194,26 @@
 
     async fn next_chunk(&mut self) -> Result<Option<Bytes>, ChannelFault> {
         loop {
-            let BodyState::Framed { codec, until_close } = &mut self.body else {
-                return Ok(None);
+            let decoded = match &mut self.body {
+                BodyState::Framed(codec) => codec.decode(&mut self.channel.buffer),
+                BodyState::UntilClose if self.channel.buffer.is_empty() => Ok(None),
+                BodyState::UntilClose => Ok(Some(Some(self.channel.buffer.split().freeze()))),
+                BodyState::Complete { .. } | BodyState::Failed => return Ok(None),
             };
-            let decoded = codec.decode(&mut self.channel.buffer);
             match decoded.map_err(|error| ChannelFault::Malformed(error.to_string()))? {
                 Some(Some(bytes)) if bytes.is_empty() => {}
                 Some(Some(bytes)) => return Ok(Some(bytes)),
                 Some(None) => {
-                    self.body = BodyState::Complete { keep_alive: codec.keep_alive() };
+                    let keep_alive = self.head.keep_alive();
+                    self.body = BodyState::Complete { keep_alive };
                     return Ok(None);
                 }
                 None => {
-                    let until_close = *until_close;
                     if self.channel.fill().await? > 0 {
                         continue;
                     }
-                    if until_close {
+                    // A reset is an error above, so the upstream has closed in order.
+                    if matches!(self.body, BodyState::UntilClose) {
                         self.body = BodyState::Complete { keep_alive: false };
                         return Ok(None);
                     }
@@ -223,15 +233,17 @@
     }
 }
 
-fn body_state(codec: ClientCodec) -> BodyState {
+/// Tells how the body ends. The codec takes an answer in HTTP/1.1 without a length for an empty one; by RFC
+/// 9112, section 6.3, its body ends with the connection.
+fn body_state(codec: ClientCodec, method: &Method, head: &ResponseHead) -> BodyState {
+    let bodiless = *method == Method::HEAD
+        || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    let framed =
+        head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING);
     match codec.message_type() {
+        _ if !bodiless && !framed => BodyState::UntilClose,
         MessageType::None => BodyState::Complete { keep_alive: codec.keep_alive() },
-        MessageType::Payload => {
-            BodyState::Framed { codec: codec.into_payload_codec(), until_close: false }
-        }
-        MessageType::Stream => {
-            BodyState::Framed { codec: codec.into_payload_codec(), until_close: true }
-        }
+        MessageType::Payload | MessageType::Stream => BodyState::Framed(codec.into_payload_codec()),
     }
 }
 
