--- a/crates/hibiscushinged/src/gateway/serve.rs
+++ b/crates/hibiscushinged/src/gateway/serve.rs
@@ -294,10 +294,6 @@
         let deadline = caller.arrived + call.deadline.unwrap_or(BODY_TIMEOUT);
         let host = call.host.as_str();
         let arrival = Arrival { id, customer, host, path, body: &caller.body, deadline };
-        if id.is_empty() {
-            let message = "the submission has no identifier";
-            return Err(Refusal::not_run(RefusalCode::RequestInvalid, message));
-        }
         return submit::accept(traffic, &arrival).await;
     }
     let job = plain_job(caller, route, customer, id, deadline)?;
--- a/crates/hibiscushinged/src/gateway/submit.rs
+++ b/crates/hibiscushinged/src/gateway/submit.rs
@@ -6,7 +6,10 @@
 use base::{Moment, Refusal, RefusalCode, Span};
 use bytes::Bytes;
 use platform::{SubmissionBody, decode_submission, encode_results};
-use submissions::{BookRecord, SubmissionHead, SubmissionItem, ending_records, opening_records};
+use submissions::{
+    BookRecord, SubmissionHead, SubmissionItem, check_owner, check_submission, ending_records,
+    opening_records,
+};
 
 use crate::{
     clock::to_duration,
@@ -60,8 +63,8 @@
     traffic: &Rc<TrafficState>,
     arrival: &Arrival<'_>,
 ) -> Result<Response<BoxBody>, Refusal> {
-    let body = decode_submission(arrival.body)
-        .map_err(|error| Refusal::not_run(RefusalCode::RequestInvalid, error.to_string()))?;
+    let body = decode_submission(arrival.body).map_err(|error| invalid(&error))?;
+    check_submission(arrival.id, &body.items).map_err(|fault| invalid(&fault))?;
     let mirror = traffic.partitions.of_customer(arrival.customer);
     mirror.follow(traffic);
     let records = records(traffic, arrival, body);
@@ -77,6 +80,9 @@
     });
     match stored.await {
         Ok(()) => {
+            if let Some(state) = mirror.book().get(arrival.id) {
+                check_owner(state, arrival.customer).map_err(|fault| invalid(&fault))?;
+            }
             let (submission, customer) = (arrival.id, arrival.customer);
             let part = mirror.name.part;
             log_event!(SubmissionAccepted, submission, customer, part, items, repeated = known);
@@ -86,6 +92,10 @@
     }
 }
 
+fn invalid(error: &impl std::error::Error) -> Refusal {
+    Refusal::not_run(RefusalCode::RequestInvalid, error.to_string())
+}
+
 fn unsettled(fault: CommitFault) -> Refusal {
     let code = RefusalCode::LogUnavailable;
     match fault {
--- a/crates/submissions/src/lib.rs
+++ b/crates/submissions/src/lib.rs
@@ -6,6 +6,7 @@
 //! submission is given away once and never changes.
 
 mod book;
+mod check;
 mod copy;
 mod item;
 mod plan;
@@ -14,6 +15,7 @@
 
 pub use crate::{
     book::{BookRecord, SubmissionBook, SubmissionState},
+    check::{SubmissionFault, check_owner, check_submission},
     copy::{LogPart, PartitionCopy, SubmissionRead},
     item::{ItemResult, ItemState, RewardCall, SubmissionHead, SubmissionItem},
     plan::{ending_records, opening_records, result_records},
