Dissolve the circles of modules in the product's own mode

Cause: twelve modules of `traffic` and `control` used each other in circles, because a module held both what others share and the driver that calls those others.

Change: TrafficWorker, the admitted request, the names of the log's streams and the division of samples have modules of their own (traffic::worker, traffic::admitted, control::streams, control::slots). No line of behaviour changes.

Before: four circles of 2, 2, 4 and 6 modules.

--- a/crates/hibiscushinged/src/control.rs
+++ b/crates/hibiscushinged/src/control.rs
@@ -15,6 +15,8 @@
 mod samples;
 mod score;
 mod server;
+mod slots;
+pub(crate) mod streams;
 mod suspects;
 mod trainers;
 mod transfer;
--- a/crates/hibiscushinged/src/control/authority.rs
+++ b/crates/hibiscushinged/src/control/authority.rs
@@ -14,7 +14,7 @@
     control::{
         Control,
         follow::{NextRead, StreamEvent, follow},
-        usage::USAGE_STREAM,
+        streams::USAGE_STREAM,
     },
     shared::SharedState,
     telemetry::log_event,
--- a/crates/hibiscushinged/src/control/claims.rs
+++ b/crates/hibiscushinged/src/control/claims.rs
@@ -14,12 +14,11 @@
     control::{
         Control,
         follow::{NextRead, StreamEvent, follow},
+        streams::CLAIM_STREAM,
     },
     input::{ClaimAnswer, ClaimAsk},
 };
 
-const CLAIM_STREAM: &str = "claims";
-
 /// Claims of this node.
 pub(crate) struct ClaimDriver {
     table: ClaimTable,
--- a/crates/hibiscushinged/src/control/config.rs
+++ b/crates/hibiscushinged/src/control/config.rs
@@ -13,15 +13,13 @@
     control::{
         Control,
         follow::{NextRead, StreamEvent, follow},
+        streams::CONFIG_STREAM,
     },
     shared::ServicePhase,
     telemetry::log_event,
     view::{KeyService, RoutingView},
 };
 
-/// Log stream of the documents.
-pub const CONFIG_STREAM: &str = "config";
-
 /// Time between snapshots of the documents. It must stay well below the log's retention.
 const CARRY_PERIOD: Span = Span::from_secs(600);
 const CARRY_RETRY: Span = Span::from_secs(30);
--- a/crates/hibiscushinged/src/control/fleet/demand.rs
+++ b/crates/hibiscushinged/src/control/fleet/demand.rs
@@ -14,11 +14,10 @@
     control::{
         Control,
         follow::{NextRead, StreamEvent, follow},
+        streams::DEMAND_STREAM,
     },
 };
 
-const DEMAND_STREAM: &str = "demand";
-
 /// Time between two observations of demand. Load reports arrive every half second.
 const OBSERVE_PERIOD: Span = Span::from_secs(5);
 
--- a/crates/hibiscushinged/src/control/follow.rs
+++ b/crates/hibiscushinged/src/control/follow.rs
@@ -11,7 +11,7 @@
 use tokio::sync::Notify;
 
 use crate::{
-    control::{Control, config::CONFIG_STREAM},
+    control::{Control, streams::CONFIG_STREAM},
     telemetry::log_event,
 };
 
--- a/crates/hibiscushinged/src/control/generate.rs
+++ b/crates/hibiscushinged/src/control/generate.rs
@@ -20,7 +20,7 @@
 use crate::{
     control::{
         Control,
-        samples::{SlotOwners, slot_hash},
+        slots::{SlotOwners, slot_hash},
     },
     shared::ServicePhase,
     telemetry::log_event,
--- a/crates/hibiscushinged/src/control/generate/attempt.rs
+++ b/crates/hibiscushinged/src/control/generate/attempt.rs
@@ -20,7 +20,8 @@
         Control,
         generate::{SampleAttempt, SampleWork},
         sample_store::StoreOutcome,
-        samples::{SAMPLE_STREAM, is_heard},
+        slots::is_heard,
+        streams::SAMPLE_STREAM,
     },
     telemetry::log_event,
 };
--- a/crates/hibiscushinged/src/control/sample_carry.rs
+++ b/crates/hibiscushinged/src/control/sample_carry.rs
@@ -7,10 +7,7 @@
 use protocol::{MAX_MESSAGE_BYTES, SampleCarry, SampleEntry, encode_record};
 use rollout::{SampleBook, TrainerId};
 
-use crate::control::{
-    Control,
-    samples::{SAMPLE_STREAM, SlotOwners},
-};
+use crate::control::{Control, slots::SlotOwners, streams::SAMPLE_STREAM};
 
 /// Wait before a snapshot that was not read back is appended again.
 const RETRY: Span = Span::from_secs(5);
--- a/crates/hibiscushinged/src/control/suspects.rs
+++ b/crates/hibiscushinged/src/control/suspects.rs
@@ -14,12 +14,11 @@
     control::{
         Control,
         follow::{NextRead, StreamEvent, follow},
+        streams::VERDICT_STREAM,
     },
     telemetry::log_event,
 };
 
-const VERDICT_STREAM: &str = "verdicts";
-
 pub(crate) fn start(control: &Rc<Control>) {
     follow::<Verdict>(control, String::from(VERDICT_STREAM), |control, event| {
         if let StreamEvent::Record { record, .. } = event {
--- a/crates/hibiscushinged/src/control/trainers.rs
+++ b/crates/hibiscushinged/src/control/trainers.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     clock::to_duration,
-    control::{Control, samples::SAMPLE_STREAM},
+    control::{Control, streams::SAMPLE_STREAM},
     input::{StepRequest, TrainerAsk},
     shared::ServicePhase,
     telemetry::log_event,
--- a/crates/hibiscushinged/src/control/usage.rs
+++ b/crates/hibiscushinged/src/control/usage.rs
@@ -18,12 +18,11 @@
         Control,
         authority::fencing_support,
         follow::{NextRead, StreamEvent, follow},
+        streams::USAGE_STREAM,
     },
     telemetry::log_event,
 };
 
-pub(crate) const USAGE_STREAM: &str = "usage";
-
 /// Batches held for other nodes. At one batch in 5 s from each of a few nodes this covers an hour of
 /// log outage.
 const REPLICA_CAPACITY: usize = 4_096;
--- a/crates/hibiscushinged/src/lib.rs
+++ b/crates/hibiscushinged/src/lib.rs
@@ -32,7 +32,7 @@
 };
 
 pub use crate::{
-    control::config::{CONFIG_STREAM, check_document},
+    control::{config::check_document, streams::CONFIG_STREAM},
     gateway::Gateway,
 };
 
--- a/crates/hibiscushinged/src/traffic.rs
+++ b/crates/hibiscushinged/src/traffic.rs
@@ -1,5 +1,6 @@
 //! Serving of callers and trainers on the traffic threads.
 
+mod admitted;
 pub(crate) mod answer;
 mod caller;
 mod choice;
@@ -8,5 +9,6 @@
 mod server;
 mod stream;
 mod trainer;
+mod worker;
 
 pub(crate) use self::server::start;
--- a/crates/hibiscushinged/src/traffic/choice.rs
+++ b/crates/hibiscushinged/src/traffic/choice.rs
@@ -13,8 +13,8 @@
     shared::{SharedState, request_text},
     telemetry::log_event,
     traffic::{
-        caller::{CallerRequest, record},
-        server::TrafficWorker,
+        admitted::{CallerRequest, record},
+        worker::TrafficWorker,
     },
     view::KeyService,
 };
--- a/crates/hibiscushinged/src/traffic/plain.rs
+++ b/crates/hibiscushinged/src/traffic/plain.rs
@@ -14,10 +14,10 @@
     shared::request_text,
     telemetry::log_event,
     traffic::{
+        admitted::{self, CallerRequest, record},
         answer,
-        caller::{self, CallerRequest, record},
         choice::{self, ChosenUpstream},
-        server::TrafficWorker,
+        worker::TrafficWorker,
     },
     view::CALL_TOKENS,
 };
@@ -51,7 +51,7 @@
         Err(refusal) => {
             let outcome = call.request.failed_outcome();
             call.request.end_claim(&worker.shared, outcome);
-            caller::log_refusal(&worker.shared, id, &refusal);
+            admitted::log_refusal(&worker.shared, id, &refusal);
             answer::refusal(&refusal)
         }
     }
@@ -90,7 +90,7 @@
 
     async fn choose(&self) -> Result<ChosenUpstream, Refusal> {
         let shared = &self.worker.shared;
-        if let Some(upstream) = caller::isolation(shared, &self.request).await? {
+        if let Some(upstream) = admitted::isolation(shared, &self.request).await? {
             return choice::isolated(shared, &self.request, upstream);
         }
         let ask = choice::ChoiceAsk { tokens: CALL_TOKENS, prompt_tokens: 0, prefix: None };
@@ -161,7 +161,7 @@
         let shared = &self.worker.shared;
         let event = SuspectEvent::Finished { upstream, fingerprint: self.request.fingerprint };
         let actions = shared.desk().suspect(shared.clock.now(), wall_now(), event);
-        caller::forward(shared, actions);
+        admitted::forward(shared, actions);
     }
 
     fn own_refusal(&self, code: RefusalCode, message: &str) -> Refusal {
--- a/crates/hibiscushinged/src/traffic/server.rs
+++ b/crates/hibiscushinged/src/traffic/server.rs
@@ -5,20 +5,12 @@
 use actix_http::{HttpService, Request, Response, body::BoxBody};
 use actix_server::{Server, ServerHandle};
 use base::{Refusal, RefusalCode};
-use clients::{EngineClient, HttpClient};
 
 use crate::{
     shared::SharedState,
-    traffic::{answer, caller, trainer},
+    traffic::{answer, caller, trainer, worker::TrafficWorker},
 };
 
-/// State of one traffic thread.
-pub(crate) struct TrafficWorker {
-    pub(crate) shared: Arc<SharedState>,
-    pub(crate) http: HttpClient,
-    pub(crate) engines: EngineClient,
-}
-
 /// Starts the traffic threads on `listener`.
 ///
 /// # Errors
@@ -45,16 +37,6 @@
     Ok(handle)
 }
 
-impl TrafficWorker {
-    fn new(shared: Arc<SharedState>) -> Self {
-        let timeouts = &shared.settings.timeouts;
-        let http = HttpClient::new(timeouts.connect);
-        let engines =
-            EngineClient::new(http.clone(), timeouts.engine_control, timeouts.stream_idle);
-        Self { shared, http, engines }
-    }
-}
-
 async fn serve(worker: Rc<TrafficWorker>, request: Request) -> Response<BoxBody> {
     let path = String::from(request.path());
     let Some(rest) = path.strip_prefix("/v1/") else {
--- a/crates/hibiscushinged/src/traffic/stream.rs
+++ b/crates/hibiscushinged/src/traffic/stream.rs
@@ -27,11 +27,11 @@
     shared::request_text,
     telemetry::log_event,
     traffic::{
+        admitted::{self, CallerRequest, record, time_left},
         answer,
-        caller::{self, CallerRequest, record, time_left},
         choice::{self, ChosenUpstream},
         request::GenerateBody,
-        server::TrafficWorker,
+        worker::TrafficWorker,
     },
 };
 
@@ -98,7 +98,7 @@
     match head_answer.await {
         Ok(Ok(())) => stream_response(line_source),
         Ok(Err(refusal)) => {
-            caller::log_refusal(shared, id, &refusal);
+            admitted::log_refusal(shared, id, &refusal);
             answer::refusal(&refusal)
         }
         Err(_) => {
@@ -182,7 +182,7 @@
 
     async fn choose(&self) -> Result<ChosenUpstream, Refusal> {
         let shared = &self.worker.shared;
-        if let Some(upstream) = caller::isolation(shared, &self.request).await? {
+        if let Some(upstream) = admitted::isolation(shared, &self.request).await? {
             return choice::isolated(shared, &self.request, upstream);
         }
         let prefix_length = self.body.prompt.len().min(PREFIX_BYTES);
@@ -324,7 +324,7 @@
             let fingerprint = self.request.fingerprint;
             let event = SuspectEvent::Finished { upstream, fingerprint };
             let actions = shared.desk().suspect(self.now(), wall_now(), event);
-            caller::forward(shared, actions);
+            admitted::forward(shared, actions);
         }
         match end {
             ExchangeEnd::Whole => {
--- a/crates/hibiscushinged/src/traffic/trainer.rs
+++ b/crates/hibiscushinged/src/traffic/trainer.rs
@@ -11,7 +11,7 @@
 use crate::{
     input::{ControlInput, StepRequest, TrainerAsk},
     shared::FlightGuard,
-    traffic::{answer, request, server::TrafficWorker},
+    traffic::{answer, request, worker::TrafficWorker},
 };
 
 #[derive(Debug, Deserialize)]
