Split state from drivers in the gateway, and reuse a text only for its prompt

Cause: 13 modules of the gateway formed two circles, because the states of both threads stood beside the tasks that use them. While splitting them a fault showed: the text of an item was kept by the item's identifier alone, so that an item of another customer, prompt or model with the same identifier would have gone on with it.

Change: traffic_state and control_state hold the states; partitions, items, job, gate and holder hold what was in commit, runner, reward and lease. A copy of a partition knows itself whether this node owns it. Kept texts are found by customer and item, and taken only for the same model and body. Ruled out: comparing headers too, since a trainer may change those of an item that returns.

Before: two circles of 8 and 5 modules; three of four cases of check_kept_text describe texts that were taken wrongly (the old function had no such arguments, so the test could not be run on it).

--- a/crates/hibiscushinged/src/gateway/attempt.rs
+++ b/crates/hibiscushinged/src/gateway/attempt.rs
@@ -11,9 +11,9 @@
 use crate::{
     clock::to_duration,
     gateway::{
-        board::TrafficState,
         channel::{ChannelFault, Exchange, UpstreamChannel},
         node::UsageMark,
+        traffic_state::TrafficState,
     },
     telemetry::log_event,
 };
--- a/crates/hibiscushinged/src/gateway/board.rs
+++ b/crates/hibiscushinged/src/gateway/board.rs
@@ -1,18 +1,12 @@
-//! State of the traffic thread, and the upstreams as the control thread reports them.
+//! The upstreams as the control thread reports them.
 
-use std::{cell::RefCell, rc::Rc, sync::Arc};
+use std::rc::Rc;
 
-use base::{Moment, UpstreamKey};
-use dispatch::{BoardChange, RemovalCause, UpstreamBoard, UpstreamEntry};
+use base::Moment;
+use dispatch::{BoardChange, RemovalCause, UpstreamEntry};
 use tokio::sync::mpsc;
 
-use crate::{
-    gateway::{
-        channel::Exchange, commit::PartitionSet, node::NodeState, pool::ChannelPool,
-        runner::ItemRunner, store::StoreSession,
-    },
-    telemetry::log_event,
-};
+use crate::{gateway::traffic_state::TrafficState, telemetry::log_event};
 
 /// Change of an upstream's entry.
 #[derive(Debug)]
@@ -21,36 +15,7 @@
     Removed { id: String, cause: RemovalCause },
 }
 
-/// State of the traffic thread.
-pub(crate) struct TrafficState {
-    pub(crate) node: Arc<NodeState>,
-    pub(crate) board: RefCell<UpstreamBoard>,
-    pub(crate) pool: ChannelPool,
-    pub(crate) store: StoreSession,
-    pub(crate) partitions: PartitionSet,
-    pub(crate) runner: ItemRunner,
-}
-
 impl TrafficState {
-    pub(crate) fn new(node: Arc<NodeState>) -> Self {
-        Self {
-            store: StoreSession::new(Arc::clone(&node)),
-            partitions: PartitionSet::new(&node.settings.store),
-            runner: ItemRunner::default(),
-            board: RefCell::default(),
-            pool: ChannelPool::new(),
-            node,
-        }
-    }
-
-    /// Keeps the connection of a complete exchange, if it can be used again.
-    pub(crate) fn keep_channel(&self, upstream: UpstreamKey, exchange: Exchange) {
-        let idle_timeout = exchange.marks().idle_timeout;
-        if let Some(channel) = exchange.into_reusable() {
-            self.pool.keep(self.node.now(), upstream, channel, idle_timeout);
-        }
-    }
-
     fn take_news(&self, news: UpstreamNews) {
         match news {
             UpstreamNews::Updated(entry) => {
@@ -71,7 +36,7 @@
                 log_event!(UpstreamChanged, upstream = id, change = "removed", ?cause);
             }
         }
-        self.runner.wake();
+        self.items.wake();
     }
 }
 
--- a/crates/hibiscushinged/src/gateway/cleanup.rs
+++ b/crates/hibiscushinged/src/gateway/cleanup.rs
@@ -9,7 +9,7 @@
 use submissions::BookRecord;
 
 use crate::{
-    gateway::{board::TrafficState, fetch::fetch_prefix, mirror::PartitionMirror},
+    gateway::{fetch::fetch_prefix, mirror::PartitionMirror, traffic_state::TrafficState},
     telemetry::log_event,
 };
 
--- a/crates/hibiscushinged/src/gateway/control.rs
+++ b/crates/hibiscushinged/src/gateway/control.rs
@@ -1,15 +1,9 @@
 //! The control thread: follows the store and runs the duties of the lease holder.
 
-use std::{
-    cell::RefCell,
-    collections::{BTreeMap, HashSet},
-    rc::Rc,
-    sync::Arc,
-    time::Duration,
-};
+use std::{cell::RefCell, collections::HashSet, rc::Rc, sync::Arc, time::Duration};
 
-use base::{Span, WeightVersion};
-use dispatch::{RemovalCause, UpstreamEntry};
+use base::Span;
+use dispatch::RemovalCause;
 use platform::{
     OPERATOR_TOPIC, OperatorKey, UPSTREAM_TOPIC, decode_entry, decode_manifest,
     decode_named_version, operator_key,
@@ -20,12 +14,12 @@
 use crate::{
     gateway::{
         board::UpstreamNews,
+        control_state::ControlState,
         duties,
         fetch::{FetchedKeys, KeyChange, PartitionName, fetch},
-        lease::{LeaseHolder, keep_lease},
+        lease::keep_lease,
         loads,
         node::NodeState,
-        store::StoreSession,
         usage,
     },
     shared::ServicePhase,
@@ -39,17 +33,6 @@
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
-/// State of the control thread.
-pub(crate) struct ControlState {
-    pub(crate) node: Arc<NodeState>,
-    pub(crate) store: StoreSession,
-    pub(crate) lease: LeaseHolder,
-    /// Entries of upstreams by id.
-    pub(crate) entries: RefCell<BTreeMap<String, UpstreamEntry>>,
-    /// Newest version of each model.
-    pub(crate) versions: RefCell<BTreeMap<String, WeightVersion>>,
-}
-
 /// Takes the changes of a followed topic.
 trait ChangeSink {
     /// Takes the newest value of every key.
@@ -73,13 +56,7 @@
 
 /// Runs the control thread until the process ends.
 pub(crate) async fn run(node: Arc<NodeState>, news: mpsc::UnboundedSender<UpstreamNews>) {
-    let control = Rc::new(ControlState {
-        store: StoreSession::new(Arc::clone(&node)),
-        lease: LeaseHolder::new(&node),
-        entries: RefCell::default(),
-        versions: RefCell::default(),
-        node,
-    });
+    let control = Rc::new(ControlState::new(node));
     let upstreams = UpstreamSink { control: Rc::clone(&control), news };
     let operator = OperatorSink { control: Rc::clone(&control), history: RefCell::default() };
     actix_rt::spawn(follow(Rc::clone(&control), UPSTREAM_TOPIC, upstreams));
--- a/crates/hibiscushinged/src/gateway/duties.rs
+++ b/crates/hibiscushinged/src/gateway/duties.rs
@@ -15,9 +15,10 @@
 
 use crate::{
     gateway::{
-        control::ControlState,
+        control_state::ControlState,
         fetch::{FetchedKeys, KeyChange, PartitionName, fetch},
-        lease::{ORDER_TIMEOUT, holder_client},
+        holder::ORDER_TIMEOUT,
+        lease::holder_client,
         usage::USAGE_TOPIC,
     },
     telemetry::log_event,
--- a/crates/hibiscushinged/src/gateway/generation.rs
+++ b/crates/hibiscushinged/src/gateway/generation.rs
@@ -11,10 +11,10 @@
 use crate::{
     gateway::{
         attempt::{AttemptCall, PlaceGuard, open_exchange},
-        board::TrafficState,
         channel::Exchange,
+        job::ItemJob,
         reward,
-        runner::ItemJob,
+        traffic_state::TrafficState,
     },
     telemetry::log_event,
 };
@@ -57,7 +57,7 @@
     traffic.node.metrics.observe_run(traffic.node.now().since(started));
     match end {
         RunEnd::Whole => reward::finish(&traffic, &job).await,
-        RunEnd::Hopeless => traffic.runner.resolve(&job, ItemResult::errored(item.as_str())),
+        RunEnd::Hopeless => traffic.items.resolve(&job, ItemResult::errored(item.as_str())),
         RunEnd::Failed => {
             let failures = {
                 let mut progress = job.progress.borrow_mut();
@@ -74,21 +74,21 @@
                 failures
             );
             if failures >= most_failures(&traffic, &job) {
-                traffic.runner.resolve(&job, ItemResult::errored(item.as_str()));
+                traffic.items.resolve(&job, ItemResult::errored(item.as_str()));
             } else {
-                traffic.runner.requeue(&traffic, &job);
+                traffic.items.requeue(&traffic.node, &job);
             }
         }
         RunEnd::Refused(reason) => {
             let events = job.progress.borrow().text.last_id();
             log_event!(ItemInterrupted, submission, item, upstream = engine, reason, events);
-            traffic.runner.requeue(&traffic, &job);
+            traffic.items.requeue(&traffic.node, &job);
         }
         RunEnd::Interrupted(reason) => {
             let events = job.progress.borrow().text.last_id();
             log_event!(ItemInterrupted, submission, item, upstream = engine, reason, events);
             job.progress.borrow_mut().tried.push(upstream);
-            traffic.runner.requeue(&traffic, &job);
+            traffic.items.requeue(&traffic.node, &job);
         }
     }
 }
--- a/crates/hibiscushinged/src/gateway/group.rs
+++ b/crates/hibiscushinged/src/gateway/group.rs
@@ -5,7 +5,7 @@
 use base::Span;
 
 use crate::{
-    gateway::{board::TrafficState, commit::SUBMISSION_TOPIC},
+    gateway::{partitions::SUBMISSION_TOPIC, runner, traffic_state::TrafficState},
     shared::ServicePhase,
     telemetry::log_event,
 };
@@ -79,21 +79,16 @@
     if before == parts {
         return;
     }
-    for part in parts.difference(&before) {
-        if let Some(mirror) = traffic.partitions.get(*part) {
-            mirror.begin_ownership();
-        }
-    }
     traffic.partitions.set_owned(&parts);
     let generation = traffic.partitions.generation.get();
     log_event!(PartitionsAssigned, ?parts, generation);
     for part in parts {
         if let Some(mirror) = traffic.partitions.get(part) {
-            mirror.follow(traffic);
-            traffic.runner.watch(traffic, mirror);
+            mirror.follow(&traffic.store);
+            runner::watch(traffic, mirror);
         }
     }
-    traffic.runner.wake();
+    traffic.items.wake();
 }
 
 fn member_name(traffic: &TrafficState) -> String {
--- /dev/null
+++ b/crates/hibiscushinged/src/gateway/items/tests.rs
@@ -0,0 +1,64 @@
+//! Texts that are kept for items which return.
+
+use std::{rc::Rc, sync::Arc};
+
+use base::{Moment, WallTime, WeightVersion};
+use bytes::Bytes;
+use rstest::rstest;
+use submissions::{SubmissionHead, SubmissionItem, TextEvent};
+
+use super::ItemLists;
+use crate::gateway::job::ItemJob;
+
+fn head(submission: &str, customer: &str, model: &str) -> SubmissionHead {
+    SubmissionHead {
+        id: String::from(submission),
+        customer: String::from(customer),
+        host: String::from("h"),
+        path: String::from("/p"),
+        model: String::from(model),
+        step: 0,
+        least_version: WeightVersion(1),
+        target_groups: 1,
+        accepted_at: WallTime(0),
+        items: 1,
+    }
+}
+
+fn item(body: &str) -> SubmissionItem {
+    SubmissionItem {
+        id: String::from("i"),
+        path: String::from("/p/1"),
+        headers: Vec::new(),
+        body: Bytes::copy_from_slice(body.as_bytes()),
+        group: String::from("g"),
+        expected_tokens: 1,
+        shared_prompt: None,
+        reward: None,
+    }
+}
+
+/// Pattern: an item returns under its identifier in a later submission, or another customer uses the
+/// same identifier.
+///
+/// Guards against a text that goes on with the text of another customer, prompt or model.
+#[rstest]
+#[case::same("brewer", "m", "prompt", true)]
+#[case::other_customer("maltster", "m", "prompt", false)]
+#[case::other_model("brewer", "n", "prompt", false)]
+#[case::other_prompt("brewer", "m", "another", false)]
+fn check_kept_text(
+    #[case] customer: &str,
+    #[case] model: &str,
+    #[case] body: &str,
+    #[case] taken: bool,
+) {
+    let mut lists = ItemLists::default();
+    let (first, prompt) = (Arc::new(head("s", "brewer", "m")), Arc::new(item("prompt")));
+    let job = Rc::new(ItemJob::new(0, &first, &prompt, false, None));
+    let event = TextEvent { id: 1, data: String::from("a"), version: Some(WeightVersion(1)) };
+    job.progress.borrow_mut().text.push(&event).unwrap();
+    lists.keep(Moment(0), &job);
+    let text = lists.take_kept(&head("later", customer, model), &item(body));
+    assert_eq!(text.map(|text| text.last_id()), taken.then_some(1));
+}
--- /dev/null
+++ b/crates/hibiscushinged/src/gateway/job.rs
@@ -0,0 +1,86 @@
+//! One item that this node runs.
+
+use std::{
+    cell::{Cell, RefCell},
+    sync::Arc,
+};
+
+use base::{Moment, Span, UpstreamKey};
+use routebook::RouteRule;
+use smallvec::SmallVec;
+use submissions::{ItemText, SubmissionHead, SubmissionItem};
+use tokio::task::AbortHandle;
+
+use crate::clock::wall_now;
+
+/// Due time by which items of a less urgent route stand behind, for each rank.
+const RANK_DELAY: Span = Span::from_millis(1_500);
+
+/// Due time of results where the route states none.
+const DEFAULT_DUE: Span = Span::from_secs(10);
+
+/// One item that this node runs.
+pub(crate) struct ItemJob {
+    pub(crate) part: u32,
+    pub(crate) head: Arc<SubmissionHead>,
+    pub(crate) item: Arc<SubmissionItem>,
+    pub(crate) progress: RefCell<JobProgress>,
+    /// Whether the text is whole and waits for its score.
+    pub(crate) scoring: Cell<bool>,
+    pub(crate) run: RefCell<Option<ItemRun>>,
+}
+
+/// A run in progress.
+pub(crate) struct ItemRun {
+    pub(crate) abort: AbortHandle,
+    pub(crate) upstream: UpstreamKey,
+    pub(crate) started_at: Moment,
+}
+
+/// How far an item is.
+pub(crate) struct JobProgress {
+    pub(crate) text: ItemText,
+    /// Answers of 500.
+    pub(crate) failures: u32,
+    /// Engines that failed the item, latest last.
+    pub(crate) tried: SmallVec<[UpstreamKey; 4]>,
+}
+
+/// Submission and item of a job.
+pub(crate) type JobKey = (String, String);
+
+impl ItemJob {
+    pub(crate) fn new(
+        part: u32,
+        head: &Arc<SubmissionHead>,
+        item: &Arc<SubmissionItem>,
+        one_version: bool,
+        kept: Option<ItemText>,
+    ) -> Self {
+        let least = head.least_version;
+        let kept = kept.and_then(|mut text| text.require(least).ok().map(|()| text));
+        let text = kept.unwrap_or_else(|| ItemText::new(least, one_version));
+        let progress = JobProgress { text, failures: 0, tried: SmallVec::new() };
+        Self {
+            part,
+            head: Arc::clone(head),
+            item: Arc::clone(item),
+            progress: RefCell::new(progress),
+            scoring: Cell::new(false),
+            run: RefCell::new(None),
+        }
+    }
+
+    pub(crate) fn key(&self) -> JobKey {
+        (self.head.id.clone(), self.item.id.clone())
+    }
+}
+
+/// Returns when the results of a submission are due.
+pub(crate) fn due_at(now: Moment, head: &SubmissionHead, route: &RouteRule) -> Moment {
+    let objective = route.run_objective.unwrap_or(DEFAULT_DUE);
+    let age = wall_now().0.saturating_sub(head.accepted_at.0);
+    let age = Span::from_millis(u64::try_from(age).unwrap_or(0));
+    let rank = Span(RANK_DELAY.0 * u64::from(route.priority));
+    now + objective.saturating_sub(age) + rank
+}
--- a/crates/hibiscushinged/src/gateway/lease.rs
+++ b/crates/hibiscushinged/src/gateway/lease.rs
@@ -1,19 +1,20 @@
-//! The lease of the duties, kept in the store's log.
+//! The lease of the duties in the store's log.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
-use authority::{
-    AuthorityRecord, Candidacy, FencingSupport, LeaseAction, LeaseKeeper, LeaseSettings, Scope,
-};
-use base::{FencingNumber, LogOffset, Moment, Span};
+use authority::{AuthorityRecord, Candidacy, LeaseAction};
+use base::{LogOffset, Span};
 use bytes::Bytes;
 use clients::{HttpClient, SendPermit};
-use platform::{AppendAnswer, HolderMark, ReadAnswer};
+use platform::{AppendAnswer, ReadAnswer};
 use protocol::{StreamRecord as _, WireAuthority, decode_message, encode_message};
 
 use crate::{
     clock::to_duration,
-    gateway::{control::ControlState, node::NodeState},
+    gateway::{
+        control_state::ControlState,
+        holder::{RENEWAL, rest},
+    },
     shared::ServicePhase,
     telemetry::log_event,
 };
@@ -21,18 +22,6 @@
 /// Topic of the lease records.
 const LEASE_TOPIC: &str = "authority";
 
-/// Length of the lease. A successor acts about a second after it has run out.
-const TERM: Span = Span::from_millis(2_000);
-
-/// Time between renewals. Three may fail before the lease runs out.
-const RENEWAL: Span = Span::from_millis(500);
-
-/// The holder stops this much before the term ends, and a successor waits this much longer.
-const MARGIN: Span = Span::from_millis(300);
-
-/// Longest time from the check of the lease before a call until the receiver has acted on it.
-pub(crate) const ORDER_TIMEOUT: Span = Span::from_millis(600);
-
 /// Longest time for a connection to a receiver of orders or reports.
 const CONNECT_TIMEOUT: Span = Span::from_millis(300);
 
@@ -45,54 +34,6 @@
 /// Pause after a failed read.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
-/// Nodes with equal knowledge claim at different times within this span.
-const CLAIM_SPREAD: Span = Span::from_millis(250);
-
-/// The lease as the tasks of this node use it.
-pub(crate) struct LeaseHolder {
-    keeper: RefCell<LeaseKeeper>,
-    /// A node that held the lease, or may have held it before its start, claims again only after
-    /// this moment. Holders must not take turns faster than the platform allows.
-    rests_until: RefCell<Moment>,
-}
-
-impl LeaseHolder {
-    pub(crate) fn new(node: &NodeState) -> Self {
-        let settings = LeaseSettings {
-            term: TERM,
-            renewal: RENEWAL,
-            margin: MARGIN,
-            order_timeout: ORDER_TIMEOUT,
-            extra_wait: Span::ZERO,
-        };
-        let mut keeper =
-            LeaseKeeper::new(settings, Scope::Fleet, node.incarnation, Candidacy::Abstaining);
-        keeper.set_claim_delay(Span(rand::random_range(0..CLAIM_SPREAD.0)));
-        let rest = if node.settings.first_start { Span::ZERO } else { rest(node) };
-        let rests_until = RefCell::new(node.now() + rest);
-        Self { keeper: RefCell::new(keeper), rests_until }
-    }
-
-    /// Returns the number of the lease while this node may act.
-    pub(crate) fn permit(&self, node: &NodeState) -> Option<FencingNumber> {
-        if node.phase() == ServicePhase::Draining {
-            return None;
-        }
-        self.keeper.borrow().permit(node.now(), FencingSupport::Ignored).ok()
-    }
-
-    /// Returns how calls of the holder are marked, while this node may act.
-    pub(crate) fn mark(&self, node: &NodeState) -> Option<HolderMark> {
-        // The first record of a log has offset 0, which a receiver may take for no number at all.
-        let fencing = FencingNumber(self.permit(node)?.0 + 1);
-        Some(HolderMark { holder: node.settings.vm_name.clone(), fencing })
-    }
-}
-
-fn rest(node: &NodeState) -> Span {
-    node.settings.promises.lease + MARGIN
-}
-
 /// Returns a client whose requests with a body are written only while this node holds the lease. The
 /// lease is checked as the last step before the bytes.
 pub(crate) fn holder_client(control: &Rc<ControlState>, idle: Span) -> HttpClient {
--- a/crates/hibiscushinged/src/gateway/loads.rs
+++ b/crates/hibiscushinged/src/gateway/loads.rs
@@ -12,10 +12,7 @@
 use platform::{EngineSurface, LoadRequest, OrderAnswer};
 
 use crate::{
-    gateway::{
-        control::ControlState,
-        lease::{ORDER_TIMEOUT, holder_client},
-    },
+    gateway::{control_state::ControlState, holder::ORDER_TIMEOUT, lease::holder_client},
     telemetry::log_event,
 };
 
--- a/crates/hibiscushinged/src/gateway/mirror.rs
+++ b/crates/hibiscushinged/src/gateway/mirror.rs
@@ -20,8 +20,8 @@
 
 use crate::{
     gateway::{
-        board::TrafficState,
         fetch::{KeyChange, PartitionName, fetch_prefix, split},
+        store::StoreSession,
     },
     telemetry::log_event,
 };
@@ -39,6 +39,8 @@
 pub(crate) struct PartitionMirror {
     pub(crate) name: PartitionName,
     copy: RefCell<PartitionCopy>,
+    /// Whether this node runs the items of the partition.
+    owned: Cell<bool>,
     used_at: Cell<Moment>,
     following: Cell<bool>,
     changes: watch::Sender<u64>,
@@ -51,6 +53,7 @@
         Self {
             name,
             copy: RefCell::default(),
+            owned: Cell::new(false),
             used_at: Cell::new(Moment(0)),
             following: Cell::new(false),
             changes: watch::Sender::new(0),
@@ -77,13 +80,13 @@
     /// Returns an error when the store does not answer.
     pub(crate) async fn load(
         &self,
-        traffic: &TrafficState,
+        store: &StoreSession,
         submission: &str,
     ) -> Result<(), CallError> {
         while !self.copy.borrow().is_loaded(submission) {
-            let sent_at = traffic.node.now();
+            let sent_at = store.node.now();
             let prefix = submission_prefix(submission);
-            let (changes, end) = fetch_prefix(&traffic.store, &self.name, &prefix).await?;
+            let (changes, end) = fetch_prefix(store, &self.name, &prefix).await?;
             let records = changes.iter().filter_map(|change| self.decode(change));
             let records = records.map(|(_, record)| record).collect();
             let submission = String::from(submission);
@@ -96,24 +99,31 @@
     }
 
     /// Loads all open submissions, for a node that begins to run them.
-    async fn load_open(&self, traffic: &TrafficState) -> Result<(), CallError> {
-        let sent_at = traffic.node.now();
-        let (markers, end) = fetch_prefix(&traffic.store, &self.name, OPEN_PREFIX).await?;
+    async fn load_open(&self, store: &StoreSession) -> Result<(), CallError> {
+        let sent_at = store.node.now();
+        let (markers, end) = fetch_prefix(store, &self.name, OPEN_PREFIX).await?;
         self.copy.borrow_mut().begin_at(end, sent_at);
         for marker in markers {
             let submission = marker.key.trim_start_matches(OPEN_PREFIX);
-            self.load(traffic, submission).await?;
+            self.load(store, submission).await?;
         }
         // Submissions that were known before may have ended since.
-        self.catch_up(traffic).await?;
+        self.catch_up(store).await?;
         self.copy.borrow_mut().set_scanned(true);
         self.tell_change();
         Ok(())
     }
 
-    /// Looks for open submissions anew, when this node becomes the owner.
-    pub(crate) fn begin_ownership(&self) {
-        self.copy.borrow_mut().set_scanned(false);
+    pub(crate) fn is_owned(&self) -> bool {
+        self.owned.get()
+    }
+
+    /// Notes whether this node owns the partition. A new owner looks for open submissions anew.
+    pub(crate) fn set_owned(&self, owned: bool) {
+        if owned && !self.owned.get() {
+            self.copy.borrow_mut().set_scanned(false);
+        }
+        self.owned.set(owned);
     }
 
     /// Reads everything that is new, without waiting for more.
@@ -121,18 +131,18 @@
     /// # Errors
     ///
     /// Returns an error when the store does not answer.
-    pub(crate) async fn catch_up(&self, traffic: &TrafficState) -> Result<(), CallError> {
-        while !self.poll(traffic, Span::ZERO).await? {}
+    pub(crate) async fn catch_up(&self, store: &StoreSession) -> Result<(), CallError> {
+        while !self.poll(store, Span::ZERO).await? {}
         Ok(())
     }
 
     /// Reads a part of what is new, and tells whether the copy is complete. One answer of the store
     /// holds a bounded number of bytes.
-    async fn poll(&self, traffic: &TrafficState, wait: Span) -> Result<bool, CallError> {
+    async fn poll(&self, store: &StoreSession, wait: Span) -> Result<bool, CallError> {
         let Some(from) = self.copy.borrow().next() else { return Ok(true) };
         // The copy is complete as of the moment at which the read was sent.
-        let sent_at = traffic.node.now();
-        match traffic.store.read(&self.name.topic, self.name.part, from, wait).await? {
+        let sent_at = store.node.now();
+        match store.read(&self.name.topic, self.name.part, from, wait).await? {
             ReadAnswer::Records { records, end } => {
                 let read_to = records.last().map_or(from, |record| record.offset + 1);
                 let changes = records.iter().filter_map(|record| split(&self.name, record));
@@ -177,15 +187,15 @@
     }
 
     /// Marks the copy as needed and follows the partition from now on.
-    pub(crate) fn follow(self: &Rc<Self>, traffic: &Rc<TrafficState>) {
-        self.used_at.set(traffic.node.now());
+    pub(crate) fn follow(self: &Rc<Self>, store: &Rc<StoreSession>) {
+        self.used_at.set(store.node.now());
         if self.following.replace(true) {
             return;
         }
-        let (mirror, traffic) = (Rc::clone(self), Rc::clone(traffic));
+        let (mirror, store) = (Rc::clone(self), Rc::clone(store));
         actix_rt::spawn(async move {
-            while mirror.is_needed(&traffic) {
-                if mirror.step(&traffic).await.is_err() {
+            while mirror.is_needed(store.node.now()) {
+                if mirror.step(&store).await.is_err() {
                     // The session has logged the failure.
                     tokio::time::sleep(RETRY_PAUSE).await;
                 }
@@ -195,10 +205,10 @@
         });
     }
 
-    async fn step(&self, traffic: &TrafficState) -> Result<(), CallError> {
-        let owned = traffic.partitions.is_owned(self.name.part);
+    async fn step(&self, store: &StoreSession) -> Result<(), CallError> {
+        let owned = self.owned.get();
         if owned && !self.copy.borrow().is_scanned() {
-            return self.load_open(traffic).await;
+            return self.load_open(store).await;
         }
         if !owned {
             self.copy.borrow_mut().set_scanned(false);
@@ -207,11 +217,10 @@
             tokio::time::sleep(RETRY_PAUSE).await;
             return Ok(());
         }
-        self.poll(traffic, POLL_WAIT).await.map(|_| ())
+        self.poll(store, POLL_WAIT).await.map(|_| ())
     }
 
-    fn is_needed(&self, traffic: &TrafficState) -> bool {
-        traffic.partitions.is_owned(self.name.part)
-            || traffic.node.now().since(self.used_at.get()) < IDLE_LIFE
+    fn is_needed(&self, now: Moment) -> bool {
+        self.owned.get() || now.since(self.used_at.get()) < IDLE_LIFE
     }
 }
--- a/crates/hibiscushinged/src/gateway/mirror/tests.rs
+++ b/crates/hibiscushinged/src/gateway/mirror/tests.rs
@@ -12,7 +12,8 @@
 use crate::{
     clock::ProcessClock,
     gateway::{
-        board::TrafficState, commit::SUBMISSION_TOPIC, metrics::GatewayMetrics, node::NodeState,
+        metrics::GatewayMetrics, node::NodeState, partitions::SUBMISSION_TOPIC,
+        traffic_state::TrafficState,
     },
 };
 
@@ -91,7 +92,7 @@
     let store = SiteStore::start(options).unwrap();
     let traffic = traffic(store.address());
     let mirror = traffic.partitions.get(0).unwrap();
-    mirror.load(&traffic, "s").await.unwrap();
+    mirror.load(&traffic.store, "s").await.unwrap();
 
     store.append(SUBMISSION_TOPIC, 0, submission().iter().map(bytes).collect());
     let results = (0..ITEMS).map(|position| {
@@ -100,7 +101,7 @@
     });
     store.append(SUBMISSION_TOPIC, 0, results.collect());
 
-    mirror.catch_up(&traffic).await.unwrap();
+    mirror.catch_up(&traffic.store).await.unwrap();
     let book = mirror.book();
     assert_eq!(book.get("s").map(submissions::SubmissionState::listed), Some(ITEMS));
 }
@@ -111,12 +112,12 @@
     let store = SiteStore::start(StoreOptions::default()).unwrap();
     let traffic = traffic(store.address());
     let mirror = traffic.partitions.get(0).unwrap();
-    mirror.load(&traffic, "s").await.unwrap();
+    mirror.load(&traffic.store, "s").await.unwrap();
     store.append(SUBMISSION_TOPIC, 0, submission().iter().map(bytes).collect());
     store.forget();
-    mirror.catch_up(&traffic).await.unwrap();
+    mirror.catch_up(&traffic.store).await.unwrap();
     assert!(!mirror.copy().is_loaded("s"));
-    mirror.load(&traffic, "s").await.unwrap();
+    mirror.load(&traffic.store, "s").await.unwrap();
     assert!(mirror.book().get("s").is_some());
 }
 
@@ -141,7 +142,7 @@
         store.append(SUBMISSION_TOPIC, 0, records.iter().map(bytes).collect());
     }
     store.append(SUBMISSION_TOPIC, 0, submission().iter().map(bytes).collect());
-    mirror.load(&traffic, "s").await.unwrap();
+    mirror.load(&traffic.store, "s").await.unwrap();
     let book = mirror.book();
     assert!(book.get("s").is_some());
     assert_eq!(book.iter().count(), 1);
@@ -167,11 +168,11 @@
     let config = platform::decode_manifest(CONFIG.as_bytes()).unwrap();
     traffic.node.book.store(Some(Arc::new(routebook::RouteBook::new(config))));
     let mirror = traffic.partitions.get(0).unwrap();
-    mirror.load(&traffic, "s").await.unwrap();
+    mirror.load(&traffic.store, "s").await.unwrap();
     let mut records = submission();
     records.push(BookRecord::Marked { submission: String::from("s") });
     store.append(SUBMISSION_TOPIC, 0, records.iter().map(bytes).collect());
-    mirror.catch_up(&traffic).await.unwrap();
+    mirror.catch_up(&traffic.store).await.unwrap();
     if ended {
         let id = || String::from("s");
         let records =
@@ -180,15 +181,15 @@
     }
 
     traffic.partitions.set_owned(&std::collections::BTreeSet::from([0]));
-    traffic.runner.watch(&traffic, mirror);
+    crate::gateway::runner::watch(&traffic, mirror);
     tokio::task::yield_now().await;
-    assert_eq!(traffic.runner.waiting(), 0, "nothing begins before the copy is read");
+    assert_eq!(traffic.items.waiting(), 0, "nothing begins before the copy is read");
 
     let mut changes = mirror.subscribe();
-    mirror.follow(&traffic);
+    mirror.follow(&traffic.store);
     changes.wait_for(|_| mirror.copy().is_scanned()).await.unwrap();
     tokio::task::yield_now().await;
-    assert_eq!(traffic.runner.waiting(), waiting);
+    assert_eq!(traffic.items.waiting(), waiting);
 }
 
 /// Guards against a store that fills up with submissions which nobody may read any more, and against
@@ -206,9 +207,9 @@
     records.push(BookRecord::Ended { submission: id() });
     records.push(BookRecord::Expiring { submission: id(), accepted_at: WallTime(accepted_ms) });
     store.append(SUBMISSION_TOPIC, 0, records.iter().map(bytes).collect());
-    mirror.load(&traffic, "s").await.unwrap();
+    mirror.load(&traffic.store, "s").await.unwrap();
     crate::gateway::cleanup::delete_part(&traffic, mirror).await.unwrap();
-    mirror.catch_up(&traffic).await.unwrap();
+    mirror.catch_up(&traffic.store).await.unwrap();
     assert_eq!(mirror.book().get("s").is_some(), stays);
     for key in ["s/s/o", "s/s/i/0", "s/s/e", "z/s"] {
         assert_eq!(store.value(SUBMISSION_TOPIC, 0, key).is_some(), stays, "{key}");
--- /dev/null
+++ b/crates/hibiscushinged/src/gateway/partitions.rs
@@ -0,0 +1,56 @@
+//! Partitions of submissions.
+
+use std::{cell::Cell, collections::BTreeSet, rc::Rc};
+
+use base::stable_hash;
+use document::StoreSettings;
+
+use crate::gateway::{fetch::PartitionName, mirror::PartitionMirror};
+
+/// Topic of submissions. It is keyed, because results are read for longer than the log is kept.
+pub(crate) const SUBMISSION_TOPIC: &str = "keyed.submissions";
+
+/// Reads a second of the store from which submissions use all partitions. A store that takes fewer calls
+/// serves a small site, where one owner needs the fewest connections to engines; at a large one the
+/// loss of one owner must not hold up every trainer.
+const LARGE_STORE_READS: u32 = 3_000;
+
+/// Partitions of submissions.
+pub(crate) struct PartitionSet {
+    mirrors: Vec<Rc<PartitionMirror>>,
+    pub(crate) generation: Cell<u64>,
+}
+
+impl PartitionSet {
+    pub(crate) fn new(settings: &StoreSettings) -> Self {
+        let topic = String::from(SUBMISSION_TOPIC);
+        let large = settings.reads_per_second >= LARGE_STORE_READS;
+        let count = if large { settings.partitions } else { 1 };
+        let mirrors = (0..count).map(|part| {
+            Rc::new(PartitionMirror::new(PartitionName { topic: topic.clone(), part }))
+        });
+        Self { mirrors: mirrors.collect(), generation: Cell::new(0) }
+    }
+
+    /// Returns the partition of a customer. All submissions of a customer share one, so that their
+    /// owner can go on with the texts of items that return in a later submission.
+    pub(crate) fn of_customer(&self, customer: &str) -> &Rc<PartitionMirror> {
+        let index = stable_hash(customer) % self.mirrors.len() as u64;
+        &self.mirrors[index as usize]
+    }
+
+    pub(crate) fn get(&self, part: u32) -> Option<&Rc<PartitionMirror>> {
+        self.mirrors.get(part as usize)
+    }
+
+    pub(crate) fn owned(&self) -> BTreeSet<u32> {
+        let owned = self.mirrors.iter().filter(|mirror| mirror.is_owned());
+        owned.map(|mirror| mirror.name.part).collect()
+    }
+
+    pub(crate) fn set_owned(&self, owned: &BTreeSet<u32>) {
+        for mirror in &self.mirrors {
+            mirror.set_owned(owned.contains(&mirror.name.part));
+        }
+    }
+}
--- a/crates/hibiscushinged/src/gateway/plain.rs
+++ b/crates/hibiscushinged/src/gateway/plain.rs
@@ -15,7 +15,7 @@
         attempt::{
             AttemptCall, AttemptFault, WholeAnswer, log_attempt, wait_until, whole_exchange,
         },
-        board::TrafficState,
+        traffic_state::TrafficState,
     },
     telemetry::log_event,
 };
--- a/crates/hibiscushinged/src/gateway/relay.rs
+++ b/crates/hibiscushinged/src/gateway/relay.rs
@@ -15,10 +15,10 @@
 use crate::{
     gateway::{
         attempt::{AttemptFault, PlaceGuard, log_attempt, open_exchange},
-        board::TrafficState,
         channel::Exchange,
         node::FlightMark,
         plain::PlainJob,
+        traffic_state::TrafficState,
     },
     telemetry::log_event,
 };
--- a/crates/hibiscushinged/src/gateway/reward.rs
+++ b/crates/hibiscushinged/src/gateway/reward.rs
@@ -1,16 +1,15 @@
 //! The call that scores a whole text.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use actix_http::{Method, header::HeaderMap};
 use submissions::{ItemResult, ItemState, RewardCall};
-use tokio::sync::Notify;
 
 use crate::{
     gateway::{
-        board::TrafficState,
+        job::ItemJob,
         plain::{PlainJob, run_plain},
-        runner::ItemJob,
+        traffic_state::TrafficState,
     },
     telemetry::log_event,
 };
@@ -29,36 +28,6 @@
 /// Calls that may run at once whatever the slots.
 const LEAST_CALLS: u32 = 2;
 
-/// Bounds the reward calls in progress.
-#[derive(Default)]
-pub(crate) struct RewardGate {
-    running: Cell<u32>,
-    freed: Notify,
-}
-
-/// A call in progress.
-struct RewardPass<'a>(&'a RewardGate);
-
-impl RewardGate {
-    async fn enter(&self, traffic: &TrafficState, service: &str) -> RewardPass<'_> {
-        loop {
-            let (slots, _) = traffic.board.borrow().occupancy(traffic.node.now(), service);
-            if self.running.get() < (slots / SLOT_SHARE).max(LEAST_CALLS) {
-                self.running.set(self.running.get() + 1);
-                return RewardPass(self);
-            }
-            self.freed.notified().await;
-        }
-    }
-}
-
-impl Drop for RewardPass<'_> {
-    fn drop(&mut self) {
-        self.0.running.set(self.0.running.get() - 1);
-        self.0.freed.notify_one();
-    }
-}
-
 /// How one reward call ended.
 enum CallEnd {
     Scored(String),
@@ -73,29 +42,29 @@
 /// Scores a whole text and resolves its item.
 pub(crate) async fn finish(traffic: &Rc<TrafficState>, job: &Rc<ItemJob>) {
     let Some(reward) = &job.item.reward else {
-        traffic.runner.resolve(job, finished(job, None));
+        traffic.items.resolve(job, finished(job, None));
         return;
     };
     job.scoring.set(true);
     let mut failures = 0;
-    while traffic.runner.is_wanted(job) {
+    while traffic.items.is_wanted(job) {
         match call(traffic, reward).await {
             CallEnd::Scored(score) => {
-                traffic.runner.resolve(job, finished(job, Some(score)));
+                traffic.items.resolve(job, finished(job, Some(score)));
                 return;
             }
             CallEnd::Failed => {
                 failures += 1;
                 log_event!(AttemptFailed, request = reward.id, status = 500, failures);
                 if failures >= attempts(traffic, reward) {
-                    traffic.runner.resolve(job, ItemResult::errored(job.item.id.as_str()));
+                    traffic.items.resolve(job, ItemResult::errored(job.item.id.as_str()));
                     return;
                 }
             }
             CallEnd::NoRoute => {
                 let (request, host, path) = (&reward.id, &reward.host, &reward.path);
                 log_event!(warn, RequestRefused, request, host, path, reason = "no route");
-                traffic.runner.resolve(job, ItemResult::errored(job.item.id.as_str()));
+                traffic.items.resolve(job, ItemResult::errored(job.item.id.as_str()));
                 return;
             }
             CallEnd::Again => {}
@@ -124,7 +93,12 @@
         attempts: TRIES,
         repeatable: true,
     };
-    let _pass = traffic.runner.rewards.enter(traffic, service).await;
+    // Asked anew after each wait, since upstreams come and go.
+    let most = || {
+        let (slots, _) = traffic.board.borrow().occupancy(traffic.node.now(), service);
+        (slots / SLOT_SHARE).max(LEAST_CALLS)
+    };
+    let _pass = traffic.items.rewards.enter(most).await;
     let started = traffic.node.now();
     let plain = PlainJob { deadline: started + route.timeout, ..plain };
     match run_plain(traffic, &plain).await {
--- a/crates/hibiscushinged/src/gateway/serve.rs
+++ b/crates/hibiscushinged/src/gateway/serve.rs
@@ -15,12 +15,13 @@
     clock::to_duration,
     gateway::{
         answer,
-        board::{TrafficState, UpstreamNews, follow_news, sweep_channels},
+        board::{UpstreamNews, follow_news, sweep_channels},
         cleanup, group,
         node::{FlightMark, NodeState},
         plain::{PlainJob, run_plain},
         relay, runner,
         submit::{self, Arrival, Inquiry},
+        traffic_state::TrafficState,
     },
     telemetry::log_event,
 };
@@ -92,11 +93,11 @@
         let node = &self.traffic.node;
         let started = node.now();
         let last = started + node.settings.promises.grace.saturating_sub(STOP_RESERVE);
-        self.traffic.runner.stop();
+        self.traffic.items.stop();
         group::leave_group(&self.traffic).await;
         loop {
             let now = node.now();
-            let items = self.traffic.runner.unfinished() > 0 && now.since(started) < ITEM_PATIENCE;
+            let items = self.traffic.items.unfinished() > 0 && now.since(started) < ITEM_PATIENCE;
             let busy = node.in_flight() > 0 || items || now.since(started) < BALANCER_LAG;
             if !busy || now >= last {
                 return;
--- a/crates/hibiscushinged/src/gateway/store.rs
+++ b/crates/hibiscushinged/src/gateway/store.rs
@@ -20,7 +20,7 @@
 
 /// Calls of one thread to the store.
 pub(crate) struct StoreSession {
-    node: Arc<NodeState>,
+    pub(crate) node: Arc<NodeState>,
     client: RefCell<StoreClient>,
 }
 
--- a/crates/hibiscushinged/src/gateway/submit.rs
+++ b/crates/hibiscushinged/src/gateway/submit.rs
@@ -14,9 +14,9 @@
 use crate::{
     clock::to_duration,
     gateway::{
-        board::TrafficState,
         commit::{CommitFault, commit},
         mirror::PartitionMirror,
+        traffic_state::TrafficState,
     },
     telemetry::log_event,
     traffic::answer::with_body,
@@ -66,7 +66,7 @@
     let body = decode_submission(arrival.body).map_err(|error| invalid(&error))?;
     check_submission(arrival.id, &body.items).map_err(|fault| invalid(&fault))?;
     let mirror = traffic.partitions.of_customer(arrival.customer);
-    mirror.follow(traffic);
+    mirror.follow(&traffic.store);
     let records = records(traffic, arrival, body);
     let left = arrival.deadline.since(traffic.node.now());
     let patience = COMMIT_PATIENCE.min(left);
@@ -251,7 +251,7 @@
     mirror: &Rc<PartitionMirror>,
     inquiry: &Inquiry<'_>,
 ) -> Result<(), Refusal> {
-    mirror.follow(traffic);
+    mirror.follow(&traffic.store);
     refresh(traffic, mirror, inquiry).await?;
     let book = mirror.book();
     let state = book.get(inquiry.submission);
@@ -286,8 +286,8 @@
     /// half a second for a large submission.
     const PATIENCE: Duration = Duration::from_millis(1_200);
     let work = async {
-        mirror.catch_up(traffic).await?;
-        mirror.load(traffic, inquiry.submission).await
+        mirror.catch_up(&traffic.store).await?;
+        mirror.load(&traffic.store, inquiry.submission).await
     };
     if matches!(tokio::time::timeout(PATIENCE, work).await, Ok(Ok(()))) {
         return Ok(());
--- /dev/null
+++ b/crates/hibiscushinged/src/gateway/traffic_state.rs
@@ -0,0 +1,42 @@
+//! State of the traffic thread.
+
+use std::{cell::RefCell, rc::Rc, sync::Arc};
+
+use base::UpstreamKey;
+use dispatch::UpstreamBoard;
+
+use crate::gateway::{
+    channel::Exchange, items::ItemDesk, node::NodeState, partitions::PartitionSet,
+    pool::ChannelPool, store::StoreSession,
+};
+
+/// State of the traffic thread.
+pub(crate) struct TrafficState {
+    pub(crate) node: Arc<NodeState>,
+    pub(crate) board: RefCell<UpstreamBoard>,
+    pub(crate) pool: ChannelPool,
+    pub(crate) store: Rc<StoreSession>,
+    pub(crate) partitions: PartitionSet,
+    pub(crate) items: ItemDesk,
+}
+
+impl TrafficState {
+    pub(crate) fn new(node: Arc<NodeState>) -> Self {
+        Self {
+            store: Rc::new(StoreSession::new(Arc::clone(&node))),
+            partitions: PartitionSet::new(&node.settings.store),
+            items: ItemDesk::default(),
+            board: RefCell::default(),
+            pool: ChannelPool::new(),
+            node,
+        }
+    }
+
+    /// Keeps the connection of a complete exchange, if it can be used again.
+    pub(crate) fn keep_channel(&self, upstream: UpstreamKey, exchange: Exchange) {
+        let idle_timeout = exchange.marks().idle_timeout;
+        if let Some(channel) = exchange.into_reusable() {
+            self.pool.keep(self.node.now(), upstream, channel, idle_timeout);
+        }
+    }
+}
--- a/crates/hibiscushinged/src/gateway/usage.rs
+++ b/crates/hibiscushinged/src/gateway/usage.rs
@@ -8,7 +8,7 @@
 use protocol::encode_usage_totals;
 use usage::{CustomerCounts, WindowNumber, window_of};
 
-use crate::{gateway::control::ControlState, telemetry::log_event};
+use crate::{gateway::control_state::ControlState, telemetry::log_event};
 
 /// Topic of usage totals and reports.
 pub(crate) const USAGE_TOPIC: &str = "keyed.usage";
