Share the printing of traces and the submissions of tests

Ruled out: a shared settings text for the two harnesses of gateways. The one in process-tests adds lines of its own to most of them.

Before: 11, 10 and 3 tests in `submissions`. After: 11, 12 and 3 pass, and all model checks.

--- a/crates/model-check/src/lib.rs
+++ b/crates/model-check/src/lib.rs
@@ -12,4 +12,6 @@
 pub mod submissions;
 pub mod usage;
 
-pub use crate::search::{Exploration, Specification, counterexample, explore};
+pub use crate::search::{
+    Exploration, Specification, counterexample, explore, print_counterexample,
+};
--- a/crates/model-check/src/search.rs
+++ b/crates/model-check/src/search.rs
@@ -105,3 +105,12 @@
     lines.push(format!("breaks: {invariant}"));
     Some(lines)
 }
+
+/// Prints a shortest trace to a state that breaks `invariant`, and tells whether there is one.
+pub fn print_counterexample<T: Specification>(specification: &T, invariant: &'static str) -> bool {
+    let trace = counterexample(specification, invariant);
+    for line in trace.iter().flatten() {
+        println!("{line}");
+    }
+    trace.is_some()
+}
--- a/crates/model-check/tests/authority.rs
+++ b/crates/model-check/tests/authority.rs
@@ -13,7 +13,7 @@
         AuthorityModel, FENCED, GuardedSteps, ModelBounds, ModelSettings, ONE_EFFECT, ONE_HOLDER,
         OrderReceiver, ProcessState, ProductSteps, RECONCILED, RestartReading, TRUE_OUTCOME,
     },
-    counterexample, explore,
+    explore, print_counterexample,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -49,22 +49,17 @@
     let result = explore(&model);
     println!("{bounds:?}: {result:?}, invariants: {:?}", model.invariants());
     if let Some(broken) = result.broken {
-        print_trace(&model, broken);
+        print_counterexample(&model, broken);
     }
     assert_eq!(result.broken, None);
 }
 
-fn print_trace<G: GuardedSteps>(model: &AuthorityModel<G>, invariant: &'static str) -> bool {
-    let trace = counterexample(model, invariant);
-    for line in trace.iter().flatten() {
-        println!("{line}");
-    }
-    trace.is_some()
-}
-
 fn check_broken<G: GuardedSteps>(bounds: ModelBounds, steps: G, invariant: &'static str) {
     let model = AuthorityModel { settings: ModelSettings::small(bounds), steps };
-    assert!(print_trace(&model, invariant), "the search does not notice the missing guard");
+    assert!(
+        print_counterexample(&model, invariant),
+        "the search does not notice the missing guard"
+    );
 }
 
 struct HastySuccessor;
--- a/crates/model-check/tests/configuration.rs
+++ b/crates/model-check/tests/configuration.rs
@@ -10,7 +10,7 @@
         AcceptAll, ConfigBounds, ConfigGuards, ConfigModel, ConfigStep, History, NEVER_FALLS,
         ONE_DOCUMENT, ONE_WINNER, OperatorWork, ProductConfig, SNAPSHOT_YIELDS,
     },
-    counterexample, explore,
+    explore, print_counterexample,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -40,22 +40,17 @@
     let result = explore(&model);
     println!("{bounds:?}: {result:?}, invariants: {:?}", model.invariants());
     if let Some(broken) = result.broken {
-        print_trace(&model, broken);
+        print_counterexample(&model, broken);
     }
     assert_eq!(result.broken, None);
 }
 
-fn print_trace<G: ConfigGuards>(model: &ConfigModel<G>, invariant: &'static str) -> bool {
-    let trace = counterexample(model, invariant);
-    for line in trace.iter().flatten() {
-        println!("{line}");
-    }
-    trace.is_some()
-}
-
 fn check_broken<G: ConfigGuards>(bounds: ConfigBounds, guards: G, invariant: &'static str) {
     let model = ConfigModel { bounds, guards };
-    assert!(print_trace(&model, invariant), "the search does not notice the missing guard");
+    assert!(
+        print_counterexample(&model, invariant),
+        "the search does not notice the missing guard"
+    );
 }
 
 struct AnyCopy;
--- a/crates/model-check/tests/submissions.rs
+++ b/crates/model-check/tests/submissions.rs
@@ -4,7 +4,7 @@
 
 use ::submissions::PartitionCopy;
 use model_check::{
-    Specification, counterexample, explore,
+    Specification, explore, print_counterexample,
     submissions::{
         COPY_IS_WHOLE, ONE_POSITION, ProductGuards, SubmissionBounds, SubmissionGuards,
         SubmissionModel, WorkPlan,
@@ -35,22 +35,17 @@
     let result = explore(&model);
     println!("{bounds:?}: {result:?}, invariants: {:?}", model.invariants());
     if let Some(broken) = result.broken {
-        print_trace(&model, broken);
+        print_counterexample(&model, broken);
     }
     assert_eq!(result.broken, None);
 }
 
-fn print_trace<G: SubmissionGuards>(model: &SubmissionModel<G>, invariant: &'static str) -> bool {
-    let trace = counterexample(model, invariant);
-    for line in trace.iter().flatten() {
-        println!("{line}");
-    }
-    trace.is_some()
-}
-
 fn check_broken<G: SubmissionGuards>(bounds: SubmissionBounds, guards: G, invariant: &'static str) {
     let model = SubmissionModel { bounds, guards };
-    assert!(print_trace(&model, invariant), "the search does not notice the missing guard");
+    assert!(
+        print_counterexample(&model, invariant),
+        "the search does not notice the missing guard"
+    );
 }
 
 struct OpenAppends;
--- a/crates/model-check/tests/usage.rs
+++ b/crates/model-check/tests/usage.rs
@@ -6,7 +6,7 @@
 use authority::{FencingSupport, LeaseKeeper};
 use base::{FencingNumber, Incarnation, Moment, RecordId, Span};
 use model_check::{
-    Specification, counterexample, explore,
+    Specification, explore, print_counterexample,
     usage::{
         EQUAL_LEDGERS, FENCED_REPORTS, ONE_FIGURE, ONE_REPORTER, ONE_WINDOW, ProductGuards,
         ReportSink, UsageBounds, UsageGuards, UsageModel, UsageRetention, UsageStep,
@@ -45,22 +45,17 @@
     let result = explore(&model);
     println!("{bounds:?}: {result:?}, invariants: {:?}", model.invariants());
     if let Some(broken) = result.broken {
-        print_trace(&model, broken);
+        print_counterexample(&model, broken);
     }
     assert_eq!(result.broken, None);
 }
 
-fn print_trace<G: UsageGuards>(model: &UsageModel<G>, invariant: &'static str) -> bool {
-    let trace = counterexample(model, invariant);
-    for line in trace.iter().flatten() {
-        println!("{line}");
-    }
-    trace.is_some()
-}
-
 fn check_broken<G: UsageGuards>(bounds: UsageBounds, guards: G, invariant: &'static str) {
     let model = UsageModel { bounds, guards };
-    assert!(print_trace(&model, invariant), "the search does not notice the missing guard");
+    assert!(
+        print_counterexample(&model, invariant),
+        "the search does not notice the missing guard"
+    );
 }
 
 struct OpenFigures;
--- a/crates/submissions/tests/book.rs
+++ b/crates/submissions/tests/book.rs
@@ -1,43 +1,25 @@
 //! Submissions as a function of their records, and the texts of items.
 
-use base::{Moment, WallTime, WeightVersion};
+mod common;
+
+use base::{Moment, WeightVersion};
 use proptest::prelude::*;
 use rstest::rstest;
 use submissions::{
-    BookRecord, ItemQueue, ItemResult, ItemText, SubmissionBook, SubmissionHead, SubmissionItem,
-    TextEvent, TextFault,
+    BookRecord, ItemQueue, ItemResult, ItemText, SubmissionBook, SubmissionItem, TextEvent,
+    TextFault,
 };
 
 const ITEMS: u32 = 6;
 
 fn item(index: u32) -> SubmissionItem {
-    SubmissionItem {
-        id: format!("i{index}"),
-        path: String::from("/p"),
-        headers: Vec::new(),
-        body: bytes::Bytes::new(),
-        group: String::from("g"),
-        expected_tokens: 1,
-        shared_prompt: None,
-        reward: None,
-    }
+    common::item(&format!("i{index}"))
 }
 
 fn records() -> Vec<BookRecord> {
     let submission = || String::from("s");
     let mut records = vec![
-        BookRecord::Opened(SubmissionHead {
-            id: submission(),
-            customer: String::from("brewer"),
-            host: String::from("h"),
-            path: String::from("/p"),
-            model: String::from("m"),
-            step: 0,
-            least_version: WeightVersion(1),
-            target_groups: 1,
-            accepted_at: WallTime(0),
-            items: ITEMS,
-        }),
+        BookRecord::Opened(common::head("s", ITEMS)),
         BookRecord::Items { submission: submission(), first: 0, items: (0..4).map(item).collect() },
         BookRecord::Items {
             submission: submission(),
--- a/crates/submissions/tests/check.rs
+++ b/crates/submissions/tests/check.rs
@@ -1,20 +1,10 @@
 //! Checks of submissions before they are accepted.
 
-use rstest::rstest;
-use submissions::{SubmissionFault, SubmissionItem, check_submission};
+mod common;
 
-fn item(id: &str) -> SubmissionItem {
-    SubmissionItem {
-        id: String::from(id),
-        path: String::from("/p"),
-        headers: Vec::new(),
-        body: bytes::Bytes::new(),
-        group: String::from("g"),
-        expected_tokens: 1,
-        shared_prompt: None,
-        reward: None,
-    }
-}
+use common::{head, item};
+use rstest::rstest;
+use submissions::{BookRecord, SubmissionBook, SubmissionFault, check_owner, check_submission};
 
 /// Guards against an identifier that writes into the keys of another submission, or that no path can
 /// name: a submission "x/i/0" would have added its items to the submission "x".
@@ -40,3 +30,16 @@
     let expected = Err(SubmissionFault::RepeatedItem(String::from("a")));
     assert_eq!(check_submission("s", &items), expected);
 }
+
+/// Guards against a sender that takes another customer's submission for its own: it was answered 202, and its
+/// items never ran.
+#[rstest]
+#[case::own("brewer", Ok(()))]
+#[case::other("maltster", Err(SubmissionFault::TakenId))]
+fn check_repeated(#[case] customer: &str, #[case] expected: Result<(), SubmissionFault>) {
+    let mut book = SubmissionBook::default();
+    book.apply(BookRecord::Opened(head("s", 1)));
+    let items = vec![item("a")];
+    book.apply(BookRecord::Items { submission: String::from("s"), first: 0, items });
+    assert_eq!(check_owner(book.get("s").unwrap(), customer), expected);
+}
--- /dev/null
+++ b/crates/submissions/tests/common/mod.rs
@@ -0,0 +1,34 @@
+//! Submissions of tests.
+
+use base::{WallTime, WeightVersion};
+use submissions::{SubmissionHead, SubmissionItem};
+
+/// Builds what holds for all items of a submission.
+pub(crate) fn head(submission: &str, items: u32) -> SubmissionHead {
+    SubmissionHead {
+        id: String::from(submission),
+        customer: String::from("brewer"),
+        host: String::from("h"),
+        path: String::from("/p"),
+        model: String::from("m"),
+        step: 0,
+        least_version: WeightVersion(1),
+        target_groups: 1,
+        accepted_at: WallTime(0),
+        items,
+    }
+}
+
+/// Builds an item.
+pub(crate) fn item(id: &str) -> SubmissionItem {
+    SubmissionItem {
+        id: String::from(id),
+        path: String::from("/p"),
+        headers: Vec::new(),
+        body: bytes::Bytes::new(),
+        group: String::from("g"),
+        expected_tokens: 1,
+        shared_prompt: None,
+        reward: None,
+    }
+}
--- a/crates/submissions/tests/copy.rs
+++ b/crates/submissions/tests/copy.rs
@@ -1,39 +1,17 @@
 //! A node's copy of a partition.
 
-use base::{Moment, WallTime, WeightVersion};
-use submissions::{
-    BookRecord, ItemResult, LogPart, PartitionCopy, SubmissionHead, SubmissionItem, SubmissionRead,
-    result_records,
-};
+mod common;
+
+use base::Moment;
+use common::{head, item};
+use submissions::{BookRecord, ItemResult, LogPart, PartitionCopy, SubmissionRead, result_records};
 
 const NOW: Moment = Moment(0);
 
 fn opened(submission: &str) -> Vec<BookRecord> {
-    let text = String::from;
-    let head = SubmissionHead {
-        id: text(submission),
-        customer: text("brewer"),
-        host: text("h"),
-        path: text("/p"),
-        model: text("m"),
-        step: 0,
-        least_version: WeightVersion(1),
-        target_groups: 1,
-        accepted_at: WallTime(0),
-        items: 1,
-    };
-    let item = SubmissionItem {
-        id: text("i"),
-        path: text("/p"),
-        headers: Vec::new(),
-        body: bytes::Bytes::new(),
-        group: text("g"),
-        expected_tokens: 1,
-        shared_prompt: None,
-        reward: None,
-    };
-    let items = BookRecord::Items { submission: text(submission), first: 0, items: vec![item] };
-    vec![BookRecord::Opened(head), items]
+    let items = vec![item("i")];
+    let items = BookRecord::Items { submission: String::from(submission), first: 0, items };
+    vec![BookRecord::Opened(head(submission, 1)), items]
 }
 
 fn read(submission: &str, end: u64, records: Vec<BookRecord>) -> SubmissionRead {
