Report windows without waiting for stopped processes; keep quiet shares quiet

Change: set_owned leaves unused partitions out and tells whether anything changed.

The reporter waited for processes that a rolling stop had ended in the window, until the store went away. Change: a process that is stopped as planned marks its last totals, and is not waited for. Ruled out: waiting shorter for all, which would leave out what a node that is cut off for some seconds has counted.

Tests: partitions_that_are_not_in_use_are_no_change, ended_process_is_not_waited_for.

--- a/crates/hibiscushinged/src/gateway.rs
+++ b/crates/hibiscushinged/src/gateway.rs
@@ -40,7 +40,7 @@
 
 use std::{io, sync::Arc};
 
-use base::Incarnation;
+use base::{Incarnation, Span};
 use document::GatewaySettings;
 use tokio::sync::mpsc;
 
@@ -51,6 +51,10 @@
     telemetry::log_event,
 };
 
+/// Longest wait for the last usage totals at a planned stop. A write takes some milliseconds, and the next
+/// one begins within a tenth of a second.
+const LAST_TOTALS_PATIENCE: Span = Span::from_millis(400);
+
 /// A running gateway.
 pub struct Gateway {
     node: Arc<NodeState>,
@@ -104,6 +108,7 @@
         self.node.enter(ServicePhase::Draining);
         log_event!(ProcessDraining, requests = self.node.in_flight());
         self.traffic.drain().await;
+        self.node.store_last_totals(LAST_TOTALS_PATIENCE).await;
         log_event!(ProcessStopped, requests = self.node.in_flight());
     }
 }
--- a/crates/hibiscushinged/src/gateway/duties.rs
+++ b/crates/hibiscushinged/src/gateway/duties.rs
@@ -162,8 +162,8 @@
     fn apply(&mut self, change: KeyChange) {
         let Some(value) = change.value else { return };
         match decode_usage_record(&change.key, &value) {
-            Ok((UsageKey::Totals { window, writer, closed }, counts)) => {
-                self.board.take(window, writer.0, counts, closed);
+            Ok((UsageKey::Totals { window, writer, phase }, counts)) => {
+                self.board.take(window, writer.0, counts, phase);
             }
             Ok((UsageKey::Report { window }, counts)) => {
                 self.reports.entry(window).or_insert(counts);
--- a/crates/hibiscushinged/src/gateway/group.rs
+++ b/crates/hibiscushinged/src/gateway/group.rs
@@ -42,7 +42,7 @@
         if let Ok(share) = joined {
             traffic.partitions.generation.set(share.generation);
             let parts = share.parts.into_iter().filter(|(topic, _)| topic == SUBMISSION_TOPIC);
-            take_parts(&traffic, parts.map(|(_, part)| part).collect());
+            take_parts(&traffic, &parts.map(|(_, part)| part).collect());
         }
         tokio::time::sleep(JOIN_PERIOD).await;
     }
@@ -69,17 +69,16 @@
 /// Gives all partitions back, so that their items go on elsewhere at once.
 pub(crate) async fn leave_group(traffic: &Rc<TrafficState>) {
     let member = member_name(traffic);
-    take_parts(traffic, BTreeSet::new());
+    take_parts(traffic, &BTreeSet::new());
     // Without an answer the membership ends by itself; the session has logged the failure.
     let _ = traffic.store.leave(GROUP, &member).await;
 }
 
-fn take_parts(traffic: &Rc<TrafficState>, parts: BTreeSet<u32>) {
-    let before = traffic.partitions.owned();
-    if before == parts {
+fn take_parts(traffic: &Rc<TrafficState>, parts: &BTreeSet<u32>) {
+    if !traffic.partitions.set_owned(parts) {
         return;
     }
-    traffic.partitions.set_owned(&parts);
+    let parts = traffic.partitions.owned();
     let generation = traffic.partitions.generation.get();
     log_event!(PartitionsAssigned, ?parts, generation);
     for part in parts {
--- a/crates/hibiscushinged/src/gateway/mirror/tests.rs
+++ b/crates/hibiscushinged/src/gateway/mirror/tests.rs
@@ -215,3 +215,18 @@
         assert_eq!(store.value(SUBMISSION_TOPIC, 0, key).is_some(), stays, "{key}");
     }
 }
+
+/// Pattern: a small site, whose submissions use one of the partitions that the group shares out.
+///
+/// Guards against a node that takes a share without any partition in use for a change at each of its calls to
+/// the group, and looks through all submissions every time.
+#[actix_rt::test]
+async fn partitions_that_are_not_in_use_are_no_change() {
+    let store = SiteStore::start(StoreOptions::default()).unwrap();
+    let traffic = traffic(store.address());
+    let share = |parts: &[u32]| parts.iter().copied().collect();
+    assert!(!traffic.partitions.set_owned(&share(&[10, 11])));
+    assert!(traffic.partitions.set_owned(&share(&[0, 11])));
+    assert!(!traffic.partitions.set_owned(&share(&[0, 10])));
+    assert!(traffic.partitions.set_owned(&share(&[])));
+}
--- a/crates/hibiscushinged/src/gateway/node.rs
+++ b/crates/hibiscushinged/src/gateway/node.rs
@@ -6,13 +6,14 @@
 };
 
 use arc_swap::ArcSwapOption;
-use base::{Incarnation, Moment, Span, WallTime};
+use base::{Incarnation, Moment, Span, WallTime, key};
 use document::GatewaySettings;
 use routebook::RouteBook;
+use tokio::sync::watch;
 use usage::{WindowNumber, WindowTally, window_of};
 
 use crate::{
-    clock::{ProcessClock, wall_now},
+    clock::{ProcessClock, to_duration, wall_now},
     gateway::metrics::GatewayMetrics,
     shared::ServicePhase,
     telemetry::log_event,
@@ -38,6 +39,20 @@
     store_contact: AtomicU64,
     store_trouble: AtomicU64,
     store_lost: AtomicBool,
+    /// Where a planned stop is with the last totals of usage.
+    last_totals: watch::Sender<LastTotals>,
+}
+
+key! {
+    /// The last totals of usage of a process that is stopped as planned.
+    pub(crate) enum LastTotals {
+        /// The process goes on.
+        NotDue,
+        /// No request is left, so that they can be written.
+        Due,
+        /// They are in the store.
+        Stored,
+    }
 }
 
 /// Counts a request as running until dropped.
@@ -70,6 +85,7 @@
             store_contact: AtomicU64::new(0),
             store_trouble: AtomicU64::new(0),
             store_lost: AtomicBool::new(false),
+            last_totals: watch::Sender::new(LastTotals::NotDue),
         }
     }
 
@@ -99,6 +115,26 @@
         self.tally.lock().expect("no holder of the tally panics")
     }
 
+    pub(crate) fn last_totals(&self) -> LastTotals {
+        *self.last_totals.borrow()
+    }
+
+    /// Notes that the last totals of this process are in the store.
+    pub(crate) fn last_totals_stored(&self) {
+        self.last_totals.send_replace(LastTotals::Stored);
+    }
+
+    /// Has the last totals written, and waits for it as long as `patience`.
+    pub(crate) async fn store_last_totals(&self, patience: Span) {
+        let mut changes = self.last_totals.subscribe();
+        self.last_totals.send_replace(LastTotals::Due);
+        let stored = changes.wait_for(|state| *state == LastTotals::Stored);
+        if !matches!(tokio::time::timeout(to_duration(patience), stored).await, Ok(Ok(_))) {
+            // The reporter then waits for this process until the report is nearly due.
+            tracing::warn!("the last usage totals are not in the store");
+        }
+    }
+
     /// Counts a request that begins to run now.
     pub(crate) fn count_begin(&self, customer: &str) -> UsageMark {
         let window = window_of(wall_now(), self.settings.promises.window);
--- a/crates/hibiscushinged/src/gateway/partitions.rs
+++ b/crates/hibiscushinged/src/gateway/partitions.rs
@@ -48,9 +48,13 @@
         owned.map(|mirror| mirror.name.part).collect()
     }
 
-    pub(crate) fn set_owned(&self, owned: &BTreeSet<u32>) {
+    /// Notes which partitions this node owns, and tells whether that changed. The group shares out more
+    /// partitions than a small site uses; the others are left out.
+    pub(crate) fn set_owned(&self, owned: &BTreeSet<u32>) -> bool {
+        let before = self.owned();
         for mirror in &self.mirrors {
             mirror.set_owned(owned.contains(&mirror.name.part));
         }
+        before != self.owned()
     }
 }
--- a/crates/hibiscushinged/src/gateway/usage.rs
+++ b/crates/hibiscushinged/src/gateway/usage.rs
@@ -6,9 +6,12 @@
 use bytes::Bytes;
 use platform::{AppendAnswer, keyed_record};
 use protocol::encode_usage_totals;
-use usage::{CustomerCounts, WindowNumber, window_of};
+use usage::{CustomerCounts, TotalsPhase, WindowNumber, window_of};
 
-use crate::{gateway::control_state::ControlState, telemetry::log_event};
+use crate::{
+    gateway::{control_state::ControlState, node::LastTotals},
+    telemetry::log_event,
+};
 
 /// Topic of usage totals and reports.
 pub(crate) const USAGE_TOPIC: &str = "keyed.usage";
@@ -34,16 +37,30 @@
         // The window before the one that is running has ended.
         let ended = WindowNumber(window_of(ended, length).0.saturating_sub(1));
         let mut changed = control.node.tally().take_changed();
-        if ended > closed && !changed.iter().any(|(window, _)| *window == ended) {
-            let totals = control.node.tally().totals(ended);
-            changed.push((ended, totals));
+        let include = |changed: &mut Vec<(WindowNumber, CustomerCounts)>, window| {
+            if !changed.iter().any(|(listed, _)| *listed == window) {
+                changed.push((window, control.node.tally().totals(window)));
+            }
+        };
+        if ended > closed {
+            include(&mut changed, ended);
+        }
+        let last = control.node.last_totals() == LastTotals::Due;
+        if last {
+            // The window before may have ended a moment ago, and not count as closed yet.
+            let newest = window_of(control.node.wall(), length);
+            include(&mut changed, WindowNumber(newest.0.saturating_sub(1)));
+            include(&mut changed, newest);
         }
         if changed.is_empty() {
             continue;
         }
-        let stored = write(&control, &changed, ended).await;
+        let stored = write(&control, &changed, ended, last).await;
         if stored {
             closed = closed.max(ended);
+            if last {
+                control.node.last_totals_stored();
+            }
             let (windows, newest) = (changed.len(), changed.last().map(|(window, _)| window.0));
             log_event!(UsageBatchAppended, windows, newest);
         } else {
@@ -62,12 +79,18 @@
     control: &ControlState,
     changed: &[(WindowNumber, CustomerCounts)],
     ended: WindowNumber,
+    last: bool,
 ) -> bool {
     let writer = control.node.incarnation;
     let records: Vec<Bytes> = changed
         .iter()
         .map(|(window, counts)| {
-            let (key, value) = encode_usage_totals(*window, writer, counts, *window <= ended);
+            let phase = match (*window <= ended, last) {
+                (true, _) => TotalsPhase::Closed,
+                (false, true) => TotalsPhase::Last,
+                (false, false) => TotalsPhase::Open,
+            };
+            let (key, value) = encode_usage_totals(*window, writer, counts, phase);
             keyed_record(&key, Some(&value))
         })
         .collect();
--- a/crates/protocol/src/record/totals.rs
+++ b/crates/protocol/src/record/totals.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use base::{Incarnation, key};
-use usage::{CustomerCounts, WindowNumber};
+use usage::{CustomerCounts, TotalsPhase, WindowNumber};
 
 use crate::codec::{MalformedMessage, decode_message, encode_message, wire};
 
@@ -16,8 +16,8 @@
             window: WindowNumber,
             /// Process that counted.
             writer: Incarnation,
-            /// Whether the window had ended for the process.
-            closed: bool,
+            /// Whether the process may still count in the window.
+            phase: TotalsPhase,
         },
         /// The fixed figures of a window.
         Report {
@@ -32,18 +32,21 @@
         counts: BTreeMap<String, u64>,
         /// Whether the window had ended when the totals were written.
         closed: bool,
+        /// Whether the process ended with them.
+        last: bool,
     }
 }
 
-/// Encodes the totals of a process. `closed` says that the window has ended for it.
+/// Encodes the totals of a process.
 #[must_use]
 pub fn encode_usage_totals(
     window: WindowNumber,
     writer: Incarnation,
     counts: &CustomerCounts,
-    closed: bool,
+    phase: TotalsPhase,
 ) -> (String, Vec<u8>) {
-    let totals = WireTotals { counts: counts.clone(), closed };
+    let (closed, last) = (phase != TotalsPhase::Open, phase == TotalsPhase::Last);
+    let totals = WireTotals { counts: counts.clone(), closed, last };
     (usage_totals_key(window, writer), encode_message(&totals))
 }
 
@@ -84,7 +87,12 @@
             let writer = u64::from_str_radix(writer, 16).map_err(|_| malformed())?;
             let totals: WireTotals = decode_message(value)?;
             let writer = Incarnation(writer);
-            Ok((UsageKey::Totals { window, writer, closed: totals.closed }, totals.counts))
+            let phase = match (totals.last, totals.closed) {
+                (true, _) => TotalsPhase::Last,
+                (false, true) => TotalsPhase::Closed,
+                (false, false) => TotalsPhase::Open,
+            };
+            Ok((UsageKey::Totals { window, writer, phase }, totals.counts))
         }
         ("r", None) => Ok((UsageKey::Report { window }, decode_message(value)?)),
         _ => Err(malformed()),
--- a/crates/usage/src/lib.rs
+++ b/crates/usage/src/lib.rs
@@ -19,5 +19,7 @@
     replica::{HoldOutcome, OriginState, ReplicaStore},
     report::{ReportAnswer, ReportDesk, WindowReport},
     seen::{SeenRecords, SequenceRange},
-    tally::{CustomerCounts, WindowBoard, WindowTally, sum_counts, window_end, window_of},
+    tally::{
+        CustomerCounts, TotalsPhase, WindowBoard, WindowTally, sum_counts, window_end, window_of,
+    },
 };
--- a/crates/usage/src/tally.rs
+++ b/crates/usage/src/tally.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use base::{Span, WallTime};
+use base::{Span, WallTime, key};
 
 use crate::WindowNumber;
 
@@ -96,16 +96,28 @@
     sum
 }
 
+key! {
+    /// Whether a process may still count in a window.
+    pub enum TotalsPhase {
+        /// It may.
+        Open,
+        /// The window has ended for it.
+        Closed,
+        /// The process has ended as planned, in or before the window's end.
+        Last,
+    }
+}
+
 /// Totals of all processes, for the one that reports a window.
 #[derive(Debug, Default)]
 pub struct WindowBoard {
     totals: BTreeMap<WindowNumber, BTreeMap<u64, ProcessTotals>>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct ProcessTotals {
     counts: CustomerCounts,
-    closed: bool,
+    phase: TotalsPhase,
 }
 
 impl WindowBoard {
@@ -115,14 +127,14 @@
         window: WindowNumber,
         process: u64,
         counts: CustomerCounts,
-        closed: bool,
+        phase: TotalsPhase,
     ) {
-        let totals = ProcessTotals { counts, closed };
+        let totals = ProcessTotals { counts, phase };
         self.totals.entry(window).or_default().insert(process, totals);
     }
 
     /// Tells whether all processes that are known to live have closed a window: those that closed the
-    /// one before, and those that counted in this one.
+    /// one before and went on, and those that counted in this one.
     #[must_use]
     pub fn is_closed(&self, window: WindowNumber) -> bool {
         let Some(before) = window.0.checked_sub(1).and_then(|w| self.totals.get(&WindowNumber(w)))
@@ -130,10 +142,13 @@
             return false;
         };
         let Some(now) = self.totals.get(&window) else { return false };
-        let closed = |process: &u64| now.get(process).is_some_and(|totals| totals.closed);
-        before.iter().filter(|(_, totals)| totals.closed).all(|(process, _)| closed(process))
+        let closed = |process: &u64| {
+            now.get(process).is_some_and(|totals| totals.phase != TotalsPhase::Open)
+        };
+        let goes_on = |totals: &ProcessTotals| totals.phase == TotalsPhase::Closed;
+        before.iter().filter(|(_, totals)| goes_on(totals)).all(|(process, _)| closed(process))
             && now.keys().all(closed)
-            && before.values().any(|totals| totals.closed)
+            && before.values().any(goes_on)
     }
 
     /// Returns the figures of a window.
--- a/crates/usage/tests/tally.rs
+++ b/crates/usage/tests/tally.rs
@@ -2,7 +2,9 @@
 
 use base::{Span, WallTime};
 use rstest::rstest;
-use usage::{CustomerCounts, WindowBoard, WindowNumber, WindowTally, window_end, window_of};
+use usage::{
+    CustomerCounts, TotalsPhase, WindowBoard, WindowNumber, WindowTally, window_end, window_of,
+};
 
 const WINDOW: Span = Span::from_secs(5);
 
@@ -50,23 +52,43 @@
 fn window_is_closed_once_every_known_process_has_closed_it() {
     let mut board = WindowBoard::default();
     for process in [1, 2] {
-        board.take(WindowNumber(6), process, counts(&[]), true);
+        board.take(WindowNumber(6), process, counts(&[]), TotalsPhase::Closed);
     }
-    board.take(WindowNumber(7), 1, counts(&[("brewer", 3)]), true);
+    board.take(WindowNumber(7), 1, counts(&[("brewer", 3)]), TotalsPhase::Closed);
     assert!(!board.is_closed(WindowNumber(7)), "process 2 may still count");
-    board.take(WindowNumber(7), 2, counts(&[("brewer", 1)]), false);
+    board.take(WindowNumber(7), 2, counts(&[("brewer", 1)]), TotalsPhase::Open);
     assert!(!board.is_closed(WindowNumber(7)));
-    board.take(WindowNumber(7), 2, counts(&[("brewer", 2), ("studio", 1)]), true);
+    board.take(WindowNumber(7), 2, counts(&[("brewer", 2), ("studio", 1)]), TotalsPhase::Closed);
     assert!(board.is_closed(WindowNumber(7)));
     assert_eq!(board.figures(WindowNumber(7)), counts(&[("brewer", 5), ("studio", 1)]));
 }
 
+/// Pattern: machines are stopped as planned, one after the other, and the store is away when the report is
+/// due at the latest.
+///
+/// Guards against a report that waits for a process which has ended (trouble-2 of derwent-sleeves missed
+/// the window before an outage).
+#[test]
+fn ended_process_is_not_waited_for() {
+    let mut board = WindowBoard::default();
+    for process in [1, 2] {
+        board.take(WindowNumber(5), process, counts(&[]), TotalsPhase::Closed);
+    }
+    board.take(WindowNumber(6), 1, counts(&[]), TotalsPhase::Closed);
+    assert!(!board.is_closed(WindowNumber(6)));
+    board.take(WindowNumber(6), 2, counts(&[("brewer", 1)]), TotalsPhase::Last);
+    assert!(board.is_closed(WindowNumber(6)));
+    board.take(WindowNumber(7), 1, counts(&[("brewer", 2)]), TotalsPhase::Closed);
+    assert!(board.is_closed(WindowNumber(7)));
+    assert_eq!(board.figures(WindowNumber(6)), counts(&[("brewer", 1)]));
+}
+
 /// Guards against a window that counts as closed before any process is known.
 #[test]
 fn unknown_window_is_not_closed() {
     let mut board = WindowBoard::default();
     assert!(!board.is_closed(WindowNumber(0)));
-    board.take(WindowNumber(7), 1, counts(&[]), true);
+    board.take(WindowNumber(7), 1, counts(&[]), TotalsPhase::Closed);
     assert!(!board.is_closed(WindowNumber(7)));
 }
 
@@ -74,9 +96,9 @@
 #[test]
 fn old_windows_are_named_for_deletion() {
     let mut board = WindowBoard::default();
-    board.take(WindowNumber(6), 1, counts(&[]), true);
-    board.take(WindowNumber(6), 2, counts(&[]), true);
-    board.take(WindowNumber(7), 1, counts(&[("brewer", 3)]), true);
+    board.take(WindowNumber(6), 1, counts(&[]), TotalsPhase::Closed);
+    board.take(WindowNumber(6), 2, counts(&[]), TotalsPhase::Closed);
+    board.take(WindowNumber(7), 1, counts(&[("brewer", 3)]), TotalsPhase::Closed);
     assert_eq!(board.forget_before(WindowNumber(7)), vec![(WindowNumber(6), vec![1, 2])]);
     assert!(board.forget_before(WindowNumber(7)).is_empty());
     assert_eq!(board.figures(WindowNumber(7)), counts(&[("brewer", 3)]));
