--- a/crates/hibiscushinged/src/gateway.rs
+++ b/crates/hibiscushinged/src/gateway.rs
@@ -40,7 +40,7 @@
 
 use std::{io, sync::Arc};
 
-use base::{Incarnation, Span};
+use base::Incarnation;
 use document::GatewaySettings;
 use tokio::sync::mpsc;
 
@@ -51,10 +51,6 @@
     telemetry::log_event,
 };
 
-/// Longest wait for the last usage totals at a planned stop. A write takes some milliseconds, and the next
-/// one begins within a tenth of a second.
-const LAST_TOTALS_PATIENCE: Span = Span::from_millis(400);
-
 /// A running gateway.
 pub struct Gateway {
     node: Arc<NodeState>,
@@ -108,7 +104,7 @@
         self.node.enter(ServicePhase::Draining);
         log_event!(ProcessDraining, requests = self.node.in_flight());
         self.traffic.drain().await;
-        self.node.store_last_totals(LAST_TOTALS_PATIENCE).await;
+        self.node.store_last_totals().await;
         log_event!(ProcessStopped, requests = self.node.in_flight());
     }
 }
--- a/crates/hibiscushinged/src/gateway/node.rs
+++ b/crates/hibiscushinged/src/gateway/node.rs
@@ -26,6 +26,10 @@
 /// Time after a silence of the store in which missing entries may come back.
 const STORE_SETTLING: Span = Span::from_secs(3);
 
+/// Longest wait for the last usage totals at a planned stop. A write takes some milliseconds, and the next
+/// one begins within a tenth of a second.
+pub(crate) const LAST_TOTALS_PATIENCE: Span = Span::from_millis(400);
+
 /// Shared state of one gateway.
 pub(crate) struct NodeState {
     pub(crate) settings: GatewaySettings,
@@ -124,12 +128,15 @@
         self.last_totals.send_replace(LastTotals::Stored);
     }
 
-    /// Has the last totals written, and waits for it as long as `patience`.
-    pub(crate) async fn store_last_totals(&self, patience: Span) {
+    /// Has the last totals written, and waits for it as long as [`LAST_TOTALS_PATIENCE`].
+    pub(crate) async fn store_last_totals(&self) {
         let mut changes = self.last_totals.subscribe();
         self.last_totals.send_replace(LastTotals::Due);
         let stored = changes.wait_for(|state| *state == LastTotals::Stored);
-        if !matches!(tokio::time::timeout(to_duration(patience), stored).await, Ok(Ok(_))) {
+        if !matches!(
+            tokio::time::timeout(to_duration(LAST_TOTALS_PATIENCE), stored).await,
+            Ok(Ok(_))
+        ) {
             // The reporter then waits for this process until the report is nearly due.
             tracing::warn!("the last usage totals are not in the store");
         }
--- a/crates/hibiscushinged/src/gateway/serve.rs
+++ b/crates/hibiscushinged/src/gateway/serve.rs
@@ -17,7 +17,7 @@
         answer,
         board::{UpstreamNews, follow_news, sweep_channels},
         cleanup, group,
-        node::{FlightMark, NodeState},
+        node::{FlightMark, LAST_TOTALS_PATIENCE, NodeState},
         plain::{PlainJob, run_plain},
         relay, runner,
         submit::{self, Arrival, Inquiry},
@@ -43,8 +43,9 @@
 /// takes two misses of a check each second.
 const BALANCER_LAG: Span = Span::from_millis(2_600);
 
-/// Part of the time before the kill that is left for what follows the last request.
-const STOP_RESERVE: Span = Span::from_millis(1_300);
+/// Part of the time before the kill that is left for what follows the last request: the last usage totals,
+/// and the exit of a process on a slow machine.
+const STOP_RESERVE: Span = Span(Span::from_millis(1_300).0 + LAST_TOTALS_PATIENCE.0);
 
 /// Longest wait for running items at a planned stop.
 const ITEM_PATIENCE: Span = Span::from_secs(3);
