Scan for open submissions anew when the history was lost meanwhile

Cause (found by reading the copy again): a new owner looks for the markers of open submissions, reads them, and catches up with the log. When the store had dropped the records that its old copy needed, the copy began anew in the middle, but the scan still counted. The owner then ran items of submissions that had ended (rule UNASKED), and never ran one that was accepted in the gap.

Ruled out: a fault of reads alone. results and item_body load a submission again before they answer.

Change: finish_scan counts only when the copy holds all submissions that were found and every record from the scan's offset on; an owner runs loaded submissions only, and drops the jobs of others.

Before: check_new_owner::case_3_ended_and_forgotten failed, `left: 40, right: 0`. After: it passes, as do scan_counts_only_without_a_gap, the daemon's unit tests (28), the model checks of submissions (20) and the process tests of gateway and operations (11, 4).

--- a/crates/hibiscushinged/src/gateway/mirror.rs
+++ b/crates/hibiscushinged/src/gateway/mirror.rs
@@ -103,13 +103,14 @@
         let sent_at = store.node.now();
         let (markers, end) = fetch_prefix(store, &self.name, OPEN_PREFIX).await?;
         self.copy.borrow_mut().begin_at(end, sent_at);
-        for marker in markers {
-            let submission = marker.key.trim_start_matches(OPEN_PREFIX);
+        let open: Vec<&str> =
+            markers.iter().map(|marker| marker.key.trim_start_matches(OPEN_PREFIX)).collect();
+        for submission in &open {
             self.load(store, submission).await?;
         }
         // Submissions that were known before may have ended since.
         self.catch_up(store).await?;
-        self.copy.borrow_mut().set_scanned(true);
+        self.copy.borrow_mut().finish_scan(&open, end);
         self.tell_change();
         Ok(())
     }
@@ -121,7 +122,7 @@
     /// Notes whether this node owns the partition. A new owner looks for open submissions anew.
     pub(crate) fn set_owned(&self, owned: bool) {
         if owned && !self.owned.get() {
-            self.copy.borrow_mut().set_scanned(false);
+            self.copy.borrow_mut().begin_scan();
         }
         self.owned.set(owned);
     }
@@ -211,7 +212,7 @@
             return self.load_open(store).await;
         }
         if !owned {
-            self.copy.borrow_mut().set_scanned(false);
+            self.copy.borrow_mut().begin_scan();
         }
         if self.copy.borrow().next().is_none() {
             tokio::time::sleep(RETRY_PAUSE).await;
--- a/crates/hibiscushinged/src/gateway/mirror/tests.rs
+++ b/crates/hibiscushinged/src/gateway/mirror/tests.rs
@@ -158,11 +158,15 @@
 ///
 /// Guards against items of an ended submission that a new owner starts from its old copy (hunt,
 /// trouble-1 --seed 656040433454, UNASKED).
+/// The same where the store has forgotten the records that tell of the end, so that the old copy cannot
+/// catch up and has to begin anew.
 #[rstest::rstest]
-#[case::ended(true, 0)]
-#[case::open(false, ITEMS as usize)]
+#[case::ended(true, false, 0)]
+#[case::open(false, false, ITEMS as usize)]
+#[case::ended_and_forgotten(true, true, 0)]
+#[case::open_and_forgotten(false, true, ITEMS as usize)]
 #[actix_rt::test]
-async fn check_new_owner(#[case] ended: bool, #[case] waiting: usize) {
+async fn check_new_owner(#[case] ended: bool, #[case] forgotten: bool, #[case] waiting: usize) {
     let store = SiteStore::start(StoreOptions::default()).unwrap();
     let traffic = traffic(store.address());
     let config = platform::decode_manifest(CONFIG.as_bytes()).unwrap();
@@ -179,6 +183,12 @@
             [BookRecord::Ended { submission: id() }, BookRecord::Unmarked { submission: id() }];
         store.append(SUBMISSION_TOPIC, 0, records.iter().map(bytes).collect());
     }
+    if forgotten {
+        // Something is appended in any case, so that the copy is behind what is forgotten.
+        let other = BookRecord::Unmarked { submission: String::from("other") };
+        store.append(SUBMISSION_TOPIC, 0, vec![bytes(&other)]);
+        store.forget();
+    }
 
     traffic.partitions.set_owned(&std::collections::BTreeSet::from([0]));
     crate::gateway::runner::watch(&traffic, mirror);
--- a/crates/hibiscushinged/src/gateway/runner.rs
+++ b/crates/hibiscushinged/src/gateway/runner.rs
@@ -71,22 +71,23 @@
 /// another node.
 fn collect(traffic: &Rc<TrafficState>, mirror: &PartitionMirror) {
     let part = mirror.name.part;
-    let book = mirror.book();
+    let copy = mirror.copy();
     let owned = mirror.is_owned() && !traffic.items.stopped.get();
     // A copy from before this node became the owner may miss the ends of submissions.
-    let may_begin = owned && mirror.copy().is_scanned();
+    let may_begin = owned && copy.is_scanned();
     traffic.items.drop_jobs(traffic.node.now(), part, |job| {
-        let Some(submission) = book.get(&job.head.id) else { return true };
+        let Some(submission) = copy.book().get(&job.head.id) else { return true };
         !owned && !traffic.items.stopped.get()
             || submission.is_ended()
             || submission.is_resolved(&job.item.id)
+            || may_begin && !copy.is_loaded(&job.head.id)
     });
     if !may_begin {
         return;
     }
     let Some(routes) = traffic.node.book.load_full() else { return };
     let mut state = traffic.items.lists.borrow_mut();
-    for submission in book.iter().filter(|submission| submission.is_open()) {
+    for submission in copy.open_submissions() {
         let head = submission.head();
         let Some(route) = routes.route(&head.host, &head.path) else {
             continue;
--- a/crates/submissions/src/copy.rs
+++ b/crates/submissions/src/copy.rs
@@ -4,7 +4,7 @@
 
 use base::{Moment, Span, plain};
 
-use crate::{BookRecord, SubmissionBook};
+use crate::{BookRecord, SubmissionBook, SubmissionState};
 
 plain! {
     /// The newest records of the keys of one submission.
@@ -155,9 +155,22 @@
         self.scanned
     }
 
-    /// Notes whether all open submissions were looked for since this node owns the partition.
-    pub const fn set_scanned(&mut self, scanned: bool) {
-        self.scanned = scanned;
+    /// Has all open submissions looked for anew.
+    pub const fn begin_scan(&mut self) {
+        self.scanned = false;
+    }
+
+    /// Notes that `open` were all open submissions at the offset `end`. They must be looked for anew when
+    /// the copy has begun anew meanwhile, so that it misses some of them or what came after `end`.
+    pub fn finish_scan(&mut self, open: &[&str], end: u64) {
+        self.scanned = self.begun <= end && self.append_offset(open).is_some();
+    }
+
+    /// Iterates over the submissions whose items this node may run. What the copy knew before it began
+    /// anew is left out, since it may have ended.
+    pub fn open_submissions(&self) -> impl Iterator<Item = &SubmissionState> {
+        let open = self.book.iter().filter(|state| state.is_open());
+        open.filter(|state| self.scanned && self.is_loaded(&state.head().id))
     }
 
     fn take(&mut self, record: BookRecord) {
--- a/crates/submissions/tests/copy.rs
+++ b/crates/submissions/tests/copy.rs
@@ -53,6 +53,36 @@
     assert_eq!(result_records(copy.book(), &results), None);
 }
 
+/// Pattern: the store forgets its history while a new owner looks for open submissions.
+///
+/// Guards against an owner that runs the items of a submission which has ended since, and against one that
+/// never runs a submission which was accepted meanwhile.
+#[test]
+fn scan_counts_only_without_a_gap() {
+    let open = |copy: &PartitionCopy| copy.open_submissions().count();
+    let mut copy = PartitionCopy::default();
+    copy.load(read("a", 2, opened("a")));
+    copy.begin_scan();
+    copy.reset();
+    copy.finish_scan(&[], 4);
+    assert!(!copy.is_scanned(), "nothing is known of the log");
+
+    copy.begin_at(9, NOW);
+    copy.finish_scan(&[], 4);
+    assert!(!copy.is_scanned(), "records 4 to 8 were seen by nobody");
+
+    copy.finish_scan(&["b"], 9);
+    assert!(!copy.is_scanned(), "an open submission is not loaded");
+    copy.load(read("b", 9, opened("b")));
+    copy.finish_scan(&["b"], 9);
+    assert!(copy.is_scanned());
+    // The book still holds the first one as it was before the loss.
+    assert!(copy.book().get("a").is_some());
+    assert_eq!(open(&copy), 1);
+    copy.begin_scan();
+    assert_eq!(open(&copy), 0);
+}
+
 /// Guards against a copy that counts as complete although the answer of the store was cut short, and
 /// against records that are skipped then.
 #[test]
