--- a/crates/hibiscushinged/src/control/server.rs
+++ b/crates/hibiscushinged/src/control/server.rs
@@ -5,13 +5,13 @@
 use actix_http::{
     HttpMessage as _, HttpService, Method, Request, Response, StatusCode, body::BoxBody,
 };
-use actix_service::{Service as _, ServiceFactory as _};
 use bytes::Bytes;
 use clients::head_bytes;
 use protocol::{MAX_MESSAGE_BYTES, encode_message};
 use serde_json::json;
 
 use crate::{
+    accept::serve_connections,
     control::{Control, peers::PEER_PATH, transfer},
     input::AdminAsk,
     shared::ServicePhase,
@@ -42,26 +42,13 @@
 {
     let listener =
         tokio::net::TcpListener::from_std(listener).expect("the listener was made non-blocking");
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            // Out of file descriptors, usually. Waiting lets running requests free some.
-            actix_rt::time::sleep(std::time::Duration::from_millis(10)).await;
-            continue;
-        };
-        let handler = handler.clone();
-        actix_rt::spawn(async move {
-            let factory = HttpService::build()
-                .finish(move |request| {
-                    let answer = handler(request);
-                    async move { Ok::<_, Infallible>(answer.await) }
-                })
-                .tcp();
-            if let Ok(service) = factory.new_service(()).await {
-                // A broken connection ends the exchange; the peer repeats what matters.
-                let _ = service.call(stream).await;
-            }
-        });
-    }
+    let factory = HttpService::build()
+        .finish(move |request| {
+            let answer = handler(request);
+            async move { Ok::<_, Infallible>(answer.await) }
+        })
+        .tcp();
+    serve_connections(listener, factory).await;
 }
 
 async fn peer(control: &Rc<Control>, mut request: Request) -> Response<BoxBody> {
--- a/crates/hibiscushinged/src/gateway/answer.rs
+++ b/crates/hibiscushinged/src/gateway/answer.rs
@@ -3,7 +3,7 @@
 use actix_http::{
     ConnectionType, Response, StatusCode,
     body::BoxBody,
-    header::{HeaderValue, RETRY_AFTER},
+    header::{HeaderName, HeaderValue, RETRY_AFTER},
 };
 use base::Refusal;
 use bytes::Bytes;
@@ -34,9 +34,17 @@
 
 /// Passes an upstream's answer on.
 pub(crate) fn relayed(answer: WholeAnswer) -> Response<BoxBody> {
-    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let mut response = Response::with_body(status, BoxBody::new(answer.body));
-    for (name, value) in answer.headers {
+    with_headers(answer.status, BoxBody::new(answer.body), answer.headers)
+}
+
+/// Builds an answer with the headers of an upstream.
+pub(crate) fn with_headers(
+    status: StatusCode,
+    body: BoxBody,
+    headers: Vec<(HeaderName, HeaderValue)>,
+) -> Response<BoxBody> {
+    let mut response = Response::with_body(status, body);
+    for (name, value) in headers {
         response.headers_mut().append(name, value);
     }
     response
--- a/crates/hibiscushinged/src/gateway/attempt.rs
+++ b/crates/hibiscushinged/src/gateway/attempt.rs
@@ -2,7 +2,10 @@
 
 use std::{rc::Rc, time::Duration};
 
-use actix_http::{Method, RequestHead, header::HeaderMap};
+use actix_http::{
+    Method, RequestHead, StatusCode,
+    header::{HeaderMap, HeaderName, HeaderValue},
+};
 use base::{Span, UpstreamKey};
 use bytes::{Bytes, BytesMut};
 use dispatch::ExchangeEnd;
@@ -12,7 +15,6 @@
     clock::to_duration,
     gateway::{
         channel::{ChannelFault, Exchange, UpstreamChannel},
-        node::UsageMark,
         traffic_state::TrafficState,
     },
     telemetry::log_event,
@@ -39,8 +41,8 @@
 /// A whole answer of an upstream.
 #[derive(Debug)]
 pub(crate) struct WholeAnswer {
-    pub(crate) status: u16,
-    pub(crate) headers: Vec<(actix_http::header::HeaderName, actix_http::header::HeaderValue)>,
+    pub(crate) status: StatusCode,
+    pub(crate) headers: Vec<(HeaderName, HeaderValue)>,
     pub(crate) marks: ReplyMarks,
     pub(crate) body: Bytes,
 }
@@ -121,11 +123,6 @@
         }
     };
     let mark = call.billed.map(|customer| traffic.node.count_begin(customer));
-    let take_back = |mark: &Option<UsageMark>| {
-        if let Some(mark) = mark {
-            traffic.node.take_back(mark);
-        }
-    };
     let exchange = match channel.send(head, call.body, call.id).await {
         Ok(exchange) => exchange,
         Err(fault) => return Err((AttemptFault::MaybeRun(fault.to_string()), ExchangeEnd::Broken)),
@@ -137,7 +134,9 @@
     if !marks.not_run {
         return Ok(exchange);
     }
-    take_back(&mark);
+    if let Some(mark) = &mark {
+        traffic.node.take_back(mark);
+    }
     let misdirected = marks.misdirected;
     let status = exchange.head().status.as_u16();
     finish_exchange(traffic, call.upstream, exchange).await;
@@ -181,8 +180,12 @@
     match read_body(&mut exchange).await {
         Ok(body) => {
             let took = traffic.node.now().since(started);
-            let status = exchange.head().status.as_u16();
-            let end = if status < 500 { ExchangeEnd::Answered(took) } else { ExchangeEnd::Failed };
+            let status = exchange.head().status;
+            let end = if status.as_u16() < 500 {
+                ExchangeEnd::Answered(took)
+            } else {
+                ExchangeEnd::Failed
+            };
             place.end(end);
             let headers = platform::relay_headers(exchange.head());
             let marks = exchange.marks().clone();
--- a/crates/hibiscushinged/src/gateway/cleanup.rs
+++ b/crates/hibiscushinged/src/gateway/cleanup.rs
@@ -9,7 +9,8 @@
 use submissions::BookRecord;
 
 use crate::{
-    gateway::{fetch::fetch_prefix, mirror::PartitionMirror, traffic_state::TrafficState},
+    clock::wall_now,
+    gateway::{fetch::fetch_keys, mirror::PartitionMirror, traffic_state::TrafficState},
     telemetry::log_event,
 };
 
@@ -43,17 +44,17 @@
 ) -> Result<(), CallError> {
     let name = &mirror.name;
     let keep = traffic.node.settings.promises.results + MARGIN;
-    let oldest = WallTime(traffic.node.wall().0 - keep.as_millis() as i64);
-    let (markers, _) = fetch_prefix(&traffic.store, name, EXPIRING_PREFIX).await?;
-    for marker in markers {
+    let oldest = WallTime(wall_now().0 - keep.as_millis() as i64);
+    let markers = fetch_keys(&traffic.store, name, EXPIRING_PREFIX).await?;
+    for marker in markers.items {
         let record = decode_book_record(&marker.key, marker.value.as_deref());
         let Ok(Some(BookRecord::Expiring { submission, accepted_at })) = record else { continue };
         if accepted_at > oldest {
             continue;
         }
         let prefix = submission_prefix(&submission);
-        let (keys, _) = fetch_prefix(&traffic.store, name, &prefix).await?;
-        let keys = keys.iter().map(|change| change.key.as_str());
+        let keys = fetch_keys(&traffic.store, name, &prefix).await?;
+        let keys = keys.items.iter().map(|change| change.key.as_str());
         // The marker goes with the keys, in one append, so that none is left behind.
         let records: Vec<_> =
             keys.chain([marker.key.as_str()]).map(|key| keyed_record(key, None)).collect();
--- a/crates/hibiscushinged/src/gateway/duties.rs
+++ b/crates/hibiscushinged/src/gateway/duties.rs
@@ -14,6 +14,7 @@
 use usage::{CustomerCounts, WindowBoard, WindowNumber, window_end, window_of};
 
 use crate::{
+    clock::wall_now,
     gateway::{
         control_state::ControlState,
         fetch::{FetchedKeys, KeyChange, PartitionName, fetch},
@@ -80,7 +81,7 @@
 
 /// Deletes the records of windows that are long reported, so that the store does not fill up.
 async fn delete_old(control: &ControlState, state: &mut UsageState) {
-    let newest = window_of(control.node.wall(), control.node.settings.promises.window);
+    let newest = window_of(wall_now(), control.node.settings.promises.window);
     let oldest = WindowNumber(newest.0.saturating_sub(KEPT_WINDOWS));
     state.confirmed = state.confirmed.split_off(&oldest);
     state.reports = state.reports.split_off(&oldest);
@@ -101,7 +102,7 @@
 }
 
 fn due_windows(control: &ControlState, state: &UsageState) -> Vec<WindowNumber> {
-    let newest = window_of(control.node.wall(), control.node.settings.promises.window);
+    let newest = window_of(wall_now(), control.node.settings.promises.window);
     let windows = (newest.0.saturating_sub(LOOK_BACK)..newest.0).map(WindowNumber);
     windows.filter(|window| !state.confirmed.contains(window)).collect()
 }
@@ -111,7 +112,7 @@
     let promises = &control.node.settings.promises;
     let delay = (promises.usage_due.as_millis() as f64 * CLOSE_SHARE) as i64;
     let end = window_end(window, promises.window);
-    WallTime(end.0 + delay) <= control.node.wall()
+    WallTime(end.0 + delay) <= wall_now()
 }
 
 /// Fixes the figures of a window by a record in the store, so that every holder sends the same ones.
--- a/crates/hibiscushinged/src/gateway/fetch.rs
+++ b/crates/hibiscushinged/src/gateway/fetch.rs
@@ -65,59 +65,48 @@
             }
         }
     }
-    fetch_all(store, name).await
+    let KeySet { items, end, single_page } = fetch_keys(store, name, "").await?;
+    // What the later pages left out is in the log from the end of the first one.
+    Ok(FetchedPart { keys: FetchedKeys::All(items), next: end, complete: single_page })
 }
 
-/// Reads the newest value of every key. Pages are no snapshot, so the changes since the first page are
-/// read next, and the result counts as complete only when there was one page.
-async fn fetch_all(store: &StoreSession, name: &PartitionName) -> Result<FetchedPart, CallError> {
-    let mut items = Vec::new();
-    let mut first_end = None;
-    loop {
-        let after = items.last().map(|change: &KeyChange| change.key.clone());
-        let page = store.newest(&name.topic, name.part, after.as_deref()).await?;
-        let next = *first_end.get_or_insert(page.end);
-        let empty = page.items.is_empty();
-        let single = items.is_empty();
-        items.extend(page.items.into_iter().map(|(key, value)| KeyChange {
-            offset: next,
-            key,
-            value: Some(value),
-        }));
-        if !page.more || empty {
-            return Ok(FetchedPart { keys: FetchedKeys::All(items), next, complete: single });
-        }
-    }
+/// The newest values of the keys with a prefix.
+#[derive(Debug)]
+pub(crate) struct KeySet {
+    pub(crate) items: Vec<KeyChange>,
+    /// End of the partition as of the first page. Pages are no snapshot, so what is appended from there on
+    /// may be missing.
+    pub(crate) end: u64,
+    single_page: bool,
 }
 
-/// Reads the newest values of the keys with a prefix, and returns them with the end of the partition as
-/// of the first page. What is appended from there on may be missing.
+/// Reads the newest values of the keys with a prefix.
 ///
 /// # Errors
 ///
 /// Returns an error when a call fails.
-pub(crate) async fn fetch_prefix(
+pub(crate) async fn fetch_keys(
     store: &StoreSession,
     name: &PartitionName,
     prefix: &str,
-) -> Result<(Vec<KeyChange>, u64), CallError> {
+) -> Result<KeySet, CallError> {
     // The prefix without its last character comes before all keys with the prefix.
-    let mut after = String::from(&prefix[..prefix.len() - 1]);
+    let mut after = (!prefix.is_empty()).then(|| String::from(&prefix[..prefix.len() - 1]));
     let mut items = Vec::new();
     let mut first_end = None;
     loop {
-        let page = store.newest(&name.topic, name.part, Some(&after)).await?;
+        let page = store.newest(&name.topic, name.part, after.as_deref()).await?;
+        let single_page = first_end.is_none();
         let end = *first_end.get_or_insert(page.end);
         let last = page.items.last().map(|(key, _)| key.clone());
-        let beyond = last.as_ref().is_none_or(|key| !key.starts_with(prefix));
         for (key, value) in page.items {
             if key.starts_with(prefix) {
                 items.push(KeyChange { offset: end, key, value: Some(value) });
             }
         }
         match last {
-            Some(last) if page.more && !beyond => after = last,
-            _ => return Ok((items, end)),
+            Some(last) if page.more && last.starts_with(prefix) => after = Some(last),
+            _ => return Ok(KeySet { items, end, single_page }),
         }
     }
 }
--- a/crates/hibiscushinged/src/gateway/generation.rs
+++ b/crates/hibiscushinged/src/gateway/generation.rs
@@ -73,7 +73,8 @@
                 status = 500,
                 failures
             );
-            if failures >= most_failures(&traffic, &job) {
+            let attempts = traffic.node.attempts(&job.head.host, &job.head.path);
+            if failures >= attempts.unwrap_or(DEFAULT_ATTEMPTS) {
                 traffic.items.resolve(&job, ItemResult::errored(item.as_str()));
             } else {
                 traffic.items.requeue(&traffic.node, &job);
@@ -93,12 +94,6 @@
     }
 }
 
-fn most_failures(traffic: &TrafficState, job: &ItemJob) -> u32 {
-    let routes = traffic.node.book.load();
-    let route = routes.as_ref().and_then(|routes| routes.route(&job.head.host, &job.head.path));
-    route.map_or(DEFAULT_ATTEMPTS, |route| route.attempts)
-}
-
 async fn generate(
     traffic: &Rc<TrafficState>,
     job: &ItemJob,
@@ -114,7 +109,6 @@
         instance: engine,
         deadline: None,
         resume_after: (last_id > 0).then_some(last_id),
-        urgency: None,
     };
     let call = AttemptCall {
         upstream,
--- a/crates/hibiscushinged/src/gateway/items.rs
+++ b/crates/hibiscushinged/src/gateway/items.rs
@@ -17,7 +17,7 @@
 use crate::{
     gateway::{
         gate::RewardGate,
-        job::{ItemJob, JobKey, due_at},
+        job::{ItemJob, JobTable, due_at},
         node::NodeState,
     },
     telemetry::log_event,
@@ -38,7 +38,7 @@
 /// Items by what becomes of them.
 pub(crate) struct ItemLists {
     pub(crate) queue: ItemQueue<Rc<ItemJob>>,
-    pub(crate) jobs: HashMap<JobKey, Rc<ItemJob>>,
+    pub(crate) jobs: JobTable,
     /// Texts by customer and item.
     kept: HashMap<(String, String), KeptText>,
     /// Engine that has read a shared prompt last.
@@ -52,7 +52,7 @@
     fn default() -> Self {
         Self {
             queue: ItemQueue::default(),
-            jobs: HashMap::new(),
+            jobs: JobTable::default(),
             kept: HashMap::new(),
             warm: HashMap::new(),
             results: HashMap::new(),
@@ -125,10 +125,7 @@
     pub(crate) fn drop_jobs(&self, now: Moment, part: u32, is_over: impl Fn(&ItemJob) -> bool) {
         let mut state = self.lists.borrow_mut();
         let state = &mut *state;
-        let over = state.jobs.iter().filter(|(_, job)| job.part == part && is_over(job));
-        let over: Vec<JobKey> = over.map(|(key, _)| key.clone()).collect();
-        for key in over {
-            let Some(job) = state.jobs.remove(&key) else { continue };
+        for job in state.jobs.extract(|job| job.part == part && is_over(job)) {
             // Dropping the run closes its connection, and the engine drops the request.
             if let Some(run) = job.run.take() {
                 run.abort.abort();
@@ -136,7 +133,7 @@
             state.keep(now, &job);
         }
         let jobs = &state.jobs;
-        state.queue.retain(|job| jobs.contains_key(&job.key()));
+        state.queue.retain(|job| jobs.holds(job));
         state.kept.retain(|_, kept| now.since(kept.kept_at) < TEXT_LIFE);
     }
 
@@ -144,7 +141,7 @@
     pub(crate) fn requeue(&self, node: &NodeState, job: &Rc<ItemJob>) {
         job.run.take();
         let mut state = self.lists.borrow_mut();
-        if !state.jobs.contains_key(&job.key()) || self.stopped.get() {
+        if !state.jobs.holds(job) || self.stopped.get() {
             return;
         }
         let Some(routes) = node.book.load_full() else { return };
@@ -170,6 +167,6 @@
 
     /// Tells whether the item is still wanted.
     pub(crate) fn is_wanted(&self, job: &ItemJob) -> bool {
-        self.lists.borrow().jobs.contains_key(&job.key())
+        self.lists.borrow().jobs.holds(job)
     }
 }
--- a/crates/hibiscushinged/src/gateway/job.rs
+++ b/crates/hibiscushinged/src/gateway/job.rs
@@ -2,6 +2,8 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
     sync::Arc,
 };
 
@@ -46,8 +48,11 @@
     pub(crate) tried: SmallVec<[UpstreamKey; 4]>,
 }
 
-/// Submission and item of a job.
-pub(crate) type JobKey = (String, String);
+/// Jobs by submission and item.
+#[derive(Default)]
+pub(crate) struct JobTable {
+    submissions: HashMap<String, HashMap<String, Rc<ItemJob>>>,
+}
 
 impl ItemJob {
     pub(crate) fn new(
@@ -70,9 +75,34 @@
             run: RefCell::new(None),
         }
     }
+}
+
+impl JobTable {
+    pub(crate) fn contains(&self, submission: &str, item: &str) -> bool {
+        self.submissions.get(submission).is_some_and(|jobs| jobs.contains_key(item))
+    }
+
+    pub(crate) fn holds(&self, job: &ItemJob) -> bool {
+        self.contains(&job.head.id, &job.item.id)
+    }
+
+    pub(crate) fn insert(&mut self, job: &Rc<ItemJob>) {
+        let jobs = self.submissions.entry(job.head.id.clone()).or_default();
+        jobs.insert(job.item.id.clone(), Rc::clone(job));
+    }
+
+    pub(crate) fn values(&self) -> impl Iterator<Item = &Rc<ItemJob>> {
+        self.submissions.values().flat_map(HashMap::values)
+    }
 
-    pub(crate) fn key(&self) -> JobKey {
-        (self.head.id.clone(), self.item.id.clone())
+    /// Removes the jobs for which `is_over` holds, and returns them.
+    pub(crate) fn extract(&mut self, is_over: impl Fn(&ItemJob) -> bool) -> Vec<Rc<ItemJob>> {
+        let mut over = Vec::new();
+        self.submissions.retain(|_, jobs| {
+            over.extend(jobs.extract_if(|_, job| is_over(job)).map(|(_, job)| job));
+            !jobs.is_empty()
+        });
+        over
     }
 }
 
--- a/crates/hibiscushinged/src/gateway/mirror.rs
+++ b/crates/hibiscushinged/src/gateway/mirror.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     gateway::{
-        fetch::{KeyChange, PartitionName, fetch_prefix, split},
+        fetch::{KeyChange, KeySet, PartitionName, fetch_keys, split},
         store::StoreSession,
     },
     telemetry::log_event,
@@ -86,8 +86,8 @@
         while !self.copy.borrow().is_loaded(submission) {
             let sent_at = store.node.now();
             let prefix = submission_prefix(submission);
-            let (changes, end) = fetch_prefix(store, &self.name, &prefix).await?;
-            let records = changes.iter().filter_map(|change| self.decode(change));
+            let KeySet { items, end, .. } = fetch_keys(store, &self.name, &prefix).await?;
+            let records = items.iter().filter_map(|change| self.decode(change));
             let records = records.map(|(_, record)| record).collect();
             let submission = String::from(submission);
             let read = SubmissionRead { submission, sent_at, end, records };
@@ -101,7 +101,7 @@
     /// Loads all open submissions, for a node that begins to run them.
     async fn load_open(&self, store: &StoreSession) -> Result<(), CallError> {
         let sent_at = store.node.now();
-        let (markers, end) = fetch_prefix(store, &self.name, OPEN_PREFIX).await?;
+        let KeySet { items: markers, end, .. } = fetch_keys(store, &self.name, OPEN_PREFIX).await?;
         self.copy.borrow_mut().begin_at(end, sent_at);
         let open: Vec<&str> =
             markers.iter().map(|marker| marker.key.trim_start_matches(OPEN_PREFIX)).collect();
--- a/crates/hibiscushinged/src/gateway/mirror/tests.rs
+++ b/crates/hibiscushinged/src/gateway/mirror/tests.rs
@@ -6,7 +6,7 @@
 use document::GatewaySettings;
 use platform::keyed_record;
 use protocol::encode_book_record;
-use site_stand_in::{SiteStore, StoreOptions};
+use site_stand_in::{SiteStore, StoreOptions, rendered_settings};
 use submissions::{BookRecord, ItemResult, SubmissionHead, SubmissionItem};
 
 use crate::{
@@ -20,7 +20,7 @@
 const ITEMS: u32 = 40;
 
 fn traffic(store: SocketAddr) -> Rc<TrafficState> {
-    let text = format!(
+    let text = String::from(
         r#"
         vm_name = "a"
         zone = "z"
@@ -28,23 +28,8 @@
         listen = "127.0.0.1:0"
         ready = "127.0.0.1:0"
         metrics = "127.0.0.1:0"
-        [store]
-        address = "{store}"
-        partitions = 1
-        reads_per_s = 1000
-        record_bytes = 262144
-        call_bytes = 2097152
-        least_member_life_ms = 1000
-        [promises]
-        drain_ms = 2000
-        grace_s = 8
-        lease_ms = 3000
-        window_s = 5
-        usage_due_s = 10
-        results_s = 120
-        settle_ms = 1000
-        "#
-    );
+        "#,
+    ) + &rendered_settings(store, 1, 1000);
     let settings = GatewaySettings::parse("test", &text).unwrap();
     let metrics = GatewayMetrics::default();
     let node = NodeState::new(settings, Incarnation(1), ProcessClock::start(), metrics);
--- a/crates/hibiscushinged/src/gateway/node.rs
+++ b/crates/hibiscushinged/src/gateway/node.rs
@@ -2,11 +2,11 @@
 
 use std::sync::{
     Arc, Mutex, MutexGuard,
-    atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering},
+    atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
 use arc_swap::ArcSwapOption;
-use base::{Incarnation, Moment, Span, WallTime, key};
+use base::{Incarnation, Moment, Span, key};
 use document::GatewaySettings;
 use routebook::RouteBook;
 use tokio::sync::watch;
@@ -15,7 +15,7 @@
 use crate::{
     clock::{ProcessClock, to_duration, wall_now},
     gateway::metrics::GatewayMetrics,
-    shared::ServicePhase,
+    shared::{FlightGuard, ServiceLife, ServicePhase},
     telemetry::log_event,
 };
 
@@ -38,8 +38,7 @@
     pub(crate) book: ArcSwapOption<RouteBook>,
     pub(crate) metrics: GatewayMetrics,
     tally: Mutex<WindowTally>,
-    phase: AtomicU8,
-    in_flight: AtomicUsize,
+    life: Arc<ServiceLife>,
     store_contact: AtomicU64,
     store_trouble: AtomicU64,
     store_lost: AtomicBool,
@@ -59,11 +58,6 @@
     }
 }
 
-/// Counts a request as running until dropped.
-pub(crate) struct FlightMark {
-    node: Arc<NodeState>,
-}
-
 /// A request that was counted for usage.
 pub(crate) struct UsageMark {
     window: WindowNumber,
@@ -84,8 +78,7 @@
             book: ArcSwapOption::empty(),
             metrics,
             tally: Mutex::new(WindowTally::default()),
-            phase: AtomicU8::new(0),
-            in_flight: AtomicUsize::new(0),
+            life: Arc::default(),
             store_contact: AtomicU64::new(0),
             store_trouble: AtomicU64::new(0),
             store_lost: AtomicBool::new(false),
@@ -98,21 +91,25 @@
     }
 
     pub(crate) fn phase(&self) -> ServicePhase {
-        ServicePhase::from_code(self.phase.load(Ordering::Acquire))
+        self.life.phase()
     }
 
-    /// Moves on to `phase`. A process never goes back to an earlier phase.
     pub(crate) fn enter(&self, phase: ServicePhase) {
-        self.phase.fetch_max(phase.code(), Ordering::AcqRel);
+        self.life.enter(phase);
     }
 
     pub(crate) fn in_flight(&self) -> usize {
-        self.in_flight.load(Ordering::Acquire)
+        self.life.in_flight()
     }
 
-    pub(crate) fn enter_flight(self: &Arc<Self>) -> FlightMark {
-        self.in_flight.fetch_add(1, Ordering::AcqRel);
-        FlightMark { node: Arc::clone(self) }
+    pub(crate) fn enter_flight(&self) -> FlightGuard {
+        FlightGuard::enter(&self.life)
+    }
+
+    /// Attempts that the route of a path allows, if there is one.
+    pub(crate) fn attempts(&self, host: &str, path: &str) -> Option<u32> {
+        let book = self.book.load();
+        Some(book.as_ref()?.route(host, path)?.attempts)
     }
 
     pub(crate) fn tally(&self) -> MutexGuard<'_, WindowTally> {
@@ -190,14 +187,4 @@
         let trouble = self.store_trouble.load(Ordering::Acquire);
         trouble > 0 && self.now().since(Moment(trouble)) < STORE_SETTLING
     }
-
-    pub(crate) fn wall(&self) -> WallTime {
-        wall_now()
-    }
-}
-
-impl Drop for FlightMark {
-    fn drop(&mut self) {
-        self.node.in_flight.fetch_sub(1, Ordering::AcqRel);
-    }
 }
--- a/crates/hibiscushinged/src/gateway/plain.rs
+++ b/crates/hibiscushinged/src/gateway/plain.rs
@@ -65,7 +65,6 @@
             instance: &instance,
             deadline: Some(left),
             resume_after: None,
-            urgency: None,
         };
         AttemptCall {
             upstream,
@@ -139,7 +138,12 @@
     }
 }
 
-fn pick(traffic: &TrafficState, job: &PlainJob<'_>, tried: &[UpstreamKey]) -> Option<UpstreamKey> {
+/// Chooses the next upstream for a request.
+pub(crate) fn pick(
+    traffic: &TrafficState,
+    job: &PlainJob<'_>,
+    tried: &[UpstreamKey],
+) -> Option<UpstreamKey> {
     let zone = &traffic.node.settings.zone;
     let connected = &traffic.pool.connected();
     let draw = rand::random();
@@ -169,13 +173,13 @@
         let board = traffic.board.borrow();
         let name = &board.entry(upstream).id;
         match result {
-            Ok(answer) if answer.status < 500 => return Some(answer),
+            Ok(answer) if answer.status.as_u16() < 500 => return Some(answer),
             Ok(answer) => {
                 log_event!(
                     AttemptFailed,
                     request = job.id,
                     upstream = name,
-                    status = answer.status
+                    status = answer.status.as_u16()
                 );
                 self.may_have_run = true;
                 if !job.repeatable {
--- a/crates/hibiscushinged/src/gateway/ready.rs
+++ b/crates/hibiscushinged/src/gateway/ready.rs
@@ -7,8 +7,9 @@
 
 use crate::{
     gateway::{
+        answer,
         node::NodeState,
-        serve::{listen, plain_status, serve_endpoint},
+        serve::{listen, serve_endpoint},
     },
     shared::ServicePhase,
     traffic::answer::with_body,
@@ -22,7 +23,11 @@
 pub(crate) fn start(node: &Arc<NodeState>) -> io::Result<()> {
     let ready = listen(node.settings.ready)?;
     let state = Arc::clone(node);
-    serve_endpoint(ready, move |_: &Request| plain_status(is_ready(&state)));
+    serve_endpoint(ready, move |_: &Request| {
+        let status =
+            if is_ready(&state) { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        answer::status(status)
+    });
     let metrics = listen(node.settings.metrics)?;
     let state = Arc::clone(node);
     serve_endpoint(metrics, move |_: &Request| {
--- a/crates/hibiscushinged/src/gateway/relay.rs
+++ b/crates/hibiscushinged/src/gateway/relay.rs
@@ -3,23 +3,24 @@
 use std::rc::Rc;
 
 use actix_http::{
-    Response, StatusCode,
+    Response,
     body::{BodyStream, BoxBody},
 };
 use base::{Refusal, RefusalCode, Span, UpstreamKey};
-use dispatch::{ExchangeEnd, PlainAsk};
+use dispatch::ExchangeEnd;
 use futures_util::stream;
 use platform::relay_headers;
 use smallvec::SmallVec;
 
 use crate::{
     gateway::{
+        answer,
         attempt::{AttemptFault, PlaceGuard, log_attempt, open_exchange},
         channel::Exchange,
-        node::FlightMark,
-        plain::PlainJob,
+        plain::{PlainJob, pick},
         traffic_state::TrafficState,
     },
+    shared::FlightGuard,
     telemetry::log_event,
 };
 
@@ -32,7 +33,7 @@
     upstream: UpstreamKey,
     exchange: Option<Exchange>,
     place: Option<PlaceGuard>,
-    _flight: FlightMark,
+    _flight: FlightGuard,
 }
 
 /// Sends a request whose answer is a stream, and passes the events on as they come. A stream that
@@ -44,19 +45,14 @@
 pub(crate) async fn relay(
     traffic: &Rc<TrafficState>,
     job: &PlainJob<'_>,
-    flight: FlightMark,
+    flight: FlightGuard,
 ) -> Result<Response<BoxBody>, Refusal> {
     let mut tried: SmallVec<[UpstreamKey; 4]> = SmallVec::new();
     let mut reason = String::from("no upstream is usable");
     let mut may_have_run = false;
     while tried.len() < job.attempts {
         let left = job.deadline.since(traffic.node.now());
-        let zone = &traffic.node.settings.zone;
-        let connected = &traffic.pool.connected();
-        let draw = rand::random();
-        let ask = PlainAsk { service: job.service, zone, tried: &tried, connected, draw };
-        let picked = traffic.board.borrow().pick_plain(traffic.node.now(), &ask);
-        let Some(upstream) = picked else { break };
+        let Some(upstream) = pick(traffic, job, &tried) else { break };
         tried.push(upstream);
         log_attempt(traffic, job.id, upstream, tried.len(), left);
         let place = PlaceGuard::take(traffic, upstream);
@@ -106,7 +102,7 @@
     upstream: UpstreamKey,
     exchange: Exchange,
     place: PlaceGuard,
-    flight: FlightMark,
+    flight: FlightGuard,
 ) -> Response<BoxBody> {
     let status = exchange.head().status;
     let headers = relay_headers(exchange.head());
@@ -118,14 +114,7 @@
         _flight: flight,
     };
     let body = BodyStream::new(Box::pin(stream::unfold(state, next_chunk)));
-    let mut response = Response::with_body(
-        StatusCode::from_u16(status.as_u16()).unwrap_or(StatusCode::BAD_GATEWAY),
-        BoxBody::new(body),
-    );
-    for (name, value) in headers {
-        response.headers_mut().append(name, value);
-    }
-    response
+    answer::with_headers(status, BoxBody::new(body), headers)
 }
 
 async fn next_chunk(
--- a/crates/hibiscushinged/src/gateway/reward.rs
+++ b/crates/hibiscushinged/src/gateway/reward.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use actix_http::{Method, header::HeaderMap};
+use actix_http::{Method, StatusCode, header::HeaderMap};
 use submissions::{ItemResult, ItemState, RewardCall};
 
 use crate::{
@@ -21,6 +21,9 @@
 /// answer.
 const TRIES: usize = 2;
 
+/// Answers of 500 after which a text gets no score, where no route states any.
+const DEFAULT_ATTEMPTS: u32 = 1;
+
 /// Part of a service's slots that reward calls of this node may take, so that live callers find the
 /// others free.
 const SLOT_SHARE: u32 = 2;
@@ -56,7 +59,8 @@
             CallEnd::Failed => {
                 failures += 1;
                 log_event!(AttemptFailed, request = reward.id, status = 500, failures);
-                if failures >= attempts(traffic, reward) {
+                let attempts = traffic.node.attempts(&reward.host, &reward.path);
+                if failures >= attempts.unwrap_or(DEFAULT_ATTEMPTS) {
                     traffic.items.resolve(job, ItemResult::errored(job.item.id.as_str()));
                     return;
                 }
@@ -77,8 +81,15 @@
     let Some(routes) = traffic.node.book.load_full() else { return CallEnd::Again };
     let Some(route) = routes.route(&reward.host, &reward.path) else { return CallEnd::NoRoute };
     let Some(service) = route.target(rand::random()) else { return CallEnd::NoRoute };
+    // Asked anew after each wait, since upstreams come and go.
+    let most = || {
+        let (slots, _) = traffic.board.borrow().occupancy(traffic.node.now(), service);
+        (slots / SLOT_SHARE).max(LEAST_CALLS)
+    };
+    let _pass = traffic.items.rewards.enter(most).await;
     let mut headers = HeaderMap::new();
     platform::set_request_head(&mut headers, &reward.host, &reward.id);
+    let started = traffic.node.now();
     let plain = PlainJob {
         id: &reward.id,
         method: Method::POST,
@@ -88,35 +99,21 @@
         body: reward.body.clone(),
         customer: None,
         service,
-        deadline: traffic.node.now() + route.timeout,
+        deadline: started + route.timeout,
         objective: route.objective,
         attempts: TRIES,
         repeatable: true,
     };
-    // Asked anew after each wait, since upstreams come and go.
-    let most = || {
-        let (slots, _) = traffic.board.borrow().occupancy(traffic.node.now(), service);
-        (slots / SLOT_SHARE).max(LEAST_CALLS)
-    };
-    let _pass = traffic.items.rewards.enter(most).await;
-    let started = traffic.node.now();
-    let plain = PlainJob { deadline: started + route.timeout, ..plain };
     match run_plain(traffic, &plain).await {
-        Ok(answer) if answer.status < 300 => {
+        Ok(answer) if answer.status.as_u16() < 300 => {
             traffic.node.metrics.observe_reward(traffic.node.now().since(started));
             answer.marks.stamp.map_or(CallEnd::Again, CallEnd::Scored)
         }
-        Ok(answer) if answer.status == 500 => CallEnd::Failed,
+        Ok(answer) if answer.status == StatusCode::INTERNAL_SERVER_ERROR => CallEnd::Failed,
         Ok(_) | Err(_) => CallEnd::Again,
     }
 }
 
-fn attempts(traffic: &TrafficState, reward: &RewardCall) -> u32 {
-    let routes = traffic.node.book.load();
-    let route = routes.as_ref().and_then(|routes| routes.route(&reward.host, &reward.path));
-    route.map_or(1, |route| route.attempts)
-}
-
 fn finished(job: &ItemJob, score: Option<String>) -> ItemResult {
     let progress = job.progress.borrow();
     ItemResult {
--- a/crates/hibiscushinged/src/gateway/runner.rs
+++ b/crates/hibiscushinged/src/gateway/runner.rs
@@ -97,11 +97,7 @@
         for item in submission.items() {
             let next = groups.len() as u32;
             let group = *groups.entry(&item.group).or_insert(next);
-            if submission.is_resolved(&item.id) {
-                continue;
-            }
-            let key = (head.id.clone(), item.id.clone());
-            if state.jobs.contains_key(&key) {
+            if submission.is_resolved(&item.id) || state.jobs.contains(&head.id, &item.id) {
                 continue;
             }
             let job = Rc::new(ItemJob::new(
@@ -111,7 +107,7 @@
                 route.one_version,
                 state.take_kept(head, item),
             ));
-            state.jobs.insert(key, Rc::clone(&job));
+            state.jobs.insert(&job);
             state.queue.push(due, group, item.expected_tokens, job);
         }
     }
--- a/crates/hibiscushinged/src/gateway/serve.rs
+++ b/crates/hibiscushinged/src/gateway/serve.rs
@@ -2,8 +2,7 @@
 
 use std::{convert::Infallible, io, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
-use actix_http::{HttpService, KeepAlive, Request, Response, StatusCode, body::BoxBody};
-use actix_service::{Service as _, ServiceFactory as _};
+use actix_http::{HttpService, KeepAlive, Request, Response, body::BoxBody};
 use base::{Moment, Refusal, RefusalCode, Span};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
@@ -12,17 +11,19 @@
 use tokio::{net::TcpListener, sync::mpsc};
 
 use crate::{
+    accept::serve_connections,
     clock::to_duration,
     gateway::{
         answer,
         board::{UpstreamNews, follow_news, sweep_channels},
         cleanup, group,
-        node::{FlightMark, LAST_TOTALS_PATIENCE, NodeState},
+        node::{LAST_TOTALS_PATIENCE, NodeState},
         plain::{PlainJob, run_plain},
         relay, runner,
         submit::{self, Arrival, Inquiry},
         traffic_state::TrafficState,
     },
+    shared::FlightGuard,
     telemetry::log_event,
 };
 
@@ -134,37 +135,18 @@
 }
 
 async fn accept_callers(traffic: Rc<TrafficState>, listener: TcpListener) {
-    let state = Rc::clone(&traffic);
-    let service = HttpService::build()
+    let factory = HttpService::build()
         .keep_alive(KeepAlive::Timeout(CALLER_IDLE))
         .client_request_timeout(HEAD_TIMEOUT)
         .client_disconnect_timeout(Duration::from_secs(1))
         .h1_allow_half_closed(false)
         .tcp_nodelay(true)
         .finish(move |request| {
-            let traffic = Rc::clone(&state);
+            let traffic = Rc::clone(&traffic);
             async move { Ok::<_, Infallible>(serve(traffic, request).await) }
         })
         .tcp();
-    let Ok(handler) = service.new_service(()).await else { return };
-    let handler = Rc::new(handler);
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let handler = Rc::clone(&handler);
-                actix_rt::spawn(async move {
-                    // Failures of a caller's connection concern the caller alone.
-                    if let Err(error) = handler.call(stream).await {
-                        tracing::debug!(%error, "a caller's connection ended");
-                    }
-                });
-            }
-            Err(error) => {
-                tracing::warn!(%error, "no connection could be accepted");
-                tokio::time::sleep(DRAIN_CHECK).await;
-            }
-        }
-    }
+    serve_connections(listener, factory).await;
 }
 
 async fn serve(traffic: Rc<TrafficState>, mut request: Request) -> Response<BoxBody> {
@@ -247,7 +229,7 @@
 async fn dispatch(
     traffic: &Rc<TrafficState>,
     caller: &CallerRequest<'_>,
-    flight: FlightMark,
+    flight: FlightGuard,
 ) -> Result<Response<BoxBody>, Refusal> {
     let Some(book) = traffic.node.book.load_full() else {
         let message = "this node has no configuration yet";
@@ -293,7 +275,7 @@
     traffic: &Rc<TrafficState>,
     caller: &CallerRequest<'_>,
     book: &RouteBook,
-    flight: FlightMark,
+    flight: FlightGuard,
 ) -> Result<Response<BoxBody>, Refusal> {
     let (call, path) = (caller.call, caller.path);
     let Some(route) = book.route(&call.host, path) else {
@@ -352,28 +334,12 @@
     listener: TcpListener,
     answer: impl Fn(&Request) -> Response<BoxBody> + Clone + 'static,
 ) {
-    actix_rt::spawn(async move {
-        let service = HttpService::build()
-            .client_disconnect_timeout(Duration::from_secs(1))
-            .finish(move |request: Request| {
-                let answer = answer.clone();
-                async move { Ok::<_, Infallible>(answer(&request)) }
-            })
-            .tcp();
-        let Ok(handler) = service.new_service(()).await else { return };
-        let handler = Rc::new(handler);
-        while let Ok((stream, _)) = listener.accept().await {
-            let handler = Rc::clone(&handler);
-            actix_rt::spawn(async move {
-                if let Err(error) = handler.call(stream).await {
-                    tracing::debug!(%error, "a connection of an endpoint ended");
-                }
-            });
-        }
-    });
-}
-
-/// Answers with a status alone.
-pub(crate) fn plain_status(ok: bool) -> Response<BoxBody> {
-    answer::status(if ok { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
+    let factory = HttpService::build()
+        .client_disconnect_timeout(Duration::from_secs(1))
+        .finish(move |request: Request| {
+            let answer = answer.clone();
+            async move { Ok::<_, Infallible>(answer(&request)) }
+        })
+        .tcp();
+    actix_rt::spawn(serve_connections(listener, factory));
 }
--- a/crates/hibiscushinged/src/gateway/submit.rs
+++ b/crates/hibiscushinged/src/gateway/submit.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::{
-    clock::to_duration,
+    clock::{to_duration, wall_now},
     gateway::{
         commit::{CommitFault, commit},
         mirror::PartitionMirror,
@@ -123,7 +123,7 @@
         step: body.step,
         least_version: body.least_version,
         target_groups: body.target_groups,
-        accepted_at: traffic.node.wall(),
+        accepted_at: wall_now(),
         items: body.items.len() as u32,
     })];
     let mut chunk: Vec<SubmissionItem> = Vec::new();
--- a/crates/hibiscushinged/src/gateway/usage.rs
+++ b/crates/hibiscushinged/src/gateway/usage.rs
@@ -9,6 +9,7 @@
 use usage::{CustomerCounts, TotalsPhase, WindowNumber, window_of};
 
 use crate::{
+    clock::wall_now,
     gateway::{control_state::ControlState, node::LastTotals},
     telemetry::log_event,
 };
@@ -29,11 +30,11 @@
 /// Writes changed totals, and those of windows that have ended, until the process ends.
 pub(crate) async fn store_usage(control: Rc<ControlState>) {
     let length = control.node.settings.promises.window;
-    let first = window_of(control.node.wall(), length);
+    let first = window_of(wall_now(), length);
     let mut closed = WindowNumber(first.0.saturating_sub(1));
     loop {
         tokio::time::sleep(WRITE_PERIOD).await;
-        let ended = WallTime(control.node.wall().0 - CLOSE_DELAY.as_millis() as i64);
+        let ended = WallTime(wall_now().0 - CLOSE_DELAY.as_millis() as i64);
         // The window before the one that is running has ended.
         let ended = WindowNumber(window_of(ended, length).0.saturating_sub(1));
         let mut changed = control.node.tally().take_changed();
@@ -50,7 +51,7 @@
         let last = last_totals != LastTotals::NotDue;
         if last_totals == LastTotals::Due {
             // The window before may have ended a moment ago, and not count as closed yet.
-            let newest = window_of(control.node.wall(), length);
+            let newest = window_of(wall_now(), length);
             include(&mut changed, WindowNumber(newest.0.saturating_sub(1)));
             include(&mut changed, newest);
         }
--- a/crates/hibiscushinged/src/lib.rs
+++ b/crates/hibiscushinged/src/lib.rs
@@ -3,6 +3,7 @@
 //! One control thread owns all control state. Traffic threads serve callers and share admission and
 //! routing state behind a lock. This crate holds drivers only; decisions live in the pure crates.
 
+mod accept;
 mod clock;
 mod control;
 mod desk;
--- a/crates/hibiscushinged/src/shared.rs
+++ b/crates/hibiscushinged/src/shared.rs
@@ -25,8 +25,7 @@
     pub(crate) control: mpsc::Sender<ControlInput>,
     pub(crate) metrics: DaemonMetrics,
     desk: Mutex<TrafficDesk>,
-    phase: AtomicU8,
-    in_flight: AtomicUsize,
+    life: Arc<ServiceLife>,
     last_request: AtomicU64,
 }
 
@@ -40,9 +39,16 @@
     Draining,
 }
 
+/// Phase of a process and the requests that it is working on.
+#[derive(Debug, Default)]
+pub(crate) struct ServiceLife {
+    phase: AtomicU8,
+    in_flight: AtomicUsize,
+}
+
 /// Counts a request as running until dropped.
 pub(crate) struct FlightGuard {
-    shared: Arc<SharedState>,
+    life: Arc<ServiceLife>,
 }
 
 impl SharedState {
@@ -62,8 +68,7 @@
             control,
             metrics,
             desk: Mutex::new(desk),
-            phase: AtomicU8::new(0),
-            in_flight: AtomicUsize::new(0),
+            life: Arc::default(),
             last_request: AtomicU64::new(0),
         }
     }
@@ -74,16 +79,19 @@
     }
 
     pub(crate) fn phase(&self) -> ServicePhase {
-        ServicePhase::from_code(self.phase.load(Ordering::Acquire))
+        self.life.phase()
     }
 
-    /// Moves on to `phase`. The daemon never goes back to an earlier phase.
     pub(crate) fn enter(&self, phase: ServicePhase) {
-        self.phase.fetch_max(phase.code(), Ordering::AcqRel);
+        self.life.enter(phase);
     }
 
     pub(crate) fn in_flight(&self) -> usize {
-        self.in_flight.load(Ordering::Acquire)
+        self.life.in_flight()
+    }
+
+    pub(crate) fn enter_flight(&self) -> FlightGuard {
+        FlightGuard::enter(&self.life)
     }
 
     pub(crate) fn next_request(&self) -> RequestId {
@@ -92,36 +100,40 @@
     }
 }
 
-impl ServicePhase {
-    /// Returns the phase of a stored code.
-    pub(crate) const fn from_code(code: u8) -> Self {
-        match code {
-            0 => Self::Starting,
-            1 => Self::Serving,
-            _ => Self::Draining,
+impl ServiceLife {
+    pub(crate) fn phase(&self) -> ServicePhase {
+        match self.phase.load(Ordering::Acquire) {
+            0 => ServicePhase::Starting,
+            1 => ServicePhase::Serving,
+            _ => ServicePhase::Draining,
         }
     }
 
-    /// Returns a code that rises with the phases.
-    pub(crate) const fn code(self) -> u8 {
-        match self {
-            Self::Starting => 0,
-            Self::Serving => 1,
-            Self::Draining => 2,
-        }
+    /// Moves on to `phase`. A process never goes back to an earlier phase.
+    pub(crate) fn enter(&self, phase: ServicePhase) {
+        let code = match phase {
+            ServicePhase::Starting => 0,
+            ServicePhase::Serving => 1,
+            ServicePhase::Draining => 2,
+        };
+        self.phase.fetch_max(code, Ordering::AcqRel);
+    }
+
+    pub(crate) fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::Acquire)
     }
 }
 
 impl FlightGuard {
-    pub(crate) fn enter(shared: &Arc<SharedState>) -> Self {
-        shared.in_flight.fetch_add(1, Ordering::AcqRel);
-        Self { shared: Arc::clone(shared) }
+    pub(crate) fn enter(life: &Arc<ServiceLife>) -> Self {
+        life.in_flight.fetch_add(1, Ordering::AcqRel);
+        Self { life: Arc::clone(life) }
     }
 }
 
 impl Drop for FlightGuard {
     fn drop(&mut self) {
-        self.shared.in_flight.fetch_sub(1, Ordering::AcqRel);
+        self.life.in_flight.fetch_sub(1, Ordering::AcqRel);
     }
 }
 
--- a/crates/hibiscushinged/src/traffic/caller.rs
+++ b/crates/hibiscushinged/src/traffic/caller.rs
@@ -18,7 +18,7 @@
     clock::wall_now,
     desk::{AdmissionAsk, AdmissionPlace},
     input::{ClaimAnswer, ClaimAsk, ControlInput},
-    shared::{FlightGuard, SharedState, request_text},
+    shared::{SharedState, request_text},
     traffic::{
         admitted::{CallerRequest, RequestMeter, log_refusal, tell_control},
         answer, plain,
@@ -79,7 +79,7 @@
 ) -> Result<(CallerRequest, RequestWork), Ended> {
     let shared = &worker.shared;
     // Counted before the phase is read, so that a drain either sees the request or refuses it.
-    let flight = FlightGuard::enter(shared);
+    let flight = shared.enter_flight();
     let arrived_at = shared.clock.now();
     request::check_phase(shared)?;
     let view = shared.view.load_full();
--- a/crates/hibiscushinged/src/traffic/trainer.rs
+++ b/crates/hibiscushinged/src/traffic/trainer.rs
@@ -10,7 +10,6 @@
 
 use crate::{
     input::{ControlInput, StepRequest, TrainerAsk},
-    shared::FlightGuard,
     traffic::{answer, request, worker::TrafficWorker},
 };
 
@@ -30,7 +29,7 @@
     path: &str,
     mut incoming: Request,
 ) -> Response<BoxBody> {
-    let _flight = FlightGuard::enter(&worker.shared);
+    let _flight = worker.shared.enter_flight();
     match answer(&worker, path, &mut incoming).await {
         Ok(value) => answer::json_body(StatusCode::OK, &value),
         Err(refusal) => answer::refusal(&refusal),
--- a/crates/model-check/src/lib.rs
+++ b/crates/model-check/src/lib.rs
@@ -13,5 +13,5 @@
 pub mod usage;
 
 pub use crate::search::{
-    Exploration, Specification, counterexample, explore, print_counterexample,
+    Exploration, Specification, check_invariants, check_noticed, counterexample, explore,
 };
--- a/crates/model-check/src/search.rs
+++ b/crates/model-check/src/search.rs
@@ -106,8 +106,31 @@
     Some(lines)
 }
 
-/// Prints a shortest trace to a state that breaks `invariant`, and tells whether there is one.
-pub fn print_counterexample<T: Specification>(specification: &T, invariant: &'static str) -> bool {
+/// Checks that no reachable state breaks an invariant, and prints what was searched.
+///
+/// # Panics
+///
+/// Panics after the shortest trace to a state that breaks one.
+pub fn check_invariants<T: Specification>(specification: &T, bounds: &impl fmt::Debug) {
+    let result = explore(specification);
+    println!("{bounds:?}: {result:?}, invariants: {:?}", specification.invariants());
+    if let Some(broken) = result.broken {
+        print_counterexample(specification, broken);
+    }
+    assert_eq!(result.broken, None);
+}
+
+/// Checks that the search notices a specification in which a guard is missing.
+///
+/// # Panics
+///
+/// Panics when no reachable state breaks `invariant`.
+pub fn check_noticed<T: Specification>(specification: &T, invariant: &'static str) {
+    let found = print_counterexample(specification, invariant);
+    assert!(found, "the search does not notice the missing guard");
+}
+
+fn print_counterexample<T: Specification>(specification: &T, invariant: &'static str) -> bool {
     let trace = counterexample(specification, invariant);
     for line in trace.iter().flatten() {
         println!("{line}");
--- a/crates/model-check/tests/authority.rs
+++ b/crates/model-check/tests/authority.rs
@@ -13,7 +13,7 @@
         AuthorityModel, FENCED, GuardedSteps, ModelBounds, ModelSettings, ONE_EFFECT, ONE_HOLDER,
         OrderReceiver, ProcessState, ProductSteps, RECONCILED, RestartReading, TRUE_OUTCOME,
     },
-    explore, print_counterexample,
+    check_invariants, check_noticed,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -46,20 +46,12 @@
 #[case::retention(ModelBounds { orders: 0, faults: 2, restart: RestartReading::End, ..CHECKED })]
 fn invariants_hold(#[case] bounds: ModelBounds) {
     let model = AuthorityModel { settings: ModelSettings::small(bounds), steps: ProductSteps };
-    let result = explore(&model);
-    println!("{bounds:?}: {result:?}, invariants: {:?}", model.invariants());
-    if let Some(broken) = result.broken {
-        print_counterexample(&model, broken);
-    }
-    assert_eq!(result.broken, None);
+    check_invariants(&model, &bounds);
 }
 
 fn check_broken<G: GuardedSteps>(bounds: ModelBounds, steps: G, invariant: &'static str) {
     let model = AuthorityModel { settings: ModelSettings::small(bounds), steps };
-    assert!(
-        print_counterexample(&model, invariant),
-        "the search does not notice the missing guard"
-    );
+    check_noticed(&model, invariant);
 }
 
 struct HastySuccessor;
--- a/crates/model-check/tests/configuration.rs
+++ b/crates/model-check/tests/configuration.rs
@@ -5,12 +5,11 @@
 use ::configuration::{ConfigHistory, ConfigOutcome, ConfigRecord, VersionedDocument};
 use base::LogOffset;
 use model_check::{
-    Specification,
+    Specification, check_invariants, check_noticed,
     configuration::{
         AcceptAll, ConfigBounds, ConfigGuards, ConfigModel, ConfigStep, History, NEVER_FALLS,
         ONE_DOCUMENT, ONE_WINNER, OperatorWork, ProductConfig, SNAPSHOT_YIELDS,
     },
-    explore, print_counterexample,
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -37,20 +36,12 @@
 fn invariants_hold(#[case] bounds: ConfigBounds) {
     let _turn = SEARCH.lock();
     let model = ConfigModel { bounds, guards: ProductConfig };
-    let result = explore(&model);
-    println!("{bounds:?}: {result:?}, invariants: {:?}", model.invariants());
-    if let Some(broken) = result.broken {
-        print_counterexample(&model, broken);
-    }
-    assert_eq!(result.broken, None);
+    check_invariants(&model, &bounds);
 }
 
 fn check_broken<G: ConfigGuards>(bounds: ConfigBounds, guards: G, invariant: &'static str) {
     let model = ConfigModel { bounds, guards };
-    assert!(
-        print_counterexample(&model, invariant),
-        "the search does not notice the missing guard"
-    );
+    check_noticed(&model, invariant);
 }
 
 struct AnyCopy;
--- a/crates/model-check/tests/submissions.rs
+++ b/crates/model-check/tests/submissions.rs
@@ -4,7 +4,7 @@
 
 use ::submissions::PartitionCopy;
 use model_check::{
-    Specification, explore, print_counterexample,
+    Specification, check_invariants, check_noticed,
     submissions::{
         COPY_IS_WHOLE, ONE_POSITION, ProductGuards, SubmissionBounds, SubmissionGuards,
         SubmissionModel, WorkPlan,
@@ -32,20 +32,12 @@
 fn invariants_hold(#[case] bounds: SubmissionBounds) {
     let _turn = SEARCH.lock();
     let model = SubmissionModel { bounds, guards: ProductGuards };
-    let result = explore(&model);
-    println!("{bounds:?}: {result:?}, invariants: {:?}", model.invariants());
-    if let Some(broken) = result.broken {
-        print_counterexample(&model, broken);
-    }
-    assert_eq!(result.broken, None);
+    check_invariants(&model, &bounds);
 }
 
 fn check_broken<G: SubmissionGuards>(bounds: SubmissionBounds, guards: G, invariant: &'static str) {
     let model = SubmissionModel { bounds, guards };
-    assert!(
-        print_counterexample(&model, invariant),
-        "the search does not notice the missing guard"
-    );
+    check_noticed(&model, invariant);
 }
 
 struct OpenAppends;
--- a/crates/model-check/tests/usage.rs
+++ b/crates/model-check/tests/usage.rs
@@ -6,7 +6,7 @@
 use authority::{FencingSupport, LeaseKeeper};
 use base::{FencingNumber, Incarnation, Moment, RecordId, Span};
 use model_check::{
-    Specification, explore, print_counterexample,
+    Specification, check_invariants, check_noticed,
     usage::{
         EQUAL_LEDGERS, FENCED_REPORTS, ONE_FIGURE, ONE_REPORTER, ONE_WINDOW, ProductGuards,
         ReportSink, UsageBounds, UsageGuards, UsageModel, UsageRetention, UsageStep,
@@ -42,20 +42,12 @@
 fn invariants_hold(#[case] bounds: UsageBounds) {
     let _turn = SEARCH.lock();
     let model = UsageModel { bounds, guards: ProductGuards };
-    let result = explore(&model);
-    println!("{bounds:?}: {result:?}, invariants: {:?}", model.invariants());
-    if let Some(broken) = result.broken {
-        print_counterexample(&model, broken);
-    }
-    assert_eq!(result.broken, None);
+    check_invariants(&model, &bounds);
 }
 
 fn check_broken<G: UsageGuards>(bounds: UsageBounds, guards: G, invariant: &'static str) {
     let model = UsageModel { bounds, guards };
-    assert!(
-        print_counterexample(&model, invariant),
-        "the search does not notice the missing guard"
-    );
+    check_noticed(&model, invariant);
 }
 
 struct OpenFigures;
--- a/crates/process-tests/src/site.rs
+++ b/crates/process-tests/src/site.rs
@@ -12,6 +12,7 @@
 use serde_json::{Value, json};
 use site_stand_in::{
     EngineOptions, ServiceOptions, SiteEngine, SiteService, SiteStore, StoreOptions,
+    rendered_settings,
 };
 
 use crate::process::{binary_path, wait_for};
@@ -223,23 +224,8 @@
             ready = "{address}:{READY_PORT}"
             metrics = "{address}:{METRICS_PORT}"
             duties = "{store}"
-            [store]
-            address = "{store}"
-            partitions = 12
-            reads_per_s = 4500
-            record_bytes = 262144
-            call_bytes = 2097152
-            least_member_life_ms = 1000
-            [promises]
-            drain_ms = 2000
-            grace_s = 8
-            lease_ms = 3000
-            window_s = 5
-            usage_due_s = 10
-            results_s = 120
-            settle_ms = 1000
             "#,
-        );
+        ) + &rendered_settings(store, 12, 4500);
         std::fs::write(&settings, text).expect("the settings can be written");
         let log = folder.join(format!("gateway-{number}.log"));
         let mut process = Self { child: None, settings, log, address };
--- a/crates/process-tests/tests/samples.rs
+++ b/crates/process-tests/tests/samples.rs
@@ -1,6 +1,9 @@
 //! Samples for trainers through separate processes.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 use process_tests::{
     FleetOptions, TestFleet, call, caller_key, get, get_json, post_json, wait_for,
@@ -290,6 +293,17 @@
     assert_eq!(answer["samples"][0]["step"], 2);
 }
 
+/// Waits until the first engine generates, and returns its address.
+async fn wait_for_tokens(fleet: &TestFleet) -> SocketAddr {
+    let engine = fleet.engines[0].address(0);
+    wait_for("tokens of the first engine", || async {
+        let seen = get_json(engine, "/inspect").await?;
+        (seen["tokens"].as_u64()? > 0).then_some(())
+    })
+    .await;
+    engine
+}
+
 /// Guards against a sample with a gap or a repeat where its stream went on elsewhere.
 #[actix_rt::test]
 async fn samples_continue_on_another_engine_after_a_crash() {
@@ -299,12 +313,7 @@
     let mut fleet = TestFleet::start(options).await;
     fleet.first_document(&["cordial"]).await;
     open(&fleet, 0, "layouts", 1).await;
-    let engine = fleet.engines[0].address(0);
-    wait_for("tokens of the first engine", || async {
-        let seen = get_json(engine, "/inspect").await?;
-        (seen["tokens"].as_u64()? > 0).then_some(())
-    })
-    .await;
+    wait_for_tokens(&fleet).await;
     fleet.engines[0].kill();
     let mut side = TrainerSide::default();
     fetch_all(&fleet, &[1, 2], "layouts", 1, &mut side).await;
@@ -325,12 +334,7 @@
     let fleet = TestFleet::start(options).await;
     fleet.first_document(&["cordial"]).await;
     open(&fleet, 0, "layouts", 1).await;
-    let engine = fleet.engines[0].address(0);
-    wait_for("tokens of the first engine", || async {
-        let seen = get_json(engine, "/inspect").await?;
-        (seen["tokens"].as_u64()? > 0).then_some(())
-    })
-    .await;
+    let engine = wait_for_tokens(&fleet).await;
     let status = post_json(engine, "/faults", &json!({ "tokens_per_second": 1 })).await;
     assert_eq!(status, 200);
     let mut side = TrainerSide::default();
