Log which request was in flight when an upstream ended

Event 2007 said that an exchange failed, but not whether the upstream had ended or only the connection, and nothing by which repeats of a request are recognised. After an exchange that failed without a response, the gateway now opens a connection: a refused one shows that the process has ended (event 2101, counter upstream_crashes), an open one is kept for later requests. 2007 and 2101 carry the fingerprint of the request (customer, path and body), which is the same for each repeat. Requests of items and reward calls are left out.

No decision changes: retries and choices are as before.

--- a/crates/delivery/src/id.rs
+++ b/crates/delivery/src/id.rs
@@ -1,5 +1,7 @@
 //! Identifiers of requests, exchanges, fingerprints and claims, valid on every node.
 
+use std::fmt;
+
 use base::{Incarnation, derive_copy};
 use sha2::{Digest, Sha256};
 
@@ -42,6 +44,16 @@
     }
 }
 
+/// Writes the fingerprint in hexadecimal.
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for byte in self.0 {
+            write!(f, "{byte:02x}")?;
+        }
+        Ok(())
+    }
+}
+
 /// Hashes the parts, each preceded by its length, so that different splits of the same bytes give
 /// different digests.
 fn digest(parts: &[&[u8]]) -> [u8; 16] {
--- a/crates/hibiscushinged/src/gateway.rs
+++ b/crates/hibiscushinged/src/gateway.rs
@@ -10,6 +10,7 @@
 mod commit;
 mod control;
 mod control_state;
+mod crash_check;
 mod fetch;
 mod generation;
 mod group;
--- a/crates/hibiscushinged/src/gateway/metrics.rs
+++ b/crates/hibiscushinged/src/gateway/metrics.rs
@@ -33,6 +33,7 @@
     reward_time: Histogram,
     pub(crate) store_failures: Counter,
     pub(crate) channels_opened: Counter,
+    pub(crate) upstream_crashes: Counter,
     pub(crate) loads_ordered: Counter<u64, AtomicU64>,
     pub(crate) usage_reports: Counter,
 }
@@ -49,6 +50,7 @@
             reward_time: times(),
             store_failures: Counter::default(),
             channels_opened: Counter::default(),
+            upstream_crashes: Counter::default(),
             loads_ordered: Counter::default(),
             usage_reports: Counter::default(),
         }
@@ -94,6 +96,8 @@
         registry.register("store_failures", store, self.store_failures.clone());
         let channels = "Connections opened to upstreams";
         registry.register("channels_opened", channels, self.channels_opened.clone());
+        let crashes = "Requests in flight on an upstream that ended";
+        registry.register("upstream_crashes", crashes, self.upstream_crashes.clone());
         let loads = "Weight loads ordered";
         registry.register("loads_ordered", loads, self.loads_ordered.clone());
         let usage = "Usage windows reported";
--- a/crates/hibiscushinged/src/gateway/plain.rs
+++ b/crates/hibiscushinged/src/gateway/plain.rs
@@ -3,8 +3,9 @@
 use std::rc::Rc;
 
 use actix_http::{Method, header::HeaderMap};
-use base::{Moment, Refusal, RefusalCode, Span, UpstreamKey};
+use base::{Moment, Refusal, RefusalCode, Span, UpstreamKey, derive_copy};
 use bytes::Bytes;
+use delivery::Fingerprint;
 use dispatch::PlainPickRequest;
 use futures_util::{StreamExt as _, stream::FuturesUnordered};
 use platform::{UpstreamRequestMetadata, forward_headers};
@@ -13,6 +14,7 @@
 use crate::{
     gateway::{
         attempt::{AttemptCall, AttemptError, FullResponse, log_attempt, run_exchange, wait_until},
+        crash_check,
         traffic_state::TrafficState,
     },
     telemetry::log_event,
@@ -31,6 +33,16 @@
 /// Delay before the next attempt when no upstream has run the request.
 const RETRY_DELAY: Span = Span::from_millis(20);
 
+derive_copy! {
+    /// What a request is sent for.
+    pub(crate) enum RequestOrigin {
+        /// A caller, who may send the same request again at any node.
+        Caller,
+        /// The reward call of an item.
+        Item,
+    }
+}
+
 /// A request whose response is not streamed; `relay` also uses it for streams.
 pub(crate) struct PlainJob<'a> {
     pub(crate) id: &'a str,
@@ -45,9 +57,18 @@
     pub(crate) latency_objective: Span,
     pub(crate) max_attempts: usize,
     pub(crate) retryable: bool,
+    pub(crate) origin: RequestOrigin,
 }
 
 impl PlainJob<'_> {
+    /// Returns the fingerprint by which every node recognizes repeats of a caller's request, or
+    /// `None` for a reward call: an item is owed even if upstreams crash while they run it.
+    pub(crate) fn fingerprint(&self) -> Option<Fingerprint> {
+        let customer = self.customer.unwrap_or_default();
+        (self.origin == RequestOrigin::Caller)
+            .then(|| Fingerprint::of(customer, self.path, &self.body))
+    }
+
     /// Builds the request for one upstream, with the time that is left as its deadline.
     pub(crate) fn call(
         &self,
@@ -156,7 +177,11 @@
     time_left: Span,
 ) -> (UpstreamKey, Result<FullResponse, AttemptError>) {
     let call = job.call(traffic, upstream, time_left);
-    (upstream, run_exchange(traffic, call).await)
+    let result = run_exchange(traffic, call).await;
+    if let Err(AttemptError::MaybeRun(_)) = &result {
+        crash_check::check_crash(traffic, job, upstream).await;
+    }
+    (upstream, result)
 }
 
 impl AttemptState {
@@ -187,12 +212,14 @@
             }
             Err(error) => {
                 let ran = matches!(error, AttemptError::MaybeRun(_));
+                let fingerprint = job.fingerprint().filter(|_| ran).map(|found| found.to_string());
                 log_event!(
                     AttemptFailed,
                     request = job.id,
                     upstream = name,
                     may_have_run = ran,
                     reason = error.reason(),
+                    fingerprint,
                 );
                 self.may_have_run |= ran;
                 self.last_reason = Some(String::from(error.reason()));
--- a/crates/hibiscushinged/src/gateway/relay.rs
+++ b/crates/hibiscushinged/src/gateway/relay.rs
@@ -16,6 +16,7 @@
     gateway::{
         attempt::{AttemptError, AttemptGuard, log_attempt, open_exchange},
         channel::Exchange,
+        crash_check,
         plain::{PlainJob, pick},
         response,
         traffic_state::TrafficState,
@@ -68,6 +69,7 @@
             Err((AttemptError::MaybeRun(cause), outcome)) => {
                 attempt.finish(outcome);
                 log_event!(AttemptFailed, request = job.id, may_have_run = true, reason = cause);
+                crash_check::check_crash(traffic, job, upstream).await;
                 reason = cause;
                 may_have_run = true;
                 if !job.retryable {
--- a/crates/hibiscushinged/src/gateway/reward.rs
+++ b/crates/hibiscushinged/src/gateway/reward.rs
@@ -8,7 +8,7 @@
 use crate::{
     gateway::{
         job::ItemJob,
-        plain::{PlainJob, run_plain},
+        plain::{PlainJob, RequestOrigin, run_plain},
         traffic_state::TrafficState,
     },
     telemetry::log_event,
@@ -111,6 +111,7 @@
         latency_objective: route.latency_objective,
         max_attempts: MAX_ATTEMPTS,
         retryable: true,
+        origin: RequestOrigin::Item,
     };
     match run_plain(traffic, &plain).await {
         Ok(response) if response.status.as_u16() < 300 => {
--- a/crates/hibiscushinged/src/gateway/serve.rs
+++ b/crates/hibiscushinged/src/gateway/serve.rs
@@ -16,7 +16,7 @@
     gateway::{
         cleanup, group,
         node::{LAST_TOTALS_TIMEOUT, NodeState},
-        plain::{PlainJob, run_plain},
+        plain::{PlainJob, RequestOrigin, run_plain},
         relay, response, runner,
         submit::{self, NewSubmission, SubmissionRef},
         traffic_state::TrafficState,
@@ -340,6 +340,7 @@
         latency_objective: route.latency_objective,
         max_attempts: route.max_attempts as usize,
         retryable: route.is_retryable(),
+        origin: RequestOrigin::Caller,
     })
 }
 
