--- a/crates/process-tests/src/site.rs
+++ b/crates/process-tests/src/site.rs
@@ -94,6 +94,8 @@
                 slots: 8,
                 service_time: Duration::from_millis(5),
                 lose_response_every: 0,
+                crash_marker: None,
+                down_time: Duration::from_secs(1),
             },
             store: StoreOptions::default(),
         }
--- /dev/null
+++ b/crates/process-tests/tests/crashes.rs
@@ -0,0 +1,83 @@
+//! Requests that crash the upstreams that run them, at gateways on the users' platform.
+
+use std::time::Duration;
+
+use process_tests::{SiteFleet, SiteOptions, call, wait_for};
+
+/// Upstreams that a crashing request may end before it is blocked.
+const CRASHES_BEFORE_BLOCK: u64 = 3;
+
+/// Further runs that are allowed because the block takes time to reach all gateways.
+const RUNS_AFTER_THIRD_CRASH: u64 = 3;
+
+/// Longer than any test, so that a crashed upstream does not return.
+const DOWN_FOR_GOOD: Duration = Duration::from_secs(3_600);
+
+/// Pause between two requests of a caller.
+const CALLER_PAUSE: Duration = Duration::from_millis(200);
+
+fn options() -> SiteOptions {
+    let mut options = SiteOptions { gateways: 3, services: 10, ..Default::default() };
+    options.service.crash_marker = Some(String::from("boom"));
+    options.service.down_time = DOWN_FOR_GOOD;
+    options
+}
+
+fn crashes(fleet: &SiteFleet) -> u64 {
+    fleet.services.iter().map(site_stand_in::SiteService::crashes).sum()
+}
+
+/// Guards against a request that crashes one upstream after another because its caller repeats it
+/// at other gateways under new identifiers.
+#[actix_rt::test]
+async fn repeated_crashing_request_is_blocked_at_all_gateways() {
+    let fleet = SiteFleet::start(options()).await;
+    for repeat in 0..24 {
+        let gateway = &fleet.gateways[repeat % 3];
+        let headers = SiteFleet::headers(&format!("boom-{repeat}"));
+        let response = call(gateway.caller_address(), "/fetch/proof", &headers, "boom").await;
+        assert!((500..600).contains(&response.status), "{response:?}");
+        tokio::time::sleep(CALLER_PAUSE).await;
+    }
+    let crashes = crashes(&fleet);
+    assert!(
+        crashes <= CRASHES_BEFORE_BLOCK + RUNS_AFTER_THIRD_CRASH,
+        "the request crashed {crashes} upstreams"
+    );
+}
+
+/// Guards against a block that ends with the process that knows of it, that claims less than it
+/// should, or that hits other requests.
+#[actix_rt::test]
+async fn block_is_stated_survives_restarts_and_spares_other_requests() {
+    let mut fleet = SiteFleet::start(options()).await;
+    wait_for("a refusal of the crashing request", || async {
+        let headers = SiteFleet::headers("boom");
+        let address = fleet.gateways[0].caller_address();
+        let response = call(address, "/fetch/proof", &headers, "boom").await;
+        response.body.contains("convicted").then_some(())
+    })
+    .await;
+    let before = crashes(&fleet);
+    fleet.gateways[1].restart();
+    fleet.gateways[1].wait_ready().await;
+    wait_for("the refusals of all gateways", || async {
+        let mut refused = 0;
+        for gateway in &fleet.gateways {
+            let headers = SiteFleet::headers("boom-again");
+            let response = call(gateway.caller_address(), "/fetch/proof", &headers, "boom").await;
+            let body = &response.body;
+            let convicted = body.contains("convicted") && body.contains("not-run");
+            refused += usize::from(response.status == 503 && convicted);
+        }
+        (refused == fleet.gateways.len()).then_some(())
+    })
+    .await;
+    let allowed = before + RUNS_AFTER_THIRD_CRASH;
+    assert!(crashes(&fleet) <= allowed, "{before} crashes before, {} now", crashes(&fleet));
+    for (path, body) in [("/fetch/proof", "calm"), ("/fetch/other", "calm")] {
+        let headers = SiteFleet::headers("calm");
+        let response = call(fleet.gateways[1].caller_address(), path, &headers, body).await;
+        assert_eq!(response.status, 200, "{response:?}");
+    }
+}
