Block a request on all nodes after three upstreams have ended under it

What callers saw: a request that crashes the upstreams that run it was sent on again for each of its repeats, on every node, so one such request ended upstream after upstream and failed the requests beside it.

Cause: a gateway knew a request only within one attempt of the caller. Nothing connected its repeats, which come under new identifiers and at other nodes. The class: state that must outlive an attempt and a node was local to them. The product's own mode has the suspect table for this; the gateway did not use it.

Change: a crash under a caller's request (customer, path and body) is a record in the store, keyed by fingerprint and process, and each node counts the records with the suspect table. Suspects run apart from others and unhedged, one attempt of a caller sees two crashes at most, and the third crash convicts: 503 not-run at once, with the end of the block as Retry-After. A complete response deletes the records, so requests that were only beside a crash are not blocked. A connection that breaks or stays silent counts once the address refuses connections or the store's list shows the end of that process. Items and reward calls never count.

--- a/crates/delivery/src/id.rs
+++ b/crates/delivery/src/id.rs
@@ -33,6 +33,15 @@
     pub fn of(customer: &str, route: &str, body: &[u8]) -> Self {
         Self(digest(&[customer.as_bytes(), route.as_bytes(), body]))
     }
+
+    /// Parses the text that [`fmt::Display`] writes.
+    #[must_use]
+    pub fn from_hex(text: &str) -> Option<Self> {
+        if text.len() != 32 || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            return None;
+        }
+        u128::from_str_radix(text, 16).ok().map(|value| Self(value.to_be_bytes()))
+    }
 }
 
 impl ClaimKey {
@@ -47,10 +56,7 @@
 /// Writes the fingerprint in hexadecimal.
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for byte in self.0 {
-            write!(f, "{byte:02x}")?;
-        }
-        Ok(())
+        write!(f, "{:032x}", u128::from_be_bytes(self.0))
     }
 }
 
--- a/crates/delivery/src/suspect.rs
+++ b/crates/delivery/src/suspect.rs
@@ -5,6 +5,9 @@
 //! nodes, which then send it no requests. The suspect starts once a load report, measured after the
 //! announcement had time to reach every node, shows the upstream idle. If the suspect is in flight
 //! when a second upstream crashes, it is convicted: its fingerprint is refused for a limited time.
+//!
+//! Nodes that do not isolate suspects run them beside other requests, and set a higher
+//! [`SuspectPolicy::convicting_crashes`].
 
 use std::collections::BTreeMap;
 
@@ -34,7 +37,7 @@
         Clear,
         /// It was in flight at a crash and may run only in isolation.
         Suspect,
-        /// It was in flight at two crashes and is refused.
+        /// It was in flight at [`SuspectPolicy::convicting_crashes`] crashes and is refused.
         Convicted {
             /// Time until the block ends.
             retry_after: Span,
@@ -55,6 +58,8 @@
     pub struct SuspectPolicy {
         /// Time from a crash to the expiry of the suspicion or conviction.
         pub lifetime: Span,
+        /// Number of different upstreams whose crashes convict a fingerprint.
+        pub convicting_crashes: usize,
         /// Upper bound of the time in which an announced reservation reaches every node.
         pub max_propagation_time: Span,
         /// Initial value of the moving average of the time of an isolated run.
@@ -126,6 +131,9 @@
         SuspicionReceived(Suspicion),
         /// A conviction was read from the log or received from another node.
         ConvictionReceived(Conviction),
+        /// An upstream has answered a request with this fingerprint completely, so it did not cause
+        /// the crashes.
+        Acquitted(Fingerprint),
         /// Another node has reserved an upstream.
         IsolationReceived(IsolationNotice),
         /// Another node has released its reservation.
@@ -186,6 +194,7 @@
     fn default() -> Self {
         Self {
             lifetime: Span::from_secs(600),
+            convicting_crashes: 2,
             max_propagation_time: Span::from_secs(2),
             initial_run_time: Span::from_secs(2),
             notice_lifetime: Span::from_secs(30),
@@ -241,6 +250,11 @@
             SuspectEvent::ConvictionReceived(conviction) => {
                 self.conviction_received(now, wall, conviction)
             }
+            SuspectEvent::Acquitted(fingerprint) => {
+                self.suspicions.remove(&fingerprint);
+                self.convictions.remove(&fingerprint);
+                SuspectActions::new()
+            }
             SuspectEvent::IsolationReceived(notice) => self.isolation.notice_received(now, notice),
             SuspectEvent::IsolationEnded(notice) => self.isolation.notice_ended(now, notice),
             SuspectEvent::Tick => {
@@ -338,7 +352,7 @@
     }
 
     /// Merges a suspicion with what is known. Returns a broadcast if it names a new upstream, or a
-    /// conviction once two different upstreams have crashed.
+    /// conviction once [`SuspectPolicy::convicting_crashes`] different upstreams have crashed.
     fn merge_suspicion(
         &mut self,
         now: Moment,
@@ -361,8 +375,9 @@
             }
         }
         let is_new = state.crashed.len() > crashes_before;
-        if state.crashed.len() >= 2 {
-            let expires_at = add_span(wall, self.policy.lifetime);
+        if state.crashed.len() >= self.policy.convicting_crashes {
+            // The newest crash decides, so that all nodes end the conviction at the same time.
+            let expires_at = state.expires_at;
             let conviction = Conviction { fingerprint, expires_at };
             let mut actions = SuspectActions::from_iter([SuspectAction::Convict(conviction)]);
             actions.extend(self.conviction_received(now, wall, conviction));
--- a/crates/delivery/tests/suspect.rs
+++ b/crates/delivery/tests/suspect.rs
@@ -261,3 +261,25 @@
     }
     assert_eq!((cluster.completed, cluster.refused.len()), (2, 0));
 }
+
+/// Guards against a conviction that does not follow the policy, and against one that stays after a
+/// complete answer has shown that the request crashes nothing.
+#[rstest]
+#[case::default_policy(2)]
+#[case::without_isolation(3)]
+fn policy_sets_the_number_of_convicting_crashes(#[case] convicting_crashes: usize) {
+    let policy = SuspectPolicy { convicting_crashes, ..SuspectPolicy::default() };
+    let mut table = SuspectTable::new(Incarnation(1), policy);
+    let suspect = fingerprint(12);
+    let (now, wall) = (Moment(0), WallTime(0));
+    for crash in 1..=convicting_crashes {
+        let upstream = UpstreamKey(crash as u32);
+        table.handle(now, wall, SuspectEvent::Started { upstream, fingerprint: suspect });
+        table.handle(now, wall, SuspectEvent::Crashed(upstream));
+        let status = table.fingerprint_status(wall, suspect);
+        let convicted = matches!(status, FingerprintStatus::Convicted { .. });
+        assert_eq!(convicted, crash == convicting_crashes, "after {crash} crashes: {status:?}");
+    }
+    table.handle(now, wall, SuspectEvent::Acquitted(suspect));
+    assert_eq!(table.fingerprint_status(wall, suspect), FingerprintStatus::Clear);
+}
--- a/crates/dispatch/src/balancer.rs
+++ b/crates/dispatch/src/balancer.rs
@@ -86,6 +86,12 @@
         Some(upstream)
     }
 
+    /// Returns the key of the upstream with this identifier, if it was ever known.
+    #[must_use]
+    pub fn key(&self, id: &str) -> Option<UpstreamKey> {
+        self.ids.get(id).copied()
+    }
+
     /// Returns the last entry of an upstream, also after it was removed from the store.
     #[must_use]
     pub fn entry(&self, upstream: UpstreamKey) -> &UpstreamEntry {
--- a/crates/dispatch/src/pick.rs
+++ b/crates/dispatch/src/pick.rs
@@ -26,6 +26,10 @@
         pub tried: &'a [UpstreamKey],
         /// Upstreams to which an idle connection is open.
         pub connected: &'a [UpstreamKey],
+        /// Whether the request was in flight on an upstream that crashed. It then goes to an
+        /// upstream that runs nothing else, if there is one, so that no other request fails with
+        /// it.
+        pub suspect: bool,
         /// Seed of the jitter that keeps nodes with equal knowledge from the same choice.
         pub jitter_seed: u64,
     }
@@ -62,6 +66,9 @@
 /// got no response: the whole zone may be unreachable.
 const TRIED_ZONE_FACTOR: f64 = 2.0;
 
+/// Factor on the cost of an upstream that runs other requests, for a suspect request.
+const SUSPECT_BUSY_FACTOR: f64 = 8.0;
+
 /// Relative rise of an upstream's cost from no to all slots taken.
 const FULL_SLOTS_COST_RISE: f64 = 0.5;
 
@@ -222,7 +229,9 @@
     let zone_factor = if stats.entry.zone == request.zone { 1.0 } else { OTHER_ZONE_FACTOR };
     let tried_zone_factor =
         if tried_zones.contains(&stats.entry.zone.as_str()) { TRIED_ZONE_FACTOR } else { 1.0 };
-    time * load_factor * zone_factor * tried_zone_factor
+    let suspect_factor =
+        if request.suspect && stats.load(now) > 0 { SUSPECT_BUSY_FACTOR } else { 1.0 };
+    time * load_factor * zone_factor * tried_zone_factor * suspect_factor
 }
 
 /// Returns the expected time between two events of a generation in microseconds.
--- a/crates/dispatch/tests/pick.rs
+++ b/crates/dispatch/tests/pick.rs
@@ -45,7 +45,7 @@
 }
 
 fn plain_request<'a>(jitter_seed: u64, tried: &'a [UpstreamKey]) -> PlainPickRequest<'a> {
-    PlainPickRequest { service: "s", zone: "a", tried, connected: &[], jitter_seed }
+    PlainPickRequest { service: "s", zone: "a", tried, connected: &[], suspect: false, jitter_seed }
 }
 
 /// Pattern: a submission of 72 items arrives at nine engines with 8 slots, one at half the speed.
@@ -250,3 +250,18 @@
     balancer.record_event_interval(keys[1], Span::from_millis(30));
     assert_eq!(balancer.should_migrate(NOW, keys[0], keys[1]), migrates);
 }
+
+/// Pattern: a request crashes its upstream and is sent again while others run.
+///
+/// Guards against a crashing request that also fails the requests beside which it runs.
+#[test]
+fn suspect_request_goes_to_an_idle_upstream() {
+    let (mut balancer, keys) = balancer(3, 8);
+    balancer.begin_request(keys[0]);
+    balancer.begin_request(keys[1]);
+    for jitter_seed in 0..32 {
+        let request =
+            PlainPickRequest { suspect: true, zone: "b", ..plain_request(jitter_seed, &[]) };
+        assert_eq!(balancer.pick_plain(NOW, &request), Some(keys[2]));
+    }
+}
--- a/crates/hibiscushinged/src/gateway/cleanup.rs
+++ b/crates/hibiscushinged/src/gateway/cleanup.rs
@@ -1,4 +1,5 @@
-//! Deletes submissions that have ended and whose results need no longer be readable.
+//! Deletes submissions that have ended and whose results need no longer be readable, and expired
+//! crash records.
 
 use std::{rc::Rc, time::Duration};
 
@@ -23,11 +24,18 @@
 /// nodes.
 const EXPIRY_MARGIN: Span = Span::from_secs(60);
 
-/// Deletes old submissions of the owned partitions, at intervals, until the process ends.
+/// Deletes old submissions of the owned partitions and, on the owner of the first partition, old
+/// crash records, at intervals, until the process ends.
 pub(crate) async fn delete_old(traffic: Rc<TrafficState>) {
     loop {
         tokio::time::sleep(CLEANUP_PERIOD).await;
-        for partition in traffic.partitions.owned() {
+        let owned = traffic.partitions.owned();
+        if owned.contains(&0) {
+            let wall = wall_now();
+            let expired_before = WallTime(wall.0 - EXPIRY_MARGIN.as_millis() as i64);
+            traffic.suspects.delete_expired(traffic.node.now(), wall, expired_before);
+        }
+        for partition in owned {
             let Some(follower) = traffic.partitions.get(partition) else { continue };
             if let Err(error) = delete_old_in_partition(&traffic, follower).await {
                 tracing::warn!(
--- a/crates/hibiscushinged/src/gateway/control.rs
+++ b/crates/hibiscushinged/src/gateway/control.rs
@@ -1,6 +1,6 @@
 //! The control thread: follows the store's topics and runs the tasks of the lease holder.
 
-use std::{cell::RefCell, collections::HashSet, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::RefCell, collections::HashSet, rc::Rc, sync::Arc};
 
 use base::Span;
 use dispatch::RemovalCause;
@@ -14,9 +14,10 @@
 use crate::{
     gateway::{
         control_state::ControlState,
-        fetch::{FetchedKeys, KeyChange, PartitionName, fetch},
+        fetch::KeyChange,
         lease::keep_lease,
         node::NodeState,
+        topic_follower::{ChangeSink, follow_topic},
         upstreams::UpstreamUpdate,
         usage, usage_reports, weight_loads,
     },
@@ -28,18 +29,6 @@
 /// bounds how long a connection that has stopped responding delays a change.
 const POLL_WAIT: Span = Span::from_millis(250);
 
-/// Delay after a failed read.
-const RETRY_DELAY: Duration = Duration::from_millis(100);
-
-/// Receiver of the changes of one topic.
-trait ChangeSink {
-    /// Processes the newest values of all keys, after a full read of the topic.
-    fn replace(&self, changes: Vec<KeyChange>);
-
-    /// Processes the change of one key.
-    fn apply(&self, change: KeyChange);
-}
-
 /// Applies the configuration that the operator writes, and the model versions that trainers
 /// publish.
 struct OperatorSink {
@@ -67,24 +56,7 @@
 }
 
 async fn follow(control: Rc<ControlState>, topic: &'static str, sink: impl ChangeSink) {
-    let name = PartitionName { topic: String::from(topic), partition: 0 };
-    let mut next_offset = None;
-    loop {
-        let Ok(fetched) = fetch(&control.store, &name, next_offset, POLL_WAIT).await else {
-            // The store session has logged the failure.
-            tokio::time::sleep(RETRY_DELAY).await;
-            continue;
-        };
-        next_offset = Some(fetched.next_offset);
-        match fetched.keys {
-            FetchedKeys::All(changes) => sink.replace(changes),
-            FetchedKeys::Changes(changes) => {
-                for change in changes {
-                    sink.apply(change);
-                }
-            }
-        }
-    }
+    follow_topic(&control.store, topic, POLL_WAIT, sink).await;
 }
 
 impl ChangeSink for OperatorSink {
--- a/crates/hibiscushinged/src/gateway/crash_check.rs
+++ b/crates/hibiscushinged/src/gateway/crash_check.rs
@@ -1,11 +1,19 @@
-//! Requests of callers that were in flight on an upstream when it ended.
+//! Checks whether an upstream ended while it ran a caller's request, and what follows for repeats of
+//! the request.
 
 use std::{io, rc::Rc, time::Duration};
 
-use base::UpstreamKey;
+use base::{Refusal, RefusalCode, UpstreamKey, derive_copy};
+use delivery::{Fingerprint, FingerprintStatus};
 
 use crate::{
-    gateway::{channel::UpstreamChannel, plain::PlainJob, traffic_state::TrafficState},
+    clock::wall_now,
+    gateway::{
+        channel::UpstreamChannel,
+        plain::PlainJob,
+        suspects::{RegistryChange, UnansweredRequest, process_digest},
+        traffic_state::TrafficState,
+    },
     telemetry::log_event,
 };
 
@@ -13,18 +21,131 @@
 /// within a round trip.
 const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Checks whether an upstream has ended, after its exchange with a caller's request failed.
-pub(crate) async fn check_crash(
-    traffic: &Rc<TrafficState>,
-    job: &PlainJob<'_>,
-    upstream: UpstreamKey,
+derive_copy! {
+    /// Process of an upstream to which a request is sent.
+    pub(crate) struct RunTarget {
+        upstream: UpstreamKey,
+        process: u64,
+    }
+}
+
+/// A caller's request on one upstream process.
+pub(crate) struct CallerRun {
+    request: String,
+    fingerprint: Fingerprint,
+    target: RunTarget,
+}
+
+impl RunTarget {
+    /// Names the process that runs under the key of an upstream now.
+    pub(crate) fn new(traffic: &TrafficState, upstream: UpstreamKey) -> Self {
+        let process = process_digest(traffic.balancer.borrow().entry(upstream));
+        Self { upstream, process }
+    }
+}
+
+impl CallerRun {
+    /// Returns `None` for a reward call, which is never a suspect.
+    pub(crate) fn new(job: &PlainJob<'_>, target: RunTarget) -> Option<Self> {
+        let fingerprint = job.fingerprint()?;
+        Some(Self { request: String::from(job.id), fingerprint, target })
+    }
+
+    /// Checks, after the exchange failed, whether the upstream has ended, and records the crash.
+    /// Returns whether it has.
+    pub(crate) async fn check_crash(&self, traffic: &Rc<TrafficState>) -> bool {
+        let ended = refuses_connections(traffic, self.target.upstream).await;
+        if ended {
+            record_crash(traffic, &self.request, self.fingerprint, self.target);
+        } else {
+            self.record_unanswered(traffic);
+        }
+        ended
+    }
+
+    /// Records that the request got no response. If the process turns out to have ended, that
+    /// counts as a crash.
+    pub(crate) fn record_unanswered(&self, traffic: &TrafficState) {
+        traffic.suspects.record_unanswered(UnansweredRequest {
+            id: self.request.clone(),
+            fingerprint: self.fingerprint,
+            process: self.target.process,
+            since: traffic.node.now(),
+        });
+    }
+
+    /// Records a complete response to the request, which therefore did not cause any crash.
+    pub(crate) fn record_response(&self, traffic: &TrafficState) {
+        if traffic.suspects.acquit(traffic.node.now(), wall_now(), self.fingerprint) {
+            let (request, fingerprint) = (&self.request, self.fingerprint);
+            log_event!(SuspectCleared, request, %fingerprint);
+        }
+    }
+}
+
+/// Records a complete response to a request.
+pub(crate) fn record_response(traffic: &TrafficState, job: &PlainJob<'_>, target: RunTarget) {
+    if traffic.suspects.is_empty() {
+        return;
+    }
+    if let Some(run) = CallerRun::new(job, target) {
+        run.record_response(traffic);
+    }
+}
+
+/// Refuses a request whose fingerprint is convicted.
+///
+/// # Errors
+///
+/// Returns the refusal, which says when the request may be sent again.
+pub(crate) fn check_convicted(traffic: &TrafficState, job: &PlainJob<'_>) -> Result<(), Refusal> {
+    let FingerprintStatus::Convicted { retry_after } = status(traffic, job) else { return Ok(()) };
+    let message = "the request is blocked because several upstreams ended while they ran it";
+    Err(Refusal::not_run(RefusalCode::Convicted, message).with_retry_after(retry_after))
+}
+
+/// Returns whether an upstream ended while it ran the request or one of its repeats, and none has
+/// answered it since.
+pub(crate) fn is_suspect(traffic: &TrafficState, job: &PlainJob<'_>) -> bool {
+    status(traffic, job) != FingerprintStatus::Clear
+}
+
+fn status(traffic: &TrafficState, job: &PlainJob<'_>) -> FingerprintStatus {
+    if traffic.suspects.is_empty() {
+        return FingerprintStatus::Clear;
+    }
+    let Some(fingerprint) = job.fingerprint() else { return FingerprintStatus::Clear };
+    traffic.suspects.status(wall_now(), fingerprint)
+}
+
+/// Records the crashes of the requests that got no response from a process, after its entry in the
+/// store has shown that it ended.
+pub(crate) fn process_ended(traffic: &TrafficState, target: RunTarget) {
+    for request in traffic.suspects.take_unanswered(traffic.node.now(), target.process) {
+        record_crash(traffic, &request.id, request.fingerprint, target);
+    }
+}
+
+fn record_crash(
+    traffic: &TrafficState,
+    request: &str,
+    fingerprint: Fingerprint,
+    target: RunTarget,
 ) {
-    let Some(fingerprint) = job.fingerprint() else { return };
-    let ended = refuses_connections(traffic, upstream).await;
-    let name = traffic.balancer.borrow().entry(upstream).id.clone();
-    if ended {
-        traffic.node.metrics.upstream_crashes.inc();
-        log_event!(warn, SuspectMarked, request = job.id, upstream = name, %fingerprint);
+    traffic.node.metrics.upstream_crashes.inc();
+    let upstream = traffic.balancer.borrow().entry(target.upstream).id.clone();
+    log_event!(warn, SuspectMarked, request, upstream, %fingerprint);
+    let now = traffic.node.now();
+    let change = traffic.suspects.record_crash(now, wall_now(), fingerprint, target.process);
+    log_conviction(change);
+}
+
+/// Logs a conviction, if the change of a crash record is one.
+pub(crate) fn log_conviction(change: RegistryChange) {
+    if let RegistryChange::Convicted(conviction) = change {
+        let fingerprint = conviction.fingerprint;
+        let expires_at_ms = conviction.expires_at.0;
+        log_event!(warn, FingerprintConvicted, %fingerprint, expires_at_ms);
     }
 }
 
--- a/crates/hibiscushinged/src/gateway/plain.rs
+++ b/crates/hibiscushinged/src/gateway/plain.rs
@@ -14,7 +14,7 @@
 use crate::{
     gateway::{
         attempt::{AttemptCall, AttemptError, FullResponse, log_attempt, run_exchange, wait_until},
-        crash_check,
+        crash_check::{self, CallerRun, RunTarget},
         traffic_state::TrafficState,
     },
     telemetry::log_event,
@@ -97,15 +97,31 @@
     }
 }
 
+/// Upstreams that may end while they run one request. Then it is not sent again; its caller can
+/// repeat it.
+pub(crate) const MAX_CRASHES: usize = 2;
+
 /// State of the attempts of one request.
 #[derive(Default)]
 struct AttemptState {
     tried: SmallVec<[UpstreamKey; 4]>,
+    /// Attempts without a result yet.
+    running: SmallVec<[UpstreamKey; 4]>,
+    /// Upstreams that ended while they ran the request.
+    crashes: usize,
     may_have_run: bool,
     failed_response: Option<FullResponse>,
     last_reason: Option<String>,
 }
 
+/// Result of one attempt.
+struct AttemptResult {
+    upstream: UpstreamKey,
+    result: Result<FullResponse, AttemptError>,
+    /// Whether the upstream ended while it ran the request.
+    crashed: bool,
+}
+
 /// Runs a request and returns its response, which may be an upstream's status of 500 or above.
 ///
 /// # Errors
@@ -124,11 +140,17 @@
         let time_left = job.deadline.since(now);
         let may_send = state.tried.len() < job.max_attempts
             && time_left >= MIN_ATTEMPT_TIME
-            && (job.retryable || !state.may_have_run);
-        let should_hedge = job.retryable && now >= hedge_at && running.len() == 1;
+            && (job.retryable || !state.may_have_run)
+            && !state.is_blocked(traffic, job);
+        // A suspect runs on one upstream at a time.
+        let should_hedge = job.retryable
+            && now >= hedge_at
+            && running.len() == 1
+            && !crash_check::is_suspect(traffic, job);
         if may_send && (running.is_empty() || should_hedge) {
             if let Some(upstream) = pick(traffic, job, &state.tried) {
                 state.tried.push(upstream);
+                state.running.push(upstream);
                 log_attempt(traffic, job.id, upstream, state.tried.len(), time_left);
                 running.push(run_attempt(traffic, job, upstream, time_left));
             }
@@ -139,8 +161,8 @@
         }
         let next = if running.len() == 1 { hedge_at.min(job.deadline) } else { job.deadline };
         tokio::select! {
-            Some((upstream, result)) = running.next() => {
-                if let Some(response) = state.record_result(traffic, job, upstream, result) {
+            Some(attempt) = running.next() => {
+                if let Some(response) = state.record_result(traffic, job, attempt) {
                     return Ok(response);
                 }
                 if running.is_empty() && !state.may_have_run {
@@ -150,6 +172,12 @@
             () = wait_until(traffic, next) => {
                 if traffic.node.now() >= job.deadline {
                     state.may_have_run = true;
+                    for upstream in &state.running {
+                        let target = RunTarget::new(traffic, *upstream);
+                        if let Some(run) = CallerRun::new(job, target) {
+                            run.record_unanswered(traffic);
+                        }
+                    }
                     return state.give_up(Span::ZERO);
                 }
             }
@@ -165,8 +193,15 @@
 ) -> Option<UpstreamKey> {
     let zone = &traffic.node.settings.zone;
     let connected = &traffic.pool.connected();
-    let jitter_seed = rand::random();
-    let request = PlainPickRequest { service: job.service, zone, tried, connected, jitter_seed };
+    let suspect = crash_check::is_suspect(traffic, job);
+    let request = PlainPickRequest {
+        service: job.service,
+        zone,
+        tried,
+        connected,
+        suspect,
+        jitter_seed: rand::random(),
+    };
     traffic.balancer.borrow().pick_plain(traffic.node.now(), &request)
 }
 
@@ -175,24 +210,41 @@
     job: &PlainJob<'_>,
     upstream: UpstreamKey,
     time_left: Span,
-) -> (UpstreamKey, Result<FullResponse, AttemptError>) {
+) -> AttemptResult {
     let call = job.call(traffic, upstream, time_left);
+    let target = RunTarget::new(traffic, upstream);
     let result = run_exchange(traffic, call).await;
-    if let Err(AttemptError::MaybeRun(_)) = &result {
-        crash_check::check_crash(traffic, job, upstream).await;
-    }
-    (upstream, result)
+    let crashed = match &result {
+        Err(AttemptError::MaybeRun(_)) => match CallerRun::new(job, target) {
+            Some(run) => run.check_crash(traffic).await,
+            None => false,
+        },
+        Ok(response) if response.status.as_u16() < 500 => {
+            crash_check::record_response(traffic, job, target);
+            false
+        }
+        _ => false,
+    };
+    AttemptResult { upstream, result, crashed }
 }
 
 impl AttemptState {
+    /// Returns whether upstreams have ended under the request or its repeats so often that it is
+    /// not sent again.
+    fn is_blocked(&self, traffic: &TrafficState, job: &PlainJob<'_>) -> bool {
+        self.crashes >= MAX_CRASHES || crash_check::check_convicted(traffic, job).is_err()
+    }
+
     /// Records the result of an attempt, and returns the response if it is final.
     fn record_result(
         &mut self,
         traffic: &TrafficState,
         job: &PlainJob<'_>,
-        upstream: UpstreamKey,
-        result: Result<FullResponse, AttemptError>,
+        attempt: AttemptResult,
     ) -> Option<FullResponse> {
+        let AttemptResult { upstream, result, crashed } = attempt;
+        self.running.retain(|running| *running != upstream);
+        self.crashes += usize::from(crashed);
         let balancer = traffic.balancer.borrow();
         let name = &balancer.entry(upstream).id;
         match result {
--- a/crates/hibiscushinged/src/gateway/relay.rs
+++ b/crates/hibiscushinged/src/gateway/relay.rs
@@ -16,8 +16,8 @@
     gateway::{
         attempt::{AttemptError, AttemptGuard, log_attempt, open_exchange},
         channel::Exchange,
-        crash_check,
-        plain::{PlainJob, pick},
+        crash_check::{self, CallerRun, RunTarget},
+        plain::{MAX_CRASHES, PlainJob, pick},
         response,
         traffic_state::TrafficState,
     },
@@ -34,6 +34,7 @@
     upstream: UpstreamKey,
     exchange: Option<Exchange>,
     attempt: Option<AttemptGuard>,
+    run: Option<CallerRun>,
     _in_flight: InFlightGuard,
 }
 
@@ -51,15 +52,28 @@
     let mut tried: SmallVec<[UpstreamKey; 4]> = SmallVec::new();
     let mut reason = String::from("no upstream is usable");
     let mut may_have_run = false;
-    while tried.len() < job.max_attempts {
+    let mut crashes = 0;
+    while tried.len() < job.max_attempts && crashes < MAX_CRASHES {
+        if crash_check::check_convicted(traffic, job).is_err() {
+            break;
+        }
         let time_left = job.deadline.since(traffic.node.now());
         let Some(upstream) = pick(traffic, job, &tried) else { break };
         tried.push(upstream);
         log_attempt(traffic, job.id, upstream, tried.len(), time_left);
         let attempt = AttemptGuard::acquire(traffic, upstream);
+        let target = RunTarget::new(traffic, upstream);
         match begin(traffic, job, upstream, time_left).await {
             Ok(exchange) => {
-                return Ok(stream_response(traffic, upstream, exchange, attempt, in_flight));
+                let state = RelayState {
+                    traffic: Rc::clone(traffic),
+                    upstream,
+                    exchange: None,
+                    attempt: Some(attempt),
+                    run: CallerRun::new(job, target),
+                    _in_flight: in_flight,
+                };
+                return Ok(stream_response(exchange, state));
             }
             Err((AttemptError::NotRun(cause), outcome)) => {
                 attempt.finish(outcome);
@@ -69,7 +83,9 @@
             Err((AttemptError::MaybeRun(cause), outcome)) => {
                 attempt.finish(outcome);
                 log_event!(AttemptFailed, request = job.id, may_have_run = true, reason = cause);
-                crash_check::check_crash(traffic, job, upstream).await;
+                if let Some(run) = CallerRun::new(job, target) {
+                    crashes += usize::from(run.check_crash(traffic).await);
+                }
                 reason = cause;
                 may_have_run = true;
                 if !job.retryable {
@@ -101,22 +117,10 @@
     }
 }
 
-fn stream_response(
-    traffic: &Rc<TrafficState>,
-    upstream: UpstreamKey,
-    exchange: Exchange,
-    attempt: AttemptGuard,
-    in_flight: InFlightGuard,
-) -> Response<BoxBody> {
+fn stream_response(exchange: Exchange, mut state: RelayState) -> Response<BoxBody> {
     let status = exchange.head().status;
     let headers = relay_headers(exchange.head());
-    let state = RelayState {
-        traffic: Rc::clone(traffic),
-        upstream,
-        exchange: Some(exchange),
-        attempt: Some(attempt),
-        _in_flight: in_flight,
-    };
+    state.exchange = Some(exchange);
     let body = BodyStream::new(Box::pin(stream::unfold(state, next_chunk)));
     response::with_headers(status, BoxBody::new(body), headers)
 }
@@ -129,6 +133,11 @@
         Ok(Some(chunk)) => Some((Ok(chunk), state)),
         Ok(None) => {
             let exchange = state.exchange.take()?;
+            if let Some(run) = &state.run
+                && exchange.head().status.as_u16() < 500
+            {
+                run.record_response(&state.traffic);
+            }
             state.traffic.keep_channel(state.upstream, exchange);
             if let Some(attempt) = state.attempt.take() {
                 attempt.finish(ExchangeOutcome::Cancelled);
@@ -140,6 +149,9 @@
             if let Some(attempt) = state.attempt.take() {
                 attempt.finish(ExchangeOutcome::TransportError);
             }
+            if let Some(run) = &state.run {
+                run.check_crash(&state.traffic).await;
+            }
             Some((Err(std::io::Error::other(error.to_string())), state))
         }
     }
--- a/crates/hibiscushinged/src/gateway/response.rs
+++ b/crates/hibiscushinged/src/gateway/response.rs
@@ -5,7 +5,7 @@
     body::BoxBody,
     header::{HeaderName, HeaderValue, RETRY_AFTER},
 };
-use base::Refusal;
+use base::{Refusal, RefusalCode};
 use bytes::Bytes;
 
 use crate::{
@@ -18,6 +18,11 @@
 /// callers wait for less than a second in total.
 pub(crate) fn refusal(refusal: &Refusal) -> Response<BoxBody> {
     let mut response = refusal_without_retry_after(refusal);
+    if refusal.code == RefusalCode::Convicted {
+        // On this platform only some statuses promise that a request has not run, and 422 is not
+        // one of them.
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
     if let Some(span) = refusal.retry_after {
         let seconds = format!("{:.3}", span.as_secs_f64());
         if let Ok(value) = HeaderValue::from_str(&seconds) {
--- a/crates/hibiscushinged/src/gateway/serve.rs
+++ b/crates/hibiscushinged/src/gateway/serve.rs
@@ -14,7 +14,7 @@
     accept::serve_connections,
     clock::to_duration,
     gateway::{
-        cleanup, group,
+        cleanup, crash_check, crash_records, group,
         node::{LAST_TOTALS_TIMEOUT, NodeState},
         plain::{PlainJob, RequestOrigin, run_plain},
         relay, response, runner,
@@ -86,6 +86,8 @@
         actix_rt::spawn(runner::place_items(Rc::clone(&traffic)));
         actix_rt::spawn(runner::store_results(Rc::clone(&traffic)));
         actix_rt::spawn(cleanup::delete_old(Rc::clone(&traffic)));
+        actix_rt::spawn(crash_records::follow_crash_records(Rc::clone(&traffic)));
+        actix_rt::spawn(crash_records::store_crash_records(Rc::clone(&traffic)));
         Ok(Self { traffic })
     }
 
@@ -309,6 +311,7 @@
         return submit::accept(traffic, &new_submission).await;
     }
     let job = plain_job(caller, route, customer, id, deadline)?;
+    crash_check::check_convicted(traffic, &job)?;
     if route.kind == RequestKind::Stream {
         return relay::relay(traffic, &job, in_flight).await;
     }
--- /dev/null
+++ b/crates/hibiscushinged/src/gateway/suspects.rs
@@ -0,0 +1,277 @@
+//! Requests of callers that were in flight on upstreams when these ended, as all nodes know them.
+//!
+//! Each crash is a record in the store, by the request's fingerprint and the process that ended.
+//! [`SuspectTable`] decides by the records which fingerprints are convicted. A complete response to
+//! a request deletes the records of its fingerprint.
+
+#[cfg(test)]
+mod tests;
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet, HashMap},
+};
+
+use base::{Incarnation, Moment, Span, UpstreamKey, WallTime};
+use delivery::{
+    Conviction, Fingerprint, FingerprintStatus, SuspectAction, SuspectActions, SuspectEvent,
+    SuspectPolicy, SuspectTable, Suspicion,
+};
+use dispatch::UpstreamEntry;
+use protocol::CrashKey;
+use smallvec::SmallVec;
+use tokio::sync::Notify;
+
+/// Crashes that convict a fingerprint. Suspects are not isolated, so a request can be in flight at
+/// another one's crash; that happens rarely to the same request on three upstreams.
+const CONVICTING_CRASHES: usize = 3;
+
+/// Maximum number of crash records in memory. Further crashes are not recorded.
+const MAX_RECORDS: usize = 8_192;
+
+/// Time after a request got no response within which the end of the process counts as a crash under
+/// the request. The store removes the entry of a process that has ended after some seconds.
+const UNANSWERED_RETENTION: Span = Span::from_secs(10);
+
+/// Maximum number of requests without a response that are remembered.
+const MAX_UNANSWERED: usize = 1_024;
+
+/// Crash records to write, each with its expiry. One without an expiry is deleted.
+pub(crate) type CrashChanges = BTreeMap<CrashKey, Option<WallTime>>;
+
+/// Crash records of all nodes, and the requests whose upstreams may have crashed.
+pub(crate) struct SuspectRegistry {
+    state: RefCell<RegistryState>,
+    /// Notified when a crash record has to be written.
+    pub(crate) unsent_added: Notify,
+}
+
+struct RegistryState {
+    table: SuspectTable,
+    policy: SuspectPolicy,
+    /// Key of each crashed process in `table`.
+    processes: HashMap<u64, UpstreamKey>,
+    records: BTreeMap<CrashKey, WallTime>,
+    unsent: CrashChanges,
+    unanswered: Vec<UnansweredRequest>,
+}
+
+/// A request that got no response from a process.
+pub(crate) struct UnansweredRequest {
+    pub(crate) id: String,
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) process: u64,
+    pub(crate) since: Moment,
+}
+
+/// What a change of the crash records means for a fingerprint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RegistryChange {
+    /// Nothing new.
+    Unchanged,
+    /// One more crash is known; it is not convicted.
+    Suspected,
+    /// The last crash has convicted it.
+    Convicted(Conviction),
+}
+
+impl SuspectRegistry {
+    pub(crate) fn new(node: Incarnation) -> Self {
+        let policy =
+            SuspectPolicy { convicting_crashes: CONVICTING_CRASHES, ..SuspectPolicy::default() };
+        let state = RegistryState {
+            table: SuspectTable::new(node, policy),
+            policy,
+            processes: HashMap::new(),
+            records: BTreeMap::new(),
+            unsent: BTreeMap::new(),
+            unanswered: Vec::new(),
+        };
+        Self { state: RefCell::new(state), unsent_added: Notify::new() }
+    }
+
+    /// Returns whether nothing is known of any request, so that fingerprints need not be computed.
+    pub(crate) fn is_empty(&self) -> bool {
+        let state = self.state.borrow();
+        state.records.is_empty() && state.unanswered.is_empty()
+    }
+
+    pub(crate) fn status(&self, wall: WallTime, fingerprint: Fingerprint) -> FingerprintStatus {
+        self.state.borrow().table.fingerprint_status(wall, fingerprint)
+    }
+
+    /// Records that a process ended while it ran a request with this fingerprint.
+    pub(crate) fn record_crash(
+        &self,
+        now: Moment,
+        wall: WallTime,
+        fingerprint: Fingerprint,
+        process: u64,
+    ) -> RegistryChange {
+        let mut state = self.state.borrow_mut();
+        let expires_at =
+            WallTime(wall.0.saturating_add(state.policy.lifetime.as_millis().cast_signed()));
+        let key = CrashKey { fingerprint, process };
+        if state.records.contains_key(&key) || state.records.len() >= MAX_RECORDS {
+            return RegistryChange::Unchanged;
+        }
+        state.unsent.insert(key, Some(expires_at));
+        self.unsent_added.notify_one();
+        state.merge(now, wall, key, expires_at)
+    }
+
+    /// Remembers a request that got no response from a process.
+    pub(crate) fn record_unanswered(&self, request: UnansweredRequest) {
+        let mut state = self.state.borrow_mut();
+        state.forget_old_unanswered(request.since);
+        if state.unanswered.len() < MAX_UNANSWERED {
+            state.unanswered.push(request);
+        }
+    }
+
+    /// Removes and returns the requests that got no response from a process that has ended.
+    pub(crate) fn take_unanswered(&self, now: Moment, process: u64) -> Vec<UnansweredRequest> {
+        let mut state = self.state.borrow_mut();
+        state.forget_old_unanswered(now);
+        state.unanswered.extract_if(.., |request| request.process == process).collect()
+    }
+
+    /// Records that a request with this fingerprint got a complete response. Returns whether it was
+    /// a suspect.
+    pub(crate) fn acquit(&self, now: Moment, wall: WallTime, fingerprint: Fingerprint) -> bool {
+        let mut state = self.state.borrow_mut();
+        state.unanswered.retain(|request| request.fingerprint != fingerprint);
+        let keys: SmallVec<[CrashKey; 4]> = state.keys_of(fingerprint).collect();
+        for key in &keys {
+            state.records.remove(key);
+            // A record that was not written yet needs no deletion.
+            if state.unsent.remove(key).is_none() {
+                state.unsent.insert(*key, None);
+                self.unsent_added.notify_one();
+            }
+        }
+        if keys.is_empty() {
+            return false;
+        }
+        state.handle(now, wall, SuspectEvent::Acquitted(fingerprint));
+        true
+    }
+
+    /// Applies a crash record from the store, or its deletion if there is no expiry.
+    pub(crate) fn apply(
+        &self,
+        now: Moment,
+        wall: WallTime,
+        key: CrashKey,
+        expires_at: Option<WallTime>,
+    ) -> RegistryChange {
+        let mut state = self.state.borrow_mut();
+        let Some(expires_at) = expires_at else {
+            state.remove(now, wall, key);
+            return RegistryChange::Unchanged;
+        };
+        // This node has acquitted the fingerprint, and its deletion follows the record.
+        let deleted = state.unsent.get(&key).is_some_and(Option::is_none);
+        if deleted || state.records.contains_key(&key) || state.records.len() >= MAX_RECORDS {
+            return RegistryChange::Unchanged;
+        }
+        state.merge(now, wall, key, expires_at)
+    }
+
+    /// Removes the records that a read of all keys of the store did not return. They were deleted
+    /// while this node could not follow the store.
+    pub(crate) fn retain_stored(&self, now: Moment, wall: WallTime, stored: &BTreeSet<CrashKey>) {
+        let mut state = self.state.borrow_mut();
+        let is_gone = |key: &&CrashKey| !stored.contains(*key) && !state.unsent.contains_key(*key);
+        let gone: Vec<CrashKey> = state.records.keys().filter(is_gone).copied().collect();
+        for key in gone {
+            state.remove(now, wall, key);
+        }
+    }
+
+    /// Takes the crash records that the store does not have yet.
+    pub(crate) fn take_unsent(&self) -> CrashChanges {
+        std::mem::take(&mut self.state.borrow_mut().unsent)
+    }
+
+    /// Puts back records whose write failed, unless they have changed since.
+    pub(crate) fn restore_unsent(&self, changes: CrashChanges) {
+        let mut state = self.state.borrow_mut();
+        for (key, expires_at) in changes {
+            state.unsent.entry(key).or_insert(expires_at);
+        }
+        self.unsent_added.notify_one();
+    }
+
+    /// Has the records that expired before `expired_before` deleted from the store.
+    pub(crate) fn delete_expired(&self, now: Moment, wall: WallTime, expired_before: WallTime) {
+        let mut state = self.state.borrow_mut();
+        state.handle(now, wall, SuspectEvent::Tick);
+        let expired = state.records.extract_if(.., |_, expires_at| *expires_at < expired_before);
+        let expired: Vec<CrashKey> = expired.map(|(key, _)| key).collect();
+        if expired.is_empty() {
+            return;
+        }
+        state.unsent.extend(expired.into_iter().map(|key| (key, None)));
+        self.unsent_added.notify_one();
+    }
+}
+
+impl RegistryState {
+    fn handle(&mut self, now: Moment, wall: WallTime, event: SuspectEvent) -> SuspectActions {
+        self.table.handle(now, wall, event)
+    }
+
+    fn keys_of(&self, fingerprint: Fingerprint) -> impl Iterator<Item = CrashKey> {
+        let first = CrashKey { fingerprint, process: 0 };
+        let last = CrashKey { fingerprint, process: u64::MAX };
+        self.records.range(first..=last).map(|(key, _)| *key)
+    }
+
+    fn merge(
+        &mut self,
+        now: Moment,
+        wall: WallTime,
+        key: CrashKey,
+        expires_at: WallTime,
+    ) -> RegistryChange {
+        self.records.insert(key, expires_at);
+        let next = UpstreamKey(self.processes.len() as u32);
+        let process = *self.processes.entry(key.process).or_insert(next);
+        let suspicion = Suspicion {
+            fingerprint: key.fingerprint,
+            crashed: SmallVec::from_iter([process]),
+            expires_at,
+        };
+        let actions = self.handle(now, wall, SuspectEvent::SuspicionReceived(suspicion));
+        for action in actions {
+            if let SuspectAction::Convict(conviction) = action {
+                return RegistryChange::Convicted(conviction);
+            }
+        }
+        RegistryChange::Suspected
+    }
+
+    /// Removes a record. What remains of its fingerprint decides on it anew.
+    fn remove(&mut self, now: Moment, wall: WallTime, key: CrashKey) {
+        if self.records.remove(&key).is_none() {
+            return;
+        }
+        self.handle(now, wall, SuspectEvent::Acquitted(key.fingerprint));
+        let rest: SmallVec<[CrashKey; 4]> = self.keys_of(key.fingerprint).collect();
+        for key in rest {
+            let expires_at = self.records[&key];
+            self.merge(now, wall, key, expires_at);
+        }
+    }
+
+    fn forget_old_unanswered(&mut self, now: Moment) {
+        self.unanswered.retain(|request| now.since(request.since) < UNANSWERED_RETENTION);
+    }
+}
+
+/// Returns a digest that names the process of an upstream. Another process under the same
+/// identifier has another one.
+pub(crate) fn process_digest(entry: &UpstreamEntry) -> u64 {
+    base::stable_hash(&format!("{}/{:?}", entry.id, entry.started_at_ms))
+}
--- /dev/null
+++ b/crates/hibiscushinged/src/gateway/topic_follower.rs
@@ -0,0 +1,50 @@
+//! Follows a keyed topic of the store.
+
+use std::time::Duration;
+
+use base::Span;
+
+use crate::gateway::{
+    fetch::{FetchedKeys, KeyChange, PartitionName, fetch},
+    store::StoreSession,
+};
+
+/// Delay after a failed read.
+const RETRY_DELAY: Duration = Duration::from_millis(100);
+
+/// Receiver of the changes of one topic.
+pub(crate) trait ChangeSink {
+    /// Processes the newest values of all keys, after a full read of the topic.
+    fn replace(&self, changes: Vec<KeyChange>);
+
+    /// Processes the change of one key.
+    fn apply(&self, change: KeyChange);
+}
+
+/// Passes the changes of a topic with one partition to `sink` until the process ends. Each read
+/// waits up to `poll_wait` for changes.
+pub(crate) async fn follow_topic(
+    store: &StoreSession,
+    topic: &'static str,
+    poll_wait: Span,
+    sink: impl ChangeSink,
+) {
+    let name = PartitionName { topic: String::from(topic), partition: 0 };
+    let mut next_offset = None;
+    loop {
+        let Ok(fetched) = fetch(store, &name, next_offset, poll_wait).await else {
+            // The store session has logged the failure.
+            tokio::time::sleep(RETRY_DELAY).await;
+            continue;
+        };
+        next_offset = Some(fetched.next_offset);
+        match fetched.keys {
+            FetchedKeys::All(changes) => sink.replace(changes),
+            FetchedKeys::Changes(changes) => {
+                for change in changes {
+                    sink.apply(change);
+                }
+            }
+        }
+    }
+}
--- a/crates/hibiscushinged/src/gateway/traffic_state.rs
+++ b/crates/hibiscushinged/src/gateway/traffic_state.rs
@@ -7,7 +7,7 @@
 
 use crate::gateway::{
     channel::Exchange, items::ItemScheduler, node::NodeState, partitions::PartitionSet,
-    pool::ChannelPool, store::StoreSession,
+    pool::ChannelPool, store::StoreSession, suspects::SuspectRegistry,
 };
 
 /// State of the traffic thread.
@@ -18,6 +18,7 @@
     pub(crate) store: Rc<StoreSession>,
     pub(crate) partitions: PartitionSet,
     pub(crate) items: ItemScheduler,
+    pub(crate) suspects: SuspectRegistry,
 }
 
 impl TrafficState {
@@ -26,6 +27,7 @@
             store: Rc::new(StoreSession::new(Arc::clone(&node))),
             partitions: PartitionSet::new(&node.settings.store),
             items: ItemScheduler::default(),
+            suspects: SuspectRegistry::new(node.incarnation),
             balancer: RefCell::default(),
             pool: ChannelPool::new(),
             node,
--- a/crates/hibiscushinged/src/gateway/upstreams.rs
+++ b/crates/hibiscushinged/src/gateway/upstreams.rs
@@ -6,7 +6,13 @@
 use dispatch::{RemovalCause, UpstreamChange, UpstreamEntry};
 use tokio::sync::mpsc;
 
-use crate::{gateway::traffic_state::TrafficState, telemetry::log_event};
+use crate::{
+    gateway::{
+        crash_check::{self, RunTarget},
+        traffic_state::TrafficState,
+    },
+    telemetry::log_event,
+};
 
 /// Change of an upstream's entry in the store.
 #[derive(Debug)]
@@ -21,9 +27,14 @@
             UpstreamUpdate::Updated(entry) => {
                 let (id, address) = (entry.id.clone(), entry.address);
                 let state = entry.state;
+                let previous = self.balancer.borrow().key(&id);
+                let previous = previous.map(|upstream| RunTarget::new(self, upstream));
                 let (upstream, change) = self.balancer.borrow_mut().update(entry);
                 if change == UpstreamChange::Restarted {
                     self.pool.close(upstream);
+                    if let Some(target) = previous {
+                        crash_check::process_ended(self, target);
+                    }
                 }
                 log_event!(UpstreamChanged, upstream = id, %address, ?state, ?change);
             }
@@ -32,6 +43,7 @@
                 let removed = self.balancer.borrow_mut().remove(now, &id, cause);
                 if let (Some(upstream), RemovalCause::Left) = (removed, cause) {
                     self.pool.close(upstream);
+                    crash_check::process_ended(self, RunTarget::new(self, upstream));
                 }
                 log_event!(UpstreamChanged, upstream = id, change = "removed", ?cause);
             }
--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -3,6 +3,7 @@
 mod authority;
 mod claims;
 mod config;
+mod crashes;
 mod demand;
 mod samples;
 mod submissions;
@@ -13,6 +14,7 @@
     authority::WireAuthority,
     claims::{WireClaim, WireConviction},
     config::{WireConfig, WireSnapshot},
+    crashes::{CrashKey, decode_crash_record, encode_crash_record},
     demand::WireDemand,
     samples::{SampleEntry, SampleSnapshot, StepPrompts, WireSample},
     submissions::{
--- a/crates/protocol/tests/codec.rs
+++ b/crates/protocol/tests/codec.rs
@@ -13,8 +13,9 @@
     test_runner::{Config, RngSeed, TestRunner},
 };
 use protocol::{
-    MAX_MESSAGE_BYTES, SampleEntry, SampleSnapshot, StepPrompts, StreamRecord, WireAuthority,
-    decode_message, decode_record, encode_message, encode_record,
+    CrashKey, MAX_MESSAGE_BYTES, SampleEntry, SampleSnapshot, StepPrompts, StreamRecord,
+    WireAuthority, decode_crash_record, decode_message, decode_record, encode_crash_record,
+    encode_message, encode_record,
 };
 use rollout::{
     DeliveryNumber, SampleBound, SampleFilled, SampleRecord, SampleTable, SampleVoided, Score,
@@ -114,6 +115,24 @@
     assert!(error.is_err(), "{error:?}");
 }
 
+/// Guards against a crash that other nodes count for another request or another process.
+#[test]
+fn crash_records_are_unchanged_by_encoding_and_decoding() {
+    let key = CrashKey {
+        fingerprint: Fingerprint([0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 255]),
+        process: 77,
+    };
+    for expires_at in [Some(WallTime(5)), None] {
+        let (text, value) = encode_crash_record(key, expires_at);
+        assert_eq!(decode_crash_record(&text, value.as_deref()), Ok((key, expires_at)));
+    }
+    for malformed in
+        ["", "0001/1", "zz0102030405060708090a0b0c0d0eff/1", "+00102030405060708090a0b0c0d0eff/1"]
+    {
+        assert!(decode_crash_record(malformed, None).is_err(), "{malformed}");
+    }
+}
+
 #[test]
 fn message_over_the_size_limit_is_refused() {
     let bytes = vec![0xc0; MAX_MESSAGE_BYTES + 1];
