Place samples again however many engines crash under them

What trainers saw: after a few engines had crashed while they ran samples of one prompt, the samples were never placed again, although engines had free slots; the step waited for ten minutes.

Cause: samples had a fingerprint, shared by all samples of a prompt, and took part in the search for requests that crash upstreams. In flight at one crash they waited for an engine that runs nothing else, of which there is none where one engine is left; at a second crash they were convicted for ten minutes.

Change: samples have no fingerprint. A failed stream still has its engine checked and the callers' requests on it suspected.

Evidence: samples_are_placed_again_after_several_engines_crash printed 'waited 60s for a response with further samples' before, passes now; the process tests samples and traffic pass.

--- a/crates/hibiscushinged/src/control.rs
+++ b/crates/hibiscushinged/src/control.rs
@@ -148,7 +148,7 @@
             ControlMessage::CrashCheck { upstream, fingerprint, reply } => {
                 let control = Rc::clone(&control);
                 actix_rt::spawn(async move {
-                    control.check_crash(upstream, fingerprint).await;
+                    control.check_crash(upstream, Some(fingerprint)).await;
                     let _ = reply.send(());
                 });
             }
--- a/crates/hibiscushinged/src/control/generate.rs
+++ b/crates/hibiscushinged/src/control/generate.rs
@@ -74,7 +74,6 @@
 /// Parameters of the sample that an attempt generates.
 #[derive(Debug, Clone)]
 pub(crate) struct SampleWork {
-    trainer: String,
     service: String,
     prompt: String,
     max_tokens: u32,
@@ -204,7 +203,6 @@
         let state = self.state();
         let step_prompts = state.samples.step_prompts.get(&(open.slot.trainer, open.slot.step))?;
         Some(SampleWork {
-            trainer: entry.name,
             service: entry.service,
             prompt: step_prompts.prompts.get(open.slot.group as usize)?.clone(),
             max_tokens: step_prompts.max_tokens,
--- a/crates/hibiscushinged/src/control/generate/attempt.rs
+++ b/crates/hibiscushinged/src/control/generate/attempt.rs
@@ -3,17 +3,15 @@
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-use base::{EventCode, Execution, RouteKey, Span, UpstreamKey, WeightVersion};
+use base::{EventCode, UpstreamKey, WeightVersion};
 use clients::{
     CallError, EngineControl as _, EnginePriority, GenerateRequest, TokenEvent, TokenSource as _,
 };
-use delivery::{Fingerprint, FingerprintStatus, IsolationRequest};
 use membership::{PeerState, stable_hash};
 use protocol::{PeerMessage, SampleEntry, WireSampleCopy};
 use rollout::{SampleFilled, SampleRecord, SpanTracker};
 use routing::{PickRequest, RequestOutcome};
 use smallvec::{SmallVec, smallvec};
-use tokio::sync::oneshot;
 
 use crate::{
     clock::wall_now,
@@ -42,9 +40,6 @@
 /// alone.
 const MAX_COPY_REQUESTS: usize = 4;
 
-/// Longest wait of a suspect sample for an engine that runs nothing else.
-const ISOLATION_TIMEOUT: Span = Span::from_secs(10);
-
 /// Length of the prompt prefix that is hashed for cache affinity, in bytes.
 const PREFIX_BYTES: usize = 256;
 
@@ -109,13 +104,11 @@
     ) -> Option<Progress> {
         let mut progress = Progress::default();
         let mut tried: SmallVec<[UpstreamKey; 4]> = avoid.into_iter().collect();
-        let fingerprint = Fingerprint::of(&work.trainer, "samples", work.prompt.as_bytes());
         for exchange in 0..MAX_ENGINES {
             if attempt.cancelled.get() || self.is_stale(attempt, &progress) {
                 return None;
             }
-            let (upstream, address) =
-                self.choose_engine(attempt, work, fingerprint, &tried).await?;
+            let (upstream, address) = self.choose_engine(attempt, work, &tried)?;
             self.record_placement(attempt, upstream, progress.tracker.tokens());
             let offset = progress.tracker.tokens();
             let remaining_tokens = work.max_tokens.saturating_sub(offset);
@@ -123,7 +116,8 @@
                 let now = self.now();
                 self.state().samples.generation.stragglers.started(now, attempt.slot, upstream);
                 let mut scheduler = self.shared.scheduler();
-                scheduler.start(now, wall_now(), upstream, remaining_tokens, Some(fingerprint))
+                // Samples are owed whatever happens to their engines, so they are never suspects.
+                scheduler.start(now, wall_now(), upstream, remaining_tokens, None)
             };
             let id = self.stream_id(attempt, exchange);
             let exchange_outcome = self.exchange(attempt, work, &id, address, &mut progress).await;
@@ -136,18 +130,10 @@
             self.shared.scheduler().finish(now, in_flight, outcome);
             match exchange_outcome {
                 ExchangeOutcome::Completed => {
-                    self.handle_suspect_event(delivery::SuspectEvent::Finished {
-                        upstream,
-                        fingerprint,
-                    });
                     self.cancel_other_attempts(now, attempt, tokens);
                     return (!self.is_stale(attempt, &progress)).then_some(progress);
                 }
                 ExchangeOutcome::Cancelled => {
-                    self.handle_suspect_event(delivery::SuspectEvent::Finished {
-                        upstream,
-                        fingerprint,
-                    });
                     // The result is ignored: the engine also stops when the connection closes.
                     let _ = self.engines.cancel(address, &id).await;
                     return None;
@@ -163,7 +149,7 @@
                         "token stream failed; the attempt resumes if it may use another engine"
                     );
                     self.state().samples.generation.stragglers.failed(attempt.slot, upstream);
-                    self.check_crash(upstream, fingerprint).await;
+                    self.check_crash(upstream, None).await;
                     attempt.upstream.set(None);
                     tried.push(upstream);
                 }
@@ -222,30 +208,19 @@
         }
     }
 
-    /// Chooses an engine whose weights keep the sample within the trainer's staleness bound. A
-    /// suspect gets an isolated engine, and a convicted fingerprint none.
-    async fn choose_engine(
-        self: &Rc<Self>,
+    /// Chooses an engine whose weights keep the sample within the trainer's staleness bound.
+    fn choose_engine(
+        &self,
         attempt: &SampleAttempt,
         work: &SampleWork,
-        fingerprint: Fingerprint,
         tried: &[UpstreamKey],
     ) -> Option<(UpstreamKey, SocketAddr)> {
-        let status = self.shared.scheduler().fingerprint_status(wall_now(), fingerprint);
-        let chosen = match status {
-            FingerprintStatus::Convicted { .. } => None,
-            FingerprintStatus::Suspect => self.isolated_engine(work, fingerprint).await,
-            FingerprintStatus::Clear => {
-                let (version, bound) = self.trainer_version(attempt.slot)?;
-                let lead = MAX_VERSION_LEAD.min(bound);
-                // Prefers engines whose sample stays valid if the trainer advances meanwhile.
-                // Otherwise an older engine whose sample is valid now is better than leaving it
-                // idle.
-                let fresh = self.pick_engine(work, tried, version, bound, lead);
-                fresh.or_else(|| self.pick_engine(work, tried, version, bound, 0))
-            }
-        };
-        let upstream = chosen?;
+        let (version, bound) = self.trainer_version(attempt.slot)?;
+        let lead = MAX_VERSION_LEAD.min(bound);
+        // Prefers engines whose sample stays valid if the trainer advances meanwhile. Otherwise an
+        // older engine whose sample is valid now is better than leaving it idle.
+        let fresh = self.pick_engine(work, tried, version, bound, lead);
+        let upstream = fresh.or_else(|| self.pick_engine(work, tried, version, bound, 0))?;
         let (_, _, address) = self.engine_target(upstream)?;
         attempt.upstream.set(Some(upstream));
         Some((upstream, address))
@@ -279,36 +254,6 @@
         None
     }
 
-    /// Waits for an engine that runs nothing else, as a suspect request must. All samples of a
-    /// group share one fingerprint, because it is their prompt that may crash an engine.
-    async fn isolated_engine(
-        self: &Rc<Self>,
-        work: &SampleWork,
-        fingerprint: Fingerprint,
-    ) -> Option<UpstreamKey> {
-        let now = self.now();
-        let (reply, isolated) = oneshot::channel();
-        let request = self.shared.next_request_id();
-        let isolation = IsolationRequest {
-            request,
-            fingerprint,
-            // Samples come through no route, so this key matches none.
-            route: RouteKey(u32::MAX),
-            deadline: now + ISOLATION_TIMEOUT,
-            execution: Execution::MayHaveRun,
-            upstreams: SmallVec::new(),
-        };
-        let actions = self.shared.scheduler().request_isolation(
-            now,
-            wall_now(),
-            &work.service,
-            isolation,
-            reply,
-        );
-        self.perform_suspect_actions(actions);
-        isolated.await.ok()?.ok()
-    }
-
     fn record_placement(&self, attempt: &SampleAttempt, upstream: UpstreamKey, offset: u32) {
         let slot = self.state().samples.slot_name(attempt.slot);
         let name = self.upstream_name(upstream);
--- a/crates/hibiscushinged/src/control/suspects.rs
+++ b/crates/hibiscushinged/src/control/suspects.rs
@@ -36,18 +36,22 @@
     }
 
     /// Probes an upstream whose exchange failed. If it does not respond, it is marked down and
-    /// reported as crashed to the suspect table; otherwise the exchange counts as finished.
+    /// reported as crashed to the suspect table; otherwise the exchange counts as finished. The
+    /// exchange of a sample has no fingerprint.
     pub(crate) async fn check_crash(
         self: &Rc<Self>,
         upstream: UpstreamKey,
-        fingerprint: Fingerprint,
+        fingerprint: Option<Fingerprint>,
     ) {
         if self.responds(upstream).await {
-            self.handle_suspect_event(SuspectEvent::Finished { upstream, fingerprint });
+            if let Some(fingerprint) = fingerprint {
+                self.handle_suspect_event(SuspectEvent::Finished { upstream, fingerprint });
+            }
             return;
         }
         let name = self.upstream_name(upstream);
-        log_event!(warn, SuspectMarked, upstream = name, fingerprint = ?fingerprint);
+        let fingerprint = fingerprint.map(|fingerprint| fingerprint.to_string());
+        log_event!(warn, SuspectMarked, upstream = name, fingerprint);
         self.shared.scheduler().set_state(upstream, UpstreamState::Down);
         self.handle_suspect_event(SuspectEvent::Crashed(upstream));
     }
--- a/crates/process-tests/tests/samples.rs
+++ b/crates/process-tests/tests/samples.rs
@@ -322,10 +322,10 @@
     assert_eq!(response["samples"][0]["step"], 2);
 }
 
-/// Waits until the first engine has generated a token, and returns its address.
-async fn wait_for_tokens(fleet: &TestFleet) -> SocketAddr {
-    let engine = fleet.engines[0].address(0);
-    wait_for("a token of the first engine", || async {
+/// Waits until an engine has generated a token, and returns its address.
+async fn wait_for_tokens(fleet: &TestFleet, engine: usize) -> SocketAddr {
+    let engine = fleet.engines[engine].address(0);
+    wait_for("a token of the engine", || async {
         let state = get_json(engine, "/inspect").await?;
         (state["tokens"].as_u64()? > 0).then_some(())
     })
@@ -337,13 +337,11 @@
 #[actix_rt::test]
 async fn samples_continue_on_another_engine_after_a_crash() {
     let slow_engine = vec![String::from("--speed"), String::from("20")];
-    // Samples in flight at the crash become suspect and run isolated, each alone on an engine. The
-    // service needs two engines for this after the crash.
     let options = FleetOptions { engines: vec![slow_engine; 3], ..Default::default() };
     let mut fleet = TestFleet::start(options).await;
     fleet.apply_first_document(&["cordial"]).await;
     open_first_step(&fleet, 0, "layouts", 1).await;
-    wait_for_tokens(&fleet).await;
+    wait_for_tokens(&fleet, 0).await;
     fleet.engines[0].kill();
     let mut received = ReceivedEntries::default();
     fetch_all(&fleet, &[1, 2], "layouts", 1, &mut received).await;
@@ -351,6 +349,23 @@
     assert_eq!(received.last_number(), SAMPLES as u64, "a sample became void");
 }
 
+/// Guards against samples that are never placed again because engines crashed while they ran.
+#[actix_rt::test]
+async fn samples_are_placed_again_after_several_engines_crash() {
+    let slow_engine = vec![String::from("--speed"), String::from("20")];
+    let options = FleetOptions { engines: vec![slow_engine; 3], ..Default::default() };
+    let mut fleet = TestFleet::start(options).await;
+    fleet.apply_first_document(&["cordial"]).await;
+    open_first_step(&fleet, 0, "layouts", 1).await;
+    for engine in 0..2 {
+        wait_for_tokens(&fleet, engine).await;
+        fleet.engines[engine].kill();
+    }
+    let mut received = ReceivedEntries::default();
+    fetch_all(&fleet, &[1, 2], "layouts", 1, &mut received).await;
+    received.check_complete();
+}
+
 /// Guards against a step that waits for an engine which has become slow instead of running its
 /// samples a second time elsewhere, and against the slower of two attempts that is not cancelled.
 #[actix_rt::test]
@@ -364,7 +379,7 @@
     let fleet = TestFleet::start(options).await;
     fleet.apply_first_document(&["cordial"]).await;
     open_first_step(&fleet, 0, "layouts", 1).await;
-    let engine = wait_for_tokens(&fleet).await;
+    let engine = wait_for_tokens(&fleet, 0).await;
     let status = post_json(engine, "/faults", &json!({ "tokens_per_second": 1 })).await;
     assert_eq!(status, 200);
     let mut received = ReceivedEntries::default();
