Bound the memory of all response bodies that a node reads

What callers would see: several upstreams that send bodies without end make a node exceed its memory limit, and all its requests are cut.

Cause: the bound of 32 MiB held for each body by itself.

--- a/crates/hibiscushinged/src/gateway.rs
+++ b/crates/hibiscushinged/src/gateway.rs
@@ -28,6 +28,7 @@
 mod ready;
 mod relay;
 mod response;
+mod response_buffer;
 mod reward;
 mod reward_limiter;
 mod runner;
--- a/crates/hibiscushinged/src/gateway/attempt.rs
+++ b/crates/hibiscushinged/src/gateway/attempt.rs
@@ -7,7 +7,7 @@
     header::{HeaderMap, HeaderName, HeaderValue},
 };
 use base::{Span, UpstreamKey};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use dispatch::ExchangeOutcome;
 use platform::ResponseMetadata;
 
@@ -15,6 +15,7 @@
     clock::to_duration,
     gateway::{
         channel::{ChannelError, Exchange, UpstreamChannel},
+        response_buffer::BodyTooLong,
         traffic_state::TrafficState,
     },
     telemetry::log_event,
@@ -23,9 +24,6 @@
 /// Timeout for connecting to an upstream. A network hop takes one or two milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Largest body of a response that is not streamed.
-const MAX_RESPONSE_BYTES: usize = 32 << 20;
-
 /// A request for one upstream.
 pub(crate) struct AttemptCall<'a> {
     pub(crate) upstream: UpstreamKey,
@@ -187,7 +185,7 @@
             return Err(error);
         }
     };
-    match read_body(&mut exchange).await {
+    match read_body(traffic, &mut exchange).await {
         Ok(body) => {
             let took = traffic.node.now().since(started);
             let status = exchange.head().status;
@@ -209,18 +207,16 @@
     }
 }
 
-async fn read_body(exchange: &mut Exchange) -> Result<Bytes, ChannelError> {
-    let Some(first) = exchange.chunk().await? else { return Ok(Bytes::new()) };
-    let mut body = BytesMut::from(first);
+async fn read_body(traffic: &TrafficState, exchange: &mut Exchange) -> Result<Bytes, ChannelError> {
+    let mut body = traffic.body_budget.buffer();
     while let Some(chunk) = exchange.chunk().await? {
-        if body.len() + chunk.len() > MAX_RESPONSE_BYTES {
-            return Err(ChannelError::Malformed(format!(
-                "the body of the response exceeds {MAX_RESPONSE_BYTES} bytes",
-            )));
-        }
-        body.extend_from_slice(&chunk);
+        body.push(&chunk).map_err(|BodyTooLong { bytes }| {
+            ChannelError::Malformed(format!(
+                "the body has {bytes} bytes and more, for which no memory is free",
+            ))
+        })?;
     }
-    Ok(body.freeze())
+    Ok(body.finish())
 }
 
 const fn not_run_error(reason: String) -> (AttemptError, ExchangeOutcome) {
--- a/crates/hibiscushinged/src/gateway/traffic_state.rs
+++ b/crates/hibiscushinged/src/gateway/traffic_state.rs
@@ -7,7 +7,8 @@
 
 use crate::gateway::{
     channel::Exchange, items::ItemScheduler, node::NodeState, partitions::PartitionSet,
-    pool::ChannelPool, store::StoreSession, suspects::SuspectRegistry,
+    pool::ChannelPool, response_buffer::BufferBudget, store::StoreSession,
+    suspects::SuspectRegistry,
 };
 
 /// State of the traffic thread.
@@ -18,6 +19,7 @@
     pub(crate) store: Rc<StoreSession>,
     pub(crate) partitions: PartitionSet,
     pub(crate) items: ItemScheduler,
+    pub(crate) body_budget: BufferBudget,
     pub(crate) suspects: SuspectRegistry,
 }
 
@@ -27,6 +29,7 @@
             store: Rc::new(StoreSession::new(Arc::clone(&node))),
             partitions: PartitionSet::new(&node.settings.store),
             items: ItemScheduler::default(),
+            body_budget: BufferBudget::default(),
             suspects: SuspectRegistry::new(node.incarnation),
             balancer: RefCell::default(),
             pool: ChannelPool::new(),
