Keep an interrupted item queued while its route is missing

What trainers would see: an item whose run broke off while the configuration in force had no route for it was never placed again, also after a later version had the route again; its job stayed on the node, so nothing queued it anew.

Change: the item waits in the queue; placing it already waits for a route.

Evidence: interrupted_item_stays_queued_without_a_route, left: 0 right: 1 before.

--- a/crates/hibiscushinged/src/gateway/items.rs
+++ b/crates/hibiscushinged/src/gateway/items.rs
@@ -143,17 +143,18 @@
         state.retained.retain(|_, retained| now.since(retained.retained_at) < TEXT_RETENTION);
     }
 
-    /// Puts an interrupted item back into the queue, unless its job was dropped, its route no
-    /// longer exists, or this node is stopping.
+    /// Puts an interrupted item back into the queue, unless its job was dropped or this node is
+    /// stopping. It waits there if the configuration has no route for it at present.
     pub(crate) fn requeue(&self, node: &NodeState, job: &Rc<ItemJob>) {
         job.run.take();
         let mut state = self.state.borrow_mut();
         if !state.jobs.contains_job(job) || self.stopped.get() {
             return;
         }
-        let Some(config) = node.config.load_full() else { return };
-        let Some(route) = config.route(&job.metadata.host, &job.metadata.path) else { return };
-        let due = due_at(node.now(), &job.metadata, route);
+        let config = node.config.load();
+        let route =
+            config.as_ref().and_then(|config| config.route(&job.metadata.host, &job.metadata.path));
+        let due = route.map_or(node.now(), |route| due_at(node.now(), &job.metadata, route));
         // An item that has begun comes before others of its submission.
         state.queue.push(due, 0, u32::MAX, Rc::clone(job));
         drop(state);
--- a/crates/hibiscushinged/src/gateway/items/tests.rs
+++ b/crates/hibiscushinged/src/gateway/items/tests.rs
@@ -8,7 +8,7 @@
 use submissions::{GenerationEvent, SubmissionItem, SubmissionMetadata};
 
 use super::ItemSchedulerState;
-use crate::gateway::job::ItemJob;
+use crate::gateway::{job::ItemJob, test_support::traffic};
 
 fn metadata(submission: &str, customer: &str, model: &str) -> SubmissionMetadata {
     SubmissionMetadata {
@@ -62,3 +62,17 @@
     let text = state.take_retained_text(&metadata("later", customer, model), &item(body));
     assert_eq!(text.map(|text| text.last_event_id()), taken.then_some(1));
 }
+
+/// Pattern: a run breaks off while the configuration has no route for its item, and a later version
+/// has the route again.
+///
+/// Guards against an item that is never placed again because it left the queue.
+#[actix_rt::test]
+async fn interrupted_item_stays_queued_without_a_route() {
+    let traffic = traffic("127.0.0.1:1".parse().unwrap());
+    let (metadata, prompt) = (Arc::new(metadata("s", "brewer", "m")), Arc::new(item("prompt")));
+    let job = Rc::new(ItemJob::new(0, &metadata, &prompt, false, None));
+    traffic.items.state.borrow_mut().jobs.insert(&job);
+    traffic.items.requeue(&traffic.node, &job);
+    assert_eq!(traffic.items.waiting(), 1);
+}
