End the backoff of an engine when it completes a generation

What trainers saw: after some failures in the life of an engine, each further one kept it without items for 4 s, although it completed generations in between; after a burst of failures on all engines items waited that long while slots were free.

Cause: complete streams were recorded as cancelled, because their time says nothing about plain requests, so only plain responses ended the backoff and lowered the failure rate. Engines that run generations only never get any.

Change: a complete stream is an outcome of its own, which counts as a success without a response time.

--- a/crates/hibiscushinged/src/gateway/relay.rs
+++ b/crates/hibiscushinged/src/gateway/relay.rs
@@ -133,14 +133,20 @@
         Ok(Some(chunk)) => Some((Ok(chunk), state)),
         Ok(None) => {
             let exchange = state.exchange.take()?;
+            let failed = exchange.head().status.as_u16() >= 500;
             if let Some(run) = &state.run
-                && exchange.head().status.as_u16() < 500
+                && !failed
             {
                 run.record_response(&state.traffic);
             }
             state.traffic.keep_channel(state.upstream, exchange);
             if let Some(attempt) = state.attempt.take() {
-                attempt.finish(ExchangeOutcome::Cancelled);
+                let outcome = if failed {
+                    ExchangeOutcome::ServerError
+                } else {
+                    ExchangeOutcome::StreamCompleted
+                };
+                attempt.finish(outcome);
             }
             None
         }
