Let a response offset one crash instead of all

What callers would see: a request that crashes most upstreams and is answered by a few, for example those that run a newer version, was never blocked: each answer deleted all of its crash records.

Cause: a response was taken as proof that the request crashes nothing.

Change: a response offsets the oldest crash only. A request that is answered often and was beside a few crashes still loses its records.

--- a/crates/hibiscushinged/src/gateway/crash_check.rs
+++ b/crates/hibiscushinged/src/gateway/crash_check.rs
@@ -74,9 +74,9 @@
         });
     }
 
-    /// Records a complete response to the request, which therefore did not cause any crash.
+    /// Records a complete response to the request.
     pub(crate) fn record_response(&self, traffic: &TrafficState) {
-        if traffic.suspects.acquit(traffic.node.now(), wall_now(), self.fingerprint) {
+        if traffic.suspects.record_response(traffic.node.now(), wall_now(), self.fingerprint) {
             let (request, fingerprint) = (&self.request, self.fingerprint);
             log_event!(SuspectCleared, request, %fingerprint);
         }
--- a/crates/hibiscushinged/src/gateway/suspects.rs
+++ b/crates/hibiscushinged/src/gateway/suspects.rs
@@ -1,8 +1,9 @@
 //! Requests of callers that were in flight on upstreams when these ended, as all nodes know them.
 //!
 //! Each crash is a record in the store, by the request's fingerprint and the process that ended.
-//! [`SuspectTable`] decides by the records which fingerprints are convicted. A complete response to
-//! a request deletes the records of its fingerprint.
+//! [`SuspectTable`] decides by the records which fingerprints are convicted. Each complete response
+//! to a request deletes one record of its fingerprint, so that a request which is often answered
+//! and was in flight at a few crashes is not convicted.
 
 #[cfg(test)]
 mod tests;
@@ -136,24 +137,24 @@
         state.unanswered.extract_if(.., |request| request.process == process).collect()
     }
 
-    /// Records that a request with this fingerprint got a complete response. Returns whether it was
-    /// a suspect.
-    pub(crate) fn acquit(&self, now: Moment, wall: WallTime, fingerprint: Fingerprint) -> bool {
+    /// Records that a request with this fingerprint got a complete response, which offsets its
+    /// oldest crash. Returns whether there was one.
+    pub(crate) fn record_response(
+        &self,
+        now: Moment,
+        wall: WallTime,
+        fingerprint: Fingerprint,
+    ) -> bool {
         let mut state = self.state.borrow_mut();
         state.unanswered.retain(|request| request.fingerprint != fingerprint);
-        let keys: SmallVec<[CrashKey; 4]> = state.keys_of(fingerprint).collect();
-        for key in &keys {
-            state.records.remove(key);
-            // A record that was not written yet needs no deletion.
-            if state.unsent.remove(key).is_none() {
-                state.unsent.insert(*key, None);
-                self.unsent_added.notify_one();
-            }
-        }
-        if keys.is_empty() {
-            return false;
+        let oldest = state.keys_of(fingerprint).min_by_key(|key| state.records[key]);
+        let Some(key) = oldest else { return false };
+        state.remove(now, wall, key);
+        // A record that was not written yet needs no deletion.
+        if state.unsent.remove(&key).is_none() {
+            state.unsent.insert(key, None);
+            self.unsent_added.notify_one();
         }
-        state.handle(now, wall, SuspectEvent::Acquitted(fingerprint));
         true
     }
 
@@ -170,7 +171,7 @@
             state.remove(now, wall, key);
             return RegistryChange::Unchanged;
         };
-        // This node has acquitted the fingerprint, and its deletion follows the record.
+        // A response has offset the crash, and the deletion follows the record.
         let deleted = state.unsent.get(&key).is_some_and(Option::is_none);
         if deleted || state.records.contains_key(&key) || state.records.len() >= MAX_RECORDS {
             return RegistryChange::Unchanged;
--- a/crates/hibiscushinged/src/gateway/suspects/tests.rs
+++ b/crates/hibiscushinged/src/gateway/suspects/tests.rs
@@ -87,19 +87,41 @@
 #[rstest]
 #[case::before_the_others_know(false)]
 #[case::after_the_others_know(true)]
-fn answered_request_is_no_suspect_on_any_node(#[case] known: bool) {
+fn responses_offset_crashes_on_all_nodes(#[case] known: bool) {
     let mut site = Site::new(2);
     site.crash(0, request(1), 1);
     site.crash(0, request(1), 2);
     if known {
         site.exchange(WALL);
     }
-    assert!(site.nodes[0].acquit(NOW, WALL, request(1)));
+    assert!(site.nodes[0].record_response(NOW, WALL, request(1)));
     site.exchange(WALL);
     site.crash(1, request(1), 3);
     site.exchange(WALL);
     assert_eq!(site.convicted(request(1)), [false, false]);
-    assert_eq!(site.stored.len(), 1, "records of an answered request stay in the store");
+    for node in [0, 1] {
+        assert!(site.nodes[node].record_response(NOW, WALL, request(1)));
+        site.exchange(WALL);
+    }
+    assert_eq!(site.stored, BTreeMap::new());
+    for node in &site.nodes {
+        assert_eq!(node.status(WALL, request(1)), FingerprintStatus::Clear);
+    }
+}
+
+/// Guards against a request that crashes most upstreams and is never blocked, because a few answer
+/// it.
+#[test]
+fn request_with_more_crashes_than_responses_is_blocked() {
+    let mut site = Site::new(2);
+    for process in 1..=9 {
+        site.crash(0, request(1), process);
+        if process % 2 == 0 && site.convicted(request(1)) == [false, false] {
+            site.nodes[1].record_response(NOW, WALL, request(1));
+        }
+        site.exchange(WALL);
+    }
+    assert_eq!(site.convicted(request(1)), [true, true]);
 }
 
 /// Guards against an upstream that falls silent for each repeat: its end shows only in the store's
