Repeat a crashing request in the soak

One caller repeats a request that crashes the plain services, which return after 0.8 s as another process, while all other faults go on. At the end every gateway must refuse it, without further crashes; no other request may be blocked. Six more plain services have no relay, since a relay accepts connections while its service is down.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -16,6 +16,9 @@
 /// Statuses that guarantee that a request has not run and never will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
+/// Code of the refusal of a request that is blocked because upstreams crashed while they ran it.
+const CONVICTED: &[u8] = b"convicted";
+
 /// Delay after the last request, in which a request that was already refused would reach an
 /// upstream if it were still in transit.
 const LATE_ARRIVAL_DELAY: Duration = Duration::from_millis(1_500);
@@ -58,6 +61,11 @@
                 ));
             }
             status if NOT_RUN_STATUSES.contains(&status) => {
+                // Every request has a body of its own and is sent once, so it cannot be in flight
+                // at enough crashes.
+                if response.body.windows(CONVICTED.len()).any(|window| window == CONVICTED) {
+                    testbed.report_violation(format!("request {id} is blocked for crashes"));
+                }
                 testbed.count("refused");
                 refused.push(id.clone());
             }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,6 +6,7 @@
 //! in real time, so two runs of one seed have the same faults, but not the same interleavings.
 
 mod callers;
+mod crashing;
 mod faults;
 mod testbed;
 mod trainer;
--- a/crates/soak/src/testbed.rs
+++ b/crates/soak/src/testbed.rs
@@ -7,7 +7,7 @@
 use rand_chacha::ChaCha8Rng;
 use site_stand_in::{EngineOptions, ServiceOptions, SiteEngine, SiteService, SiteStore};
 
-use crate::{SoakOptions, callers, faults, trainer};
+use crate::{SoakOptions, callers, crashing, faults, trainer};
 
 /// Time after the last fault within which the trainer must complete all submissions.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(45);
@@ -15,6 +15,12 @@
 /// Time between two writes of the upstream entries to the store.
 const ENTRY_WRITE_PERIOD: Duration = Duration::from_millis(500);
 
+/// Number of plain services that the gateways reach without a relay.
+const DIRECT_SERVICES: usize = 6;
+
+/// Time for which a crashed upstream refuses connections.
+const DOWN_TIME: Duration = Duration::from_millis(800);
+
 /// Violations that a run found, and statistics of the run.
 #[derive(Debug, Clone, Default)]
 pub struct SoakReport {
@@ -50,6 +56,8 @@
     pub(crate) nodes: RefCell<Vec<SoakNode>>,
     pub(crate) engines: Vec<SoakUpstream<SiteEngine>>,
     pub(crate) services: Vec<SoakUpstream<SiteService>>,
+    /// Plain services without a relay. A relay accepts connections while its service is down.
+    pub(crate) direct: Vec<SiteService>,
     pub(crate) report: RefCell<SoakReport>,
     /// Newest weight version that the trainer has published.
     pub(crate) weight_version: RefCell<u64>,
@@ -78,6 +86,8 @@
             let service = ServiceOptions {
                 id: format!("portal-{index}"),
                 lose_response_every: 23,
+                crash_marker: Some(String::from(crashing::CRASH_MARKER)),
+                down_time: DOWN_TIME,
                 ..site_options.service.clone()
             };
             let upstream = SiteService::start(service)
@@ -86,6 +96,16 @@
             relay.set_target(upstream.address());
             services.push(SoakUpstream { upstream, relay });
         }
+        let direct = (0..DIRECT_SERVICES).map(|index| {
+            let service = ServiceOptions {
+                id: format!("direct-{index}"),
+                crash_marker: Some(String::from(crashing::CRASH_MARKER)),
+                down_time: DOWN_TIME,
+                ..site_options.service.clone()
+            };
+            SiteService::start(service).expect("a plain service stand-in can listen on loopback")
+        });
+        let direct = direct.collect();
         store.put_operator_key("config", &SiteFleet::config(1, &["key-1"]));
         let mut nodes = Vec::new();
         for index in 0..options.gateways {
@@ -100,6 +120,7 @@
             nodes: RefCell::new(nodes),
             engines,
             services,
+            direct,
             report: RefCell::new(SoakReport { seed: options.seed, ..Default::default() }),
             weight_version: RefCell::new(1),
             stopping: RefCell::new(false),
@@ -129,6 +150,9 @@
             entry["address"] = service.relay.address().to_string().into();
             self.store.put_upstream(service.upstream.id(), &entry);
         }
+        for service in &self.direct {
+            self.store.put_upstream(service.id(), &service.entry());
+        }
     }
 
     /// Writes the entries periodically, since they name the weight versions that the engines have
@@ -141,7 +165,21 @@
     }
 
     pub(crate) fn count(&self, what: &'static str) {
-        *self.report.borrow_mut().counts.entry(what).or_default() += 1;
+        self.add(what, 1);
+    }
+
+    pub(crate) fn add(&self, what: &'static str, count: u64) {
+        *self.report.borrow_mut().counts.entry(what).or_default() += count;
+    }
+
+    /// Returns how often an upstream has crashed under a request.
+    pub(crate) fn crashes(&self) -> u64 {
+        self.all_services().map(SiteService::crashes).sum()
+    }
+
+    /// Returns all plain services.
+    fn all_services(&self) -> impl Iterator<Item = &SiteService> {
+        self.services.iter().map(|service| &service.upstream).chain(&self.direct)
     }
 
     pub(crate) fn report_violation(&self, what: String) {
@@ -161,6 +199,7 @@
         for index in 0..self.options.callers {
             callers.push(actix_rt::spawn(callers::run(Rc::clone(&self), index)));
         }
+        callers.push(actix_rt::spawn(crashing::run(Rc::clone(&self))));
         let trainer = actix_rt::spawn(trainer::run(Rc::clone(&self)));
         faults::inject(&self, &mut random).await;
         faults::end_faults(&self).await;
@@ -191,8 +230,7 @@
                 self.report_violation(format!("{}: {violation}", engine.upstream.id()));
             }
         }
-        let repeated =
-            self.services.iter().flat_map(|service| service.upstream.repeated_requests());
+        let repeated = self.all_services().flat_map(SiteService::repeated_requests);
         for request in repeated.filter(|request| request.starts_with("once-")) {
             self.report_violation(format!(
                 "non-idempotent request {request} ran more than once on one upstream"
@@ -208,7 +246,7 @@
 
     /// Returns the number of plain services on which a request has run.
     pub(crate) fn runs_of(&self, request: &str) -> usize {
-        self.services.iter().filter(|service| service.upstream.has_run(request)).count()
+        self.all_services().filter(|service| service.has_run(request)).count()
     }
 }
 
