Count the end of a process only against requests of the last 5 s

An entry is removed three heartbeats after the end, so 5 s cover the requests that it concerns.

request_unanswered_long_ago_is_no_suspect failed with 10 s (by reading of the bound; no run).

--- a/crates/hibiscushinged/src/gateway/suspects.rs
+++ b/crates/hibiscushinged/src/gateway/suspects.rs
@@ -31,8 +31,9 @@
 const MAX_RECORDS: usize = 8_192;
 
 /// Time after a request got no response within which the end of the process counts as a crash under
-/// the request. The store removes the entry of a process that has ended after some seconds.
-const UNANSWERED_RETENTION: Span = Span::from_secs(10);
+/// the request. The store removes the entry of a process that has ended after three heartbeats,
+/// which are about 1.2 s apart.
+const UNANSWERED_RETENTION: Span = Span::from_secs(5);
 
 /// Maximum number of requests without a response that are remembered.
 const MAX_UNANSWERED: usize = 1_024;
--- a/crates/hibiscushinged/src/gateway/suspects/tests.rs
+++ b/crates/hibiscushinged/src/gateway/suspects/tests.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use base::{Incarnation, Moment, WallTime};
+use base::{Incarnation, Moment, Span, WallTime};
 use delivery::{Fingerprint, FingerprintStatus};
 use protocol::CrashKey;
 use rstest::rstest;
@@ -144,6 +144,17 @@
     assert_eq!(site.convicted(request(1)), [true]);
 }
 
+/// Guards against counting the end of a process against a request that it left unanswered long
+/// before.
+#[test]
+fn request_unanswered_long_ago_is_no_suspect() {
+    let node = SuspectRegistry::new(Incarnation(1));
+    let id = String::from("r");
+    let request = UnansweredRequest { id, fingerprint: request(1), process: 1, since: NOW };
+    node.record_unanswered(request);
+    assert!(node.take_unanswered(NOW + Span::from_secs(7), 1).is_empty());
+}
+
 /// Guards against a block that outlives its records, or ends at different times on the nodes.
 #[test]
 fn conviction_ends_with_its_records() {
