Count crashes of one fingerprint one after the other

What callers would see: a popular request, the same path of one customer in flight on three upstreams that lose power together, would be blocked on all nodes for ten minutes although it crashes nothing.

Cause: three crashes were three pieces of evidence, also when they had one cause.

Change: a crash record carries when the request was sent and when its exchange ended, and counts only if it was sent after the end of the one counted before. A request that crashes its upstreams is repeated after each crash, so it is convicted as before.

--- a/crates/hibiscushinged/src/gateway/crash_check.rs
+++ b/crates/hibiscushinged/src/gateway/crash_check.rs
@@ -6,8 +6,9 @@
 
 use std::{io, rc::Rc, time::Duration};
 
-use base::{Refusal, RefusalCode, UpstreamKey, derive_copy};
+use base::{Refusal, RefusalCode, UpstreamKey, WallTime, derive_copy};
 use delivery::{Conviction, Fingerprint, FingerprintStatus};
+use protocol::CrashKey;
 
 use crate::{
     clock::wall_now,
@@ -27,8 +28,10 @@
 derive_copy! {
     /// Process of an upstream to which a request is sent.
     pub(crate) struct RunTarget {
-        upstream: UpstreamKey,
+        pub(crate) upstream: UpstreamKey,
         process: u64,
+        /// When the request was sent.
+        started_at: WallTime,
     }
 }
 
@@ -40,10 +43,11 @@
 }
 
 impl RunTarget {
-    /// Names the process that runs under the key of an upstream now.
+    /// Names the process that runs under the key of an upstream now, for a request that is sent to
+    /// it now.
     pub(crate) fn new(traffic: &TrafficState, upstream: UpstreamKey) -> Self {
         let process = process_digest(traffic.balancer.borrow().entry(upstream));
-        Self { upstream, process }
+        Self { upstream, process, started_at: wall_now() }
     }
 }
 
@@ -59,7 +63,7 @@
     pub(crate) async fn check_crash(&self, traffic: &Rc<TrafficState>) -> bool {
         let ended = refuses_connections(traffic, self.target.upstream).await;
         if ended {
-            record_crash(traffic, &self.request, self.fingerprint, self.target);
+            self.record_crash(traffic);
         } else {
             self.record_unanswered(traffic);
         }
@@ -74,9 +78,17 @@
             fingerprint: self.fingerprint,
             process: self.target.process,
             since: traffic.node.now(),
+            started_at: self.target.started_at,
+            ended_at: wall_now(),
         });
     }
 
+    fn record_crash(&self, traffic: &TrafficState) {
+        let key = CrashKey { fingerprint: self.fingerprint, process: self.target.process };
+        let times = (self.target.started_at, wall_now());
+        record_crash(traffic, &self.request, self.target.upstream, key, times);
+    }
+
     /// Records a complete response to the request.
     pub(crate) fn record_response(&self, traffic: &TrafficState) {
         if traffic.suspects.record_response(traffic.node.now(), wall_now(), self.fingerprint) {
@@ -125,23 +137,26 @@
 /// store has shown that it ended.
 pub(crate) fn process_ended(traffic: &TrafficState, target: RunTarget) {
     for request in traffic.suspects.take_unanswered(traffic.node.now(), target.process) {
-        record_crash(traffic, &request.id, request.fingerprint, target);
+        let key = CrashKey { fingerprint: request.fingerprint, process: request.process };
+        let times = (request.started_at, request.ended_at);
+        record_crash(traffic, &request.id, target.upstream, key, times);
     }
 }
 
+/// Records a crash under a request that ran between the two times.
 fn record_crash(
     traffic: &TrafficState,
     request: &str,
-    fingerprint: Fingerprint,
-    target: RunTarget,
+    upstream: UpstreamKey,
+    key: CrashKey,
+    (started_at, ended_at): (WallTime, WallTime),
 ) {
     traffic.node.metrics.upstream_crashes.inc();
-    let upstream = traffic.balancer.borrow().entry(target.upstream).id.clone();
-    log_event!(warn, SuspectMarked, request, upstream, %fingerprint);
+    let upstream = traffic.balancer.borrow().entry(upstream).id.clone();
+    log_event!(warn, SuspectMarked, request, upstream, fingerprint = %key.fingerprint);
     let now = traffic.node.now();
-    if let Some(conviction) =
-        traffic.suspects.record_crash(now, wall_now(), fingerprint, target.process)
-    {
+    let convicted = traffic.suspects.record_crash(now, wall_now(), key, started_at, ended_at);
+    if let Some(conviction) = convicted {
         log_conviction(conviction);
     }
 }
--- a/crates/hibiscushinged/src/gateway/crash_records.rs
+++ b/crates/hibiscushinged/src/gateway/crash_records.rs
@@ -50,9 +50,9 @@
     fn apply(&self, change: KeyChange) {
         let KeyChange { offset, key, value } = change;
         match decode_crash_record(&key, value.as_deref()) {
-            Ok((key, expires_at)) => {
+            Ok((key, record)) => {
                 let now = self.traffic.node.now();
-                let conviction = self.traffic.suspects.apply(now, wall_now(), key, expires_at);
+                let conviction = self.traffic.suspects.apply(now, wall_now(), key, record);
                 if let Some(conviction) = conviction {
                     log_conviction(conviction);
                 }
@@ -80,8 +80,7 @@
         if changes.is_empty() {
             continue;
         }
-        let encoded =
-            changes.iter().map(|(key, expires_at)| encode_crash_record(*key, *expires_at));
+        let encoded = changes.iter().map(|(key, record)| encode_crash_record(*key, *record));
         let records: Vec<Bytes> =
             encoded.map(|(key, value)| encode_keyed_record(&key, value.as_deref())).collect();
         let stored = traffic.store.append(CRASH_TOPIC, 0, None, &records).await;
--- a/crates/hibiscushinged/src/gateway/plain.rs
+++ b/crates/hibiscushinged/src/gateway/plain.rs
@@ -110,7 +110,7 @@
 struct AttemptState {
     tried: SmallVec<[UpstreamKey; 4]>,
     /// Attempts without a result yet.
-    running: SmallVec<[UpstreamKey; 4]>,
+    running: SmallVec<[RunTarget; 4]>,
     /// Upstreams that ended while they ran the request.
     crashes: usize,
     may_have_run: bool,
@@ -154,9 +154,10 @@
         if may_send && (running.is_empty() || should_hedge) {
             if let Some(upstream) = pick(traffic, job, &state.tried) {
                 state.tried.push(upstream);
-                state.running.push(upstream);
+                let target = RunTarget::new(traffic, upstream);
+                state.running.push(target);
                 log_attempt(traffic, job.id, upstream, state.tried.len(), time_left);
-                running.push(run_attempt(traffic, job, upstream, time_left));
+                running.push(run_attempt(traffic, job, target, time_left));
             }
             hedge_at = now + hedge_delay;
         }
@@ -176,9 +177,8 @@
             () = wait_until(traffic, next) => {
                 if traffic.node.now() >= job.deadline {
                     state.may_have_run = true;
-                    for upstream in &state.running {
-                        let target = RunTarget::new(traffic, *upstream);
-                        if let Some(run) = CallerRun::new(job, target) {
+                    for target in &state.running {
+                        if let Some(run) = CallerRun::new(job, *target) {
                             run.record_unanswered(traffic);
                         }
                     }
@@ -212,11 +212,11 @@
 async fn run_attempt(
     traffic: &Rc<TrafficState>,
     job: &PlainJob<'_>,
-    upstream: UpstreamKey,
+    target: RunTarget,
     time_left: Span,
 ) -> AttemptResult {
+    let upstream = target.upstream;
     let call = job.call(traffic, upstream, time_left);
-    let target = RunTarget::new(traffic, upstream);
     let result = run_exchange(traffic, call).await;
     let crashed = match &result {
         Err(AttemptError::MaybeRun(_)) => match CallerRun::new(job, target) {
@@ -247,7 +247,7 @@
         attempt: AttemptResult,
     ) -> Option<FullResponse> {
         let AttemptResult { upstream, result, crashed } = attempt;
-        self.running.retain(|running| *running != upstream);
+        self.running.retain(|running| running.upstream != upstream);
         self.crashes += usize::from(crashed);
         let balancer = traffic.balancer.borrow();
         let name = &balancer.entry(upstream).id;
--- a/crates/hibiscushinged/src/gateway/suspects.rs
+++ b/crates/hibiscushinged/src/gateway/suspects.rs
@@ -1,7 +1,9 @@
 //! Requests of callers that were in flight on upstreams when these ended, as all nodes know them.
 //!
 //! Each crash is a record in the store, by the request's fingerprint and the process that ended.
-//! [`SuspectTable`] decides by the records which fingerprints are convicted. Each complete response
+//! [`SuspectTable`] decides by the records which fingerprints are convicted. A crash counts only if
+//! the request was sent after the crash before it: upstreams that end together, for example because
+//! they lose power, would otherwise convict any request that runs on several of them. Each complete response
 //! to a request deletes one record of its fingerprint, so that a request which is often answered
 //! and was in flight at a few crashes is not convicted.
 
@@ -19,7 +21,7 @@
     SuspectPolicy, SuspectTable, Suspicion,
 };
 use dispatch::UpstreamEntry;
-use protocol::CrashKey;
+use protocol::{CrashKey, CrashRecord};
 use smallvec::SmallVec;
 use tokio::sync::Notify;
 
@@ -38,8 +40,8 @@
 /// Maximum number of requests without a response that are remembered.
 const MAX_UNANSWERED: usize = 1_024;
 
-/// Crash records to write, each with its expiry. One without an expiry is deleted.
-pub(crate) type CrashChanges = BTreeMap<CrashKey, Option<WallTime>>;
+/// Crash records to write, or `None` for each that is to be deleted.
+pub(crate) type CrashChanges = BTreeMap<CrashKey, Option<CrashRecord>>;
 
 /// Crash records of all nodes, and the requests whose upstreams may have crashed.
 pub(crate) struct SuspectRegistry {
@@ -53,7 +55,7 @@
     policy: SuspectPolicy,
     /// Key of each crashed process in `table`.
     processes: HashMap<u64, UpstreamKey>,
-    records: BTreeMap<CrashKey, WallTime>,
+    records: BTreeMap<CrashKey, CrashRecord>,
     unsent: CrashChanges,
     unanswered: Vec<UnansweredRequest>,
 }
@@ -64,6 +66,8 @@
     pub(crate) fingerprint: Fingerprint,
     pub(crate) process: u64,
     pub(crate) since: Moment,
+    pub(crate) started_at: WallTime,
+    pub(crate) ended_at: WallTime,
 }
 
 impl SuspectRegistry {
@@ -96,25 +100,26 @@
         self.state.borrow().table.fingerprint_status(wall, fingerprint)
     }
 
-    /// Records that a process ended while it ran a request with this fingerprint. Returns the
-    /// conviction if this crash causes one.
+    /// Records that a process ended while it ran a request with the fingerprint of `key`, from
+    /// `started_at` to `ended_at`. Returns the conviction if this crash causes one.
     pub(crate) fn record_crash(
         &self,
         now: Moment,
         wall: WallTime,
-        fingerprint: Fingerprint,
-        process: u64,
+        key: CrashKey,
+        started_at: WallTime,
+        ended_at: WallTime,
     ) -> Option<Conviction> {
         let mut state = self.state.borrow_mut();
-        let expires_at =
-            WallTime(wall.0.saturating_add(state.policy.lifetime.as_millis().cast_signed()));
-        let key = CrashKey { fingerprint, process };
+        let lifetime = state.policy.lifetime.as_millis().cast_signed();
+        let expires_at = WallTime(ended_at.0.saturating_add(lifetime));
         if state.records.contains_key(&key) || state.records.len() >= MAX_RECORDS {
             return None;
         }
-        state.unsent.insert(key, Some(expires_at));
+        let record = CrashRecord { started_at, ended_at, expires_at };
+        state.unsent.insert(key, Some(record));
         self.unsent_added.notify_one();
-        state.merge(now, wall, key, expires_at)
+        state.insert(now, wall, key, record)
     }
 
     /// Remembers a request that got no response from a process.
@@ -143,7 +148,7 @@
     ) -> bool {
         let mut state = self.state.borrow_mut();
         state.unanswered.retain(|request| request.fingerprint != fingerprint);
-        let oldest = state.keys_of(fingerprint).min_by_key(|key| state.records[key]);
+        let oldest = state.keys_of(fingerprint).min_by_key(|key| state.records[key].ended_at);
         let Some(key) = oldest else { return false };
         state.remove(now, wall, key);
         // A record that was not written yet needs no deletion.
@@ -154,17 +159,17 @@
         true
     }
 
-    /// Applies a crash record from the store, or its deletion if there is no expiry. Returns the
+    /// Applies a crash record from the store, or its deletion if there is none. Returns the
     /// conviction if the record causes one.
     pub(crate) fn apply(
         &self,
         now: Moment,
         wall: WallTime,
         key: CrashKey,
-        expires_at: Option<WallTime>,
+        record: Option<CrashRecord>,
     ) -> Option<Conviction> {
         let mut state = self.state.borrow_mut();
-        let Some(expires_at) = expires_at else {
+        let Some(record) = record else {
             state.remove(now, wall, key);
             return None;
         };
@@ -173,7 +178,7 @@
         if deleted || state.records.contains_key(&key) || state.records.len() >= MAX_RECORDS {
             return None;
         }
-        state.merge(now, wall, key, expires_at)
+        state.insert(now, wall, key, record)
     }
 
     /// Removes the records that a read of all keys of the store did not return. They were deleted
@@ -195,8 +200,8 @@
     /// Puts back records whose write failed, unless they have changed since.
     pub(crate) fn restore_unsent(&self, changes: CrashChanges) {
         let mut state = self.state.borrow_mut();
-        for (key, expires_at) in changes {
-            state.unsent.entry(key).or_insert(expires_at);
+        for (key, record) in changes {
+            state.unsent.entry(key).or_insert(record);
         }
         self.unsent_added.notify_one();
     }
@@ -205,7 +210,7 @@
     pub(crate) fn delete_expired(&self, now: Moment, wall: WallTime, expired_before: WallTime) {
         let mut state = self.state.borrow_mut();
         state.handle(now, wall, SuspectEvent::Tick);
-        let expired = state.records.extract_if(.., |_, expires_at| *expires_at < expired_before);
+        let expired = state.records.extract_if(.., |_, record| record.expires_at < expired_before);
         let expired: Vec<CrashKey> = expired.map(|(key, _)| key).collect();
         if expired.is_empty() {
             return;
@@ -226,41 +231,57 @@
         self.records.range(first..=last).map(|(key, _)| *key)
     }
 
-    fn merge(
+    fn insert(
         &mut self,
         now: Moment,
         wall: WallTime,
         key: CrashKey,
-        expires_at: WallTime,
+        record: CrashRecord,
     ) -> Option<Conviction> {
-        self.records.insert(key, expires_at);
-        let next = UpstreamKey(self.processes.len() as u32);
-        let process = *self.processes.entry(key.process).or_insert(next);
-        let suspicion = Suspicion {
-            fingerprint: key.fingerprint,
-            crashed: SmallVec::from_iter([process]),
-            expires_at,
-        };
-        let actions = self.handle(now, wall, SuspectEvent::SuspicionReceived(suspicion));
-        for action in actions {
-            if let SuspectAction::Convict(conviction) = action {
-                return Some(conviction);
-            }
-        }
-        None
+        self.records.insert(key, record);
+        self.recount(now, wall, key.fingerprint)
     }
 
-    /// Removes a record. What remains of its fingerprint decides on it anew.
     fn remove(&mut self, now: Moment, wall: WallTime, key: CrashKey) {
-        if self.records.remove(&key).is_none() {
-            return;
+        if self.records.remove(&key).is_some() {
+            self.recount(now, wall, key.fingerprint);
         }
-        self.handle(now, wall, SuspectEvent::Acquitted(key.fingerprint));
-        let rest: SmallVec<[CrashKey; 4]> = self.keys_of(key.fingerprint).collect();
-        for key in rest {
-            let expires_at = self.records[&key];
-            self.merge(now, wall, key, expires_at);
+    }
+
+    /// Decides on a fingerprint by its records. Returns the conviction if it is a new one.
+    fn recount(
+        &mut self,
+        now: Moment,
+        wall: WallTime,
+        fingerprint: Fingerprint,
+    ) -> Option<Conviction> {
+        let status = self.table.fingerprint_status(wall, fingerprint);
+        let was_convicted = matches!(status, FingerprintStatus::Convicted { .. });
+        let mut records: SmallVec<[(CrashKey, CrashRecord); 4]> =
+            self.keys_of(fingerprint).map(|key| (key, self.records[&key])).collect();
+        records.sort_unstable_by_key(|(_, record)| record.ended_at);
+        self.handle(now, wall, SuspectEvent::Acquitted(fingerprint));
+        let mut last_end = None;
+        let mut convicted = None;
+        for (key, record) in records {
+            if last_end.is_some_and(|last_end| record.started_at < last_end) {
+                continue;
+            }
+            last_end = Some(record.ended_at);
+            let next = UpstreamKey(self.processes.len() as u32);
+            let process = *self.processes.entry(key.process).or_insert(next);
+            let suspicion = Suspicion {
+                fingerprint,
+                crashed: SmallVec::from_iter([process]),
+                expires_at: record.expires_at,
+            };
+            for action in self.handle(now, wall, SuspectEvent::SuspicionReceived(suspicion)) {
+                if let SuspectAction::Convict(conviction) = action {
+                    convicted = Some(conviction);
+                }
+            }
         }
+        convicted.filter(|_| !was_convicted)
     }
 
     fn forget_old_unanswered(&mut self, now: Moment) {
--- a/crates/hibiscushinged/src/gateway/suspects/tests.rs
+++ b/crates/hibiscushinged/src/gateway/suspects/tests.rs
@@ -1,10 +1,13 @@
 //! Registries of several nodes that exchange their records through one store.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    cell::Cell,
+    collections::{BTreeMap, BTreeSet},
+};
 
 use base::{Incarnation, Moment, Span, WallTime};
 use delivery::{Fingerprint, FingerprintStatus};
-use protocol::CrashKey;
+use protocol::{CrashKey, CrashRecord};
 use rstest::rstest;
 
 use super::{SuspectRegistry, UnansweredRequest};
@@ -12,28 +15,33 @@
 const NOW: Moment = Moment(1_000_000);
 const WALL: WallTime = WallTime(1_000_000);
 
+/// Duration of a run.
+const RUN_MILLIS: i64 = 5;
+
 /// Nodes, and the records that the store holds.
 struct Site {
     nodes: Vec<SuspectRegistry>,
-    stored: BTreeMap<CrashKey, WallTime>,
+    stored: BTreeMap<CrashKey, CrashRecord>,
+    /// Start of the next run. Runs follow each other.
+    next_start: Cell<i64>,
 }
 
 impl Site {
     fn new(nodes: u64) -> Self {
         let nodes = (0..nodes).map(|node| SuspectRegistry::new(Incarnation(node)));
-        Self { nodes: nodes.collect(), stored: BTreeMap::new() }
+        Self { nodes: nodes.collect(), stored: BTreeMap::new(), next_start: Cell::new(WALL.0) }
     }
 
     /// Writes the records of all nodes, in the order of the nodes, and has all nodes read them.
     fn exchange(&mut self, wall: WallTime) {
         for writer in 0..self.nodes.len() {
-            for (key, expires_at) in self.nodes[writer].take_unsent() {
-                match expires_at {
-                    Some(time) => self.stored.insert(key, time),
+            for (key, record) in self.nodes[writer].take_unsent() {
+                match record {
+                    Some(record) => self.stored.insert(key, record),
                     None => self.stored.remove(&key),
                 };
                 for node in &self.nodes {
-                    node.apply(NOW, wall, key, expires_at);
+                    node.apply(NOW, wall, key, record);
                 }
             }
         }
@@ -42,14 +50,23 @@
     /// Starts another node, which reads all records of the store.
     fn start_node(&mut self) {
         let node = SuspectRegistry::new(Incarnation(99));
-        for (key, expires_at) in &self.stored {
-            node.apply(NOW, WALL, *key, Some(*expires_at));
+        for (key, record) in &self.stored {
+            node.apply(NOW, WALL, *key, Some(*record));
         }
         self.nodes.push(node);
     }
 
+    /// Ends a process under a run that begins after all earlier ones.
     fn crash(&self, node: usize, request: Fingerprint, process: u64) {
-        self.nodes[node].record_crash(NOW, WALL, request, process);
+        let start = self.next_start.replace(self.next_start.get() + RUN_MILLIS);
+        self.crash_at(node, request, process, start);
+    }
+
+    /// Ends a process under a run that begins at `start`.
+    fn crash_at(&self, node: usize, request: Fingerprint, process: u64, start: i64) {
+        let key = CrashKey { fingerprint: request, process };
+        let (start, end) = (WallTime(start), WallTime(start + RUN_MILLIS));
+        self.nodes[node].record_crash(NOW, WALL, key, start, end);
     }
 
     fn convicted(&self, request: Fingerprint) -> Vec<bool> {
@@ -82,6 +99,24 @@
     assert_eq!(site.convicted(request(2)), vec![false; 4], "another request is blocked");
 }
 
+/// Pattern: a popular request runs on many upstreams when these lose power together.
+///
+/// Guards against blocking it: the crashes have one cause, and no run was sent after another one's
+/// crash.
+#[rstest]
+#[case::together(&[0, 1, 2, 3], false)]
+#[case::one_after_the_other(&[0, 5, 10], true)]
+#[case::two_bursts(&[0, 1, 2, 50, 51, 52], false)]
+fn crashes_at_the_same_time_count_once(#[case] starts: &[i64], #[case] convicted: bool) {
+    let mut site = Site::new(3);
+    for (process, start) in (1..).zip(starts) {
+        let node = process as usize % 3;
+        site.crash_at(node, request(1), process, WALL.0 + start);
+    }
+    site.exchange(WALL);
+    assert_eq!(site.convicted(request(1)), vec![convicted; 3]);
+}
+
 /// Guards against blocking a request that was in flight beside a crashing one, or at random
 /// crashes, although upstreams answer it.
 #[rstest]
@@ -132,7 +167,14 @@
     let node = &site.nodes[0];
     for process in 1..=3 {
         let id = format!("r{process}");
-        let request = UnansweredRequest { id, fingerprint: request(1), process, since: NOW };
+        let request = UnansweredRequest {
+            id,
+            fingerprint: request(1),
+            process,
+            since: NOW,
+            started_at: WALL,
+            ended_at: WALL,
+        };
         node.record_unanswered(request);
     }
     assert_eq!(node.status(WALL, request(1)), FingerprintStatus::Clear);
@@ -150,7 +192,14 @@
 fn request_unanswered_long_ago_is_no_suspect() {
     let node = SuspectRegistry::new(Incarnation(1));
     let id = String::from("r");
-    let request = UnansweredRequest { id, fingerprint: request(1), process: 1, since: NOW };
+    let request = UnansweredRequest {
+        id,
+        fingerprint: request(1),
+        process: 1,
+        since: NOW,
+        started_at: WALL,
+        ended_at: WALL,
+    };
     node.record_unanswered(request);
     assert!(node.take_unanswered(NOW + Span::from_secs(7), 1).is_empty());
 }
@@ -163,7 +212,7 @@
         site.crash(0, request(1), process);
     }
     site.exchange(WALL);
-    let expiry = *site.stored.values().max().unwrap();
+    let expiry = site.stored.values().map(|record| record.expires_at).max().unwrap();
     for node in &site.nodes {
         let before = WallTime(expiry.0 - 1);
         assert!(matches!(node.status(before, request(1)), FingerprintStatus::Convicted { .. }));
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -19,7 +19,7 @@
         WireUpstream, WireZoneSummary,
     },
     record::{
-        CrashKey, EXPIRING_SUBMISSIONS_PREFIX, OPEN_SUBMISSIONS_PREFIX, SampleEntry,
+        CrashKey, CrashRecord, EXPIRING_SUBMISSIONS_PREFIX, OPEN_SUBMISSIONS_PREFIX, SampleEntry,
         SampleSnapshot, StepPrompts, UsageEntry, UsageKey, WireAuthority, WireBatch, WireClaim,
         WireConfig, WireConviction, WireDemand, WireSample, WireSnapshot, WireUsage,
         decode_crash_record, decode_submission_record, decode_usage_record, encode_crash_record,
--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -14,7 +14,7 @@
     authority::WireAuthority,
     claims::{WireClaim, WireConviction},
     config::{WireConfig, WireSnapshot},
-    crashes::{CrashKey, decode_crash_record, encode_crash_record},
+    crashes::{CrashKey, CrashRecord, decode_crash_record, encode_crash_record},
     demand::WireDemand,
     samples::{SampleEntry, SampleSnapshot, StepPrompts, WireSample},
     submissions::{
--- a/crates/protocol/src/record/crashes.rs
+++ b/crates/protocol/src/record/crashes.rs
@@ -14,26 +14,43 @@
         /// Digest of the upstream's identifier and start time, which name its process.
         pub process: u64,
     }
+
+    /// Content of a crash record.
+    pub struct CrashRecord {
+        /// When the request was sent to the process.
+        pub started_at: WallTime,
+        /// When the exchange broke off or was given up.
+        pub ended_at: WallTime,
+        /// When the record no longer counts.
+        pub expires_at: WallTime,
+    }
 }
 
 wire! {
     struct WireCrash {
-        /// When the record no longer counts, in UTC milliseconds.
+        started_at_ms: i64,
+        ended_at_ms: i64,
         expires_at_ms: i64,
     }
 }
 
-/// Encodes a crash record as key and value. Without an expiry the record is a tombstone.
+/// Encodes a crash record as key and value. Without a record it is a tombstone.
 #[must_use]
 pub fn encode_crash_record(
     key: CrashKey,
-    expires_at: Option<WallTime>,
+    record: Option<CrashRecord>,
 ) -> (String, Option<Vec<u8>>) {
-    let value = expires_at.map(|time| encode_message(&WireCrash { expires_at_ms: time.0 }));
+    let value = record.map(|record| {
+        encode_message(&WireCrash {
+            started_at_ms: record.started_at.0,
+            ended_at_ms: record.ended_at.0,
+            expires_at_ms: record.expires_at.0,
+        })
+    });
     (format!("{}/{:016x}", key.fingerprint, key.process), value)
 }
 
-/// Decodes a crash record. A tombstone has no expiry.
+/// Decodes a crash record. A tombstone has only a key.
 ///
 /// # Errors
 ///
@@ -41,7 +58,7 @@
 pub fn decode_crash_record(
     key: &str,
     value: Option<&[u8]>,
-) -> Result<(CrashKey, Option<WallTime>), MalformedMessage> {
+) -> Result<(CrashKey, Option<CrashRecord>), MalformedMessage> {
     let parsed = key.split_once('/').and_then(|(fingerprint, process)| {
         let process = u64::from_str_radix(process, 16).ok()?;
         Some(CrashKey { fingerprint: Fingerprint::from_hex(fingerprint)?, process })
@@ -51,5 +68,10 @@
     let key = parsed.ok_or_else(malformed)?;
     let Some(value) = value else { return Ok((key, None)) };
     let wire: WireCrash = decode_message(value)?;
-    Ok((key, Some(WallTime(wire.expires_at_ms))))
+    let record = CrashRecord {
+        started_at: WallTime(wire.started_at_ms),
+        ended_at: WallTime(wire.ended_at_ms),
+        expires_at: WallTime(wire.expires_at_ms),
+    };
+    Ok((key, Some(record)))
 }
--- a/crates/protocol/tests/codec.rs
+++ b/crates/protocol/tests/codec.rs
@@ -13,9 +13,9 @@
     test_runner::{Config, RngSeed, TestRunner},
 };
 use protocol::{
-    CrashKey, MAX_MESSAGE_BYTES, SampleEntry, SampleSnapshot, StepPrompts, StreamRecord,
-    WireAuthority, decode_crash_record, decode_message, decode_record, encode_crash_record,
-    encode_message, encode_record,
+    CrashKey, CrashRecord, MAX_MESSAGE_BYTES, SampleEntry, SampleSnapshot, StepPrompts,
+    StreamRecord, WireAuthority, decode_crash_record, decode_message, decode_record,
+    encode_crash_record, encode_message, encode_record,
 };
 use rollout::{
     DeliveryNumber, SampleBound, SampleFilled, SampleRecord, SampleTable, SampleVoided, Score,
@@ -122,9 +122,11 @@
         fingerprint: Fingerprint([0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 255]),
         process: 77,
     };
-    for expires_at in [Some(WallTime(5)), None] {
-        let (text, value) = encode_crash_record(key, expires_at);
-        assert_eq!(decode_crash_record(&text, value.as_deref()), Ok((key, expires_at)));
+    let record =
+        CrashRecord { started_at: WallTime(3), ended_at: WallTime(4), expires_at: WallTime(5) };
+    for record in [Some(record), None] {
+        let (text, value) = encode_crash_record(key, record);
+        assert_eq!(decode_crash_record(&text, value.as_deref()), Ok((key, record)));
     }
     for malformed in
         ["", "0001/1", "zz0102030405060708090a0b0c0d0eff/1", "+00102030405060708090a0b0c0d0eff/1"]
