--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -79,7 +79,7 @@
     2005 StreamCutKeyWithdrawn "A running stream was ended because its API key was withdrawn."
     2101 SuspectMarked "A request was in flight on an upstream that crashed."
     2102 FingerprintConvicted "A request fingerprint is blocked: it crashed several upstreams."
-    2103 SuspectCleared "A request under which an upstream crashed was answered; one of its crash records is deleted."
+    2103 SuspectAnswered "A request under which an upstream crashed was answered; one of its crash records is deleted."
     2006 AttemptStarted "A request was sent to an upstream."
     2007 AttemptFailed "An attempt of a request on an upstream failed."
     // Rollout.
--- a/crates/hibiscushinged/src/gateway/crash_check.rs
+++ b/crates/hibiscushinged/src/gateway/crash_check.rs
@@ -93,7 +93,7 @@
     pub(crate) fn record_response(&self, traffic: &TrafficState) {
         if traffic.suspects.record_response(traffic.node.now(), wall_now(), self.fingerprint) {
             let (request, fingerprint) = (&self.request, self.fingerprint);
-            log_event!(SuspectCleared, request, %fingerprint);
+            log_event!(SuspectAnswered, request, %fingerprint);
         }
     }
 }
@@ -119,7 +119,7 @@
     Err(Refusal::not_run(RefusalCode::Convicted, message).with_retry_after(retry_after))
 }
 
-/// Returns whether an upstream ended while it ran the request or one of its repeats, and none has
+/// Returns whether upstreams ended while they ran the request or its repeats, and too few have
 /// answered it since.
 pub(crate) fn is_suspect(traffic: &TrafficState, job: &PlainJob<'_>) -> bool {
     status(traffic, job) != FingerprintStatus::Clear
