--- a/crates/delivery/src/suspect.rs
+++ b/crates/delivery/src/suspect.rs
@@ -131,8 +131,8 @@
         SuspicionReceived(Suspicion),
         /// A conviction was read from the log or received from another node.
         ConvictionReceived(Conviction),
-        /// An upstream has answered a request with this fingerprint completely, so it did not cause
-        /// the crashes.
+        /// The crashes that are known of this fingerprint no longer count. The caller reports
+        /// those that still do again.
         Acquitted(Fingerprint),
         /// Another node has reserved an upstream.
         IsolationReceived(IsolationNotice),
--- a/crates/delivery/tests/suspect.rs
+++ b/crates/delivery/tests/suspect.rs
@@ -262,8 +262,8 @@
     assert_eq!((cluster.completed, cluster.refused.len()), (2, 0));
 }
 
-/// Guards against a conviction that does not follow the policy, and against one that stays after a
-/// complete answer has shown that the request crashes nothing.
+/// Guards against a conviction that does not follow the policy, and against one that stays after
+/// its crashes no longer count.
 #[rstest]
 #[case::default_policy(2)]
 #[case::without_isolation(3)]
--- a/crates/hibiscushinged/src/gateway/crash_check.rs
+++ b/crates/hibiscushinged/src/gateway/crash_check.rs
@@ -98,7 +98,7 @@
     }
 }
 
-/// Records a complete response to a request.
+/// Records a complete response to a request, if anything is known of crashes.
 pub(crate) fn record_response(traffic: &TrafficState, job: &PlainJob<'_>, target: RunTarget) {
     if traffic.suspects.is_empty() {
         return;
--- a/crates/hibiscushinged/src/gateway/suspects.rs
+++ b/crates/hibiscushinged/src/gateway/suspects.rs
@@ -2,10 +2,10 @@
 //!
 //! Each crash is a record in the store, by the request's fingerprint and the process that ended.
 //! [`SuspectTable`] decides by the records which fingerprints are convicted. A crash counts only if
-//! the request was sent after the crash before it: upstreams that end together, for example because
-//! they lose power, would otherwise convict any request that runs on several of them. Each complete response
-//! to a request deletes one record of its fingerprint, so that a request which is often answered
-//! and was in flight at a few crashes is not convicted.
+//! the request was sent after the previous one that counts. Otherwise upstreams that end together,
+//! for example because they lose power, would convict any request that runs on several of them.
+//! Each complete response to a request deletes one record of its fingerprint, so that a request
+//! which is often answered and was in flight at a few crashes is not convicted.
 
 #[cfg(test)]
 mod tests;
