Log the limits on requests that upstreams name

The logs could not show whether a node had seen the limit of an upstream, and when. Nothing is decided by the limit yet.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -67,6 +67,7 @@
     1502 PeerRecovered "A suspected peer sends heartbeats again."
     1503 PeerMessageRefused "A message from a peer is malformed and was skipped."
     1504 UpstreamChanged "The state of an upstream has changed."
+    1505 UpstreamLimited "A response names another limit of its upstream's requests than the one before, or none."
     // Usage.
     1601 UsageBatchAppended "A usage batch was appended to the log."
     1602 UsageWindowClosed "A usage window is closed and its usage is final."
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -7,6 +7,7 @@
 mod digest;
 mod event;
 mod ids;
+mod rate;
 mod refusal;
 mod time;
 
@@ -18,6 +19,7 @@
         CustomerKey, FencingToken, Incarnation, LogOffset, RecordId, RouteKey, UpstreamKey, VmKey,
         WeightVersion, ZoneKey,
     },
+    rate::RequestRate,
     refusal::{Execution, Refusal, RefusalCode},
     time::{Moment, Span, WallTime},
 };
--- a/crates/dispatch/src/balancer.rs
+++ b/crates/dispatch/src/balancer.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use base::{Arena, Moment, Span, UpstreamKey, WeightVersion, derive_copy};
+use base::{Arena, Moment, RequestRate, Span, UpstreamKey, WeightVersion, derive_copy};
 
 use crate::{EntryState, ExchangeOutcome, UpstreamEntry, UpstreamLoad, stats::UpstreamStats};
 
@@ -136,6 +136,17 @@
         self.upstreams[upstream].record_load_report(now, report);
     }
 
+    /// Records the limit on requests that a response of an upstream names, or that it names none.
+    /// Returns the limit before, if it was another one.
+    pub fn record_limit(
+        &mut self,
+        upstream: UpstreamKey,
+        limit: Option<RequestRate>,
+    ) -> Option<Option<RequestRate>> {
+        let previous = std::mem::replace(&mut self.upstreams[upstream].limit, limit);
+        (previous != limit).then_some(previous)
+    }
+
     /// Records the time between two events of a generation, which measures the speed of the engine.
     pub fn record_event_interval(&mut self, upstream: UpstreamKey, interval: Span) {
         self.upstreams[upstream].record_event_interval(interval);
--- a/crates/hibiscushinged/src/gateway/attempt.rs
+++ b/crates/hibiscushinged/src/gateway/attempt.rs
@@ -6,15 +6,16 @@
     Method, RequestHead, StatusCode,
     header::{HeaderMap, HeaderName, HeaderValue},
 };
-use base::{Span, UpstreamKey};
+use base::{RequestRate, Span, UpstreamKey};
 use bytes::Bytes;
 use dispatch::ExchangeOutcome;
-use platform::ResponseMetadata;
+use platform::{LimitStatement, ResponseMetadata};
 
 use crate::{
     clock::to_duration,
     gateway::{
         channel::{ChannelError, Exchange, UpstreamChannel},
+        plain::PlainJob,
         response_buffer::BodyTooLong,
         traffic_state::TrafficState,
     },
@@ -139,6 +140,9 @@
     if let Some(load) = metadata.load {
         traffic.balancer.borrow_mut().record_load_report(traffic.node.now(), call.upstream, load);
     }
+    if !metadata.misdirected {
+        record_limit(traffic, call.upstream, call.id, metadata.limit);
+    }
     if !metadata.not_run {
         return Ok(exchange);
     }
@@ -156,6 +160,29 @@
     ))
 }
 
+/// Records what a response says of the limit of its upstream, and logs a change.
+fn record_limit(
+    traffic: &TrafficState,
+    upstream: UpstreamKey,
+    request: &str,
+    statement: LimitStatement,
+) {
+    let limit = match statement {
+        LimitStatement::Unlimited => None,
+        LimitStatement::Limited(limit) => Some(limit),
+        LimitStatement::Malformed => {
+            tracing::warn!(request, "ignoring a limit of an upstream that is no rate");
+            return;
+        }
+    };
+    let mut balancer = traffic.balancer.borrow_mut();
+    let Some(previous) = balancer.record_limit(upstream, limit) else { return };
+    let upstream = &balancer.entry(upstream).id;
+    let per_second = |limit: Option<RequestRate>| limit.map(RequestRate::per_second);
+    let (limit, previous) = (per_second(limit), per_second(previous));
+    log_event!(UpstreamLimited, upstream, request, limit, previous);
+}
+
 /// Reads and discards the rest of a response, and keeps the connection for reuse.
 async fn discard_body(traffic: &Rc<TrafficState>, upstream: UpstreamKey, mut exchange: Exchange) {
     /// Timeout for the rest of a refusal, which has little or no body.
@@ -226,7 +253,7 @@
 /// Logs which upstream was chosen for an attempt, with the load of its service and the time left.
 pub(crate) fn log_attempt(
     traffic: &TrafficState,
-    request: &str,
+    job: &PlainJob<'_>,
     upstream: UpstreamKey,
     attempt: usize,
     time_left: Span,
@@ -236,7 +263,8 @@
     let (slots, load) = balancer.occupancy(traffic.node.now(), &entry.service);
     log_event!(
         AttemptStarted,
-        request,
+        request = job.id,
+        origin = ?job.origin,
         upstream = entry.id,
         service = entry.service,
         zone = entry.zone,
--- a/crates/hibiscushinged/src/gateway/plain.rs
+++ b/crates/hibiscushinged/src/gateway/plain.rs
@@ -156,7 +156,7 @@
                 state.tried.push(upstream);
                 let target = RunTarget::new(traffic, upstream);
                 state.running.push(target);
-                log_attempt(traffic, job.id, upstream, state.tried.len(), time_left);
+                log_attempt(traffic, job, upstream, state.tried.len(), time_left);
                 running.push(run_attempt(traffic, job, target, time_left));
             }
             hedge_at = now + hedge_delay;
--- a/crates/hibiscushinged/src/gateway/relay.rs
+++ b/crates/hibiscushinged/src/gateway/relay.rs
@@ -60,7 +60,7 @@
         let time_left = job.deadline.since(traffic.node.now());
         let Some(upstream) = pick(traffic, job, &tried) else { break };
         tried.push(upstream);
-        log_attempt(traffic, job.id, upstream, tried.len(), time_left);
+        log_attempt(traffic, job, upstream, tried.len(), time_left);
         let attempt = AttemptGuard::acquire(traffic, upstream);
         let target = RunTarget::new(traffic, upstream);
         match begin(traffic, job, upstream, time_left).await {
