--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -67,7 +67,8 @@
     1502 PeerRecovered "A suspected peer sends heartbeats again."
     1503 PeerMessageRefused "A message from a peer is malformed and was skipped."
     1504 UpstreamChanged "The state of an upstream has changed."
-    1505 UpstreamLimited "A response names another limit of its upstream's requests than the one before, or none."
+    1505 UpstreamLimited "An upstream names a limit on its requests, another one than before, or none any more."
+    1506 LimitShareChanged "This node's share of an upstream's limit has changed."
     // Usage.
     1601 UsageBatchAppended "A usage batch was appended to the log."
     1602 UsageWindowClosed "A usage window is closed and its usage is final."
--- a/crates/base/src/ids.rs
+++ b/crates/base/src/ids.rs
@@ -40,6 +40,12 @@
     /// Random identifier of one run of one daemon. A daemon has a new one after each restart.
     pub struct Incarnation(pub u64);
 
+    /// Digest of the name of a VM, which stays the same when the daemon restarts.
+    pub struct NodeDigest(pub u64);
+
+    /// Digest of an upstream's identifier and start time, which name its process.
+    pub struct ProcessDigest(pub u64);
+
     /// Identifier of a log record, chosen by its writer. Readers drop a record whose id they have
     /// seen.
     pub struct RecordId {
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -16,8 +16,8 @@
     digest::{KeyDigest, KeyDigestError, rendezvous_weight, stable_hash},
     event::EventCode,
     ids::{
-        CustomerKey, FencingToken, Incarnation, LogOffset, RecordId, RouteKey, UpstreamKey, VmKey,
-        WeightVersion, ZoneKey,
+        CustomerKey, FencingToken, Incarnation, LogOffset, NodeDigest, ProcessDigest, RecordId,
+        RouteKey, UpstreamKey, VmKey, WeightVersion, ZoneKey,
     },
     rate::RequestRate,
     refusal::{Execution, Refusal, RefusalCode},
--- a/crates/base/src/rate.rs
+++ b/crates/base/src/rate.rs
@@ -4,6 +4,7 @@
 
 derive_copy! {
     /// A rate in thousandths of a request per second.
+    #[derive(Default)]
     pub struct RequestRate(pub u64);
 }
 
--- a/crates/base/src/refusal.rs
+++ b/crates/base/src/refusal.rs
@@ -26,6 +26,9 @@
         LimitReached,
         /// The expected time in the queue exceeds the request's deadline, or the queue is full.
         Overloaded,
+        /// All upstreams of the route that could run the request have reached the limits on requests
+        /// that they name.
+        UpstreamsLimited,
         /// No upstream of the route is available.
         NoUpstream,
         /// The upstream failed after the request may have reached it.
@@ -109,6 +112,7 @@
             Self::RequestInvalid => "request-invalid",
             Self::LimitReached => "limit-reached",
             Self::Overloaded => "overloaded",
+            Self::UpstreamsLimited => "upstreams-limited",
             Self::NoUpstream => "no-upstream",
             Self::UpstreamFailed => "upstream-failed",
             Self::DeadlineExceeded => "deadline-exceeded",
@@ -137,6 +141,7 @@
             Self::UpstreamFailed => 502,
             Self::DeadlineExceeded => 504,
             Self::Overloaded
+            | Self::UpstreamsLimited
             | Self::NoUpstream
             | Self::LogUnavailable
             | Self::Draining
--- a/crates/base/src/time.rs
+++ b/crates/base/src/time.rs
@@ -7,6 +7,7 @@
 derive_copy! {
     /// A point on one process's monotonic clock, in microseconds since an arbitrary origin. Not
     /// comparable between processes.
+    #[derive(Default)]
     pub struct Moment(pub u64);
 
     /// A duration in microseconds.
--- a/crates/dispatch/src/balancer.rs
+++ b/crates/dispatch/src/balancer.rs
@@ -2,9 +2,14 @@
 
 use std::collections::HashMap;
 
-use base::{Arena, Moment, RequestRate, Span, UpstreamKey, WeightVersion, derive_copy};
+use base::{
+    Arena, Moment, ProcessDigest, RequestRate, Span, UpstreamKey, WeightVersion, derive_copy,
+};
 
-use crate::{EntryState, ExchangeOutcome, UpstreamEntry, UpstreamLoad, stats::UpstreamStats};
+use crate::{
+    EntryState, ExchangeOutcome, RequestBucket, RequestOrigin, UpstreamEntry, UpstreamLoad,
+    demand::DemandMeter, stats::UpstreamStats,
+};
 
 derive_copy! {
     /// Why an entry was removed.
@@ -32,6 +37,17 @@
 /// after.
 const LAPSE_GRACE: Span = Span::from_millis(2_200);
 
+/// Longest time after which a caller that was refused for want of tokens is asked to return. The
+/// shares of the nodes have changed by then.
+const MAX_RETURN_TIME: Span = Span::from_secs(3);
+
+/// Time after a caller was refused for want of tokens during which items leave the tokens to
+/// callers.
+const CALLER_PRECEDENCE: Span = Span::from_secs(1);
+
+/// While callers are refused, items get one in this many tokens, so that they are not starved.
+const TOKENS_PER_ITEM: u32 = 4;
+
 /// Entries, load and health of all upstreams, and the choice among them. Upstreams stay known after
 /// their entries are removed.
 #[derive(Debug, Default)]
@@ -39,14 +55,29 @@
     pub(crate) upstreams: Arena<UpstreamKey, UpstreamStats>,
     ids: HashMap<String, UpstreamKey>,
     services: HashMap<String, Vec<UpstreamKey>>,
+    processes: HashMap<ProcessDigest, UpstreamKey>,
+    queues: HashMap<String, ServiceQueue>,
+}
+
+/// Demand for a service, and who of its requests goes first when tokens are scarce.
+#[derive(Debug, Clone, Default)]
+struct ServiceQueue {
+    demand: DemandMeter,
+    /// When a caller's request last found no token.
+    caller_refused_at: Option<Moment>,
+    /// When the last refused caller is expected back.
+    last_return_at: Moment,
+    /// Tokens that callers have taken since an item took one.
+    tokens_since_item: u32,
 }
 
 impl UpstreamBalancer {
     /// Records the newest entry of an upstream, and returns its key and what has changed.
     pub fn update(&mut self, entry: UpstreamEntry) -> (UpstreamKey, UpstreamChange) {
         let Some(upstream) = self.ids.get(&entry.id).copied() else {
-            let (id, service) = (entry.id.clone(), entry.service.clone());
+            let (id, service, process) = (entry.id.clone(), entry.service.clone(), entry.process());
             let upstream = self.upstreams.push(UpstreamStats::new(entry));
+            self.processes.insert(process, upstream);
             self.ids.insert(id, upstream);
             self.services.entry(service).or_default().push(upstream);
             return (upstream, UpstreamChange::Updated);
@@ -55,6 +86,8 @@
         let restarted = stats.entry.started_at_ms != entry.started_at_ms;
         if restarted {
             stats.restart();
+            self.processes.remove(&stats.entry.process());
+            self.processes.insert(entry.process(), upstream);
         }
         if stats.entry.service != entry.service {
             let previous_service = self.services.entry(stats.entry.service.clone()).or_default();
@@ -112,10 +145,22 @@
             && stats.removed_until.is_none_or(|until| now < until)
     }
 
-    /// Records that a request is sent to an upstream. Each call must be paired with one of
-    /// [`UpstreamBalancer::finish_request`].
-    pub fn begin_request(&mut self, upstream: UpstreamKey) {
-        self.upstreams[upstream].own_requests += 1;
+    /// Records that a request is sent to an upstream, and takes a token if the upstream names a
+    /// limit. Each call must be paired with one of [`UpstreamBalancer::finish_request`].
+    pub fn begin_request(&mut self, now: Moment, upstream: UpstreamKey, origin: RequestOrigin) {
+        let stats = &mut self.upstreams[upstream];
+        stats.own_requests += 1;
+        if !self.queues.contains_key(&stats.entry.service) {
+            self.queues.insert(stats.entry.service.clone(), ServiceQueue::default());
+        }
+        let Some(queue) = self.queues.get_mut(&stats.entry.service) else { return };
+        queue.demand.record(now);
+        let Some(bucket) = &mut stats.bucket else { return };
+        bucket.take(now);
+        queue.tokens_since_item = match origin {
+            RequestOrigin::Caller => queue.tokens_since_item.saturating_add(1),
+            RequestOrigin::Item => 0,
+        };
     }
 
     /// Records how a request to an upstream ended.
@@ -136,15 +181,84 @@
         self.upstreams[upstream].record_load_report(now, report);
     }
 
-    /// Records the limit on requests that a response of an upstream names, or that it names none.
-    /// Returns the limit before, if it was another one.
-    pub fn record_limit(
+    /// Sets the rate at which this node may send requests to an upstream that names a limit, or
+    /// removes the bound when it names none.
+    pub fn set_request_rate(
         &mut self,
+        now: Moment,
         upstream: UpstreamKey,
-        limit: Option<RequestRate>,
-    ) -> Option<Option<RequestRate>> {
-        let previous = std::mem::replace(&mut self.upstreams[upstream].limit, limit);
-        (previous != limit).then_some(previous)
+        rate: Option<RequestRate>,
+    ) {
+        let bucket = &mut self.upstreams[upstream].bucket;
+        match (bucket.as_mut(), rate) {
+            (Some(bucket), Some(rate)) => bucket.set_rate(now, rate),
+            (None, Some(rate)) => *bucket = Some(RequestBucket::new(now, rate)),
+            (_, None) => *bucket = None,
+        }
+    }
+
+    /// Returns the upstream that runs the process, if it is known and has not restarted.
+    #[must_use]
+    pub fn upstream_of(&self, process: ProcessDigest) -> Option<UpstreamKey> {
+        self.processes.get(&process).copied()
+    }
+
+    /// Returns the rate of this node's requests for a service in the last seconds, those that were
+    /// refused for want of tokens included.
+    #[must_use]
+    pub fn demand(&self, now: Moment, service: &str) -> RequestRate {
+        self.queues.get(service).map_or(RequestRate::ZERO, |queue| queue.demand.rate(now))
+    }
+
+    /// Records that a request found no token on any upstream of the service. Returns when a caller
+    /// that is refused now should return: callers are spread by the rate of the tokens, in the
+    /// order of their refusals. Returns `None` if limits are not the reason.
+    pub fn record_limited(
+        &mut self,
+        now: Moment,
+        service: &str,
+        origin: RequestOrigin,
+    ) -> Option<Span> {
+        let mut rate = RequestRate::ZERO;
+        let mut limited = false;
+        for upstream in self.service_upstreams(service) {
+            if !self.is_usable(now, *upstream) {
+                continue;
+            }
+            let Some(bucket) = &self.upstreams[*upstream].bucket else { continue };
+            rate.0 += bucket.rate().0;
+            limited = true;
+        }
+        if !limited {
+            return None;
+        }
+        let queue = self.queues.entry(String::from(service)).or_default();
+        queue.demand.record(now);
+        if origin == RequestOrigin::Item {
+            return Some(MAX_RETURN_TIME);
+        }
+        queue.caller_refused_at = Some(now);
+        let interval = rate.interval().map_or(MAX_RETURN_TIME, |span| span.min(MAX_RETURN_TIME));
+        let return_at = queue.last_return_at.max(now) + interval;
+        queue.last_return_at = return_at.min(now + MAX_RETURN_TIME);
+        Some(queue.last_return_at.since(now))
+    }
+
+    /// Returns whether this node's share of an upstream's limit allows a request now. Items leave
+    /// the tokens to callers while callers are refused, but for one in [`TOKENS_PER_ITEM`].
+    pub(crate) fn admits(&self, now: Moment, upstream: UpstreamKey, origin: RequestOrigin) -> bool {
+        let stats = &self.upstreams[upstream];
+        let Some(bucket) = &stats.bucket else { return true };
+        if !bucket.has_token(now) {
+            return false;
+        }
+        let queue = self.queues.get(&stats.entry.service);
+        let caller_refused = queue
+            .and_then(|queue| queue.caller_refused_at)
+            .is_some_and(|at| now.since(at) < CALLER_PRECEDENCE);
+        origin == RequestOrigin::Caller
+            || !caller_refused
+            || queue.is_some_and(|queue| queue.tokens_since_item + 1 >= TOKENS_PER_ITEM)
     }
 
     /// Records the time between two events of a generation, which measures the speed of the engine.
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use base::{Span, WeightVersion, derive_copy, derive_value};
+use base::{ProcessDigest, Span, WeightVersion, derive_copy, derive_value, stable_hash};
 
 derive_copy! {
     /// State that an upstream announces in its entry.
@@ -46,6 +46,12 @@
 }
 
 impl UpstreamEntry {
+    /// Returns the digest of the process that runs under the identifier.
+    #[must_use]
+    pub fn process(&self) -> ProcessDigest {
+        ProcessDigest(stable_hash(&format!("{}/{:?}", self.id, self.started_at_ms)))
+    }
+
     /// Returns the loaded weight version of a model, or `None` if the upstream does not run it.
     #[must_use]
     pub fn version(&self, model: &str) -> Option<WeightVersion> {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -2,18 +2,25 @@
 //!
 //! Nothing here does I/O or reads a clock: events and times are passed in. [`UpstreamBalancer`]
 //! holds what one node knows about each upstream and chooses among them. [`plan_weight_loads`]
-//! decides which engines load which weight version next.
+//! decides which engines load which weight version next. [`LimitShares`] divides the limits on
+//! requests that upstreams name among all nodes, and a [`RequestBucket`] keeps this node's requests
+//! to its share.
 
 mod balancer;
+mod demand;
 mod entry;
+mod limit_shares;
 mod pick;
+mod request_bucket;
 mod stats;
 mod weight_loads;
 
 pub use crate::{
     balancer::{RemovalCause, UpstreamBalancer, UpstreamChange},
     entry::{EntryState, UpstreamEntry},
-    pick::{GenerationPickRequest, ModelRequirement, PlainPickRequest},
+    limit_shares::{LimitClaim, LimitShare, LimitShares, NodeClaims},
+    pick::{GenerationPickRequest, ModelRequirement, PlainPickRequest, RequestOrigin},
+    request_bucket::RequestBucket,
     stats::{ExchangeOutcome, UpstreamLoad},
     weight_loads::{EngineWeights, WeightLoad, WeightLoadLimits, plan_weight_loads},
 };
--- /dev/null
+++ b/crates/dispatch/src/limit_shares.rs
@@ -0,0 +1,484 @@
+//! Division of the limits that upstreams name among all nodes.
+//!
+//! An upstream in need names how many requests per second it accepts from all nodes together. The
+//! nodes agree on a division through a log: each writes which rate it wants and which it claims of
+//! every limited upstream, and reads what the others wrote. A node uses a claim only after it has
+//! read the claim back, and only as far as the claims that precede it in the log leave room. It
+//! reduces its use before it writes a lower claim. So the rates in use never add up to more than
+//! the limit, however late a node reads.
+//!
+//! A claim is a lease. A node that does not reach the log stops using its claims before the others
+//! count them as free. A part of each limit is divided equally without claims, so that nodes can
+//! send some requests without the log.
+
+use std::collections::BTreeMap;
+
+use base::{
+    Incarnation, Moment, NodeDigest, ProcessDigest, RequestRate, Span, derive_copy, derive_value,
+    rendezvous_weight,
+};
+use smallvec::SmallVec;
+
+/// Part of a limit that is divided equally among all nodes.
+const GUARANTEED_PERCENT: u64 = 20;
+
+/// Smallest share of a limit, unless the whole limit is smaller. Each holder of a share can save
+/// one request for a burst, so the bursts of all holders together stay below the requests that
+/// arrive in two seconds at the limit.
+const MIN_SHARE: RequestRate = RequestRate(500);
+
+/// Rate that is sent to an upstream whose limit is lower, or zero. Only a response shows that the
+/// limit was lifted.
+const PROBE_RATE: RequestRate = RequestRate(100);
+
+/// Time for which a node may use a claim, counted from when it sent the record. Outages of the
+/// log that are shorter leave the division as it is.
+const CLAIM_LEASE: Span = Span::from_secs(10);
+
+/// Additional time after which other nodes count the claim as free, counted from when they read
+/// the record.
+const LEASE_MARGIN: Span = Span::from_secs(1);
+
+/// Interval at which a node with claims writes them again.
+const CLAIM_RENEWAL: Span = Span::from_secs(3);
+
+/// Interval at which a node without claims writes its record again.
+const MEMBER_RENEWAL: Span = Span::from_secs(20);
+
+/// Time after its last record during which a node counts as a member, which has a part of the
+/// guaranteed rates.
+const MEMBER_LIFETIME: Span = Span::from_secs(60);
+
+/// Time from the news of a limit until the first claims. The nodes write what they want meanwhile.
+const CLAIM_DELAY: Span = Span::from_millis(600);
+
+/// A claim and a wanted rate are written again when they change by more than one in this.
+const CHANGE_DIVISOR: u64 = 4;
+
+derive_copy! {
+    /// What a node wants and claims of one upstream's limit.
+    pub struct LimitClaim {
+        /// Process of the upstream.
+        pub process: ProcessDigest,
+        /// Rate that the node could use.
+        pub wanted: RequestRate,
+        /// Rate that the node claims.
+        pub claimed: RequestRate,
+    }
+
+    /// How this node takes part in the division of one limit.
+    pub struct LimitShare {
+        /// Limit that the upstream names.
+        pub limit: RequestRate,
+        /// Rate that this node could use.
+        pub wanted: RequestRate,
+        /// Rate that this node may use without a claim.
+        pub guaranteed: RequestRate,
+        /// Rate that this node may use by its claim.
+        pub claimed: RequestRate,
+    }
+}
+
+derive_value! {
+    /// Record of one node: all of its claims.
+    pub struct NodeClaims {
+        /// Incarnation of the node's process. Claims of an earlier one are void.
+        pub incarnation: Incarnation,
+        /// Number of the record among those of the process, from 1.
+        pub sequence: u64,
+        /// Claims, one for each limited upstream that the node uses.
+        pub claims: Vec<LimitClaim>,
+    }
+}
+
+/// Division of all limits, as one node knows it.
+#[derive(Debug, Clone)]
+pub struct LimitShares {
+    me: NodeDigest,
+    incarnation: Incarnation,
+    /// Whether all records of the log have been read once.
+    loaded: bool,
+    limits: BTreeMap<ProcessDigest, KnownLimit>,
+    others: BTreeMap<NodeDigest, OtherNode>,
+    own: BTreeMap<ProcessDigest, OwnShare>,
+    /// Number of the last record that was written.
+    sequence: u64,
+    /// Records that have not been read back, with the times at which they were sent.
+    unread: SmallVec<[(u64, Moment); 4]>,
+    written_at: Option<Moment>,
+    /// Limits that the log does not have yet, or `None` for each that was lifted.
+    unsent_limits: BTreeMap<ProcessDigest, Option<RequestRate>>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct KnownLimit {
+    /// `None` after the limit was lifted.
+    rate: Option<RequestRate>,
+    /// When this node learned of the rate. Responses to earlier requests may be older than the
+    /// rate.
+    changed_at: Moment,
+}
+
+#[derive(Debug, Clone)]
+struct OtherNode {
+    claims: Vec<LimitClaim>,
+    claims_expire_at: Moment,
+    member_until: Moment,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct OwnShare {
+    wanted: RequestRate,
+    /// Claim of the last record that was written.
+    claimed: RequestRate,
+    /// Part of the claim that this node may use until `usable_until`.
+    usable: RequestRate,
+    usable_until: Moment,
+}
+
+impl LimitShares {
+    /// Creates the state of a node that has read nothing.
+    #[must_use]
+    pub fn new(me: NodeDigest, incarnation: Incarnation) -> Self {
+        Self {
+            me,
+            incarnation,
+            loaded: false,
+            limits: BTreeMap::new(),
+            others: BTreeMap::new(),
+            own: BTreeMap::new(),
+            sequence: 0,
+            unread: SmallVec::new(),
+            written_at: None,
+            unsent_limits: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the node whose shares these are.
+    #[must_use]
+    pub const fn node(&self) -> NodeDigest {
+        self.me
+    }
+
+    /// Records the limit that a response names, or that it names none. Returns whether that
+    /// changes what this node knows. `sent_at` is when the request was sent: a response to a
+    /// request from before the last change proves nothing.
+    pub fn observe(
+        &mut self,
+        now: Moment,
+        sent_at: Moment,
+        process: ProcessDigest,
+        limit: Option<RequestRate>,
+    ) -> bool {
+        let is_news = match self.limits.get(&process) {
+            None => limit.is_some(),
+            Some(known) => known.rate != limit && sent_at >= known.changed_at,
+        };
+        if is_news {
+            self.set_limit(now, process, limit);
+            self.unsent_limits.insert(process, limit);
+        }
+        is_news
+    }
+
+    /// Applies a limit from the log, or `None` when it was lifted. Returns whether that changes
+    /// what this node knows.
+    pub fn apply_limit(
+        &mut self,
+        now: Moment,
+        process: ProcessDigest,
+        limit: Option<RequestRate>,
+    ) -> bool {
+        // What this node has seen itself follows in the log.
+        let known = self.limits.get(&process).and_then(|known| known.rate);
+        if known == limit || self.unsent_limits.contains_key(&process) {
+            return false;
+        }
+        self.set_limit(now, process, limit);
+        true
+    }
+
+    /// Applies the record of a node, or its deletion if there is none.
+    pub fn apply_claims(&mut self, now: Moment, node: NodeDigest, record: Option<NodeClaims>) {
+        if node == self.me {
+            if let Some(record) = record.filter(|record| record.incarnation == self.incarnation) {
+                self.confirm_claims(&record);
+            }
+            return;
+        }
+        let Some(record) = record else {
+            self.others.remove(&node);
+            return;
+        };
+        let other = OtherNode {
+            claims: record.claims,
+            claims_expire_at: now + CLAIM_LEASE + LEASE_MARGIN,
+            member_until: now + MEMBER_LIFETIME,
+        };
+        self.others.insert(node, other);
+    }
+
+    /// Removes the limits and nodes that a read of all records did not return, after their
+    /// deletions were missed. Records from the read are applied afterwards. Returns the processes
+    /// whose limits were lifted.
+    pub fn begin_full_read(
+        &mut self,
+        now: Moment,
+        has_limit: impl Fn(ProcessDigest) -> bool,
+        has_node: impl Fn(NodeDigest) -> bool,
+    ) -> Vec<ProcessDigest> {
+        self.loaded = true;
+        self.others.retain(|node, _| has_node(*node));
+        let limits = self.limits.iter().filter(|(_, known)| known.rate.is_some());
+        let mut lifted: Vec<ProcessDigest> =
+            limits.map(|(process, _)| *process).filter(|process| !has_limit(*process)).collect();
+        lifted.retain(|process| self.apply_limit(now, *process, None));
+        lifted
+    }
+
+    /// Drops the limit of a process that has ended. Returns whether there was one and this node is
+    /// the one that deletes it from the log.
+    pub fn forget_process(&mut self, process: ProcessDigest) -> bool {
+        self.own.remove(&process);
+        let Some(known) = self.limits.remove(&process) else { return false };
+        self.unsent_limits.remove(&process);
+        let deletes = known.rate.is_some() && self.rank(process) == 0;
+        if deletes {
+            self.unsent_limits.insert(process, None);
+        }
+        deletes
+    }
+
+    /// Updates this node's claims by what it could use of each limit, and returns its record if it
+    /// has to be written.
+    pub fn update(
+        &mut self,
+        now: Moment,
+        wanted: impl Fn(ProcessDigest) -> RequestRate,
+    ) -> Option<NodeClaims> {
+        self.others.retain(|_, other| now < other.member_until);
+        let mut changed = false;
+        let all_read = self.unread.is_empty();
+        let limits = self.limits.iter().filter_map(|(process, known)| {
+            known.rate.map(|rate| (*process, rate, known.changed_at))
+        });
+        for (process, limit, changed_at) in limits.collect::<Vec<_>>() {
+            let wanted = wanted(process);
+            let (target, free) = self.target(now, process, limit, wanted);
+            let may_claim = self.loaded && now >= changed_at + CLAIM_DELAY;
+            let claim = if may_claim { target.min(free) } else { RequestRate::ZERO };
+            let share = self.own.entry(process).or_default();
+            if differs(share.wanted, wanted) {
+                share.wanted = wanted;
+                changed = true;
+            }
+            let unconfirmed = share.usable < share.claimed;
+            if differs(share.claimed, claim) || unconfirmed && share.claimed > free {
+                share.claimed = claim;
+                changed = true;
+            } else if unconfirmed && all_read && share.usable < free {
+                // The claims that left no room have been reduced since.
+                changed = true;
+            }
+            share.usable = share.usable.min(share.claimed);
+        }
+        let limits = &self.limits;
+        self.own.retain(|process, _| limits.get(process).is_some_and(|known| known.rate.is_some()));
+        let has_claims = self.own.values().any(|share| share.wanted > RequestRate::ZERO);
+        let renewal = if has_claims { CLAIM_RENEWAL } else { MEMBER_RENEWAL };
+        let renewal_due = self.written_at.is_none_or(|at| now.since(at) >= renewal);
+        (changed || renewal_due).then(|| self.write_record(now))
+    }
+
+    /// Has the next [`update`](Self::update) write the record again, after a write failed.
+    pub const fn retry_record(&mut self) {
+        self.written_at = None;
+    }
+
+    /// Returns how this node takes part in the division of an upstream's limit, or `None` when the
+    /// upstream has none.
+    #[must_use]
+    pub fn share(&self, now: Moment, process: ProcessDigest) -> Option<LimitShare> {
+        let limit = self.limits.get(&process)?.rate?;
+        let own = self.own.get(&process).copied().unwrap_or_default();
+        let claimed = if now < own.usable_until { own.usable } else { RequestRate::ZERO };
+        let guaranteed = self.guaranteed_rate(process, limit);
+        Some(LimitShare { limit, wanted: own.wanted, guaranteed, claimed })
+    }
+
+    /// Returns the processes whose limits are known.
+    pub fn limited_processes(&self) -> impl Iterator<Item = ProcessDigest> {
+        self.limits.iter().filter(|(_, known)| known.rate.is_some()).map(|(process, _)| *process)
+    }
+
+    /// Takes the limits that the log does not have yet.
+    pub fn take_unsent_limits(&mut self) -> BTreeMap<ProcessDigest, Option<RequestRate>> {
+        std::mem::take(&mut self.unsent_limits)
+    }
+
+    /// Puts back limits that could not be written, unless newer ones are known.
+    pub fn restore_unsent_limits(&mut self, limits: BTreeMap<ProcessDigest, Option<RequestRate>>) {
+        for (process, limit) in limits {
+            self.unsent_limits.entry(process).or_insert(limit);
+        }
+    }
+
+    fn set_limit(&mut self, now: Moment, process: ProcessDigest, limit: Option<RequestRate>) {
+        let previous = self.limits.insert(process, KnownLimit { rate: limit, changed_at: now });
+        let previous = previous.and_then(|known| known.rate);
+        // All nodes reduce their use in proportion, until the claims are divided again.
+        if let (Some(share), Some(limit), Some(previous)) =
+            (self.own.get_mut(&process), limit, previous)
+            && limit < previous
+        {
+            share.usable = RequestRate(share.usable.0 * limit.0 / previous.0.max(1));
+        }
+    }
+
+    /// Accepts the claims of this node's record, which was read back, as far as the others' claims
+    /// that precede it leave room.
+    fn confirm_claims(&mut self, record: &NodeClaims) {
+        let sent = self.unread.iter().find(|(sequence, _)| *sequence == record.sequence).copied();
+        self.unread.retain(|(sequence, _)| *sequence > record.sequence);
+        let Some((_, sent_at)) = sent else {
+            // A late append has replaced a newer record, which must be written again.
+            self.written_at = None;
+            for claim in &record.claims {
+                if let Some(share) = self.own.get_mut(&claim.process) {
+                    share.usable = share.usable.min(claim.claimed);
+                }
+            }
+            return;
+        };
+        for claim in &record.claims {
+            let Some(limit) = self.limits.get(&claim.process).and_then(|known| known.rate) else {
+                continue;
+            };
+            let pool = claim_pool(limit);
+            let room = pool.saturating_sub(self.claimed_by_others(sent_at, claim.process));
+            let Some(share) = self.own.get_mut(&claim.process) else { continue };
+            share.usable = claim.claimed.min(share.claimed).min(room);
+            share.usable_until = sent_at + CLAIM_LEASE;
+        }
+    }
+
+    fn write_record(&mut self, now: Moment) -> NodeClaims {
+        self.sequence += 1;
+        self.written_at = Some(now);
+        // An older record confirms nothing, since its lease has ended.
+        self.unread.retain(|(_, sent_at)| now.since(*sent_at) < CLAIM_LEASE);
+        self.unread.push((self.sequence, now));
+        let shares = self.own.iter().filter(|(_, share)| share.wanted > RequestRate::ZERO);
+        let claims = shares.map(|(process, share)| LimitClaim {
+            process: *process,
+            wanted: share.wanted,
+            claimed: share.claimed,
+        });
+        let claims = claims.collect();
+        NodeClaims { incarnation: self.incarnation, sequence: self.sequence, claims }
+    }
+
+    /// Returns the part of the claim pool that this node should have, in proportion to what the
+    /// nodes want, and the part that the others do not claim.
+    fn target(
+        &self,
+        now: Moment,
+        process: ProcessDigest,
+        limit: RequestRate,
+        wanted: RequestRate,
+    ) -> (RequestRate, RequestRate) {
+        let pool = claim_pool(limit);
+        let free = pool.saturating_sub(self.claimed_by_others(now, process));
+        if wanted == RequestRate::ZERO {
+            return (RequestRate::ZERO, free);
+        }
+        // Holders weigh more, so that shares do not move with each small change of the demand.
+        let weight = |wanted: RequestRate, claimed: RequestRate| {
+            if claimed > RequestRate::ZERO { wanted.0 * 3 / 2 } else { wanted.0 }
+        };
+        let claimed = self.own.get(&process).map_or(RequestRate::ZERO, |share| share.claimed);
+        let others = self.claims_of_others(now, process);
+        let mut candidates: Vec<(u64, NodeDigest)> = others
+            .filter(|(_, claim)| claim.wanted > RequestRate::ZERO)
+            .map(|(node, claim)| (weight(claim.wanted, claim.claimed), node))
+            .collect();
+        candidates.push((weight(wanted, claimed), self.me));
+        candidates.sort_unstable_by_key(|(weight, node)| {
+            std::cmp::Reverse((*weight, rendezvous_weight(process.0, node.0)))
+        });
+        candidates.truncate((pool.0 / MIN_SHARE.0).max(1) as usize);
+        let mut total: u64 = candidates.iter().map(|(weight, _)| weight).sum();
+        while let [_, .., (smallest, _)] = candidates[..]
+            && pool.0 * smallest < MIN_SHARE.0 * total
+        {
+            total -= smallest;
+            candidates.pop();
+        }
+        let own = candidates.iter().find(|(_, node)| *node == self.me);
+        let target = own.map_or(0, |(weight, _)| pool.0 * weight / total.max(1));
+        (RequestRate(target), free)
+    }
+
+    fn guaranteed_rate(&self, process: ProcessDigest, limit: RequestRate) -> RequestRate {
+        if !self.loaded {
+            return RequestRate::ZERO;
+        }
+        let pool = guaranteed_pool(limit);
+        let members = self.others.len() as u64 + 1;
+        let holders = members.min(pool.0 / MIN_SHARE.0);
+        if holders == 0 || self.rank(process) >= holders {
+            return RequestRate::ZERO;
+        }
+        RequestRate(pool.0 / holders)
+    }
+
+    /// Returns how many other nodes precede this one in the order of a process.
+    fn rank(&self, process: ProcessDigest) -> u64 {
+        let own = rendezvous_weight(process.0, self.me.0);
+        let others = self.others.keys();
+        others.filter(|node| rendezvous_weight(process.0, node.0) > own).count() as u64
+    }
+
+    fn claimed_by_others(&self, now: Moment, process: ProcessDigest) -> RequestRate {
+        let claims = self.claims_of_others(now, process);
+        RequestRate(claims.map(|(_, claim)| claim.claimed.0).sum())
+    }
+
+    fn claims_of_others(
+        &self,
+        now: Moment,
+        process: ProcessDigest,
+    ) -> impl Iterator<Item = (NodeDigest, LimitClaim)> {
+        let valid = self.others.iter().filter(move |(_, other)| now < other.claims_expire_at);
+        valid.filter_map(move |(node, other)| {
+            let claim = other.claims.iter().find(|claim| claim.process == process)?;
+            Some((*node, *claim))
+        })
+    }
+}
+
+impl LimitShare {
+    /// Returns the rate that this node may use.
+    #[must_use]
+    pub fn rate(&self) -> RequestRate {
+        RequestRate(self.guaranteed.0 + self.claimed.0)
+    }
+}
+
+/// Returns the part of a limit that nodes may use without claims. It is zero for a limit so small
+/// that no node would have [`MIN_SHARE`] of it.
+fn guaranteed_pool(limit: RequestRate) -> RequestRate {
+    let pool = RequestRate(limit.0 * GUARANTEED_PERCENT / 100);
+    if pool < MIN_SHARE { RequestRate::ZERO } else { pool }
+}
+
+/// Returns the part of a limit that nodes claim.
+fn claim_pool(limit: RequestRate) -> RequestRate {
+    limit.max(PROBE_RATE).saturating_sub(guaranteed_pool(limit))
+}
+
+/// Returns whether a rate differs so much from the one that was written that it is written again.
+const fn differs(written: RequestRate, current: RequestRate) -> bool {
+    let tolerance = written.0 / CHANGE_DIVISOR;
+    written.0.abs_diff(current.0) > tolerance || (written.0 == 0) != (current.0 == 0)
+}
--- a/crates/dispatch/src/pick.rs
+++ b/crates/dispatch/src/pick.rs
@@ -15,6 +15,14 @@
         pub min_version: WeightVersion,
     }
 
+    /// What a request is sent for.
+    pub enum RequestOrigin {
+        /// A caller, who may send the same request again at any node.
+        Caller,
+        /// An item or its reward call.
+        Item,
+    }
+
     /// Parameters of the choice of an upstream for a plain request.
     pub struct PlainPickRequest<'a> {
         /// Service that runs the request.
@@ -30,6 +38,8 @@
         /// upstream that runs nothing else, if there is one, so that no other request fails with
         /// it.
         pub suspect: bool,
+        /// What the request is sent for.
+        pub origin: RequestOrigin,
         /// Seed of the jitter that keeps nodes with equal knowledge from the same choice.
         pub jitter_seed: u64,
     }
@@ -96,7 +106,7 @@
 
 impl UpstreamBalancer {
     /// Chooses the upstream with the lowest cost for a plain request, or returns `None` when none
-    /// is usable. Suspended upstreams, then those with a removed entry, then those tried before are
+    /// is usable or has tokens left of its limit. Suspended upstreams, then those with a removed entry, then those tried before are
     /// used only when no other is left.
     #[must_use]
     pub fn pick_plain(&self, now: Moment, request: &PlainPickRequest<'_>) -> Option<UpstreamKey> {
@@ -104,7 +114,7 @@
         let tried_zones: SmallVec<[&str; 4]> = tried_zones.collect();
         let mut best: Option<(u8, f64, UpstreamKey)> = None;
         for upstream in self.service_upstreams(request.service) {
-            if !self.is_usable(now, *upstream) {
+            if !self.is_usable(now, *upstream) || !self.admits(now, *upstream, request.origin) {
                 continue;
             }
             let stats = &self.upstreams[*upstream];
@@ -120,7 +130,7 @@
     }
 
     /// Chooses the engine with the lowest cost and a free slot for a generation, or returns `None`
-    /// while all are full, suspended or without the weights. An engine with the shared prompt in
+    /// while all are full, suspended, without the weights or without tokens left of their limits. An engine with the shared prompt in
     /// its cache is preferred unless it costs much more than the best one.
     #[must_use]
     pub fn pick_generation(
@@ -139,6 +149,7 @@
                 || full
                 || stats.is_suspended(now)
                 || !self.accepts(now, *upstream, request.requirement)
+                || !self.admits(now, *upstream, RequestOrigin::Item)
             {
                 continue;
             }
--- /dev/null
+++ b/crates/dispatch/src/request_bucket.rs
@@ -0,0 +1,72 @@
+//! Token bucket for the requests of one node to an upstream with a limit.
+
+use base::{Moment, RequestRate, Span, derive_copy};
+
+/// Time in which the rate fills an empty bucket. The requests of all nodes in a time T then stay
+/// below the limit times (T + 2 s), because the rates of all nodes add up to the limit.
+const FILL_TIME: Span = Span::from_secs(2);
+
+/// Millionths of a request, in which the level is counted.
+const MICRO_REQUESTS: i64 = 1_000_000;
+
+derive_copy! {
+    /// Token bucket with one token for each request. It starts empty.
+    pub struct RequestBucket {
+        rate: RequestRate,
+        level_micro_requests: i64,
+        refilled_at: Moment,
+    }
+}
+
+impl RequestBucket {
+    /// Creates an empty bucket.
+    #[must_use]
+    pub const fn new(now: Moment, rate: RequestRate) -> Self {
+        Self { rate, level_micro_requests: 0, refilled_at: now }
+    }
+
+    /// Sets the rate at which tokens are added from now on.
+    pub fn set_rate(&mut self, now: Moment, rate: RequestRate) {
+        self.level_micro_requests = self.level(now);
+        self.refilled_at = self.refilled_at.max(now);
+        self.rate = rate;
+        self.level_micro_requests = self.level_micro_requests.min(self.capacity());
+    }
+
+    /// Returns the rate at which tokens are added.
+    #[must_use]
+    pub const fn rate(&self) -> RequestRate {
+        self.rate
+    }
+
+    /// Returns whether the bucket has a token.
+    #[must_use]
+    pub fn has_token(&self, now: Moment) -> bool {
+        self.level(now) >= MICRO_REQUESTS
+    }
+
+    /// Takes a token for a request, whether there is one or not. Without one the bucket is in debt.
+    pub fn take(&mut self, now: Moment) {
+        self.level_micro_requests = self.level(now) - MICRO_REQUESTS;
+        self.refilled_at = self.refilled_at.max(now);
+    }
+
+    fn level(&self, now: Moment) -> i64 {
+        let elapsed = i64::try_from(now.since(self.refilled_at).0).unwrap_or(i64::MAX);
+        let added = self.rate_milli_requests().saturating_mul(elapsed) / 1_000;
+        self.level_micro_requests.saturating_add(added).min(self.capacity())
+    }
+
+    /// A rate below one request in [`FILL_TIME`] fills the bucket up to one token.
+    fn capacity(&self) -> i64 {
+        let fill_ms = i64::try_from(FILL_TIME.as_millis()).unwrap_or(i64::MAX);
+        match self.rate_milli_requests() {
+            0 => 0,
+            rate => rate.saturating_mul(fill_ms).max(MICRO_REQUESTS),
+        }
+    }
+
+    fn rate_milli_requests(&self) -> i64 {
+        i64::try_from(self.rate.0).unwrap_or(i64::MAX)
+    }
+}
--- a/crates/dispatch/src/stats.rs
+++ b/crates/dispatch/src/stats.rs
@@ -1,9 +1,9 @@
 //! Load and health of one upstream, as one node sees them.
 
-use base::{Moment, RequestRate, Span, derive_copy};
+use base::{Moment, Span, derive_copy};
 use smallvec::SmallVec;
 
-use crate::UpstreamEntry;
+use crate::{RequestBucket, UpstreamEntry};
 
 derive_copy! {
     /// Load of an upstream as it reports it.
@@ -79,8 +79,8 @@
     failure_rate: f64,
     /// Models of which the engine gets no generations, each until a time.
     paused_models: SmallVec<[(String, Moment); 2]>,
-    /// Limit on the requests of all nodes, if the upstream names one.
-    pub(crate) limit: Option<RequestRate>,
+    /// Tokens for this node's requests, if the upstream names a limit.
+    pub(crate) bucket: Option<RequestBucket>,
     /// Exponential moving average of the response time of plain requests, in microseconds.
     pub(crate) response_time: Option<f64>,
     /// Exponential moving average of the time between two events of a generation, in microseconds.
@@ -99,7 +99,7 @@
             suspended_until: Moment(0),
             failure_rate: 0.0,
             paused_models: SmallVec::new(),
-            limit: None,
+            bucket: None,
             response_time: None,
             event_interval: None,
         }
@@ -166,7 +166,7 @@
         self.event_interval = None;
         self.response_time = None;
         self.other_requests = 0;
-        self.limit = None;
+        self.bucket = None;
     }
 
     pub(crate) fn record_event_interval(&mut self, interval: Span) {
--- a/crates/dispatch/tests/pick.rs
+++ b/crates/dispatch/tests/pick.rs
@@ -1,9 +1,9 @@
 //! Tests of the choice of upstreams under load and failures.
 
-use base::{Moment, Span, UpstreamKey, WeightVersion};
+use base::{Moment, RequestRate, Span, UpstreamKey, WeightVersion};
 use dispatch::{
     EntryState, ExchangeOutcome, GenerationPickRequest, ModelRequirement, PlainPickRequest,
-    RemovalCause, UpstreamBalancer, UpstreamEntry, UpstreamLoad,
+    RemovalCause, RequestOrigin, UpstreamBalancer, UpstreamEntry, UpstreamLoad,
 };
 use rstest::rstest;
 
@@ -45,7 +45,15 @@
 }
 
 fn plain_request<'a>(jitter_seed: u64, tried: &'a [UpstreamKey]) -> PlainPickRequest<'a> {
-    PlainPickRequest { service: "s", zone: "a", tried, connected: &[], suspect: false, jitter_seed }
+    PlainPickRequest {
+        service: "s",
+        zone: "a",
+        tried,
+        connected: &[],
+        suspect: false,
+        origin: RequestOrigin::Caller,
+        jitter_seed,
+    }
 }
 
 /// Pattern: a submission of 72 items arrives at nine engines with 8 slots, one at half the speed.
@@ -62,7 +70,7 @@
     let mut loads = vec![0; 9];
     for jitter_seed in 0..72 {
         let picked = balancer.pick_generation(NOW, &generation_request(jitter_seed, &[])).unwrap();
-        balancer.begin_request(picked);
+        balancer.begin_request(NOW, picked, RequestOrigin::Caller);
         loads[picked.0 as usize] += 1;
         if jitter_seed == 63 {
             assert_eq!(
@@ -86,7 +94,7 @@
     for step in 0..400 {
         let now = NOW + Span::from_millis(step * 25);
         if let Some(picked) = balancer.pick_generation(now, &generation_request(step, &[])) {
-            balancer.begin_request(picked);
+            balancer.begin_request(NOW, picked, RequestOrigin::Caller);
             balancer.finish_request(now, picked, ExchangeOutcome::TransportError);
             runs += 1;
         }
@@ -144,7 +152,7 @@
     let (mut balancer, keys) = balancer(3, 6);
     for key in &keys {
         for turn in 0..20 {
-            balancer.begin_request(*key);
+            balancer.begin_request(NOW, *key, RequestOrigin::Caller);
             let failed = *key == keys[0] && turn % 5 < 2;
             let answered = ExchangeOutcome::Answered(Span::from_millis(25));
             balancer.finish_request(
@@ -257,11 +265,81 @@
 #[test]
 fn suspect_request_goes_to_an_idle_upstream() {
     let (mut balancer, keys) = balancer(3, 8);
-    balancer.begin_request(keys[0]);
-    balancer.begin_request(keys[1]);
+    balancer.begin_request(NOW, keys[0], RequestOrigin::Caller);
+    balancer.begin_request(NOW, keys[1], RequestOrigin::Caller);
     for jitter_seed in 0..32 {
         let request =
             PlainPickRequest { suspect: true, zone: "b", ..plain_request(jitter_seed, &[]) };
         assert_eq!(balancer.pick_plain(NOW, &request), Some(keys[2]));
     }
 }
+
+/// Guards against a choice of an upstream whose limit leaves this node no token, and against one
+/// that is never chosen again.
+#[test]
+fn limited_upstream_is_picked_only_with_a_token() {
+    let (mut balancer, keys) = balancer(2, 8);
+    balancer.set_request_rate(NOW, keys[0], Some(RequestRate::ONE));
+    for jitter_seed in 0..20 {
+        assert_eq!(balancer.pick_plain(NOW, &plain_request(jitter_seed, &[])), Some(keys[1]));
+    }
+    balancer.set_request_rate(NOW, keys[1], Some(RequestRate::ZERO));
+    assert_eq!(balancer.pick_plain(NOW, &plain_request(1, &[])), None);
+    assert_eq!(balancer.pick_generation(NOW, &generation_request(1, &[])), None);
+    let later = NOW + Span::from_secs(1);
+    assert_eq!(balancer.pick_plain(later, &plain_request(1, &[])), Some(keys[0]));
+    balancer.begin_request(later, keys[0], RequestOrigin::Caller);
+    assert_eq!(balancer.pick_plain(later, &plain_request(1, &[])), None);
+    balancer.set_request_rate(later, keys[1], None);
+    assert_eq!(balancer.pick_plain(later, &plain_request(1, &[])), Some(keys[1]));
+}
+
+/// Guards against callers that all return at the same time, or never, when limits refuse them.
+#[test]
+fn refused_callers_return_in_their_order() {
+    let (mut balancer, keys) = balancer(1, 8);
+    assert_eq!(balancer.record_limited(NOW, "s", RequestOrigin::Caller), None);
+    balancer.set_request_rate(NOW, keys[0], Some(RequestRate(4_000)));
+    let refuse = |balancer: &mut UpstreamBalancer| {
+        balancer.record_limited(NOW, "s", RequestOrigin::Caller).unwrap().as_millis()
+    };
+    let returns: Vec<u64> = (0..20).map(|_| refuse(&mut balancer)).collect();
+    assert_eq!(returns[..4], [250, 500, 750, 1_000]);
+    assert_eq!(returns[19], 3_000);
+}
+
+/// Guards against items that take the tokens of refused callers, and against items that get none.
+#[test]
+fn items_leave_scarce_tokens_to_callers() {
+    let (mut balancer, keys) = balancer(1, 8);
+    balancer.set_request_rate(NOW, keys[0], Some(RequestRate::ONE));
+    let item = PlainPickRequest { origin: RequestOrigin::Item, ..plain_request(1, &[]) };
+    let mut now = NOW + Span::from_secs(1);
+    assert_eq!(balancer.pick_plain(now, &item), Some(keys[0]));
+    let mut item_tokens = 0;
+    for _ in 0..12 {
+        balancer.record_limited(now, "s", RequestOrigin::Caller);
+        let origin = if balancer.pick_plain(now, &item).is_some() {
+            item_tokens += 1;
+            RequestOrigin::Item
+        } else {
+            RequestOrigin::Caller
+        };
+        balancer.begin_request(now, keys[0], origin);
+        now += Span::from_secs(1);
+    }
+    assert_eq!(item_tokens, 3);
+}
+
+/// Guards against a limit of an upstream that also holds for its next process.
+#[test]
+fn limit_ends_with_the_process() {
+    let (mut balancer, keys) = balancer(1, 8);
+    let process = balancer.entry(keys[0]).process();
+    balancer.set_request_rate(NOW, keys[0], Some(RequestRate::ZERO));
+    assert_eq!(balancer.pick_plain(NOW, &plain_request(1, &[])), None);
+    let restarted = UpstreamEntry { started_at_ms: Some(99), ..balancer.entry(keys[0]).clone() };
+    balancer.update(restarted);
+    assert_eq!(balancer.pick_plain(NOW, &plain_request(1, &[])), Some(keys[0]));
+    assert_eq!(balancer.upstream_of(process), None);
+}
--- a/crates/hibiscushinged/src/gateway.rs
+++ b/crates/hibiscushinged/src/gateway.rs
@@ -19,6 +19,7 @@
 mod items;
 mod job;
 mod lease;
+mod limits;
 mod metrics;
 mod node;
 mod partition_follower;
--- a/crates/hibiscushinged/src/gateway/attempt.rs
+++ b/crates/hibiscushinged/src/gateway/attempt.rs
@@ -6,15 +6,16 @@
     Method, RequestHead, StatusCode,
     header::{HeaderMap, HeaderName, HeaderValue},
 };
-use base::{RequestRate, Span, UpstreamKey};
+use base::{Span, UpstreamKey};
 use bytes::Bytes;
-use dispatch::ExchangeOutcome;
-use platform::{LimitStatement, ResponseMetadata};
+use dispatch::{ExchangeOutcome, RequestOrigin};
+use platform::ResponseMetadata;
 
 use crate::{
     clock::to_duration,
     gateway::{
         channel::{ChannelError, Exchange, UpstreamChannel},
+        limits,
         plain::PlainJob,
         response_buffer::BodyTooLong,
         traffic_state::TrafficState,
@@ -35,6 +36,7 @@
     pub(crate) body: Bytes,
     /// Customer to whose usage the request is counted, if any.
     pub(crate) billed_customer: Option<&'a str>,
+    pub(crate) origin: RequestOrigin,
 }
 
 /// A response of an upstream with its complete body.
@@ -64,8 +66,13 @@
 }
 
 impl AttemptGuard {
-    pub(crate) fn acquire(traffic: &Rc<TrafficState>, upstream: UpstreamKey) -> Self {
-        traffic.balancer.borrow_mut().begin_request(upstream);
+    pub(crate) fn acquire(
+        traffic: &Rc<TrafficState>,
+        upstream: UpstreamKey,
+        origin: RequestOrigin,
+    ) -> Self {
+        let now = traffic.node.now();
+        traffic.balancer.borrow_mut().begin_request(now, upstream, origin);
         Self { traffic: Rc::clone(traffic), upstream, ended: false }
     }
 
@@ -127,6 +134,7 @@
         }
     };
     let counted_request = call.billed_customer.map(|customer| traffic.node.count_request(customer));
+    let sent_at = traffic.node.now();
     let exchange = match channel.send(head, call.body, call.id).await {
         Ok(exchange) => exchange,
         Err(error) => {
@@ -141,7 +149,7 @@
         traffic.balancer.borrow_mut().record_load_report(traffic.node.now(), call.upstream, load);
     }
     if !metadata.misdirected {
-        record_limit(traffic, call.upstream, call.id, metadata.limit);
+        limits::record_statement(traffic, call.upstream, call.id, sent_at, metadata.limit);
     }
     if !metadata.not_run {
         return Ok(exchange);
@@ -160,29 +168,6 @@
     ))
 }
 
-/// Records what a response says of the limit of its upstream, and logs a change.
-fn record_limit(
-    traffic: &TrafficState,
-    upstream: UpstreamKey,
-    request: &str,
-    statement: LimitStatement,
-) {
-    let limit = match statement {
-        LimitStatement::Unlimited => None,
-        LimitStatement::Limited(limit) => Some(limit),
-        LimitStatement::Malformed => {
-            tracing::warn!(request, "ignoring a limit of an upstream that is no rate");
-            return;
-        }
-    };
-    let mut balancer = traffic.balancer.borrow_mut();
-    let Some(previous) = balancer.record_limit(upstream, limit) else { return };
-    let upstream = &balancer.entry(upstream).id;
-    let per_second = |limit: Option<RequestRate>| limit.map(RequestRate::per_second);
-    let (limit, previous) = (per_second(limit), per_second(previous));
-    log_event!(UpstreamLimited, upstream, request, limit, previous);
-}
-
 /// Reads and discards the rest of a response, and keeps the connection for reuse.
 async fn discard_body(traffic: &Rc<TrafficState>, upstream: UpstreamKey, mut exchange: Exchange) {
     /// Timeout for the rest of a refusal, which has little or no body.
@@ -203,7 +188,7 @@
     call: AttemptCall<'_>,
 ) -> Result<FullResponse, AttemptError> {
     let upstream = call.upstream;
-    let attempt = AttemptGuard::acquire(traffic, upstream);
+    let attempt = AttemptGuard::acquire(traffic, upstream, call.origin);
     let started = traffic.node.now();
     let mut exchange = match open_exchange(traffic, call).await {
         Ok(exchange) => exchange,
--- a/crates/hibiscushinged/src/gateway/crash_check.rs
+++ b/crates/hibiscushinged/src/gateway/crash_check.rs
@@ -6,16 +6,14 @@
 
 use std::{io, rc::Rc, time::Duration};
 
-use base::{Refusal, RefusalCode, UpstreamKey, WallTime, derive_copy};
+use base::{ProcessDigest, Refusal, RefusalCode, UpstreamKey, WallTime, derive_copy};
 use delivery::{Conviction, Fingerprint, FingerprintStatus};
 use protocol::CrashKey;
 
 use crate::{
     clock::wall_now,
     gateway::{
-        channel::UpstreamChannel,
-        plain::PlainJob,
-        suspects::{UnansweredRequest, process_digest},
+        channel::UpstreamChannel, plain::PlainJob, suspects::UnansweredRequest,
         traffic_state::TrafficState,
     },
     telemetry::log_event,
@@ -46,9 +44,13 @@
     /// Names the process that runs under the key of an upstream now, for a request that is sent to
     /// it now.
     pub(crate) fn new(traffic: &TrafficState, upstream: UpstreamKey) -> Self {
-        let process = process_digest(traffic.balancer.borrow().entry(upstream));
+        let process = traffic.balancer.borrow().entry(upstream).process().0;
         Self { upstream, process, started_at: wall_now() }
     }
+
+    pub(crate) const fn process(&self) -> ProcessDigest {
+        ProcessDigest(self.process)
+    }
 }
 
 impl CallerRun {
--- a/crates/hibiscushinged/src/gateway/crash_check/tests.rs
+++ b/crates/hibiscushinged/src/gateway/crash_check/tests.rs
@@ -6,7 +6,7 @@
 use base::{Execution, Span};
 use bytes::Bytes;
 use delivery::{Fingerprint, FingerprintStatus};
-use dispatch::RemovalCause;
+use dispatch::{RemovalCause, RequestOrigin};
 use rstest::rstest;
 use tokio::{io::AsyncReadExt as _, net::TcpListener};
 
@@ -14,7 +14,7 @@
 use crate::{
     clock::wall_now,
     gateway::{
-        plain::{PlainJob, RequestOrigin, run_plain},
+        plain::{PlainJob, run_plain},
         relay::relay,
         test_support::{traffic, upstream_entry},
         traffic_state::TrafficState,
--- a/crates/hibiscushinged/src/gateway/generation.rs
+++ b/crates/hibiscushinged/src/gateway/generation.rs
@@ -7,7 +7,7 @@
 
 use actix_http::Method;
 use base::{Moment, UpstreamKey};
-use dispatch::ExchangeOutcome;
+use dispatch::{ExchangeOutcome, RequestOrigin};
 use platform::{EventReader, UpstreamRequestMetadata, item_headers};
 use submissions::{ItemResult, TextError};
 use tokio::time::Instant;
@@ -127,6 +127,7 @@
         headers: item_headers(&job.item.headers, &metadata),
         body: job.item.body.clone(),
         billed_customer: None,
+        origin: RequestOrigin::Item,
     };
     let opened = tokio::time::timeout(EVENT_TIMEOUT, open_exchange(traffic, call)).await;
     let mut exchange = match opened {
--- /dev/null
+++ b/crates/hibiscushinged/src/gateway/limits.rs
@@ -0,0 +1,302 @@
+//! Limits on requests that upstreams name, and this node's shares of them.
+//!
+//! [`LimitShares`] decides the shares. This module passes it what responses say and what the nodes
+//! write to the store, and sets the rates of the balancer by it.
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, HashSet},
+    rc::Rc,
+    time::Duration,
+};
+
+use base::{
+    Incarnation, Moment, NodeDigest, ProcessDigest, RequestRate, Span, UpstreamKey, stable_hash,
+};
+use bytes::Bytes;
+use dispatch::{LimitShare, LimitShares, NodeClaims};
+use platform::{AppendResponse, LimitStatement, encode_keyed_record};
+use protocol::{LimitRecord, decode_limit_record, encode_limit_record};
+use tokio::sync::Notify;
+
+use crate::{
+    gateway::{
+        fetch::KeyChange,
+        topic_follower::{ChangeSink, FollowPace, follow_topic},
+        traffic_state::TrafficState,
+    },
+    telemetry::log_event,
+};
+
+/// Topic of limits and claims. It is compacted by key, so that a node that starts reads only the
+/// newest ones.
+const LIMIT_TOPIC: &str = "keyed.limits";
+
+/// Pace of the reads. All nodes write to the topic while a limit holds, and a read for each record
+/// would take up the store's rate of calls.
+const READ_PACE: FollowPace =
+    FollowPace { poll_wait: Span::from_secs(1), pause: Duration::from_millis(200) };
+
+/// Interval between updates of the claims while an upstream names a limit.
+const UPDATE_PERIOD: Duration = Duration::from_millis(500);
+
+/// Interval between checks of whether this node's record is due while no upstream names a limit.
+const IDLE_PERIOD: Duration = Duration::from_secs(5);
+
+/// Delay before a new limit is written, so that the news of several upstreams share an append.
+const NEWS_DELAY: Duration = Duration::from_millis(20);
+
+/// Delay after a failed write.
+const RETRY_DELAY: Duration = Duration::from_millis(400);
+
+/// Limits and shares of one traffic thread.
+pub(crate) struct LimitRegistry {
+    shares: RefCell<LimitShares>,
+    /// Shares as they were last logged.
+    logged: RefCell<BTreeMap<ProcessDigest, LimitShare>>,
+    /// Notified when a limit has to be written.
+    news: Notify,
+}
+
+impl LimitRegistry {
+    pub(crate) fn new(vm_name: &str, incarnation: Incarnation) -> Self {
+        let node = NodeDigest(stable_hash(vm_name));
+        Self {
+            shares: RefCell::new(LimitShares::new(node, incarnation)),
+            logged: RefCell::default(),
+            news: Notify::new(),
+        }
+    }
+}
+
+/// Records what the response to a request that was sent at `sent_at` says of its upstream's limit.
+pub(crate) fn record_statement(
+    traffic: &TrafficState,
+    upstream: UpstreamKey,
+    request: &str,
+    sent_at: Moment,
+    statement: LimitStatement,
+) {
+    let limit = match statement {
+        LimitStatement::Unlimited => None,
+        LimitStatement::Limited(limit) => Some(limit),
+        LimitStatement::Malformed => {
+            let balancer = traffic.balancer.borrow();
+            let upstream = &balancer.entry(upstream).id;
+            tracing::warn!(upstream, request, "ignoring a limit of an upstream that is no rate");
+            return;
+        }
+    };
+    let now = traffic.node.now();
+    let process = traffic.balancer.borrow().entry(upstream).process();
+    if traffic.limits.shares.borrow_mut().observe(now, sent_at, process, limit) {
+        log_limit(traffic, process, limit, Some(request));
+        apply_rate(traffic, now, process);
+        traffic.limits.news.notify_one();
+    }
+}
+
+/// Sets the rate of an upstream that has started or changed by the limit of its process, if that is
+/// known already.
+pub(crate) fn process_updated(traffic: &TrafficState, upstream: UpstreamKey) {
+    let process = traffic.balancer.borrow().entry(upstream).process();
+    apply_rate(traffic, traffic.node.now(), process);
+}
+
+/// Drops the limit of a process that has ended.
+pub(crate) fn process_ended(traffic: &TrafficState, process: ProcessDigest) {
+    traffic.limits.logged.borrow_mut().remove(&process);
+    if traffic.limits.shares.borrow_mut().forget_process(process) {
+        traffic.limits.news.notify_one();
+    }
+}
+
+/// Follows the limits and claims of all nodes until the process ends.
+pub(crate) async fn follow_limits(traffic: Rc<TrafficState>) {
+    let sink = LimitSink { traffic: Rc::clone(&traffic) };
+    follow_topic(&traffic.store, LIMIT_TOPIC, READ_PACE, sink).await;
+}
+
+/// Updates and writes this node's claims until the process ends.
+pub(crate) async fn claim_shares(traffic: Rc<TrafficState>) {
+    loop {
+        let limits = update_claims(&traffic).await;
+        let period = if limits > 0 { UPDATE_PERIOD } else { IDLE_PERIOD };
+        tokio::select! {
+            () = traffic.limits.news.notified() => tokio::time::sleep(NEWS_DELAY).await,
+            () = tokio::time::sleep(period) => {}
+        }
+    }
+}
+
+/// Updates this node's claims, writes what has changed, and returns the number of limits.
+async fn update_claims(traffic: &TrafficState) -> usize {
+    let claims = update_shares(traffic);
+    let (unsent, limit_count, me) = {
+        let mut shares = traffic.limits.shares.borrow_mut();
+        let limit_count = shares.limited_processes().count();
+        (shares.take_unsent_limits(), limit_count, shares.node())
+    };
+    let limits = unsent.iter().map(|(process, limit)| LimitRecord::Limit(*process, *limit));
+    let claims = claims.map(|claims| LimitRecord::Claims(me, Some(claims)));
+    let records = limits.chain(claims).map(|record| {
+        let (key, value) = encode_limit_record(&record);
+        encode_keyed_record(&key, value.as_deref())
+    });
+    let records: Vec<Bytes> = records.collect();
+    if records.is_empty() {
+        return limit_count;
+    }
+    let stored = traffic.store.append(LIMIT_TOPIC, 0, None, &records).await;
+    if !matches!(stored, Ok(AppendResponse::Appended { .. })) {
+        // The store session has logged the failure. A repeated write changes nothing.
+        tokio::time::sleep(RETRY_DELAY).await;
+        let mut shares = traffic.limits.shares.borrow_mut();
+        shares.restore_unsent_limits(unsent);
+        shares.retry_record();
+    }
+    limit_count
+}
+
+/// Updates this node's claims by its demand, applies lower ones before they are written, and
+/// returns the record to write, if any.
+fn update_shares(traffic: &TrafficState) -> Option<NodeClaims> {
+    let now = traffic.node.now();
+    let claims = {
+        let balancer = traffic.balancer.borrow();
+        let wanted = |process| {
+            let upstream = balancer.upstream_of(process);
+            let service = upstream.map(|upstream| &balancer.entry(upstream).service);
+            service.map_or(RequestRate::ZERO, |service| balancer.demand(now, service))
+        };
+        traffic.limits.shares.borrow_mut().update(now, wanted)
+    };
+    apply_rates(traffic, now);
+    claims
+}
+
+/// Sets the rates of all limited upstreams in the balancer.
+fn apply_rates(traffic: &TrafficState, now: Moment) {
+    let processes: Vec<ProcessDigest> =
+        traffic.limits.shares.borrow().limited_processes().collect();
+    for process in processes {
+        apply_rate(traffic, now, process);
+    }
+}
+
+/// Sets the rate of an upstream in the balancer by this node's share of its limit.
+fn apply_rate(traffic: &TrafficState, now: Moment, process: ProcessDigest) {
+    let share = traffic.limits.shares.borrow().share(now, process);
+    let mut balancer = traffic.balancer.borrow_mut();
+    let Some(upstream) = balancer.upstream_of(process) else { return };
+    balancer.set_request_rate(now, upstream, share.map(|share| share.rate()));
+    let mut logged = traffic.limits.logged.borrow_mut();
+    let previous = match share {
+        Some(share) => logged.insert(process, share),
+        None => logged.remove(&process),
+    };
+    let Some(share) = share else { return };
+    let rates = |share: LimitShare| (share.limit, share.guaranteed, share.claimed);
+    if previous.map(rates) == Some(rates(share)) {
+        return;
+    }
+    log_event!(
+        LimitShareChanged,
+        upstream = balancer.entry(upstream).id,
+        limit = share.limit.per_second(),
+        wanted = share.wanted.per_second(),
+        guaranteed = share.guaranteed.per_second(),
+        claimed = share.claimed.per_second(),
+    );
+}
+
+/// Logs the news of a limit, from a response to `request` or from another node.
+fn log_limit(
+    traffic: &TrafficState,
+    process: ProcessDigest,
+    limit: Option<RequestRate>,
+    request: Option<&str>,
+) {
+    let balancer = traffic.balancer.borrow();
+    let Some(upstream) = balancer.upstream_of(process) else { return };
+    let upstream = &balancer.entry(upstream).id;
+    let limit = limit.map(RequestRate::per_second);
+    let source = if request.is_some() { "response" } else { "store" };
+    log_event!(UpstreamLimited, upstream, limit, source, request);
+}
+
+/// Applies limits and claims from the store.
+struct LimitSink {
+    traffic: Rc<TrafficState>,
+}
+
+impl LimitSink {
+    fn apply_record(&self, record: LimitRecord) {
+        let traffic = &self.traffic;
+        let now = traffic.node.now();
+        let mut shares = traffic.limits.shares.borrow_mut();
+        match record {
+            LimitRecord::Limit(process, limit) => {
+                if shares.apply_limit(now, process, limit) {
+                    drop(shares);
+                    log_limit(traffic, process, limit, None);
+                    apply_rate(traffic, now, process);
+                    // Other nodes need to know what this one wants.
+                    traffic.limits.news.notify_one();
+                }
+            }
+            LimitRecord::Claims(node, claims) => {
+                shares.apply_claims(now, node, claims);
+                if node == shares.node() {
+                    drop(shares);
+                    apply_rates(traffic, now);
+                }
+            }
+        }
+    }
+}
+
+impl ChangeSink for LimitSink {
+    fn replace(&self, changes: Vec<KeyChange>) {
+        let records: Vec<LimitRecord> = changes.iter().filter_map(decode).collect();
+        let mut processes = HashSet::new();
+        let mut nodes = HashSet::new();
+        for record in &records {
+            match record {
+                LimitRecord::Limit(process, _) => processes.insert(*process),
+                LimitRecord::Claims(node, _) => nodes.insert(*node),
+            };
+        }
+        let now = self.traffic.node.now();
+        let lifted = self.traffic.limits.shares.borrow_mut().begin_full_read(
+            now,
+            |process| processes.contains(&process),
+            |node| nodes.contains(&node),
+        );
+        for process in lifted {
+            apply_rate(&self.traffic, now, process);
+        }
+        for record in records {
+            self.apply_record(record);
+        }
+    }
+
+    fn apply(&self, change: KeyChange) {
+        if let Some(record) = decode(&change) {
+            self.apply_record(record);
+        }
+    }
+}
+
+/// Decodes a record. A malformed one is logged and skipped.
+fn decode(change: &KeyChange) -> Option<LimitRecord> {
+    match decode_limit_record(&change.key, change.value.as_deref()) {
+        Ok(record) => Some(record),
+        Err(error) => {
+            let (key, offset) = (&change.key, change.offset);
+            let reason = error.to_string();
+            log_event!(warn, LogRecordRefused, topic = LIMIT_TOPIC, key, offset, reason);
+            None
+        }
+    }
+}
--- a/crates/hibiscushinged/src/gateway/plain.rs
+++ b/crates/hibiscushinged/src/gateway/plain.rs
@@ -3,10 +3,10 @@
 use std::{cell::OnceCell, rc::Rc};
 
 use actix_http::{Method, header::HeaderMap};
-use base::{Moment, Refusal, RefusalCode, Span, UpstreamKey, derive_copy};
+use base::{Moment, Refusal, RefusalCode, Span, UpstreamKey};
 use bytes::Bytes;
 use delivery::Fingerprint;
-use dispatch::PlainPickRequest;
+use dispatch::{PlainPickRequest, RequestOrigin};
 use futures_util::{StreamExt as _, stream::FuturesUnordered};
 use platform::{UpstreamRequestMetadata, forward_headers};
 use smallvec::SmallVec;
@@ -33,16 +33,6 @@
 /// Delay before the next attempt when no upstream has run the request.
 const RETRY_DELAY: Span = Span::from_millis(20);
 
-derive_copy! {
-    /// What a request is sent for.
-    pub(crate) enum RequestOrigin {
-        /// A caller, who may send the same request again at any node.
-        Caller,
-        /// The reward call of an item.
-        Item,
-    }
-}
-
 /// A request whose response is not streamed; `relay` also uses it for streams.
 pub(crate) struct PlainJob<'a> {
     pub(crate) id: &'a str,
@@ -97,6 +87,7 @@
             headers: forward_headers(self.headers, &metadata),
             body: self.body.clone(),
             billed_customer: self.customer,
+            origin: self.origin,
         }
     }
 }
@@ -162,6 +153,9 @@
             hedge_at = now + hedge_delay;
         }
         if running.is_empty() {
+            if may_send && state.tried.is_empty() {
+                return Err(no_upstream(traffic, job));
+            }
             return state.give_up(time_left);
         }
         let next = if running.len() == 1 { hedge_at.min(job.deadline) } else { job.deadline };
@@ -204,11 +198,27 @@
         tried,
         connected,
         suspect,
+        origin: job.origin,
         jitter_seed: rand::random(),
     };
     traffic.balancer.borrow().pick_plain(traffic.node.now(), &request)
 }
 
+/// Returns the refusal of a request for which no upstream can be picked, by the limits of the
+/// upstreams if these are the reason.
+pub(crate) fn no_upstream(traffic: &TrafficState, job: &PlainJob<'_>) -> Refusal {
+    let now = traffic.node.now();
+    let limited = traffic.balancer.borrow_mut().record_limited(now, job.service, job.origin);
+    let (code, message, retry_after) = match limited {
+        Some(span) => {
+            let message = "all usable upstreams have reached the limits on requests that they name";
+            (RefusalCode::UpstreamsLimited, message, span)
+        }
+        None => (RefusalCode::NoUpstream, "no upstream is usable", RETRY_AFTER),
+    };
+    Refusal::not_run(code, message).with_retry_after(retry_after)
+}
+
 async fn run_attempt(
     traffic: &Rc<TrafficState>,
     job: &PlainJob<'_>,
--- a/crates/hibiscushinged/src/gateway/relay.rs
+++ b/crates/hibiscushinged/src/gateway/relay.rs
@@ -17,7 +17,7 @@
         attempt::{AttemptError, AttemptGuard, log_attempt, open_exchange},
         channel::Exchange,
         crash_check::{self, CallerRun, RunTarget},
-        plain::{MAX_CRASHES, PlainJob, pick},
+        plain::{MAX_CRASHES, PlainJob, no_upstream, pick},
         response,
         traffic_state::TrafficState,
     },
@@ -58,10 +58,15 @@
             break;
         }
         let time_left = job.deadline.since(traffic.node.now());
-        let Some(upstream) = pick(traffic, job, &tried) else { break };
+        let Some(upstream) = pick(traffic, job, &tried) else {
+            if tried.is_empty() {
+                return Err(no_upstream(traffic, job));
+            }
+            break;
+        };
         tried.push(upstream);
         log_attempt(traffic, job, upstream, tried.len(), time_left);
-        let attempt = AttemptGuard::acquire(traffic, upstream);
+        let attempt = AttemptGuard::acquire(traffic, upstream, job.origin);
         let target = RunTarget::new(traffic, upstream);
         match begin(traffic, job, upstream, time_left).await {
             Ok(exchange) => {
--- a/crates/hibiscushinged/src/gateway/reward.rs
+++ b/crates/hibiscushinged/src/gateway/reward.rs
@@ -3,12 +3,13 @@
 use std::{cell::OnceCell, rc::Rc, time::Duration};
 
 use actix_http::{Method, StatusCode, header::HeaderMap};
+use dispatch::RequestOrigin;
 use submissions::{ItemResult, ItemState, RewardCall};
 
 use crate::{
     gateway::{
         job::ItemJob,
-        plain::{PlainJob, RequestOrigin, run_plain},
+        plain::{PlainJob, run_plain},
         traffic_state::TrafficState,
     },
     telemetry::log_event,
--- a/crates/hibiscushinged/src/gateway/runner.rs
+++ b/crates/hibiscushinged/src/gateway/runner.rs
@@ -7,7 +7,7 @@
 };
 
 use base::{Moment, Span, UpstreamKey};
-use dispatch::{GenerationPickRequest, ModelRequirement};
+use dispatch::{GenerationPickRequest, ModelRequirement, RequestOrigin};
 use submissions::{SubmissionTable, result_records};
 
 use crate::{
@@ -149,7 +149,9 @@
             connected: &connected,
             jitter_seed: rand::random(),
         };
-        let Some(upstream) = traffic.balancer.borrow().pick_generation(now, &request) else {
+        let picked = traffic.balancer.borrow().pick_generation(now, &request);
+        let Some(upstream) = picked else {
+            traffic.balancer.borrow_mut().record_limited(now, service, RequestOrigin::Item);
             unplaceable.insert(requirement);
             return false;
         };
@@ -230,7 +232,7 @@
 }
 
 fn start(job: &Rc<ItemJob>, traffic: &Rc<TrafficState>, upstream: UpstreamKey) {
-    let attempt = AttemptGuard::acquire(traffic, upstream);
+    let attempt = AttemptGuard::acquire(traffic, upstream, RequestOrigin::Item);
     let started_at = traffic.node.now();
     let run = generation::run(Rc::clone(traffic), Rc::clone(job), upstream, attempt);
     let task = actix_rt::spawn(run);
--- a/crates/hibiscushinged/src/gateway/serve.rs
+++ b/crates/hibiscushinged/src/gateway/serve.rs
@@ -7,6 +7,7 @@
 use actix_http::{HttpService, KeepAlive, Request, Response, body::BoxBody};
 use base::{Moment, Refusal, RefusalCode, Span};
 use bytes::{Bytes, BytesMut};
+use dispatch::RequestOrigin;
 use futures_util::StreamExt as _;
 use platform::{RequestMetadata, RequestTarget, parse_request_head, parse_request_target};
 use routebook::{ConfigIndex, RequestKind, RouteSpec};
@@ -16,9 +17,9 @@
     accept::serve_connections,
     clock::to_duration,
     gateway::{
-        cleanup, crash_check, crash_records, group,
+        cleanup, crash_check, crash_records, group, limits,
         node::{LAST_TOTALS_TIMEOUT, NodeState},
-        plain::{PlainJob, RequestOrigin, run_plain},
+        plain::{PlainJob, run_plain},
         relay, response, runner,
         submit::{self, NewSubmission, SubmissionRef},
         traffic_state::TrafficState,
@@ -90,6 +91,8 @@
         actix_rt::spawn(cleanup::delete_old(Rc::clone(&traffic)));
         actix_rt::spawn(crash_records::follow_crash_records(Rc::clone(&traffic)));
         actix_rt::spawn(crash_records::store_crash_records(Rc::clone(&traffic)));
+        actix_rt::spawn(limits::follow_limits(Rc::clone(&traffic)));
+        actix_rt::spawn(limits::claim_shares(Rc::clone(&traffic)));
         Ok(Self { traffic })
     }
 
--- a/crates/hibiscushinged/src/gateway/suspects.rs
+++ b/crates/hibiscushinged/src/gateway/suspects.rs
@@ -20,7 +20,6 @@
     Conviction, Fingerprint, FingerprintStatus, SuspectAction, SuspectActions, SuspectEvent,
     SuspectPolicy, SuspectTable, Suspicion,
 };
-use dispatch::UpstreamEntry;
 use protocol::{CrashKey, CrashRecord};
 use smallvec::SmallVec;
 use tokio::sync::Notify;
@@ -288,9 +287,3 @@
         self.unanswered.retain(|request| now.since(request.since) < UNANSWERED_RETENTION);
     }
 }
-
-/// Returns a digest that names the process of an upstream. Another process under the same
-/// identifier has another one.
-pub(crate) fn process_digest(entry: &UpstreamEntry) -> u64 {
-    base::stable_hash(&format!("{}/{:?}", entry.id, entry.started_at_ms))
-}
--- a/crates/hibiscushinged/src/gateway/traffic_state.rs
+++ b/crates/hibiscushinged/src/gateway/traffic_state.rs
@@ -6,9 +6,9 @@
 use dispatch::UpstreamBalancer;
 
 use crate::gateway::{
-    channel::Exchange, items::ItemScheduler, node::NodeState, partitions::PartitionSet,
-    pool::ChannelPool, response_buffer::BufferBudget, store::StoreSession,
-    suspects::SuspectRegistry,
+    channel::Exchange, items::ItemScheduler, limits::LimitRegistry, node::NodeState,
+    partitions::PartitionSet, pool::ChannelPool, response_buffer::BufferBudget,
+    store::StoreSession, suspects::SuspectRegistry,
 };
 
 /// State of the traffic thread.
@@ -21,6 +21,7 @@
     pub(crate) items: ItemScheduler,
     pub(crate) body_budget: BufferBudget,
     pub(crate) suspects: SuspectRegistry,
+    pub(crate) limits: LimitRegistry,
 }
 
 impl TrafficState {
@@ -31,6 +32,7 @@
             items: ItemScheduler::default(),
             body_budget: BufferBudget::default(),
             suspects: SuspectRegistry::new(node.incarnation),
+            limits: LimitRegistry::new(&node.settings.vm_name, node.incarnation),
             balancer: RefCell::default(),
             pool: ChannelPool::new(),
             node,
--- a/crates/hibiscushinged/src/gateway/upstreams.rs
+++ b/crates/hibiscushinged/src/gateway/upstreams.rs
@@ -9,6 +9,7 @@
 use crate::{
     gateway::{
         crash_check::{self, RunTarget},
+        limits,
         traffic_state::TrafficState,
     },
     telemetry::log_event,
@@ -33,9 +34,10 @@
                 if change == UpstreamChange::Restarted {
                     self.pool.close(upstream);
                     if let Some(target) = previous {
-                        crash_check::process_ended(self, target);
+                        self.process_ended(target);
                     }
                 }
+                limits::process_updated(self, upstream);
                 log_event!(UpstreamChanged, upstream = id, %address, ?state, ?change);
             }
             UpstreamUpdate::Removed { id, cause } => {
@@ -43,13 +45,18 @@
                 let removed = self.balancer.borrow_mut().remove(now, &id, cause);
                 if let (Some(upstream), RemovalCause::Left) = (removed, cause) {
                     self.pool.close(upstream);
-                    crash_check::process_ended(self, RunTarget::new(self, upstream));
+                    self.process_ended(RunTarget::new(self, upstream));
                 }
                 log_event!(UpstreamChanged, upstream = id, change = "removed", ?cause);
             }
         }
         self.items.wake();
     }
+
+    fn process_ended(&self, target: RunTarget) {
+        crash_check::process_ended(self, target);
+        limits::process_ended(self, target.process());
+    }
 }
 
 /// Applies changes of upstreams until the control thread ends.
--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -5,6 +5,7 @@
 mod config;
 mod crashes;
 mod demand;
+mod limits;
 mod samples;
 mod submissions;
 mod totals;
@@ -16,6 +17,7 @@
     config::{WireConfig, WireSnapshot},
     crashes::{CrashKey, CrashRecord, decode_crash_record, encode_crash_record},
     demand::WireDemand,
+    limits::{LimitRecord, decode_limit_record, encode_limit_record},
     samples::{SampleEntry, SampleSnapshot, StepPrompts, WireSample},
     submissions::{
         EXPIRING_SUBMISSIONS_PREFIX, OPEN_SUBMISSIONS_PREFIX, decode_submission_record,
--- a/crates/protocol/tests/codec.rs
+++ b/crates/protocol/tests/codec.rs
@@ -4,18 +4,23 @@
 use authority::{
     AuthorityRecord, LeaseClaim, LeaseScope, OrderId, OrderIntent, OrderKind, PriceClass,
 };
-use base::{FencingToken, Incarnation, LogOffset, RecordId, Span, WallTime, WeightVersion};
+use base::{
+    FencingToken, Incarnation, LogOffset, NodeDigest, ProcessDigest, RecordId, RequestRate, Span,
+    WallTime, WeightVersion,
+};
 use configuration::{ConfigEdit, ConfigRecord, ConfigVersion, EnvironmentName};
 use delivery::{ClaimDone, ClaimEvent, ClaimKey, ClaimOutcome, Conviction, Fingerprint, RequestId};
+use dispatch::{LimitClaim, NodeClaims};
 use fleet::{DemandKey, DemandSnapshot, SLOTS_PER_WEEK, WorkClass};
 use proptest::{
     prelude::*,
     test_runner::{Config, RngSeed, TestRunner},
 };
 use protocol::{
-    CrashKey, CrashRecord, MAX_MESSAGE_BYTES, SampleEntry, SampleSnapshot, StepPrompts,
-    StreamRecord, WireAuthority, decode_crash_record, decode_message, decode_record,
-    encode_crash_record, encode_message, encode_record,
+    CrashKey, CrashRecord, LimitRecord, MAX_MESSAGE_BYTES, SampleEntry, SampleSnapshot,
+    StepPrompts, StreamRecord, WireAuthority, decode_crash_record, decode_limit_record,
+    decode_message, decode_record, encode_crash_record, encode_limit_record, encode_message,
+    encode_record,
 };
 use rollout::{
     DeliveryNumber, SampleBound, SampleFilled, SampleRecord, SampleTable, SampleVoided, Score,
@@ -215,3 +220,27 @@
         step_prompts: vec![(3, step_prompts)],
     })));
 }
+
+/// Guards against a limit or claim that other nodes read for another process, node or rate.
+#[test]
+fn limit_records_are_unchanged_by_encoding_and_decoding() {
+    let claim = LimitClaim {
+        process: ProcessDigest(u64::MAX),
+        wanted: RequestRate(21_000),
+        claimed: RequestRate(500),
+    };
+    let claims = NodeClaims { incarnation: Incarnation(3), sequence: 9, claims: vec![claim] };
+    for record in [
+        LimitRecord::Limit(ProcessDigest(7), Some(RequestRate(2_900))),
+        LimitRecord::Limit(ProcessDigest(7), None),
+        LimitRecord::Claims(NodeDigest(8), Some(claims)),
+        LimitRecord::Claims(NodeDigest(8), None),
+    ] {
+        let (key, value) = encode_limit_record(&record);
+        assert_eq!(decode_limit_record(&key, value.as_deref()), Ok(record));
+    }
+    for malformed in ["", "limit/", "limit/x", "node/-1", "share/7"] {
+        assert!(decode_limit_record(malformed, None).is_err(), "{malformed}");
+    }
+    assert!(decode_limit_record("limit/7", Some(b"x")).is_err());
+}
