Keep shares of limits through outages, and notice lifted limits sooner

Change: claims stay as they are without the store and for 4 s after they are made, a holder that uses no tokens for 4 s releases them, two nodes probe a limit that nobody has seen for 7 s, and a limit that nobody wants to use is forgotten. Reward calls wait with their permits, which now count for each service, by the slots of upstreams without limits.

--- a/crates/dispatch/src/balancer.rs
+++ b/crates/dispatch/src/balancer.rs
@@ -45,6 +45,9 @@
 /// callers.
 const CALLER_PRECEDENCE: Span = Span::from_secs(1);
 
+/// Interval at which items that find no tokens count as demand.
+const ITEM_DEMAND_INTERVAL: Span = Span::from_millis(250);
+
 /// While callers are refused, items get one in this many tokens, so that they are not starved.
 const TOKENS_PER_ITEM: u32 = 4;
 
@@ -65,6 +68,8 @@
     demand: DemandMeter,
     /// When a caller's request last found no token.
     caller_refused_at: Option<Moment>,
+    /// When an item's request that found no token was last counted as demand.
+    item_refused_at: Moment,
     /// When the last refused caller is expected back.
     last_return_at: Moment,
     /// Tokens that callers have taken since an item took one.
@@ -197,17 +202,29 @@
         }
     }
 
-    /// Returns the upstream that runs the process, if it is known and has not restarted.
+    /// Gives this node a token for a request to an upstream that names a limit, if it has none.
+    pub fn add_token(&mut self, now: Moment, upstream: UpstreamKey) {
+        if let Some(bucket) = &mut self.upstreams[upstream].bucket {
+            bucket.add_token(now);
+        }
+    }
+
+    /// Returns the rate that this node could use of an upstream's limit: its demand for the
+    /// service, or nothing while it leaves its tokens unused.
     #[must_use]
-    pub fn upstream_of(&self, process: ProcessDigest) -> Option<UpstreamKey> {
-        self.processes.get(&process).copied()
+    pub fn wanted_rate(&self, now: Moment, upstream: UpstreamKey) -> RequestRate {
+        let stats = &self.upstreams[upstream];
+        if stats.bucket.is_some_and(|bucket| bucket.is_unused(now)) {
+            return RequestRate::ZERO;
+        }
+        let queue = self.queues.get(&stats.entry.service);
+        queue.map_or(RequestRate::ZERO, |queue| queue.demand.rate(now))
     }
 
-    /// Returns the rate of this node's requests for a service in the last seconds, those that were
-    /// refused for want of tokens included.
+    /// Returns the upstream that runs the process, if it is known and has not restarted.
     #[must_use]
-    pub fn demand(&self, now: Moment, service: &str) -> RequestRate {
-        self.queues.get(service).map_or(RequestRate::ZERO, |queue| queue.demand.rate(now))
+    pub fn upstream_of(&self, process: ProcessDigest) -> Option<UpstreamKey> {
+        self.processes.get(&process).copied()
     }
 
     /// Records that a request found no token on any upstream of the service. Returns when a caller
@@ -233,10 +250,15 @@
             return None;
         }
         let queue = self.queues.entry(String::from(service)).or_default();
-        queue.demand.record(now);
         if origin == RequestOrigin::Item {
+            // Items try again until they are run, so each try is not a further request.
+            if now.since(queue.item_refused_at) >= ITEM_DEMAND_INTERVAL {
+                queue.item_refused_at = now;
+                queue.demand.record(now);
+            }
             return Some(MAX_RETURN_TIME);
         }
+        queue.demand.record(now);
         queue.caller_refused_at = Some(now);
         let interval = rate.interval().map_or(MAX_RETURN_TIME, |span| span.min(MAX_RETURN_TIME));
         let return_at = queue.last_return_at.max(now) + interval;
@@ -275,6 +297,20 @@
         }
     }
 
+    /// Returns the total slots of the usable upstreams of a service that name no limit on their
+    /// requests.
+    #[must_use]
+    pub fn unlimited_slots(&self, now: Moment, service: &str) -> u32 {
+        let mut slots = 0;
+        for upstream in self.service_upstreams(service) {
+            let stats = &self.upstreams[*upstream];
+            if self.is_usable(now, *upstream) && stats.bucket.is_none() {
+                slots += stats.entry.slots;
+            }
+        }
+        slots
+    }
+
     /// Returns the total slots and the total load (running and queued requests) of the usable
     /// upstreams of a service.
     #[must_use]
--- a/crates/dispatch/src/limit_shares.rs
+++ b/crates/dispatch/src/limit_shares.rs
@@ -8,8 +8,9 @@
 //! the limit, however late a node reads.
 //!
 //! A claim is a lease. A node that does not reach the log stops using its claims before the others
-//! count them as free. A part of each limit is divided equally without claims, so that nodes can
-//! send some requests without the log.
+//! count them as free. A part of each limit is divided equally among the nodes that want it, without
+//! claims, so that some requests are sent after the leases have ended too. Their responses also show
+//! when the limit was lifted.
 
 use std::collections::BTreeMap;
 
@@ -19,18 +20,23 @@
 };
 use smallvec::SmallVec;
 
-/// Part of a limit that is divided equally among all nodes.
+/// Part of a limit that is divided equally among the nodes that want it.
 const GUARANTEED_PERCENT: u64 = 20;
 
+/// Number of nodes that probe an upstream when no node has seen its limit in a response for
+/// [`PROBE_PERIOD`]. Without probes nobody would learn that it was lifted while the limit is zero,
+/// or while the shares are held by nodes that do not use them or cannot be reached.
+const PROBING_NODES: u64 = 2;
+
+/// Interval between two probes of one node. It is longer than two renewals, with which the nodes
+/// tell each other that they have seen the limit.
+const PROBE_PERIOD: Span = Span::from_secs(7);
+
 /// Smallest share of a limit, unless the whole limit is smaller. Each holder of a share can save
 /// one request for a burst, so the bursts of all holders together stay below the requests that
 /// arrive in two seconds at the limit.
 const MIN_SHARE: RequestRate = RequestRate(500);
 
-/// Rate that is sent to an upstream whose limit is lower, or zero. Only a response shows that the
-/// limit was lifted.
-const PROBE_RATE: RequestRate = RequestRate(100);
-
 /// Time for which a node may use a claim, counted from when it sent the record. Outages of the
 /// log that are shorter leave the division as it is.
 const CLAIM_LEASE: Span = Span::from_secs(10);
@@ -45,13 +51,21 @@
 /// Interval at which a node without claims writes its record again.
 const MEMBER_RENEWAL: Span = Span::from_secs(20);
 
-/// Time after its last record during which a node counts as a member, which has a part of the
+/// Time after its last record during which a node counts as a member, which may have a part of the
 /// guaranteed rates.
 const MEMBER_LIFETIME: Span = Span::from_secs(60);
 
+/// Time after which a limit that no response has named and no node wants to use is forgotten. The
+/// next response names it again, if it still holds.
+const UNUSED_LIMIT_LIFETIME: Span = Span::from_secs(10);
+
 /// Time from the news of a limit until the first claims. The nodes write what they want meanwhile.
 const CLAIM_DELAY: Span = Span::from_millis(600);
 
+/// Time for which a node keeps a new claim while it wants any of it. A small share yields its first
+/// request only after a second or two.
+const MIN_HOLDING_TIME: Span = Span::from_secs(4);
+
 /// A claim and a wanted rate are written again when they change by more than one in this.
 const CHANGE_DIVISOR: u64 = 4;
 
@@ -64,6 +78,8 @@
         pub wanted: RequestRate,
         /// Rate that the node claims.
         pub claimed: RequestRate,
+        /// Whether a response has named the limit to the node since its record before.
+        pub is_seen: bool,
     }
 
     /// How this node takes part in the division of one limit.
@@ -98,6 +114,8 @@
     incarnation: Incarnation,
     /// Whether all records of the log have been read once.
     loaded: bool,
+    /// Whether this node reached the log at the last update.
+    is_log_reachable: bool,
     limits: BTreeMap<ProcessDigest, KnownLimit>,
     others: BTreeMap<NodeDigest, OtherNode>,
     own: BTreeMap<ProcessDigest, OwnShare>,
@@ -117,6 +135,9 @@
     /// When this node learned of the rate. Responses to earlier requests may be older than the
     /// rate.
     changed_at: Moment,
+    /// When a response to any node last named the rate, or this node learned of it.
+    seen_at: Moment,
+    probed_at: Moment,
 }
 
 #[derive(Debug, Clone)]
@@ -129,8 +150,14 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct OwnShare {
     wanted: RequestRate,
+    /// Whether a response has named the limit since the last record.
+    is_seen: bool,
+    /// Whether all nodes can read in the log that this one wants a share.
+    is_listed: bool,
     /// Claim of the last record that was written.
     claimed: RequestRate,
+    /// When this node began to claim a part.
+    claimed_since: Moment,
     /// Part of the claim that this node may use until `usable_until`.
     usable: RequestRate,
     usable_until: Moment,
@@ -144,6 +171,7 @@
             me,
             incarnation,
             loaded: false,
+            is_log_reachable: true,
             limits: BTreeMap::new(),
             others: BTreeMap::new(),
             own: BTreeMap::new(),
@@ -170,9 +198,16 @@
         process: ProcessDigest,
         limit: Option<RequestRate>,
     ) -> bool {
-        let is_news = match self.limits.get(&process) {
+        let is_news = match self.limits.get_mut(&process) {
             None => limit.is_some(),
-            Some(known) => known.rate != limit && sent_at >= known.changed_at,
+            Some(known) if known.rate == limit => {
+                known.seen_at = now;
+                if let Some(share) = self.own.get_mut(&process) {
+                    share.is_seen = true;
+                }
+                false
+            }
+            Some(known) => sent_at >= known.changed_at,
         };
         if is_news {
             self.set_limit(now, process, limit);
@@ -210,6 +245,11 @@
             self.others.remove(&node);
             return;
         };
+        for claim in record.claims.iter().filter(|claim| claim.is_seen) {
+            if let Some(known) = self.limits.get_mut(&claim.process) {
+                known.seen_at = now;
+            }
+        }
         let other = OtherNode {
             claims: record.claims,
             claims_expire_at: now + CLAIM_LEASE + LEASE_MARGIN,
@@ -242,7 +282,7 @@
         self.own.remove(&process);
         let Some(known) = self.limits.remove(&process) else { return false };
         self.unsent_limits.remove(&process);
-        let deletes = known.rate.is_some() && self.rank(process) == 0;
+        let deletes = known.rate.is_some() && self.rank(process, self.others.keys().copied()) == 0;
         if deletes {
             self.unsent_limits.insert(process, None);
         }
@@ -250,13 +290,20 @@
     }
 
     /// Updates this node's claims by what it could use of each limit, and returns its record if it
-    /// has to be written.
+    /// has to be written. Without the log the claims stay as they are, since no other node could
+    /// use what this one releases.
     pub fn update(
         &mut self,
         now: Moment,
+        is_log_reachable: bool,
         wanted: impl Fn(ProcessDigest) -> RequestRate,
     ) -> Option<NodeClaims> {
+        self.is_log_reachable = is_log_reachable;
+        if !is_log_reachable {
+            return None;
+        }
         self.others.retain(|_, other| now < other.member_until);
+        self.forget_unused_limits(now);
         let mut changed = false;
         let all_read = self.unread.is_empty();
         let limits = self.limits.iter().filter_map(|(process, known)| {
@@ -266,8 +313,14 @@
             let wanted = wanted(process);
             let (target, free) = self.target(now, process, limit, wanted);
             let may_claim = self.loaded && now >= changed_at + CLAIM_DELAY;
-            let claim = if may_claim { target.min(free) } else { RequestRate::ZERO };
             let share = self.own.entry(process).or_default();
+            let is_held =
+                wanted > RequestRate::ZERO && now.since(share.claimed_since) < MIN_HOLDING_TIME;
+            let target = if is_held { target.max(share.claimed) } else { target };
+            let claim = if may_claim { target.min(free) } else { RequestRate::ZERO };
+            if share.claimed == RequestRate::ZERO {
+                share.claimed_since = now;
+            }
             if differs(share.wanted, wanted) {
                 share.wanted = wanted;
                 changed = true;
@@ -306,6 +359,24 @@
         Some(LimitShare { limit, wanted: own.wanted, guaranteed, claimed })
     }
 
+    /// Returns whether this node should send a request to the upstream regardless of its share, to
+    /// learn whether the limit still holds. The answer counts as given.
+    pub fn take_probe(&mut self, now: Moment, process: ProcessDigest) -> bool {
+        let due = |at: Moment| now.since(at) >= PROBE_PERIOD;
+        let known = self.limits.get(&process);
+        let is_due = known.is_some_and(|known| {
+            known.rate.is_some() && due(known.seen_at) && due(known.probed_at)
+        });
+        if !is_due || !self.is_listed(process) {
+            return false;
+        }
+        let probes = self.rank(process, self.claimants(process).into_iter()) < PROBING_NODES;
+        if let Some(known) = self.limits.get_mut(&process).filter(|_| probes) {
+            known.probed_at = now;
+        }
+        probes
+    }
+
     /// Returns the processes whose limits are known.
     pub fn limited_processes(&self) -> impl Iterator<Item = ProcessDigest> {
         self.limits.iter().filter(|(_, known)| known.rate.is_some()).map(|(process, _)| *process)
@@ -323,8 +394,27 @@
         }
     }
 
+    fn forget_unused_limits(&mut self, now: Moment) {
+        let unused = self.limits.iter().filter(|(process, known)| {
+            let wanted =
+                self.own.get(process).is_some_and(|share| share.wanted > RequestRate::ZERO);
+            let wanted_by_others = || {
+                let claims = self.claims_of_others(now, **process);
+                claims.into_iter().any(|(_, claim)| claim.wanted > RequestRate::ZERO)
+            };
+            known.rate.is_some()
+                && now.since(known.seen_at) >= UNUSED_LIMIT_LIFETIME
+                && !wanted
+                && !wanted_by_others()
+        });
+        for process in unused.map(|(process, _)| *process).collect::<Vec<_>>() {
+            self.limits.remove(&process);
+        }
+    }
+
     fn set_limit(&mut self, now: Moment, process: ProcessDigest, limit: Option<RequestRate>) {
-        let previous = self.limits.insert(process, KnownLimit { rate: limit, changed_at: now });
+        let known = KnownLimit { rate: limit, changed_at: now, seen_at: now, probed_at: now };
+        let previous = self.limits.insert(process, known);
         let previous = previous.and_then(|known| known.rate);
         // All nodes reduce their use in proportion, until the claims are divided again.
         if let (Some(share), Some(limit), Some(previous)) =
@@ -340,6 +430,9 @@
     fn confirm_claims(&mut self, record: &NodeClaims) {
         let sent = self.unread.iter().find(|(sequence, _)| *sequence == record.sequence).copied();
         self.unread.retain(|(sequence, _)| *sequence > record.sequence);
+        for (process, share) in &mut self.own {
+            share.is_listed = record.claims.iter().any(|claim| claim.process == *process);
+        }
         let Some((_, sent_at)) = sent else {
             // A late append has replaced a newer record, which must be written again.
             self.written_at = None;
@@ -373,8 +466,10 @@
             process: *process,
             wanted: share.wanted,
             claimed: share.claimed,
+            is_seen: share.is_seen,
         });
         let claims = claims.collect();
+        self.own.values_mut().for_each(|share| share.is_seen = false);
         NodeClaims { incarnation: self.incarnation, sequence: self.sequence, claims }
     }
 
@@ -420,22 +515,38 @@
     }
 
     fn guaranteed_rate(&self, process: ProcessDigest, limit: RequestRate) -> RequestRate {
-        if !self.loaded {
+        let others = if self.is_listed(process) {
+            self.claimants(process)
+        } else if self.loaded && !self.is_log_reachable {
+            // A node that cannot write that it wants a share takes part as one of all members.
+            self.others.keys().copied().collect()
+        } else {
             return RequestRate::ZERO;
-        }
+        };
         let pool = guaranteed_pool(limit);
-        let members = self.others.len() as u64 + 1;
-        let holders = members.min(pool.0 / MIN_SHARE.0);
-        if holders == 0 || self.rank(process) >= holders {
+        let holders = (pool.0 / MIN_SHARE.0).clamp(1, others.len() as u64 + 1);
+        if self.rank(process, others.into_iter()) >= holders {
             return RequestRate::ZERO;
         }
         RequestRate(pool.0 / holders)
     }
 
-    /// Returns how many other nodes precede this one in the order of a process.
-    fn rank(&self, process: ProcessDigest) -> u64 {
+    fn is_listed(&self, process: ProcessDigest) -> bool {
+        self.own.get(&process).is_some_and(|share| share.is_listed)
+    }
+
+    /// Returns the other nodes that want a share of an upstream's limit.
+    fn claimants(&self, process: ProcessDigest) -> Vec<NodeDigest> {
+        let others = self
+            .others
+            .iter()
+            .filter(|(_, other)| other.claims.iter().any(|claim| claim.process == process));
+        others.map(|(node, _)| *node).collect()
+    }
+
+    /// Returns how many of the other nodes precede this one in the order of a process.
+    fn rank(&self, process: ProcessDigest, others: impl Iterator<Item = NodeDigest>) -> u64 {
         let own = rendezvous_weight(process.0, self.me.0);
-        let others = self.others.keys();
         others.filter(|node| rendezvous_weight(process.0, node.0) > own).count() as u64
     }
 
@@ -465,16 +576,14 @@
     }
 }
 
-/// Returns the part of a limit that nodes may use without claims. It is zero for a limit so small
-/// that no node would have [`MIN_SHARE`] of it.
+/// Returns the part of a limit that nodes may use without claims.
 fn guaranteed_pool(limit: RequestRate) -> RequestRate {
-    let pool = RequestRate(limit.0 * GUARANTEED_PERCENT / 100);
-    if pool < MIN_SHARE { RequestRate::ZERO } else { pool }
+    RequestRate(limit.0 * GUARANTEED_PERCENT / 100)
 }
 
 /// Returns the part of a limit that nodes claim.
 fn claim_pool(limit: RequestRate) -> RequestRate {
-    limit.max(PROBE_RATE).saturating_sub(guaranteed_pool(limit))
+    limit.saturating_sub(guaranteed_pool(limit))
 }
 
 /// Returns whether a rate differs so much from the one that was written that it is written again.
--- a/crates/dispatch/src/request_bucket.rs
+++ b/crates/dispatch/src/request_bucket.rs
@@ -6,6 +6,10 @@
 /// below the limit times (T + 2 s), because the rates of all nodes add up to the limit.
 const FILL_TIME: Span = Span::from_secs(2);
 
+/// Time without a request after which tokens count as unused. A small rate yields a token in two
+/// seconds.
+const UNUSED_TIME: Span = Span::from_secs(4);
+
 /// Millionths of a request, in which the level is counted.
 const MICRO_REQUESTS: i64 = 1_000_000;
 
@@ -15,6 +19,8 @@
         rate: RequestRate,
         level_micro_requests: i64,
         refilled_at: Moment,
+        /// When a token was last taken, or the rate last rose from zero.
+        idle_since: Moment,
     }
 }
 
@@ -22,13 +28,16 @@
     /// Creates an empty bucket.
     #[must_use]
     pub const fn new(now: Moment, rate: RequestRate) -> Self {
-        Self { rate, level_micro_requests: 0, refilled_at: now }
+        Self { rate, level_micro_requests: 0, refilled_at: now, idle_since: now }
     }
 
     /// Sets the rate at which tokens are added from now on.
     pub fn set_rate(&mut self, now: Moment, rate: RequestRate) {
         self.level_micro_requests = self.level(now);
         self.refilled_at = self.refilled_at.max(now);
+        if self.rate == RequestRate::ZERO {
+            self.idle_since = now;
+        }
         self.rate = rate;
         self.level_micro_requests = self.level_micro_requests.min(self.capacity());
     }
@@ -45,16 +54,31 @@
         self.level(now) >= MICRO_REQUESTS
     }
 
+    /// Adds a token if there is none.
+    pub fn add_token(&mut self, now: Moment) {
+        self.level_micro_requests = self.level(now).max(MICRO_REQUESTS);
+        self.refilled_at = self.refilled_at.max(now);
+    }
+
+    /// Returns whether the bucket has had tokens for some time that no request took.
+    #[must_use]
+    pub fn is_unused(&self, now: Moment) -> bool {
+        self.has_token(now) && now.since(self.idle_since) >= UNUSED_TIME
+    }
+
     /// Takes a token for a request, whether there is one or not. Without one the bucket is in debt.
     pub fn take(&mut self, now: Moment) {
         self.level_micro_requests = self.level(now) - MICRO_REQUESTS;
         self.refilled_at = self.refilled_at.max(now);
+        self.idle_since = now;
     }
 
     fn level(&self, now: Moment) -> i64 {
         let elapsed = i64::try_from(now.since(self.refilled_at).0).unwrap_or(i64::MAX);
         let added = self.rate_milli_requests().saturating_mul(elapsed) / 1_000;
-        self.level_micro_requests.saturating_add(added).min(self.capacity())
+        // A token that was added above the capacity stays.
+        let level = self.level_micro_requests;
+        level.saturating_add(added).min(self.capacity().max(level))
     }
 
     /// A rate below one request in [`FILL_TIME`] fills the bucket up to one token.
--- a/crates/hibiscushinged/src/gateway/limits.rs
+++ b/crates/hibiscushinged/src/gateway/limits.rs
@@ -162,19 +162,33 @@
 /// returns the record to write, if any.
 fn update_shares(traffic: &TrafficState) -> Option<NodeClaims> {
     let now = traffic.node.now();
+    let is_store_reachable = traffic.node.is_store_reachable();
     let claims = {
         let balancer = traffic.balancer.borrow();
         let wanted = |process| {
             let upstream = balancer.upstream_of(process);
-            let service = upstream.map(|upstream| &balancer.entry(upstream).service);
-            service.map_or(RequestRate::ZERO, |service| balancer.demand(now, service))
+            upstream.map_or(RequestRate::ZERO, |upstream| balancer.wanted_rate(now, upstream))
         };
-        traffic.limits.shares.borrow_mut().update(now, wanted)
+        traffic.limits.shares.borrow_mut().update(now, is_store_reachable, wanted)
     };
     apply_rates(traffic, now);
+    add_probes(traffic, now);
     claims
 }
 
+/// Adds a token for each upstream that this node should probe.
+fn add_probes(traffic: &TrafficState, now: Moment) {
+    let mut shares = traffic.limits.shares.borrow_mut();
+    let mut balancer = traffic.balancer.borrow_mut();
+    for process in shares.limited_processes().collect::<Vec<_>>() {
+        if let Some(upstream) = balancer.upstream_of(process)
+            && shares.take_probe(now, process)
+        {
+            balancer.add_token(now, upstream);
+        }
+    }
+}
+
 /// Sets the rates of all limited upstreams in the balancer.
 fn apply_rates(traffic: &TrafficState, now: Moment) {
     let processes: Vec<ProcessDigest> =
--- a/crates/hibiscushinged/src/gateway/reward.rs
+++ b/crates/hibiscushinged/src/gateway/reward.rs
@@ -3,6 +3,7 @@
 use std::{cell::OnceCell, rc::Rc, time::Duration};
 
 use actix_http::{Method, StatusCode, header::HeaderMap};
+use base::RefusalCode;
 use dispatch::RequestOrigin;
 use submissions::{ItemResult, ItemState, RewardCall};
 
@@ -92,10 +93,10 @@
     let Some(service) = route.pick_service(rand::random()) else { return CallOutcome::NoRoute };
     // Evaluated again after each wait, since upstreams come and go.
     let max_calls = || {
-        let (slots, _) = traffic.balancer.borrow().occupancy(traffic.node.now(), service);
+        let slots = traffic.balancer.borrow().unlimited_slots(traffic.node.now(), service);
         (slots / SLOT_DIVISOR).max(MIN_CONCURRENT_CALLS)
     };
-    let _permit = traffic.items.reward_limiter.acquire_permit(max_calls).await;
+    let _permit = traffic.items.reward_limiter.acquire_permit(service, max_calls).await;
     let mut headers = HeaderMap::new();
     platform::set_host_and_id(&mut headers, &reward.host, &reward.id);
     let started = traffic.node.now();
@@ -121,6 +122,11 @@
             response.metadata.stamp.map_or(CallOutcome::Retry, CallOutcome::Scored)
         }
         Ok(response) if response.status == StatusCode::INTERNAL_SERVER_ERROR => CallOutcome::Failed,
+        Err(refusal) if refusal.code == RefusalCode::UpstreamsLimited => {
+            // Waits with the permit, so that a few calls try again for all that wait.
+            tokio::time::sleep(RETRY_DELAY).await;
+            CallOutcome::Retry
+        }
         Ok(_) | Err(_) => CallOutcome::Retry,
     }
 }
--- a/crates/protocol/src/record/limits.rs
+++ b/crates/protocol/src/record/limits.rs
@@ -27,11 +27,17 @@
         milli_requests: u64,
     }
 
+    struct WireClaim {
+        process: u64,
+        wanted: u64,
+        claimed: u64,
+        is_seen: bool,
+    }
+
     struct WireNode {
         incarnation: u64,
         sequence: u64,
-        /// Process, wanted rate and claimed rate of each claim.
-        claims: Vec<(u64, u64, u64)>,
+        claims: Vec<WireClaim>,
     }
 }
 
@@ -74,26 +80,42 @@
 
 impl From<&NodeClaims> for WireNode {
     fn from(claims: &NodeClaims) -> Self {
-        let rates = claims.claims.iter();
         Self {
             incarnation: claims.incarnation.0,
             sequence: claims.sequence,
-            claims: rates.map(|claim| (claim.process.0, claim.wanted.0, claim.claimed.0)).collect(),
+            claims: claims.claims.iter().map(WireClaim::from).collect(),
         }
     }
 }
 
 impl From<WireNode> for NodeClaims {
     fn from(wire: WireNode) -> Self {
-        let claims = wire.claims.into_iter().map(|(process, wanted, claimed)| LimitClaim {
-            process: ProcessDigest(process),
-            wanted: RequestRate(wanted),
-            claimed: RequestRate(claimed),
-        });
         Self {
             incarnation: Incarnation(wire.incarnation),
             sequence: wire.sequence,
-            claims: claims.collect(),
+            claims: wire.claims.into_iter().map(LimitClaim::from).collect(),
+        }
+    }
+}
+
+impl From<&LimitClaim> for WireClaim {
+    fn from(claim: &LimitClaim) -> Self {
+        Self {
+            process: claim.process.0,
+            wanted: claim.wanted.0,
+            claimed: claim.claimed.0,
+            is_seen: claim.is_seen,
+        }
+    }
+}
+
+impl From<WireClaim> for LimitClaim {
+    fn from(wire: WireClaim) -> Self {
+        Self {
+            process: ProcessDigest(wire.process),
+            wanted: RequestRate(wire.wanted),
+            claimed: RequestRate(wire.claimed),
+            is_seen: wire.is_seen,
         }
     }
 }
--- a/crates/protocol/tests/codec.rs
+++ b/crates/protocol/tests/codec.rs
@@ -228,6 +228,7 @@
         process: ProcessDigest(u64::MAX),
         wanted: RequestRate(21_000),
         claimed: RequestRate(500),
+        is_seen: true,
     };
     let claims = NodeClaims { incarnation: Incarnation(3), sequence: 9, claims: vec![claim] };
     for record in [
