--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -25,6 +25,8 @@
         pub address: SocketAddr,
         /// Availability zone.
         pub zone: String,
+        /// Version of its software. A stream can be continued only by the version that began it.
+        pub software_version: String,
         /// Number of requests that it runs concurrently.
         pub slots: u32,
         /// Whether it accepts requests.
--- a/crates/dispatch/tests/pick.rs
+++ b/crates/dispatch/tests/pick.rs
@@ -15,6 +15,7 @@
         service: String::from("s"),
         address: "127.0.0.1:1".parse().unwrap(),
         zone: String::from("a"),
+        software_version: String::from("v1"),
         slots,
         state: EntryState::Ready,
         warmup: Span::ZERO,
--- a/crates/hibiscushinged/src/gateway/generation.rs
+++ b/crates/hibiscushinged/src/gateway/generation.rs
@@ -58,9 +58,13 @@
 ) {
     let started = traffic.node.now();
     let resume_after = job.progress.borrow().text.last_event_id();
-    let engine = traffic.balancer.borrow().entry(upstream).id.clone();
+    let (engine, software) = {
+        let balancer = traffic.balancer.borrow();
+        let entry = balancer.entry(upstream);
+        (entry.id.clone(), entry.software_version.clone())
+    };
     let (submission, item) = (&job.metadata.id, &job.item.id);
-    log_event!(ItemStarted, submission, item, upstream = engine, resume_after);
+    log_event!(ItemStarted, submission, item, upstream = engine, software, resume_after);
     let (outcome, exchange_outcome) = generate(&traffic, &job, upstream, &engine, started).await;
     attempt.finish(exchange_outcome);
     traffic.node.metrics.observe_run(traffic.node.now().since(started));
--- a/crates/hibiscushinged/src/gateway/test_support.rs
+++ b/crates/hibiscushinged/src/gateway/test_support.rs
@@ -37,6 +37,7 @@
         service: String::from("drafts"),
         address,
         zone: String::from("z"),
+        software_version: String::from("v1"),
         slots: 1,
         state: EntryState::Ready,
         warmup: Span::ZERO,
--- a/crates/hibiscushinged/src/gateway/upstreams.rs
+++ b/crates/hibiscushinged/src/gateway/upstreams.rs
@@ -27,7 +27,7 @@
         match update {
             UpstreamUpdate::Updated(entry) => {
                 let (id, address) = (entry.id.clone(), entry.address);
-                let state = entry.state;
+                let (state, software) = (entry.state, entry.software_version.clone());
                 let previous = self.balancer.borrow().key(&id);
                 let previous = previous.map(|upstream| RunTarget::new(self, upstream));
                 let (upstream, change) = self.balancer.borrow_mut().update(entry);
@@ -38,7 +38,7 @@
                     }
                 }
                 limits::process_updated(self, upstream);
-                log_event!(UpstreamChanged, upstream = id, %address, ?state, ?change);
+                log_event!(UpstreamChanged, upstream = id, %address, software, ?state, ?change);
             }
             UpstreamUpdate::Removed { id, cause } => {
                 let now = self.node.now();
