--- a/crates/process-tests/src/lib.rs
+++ b/crates/process-tests/src/lib.rs
@@ -4,6 +4,7 @@
 //! have timeouts that suffice on a loaded machine, and end as soon as the awaited event is seen.
 
 mod call;
+mod event_stream;
 mod fleet;
 mod ordered;
 mod process;
@@ -12,6 +13,7 @@
 
 pub use crate::{
     call::{CallResponse, call, get, get_json, post_json},
+    event_stream::{ReceivedStream, read_stream},
     fleet::{FleetOptions, TestFleet, caller_key, document_text},
     ordered::{
         HeldLease, ORDERED_SERVICE, ORDERED_ZONE, edit_pools, held_lease, lease_options,
--- a/crates/process-tests/src/site.rs
+++ b/crates/process-tests/src/site.rs
@@ -33,6 +33,8 @@
     pub gateways: usize,
     /// Number of model engines.
     pub engines: usize,
+    /// Number of model engines with the next version of the software, besides those.
+    pub newer_engines: usize,
     /// Number of upstreams of the plain service.
     pub services: usize,
     /// Options of each engine. The identifiers are set by [`SiteFleet::start`].
@@ -72,12 +74,14 @@
         Self {
             gateways: 2,
             engines: 2,
+            newer_engines: 0,
             services: 2,
             engine: EngineOptions {
                 listen,
                 id: String::new(),
                 service: String::from("drafts"),
                 zone: String::from("zone-a"),
+                software_version: String::from("v1"),
                 models: vec![String::from("m0")],
                 slots: 8,
                 event_interval: Duration::from_millis(20),
@@ -113,9 +117,12 @@
         let store = SiteStore::start(options.store.clone())
             .expect("the store stand-in can listen on loopback");
         let mut engines = Vec::new();
-        for index in 0..options.engines {
-            let engine_options =
+        for index in 0..options.engines + options.newer_engines {
+            let mut engine_options =
                 EngineOptions { id: format!("engine-{index}"), ..options.engine.clone() };
+            if index >= options.engines {
+                engine_options.software_version = String::from("v2");
+            }
             let engine = SiteEngine::start(engine_options)
                 .expect("the engine stand-in can listen on loopback");
             store.put_upstream(engine.id(), &engine.entry());
@@ -141,8 +148,8 @@
     }
 
     /// Returns a configuration with two non-public plain routes (`/fetch/` idempotent, `/once/`
-    /// not), the public route `/score/`, the rollout route `/draft/`, and the customer `brewer`
-    /// with these keys.
+    /// not), the public route `/score/`, the rollout route `/draft/`, the resumable stream route
+    /// `/talk/`, and the customer `brewer` with these keys.
     #[must_use]
     pub fn config(version: u64, keys: &[&str]) -> Value {
         json!({
@@ -160,6 +167,9 @@
                 {"name": "draft", "host": HOST, "prefix": "/draft/", "kind": "rollout",
                  "deadline_ms": 10000, "goal_ms": 500, "priority": 1, "service": "drafts",
                  "attempts": 3, "public": false, "run_target_ms": 7500, "retention_s": 40},
+                {"name": "talk", "host": HOST, "prefix": "/talk/", "kind": "stream",
+                 "deadline_ms": 10000, "goal_ms": 500, "priority": 1, "service": "drafts",
+                 "attempts": 3, "public": false, "can_resume": true},
             ],
             "services": [
                 {"name": "drafts", "health": "/healthz", "max_conns": 140,
--- a/crates/process-tests/tests/gateway.rs
+++ b/crates/process-tests/tests/gateway.rs
@@ -81,7 +81,7 @@
         assert!(item.starts_with(id));
         assert_eq!(result["state"], "finished");
         let expected: Vec<String> =
-            (1..=10).map(|event| site_stand_in::event_data(item, event, 1)).collect();
+            (1..=10).map(|event| site_stand_in::event_data(item, event, 1, "v1")).collect();
         assert_eq!(result["output"].as_str().unwrap(), expected.join("\n"));
         assert_eq!(result["score"], format!("stamp-{item}-score"));
         assert_eq!(result["versions"], serde_json::json!([1]));
--- a/crates/soak/src/testbed.rs
+++ b/crates/soak/src/testbed.rs
@@ -73,8 +73,12 @@
             .expect("the store stand-in can listen on loopback");
         let mut engines = Vec::new();
         for index in 0..options.engines {
-            let engine =
-                EngineOptions { id: format!("engine-{index}"), ..site_options.engine.clone() };
+            // Two versions of the software serve side by side.
+            let engine = EngineOptions {
+                id: format!("engine-{index}"),
+                software_version: format!("v{}", 1 + index % 2),
+                ..site_options.engine.clone()
+            };
             let upstream =
                 SiteEngine::start(engine).expect("an engine stand-in can listen on loopback");
             let relay = TcpRelay::start().await;
--- a/crates/soak/src/trainer.rs
+++ b/crates/soak/src/trainer.rs
@@ -243,9 +243,11 @@
     if lines.len() as u64 != EVENTS_PER_ITEM {
         return Err(format!("it has {} of {EVENTS_PER_ITEM} events", lines.len()));
     }
+    // What two versions of the software write does not fit together.
+    let software = lines.first().and_then(|line| line.rsplit(':').next()).unwrap_or_default();
     for (event, line) in (1..).zip(&lines) {
-        let version = line.rsplit(':').next().and_then(|text| text.parse().ok()).unwrap_or(0);
-        if *line != event_data(item, event, version) {
+        let version = line.rsplit(':').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0);
+        if *line != event_data(item, event, version, software) {
             return Err(format!("event {event} has unexpected content: {line}"));
         }
         versions.insert(version);
