Continue the text of an item only at the software version that began it

Texts of items held events of two software versions of a service.

Cause: the version of an upstream's software was not decoded, so an interrupted item went on at any engine with its weights.

Change: a text carries the version that began it, also from one submission to the next, and a run at another version is refused before its first event. Placing and migrating choose among the engines of that version. If none is left, or they are full for longer than the text takes to generate again, it is generated anew (line 3012).

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -96,6 +96,7 @@
     3009 ItemInterrupted "A run of an item was interrupted; another run continues its text."
     3010 ItemResolved "The final result of an item is known and will be written to the store."
     3011 SubmissionDeleted "An ended submission was deleted after the time to read its results."
+    3012 TextDiscarded "The text of an item is generated anew, since no engine can continue it."
     3101 WeightLoadOrdered "An upstream was ordered to load a weight version."
     3102 WeightLoadFailed "An upstream failed to load a weight version; the order will be retried."
     // Fleet.
--- a/crates/dispatch/src/balancer.rs
+++ b/crates/dispatch/src/balancer.rs
@@ -150,6 +150,15 @@
             && stats.removed_until.is_none_or(|until| now < until)
     }
 
+    /// Returns whether a service has a usable upstream with this version of the software.
+    #[must_use]
+    pub fn has_software(&self, now: Moment, service: &str, version: &str) -> bool {
+        self.service_upstreams(service).iter().any(|upstream| {
+            let entry = &self.upstreams[*upstream].entry;
+            entry.software_version == version && self.is_usable(now, *upstream)
+        })
+    }
+
     /// Records that a request is sent to an upstream, and takes a token if the upstream names a
     /// limit. Each call must be paired with one of [`UpstreamBalancer::finish_request`].
     pub fn begin_request(&mut self, now: Moment, upstream: UpstreamKey, origin: RequestOrigin) {
--- a/crates/dispatch/src/pick.rs
+++ b/crates/dispatch/src/pick.rs
@@ -50,6 +50,8 @@
         pub service: &'a str,
         /// Model of the generation, and the oldest weight version that may generate its tokens.
         pub requirement: ModelRequirement<'a>,
+        /// Software version that the engine must have, if the generation continues a text.
+        pub software_version: Option<&'a str>,
         /// Engines on which the generation failed. They are used only when no other is left.
         pub tried: &'a [UpstreamKey],
         /// Engine that has the shared part of the prompt in its cache, if any.
@@ -130,7 +132,7 @@
     }
 
     /// Chooses the engine with the lowest cost and a free slot for a generation, or returns `None`
-    /// while all are full, suspended, without the weights or without tokens left of their limits. An engine with the shared prompt in
+    /// while all are full, of another software version, suspended, without the weights or without tokens left of their limits. An engine with the shared prompt in
     /// its cache is preferred unless it costs much more than the best one.
     #[must_use]
     pub fn pick_generation(
@@ -142,10 +144,14 @@
         let mut warm_engine = None;
         for upstream in self.service_upstreams(request.service) {
             let stats = &self.upstreams[*upstream];
+            let other_software = request
+                .software_version
+                .is_some_and(|version| version != stats.entry.software_version);
             let paused = stats.is_model_paused(now, request.requirement.model);
             let full = stats.load(now) >= stats.entry.slots;
             // Waiting for a suspension to end is better than a run that fails to start.
-            if paused
+            if other_software
+                || paused
                 || full
                 || stats.is_suspended(now)
                 || !self.accepts(now, *upstream, request.requirement)
--- a/crates/dispatch/tests/pick.rs
+++ b/crates/dispatch/tests/pick.rs
@@ -38,6 +38,7 @@
     GenerationPickRequest {
         service: "s",
         requirement,
+        software_version: None,
         tried,
         warm_engine: None,
         connected: &[],
@@ -344,3 +345,29 @@
     assert_eq!(balancer.pick_plain(NOW, &plain_request(1, &[])), Some(keys[0]));
     assert_eq!(balancer.upstream_of(process), None);
 }
+
+/// Guards against a text that is continued by an engine of another software version, which is the
+/// faster one, or the only one with a free slot.
+#[test]
+fn continued_text_keeps_its_software_version() {
+    let (mut balancer, keys) = balancer(1, 1);
+    let newer = UpstreamEntry { software_version: String::from("v2"), ..entry("newer", 8) };
+    let newer = balancer.update(newer).0;
+    balancer.record_event_interval(keys[0], Span::from_millis(90));
+    balancer.record_event_interval(newer, Span::from_millis(3));
+    let continued = |jitter_seed, version| {
+        let request = generation_request(jitter_seed, &[]);
+        GenerationPickRequest { software_version: Some(version), ..request }
+    };
+    for jitter_seed in 0..20 {
+        let pick = |request| balancer.pick_generation(NOW, &request);
+        assert_eq!(pick(generation_request(jitter_seed, &[])), Some(newer));
+        assert_eq!(pick(continued(jitter_seed, "v1")), Some(keys[0]));
+        assert_eq!(pick(continued(jitter_seed, "v3")), None);
+    }
+    balancer.begin_request(NOW, keys[0], RequestOrigin::Item);
+    assert_eq!(balancer.pick_generation(NOW, &continued(1, "v1")), None);
+    assert!(balancer.has_software(NOW, "s", "v1"));
+    balancer.remove(NOW, "u0", RemovalCause::Left);
+    assert!(!balancer.has_software(NOW, "s", "v1"));
+}
--- a/crates/hibiscushinged/src/gateway/generation.rs
+++ b/crates/hibiscushinged/src/gateway/generation.rs
@@ -6,7 +6,7 @@
 use std::{rc::Rc, time::Duration};
 
 use actix_http::Method;
-use base::{Moment, UpstreamKey};
+use base::{Moment, UpstreamKey, WeightVersion};
 use dispatch::{ExchangeOutcome, RequestOrigin};
 use platform::{EventReader, UpstreamRequestMetadata, item_headers};
 use submissions::{ItemResult, TextError};
@@ -114,6 +114,7 @@
     engine: &str,
     started: Moment,
 ) -> (RunOutcome, ExchangeOutcome) {
+    let software = traffic.balancer.borrow().entry(upstream).software_version.clone();
     let last_id = job.progress.borrow().text.last_event_id();
     let metadata = UpstreamRequestMetadata {
         id: &job.item.id,
@@ -173,17 +174,12 @@
             );
         }
     }
-    if let Some(version) = exchange.metadata().version {
+    let version = exchange.metadata().version;
+    if let Some(version) = version {
         traffic.balancer.borrow_mut().record_version(upstream, &job.metadata.model, version);
-        let mut progress = job.progress.borrow_mut();
-        if let Err(error) = progress.text.begin_run(version) {
-            let newest = progress.text.versions().last().copied();
-            if matches!(error, TextError::Mixed(_)) && newest < Some(version) {
-                // Engines load newer versions only, so the version of the text does not come back.
-                progress.text.clear();
-            }
-            return (RunOutcome::Interrupted(error.to_string()), ExchangeOutcome::Cancelled);
-        }
+    }
+    if let Err(error) = begin_run(job, &software, version) {
+        return (RunOutcome::Interrupted(error.to_string()), ExchangeOutcome::Cancelled);
     }
     match read_events(traffic, job, upstream, &mut exchange).await {
         Ok(()) => {
@@ -196,6 +192,22 @@
     }
 }
 
+/// Starts a run of the item's text. A text that no engine can continue is discarded.
+fn begin_run(
+    job: &ItemJob,
+    software: &str,
+    version: Option<WeightVersion>,
+) -> Result<(), TextError> {
+    let mut progress = job.progress.borrow_mut();
+    let begun = progress.text.begin_run(software, version);
+    let newest = progress.text.versions().last().copied();
+    if matches!(begun, Err(TextError::Mixed(_))) && newest < version {
+        // Engines load newer versions only, so the version of the text does not come back.
+        progress.text.clear();
+    }
+    begun
+}
+
 async fn read_events(
     traffic: &TrafficState,
     job: &ItemJob,
--- a/crates/hibiscushinged/src/gateway/generation/tests.rs
+++ b/crates/hibiscushinged/src/gateway/generation/tests.rs
@@ -120,6 +120,7 @@
     let job = Rc::new(job(true));
     let version = Some(WeightVersion(text_version));
     let event = GenerationEvent { id: 1, data: String::from("a"), version };
+    job.progress.borrow_mut().text.begin_run("v1", version).unwrap();
     job.progress.borrow_mut().text.push(&event).unwrap();
     let started = traffic.node.now();
     let (outcome, _) = generate(&traffic, &job, upstream, "e", started).await;
--- a/crates/hibiscushinged/src/gateway/items.rs
+++ b/crates/hibiscushinged/src/gateway/items.rs
@@ -151,6 +151,7 @@
         if !state.jobs.contains_job(job) || self.stopped.get() {
             return;
         }
+        job.progress.borrow_mut().queued_at = node.now();
         let config = node.config.load();
         let route =
             config.as_ref().and_then(|config| config.route(&job.metadata.host, &job.metadata.path));
--- a/crates/hibiscushinged/src/gateway/job.rs
+++ b/crates/hibiscushinged/src/gateway/job.rs
@@ -47,6 +47,8 @@
     pub(crate) failures: u32,
     /// Engines whose runs of the item failed, latest last.
     pub(crate) tried: SmallVec<[UpstreamKey; 4]>,
+    /// When the item was last put into the queue.
+    pub(crate) queued_at: Moment,
 }
 
 /// Jobs by submission and item.
@@ -67,7 +69,8 @@
         let retained =
             retained.and_then(|mut text| text.set_min_version(min_version).ok().map(|()| text));
         let text = retained.unwrap_or_else(|| GeneratedText::new(min_version, one_version));
-        let progress = JobProgress { text, failures: 0, tried: SmallVec::new() };
+        let progress =
+            JobProgress { text, failures: 0, tried: SmallVec::new(), queued_at: Moment::default() };
         Self {
             partition,
             metadata: Arc::clone(metadata),
--- a/crates/hibiscushinged/src/gateway/runner.rs
+++ b/crates/hibiscushinged/src/gateway/runner.rs
@@ -16,7 +16,7 @@
         attempt::AttemptGuard,
         commit::commit,
         generation,
-        job::{ItemJob, ItemRun, due_at},
+        job::{ItemJob, ItemRun, JobProgress, due_at},
         partition_follower::PartitionFollower,
         traffic_state::TrafficState,
     },
@@ -42,6 +42,11 @@
 /// groups.
 const MAX_WARM_PROMPTS: usize = 4_096;
 
+/// Usual time between two events of a generation. While all engines of the software version that
+/// began a text are full and others are free, the item waits for as long as it takes to generate
+/// its events again.
+const USUAL_EVENT_INTERVAL: Span = Span::from_millis(30);
+
 /// Minimum time that a run stays on an engine before it may migrate. It covers a usual prompt and
 /// some events.
 const MIN_TIME_AT_ENGINE: Span = Span::from_millis(600);
@@ -111,6 +116,7 @@
                 route.one_version,
                 state.take_retained_text(metadata, item),
             ));
+            job.progress.borrow_mut().queued_at = traffic.node.now();
             state.jobs.insert(&job);
             state.queue.push(due, group, item.expected_tokens, job);
         }
@@ -125,31 +131,42 @@
     let Some(config) = traffic.node.config.load_full() else { return };
     let mut state = traffic.items.state.borrow_mut();
     let state = &mut *state;
-    let mut unplaceable: BTreeSet<(String, u64)> = BTreeSet::new();
+    let mut unplaceable: BTreeSet<(String, u64, Option<String>)> = BTreeSet::new();
     let warm_engines = &mut state.warm_engines;
     let connected = traffic.pool.connected();
     state.queue.place(|job| {
         let metadata = &job.metadata;
-        let requirement = (metadata.model.clone(), metadata.min_version.0);
+        let mut progress = job.progress.borrow_mut();
+        let software = progress.text.software_version().map(String::from);
+        let requirement = (metadata.model.clone(), metadata.min_version.0, software.clone());
         if unplaceable.contains(&requirement) {
             return false;
         }
         let Some(route) = config.route(&metadata.host, &metadata.path) else { return false };
         let Some(service) = route.pick_service(rand::random()) else { return false };
         let prompt = job.item.shared_prompt.as_ref();
-        let progress = job.progress.borrow();
         let request = GenerationPickRequest {
             service,
             requirement: ModelRequirement {
                 model: &metadata.model,
                 min_version: metadata.min_version,
             },
+            software_version: software.as_deref(),
             tried: &progress.tried,
             warm_engine: prompt.and_then(|prompt| warm_engines.get(prompt).copied()),
             connected: &connected,
             jitter_seed: rand::random(),
         };
-        let picked = traffic.balancer.borrow().pick_generation(now, &request);
+        let mut picked = traffic.balancer.borrow().pick_generation(now, &request);
+        if let (None, Some(version)) = (picked, &software)
+            && let Some((upstream, reason)) = pick_to_start_anew(traffic, now, &request, &progress)
+        {
+            let (submission, item) = (&metadata.id, &job.item.id);
+            let events = progress.text.last_event_id();
+            log_event!(TextDiscarded, submission, item, software = version, events, reason);
+            progress.text.clear();
+            picked = Some(upstream);
+        }
         let Some(upstream) = picked else {
             traffic.balancer.borrow_mut().record_limited(now, service, RequestOrigin::Item);
             unplaceable.insert(requirement);
@@ -167,6 +184,29 @@
     });
 }
 
+/// Chooses an engine of any software version for an item whose text should be generated anew:
+/// because no engine of the version that began it is left, or because those that are left have had
+/// no free slot for too long. Returns the reason as well.
+fn pick_to_start_anew(
+    traffic: &TrafficState,
+    now: Moment,
+    request: &GenerationPickRequest<'_>,
+    progress: &JobProgress,
+) -> Option<(UpstreamKey, &'static str)> {
+    let version = progress.text.software_version()?;
+    let max_wait = Span(USUAL_EVENT_INTERVAL.0 * progress.text.last_event_id());
+    let balancer = traffic.balancer.borrow();
+    let reason = if !balancer.has_software(now, request.service, version) {
+        "no engine of the software version that began the text is left"
+    } else if now.since(progress.queued_at) >= max_wait {
+        "all engines of the software version that began the text are full"
+    } else {
+        return None;
+    };
+    let any_version = GenerationPickRequest { software_version: None, ..*request };
+    Some((balancer.pick_generation(now, &any_version)?, reason))
+}
+
 /// Migrates runs from slow engines to free slots of much faster ones. Nothing is migrated while
 /// items are queued, since these need the slots more.
 fn migrate_runs(traffic: &Rc<TrafficState>) {
@@ -207,6 +247,7 @@
             model: &job.metadata.model,
             min_version: job.metadata.min_version,
         },
+        software_version: progress.text.software_version(),
         tried: &[from],
         warm_engine: None,
         connected: &traffic.pool.connected(),
--- a/crates/submissions/src/text.rs
+++ b/crates/submissions/src/text.rs
@@ -29,6 +29,8 @@
         Stale(WeightVersion),
         /// The weight version differs from that of earlier events, but the text may have only one.
         Mixed(WeightVersion),
+        /// The engine has this version of the software, and another one began the text.
+        OtherSoftware(String),
     }
 }
 
@@ -43,6 +45,9 @@
     output: String,
     /// Number of the last event, or 0.
     last_event_id: u64,
+    /// Software version of the engine that began the text. What two versions write does not fit
+    /// together.
+    software_version: String,
 }
 
 impl GeneratedText {
@@ -57,18 +62,29 @@
             versions: SmallVec::new(),
             output: String::new(),
             last_event_id: 0,
+            software_version: String::new(),
         }
     }
 
-    /// Starts a run that continues the text. `version` is the weight version that the engine's
-    /// response names for its first events.
+    /// Starts a run that continues the text, on an engine with this version of the software.
+    /// `version` is the weight version that its response names for its first events, if any.
     ///
     /// # Errors
     ///
-    /// Returns an error when this version may not generate events of the text.
-    pub fn begin_run(&mut self, version: WeightVersion) -> Result<(), TextError> {
-        self.check_version(version)?;
-        self.current_version = version;
+    /// Returns an error when one of the versions may not generate events of the text.
+    pub fn begin_run(
+        &mut self,
+        software_version: &str,
+        version: Option<WeightVersion>,
+    ) -> Result<(), TextError> {
+        if self.software_version().is_some_and(|begun_by| begun_by != software_version) {
+            return Err(TextError::OtherSoftware(String::from(software_version)));
+        }
+        if let Some(version) = version {
+            self.check_version(version)?;
+            self.current_version = version;
+        }
+        self.software_version = String::from(software_version);
         Ok(())
     }
 
@@ -128,6 +144,12 @@
         Ok(())
     }
 
+    /// Returns the software version that must continue the text, or `None` while it is empty.
+    #[must_use]
+    pub fn software_version(&self) -> Option<&str> {
+        (self.last_event_id > 0).then_some(self.software_version.as_str())
+    }
+
     /// Returns the number of the last event, or 0 if there is none.
     #[must_use]
     pub const fn last_event_id(&self) -> u64 {
@@ -161,6 +183,12 @@
                 "weight version {} differs from that of earlier events, and only one is accepted",
                 version.0
             ),
+            Self::OtherSoftware(version) => {
+                write!(
+                    f,
+                    "the engine has software version {version}, and another one began the text"
+                )
+            }
         }
     }
 }
--- a/crates/submissions/tests/table.rs
+++ b/crates/submissions/tests/table.rs
@@ -115,11 +115,11 @@
 #[test]
 fn events_must_follow_each_other() {
     let mut text = GeneratedText::new(WeightVersion(1), false);
-    text.begin_run(WeightVersion(1)).unwrap();
+    text.begin_run("v1", Some(WeightVersion(1))).unwrap();
     text.push(&event(1, None)).unwrap();
     assert_eq!(text.push(&event(3, None)), Err(TextError::Order { expected: 2, found: 3 }));
     assert_eq!(text.push(&event(1, None)), Err(TextError::Order { expected: 2, found: 1 }));
-    text.begin_run(WeightVersion(2)).unwrap();
+    text.begin_run("v1", Some(WeightVersion(2))).unwrap();
     text.push(&event(2, None)).unwrap();
     text.push(&event(3, Some(3))).unwrap();
     assert_eq!(text.output(), "e1\ne2\ne3");
@@ -141,7 +141,8 @@
     #[case] accepted: bool,
 ) {
     let mut text = GeneratedText::new(WeightVersion(min_version), one_version);
-    let started = start.map_or(Ok(()), |version| text.begin_run(WeightVersion(version)));
+    let started =
+        start.map_or(Ok(()), |version| text.begin_run("v1", Some(WeightVersion(version))));
     let pushed = started
         .and_then(|()| text.push(&event(1, None)))
         .and_then(|()| text.push(&event(2, change)));
@@ -153,7 +154,7 @@
 #[test]
 fn text_is_continued_only_if_the_later_step_accepts_its_versions() {
     let mut text = GeneratedText::new(WeightVersion(1), false);
-    text.begin_run(WeightVersion(2)).unwrap();
+    text.begin_run("v1", Some(WeightVersion(2))).unwrap();
     text.push(&event(1, None)).unwrap();
     assert!(text.clone().set_min_version(WeightVersion(2)).is_ok());
     assert_eq!(text.set_min_version(WeightVersion(3)), Err(TextError::Stale(WeightVersion(2))));
@@ -179,3 +180,20 @@
     assert_eq!(placed, ["short of first group", "second group", "late"]);
     assert_eq!(queue.len(), 1);
 }
+
+/// Guards against a text whose events were written by two versions of the software.
+#[test]
+fn text_is_continued_only_by_the_software_version_that_began_it() {
+    let mut text = GeneratedText::new(WeightVersion(1), false);
+    text.begin_run("v1", None).unwrap();
+    // A run that brought no event binds nothing.
+    text.begin_run("v2", None).unwrap();
+    text.push(&event(1, None)).unwrap();
+    assert_eq!(text.software_version(), Some("v2"));
+    let other = TextError::OtherSoftware(String::from("v1"));
+    assert_eq!(text.begin_run("v1", Some(WeightVersion(1))), Err(other));
+    text.begin_run("v2", Some(WeightVersion(1))).unwrap();
+    text.clear();
+    assert_eq!(text.software_version(), None);
+    text.begin_run("v1", None).unwrap();
+}
