Resume a caller's stream only at the software version that began it

A caller whose stream broke off resumes it at any node. Streams held events of two software versions of a service afterwards.

Cause: neither the software version of an upstream nor the request that brought the first event (Resumes) was decoded; Last-Event-Id was forwarded to any upstream. The version that begins a stream was known nowhere but in the choice of the upstream.

Change: a node writes the version that begins a resumable stream to the store, between the head of the response and its first event, and waits up to 150 ms for it. The stream is never sent to another upstream after that, so the record cannot be wrong. A resumption reads the record by customer and attempt, and goes only to upstreams of that version. Without a record, or without such an upstream, it is refused at once, with codes stream-unknown and version-gone; while the store is away, streams that began at another node get log-unavailable. Owners of partitions delete old records.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -84,6 +84,7 @@
     2103 SuspectAnswered "A request under which an upstream crashed was answered; one of its crash records is deleted."
     2006 AttemptStarted "A request was sent to an upstream."
     2007 AttemptFailed "An attempt of a request on an upstream failed."
+    2008 StreamOriginUnsent "A stream begins without a stored record of its software version; resuming it elsewhere may be refused."
     // Rollout.
     3001 SamplePlaced "A sample slot was assigned to an upstream."
     3002 SampleFilled "The first result in log order filled a sample slot."
--- a/crates/base/src/refusal.rs
+++ b/crates/base/src/refusal.rs
@@ -38,6 +38,10 @@
         /// The platform's log is unavailable, and the request needs a record in it, for example the
         /// claim that lets it run at most once.
         LogUnavailable,
+        /// Nothing says which software version began the stream that the request resumes.
+        StreamUnknown,
+        /// No upstream has the software version that began the stream that the request resumes.
+        VersionGone,
         /// Another request with the same idempotency key has run or is running.
         AlreadyClaimed,
         /// Requests with this fingerprint have crashed several upstreams and are blocked for a
@@ -117,6 +121,8 @@
             Self::UpstreamFailed => "upstream-failed",
             Self::DeadlineExceeded => "deadline-exceeded",
             Self::LogUnavailable => "log-unavailable",
+            Self::StreamUnknown => "stream-unknown",
+            Self::VersionGone => "version-gone",
             Self::AlreadyClaimed => "already-claimed",
             Self::Convicted => "convicted",
             Self::Draining => "draining",
@@ -142,6 +148,8 @@
             Self::DeadlineExceeded => 504,
             Self::Overloaded
             | Self::UpstreamsLimited
+            | Self::StreamUnknown
+            | Self::VersionGone
             | Self::NoUpstream
             | Self::LogUnavailable
             | Self::Draining
--- a/crates/dispatch/src/pick.rs
+++ b/crates/dispatch/src/pick.rs
@@ -40,6 +40,8 @@
         pub suspect: bool,
         /// What the request is sent for.
         pub origin: RequestOrigin,
+        /// Software version that the upstream must have, if the request resumes a stream.
+        pub software_version: Option<&'a str>,
         /// Seed of the jitter that keeps nodes with equal knowledge from the same choice.
         pub jitter_seed: u64,
     }
@@ -120,6 +122,12 @@
                 continue;
             }
             let stats = &self.upstreams[*upstream];
+            if request
+                .software_version
+                .is_some_and(|version| version != stats.entry.software_version)
+            {
+                continue;
+            }
             let rank = self.rank(now, *upstream, request.tried);
             let cost = plain_cost(now, stats, &tried_zones, request)
                 * jitter(request.jitter_seed, *upstream)
--- a/crates/dispatch/tests/pick.rs
+++ b/crates/dispatch/tests/pick.rs
@@ -54,6 +54,7 @@
         connected: &[],
         suspect: false,
         origin: RequestOrigin::Caller,
+        software_version: None,
         jitter_seed,
     }
 }
@@ -371,3 +372,23 @@
     balancer.remove(NOW, "u0", RemovalCause::Left);
     assert!(!balancer.has_software(NOW, "s", "v1"));
 }
+
+/// Guards against a resumed stream that goes on at another software version, for want of others.
+#[test]
+fn resumed_stream_keeps_its_software_version() {
+    let (mut balancer, keys) = balancer(1, 8);
+    let newer = UpstreamEntry { software_version: String::from("v2"), ..entry("newer", 8) };
+    let newer = balancer.update(newer).0;
+    let pick = |balancer: &UpstreamBalancer, jitter_seed, version| {
+        let request = plain_request(jitter_seed, &[]);
+        let request = PlainPickRequest { software_version: Some(version), ..request };
+        balancer.pick_plain(NOW, &request)
+    };
+    for jitter_seed in 0..20 {
+        assert_eq!(pick(&balancer, jitter_seed, "v1"), Some(keys[0]));
+        assert_eq!(pick(&balancer, jitter_seed, "v2"), Some(newer));
+        assert_eq!(pick(&balancer, jitter_seed, "v3"), None);
+    }
+    balancer.remove(NOW, "u0", RemovalCause::Left);
+    assert_eq!(pick(&balancer, 1, "v1"), None);
+}
--- a/crates/hibiscushinged/src/gateway.rs
+++ b/crates/hibiscushinged/src/gateway.rs
@@ -35,6 +35,7 @@
 mod runner;
 mod serve;
 mod store;
+mod stream_origins;
 mod submit;
 mod suspects;
 #[cfg(test)]
--- a/crates/hibiscushinged/src/gateway/cleanup.rs
+++ b/crates/hibiscushinged/src/gateway/cleanup.rs
@@ -1,5 +1,5 @@
-//! Deletes submissions that have ended and whose results need no longer be readable, and expired
-//! crash records.
+//! Deletes submissions that have ended and whose results need no longer be readable, the origins of
+//! old streams, and expired crash records.
 
 use std::{rc::Rc, time::Duration};
 
@@ -12,7 +12,8 @@
 use crate::{
     clock::wall_now,
     gateway::{
-        fetch::fetch_keys, partition_follower::PartitionFollower, traffic_state::TrafficState,
+        fetch::fetch_keys, partition_follower::PartitionFollower,
+        stream_origins::delete_old_origins, traffic_state::TrafficState,
     },
     telemetry::log_event,
 };
@@ -24,7 +25,7 @@
 /// nodes.
 const EXPIRY_MARGIN: Span = Span::from_secs(60);
 
-/// Deletes old submissions of the owned partitions and, on the owner of the first partition, old
+/// Deletes old submissions and origins of the owned partitions and, on the owner of the first partition, old
 /// crash records, at intervals, until the process ends.
 pub(crate) async fn delete_old(traffic: Rc<TrafficState>) {
     loop {
@@ -44,6 +45,13 @@
                     "old submissions were not deleted; they are deleted in a later round"
                 );
             }
+            if let Err(error) = delete_old_origins(&traffic, partition).await {
+                tracing::warn!(
+                    part = partition,
+                    %error,
+                    "origins of old streams were not deleted; they are deleted in a later round"
+                );
+            }
         }
     }
 }
--- a/crates/hibiscushinged/src/gateway/partitions.rs
+++ b/crates/hibiscushinged/src/gateway/partitions.rs
@@ -33,6 +33,11 @@
         Self { followers: followers.collect(), generation: Cell::new(0) }
     }
 
+    /// Returns the number of partitions that this site uses of a topic.
+    pub(crate) fn count(&self) -> u32 {
+        self.followers.len() as u32
+    }
+
     /// Returns the partition of a customer. All submissions of a customer share one, so that its
     /// owner can continue the text of an item that returns in a later submission.
     pub(crate) fn of_customer(&self, customer: &str) -> &Rc<PartitionFollower> {
--- a/crates/hibiscushinged/src/gateway/plain.rs
+++ b/crates/hibiscushinged/src/gateway/plain.rs
@@ -48,6 +48,8 @@
     pub(crate) max_attempts: usize,
     pub(crate) retryable: bool,
     pub(crate) origin: RequestOrigin,
+    /// Software version at which a stream goes on, if the request resumes one.
+    pub(crate) software_version: Option<String>,
     /// Fingerprint, once it was needed.
     pub(crate) digest: OnceCell<Fingerprint>,
 }
@@ -199,6 +201,7 @@
         connected,
         suspect,
         origin: job.origin,
+        software_version: job.software_version.as_deref(),
         jitter_seed: rand::random(),
     };
     traffic.balancer.borrow().pick_plain(traffic.node.now(), &request)
--- a/crates/hibiscushinged/src/gateway/relay.rs
+++ b/crates/hibiscushinged/src/gateway/relay.rs
@@ -19,6 +19,7 @@
         crash_check::{self, CallerRun, RunTarget},
         plain::{MAX_CRASHES, PlainJob, no_upstream, pick},
         response,
+        stream_origins::record_origin,
         traffic_state::TrafficState,
     },
     shared::InFlightGuard,
@@ -66,10 +67,15 @@
         };
         tried.push(upstream);
         log_attempt(traffic, job, upstream, tried.len(), time_left);
+        let software = traffic.balancer.borrow().entry(upstream).software_version.clone();
         let attempt = AttemptGuard::acquire(traffic, upstream, job.origin);
         let target = RunTarget::new(traffic, upstream);
         match begin(traffic, job, upstream, time_left).await {
             Ok(exchange) => {
+                let begins = job.retryable && job.software_version.is_none();
+                if begins && exchange.head().status.is_success() {
+                    record_origin(traffic, job, &software).await;
+                }
                 let state = RelayState {
                     traffic: Rc::clone(traffic),
                     upstream,
--- a/crates/hibiscushinged/src/gateway/serve.rs
+++ b/crates/hibiscushinged/src/gateway/serve.rs
@@ -20,7 +20,7 @@
         cleanup, crash_check, crash_records, group, limits,
         node::{LAST_TOTALS_TIMEOUT, NodeState},
         plain::{PlainJob, run_plain},
-        relay, response, runner,
+        relay, response, runner, stream_origins,
         submit::{self, NewSubmission, SubmissionRef},
         traffic_state::TrafficState,
         upstreams::{UpstreamUpdate, close_idle_channels, follow_upstreams},
@@ -91,6 +91,7 @@
         actix_rt::spawn(cleanup::delete_old(Rc::clone(&traffic)));
         actix_rt::spawn(crash_records::follow_crash_records(Rc::clone(&traffic)));
         actix_rt::spawn(crash_records::store_crash_records(Rc::clone(&traffic)));
+        actix_rt::spawn(stream_origins::store_origins(Rc::clone(&traffic)));
         actix_rt::spawn(limits::follow_limits(Rc::clone(&traffic)));
         actix_rt::spawn(limits::claim_shares(Rc::clone(&traffic)));
         Ok(Self { traffic })
@@ -315,9 +316,13 @@
             NewSubmission { id, customer, host, path, body: &caller.body, deadline };
         return submit::accept(traffic, &new_submission).await;
     }
-    let job = plain_job(caller, route, customer, id, deadline)?;
+    let mut job = plain_job(caller, route, customer, id, deadline)?;
     crash_check::check_convicted(traffic, &job)?;
     if route.kind == RequestKind::Stream {
+        if let Some(resume) = &metadata.resume {
+            let version = stream_origins::resumed_version(traffic, &job, resume).await?;
+            job.software_version = Some(version);
+        }
         return relay::relay(traffic, &job, in_flight).await;
     }
     run_plain(traffic, &job).await.map(response::relayed)
@@ -349,6 +354,7 @@
         max_attempts: route.max_attempts as usize,
         retryable: route.is_retryable(),
         origin: RequestOrigin::Caller,
+        software_version: None,
         digest: OnceCell::new(),
     })
 }
--- a/crates/hibiscushinged/src/gateway/traffic_state.rs
+++ b/crates/hibiscushinged/src/gateway/traffic_state.rs
@@ -8,7 +8,7 @@
 use crate::gateway::{
     channel::Exchange, items::ItemScheduler, limits::LimitRegistry, node::NodeState,
     partitions::PartitionSet, pool::ChannelPool, response_buffer::BufferBudget,
-    store::StoreSession, suspects::SuspectRegistry,
+    store::StoreSession, stream_origins::OriginRegistry, suspects::SuspectRegistry,
 };
 
 /// State of the traffic thread.
@@ -22,6 +22,7 @@
     pub(crate) body_budget: BufferBudget,
     pub(crate) suspects: SuspectRegistry,
     pub(crate) limits: LimitRegistry,
+    pub(crate) stream_origins: OriginRegistry,
 }
 
 impl TrafficState {
@@ -33,6 +34,7 @@
             body_budget: BufferBudget::default(),
             suspects: SuspectRegistry::new(node.incarnation),
             limits: LimitRegistry::new(&node.settings.vm_name, node.incarnation),
+            stream_origins: OriginRegistry::default(),
             balancer: RefCell::default(),
             pool: ChannelPool::new(),
             node,
--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -7,6 +7,7 @@
 mod demand;
 mod limits;
 mod samples;
+mod stream_origins;
 mod submissions;
 mod totals;
 mod usage;
@@ -19,6 +20,9 @@
     demand::WireDemand,
     limits::{LimitRecord, decode_limit_record, encode_limit_record},
     samples::{SampleEntry, SampleSnapshot, StepPrompts, WireSample},
+    stream_origins::{
+        StreamDigest, StreamOrigin, decode_stream_origin, encode_stream_origin, stream_origin_key,
+    },
     submissions::{
         EXPIRING_SUBMISSIONS_PREFIX, OPEN_SUBMISSIONS_PREFIX, decode_submission_record,
         encode_submission_record, submission_prefix,
--- a/crates/protocol/tests/codec.rs
+++ b/crates/protocol/tests/codec.rs
@@ -18,9 +18,9 @@
 };
 use protocol::{
     CrashKey, CrashRecord, LimitRecord, MAX_MESSAGE_BYTES, SampleEntry, SampleSnapshot,
-    StepPrompts, StreamRecord, WireAuthority, decode_crash_record, decode_limit_record,
-    decode_message, decode_record, encode_crash_record, encode_limit_record, encode_message,
-    encode_record,
+    StepPrompts, StreamDigest, StreamOrigin, StreamRecord, WireAuthority, decode_crash_record,
+    decode_limit_record, decode_message, decode_record, decode_stream_origin, encode_crash_record,
+    encode_limit_record, encode_message, encode_record, encode_stream_origin, stream_origin_key,
 };
 use rollout::{
     DeliveryNumber, SampleBound, SampleFilled, SampleRecord, SampleTable, SampleVoided, Score,
@@ -245,3 +245,14 @@
     }
     assert!(decode_limit_record("limit/7", Some(b"x")).is_err());
 }
+
+/// Guards against a stream that goes on at another software version than the one that began it.
+#[test]
+fn stream_origins_are_unchanged_by_encoding_and_decoding() {
+    let origin =
+        StreamOrigin { software_version: String::from("v1.2"), begun_at: WallTime(1_700_000) };
+    assert_eq!(decode_stream_origin(&encode_stream_origin(&origin)), Ok(origin));
+    assert!(decode_stream_origin(b"v1").is_err());
+    let keys = [StreamDigest(1), StreamDigest(0x10)].map(stream_origin_key);
+    assert_eq!(keys, ["0000000000000001", "0000000000000010"]);
+}
