End a limit only by a response of a request that ran

Cause: the stand-in's refusals name no limit. Upstreams may do the same.

Change: only a response with a status of success lifts a limit; any response may name one. The soak now limits one engine and one plain service, and has callers of streams that lose their connections and resume them at other gateways.

Before: the case refusal of limit_ends_with_a_response_that_names_none fails, since the upstream is usable again.

--- a/crates/hibiscushinged/src/gateway/attempt.rs
+++ b/crates/hibiscushinged/src/gateway/attempt.rs
@@ -15,7 +15,7 @@
     clock::to_duration,
     gateway::{
         channel::{ChannelError, Exchange, UpstreamChannel},
-        limits,
+        limits::{self, StatementSource},
         plain::PlainJob,
         response_buffer::BodyTooLong,
         traffic_state::TrafficState,
@@ -149,7 +149,13 @@
         traffic.balancer.borrow_mut().record_load_report(traffic.node.now(), call.upstream, load);
     }
     if !metadata.misdirected {
-        limits::record_statement(traffic, call.upstream, call.id, sent_at, metadata.limit);
+        let statement = StatementSource {
+            upstream: call.upstream,
+            request: call.id,
+            sent_at,
+            ran: exchange.head().status.is_success(),
+        };
+        limits::record_statement(traffic, statement, metadata.limit);
     }
     if !metadata.not_run {
         return Ok(exchange);
--- a/crates/hibiscushinged/src/gateway/limits.rs
+++ b/crates/hibiscushinged/src/gateway/limits.rs
@@ -3,6 +3,9 @@
 //! [`LimitShares`] decides the shares. This module passes it what responses say and what the nodes
 //! write to the store, and sets the rates of the balancer by it.
 
+#[cfg(test)]
+mod tests;
+
 use std::{
     cell::RefCell,
     collections::{BTreeMap, HashSet},
@@ -11,7 +14,8 @@
 };
 
 use base::{
-    Incarnation, Moment, NodeDigest, ProcessDigest, RequestRate, Span, UpstreamKey, stable_hash,
+    Incarnation, Moment, NodeDigest, ProcessDigest, RequestRate, Span, UpstreamKey, derive_copy,
+    stable_hash,
 };
 use bytes::Bytes;
 use dispatch::{LimitShare, LimitShares, NodeClaims};
@@ -69,15 +73,29 @@
     }
 }
 
-/// Records what the response to a request that was sent at `sent_at` says of its upstream's limit.
+derive_copy! {
+    /// Response that says whether its upstream has a limit.
+    pub(crate) struct StatementSource<'a> {
+        pub(crate) upstream: UpstreamKey,
+        /// Identifier of the request.
+        pub(crate) request: &'a str,
+        /// When the request was sent.
+        pub(crate) sent_at: Moment,
+        /// Whether the upstream ran the request.
+        pub(crate) ran: bool,
+    }
+}
+
+/// Records what a response says of its upstream's limit.
 pub(crate) fn record_statement(
     traffic: &TrafficState,
-    upstream: UpstreamKey,
-    request: &str,
-    sent_at: Moment,
+    source: StatementSource<'_>,
     statement: LimitStatement,
 ) {
+    let StatementSource { upstream, request, sent_at, ran } = source;
     let limit = match statement {
+        // A refusal may come from a part of the upstream that knows nothing of the limit.
+        LimitStatement::Unlimited if !ran => return,
         LimitStatement::Unlimited => None,
         LimitStatement::Limited(limit) => Some(limit),
         LimitStatement::Malformed => {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod crashing;
 mod faults;
+mod streams;
 mod testbed;
 mod trainer;
 
--- a/crates/soak/src/testbed.rs
+++ b/crates/soak/src/testbed.rs
@@ -1,13 +1,19 @@
 //! The test bed of a run: gateways, stand-ins and relays, the course of the run, and its report.
 
-use std::{cell::RefCell, collections::BTreeMap, fmt, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    fmt,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use process_tests::{GatewayProcess, SiteFleet, SiteOptions, TcpRelay};
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 use site_stand_in::{EngineOptions, ServiceOptions, SiteEngine, SiteService, SiteStore};
 
-use crate::{SoakOptions, callers, crashing, faults, trainer};
+use crate::{SoakOptions, callers, crashing, faults, streams, trainer};
 
 /// Time after the last fault within which the trainer must complete all submissions.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(45);
@@ -21,6 +27,21 @@
 /// Time for which a crashed upstream refuses connections.
 const DOWN_TIME: Duration = Duration::from_millis(800);
 
+/// Number of events of a complete stream of an engine.
+pub(crate) const EVENTS_PER_STREAM: u64 = 10;
+
+/// Callers of event streams.
+const STREAM_CALLERS: usize = 2;
+
+/// Requests per second that one engine and one plain service accept from all gateways together.
+const UPSTREAM_LIMIT: f64 = 4.0;
+
+/// Time after which all gateways must keep to a limit.
+const LIMIT_SETTLE_TIME: Duration = Duration::from_secs(3);
+
+/// Time over which the requests to a limited upstream are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+
 /// Violations that a run found, and statistics of the run.
 #[derive(Debug, Clone, Default)]
 pub struct SoakReport {
@@ -204,6 +225,12 @@
             callers.push(actix_rt::spawn(callers::run(Rc::clone(&self), index)));
         }
         callers.push(actix_rt::spawn(crashing::run(Rc::clone(&self))));
+        for index in 0..STREAM_CALLERS {
+            callers.push(actix_rt::spawn(streams::run(Rc::clone(&self), index)));
+        }
+        self.engines[0].upstream.set_limit(Some(UPSTREAM_LIMIT));
+        self.direct[0].set_limit(Some(UPSTREAM_LIMIT));
+        let limited_at = Instant::now();
         let trainer = actix_rt::spawn(trainer::run(Rc::clone(&self)));
         faults::inject(&self, &mut random).await;
         faults::end_faults(&self).await;
@@ -221,6 +248,7 @@
             )),
         }
         self.check_upstreams();
+        self.check_limits(limited_at + LIMIT_SETTLE_TIME);
         self.report.borrow().clone()
     }
 
@@ -248,6 +276,26 @@
         }
     }
 
+    /// Adds a violation for each limited upstream that got more requests than the gateways may send
+    /// in any [`LIMIT_WINDOW`] from `since` on: one and a half times the limit, and five more.
+    fn check_limits(&self, since: Instant) {
+        let allowed = (UPSTREAM_LIMIT * LIMIT_WINDOW.as_secs_f64() * 1.5) as usize + 5;
+        let engine = &self.engines[0].upstream;
+        let service = &self.direct[0];
+        let busiest = [
+            (engine.id(), engine.busiest(LIMIT_WINDOW, since)),
+            (service.id(), service.busiest(LIMIT_WINDOW, since)),
+        ];
+        for (upstream, requests) in busiest {
+            if requests > allowed {
+                self.report_violation(format!(
+                    "{upstream} names a limit of {UPSTREAM_LIMIT} requests per second and got \
+                     {requests} in {LIMIT_WINDOW:?}; {allowed} are allowed"
+                ));
+            }
+        }
+    }
+
     /// Returns the number of plain services on which a request has run.
     pub(crate) fn runs_of(&self, request: &str) -> usize {
         self.all_services().filter(|service| service.has_run(request)).count()
