--- a/crates/dispatch/src/limit_shares.rs
+++ b/crates/dispatch/src/limit_shares.rs
@@ -4,8 +4,8 @@
 //! nodes agree on a division through a log: each writes which rate it wants and which it claims of
 //! every limited upstream, and reads what the others wrote. A node uses a claim only after it has
 //! read the claim back, and only as far as the claims that precede it in the log leave room. It
-//! reduces its use before it writes a lower claim. So the rates in use never add up to more than
-//! the limit, however late a node reads.
+//! reduces its use before it writes a lower claim. So the claims in use never add up to more than
+//! the claimable part of the limit, however late a node reads.
 //!
 //! A claim is a lease. A node that does not reach the log stops using its claims before the others
 //! count them as free. A part of each limit is divided equally among the nodes that want it, without
