--- a/crates/base/src/rate.rs
+++ b/crates/base/src/rate.rs
@@ -15,12 +15,15 @@
     /// One request per second.
     pub const ONE: Self = Self(1_000);
 
-    /// Builds a rate from requests per second. Returns `None` for a negative number, and for one
-    /// that is not finite.
+    /// Highest rate, a million requests per second. Products of two rates fit into 64 bits.
+    pub const MAX: Self = Self(1_000_000_000);
+
+    /// Builds a rate from requests per second, [`MAX`](Self::MAX) at most. Returns `None` for a
+    /// negative number, and for one that is not finite.
     #[must_use]
     pub fn from_per_second(requests: f64) -> Option<Self> {
         let is_rate = requests.is_finite() && requests >= 0.0;
-        is_rate.then_some(Self((requests * 1_000.0) as u64))
+        is_rate.then_some(Self((requests * 1_000.0) as u64).min(Self::MAX))
     }
 
     /// Returns the requests per second, with the fraction.
--- a/crates/dispatch/tests/limit_shares/main.rs
+++ b/crates/dispatch/tests/limit_shares/main.rs
@@ -159,6 +159,25 @@
     assert_eq!(used, limit.0);
 }
 
+/// Guards against an overflow when an upstream names a limit far beyond any demand.
+#[test]
+fn highest_limit_is_divided() {
+    let process = ProcessDigest(1);
+    let mut shares = LimitShares::new(NodeDigest(7), Incarnation(1));
+    let now = Moment(5_000_000);
+    shares.begin_full_read(now, |_| true, |_| true);
+    shares.apply_limit(Moment(0), process, Some(RequestRate::MAX));
+    let claim = |claimed| LimitClaim { process, wanted: RequestRate::MAX, claimed, is_seen: true };
+    for node in 8..16 {
+        let claims = vec![claim(rate(1_000))];
+        let record = NodeClaims { incarnation: Incarnation(node), sequence: 1, claims };
+        shares.apply_claims(now, NodeDigest(node), Some(record));
+    }
+    let record = shares.update(now, true, |_| RequestRate::MAX).unwrap();
+    let claimed = record.claims[0].claimed;
+    assert!(claimed > RequestRate(RequestRate::MAX.0 / 20) && claimed < RequestRate::MAX);
+}
+
 /// Guards against a claim that a node uses after the others count it as free.
 #[test]
 fn claim_ends_with_its_lease() {
--- a/crates/hibiscushinged/src/gateway/stream_origins.rs
+++ b/crates/hibiscushinged/src/gateway/stream_origins.rs
@@ -44,6 +44,13 @@
 /// Time after its beginning for which a stream may be resumed.
 const RETENTION: Span = Span::from_secs(300);
 
+/// Delay before a write that failed is repeated.
+const RETRY_DELAY: Duration = Duration::from_millis(300);
+
+/// Time after the beginning of a stream for which the write of its record is repeated. Most streams
+/// have ended by then.
+const RETRY_TIME: Span = Span::from_secs(30);
+
 /// Maximum number of origins in the memory of a node. They serve callers that return to it while
 /// the store is unreachable.
 const MAX_RECENT: usize = 8_192;
@@ -52,7 +59,9 @@
 struct UnsentOrigin {
     partition: u32,
     record: Bytes,
-    written: oneshot::Sender<bool>,
+    begun_at: Moment,
+    /// Notified once the record is in the store.
+    written: oneshot::Sender<()>,
 }
 
 /// Origins of the streams that began at this node.
@@ -72,7 +81,7 @@
 }
 
 /// Writes which software version begins the stream of a request. Returns when that is done, or
-/// after [`WRITE_TIMEOUT`]; then a resumption elsewhere may be refused.
+/// after [`WRITE_TIMEOUT`]; then a resumption elsewhere is refused until a repeated write succeeds.
 pub(crate) async fn record_origin(
     traffic: &TrafficState,
     job: &PlainJob<'_>,
@@ -88,11 +97,12 @@
     origins.remember(now, stream, origin);
     let (written, result) = oneshot::channel();
     let partition = partition_of(traffic, stream);
-    origins.unsent.borrow_mut().push(UnsentOrigin { partition, record, written });
+    let unsent = UnsentOrigin { partition, record, begun_at: now, written };
+    origins.unsent.borrow_mut().push(unsent);
     origins.unsent_added.notify_one();
     // The first event does not wait for a store that does not respond anyway.
     let is_stored = traffic.node.is_store_reachable()
-        && matches!(tokio::time::timeout(WRITE_TIMEOUT, result).await, Ok(Ok(true)));
+        && matches!(tokio::time::timeout(WRITE_TIMEOUT, result).await, Ok(Ok(())));
     if !is_stored {
         log_event!(warn, StreamOriginUnsent, request = job.id, software = software_version);
     }
@@ -174,11 +184,19 @@
 async fn write_batch(traffic: Rc<TrafficState>, partition: u32, batch: Vec<UnsentOrigin>) {
     let records: Vec<Bytes> = batch.iter().map(|unsent| unsent.record.clone()).collect();
     let stored = traffic.store.append(ORIGIN_TOPIC, partition, None, &records).await;
-    let is_stored = matches!(stored, Ok(AppendResponse::Appended { .. }));
-    for unsent in batch {
-        // Nobody waits any more after the timeout.
-        let _ = unsent.written.send(is_stored);
+    if matches!(stored, Ok(AppendResponse::Appended { .. })) {
+        for unsent in batch {
+            // Nobody waits any more after the timeout.
+            let _ = unsent.written.send(());
+        }
+        return;
     }
+    // The store session has logged the failure. A repeated write changes nothing.
+    tokio::time::sleep(RETRY_DELAY).await;
+    let (now, origins) = (traffic.node.now(), &traffic.stream_origins);
+    let recent = batch.into_iter().filter(|unsent| now.since(unsent.begun_at) < RETRY_TIME);
+    origins.unsent.borrow_mut().extend(recent);
+    origins.unsent_added.notify_one();
 }
 
 /// Deletes the origins in one partition of streams that may no longer be resumed.
--- a/crates/protocol/src/record/limits.rs
+++ b/crates/protocol/src/record/limits.rs
@@ -68,7 +68,7 @@
     let digest = |text: &str| u64::from_str_radix(text, 16).ok();
     if let Some(process) = key.strip_prefix(LIMIT_PREFIX).and_then(digest) {
         let wire: Option<WireLimit> = value.map(decode_message).transpose()?;
-        let rate = wire.map(|wire| RequestRate(wire.milli_requests));
+        let rate = wire.map(|wire| RequestRate(wire.milli_requests).min(RequestRate::MAX));
         return Ok(LimitRecord::Limit(ProcessDigest(process), rate));
     }
     if let Some(node) = key.strip_prefix(NODE_PREFIX).and_then(digest) {
@@ -113,8 +113,8 @@
     fn from(wire: WireClaim) -> Self {
         Self {
             process: ProcessDigest(wire.process),
-            wanted: RequestRate(wire.wanted),
-            claimed: RequestRate(wire.claimed),
+            wanted: RequestRate(wire.wanted).min(RequestRate::MAX),
+            claimed: RequestRate(wire.claimed).min(RequestRate::MAX),
             is_seen: wire.is_seen,
         }
     }
