Free an upstream once its unused limit is forgotten

Found by reading, before anybody saw it: a limit that no node wanted to use for 10 s was forgotten, but the balancer kept the empty bucket of the upstream, so this node never chose it again, until another node named the limit.

Cause: after an update the rates of the limits that are known were set, and a forgotten one was not among them. Now those that were known before are set.

Before: upstream_is_free_once_its_unused_limit_is_forgotten fails, the upstream is not usable. After: it passes.

--- a/crates/hibiscushinged/src/gateway/limits.rs
+++ b/crates/hibiscushinged/src/gateway/limits.rs
@@ -149,7 +149,7 @@
 
 /// Updates this node's claims, writes what has changed, and returns the number of limits.
 async fn update_claims(traffic: &TrafficState) -> usize {
-    let claims = update_shares(traffic);
+    let claims = update_shares(traffic, traffic.node.now());
     let (unsent, limit_count, me) = {
         let mut shares = traffic.limits.shares.borrow_mut();
         let limit_count = shares.limited_processes().count();
@@ -178,8 +178,10 @@
 
 /// Updates this node's claims by its demand, applies lower ones before they are written, and
 /// returns the record to write, if any.
-fn update_shares(traffic: &TrafficState) -> Option<NodeClaims> {
-    let now = traffic.node.now();
+fn update_shares(traffic: &TrafficState, now: Moment) -> Option<NodeClaims> {
+    // The update may forget limits, whose upstreams then have to be freed.
+    let limited_before: Vec<ProcessDigest> =
+        traffic.limits.shares.borrow().limited_processes().collect();
     let is_store_reachable = traffic.node.is_store_reachable();
     let claims = {
         let balancer = traffic.balancer.borrow();
@@ -189,7 +191,9 @@
         };
         traffic.limits.shares.borrow_mut().update(now, is_store_reachable, wanted)
     };
-    apply_rates(traffic, now);
+    for process in limited_before {
+        apply_rate(traffic, now, process);
+    }
     add_probes(traffic, now);
     claims
 }
--- a/crates/hibiscushinged/src/gateway/limits/tests.rs
+++ b/crates/hibiscushinged/src/gateway/limits/tests.rs
@@ -5,7 +5,7 @@
 use platform::LimitStatement;
 use rstest::rstest;
 
-use super::{StatementSource, record_statement};
+use super::{StatementSource, record_statement, update_shares};
 use crate::gateway::{
     test_support::{traffic, upstream_entry},
     traffic_state::TrafficState,
@@ -52,3 +52,20 @@
     record_statement(&traffic, source(&traffic, upstream, ran), statement);
     assert_eq!(is_usable(&traffic), ends);
 }
+
+/// Guards against an upstream that is never chosen again because its limit was forgotten while this
+/// node had no share of it.
+#[actix_rt::test]
+async fn upstream_is_free_once_its_unused_limit_is_forgotten() {
+    let address = "127.0.0.1:1".parse().unwrap();
+    let traffic = traffic(address);
+    let (upstream, _) = traffic.balancer.borrow_mut().update(upstream_entry("e", address));
+    let limited = LimitStatement::Limited(RequestRate::ONE);
+    record_statement(&traffic, source(&traffic, upstream, true), limited);
+    traffic.node.record_store_response();
+    let now = traffic.node.now();
+    update_shares(&traffic, now);
+    assert!(!is_usable(&traffic));
+    update_shares(&traffic, now + Span::from_secs(11));
+    assert!(is_usable(&traffic));
+}
