Cover a failed write by the margin of leases, and say what follows a malformed limit

A holder notices the end of its lease at its next update, which a failed write can delay by 1.8 s (timeout 0.9 s, pause 0.4 s, period 0.5 s); the other nodes counted the claim as free 1 s after it. The margin is 2 s now. The warning of a malformed limit says that the limit before stays.

--- a/crates/dispatch/src/limit_shares.rs
+++ b/crates/dispatch/src/limit_shares.rs
@@ -37,8 +37,8 @@
 const CLAIM_LEASE: Span = Span::from_secs(10);
 
 /// Additional time after which other nodes count the claim as free, counted from when they read
-/// the record.
-const LEASE_MARGIN: Span = Span::from_secs(1);
+/// the record. It covers the interval between updates of the holder and one failed write.
+const LEASE_MARGIN: Span = Span::from_secs(2);
 
 /// Interval at which a node with claims writes them again.
 const CLAIM_RENEWAL: Span = Span::from_secs(3);
--- a/crates/hibiscushinged/src/gateway/limits.rs
+++ b/crates/hibiscushinged/src/gateway/limits.rs
@@ -101,7 +101,12 @@
         LimitStatement::Malformed => {
             let balancer = traffic.balancer.borrow();
             let upstream = &balancer.entry(upstream).id;
-            tracing::warn!(upstream, request, "ignoring a limit of an upstream that is no rate");
+            tracing::warn!(
+                upstream,
+                request,
+                "the response names a limit that is not a number of requests per second; the limit \
+                 known before stays in force"
+            );
             return;
         }
     };
