--- a/crates/dispatch/src/limit_shares.rs
+++ b/crates/dispatch/src/limit_shares.rs
@@ -1,7 +1,7 @@
 //! Division of the limits that upstreams name among all nodes.
 //!
-//! An upstream in need names how many requests per second it accepts from all nodes together. The
-//! nodes agree on a division through a log: each writes which rate it wants and which it claims of
+//! An overloaded upstream names how many requests per second it accepts from all nodes together.
+//! The nodes agree on a division through a log: each writes which rate it wants and which it claims of
 //! every limited upstream, and reads what the others wrote. A node uses a claim only after it has
 //! read the claim back, and only as far as the claims that precede it in the log leave room. It
 //! reduces its use before it writes a lower claim. So the claims in use never add up to more than
--- a/crates/dispatch/src/pick.rs
+++ b/crates/dispatch/src/pick.rs
@@ -110,8 +110,8 @@
 
 impl UpstreamBalancer {
     /// Chooses the upstream with the lowest cost for a plain request, or returns `None` when none
-    /// is usable or has tokens left of its limit. Suspended upstreams, then those with a removed entry, then those tried before are
-    /// used only when no other is left.
+    /// is usable or has tokens left of its limit. Suspended upstreams, then those with a removed
+    /// entry, then those tried before are used only when no other is left.
     #[must_use]
     pub fn pick_plain(&self, now: Moment, request: &PlainPickRequest<'_>) -> Option<UpstreamKey> {
         let tried_zones = request.tried.iter().map(|key| self.upstreams[*key].entry.zone.as_str());
@@ -140,8 +140,9 @@
     }
 
     /// Chooses the engine with the lowest cost and a free slot for a generation, or returns `None`
-    /// while all are full, of another software version, suspended, without the weights or without tokens left of their limits. An engine with the shared prompt in
-    /// its cache is preferred unless it costs much more than the best one.
+    /// while all are full, of another software version, suspended, without the weights or without
+    /// tokens left of their limits. An engine with the shared prompt in its cache is preferred
+    /// unless it costs much more than the best one.
     #[must_use]
     pub fn pick_generation(
         &self,
