Keep the upstream of a lost reservation among those of a waiting suspect

Cause: nodes that see a crash at the same time reserve the same upstream for their suspects. A node that yields to another one removed the upstream from the list of the waiting request, as it does after a crash. Three nodes do so in turn until a single upstream is left on the list. That one may not be reserved, and since no reserved upstream is on the list either, the request was refused at once instead of waiting for the reservations of the others. Ruled out: the deadline (90 s), and upstreams that are not live (three of four were).

Only a crash removes the upstream from the list now. The request then waits until a reservation ends, as it does when the other node was first.

Before: suspects_of_several_nodes_wait_after_simultaneous_reservations fails with three and six nodes (10 passed, 2 failed); after: 12 passed. The product's own mode only; the gateway does not isolate suspects.

--- a/crates/delivery/src/suspect/isolation.rs
+++ b/crates/delivery/src/suspect/isolation.rs
@@ -214,7 +214,10 @@
         for (request, _) in &mut self.deferred {
             request.upstreams.retain(|found| *found != upstream);
         }
-        let Some(slot) = self.slots.remove(&upstream) else { return SuspectActions::new() };
+        let Some(mut slot) = self.slots.remove(&upstream) else { return SuspectActions::new() };
+        for waiting in &mut slot.waiting {
+            waiting.request.upstreams.retain(|found| *found != upstream);
+        }
         let mut actions = SuspectActions::new();
         if let Some(run) = slot.running {
             actions.push(SuspectAction::Release(self.notice(upstream, run.fingerprint)));
@@ -376,10 +379,9 @@
         waiting: VecDeque<WaitingRequest>,
     ) -> SuspectActions {
         let mut actions = SuspectActions::new();
-        for WaitingRequest { mut request, crashed, .. } in waiting {
+        for WaitingRequest { request, crashed, .. } in waiting {
             let notice = self.notice(upstream, request.fingerprint);
             actions.push(SuspectAction::Release(notice));
-            request.upstreams.retain(|found| *found != upstream);
             actions.extend(self.enqueue(now, request, &crashed));
         }
         actions
--- a/crates/delivery/tests/suspect.rs
+++ b/crates/delivery/tests/suspect.rs
@@ -262,6 +262,30 @@
     assert_eq!((cluster.completed, cluster.refused.len()), (2, 0));
 }
 
+/// Guards against a refusal when several nodes reserve the same upstreams at the same time: a node
+/// that yields must wait for the reservations of the others.
+#[rstest]
+#[case::two_nodes(2)]
+#[case::three_nodes(3)]
+#[case::six_nodes(6)]
+fn suspects_of_several_nodes_wait_after_simultaneous_reservations(#[case] nodes: u64) {
+    let mut cluster = Cluster::new(nodes, 4, 9);
+    for node in 0..nodes {
+        cluster.run(node as usize, UpstreamKey(0), fingerprint(20 + node));
+    }
+    cluster.upstreams.remove(&UpstreamKey(0));
+    for node in 0..nodes as usize {
+        cluster.apply(node, SuspectEvent::Crashed(UpstreamKey(0)));
+    }
+    for node in 0..nodes {
+        cluster.send(node as usize, fingerprint(20 + node));
+    }
+    for _ in 0..200 {
+        cluster.advance(&[]);
+    }
+    assert_eq!((cluster.completed, cluster.refused), (nodes as usize, BTreeMap::new()));
+}
+
 /// Guards against a conviction that does not follow the policy, and against one that stays after
 /// its crashes no longer count.
 #[rstest]
