Repeat the operator's failed reads of the log, and its appends for longer

Cause: the test loses the response of every second append. The operator's client repeats an append every 300 ms, and the daemons repeat theirs at a similar pace, so the two can stay in step for all of its five attempts. A failed read was not repeated at all, though, which is the same fault for an operator.

Calls to the log are repeated for 5 s now, with pauses that vary. Appends keep their record id, so they take effect once.

--- a/crates/hibiscushinge/src/operator.rs
+++ b/crates/hibiscushinge/src/operator.rs
@@ -1,7 +1,11 @@
 //! Edits and promotions of documents. Their order in the platform's log decides which of two
 //! concurrent changes is accepted.
 
-use std::{fmt, net::SocketAddr, time::Duration};
+use std::{
+    fmt,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use base::{Incarnation, LogOffset, RecordId, Span, derive_value};
 use bytes::Bytes;
@@ -19,10 +23,12 @@
 /// Records requested in one read of the log. A shorter page is the last one.
 const PAGE_RECORDS: u32 = 500;
 
-/// Maximum number of attempts of an append. Each sends the same record id, so a repetition has no
-/// second effect.
-const APPEND_ATTEMPTS: u32 = 5;
+/// Time for which a failed call to the log is repeated. An append is repeated with the same record
+/// id, so it takes effect once.
+const RETRY_TIME: Duration = Duration::from_secs(5);
 
+/// Mean pause before a call is repeated. Pauses vary by half of it, so that the calls do not stay
+/// in step with those of the daemons.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
 derive_value! {
@@ -143,16 +149,9 @@
 
     async fn append(&self, id: RecordId, record: &ConfigRecord) -> Result<(), OperatorError> {
         let data = Bytes::from(encode_record(id, record));
-        let mut attempt = 1;
-        loop {
-            let batch = [NewRecord { id, data: data.clone() }];
-            match self.platform.append(CONFIG_STREAM, &batch).await {
-                Ok(_) => return Ok(()),
-                Err(error) if attempt == APPEND_ATTEMPTS => return Err(error.into()),
-                Err(_) => actix_rt::time::sleep(RETRY_PAUSE).await,
-            }
-            attempt += 1;
-        }
+        let batch = [NewRecord { id, data }];
+        retry(|| self.platform.append(CONFIG_STREAM, &batch)).await?;
+        Ok(())
     }
 
     /// Reads the log from its oldest record to its end, and notes the outcome of the awaited
@@ -162,8 +161,8 @@
         let mut replayed = ReplayedLog { registry: ConfigRegistry::new(check), outcome: None };
         let mut reader = LogReader::new(ReaderSettings::default(), LogOffset(0));
         loop {
-            let page =
-                self.platform.read(CONFIG_STREAM, reader.next_offset(), PAGE_RECORDS).await?;
+            let from = reader.next_offset();
+            let page = retry(|| self.platform.read(CONFIG_STREAM, from, PAGE_RECORDS)).await?;
             let is_last = page.records.len() < PAGE_RECORDS as usize;
             replayed.registry.note_retention(page.first);
             for action in reader.handle(decode(page)) {
@@ -189,6 +188,22 @@
     }
 }
 
+/// Repeats a call to the log until it succeeds or has failed for [`RETRY_TIME`].
+async fn retry<T, F: Future<Output = Result<T, CallError>>>(
+    call: impl Fn() -> F,
+) -> Result<T, CallError> {
+    let end = Instant::now() + RETRY_TIME;
+    loop {
+        match call().await {
+            Err(_) if Instant::now() < end => {
+                let factor = rand::random_range(0.5..1.5);
+                actix_rt::time::sleep(RETRY_PAUSE.mul_f64(factor)).await;
+            }
+            result => return result,
+        }
+    }
+}
+
 fn decode(page: clients::LogPage) -> DecodedPage<ConfigRecord> {
     let records = page.records.into_iter().map(|stored| DecodedRecord {
         offset: stored.offset,
--- a/crates/hibiscushinge/tests/documents.rs
+++ b/crates/hibiscushinge/tests/documents.rs
@@ -2,9 +2,10 @@
 
 mod common;
 
-use serde_json::Value;
+use serde_json::{Value, json};
+use stand_ins::Platform;
 
-use common::{example_document, exit_and_output, platform, run_tool, write_file};
+use common::{example_document, exit_and_output, platform, run_tool, wait_for, write_file};
 
 /// Guards against a second operator's change that overwrites the first one.
 #[actix_rt::test]
@@ -118,3 +119,45 @@
     let (code, _, error) = exit_and_output(&run_tool(&["show", "--platform", &address]).await);
     assert!(code == 1 && error.contains("log is unavailable"), "{error}");
 }
+
+/// Guards against an edit that is reported as failed because responses of the log were lost.
+#[actix_rt::test]
+async fn edit_is_accepted_once_although_responses_are_lost() {
+    let platform = platform();
+    set_fault(&platform, &json!({ "lose_append_answers": 8 })).await;
+    let address = platform.address().to_string();
+    let file = write_file(&example_document());
+    let edit = ["edit", "--platform", &address, "--environment", "trial", "--base", "0", &file];
+    let (code, _, error) = exit_and_output(&run_tool(&edit).await);
+    assert_eq!(code, 0, "{error}");
+    let shown = run_tool(&["show", "--platform", &address, "--environment", "trial"]).await;
+    assert_eq!(exit_and_output(&shown).2, "version 1 of trial\n");
+}
+
+/// Guards against a command that fails because one read of the log failed.
+#[actix_rt::test]
+async fn show_repeats_a_failed_read() {
+    let platform = platform();
+    let address = platform.address().to_string();
+    let file = write_file(&example_document());
+    let edit = ["edit", "--platform", &address, "--environment", "trial", "--base", "0", &file];
+    assert_eq!(exit_and_output(&run_tool(&edit).await).0, 0);
+
+    set_fault(&platform, &json!({ "log_down": true })).await;
+    let reads = || platform.inspect()["reads"].as_u64().unwrap();
+    let reads_before = reads();
+    let show = ["show", "--platform", &address, "--environment", "trial"];
+    let end_outage = async {
+        let failed_read = async || (reads() > reads_before).then_some(());
+        wait_for("a failed read", failed_read).await;
+        set_fault(&platform, &json!({ "log_down": false })).await;
+    };
+    let (shown, ()) = tokio::join!(run_tool(&show), end_outage);
+    assert_eq!(exit_and_output(&shown).2, "version 1 of trial\n");
+}
+
+async fn set_fault(platform: &Platform, change: &Value) {
+    let url = format!("http://{}/faults", platform.address());
+    let response = awc::Client::new().post(url).send_json(change).await.unwrap();
+    assert!(response.status().is_success(), "the platform refused {change}");
+}
