Divide limits by what callers and items want of the service

Where all upstreams of a service name small limits, one node held the shares of all of them and the other nodes refused nearly every caller.

Cause: each limit was divided by the whole demand of a node for the service, callers and items alike, and a limit that is worth one share goes to the node that wants most. So that node had all of them, also when the limits together were above all demand.

Records name the demand of callers and of items. A node's demand entitles it to a part of all limits of the service, callers before items, which keep a quarter. At each upstream it weighs by what it is entitled to and does not hold at the service's others. How claims are confirmed, and so that their sum stays within the limit, is unchanged.

--- a/crates/dispatch/src/balancer.rs
+++ b/crates/dispatch/src/balancer.rs
@@ -4,11 +4,12 @@
 
 use base::{
     Arena, Moment, ProcessDigest, RequestRate, Span, UpstreamKey, WeightVersion, derive_copy,
+    stable_hash,
 };
 
 use crate::{
-    EntryState, ExchangeOutcome, RequestBucket, RequestOrigin, UpstreamEntry, UpstreamLoad,
-    demand::DemandMeter, stats::UpstreamStats,
+    EntryState, ExchangeOutcome, LimitDemand, RequestBucket, RequestOrigin, UpstreamEntry,
+    UpstreamLoad, WantedRate, demand::DemandMeter, stats::UpstreamStats,
 };
 
 derive_copy! {
@@ -65,7 +66,8 @@
 /// Demand for a service, and who of its requests goes first when tokens are scarce.
 #[derive(Debug, Clone, Default)]
 struct ServiceQueue {
-    demand: DemandMeter,
+    caller_demand: DemandMeter,
+    item_demand: DemandMeter,
     /// When a caller's request last found no token.
     caller_refused_at: Option<Moment>,
     /// When an item's request that found no token was last counted as demand.
@@ -76,6 +78,19 @@
     tokens_since_item: u32,
 }
 
+impl ServiceQueue {
+    fn record_demand(&mut self, now: Moment, origin: RequestOrigin) {
+        match origin {
+            RequestOrigin::Caller => self.caller_demand.record(now),
+            RequestOrigin::Item => self.item_demand.record(now),
+        }
+    }
+
+    fn wanted_rate(&self, now: Moment) -> WantedRate {
+        WantedRate { callers: self.caller_demand.rate(now), items: self.item_demand.rate(now) }
+    }
+}
+
 impl UpstreamBalancer {
     /// Records the newest entry of an upstream, and returns its key and what has changed.
     pub fn update(&mut self, entry: UpstreamEntry) -> (UpstreamKey, UpstreamChange) {
@@ -168,7 +183,7 @@
             self.queues.insert(stats.entry.service.clone(), ServiceQueue::default());
         }
         let Some(queue) = self.queues.get_mut(&stats.entry.service) else { return };
-        queue.demand.record(now);
+        queue.record_demand(now, origin);
         let Some(bucket) = &mut stats.bucket else { return };
         bucket.take(now);
         queue.tokens_since_item = match origin {
@@ -218,16 +233,16 @@
         }
     }
 
-    /// Returns the rate that this node could use of an upstream's limit: its demand for the
-    /// service, or nothing while it leaves its tokens unused.
+    /// Returns what this node could use of an upstream's limit: its demand for the service, or
+    /// nothing while it leaves its tokens unused.
     #[must_use]
-    pub fn wanted_rate(&self, now: Moment, upstream: UpstreamKey) -> RequestRate {
+    pub fn limit_demand(&self, now: Moment, upstream: UpstreamKey) -> LimitDemand {
         let stats = &self.upstreams[upstream];
-        if stats.bucket.is_some_and(|bucket| bucket.is_unused(now)) {
-            return RequestRate::ZERO;
-        }
-        let queue = self.queues.get(&stats.entry.service);
-        queue.map_or(RequestRate::ZERO, |queue| queue.demand.rate(now))
+        let service = stable_hash(&stats.entry.service);
+        let is_unused = stats.bucket.is_some_and(|bucket| bucket.is_unused(now));
+        let queue = self.queues.get(&stats.entry.service).filter(|_| !is_unused);
+        let wanted = queue.map(|queue| queue.wanted_rate(now)).unwrap_or_default();
+        LimitDemand { service, wanted }
     }
 
     /// Returns the upstream that runs the process, if it is known and has not restarted.
@@ -263,11 +278,11 @@
             // Items try again until they are run, so each try is not a further request.
             if now.since(queue.item_refused_at) >= ITEM_DEMAND_INTERVAL {
                 queue.item_refused_at = now;
-                queue.demand.record(now);
+                queue.record_demand(now, origin);
             }
             return Some(MAX_RETURN_TIME);
         }
-        queue.demand.record(now);
+        queue.record_demand(now, origin);
         queue.caller_refused_at = Some(now);
         let interval = rate.interval().map_or(MAX_RETURN_TIME, |span| span.min(MAX_RETURN_TIME));
         let return_at = queue.last_return_at.max(now) + interval;
--- a/crates/dispatch/src/demand.rs
+++ b/crates/dispatch/src/demand.rs
@@ -28,11 +28,11 @@
         part.1 += 1;
     }
 
-    /// Returns the mean rate over the window, rounded up to a whole request per second.
+    /// Returns the mean rate over the window.
     pub(crate) fn rate(&self, now: Moment) -> RequestRate {
         let number = now.0 / PART_LENGTH.0;
         let recent = self.parts.iter().filter(|part| part.0 + PARTS as u64 > number);
         let requests: u64 = recent.map(|part| part.1).sum();
-        RequestRate(requests.div_ceil(PARTS as u64) * RequestRate::ONE.0)
+        RequestRate(requests * RequestRate::ONE.0 / PARTS as u64)
     }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,7 +18,7 @@
 pub use crate::{
     balancer::{RemovalCause, UpstreamBalancer, UpstreamChange},
     entry::{EntryState, UpstreamEntry},
-    limit_shares::{LimitClaim, LimitShare, LimitShares, NodeClaims},
+    limit_shares::{LimitClaim, LimitDemand, LimitShare, LimitShares, NodeClaims, WantedRate},
     pick::{GenerationPickRequest, ModelRequirement, PlainPickRequest, RequestOrigin},
     request_bucket::RequestBucket,
     stats::{ExchangeOutcome, UpstreamLoad},
--- a/crates/dispatch/src/limit_shares.rs
+++ b/crates/dispatch/src/limit_shares.rs
@@ -11,17 +11,20 @@
 //! count them as free. A part of each limit is divided equally among the nodes that want it, without
 //! claims, so that some requests are sent after the leases have ended too. Their responses also show
 //! when the limit was lifted.
+//!
+//! What a node claims follows from the demand for the service at all nodes: callers come before
+//! items, and a node that holds enough of the service's other limits leaves the rest to others.
 
 mod division;
+mod rates;
 
 use std::collections::BTreeMap;
 
-use base::{
-    Incarnation, Moment, NodeDigest, ProcessDigest, RequestRate, Span, derive_copy, derive_value,
-};
+use base::{Incarnation, Moment, NodeDigest, ProcessDigest, RequestRate, Span};
 use smallvec::SmallVec;
 
-use self::division::claim_pool;
+pub use self::rates::{LimitClaim, LimitDemand, LimitShare, NodeClaims, WantedRate};
+use self::{division::ServiceDivision, rates::differs};
 
 /// Number of nodes that probe an upstream when no node has seen its limit in a response for
 /// [`PROBE_PERIOD`]. Without probes nobody would learn that it was lifted while the limit is zero,
@@ -61,47 +64,6 @@
 /// request only after a second or two.
 const MIN_HOLDING_TIME: Span = Span::from_secs(4);
 
-/// A claim and a wanted rate are written again when they change by more than one in this.
-const CHANGE_DIVISOR: u64 = 4;
-
-derive_copy! {
-    /// What a node wants and claims of one upstream's limit.
-    pub struct LimitClaim {
-        /// Process of the upstream.
-        pub process: ProcessDigest,
-        /// Rate that the node could use.
-        pub wanted: RequestRate,
-        /// Rate that the node claims.
-        pub claimed: RequestRate,
-        /// Whether a response has named the limit to the node since its record before.
-        pub is_seen: bool,
-    }
-
-    /// How this node takes part in the division of one limit.
-    pub struct LimitShare {
-        /// Limit that the upstream names.
-        pub limit: RequestRate,
-        /// Rate that this node could use.
-        pub wanted: RequestRate,
-        /// Rate that this node may use without a claim.
-        pub guaranteed: RequestRate,
-        /// Rate that this node may use by its claim.
-        pub claimed: RequestRate,
-    }
-}
-
-derive_value! {
-    /// Record of one node: all of its claims.
-    pub struct NodeClaims {
-        /// Incarnation of the node's process. Claims of an earlier one are void.
-        pub incarnation: Incarnation,
-        /// Number of the record among those of the process, from 1.
-        pub sequence: u64,
-        /// Claims, one for each limited upstream that the node uses.
-        pub claims: Vec<LimitClaim>,
-    }
-}
-
 /// Division of all limits, as one node knows it.
 #[derive(Debug, Clone)]
 pub struct LimitShares {
@@ -137,6 +99,7 @@
 
 #[derive(Debug, Clone)]
 struct OtherNode {
+    /// Sorted by process.
     claims: Vec<LimitClaim>,
     claims_expire_at: Moment,
     member_until: Moment,
@@ -144,7 +107,7 @@
 
 #[derive(Debug, Clone, Copy, Default)]
 struct OwnShare {
-    wanted: RequestRate,
+    wanted: WantedRate,
     /// Whether a response has named the limit since the last record.
     is_seen: bool,
     /// Whether all nodes can read in the log that this one wants a share.
@@ -245,8 +208,10 @@
                 known.seen_at = now;
             }
         }
+        let mut claims = record.claims;
+        claims.sort_unstable_by_key(|claim| claim.process);
         let other = OtherNode {
-            claims: record.claims,
+            claims,
             claims_expire_at: now + CLAIM_LEASE + LEASE_MARGIN,
             member_until: now + MEMBER_LIFETIME,
         };
@@ -291,7 +256,7 @@
         &mut self,
         now: Moment,
         is_log_reachable: bool,
-        wanted: impl Fn(ProcessDigest) -> RequestRate,
+        demand: impl Fn(ProcessDigest) -> LimitDemand,
     ) -> Option<NodeClaims> {
         self.is_log_reachable = is_log_reachable;
         if !is_log_reachable {
@@ -300,39 +265,18 @@
         self.others.retain(|_, other| now < other.member_until);
         self.forget_unused_limits(now);
         let mut changed = false;
-        let all_read = self.unread.is_empty();
-        let limits = self.limits.iter().filter_map(|(process, known)| {
-            known.rate.map(|rate| (*process, rate, known.changed_at))
-        });
-        for (process, limit, changed_at) in limits.collect::<Vec<_>>() {
-            let wanted = wanted(process);
-            let (target, free) = self.target(now, process, limit, wanted);
-            let may_claim = self.loaded && now >= changed_at + CLAIM_DELAY;
-            let share = self.own.entry(process).or_default();
-            let is_held =
-                wanted > RequestRate::ZERO && now.since(share.claimed_since) < MIN_HOLDING_TIME;
-            let target = if is_held { target.max(share.claimed) } else { target };
-            let claim = if may_claim { target.min(free) } else { RequestRate::ZERO };
-            if share.claimed == RequestRate::ZERO {
-                share.claimed_since = now;
-            }
-            if differs(share.wanted, wanted) {
-                share.wanted = wanted;
-                changed = true;
+        let processes: Vec<ProcessDigest> = self.limited_processes().collect();
+        let demands: BTreeMap<ProcessDigest, LimitDemand> =
+            processes.into_iter().map(|process| (process, demand(process))).collect();
+        for mut division in self.divisions(now, &demands) {
+            for process in std::mem::take(&mut division.processes) {
+                let wanted = demands[&process].wanted;
+                changed |= self.update_share(now, process, wanted, &mut division);
             }
-            let unconfirmed = share.usable < share.claimed;
-            if differs(share.claimed, claim) || unconfirmed && share.claimed > free {
-                share.claimed = claim;
-                changed = true;
-            } else if unconfirmed && all_read && share.usable < free {
-                // The claims that left no room have been reduced since.
-                changed = true;
-            }
-            share.usable = share.usable.min(share.claimed);
         }
         let limits = &self.limits;
         self.own.retain(|process, _| limits.get(process).is_some_and(|known| known.rate.is_some()));
-        let has_claims = self.own.values().any(|share| share.wanted > RequestRate::ZERO);
+        let has_claims = self.own.values().any(|share| !share.wanted.is_zero());
         let renewal = if has_claims { CLAIM_RENEWAL } else { MEMBER_RENEWAL };
         let renewal_due = self.written_at.is_none_or(|at| now.since(at) >= renewal);
         (changed || renewal_due).then(|| self.write_record(now))
@@ -389,13 +333,50 @@
         }
     }
 
+    /// Updates this node's share of one upstream. Returns whether the record has to be written.
+    fn update_share(
+        &mut self,
+        now: Moment,
+        process: ProcessDigest,
+        wanted: WantedRate,
+        division: &mut ServiceDivision,
+    ) -> bool {
+        let Some(known) = self.limits.get(&process).copied() else { return false };
+        let target = self.target(now, process, wanted, division);
+        let free = self.free_rate(now, process);
+        let may_claim = self.loaded && now >= known.changed_at + CLAIM_DELAY;
+        let all_read = self.unread.is_empty();
+        let share = self.own.entry(process).or_default();
+        let is_held = !wanted.is_zero() && now.since(share.claimed_since) < MIN_HOLDING_TIME;
+        let target = if is_held { target.max(share.claimed) } else { target };
+        let claim = if may_claim { target.min(free) } else { RequestRate::ZERO };
+        if share.claimed == RequestRate::ZERO {
+            share.claimed_since = now;
+        }
+        let mut changed = false;
+        if share.wanted.differs(wanted) {
+            share.wanted = wanted;
+            changed = true;
+        }
+        let unconfirmed = share.usable < share.claimed;
+        if differs(share.claimed, claim) || unconfirmed && share.claimed > free {
+            share.claimed = claim;
+            changed = true;
+        } else if unconfirmed && all_read && share.usable < free {
+            // The claims that left no room have been reduced since.
+            changed = true;
+        }
+        share.usable = share.usable.min(share.claimed);
+        division.own_claimed.0 += share.claimed.0;
+        changed
+    }
+
     fn forget_unused_limits(&mut self, now: Moment) {
         let unused = self.limits.iter().filter(|(process, known)| {
-            let wanted =
-                self.own.get(process).is_some_and(|share| share.wanted > RequestRate::ZERO);
+            let wanted = self.own.get(process).is_some_and(|share| !share.wanted.is_zero());
             let wanted_by_others = || {
                 let claims = self.claims_of_others(now, **process);
-                claims.into_iter().any(|(_, claim)| claim.wanted > RequestRate::ZERO)
+                claims.into_iter().any(|(_, claim)| !claim.wanted.is_zero())
             };
             known.rate.is_some()
                 && now.since(known.seen_at) >= UNUSED_LIMIT_LIFETIME
@@ -439,11 +420,7 @@
             return;
         };
         for claim in &record.claims {
-            let Some(limit) = self.limits.get(&claim.process).and_then(|known| known.rate) else {
-                continue;
-            };
-            let pool = claim_pool(limit);
-            let room = pool.saturating_sub(self.claimed_by_others(sent_at, claim.process));
+            let room = self.free_rate(sent_at, claim.process);
             let Some(share) = self.own.get_mut(&claim.process) else { continue };
             share.usable = claim.claimed.min(share.claimed).min(room);
             share.usable_until = sent_at + CLAIM_LEASE;
@@ -456,7 +433,7 @@
         // An older record confirms nothing, since its lease has ended.
         self.unread.retain(|(_, sent_at)| now.since(*sent_at) < CLAIM_LEASE);
         self.unread.push((self.sequence, now));
-        let shares = self.own.iter().filter(|(_, share)| share.wanted > RequestRate::ZERO);
+        let shares = self.own.iter().filter(|(_, share)| !share.wanted.is_zero());
         let claims = shares.map(|(process, share)| LimitClaim {
             process: *process,
             wanted: share.wanted,
@@ -468,17 +445,3 @@
         NodeClaims { incarnation: self.incarnation, sequence: self.sequence, claims }
     }
 }
-
-impl LimitShare {
-    /// Returns the rate that this node may use.
-    #[must_use]
-    pub fn rate(&self) -> RequestRate {
-        RequestRate(self.guaranteed.0 + self.claimed.0)
-    }
-}
-
-/// Returns whether a rate differs so much from the one that was written that it is written again.
-const fn differs(written: RequestRate, current: RequestRate) -> bool {
-    let tolerance = written.0 / CHANGE_DIVISOR;
-    written.0.abs_diff(current.0) > tolerance || (written.0 == 0) != (current.0 == 0)
-}
--- a/crates/dispatch/src/limit_shares/division.rs
+++ b/crates/dispatch/src/limit_shares/division.rs
@@ -1,10 +1,12 @@
 //! Which parts of a limit the nodes should have, by what they want and claim.
 
+use std::collections::BTreeMap;
+
 use base::{Moment, NodeDigest, ProcessDigest, RequestRate, rendezvous_weight};
 
-use super::{LimitClaim, LimitShares};
+use super::{LimitClaim, LimitDemand, LimitShares, WantedRate};
 
-/// Part of a limit that is divided equally among the nodes that want it.
+/// Part of a limit that is divided equally among the nodes that want it, without claims.
 const GUARANTEED_PERCENT: u64 = 20;
 
 /// Smallest share of a limit, unless the whole limit is smaller. Each holder of a share can save
@@ -12,32 +14,114 @@
 /// arrive in two seconds at the limit.
 const MIN_SHARE: RequestRate = RequestRate(500);
 
+/// Part of a service's limits that items have before callers.
+const ITEM_PERCENT: u64 = 25;
+
+/// Part of its demand with which a node takes part after it has what it is entitled to, so that
+/// nothing is left over.
+const SATED_DIVISOR: u64 = 16;
+
+/// Limited upstreams of one service, as one update divides them.
+#[derive(Debug, Default)]
+pub(super) struct ServiceDivision {
+    pool: RequestRate,
+    pub(super) processes: Vec<ProcessDigest>,
+    /// Claims of each other node to all of the upstreams together.
+    claimed: BTreeMap<NodeDigest, RequestRate>,
+    /// What this update has claimed for this node so far.
+    pub(super) own_claimed: RequestRate,
+}
+
+/// Rates to which the demands for a service entitle, for each request that is wanted.
+#[derive(Debug, Clone, Copy)]
+struct Entitlement {
+    caller: f64,
+    item: f64,
+}
+
+impl Entitlement {
+    fn new(pool: RequestRate, total: WantedRate) -> Self {
+        let reserved = total.items.min(RequestRate(pool.0 * ITEM_PERCENT / 100));
+        let for_callers = total.callers.min(pool.saturating_sub(reserved));
+        let for_items = total.items.min(pool.saturating_sub(for_callers));
+        let part = |granted: RequestRate, wanted: RequestRate| {
+            if wanted == RequestRate::ZERO { 0.0 } else { granted.0 as f64 / wanted.0 as f64 }
+        };
+        Self { caller: part(for_callers, total.callers), item: part(for_items, total.items) }
+    }
+
+    /// Returns how much of an upstream's limit a node should have, in proportion to the other
+    /// nodes. `held` is what it has of the service's other upstreams.
+    fn weight(self, wanted: WantedRate, held: RequestRate) -> u64 {
+        let callers = wanted.callers.0 as f64 * self.caller;
+        let entitled = RequestRate((callers + wanted.items.0 as f64 * self.item) as u64);
+        entitled.saturating_sub(held).0.max(entitled.0.div_ceil(SATED_DIVISOR))
+    }
+}
+
 impl LimitShares {
-    /// Returns the part of the claim pool that this node should have, in proportion to what the
-    /// nodes want, and the part that the others do not claim.
+    /// Groups the limited upstreams that this node knows by their services. The upstreams of which
+    /// it has a share come first.
+    pub(super) fn divisions(
+        &self,
+        now: Moment,
+        demands: &BTreeMap<ProcessDigest, LimitDemand>,
+    ) -> Vec<ServiceDivision> {
+        let mut divisions: BTreeMap<u64, ServiceDivision> = BTreeMap::new();
+        for (process, demand) in demands {
+            let Some(pool) = self.claim_pool(*process) else { continue };
+            let division = divisions.entry(demand.service).or_default();
+            division.pool.0 += pool.0;
+            division.processes.push(*process);
+        }
+        for (node, other) in self.others.iter().filter(|(_, other)| now < other.claims_expire_at) {
+            for claim in &other.claims {
+                let Some(demand) = demands.get(&claim.process) else { continue };
+                let Some(division) = divisions.get_mut(&demand.service) else { continue };
+                division.claimed.entry(*node).or_default().0 += claim.claimed.0;
+            }
+        }
+        for division in divisions.values_mut() {
+            division.processes.sort_by_cached_key(|process| {
+                let own = self.own.get(process);
+                let is_claimed = own.is_some_and(|share| share.claimed > RequestRate::ZERO);
+                (!is_claimed, rendezvous_weight(process.0, self.me.0))
+            });
+        }
+        divisions.into_values().collect()
+    }
+
+    /// Returns the part of the claim pool that this node should have.
     pub(super) fn target(
         &self,
         now: Moment,
         process: ProcessDigest,
-        limit: RequestRate,
-        wanted: RequestRate,
-    ) -> (RequestRate, RequestRate) {
-        let pool = claim_pool(limit);
-        let free = pool.saturating_sub(self.claimed_by_others(now, process));
-        if wanted == RequestRate::ZERO {
-            return (RequestRate::ZERO, free);
+        wanted: WantedRate,
+        division: &ServiceDivision,
+    ) -> RequestRate {
+        let Some(pool) = self.claim_pool(process) else { return RequestRate::ZERO };
+        if wanted.is_zero() {
+            return RequestRate::ZERO;
         }
+        let claims: Vec<(NodeDigest, LimitClaim)> = self.claims_of_others(now, process).collect();
+        let total = claims.iter().fold(wanted, |total, (_, claim)| total.plus(claim.wanted));
+        let entitlement = Entitlement::new(division.pool, total);
         // Holders weigh more, so that shares do not move with each small change of the demand.
-        let weight = |wanted: RequestRate, claimed: RequestRate| {
-            if claimed > RequestRate::ZERO { wanted.0 * 3 / 2 } else { wanted.0 }
+        let weight = |wanted: WantedRate, claimed: RequestRate, held: RequestRate| {
+            let weight = entitlement.weight(wanted, held);
+            if claimed > RequestRate::ZERO { weight * 3 / 2 } else { weight }
         };
-        let claimed = self.own.get(&process).map_or(RequestRate::ZERO, |share| share.claimed);
-        let others = self.claims_of_others(now, process);
-        let mut candidates: Vec<(u64, NodeDigest)> = others
-            .filter(|(_, claim)| claim.wanted > RequestRate::ZERO)
-            .map(|(node, claim)| (weight(claim.wanted, claim.claimed), node))
+        let mut candidates: Vec<(u64, NodeDigest)> = claims
+            .iter()
+            .filter(|(_, claim)| !claim.wanted.is_zero())
+            .map(|(node, claim)| {
+                let held = division.claimed.get(node).copied().unwrap_or_default();
+                let held = held.saturating_sub(claim.claimed);
+                (weight(claim.wanted, claim.claimed, held), *node)
+            })
             .collect();
-        candidates.push((weight(wanted, claimed), self.me));
+        let claimed = self.own.get(&process).map_or(RequestRate::ZERO, |share| share.claimed);
+        candidates.push((weight(wanted, claimed, division.own_claimed), self.me));
         candidates.sort_unstable_by_key(|(weight, node)| {
             std::cmp::Reverse((*weight, rendezvous_weight(process.0, node.0)))
         });
@@ -50,8 +134,18 @@
             candidates.pop();
         }
         let own = candidates.iter().find(|(_, node)| *node == self.me);
-        let target = own.map_or(0, |(weight, _)| pool.0 * weight / total.max(1));
-        (RequestRate(target), free)
+        RequestRate(own.map_or(0, |(weight, _)| pool.0 * weight / total.max(1)))
+    }
+
+    /// Returns the part of the claim pool that the other nodes do not claim.
+    pub(super) fn free_rate(&self, now: Moment, process: ProcessDigest) -> RequestRate {
+        let Some(pool) = self.claim_pool(process) else { return RequestRate::ZERO };
+        let claims = self.claims_of_others(now, process);
+        pool.saturating_sub(RequestRate(claims.map(|(_, claim)| claim.claimed.0).sum()))
+    }
+
+    fn claim_pool(&self, process: ProcessDigest) -> Option<RequestRate> {
+        self.limits.get(&process).and_then(|known| known.rate).map(claim_pool)
     }
 
     pub(super) fn guaranteed_rate(
@@ -81,10 +175,9 @@
 
     /// Returns the other nodes that want a share of an upstream's limit.
     pub(super) fn claimants(&self, process: ProcessDigest) -> Vec<NodeDigest> {
-        let others = self
-            .others
-            .iter()
-            .filter(|(_, other)| other.claims.iter().any(|claim| claim.process == process));
+        let others = self.others.iter().filter(|(_, other)| {
+            other.claims.binary_search_by_key(&process, |claim| claim.process).is_ok()
+        });
         others.map(|(node, _)| *node).collect()
     }
 
@@ -98,11 +191,6 @@
         others.filter(|node| rendezvous_weight(process.0, node.0) > own).count() as u64
     }
 
-    pub(super) fn claimed_by_others(&self, now: Moment, process: ProcessDigest) -> RequestRate {
-        let claims = self.claims_of_others(now, process);
-        RequestRate(claims.map(|(_, claim)| claim.claimed.0).sum())
-    }
-
     pub(super) fn claims_of_others(
         &self,
         now: Moment,
@@ -110,8 +198,8 @@
     ) -> impl Iterator<Item = (NodeDigest, LimitClaim)> {
         let valid = self.others.iter().filter(move |(_, other)| now < other.claims_expire_at);
         valid.filter_map(move |(node, other)| {
-            let claim = other.claims.iter().find(|claim| claim.process == process)?;
-            Some((*node, *claim))
+            let position = other.claims.binary_search_by_key(&process, |claim| claim.process);
+            Some((*node, other.claims[position.ok()?]))
         })
     }
 }
@@ -122,6 +210,6 @@
 }
 
 /// Returns the part of a limit that nodes claim.
-pub(super) fn claim_pool(limit: RequestRate) -> RequestRate {
+fn claim_pool(limit: RequestRate) -> RequestRate {
     limit.saturating_sub(guaranteed_pool(limit))
 }
--- a/crates/dispatch/tests/limit_shares/cluster.rs
+++ b/crates/dispatch/tests/limit_shares/cluster.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use base::{Incarnation, Moment, NodeDigest, ProcessDigest, RequestRate, Span};
-use dispatch::{LimitShares, NodeClaims, RequestBucket};
+use dispatch::{LimitDemand, LimitShares, NodeClaims, RequestBucket, WantedRate};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
@@ -242,8 +242,10 @@
         node.demand.retain(|at| now.since(*at) < DEMAND_WINDOW);
         let is_unused = node.bucket.is_some_and(|bucket| bucket.is_unused(now));
         let demand = if is_unused { 0 } else { node.demand.len() as u64 };
-        let wanted = RequestRate(demand * 1_000 / 4);
-        let claims = node.shares.update(now, now >= node.cut_until, |_| wanted);
+        let wanted =
+            WantedRate { callers: RequestRate(demand * 1_000 / 4), items: RequestRate::ZERO };
+        let demand = LimitDemand { service: 1, wanted };
+        let claims = node.shares.update(now, now >= node.cut_until, |_| demand);
         node.apply_rate(now);
         if node.shares.take_probe(now, PROCESS)
             && let Some(bucket) = &mut node.bucket
--- a/crates/dispatch/tests/limit_shares/main.rs
+++ b/crates/dispatch/tests/limit_shares/main.rs
@@ -4,7 +4,7 @@
 
 use base::{Incarnation, Moment, NodeDigest, ProcessDigest, RequestRate, Span};
 use cluster::{Cluster, ClusterOptions, Fault};
-use dispatch::{LimitClaim, LimitShares, NodeClaims, RequestBucket};
+use dispatch::{LimitClaim, LimitDemand, LimitShares, NodeClaims, RequestBucket, WantedRate};
 use rstest::rstest;
 
 /// Time after which all nodes must keep to a limit.
@@ -20,6 +20,20 @@
     RequestRate(milli_requests)
 }
 
+/// Rate of requests of callers, in thousandths of a request per second.
+fn callers(milli_requests: u64) -> WantedRate {
+    WantedRate { callers: rate(milli_requests), items: RequestRate::ZERO }
+}
+
+/// Rate of requests of items, in thousandths of a request per second.
+fn items(milli_requests: u64) -> WantedRate {
+    WantedRate { callers: RequestRate::ZERO, items: rate(milli_requests) }
+}
+
+const fn demand(wanted: WantedRate) -> LimitDemand {
+    LimitDemand { service: 1, wanted }
+}
+
 /// Checks that a limited upstream gets at most one and a half times the requests that its limit
 /// allows and five more in any [`WINDOW`], and returns the requests in the whole time.
 fn check_limit(cluster: &Cluster, limit: RequestRate, from: Moment, until: Moment) -> usize {
@@ -147,8 +161,10 @@
     }
     now += Span::from_secs(1);
     // Neither has read what the other wants, so both claim all but the guaranteed part.
-    let records: Vec<NodeClaims> =
-        nodes.iter_mut().map(|node| node.update(now, true, |_| rate(5_000)).unwrap()).collect();
+    let records: Vec<NodeClaims> = nodes
+        .iter_mut()
+        .map(|node| node.update(now, true, |_| demand(callers(5_000))).unwrap())
+        .collect();
     assert!(records.iter().all(|record| record.claims[0].claimed == rate(800)));
     for node in &mut nodes {
         for (digest, record) in [7, 8].into_iter().zip(&records) {
@@ -159,6 +175,68 @@
     assert_eq!(used, limit.0);
 }
 
+/// Claims that nodes with these demands hold of upstreams with equal limits after some rounds, in
+/// which each node reads all records, one row for each node.
+fn settled_claims(
+    wanted: &[WantedRate],
+    upstreams: std::ops::Range<u64>,
+    limit: RequestRate,
+) -> Vec<Vec<RequestRate>> {
+    let mut now = Moment(1_000_000);
+    let mut nodes: Vec<LimitShares> = (0..wanted.len() as u64)
+        .map(|node| LimitShares::new(NodeDigest(node * 0x1234_5679), Incarnation(node)))
+        .collect();
+    for node in &mut nodes {
+        node.begin_full_read(now, |_| true, |_| true);
+        for process in upstreams.clone() {
+            node.apply_limit(now, ProcessDigest(process), Some(limit));
+        }
+    }
+    for _ in 0..40 {
+        now += Span::from_millis(500);
+        for index in 0..nodes.len() {
+            let Some(record) = nodes[index].update(now, true, |_| demand(wanted[index])) else {
+                continue;
+            };
+            let writer = nodes[index].node();
+            for node in &mut nodes {
+                node.apply_claims(now, writer, Some(record.clone()));
+            }
+        }
+    }
+    let claims = nodes.iter().map(|node| {
+        let processes = upstreams.clone().map(ProcessDigest);
+        processes.map(|process| node.share(now, process).unwrap().claimed).collect()
+    });
+    claims.collect()
+}
+
+/// Guards against a node whose items take the shares of all small limits, so that the other nodes
+/// refuse every caller, and against items that get nothing.
+#[rstest]
+#[case::scarce(1_000, 0.6..0.9)]
+#[case::ample(8_000, 0.15..0.4)]
+fn callers_have_shares_before_items(
+    #[case] limit: u64,
+    #[case] expected_part: std::ops::Range<f64>,
+) {
+    let mut wanted = vec![callers(1_000); 9];
+    wanted.push(items(30_000));
+    let (mut for_callers, mut all) = (0, 0);
+    for first in 0..10 {
+        let upstreams = first * 8..first * 8 + 8;
+        let claims = settled_claims(&wanted, upstreams, rate(limit));
+        let sums = claims.iter().map(|row| row.iter().map(|claim| claim.0).sum::<u64>());
+        let sums: Vec<u64> = sums.collect();
+        let holders = sums.iter().filter(|sum| **sum > 0).count();
+        assert!(holders >= 4, "only {holders} nodes have a share: {sums:?}");
+        for_callers += sums[..9].iter().sum::<u64>();
+        all += sums.iter().sum::<u64>();
+    }
+    let part = for_callers as f64 / all as f64;
+    assert!(expected_part.contains(&part), "callers have {part} of the shares");
+}
+
 /// Guards against an overflow when an upstream names a limit far beyond any demand.
 #[test]
 fn highest_limit_is_divided() {
@@ -167,13 +245,18 @@
     let now = Moment(5_000_000);
     shares.begin_full_read(now, |_| true, |_| true);
     shares.apply_limit(Moment(0), process, Some(RequestRate::MAX));
-    let claim = |claimed| LimitClaim { process, wanted: RequestRate::MAX, claimed, is_seen: true };
+    let claim = |claimed| LimitClaim {
+        process,
+        wanted: callers(RequestRate::MAX.0),
+        claimed,
+        is_seen: true,
+    };
     for node in 8..16 {
         let claims = vec![claim(rate(1_000))];
         let record = NodeClaims { incarnation: Incarnation(node), sequence: 1, claims };
         shares.apply_claims(now, NodeDigest(node), Some(record));
     }
-    let record = shares.update(now, true, |_| RequestRate::MAX).unwrap();
+    let record = shares.update(now, true, |_| demand(callers(RequestRate::MAX.0))).unwrap();
     let claimed = record.claims[0].claimed;
     assert!(claimed > RequestRate(RequestRate::MAX.0 / 20) && claimed < RequestRate::MAX);
 }
@@ -187,7 +270,7 @@
     let sent_at = Moment(5_000_000);
     shares.begin_full_read(sent_at, |_| true, |_| true);
     shares.apply_limit(Moment(0), process, Some(rate(1_000)));
-    let record = shares.update(sent_at, true, |_| rate(5_000)).unwrap();
+    let record = shares.update(sent_at, true, |_| demand(callers(5_000))).unwrap();
     let read_at = sent_at + Span::from_secs(2);
     assert_eq!(shares.share(read_at, process).unwrap().claimed, RequestRate::ZERO);
     shares.apply_claims(read_at, me, Some(record));
@@ -206,10 +289,10 @@
     let mut now = Moment(5_000_000);
     shares.begin_full_read(now, |_| true, |_| true);
     shares.apply_limit(now, process, Some(rate(1_000)));
-    let claim = LimitClaim { process, wanted: rate(1_000), claimed: rate(800), is_seen: false };
+    let claim = LimitClaim { process, wanted: callers(1_000), claimed: rate(800), is_seen: false };
     let mut claims = NodeClaims { incarnation: Incarnation(2), sequence: 1, claims: vec![claim] };
     shares.apply_claims(now, holder, Some(claims.clone()));
-    let record = shares.update(now, true, |_| rate(5_000)).unwrap();
+    let record = shares.update(now, true, |_| demand(callers(5_000))).unwrap();
     shares.apply_claims(now, me, Some(record));
     assert!(!shares.take_probe(now, process), "the limit has just been named");
     now += PROBE_PERIOD;
--- a/crates/hibiscushinged/src/gateway/limits.rs
+++ b/crates/hibiscushinged/src/gateway/limits.rs
@@ -190,11 +190,11 @@
     let is_store_reachable = traffic.node.is_store_reachable();
     let claims = {
         let balancer = traffic.balancer.borrow();
-        let wanted = |process| {
+        let demand = |process| {
             let upstream = balancer.upstream_of(process);
-            upstream.map_or(RequestRate::ZERO, |upstream| balancer.wanted_rate(now, upstream))
+            upstream.map(|upstream| balancer.limit_demand(now, upstream)).unwrap_or_default()
         };
-        traffic.limits.shares.borrow_mut().update(now, is_store_reachable, wanted)
+        traffic.limits.shares.borrow_mut().update(now, is_store_reachable, demand)
     };
     for process in limited_before {
         apply_rate(traffic, now, process);
@@ -245,7 +245,8 @@
         LimitShareChanged,
         upstream = balancer.entry(upstream).id,
         limit = share.limit.per_second(),
-        wanted = share.wanted.per_second(),
+        callers = share.wanted.callers.per_second(),
+        items = share.wanted.items.per_second(),
         guaranteed = share.guaranteed.per_second(),
         claimed = share.claimed.per_second(),
     );
--- a/crates/protocol/src/record/limits.rs
+++ b/crates/protocol/src/record/limits.rs
@@ -2,7 +2,7 @@
 //! the platform's store.
 
 use base::{Incarnation, NodeDigest, ProcessDigest, RequestRate, derive_value};
-use dispatch::{LimitClaim, NodeClaims};
+use dispatch::{LimitClaim, NodeClaims, WantedRate};
 
 use crate::codec::{MalformedMessage, decode_message, encode_message, wire};
 
@@ -29,7 +29,8 @@
 
     struct WireClaim {
         process: u64,
-        wanted: u64,
+        wanted_callers: u64,
+        wanted_items: u64,
         claimed: u64,
         is_seen: bool,
     }
@@ -102,7 +103,8 @@
     fn from(claim: &LimitClaim) -> Self {
         Self {
             process: claim.process.0,
-            wanted: claim.wanted.0,
+            wanted_callers: claim.wanted.callers.0,
+            wanted_items: claim.wanted.items.0,
             claimed: claim.claimed.0,
             is_seen: claim.is_seen,
         }
@@ -111,10 +113,13 @@
 
 impl From<WireClaim> for LimitClaim {
     fn from(wire: WireClaim) -> Self {
+        let rate = |milli_requests| RequestRate(milli_requests).min(RequestRate::MAX);
+        let wanted =
+            WantedRate { callers: rate(wire.wanted_callers), items: rate(wire.wanted_items) };
         Self {
             process: ProcessDigest(wire.process),
-            wanted: RequestRate(wire.wanted).min(RequestRate::MAX),
-            claimed: RequestRate(wire.claimed).min(RequestRate::MAX),
+            wanted,
+            claimed: rate(wire.claimed),
             is_seen: wire.is_seen,
         }
     }
--- a/crates/protocol/tests/codec.rs
+++ b/crates/protocol/tests/codec.rs
@@ -10,7 +10,7 @@
 };
 use configuration::{ConfigEdit, ConfigRecord, ConfigVersion, EnvironmentName};
 use delivery::{ClaimDone, ClaimEvent, ClaimKey, ClaimOutcome, Conviction, Fingerprint, RequestId};
-use dispatch::{LimitClaim, NodeClaims};
+use dispatch::{LimitClaim, NodeClaims, WantedRate};
 use fleet::{DemandKey, DemandSnapshot, SLOTS_PER_WEEK, WorkClass};
 use proptest::{
     prelude::*,
@@ -226,7 +226,7 @@
 fn limit_records_are_unchanged_by_encoding_and_decoding() {
     let claim = LimitClaim {
         process: ProcessDigest(u64::MAX),
-        wanted: RequestRate(21_000),
+        wanted: WantedRate { callers: RequestRate(21_000), items: RequestRate(4_000) },
         claimed: RequestRate(500),
         is_seen: true,
     };
