Probe limited upstreams from the nodes with the highest demand, and sooner

Cause: its shares belonged to nodes with few callers, which sent nothing there, and after 7 s without news two nodes chosen by hash were to probe it, which had nothing to send either. Ruled out: a response that was not understood (the first one that came freed it).

The node with the highest demand probes after 4 s without news, the next one after 8 s.

--- a/crates/dispatch/src/limit_shares.rs
+++ b/crates/dispatch/src/limit_shares.rs
@@ -26,15 +26,16 @@
 pub use self::rates::{LimitClaim, LimitDemand, LimitShare, NodeClaims, WantedRate};
 use self::{division::ServiceDivision, rates::differs};
 
-/// Number of nodes that probe an upstream when no node has seen its limit in a response for
-/// [`PROBE_PERIOD`]. Without probes nobody would learn that it was lifted while the limit is zero,
-/// or while the shares are held by nodes that do not use them or cannot be reached.
+/// Time without a response that names a limit after which the node with the highest demand probes
+/// the upstream, and the next one after twice that. Without probes nobody would learn that the limit
+/// was lifted while it is zero, or while its shares are held by nodes that do not use them or cannot
+/// be reached. It is longer than [`CLAIM_RENEWAL`], with which the nodes tell each other that they
+/// have seen the limit.
+const PROBE_PERIOD: Span = Span::from_secs(4);
+
+/// Number of nodes that probe an upstream.
 const PROBING_NODES: u64 = 2;
 
-/// Interval between two probes of one node. It is longer than two renewals, with which the nodes
-/// tell each other that they have seen the limit.
-const PROBE_PERIOD: Span = Span::from_secs(7);
-
 /// Time for which a node may use a claim, counted from when it sent the record. Outages of the
 /// log that are shorter leave the division as it is.
 const CLAIM_LEASE: Span = Span::from_secs(10);
@@ -301,16 +302,18 @@
     /// Returns whether this node should send a request to the upstream regardless of its share, to
     /// learn whether the limit still holds. The answer counts as given.
     pub fn take_probe(&mut self, now: Moment, process: ProcessDigest) -> bool {
-        let due = |at: Moment| now.since(at) >= PROBE_PERIOD;
-        let known = self.limits.get(&process);
-        let is_due = known.is_some_and(|known| {
-            known.rate.is_some() && due(known.seen_at) && due(known.probed_at)
-        });
-        if !is_due || !self.is_listed(process) {
+        if !self.is_listed(process) {
             return false;
         }
-        let probes = self.rank(process, self.claimants(process).into_iter()) < PROBING_NODES;
-        if let Some(known) = self.limits.get_mut(&process).filter(|_| probes) {
+        let rank = self.demand_rank(now, process);
+        let Some(known) = self.limits.get_mut(&process) else { return false };
+        let period = Span(PROBE_PERIOD.0 * (rank + 1));
+        let due = |at: Moment| now.since(at) >= period;
+        let probes = rank < PROBING_NODES
+            && known.rate.is_some()
+            && due(known.seen_at)
+            && due(known.probed_at);
+        if probes {
             known.probed_at = now;
         }
         probes
--- a/crates/dispatch/src/limit_shares/division.rs
+++ b/crates/dispatch/src/limit_shares/division.rs
@@ -137,6 +137,17 @@
         RequestRate(own.map_or(0, |(weight, _)| pool.0 * weight / total.max(1)))
     }
 
+    /// Returns how many of the other nodes want more of an upstream's limit than this one.
+    pub(super) fn demand_rank(&self, now: Moment, process: ProcessDigest) -> u64 {
+        let order = |wanted: WantedRate, node: NodeDigest| {
+            (wanted.callers.0 + wanted.items.0, rendezvous_weight(process.0, node.0))
+        };
+        let own = self.own.get(&process).map(|share| share.wanted).unwrap_or_default();
+        let own = order(own, self.me);
+        let claims = self.claims_of_others(now, process);
+        claims.filter(|(node, claim)| order(claim.wanted, *node) > own).count() as u64
+    }
+
     /// Returns the part of the claim pool that the other nodes do not claim.
     pub(super) fn free_rate(&self, now: Moment, process: ProcessDigest) -> RequestRate {
         let Some(pool) = self.claim_pool(process) else { return RequestRate::ZERO };
--- a/crates/dispatch/tests/limit_shares/main.rs
+++ b/crates/dispatch/tests/limit_shares/main.rs
@@ -14,7 +14,7 @@
 const WINDOW: Span = Span::from_secs(4);
 
 /// Interval between probes of a limit that no response names.
-const PROBE_PERIOD: Span = Span::from_secs(7);
+const PROBE_PERIOD: Span = Span::from_secs(4);
 
 const fn rate(milli_requests: u64) -> RequestRate {
     RequestRate(milli_requests)
@@ -307,6 +307,33 @@
     assert!(!shares.take_probe(now, process), "the holder has just seen the limit");
 }
 
+/// Guards against a lifted limit that is noticed late because the probes fall to nodes that have
+/// nothing to send.
+#[test]
+fn nodes_with_the_highest_demand_probe_first() {
+    let process = ProcessDigest(1);
+    let wanted = [callers(250), items(30_000), callers(1_000)];
+    let mut now = Moment(5_000_000);
+    let mut nodes = [7, 8, 9].map(|node| LimitShares::new(NodeDigest(node), Incarnation(node)));
+    for node in &mut nodes {
+        node.begin_full_read(now, |_| true, |_| true);
+        node.apply_limit(now, process, Some(rate(1_000)));
+    }
+    for index in 0..nodes.len() {
+        let record = nodes[index].update(now, true, |_| demand(wanted[index])).unwrap();
+        let writer = nodes[index].node();
+        for node in &mut nodes {
+            node.apply_claims(now, writer, Some(record.clone()));
+        }
+    }
+    let mut probes = || {
+        now += PROBE_PERIOD;
+        nodes.each_mut().map(|node| node.take_probe(now, process))
+    };
+    assert_eq!(probes(), [false, true, false]);
+    assert_eq!(probes(), [false, true, true]);
+}
+
 /// Guards against a response to an old request that undoes what newer responses said.
 #[test]
 fn response_to_an_earlier_request_changes_nothing() {
