Bound the reads of limits of all nodes together

LIMIT at scale, by calculation: while a limit holds, nodes write about 0.5 records a second each (165 a second at 320 nodes in the virtual clusters), so each read finds one, and 320 nodes would read five times a second each, 1,600 of the 2,000 reads a second that the small sites' store allows. The pause between reads grows with the number of nodes now, so that all together read at most 400 times a second. The pause was the only one that a topic needed, so the sink names it and FollowPace is gone. Not played at 300 nodes yet.

--- a/crates/dispatch/src/limit_shares.rs
+++ b/crates/dispatch/src/limit_shares.rs
@@ -147,6 +147,12 @@
         self.me
     }
 
+    /// Returns the number of nodes that take part, this one included.
+    #[must_use]
+    pub fn node_count(&self) -> usize {
+        self.others.len() + 1
+    }
+
     /// Records the limit that a response names, or that it names none. Returns whether that
     /// changes what this node knows. `sent_at` is when the request was sent: a response to a
     /// request from before the last change proves nothing.
--- a/crates/hibiscushinged/src/gateway/control.rs
+++ b/crates/hibiscushinged/src/gateway/control.rs
@@ -17,7 +17,7 @@
         fetch::KeyChange,
         lease::keep_lease,
         node::NodeState,
-        topic_follower::{ChangeSink, FollowPace, follow_topic},
+        topic_follower::{ChangeSink, follow_topic},
         upstreams::UpstreamUpdate,
         usage, usage_reports, weight_loads,
     },
@@ -56,7 +56,7 @@
 }
 
 async fn follow(control: Rc<ControlState>, topic: &'static str, sink: impl ChangeSink) {
-    follow_topic(&control.store, topic, FollowPace::immediate(POLL_WAIT), sink).await;
+    follow_topic(&control.store, topic, POLL_WAIT, sink).await;
 }
 
 impl ChangeSink for OperatorSink {
--- a/crates/hibiscushinged/src/gateway/crash_records.rs
+++ b/crates/hibiscushinged/src/gateway/crash_records.rs
@@ -12,7 +12,7 @@
     gateway::{
         crash_check::log_conviction,
         fetch::KeyChange,
-        topic_follower::{ChangeSink, FollowPace, follow_topic},
+        topic_follower::{ChangeSink, follow_topic},
         traffic_state::TrafficState,
     },
     telemetry::log_event,
@@ -68,7 +68,7 @@
 /// Applies the crash records of all nodes until the process ends.
 pub(crate) async fn follow_crash_records(traffic: Rc<TrafficState>) {
     let sink = CrashSink { traffic: Rc::clone(&traffic) };
-    follow_topic(&traffic.store, CRASH_TOPIC, FollowPace::immediate(POLL_WAIT), sink).await;
+    follow_topic(&traffic.store, CRASH_TOPIC, POLL_WAIT, sink).await;
 }
 
 /// Writes the crash records of this node until the process ends.
--- a/crates/hibiscushinged/src/gateway/limits.rs
+++ b/crates/hibiscushinged/src/gateway/limits.rs
@@ -26,7 +26,7 @@
 use crate::{
     gateway::{
         fetch::KeyChange,
-        topic_follower::{ChangeSink, FollowPace, follow_topic},
+        topic_follower::{ChangeSink, follow_topic},
         traffic_state::TrafficState,
     },
     telemetry::log_event,
@@ -36,10 +36,15 @@
 /// newest ones.
 const LIMIT_TOPIC: &str = "keyed.limits";
 
-/// Pace of the reads. All nodes write to the topic while a limit holds, and a read for each record
-/// would take up the store's rate of calls.
-const READ_PACE: FollowPace =
-    FollowPace { poll_wait: Span::from_secs(1), pause: Duration::from_millis(200) };
+/// Time for which a read waits for changes at the store.
+const POLL_WAIT: Span = Span::from_secs(1);
+
+/// Highest rate of the reads of all nodes together, per second. All nodes write to the topic while a
+/// limit holds, and a read for each record would take up the store's rate of calls.
+const READS_PER_SECOND: u32 = 400;
+
+/// Shortest pause after a read, for deployments of few nodes.
+const MIN_READ_PAUSE: Duration = Duration::from_millis(200);
 
 /// Interval between updates of the claims while an upstream names a limit.
 const UPDATE_PERIOD: Duration = Duration::from_millis(500);
@@ -137,7 +142,7 @@
 /// Follows the limits and claims of all nodes until the process ends.
 pub(crate) async fn follow_limits(traffic: Rc<TrafficState>) {
     let sink = LimitSink { traffic: Rc::clone(&traffic) };
-    follow_topic(&traffic.store, LIMIT_TOPIC, READ_PACE, sink).await;
+    follow_topic(&traffic.store, LIMIT_TOPIC, POLL_WAIT, sink).await;
 }
 
 /// Updates and writes this node's claims until the process ends.
@@ -328,6 +333,12 @@
             self.apply_record(record);
         }
     }
+
+    fn read_pause(&self) -> Duration {
+        let nodes = self.traffic.limits.shares.borrow().node_count();
+        let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
+        MIN_READ_PAUSE.max(Duration::from_secs(1) * nodes / READS_PER_SECOND)
+    }
 }
 
 /// Decodes a record. A malformed one is logged and skipped.
--- a/crates/hibiscushinged/src/gateway/topic_follower.rs
+++ b/crates/hibiscushinged/src/gateway/topic_follower.rs
@@ -12,22 +12,6 @@
 /// Delay after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// Pace of the reads of a topic.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct FollowPace {
-    /// Longest time that a read waits for changes at the store.
-    pub(crate) poll_wait: Span,
-    /// Pause after a read. Changes that arrive meanwhile share the next one.
-    pub(crate) pause: Duration,
-}
-
-impl FollowPace {
-    /// Reads again at once.
-    pub(crate) const fn immediate(poll_wait: Span) -> Self {
-        Self { poll_wait, pause: Duration::ZERO }
-    }
-}
-
 /// Receiver of the changes of one topic.
 pub(crate) trait ChangeSink {
     /// Processes the newest values of all keys, after a full read of the topic.
@@ -35,19 +19,25 @@
 
     /// Processes the change of one key.
     fn apply(&self, change: KeyChange);
+
+    /// Returns the pause before the next read. Changes that arrive meanwhile share that read.
+    fn read_pause(&self) -> Duration {
+        Duration::ZERO
+    }
 }
 
-/// Passes the changes of a topic with one partition to `sink` until the process ends.
+/// Passes the changes of a topic with one partition to `sink` until the process ends. A read waits
+/// for changes at the store for at most `poll_wait`.
 pub(crate) async fn follow_topic(
     store: &StoreSession,
     topic: &'static str,
-    pace: FollowPace,
+    poll_wait: Span,
     sink: impl ChangeSink,
 ) {
     let name = PartitionName { topic: String::from(topic), partition: 0 };
     let mut next_offset = None;
     loop {
-        let Ok(fetched) = fetch(store, &name, next_offset, pace.poll_wait).await else {
+        let Ok(fetched) = fetch(store, &name, next_offset, poll_wait).await else {
             // The store session has logged the failure.
             tokio::time::sleep(RETRY_DELAY).await;
             continue;
@@ -61,8 +51,9 @@
                 }
             }
         }
-        if !pace.pause.is_zero() {
-            tokio::time::sleep(pace.pause).await;
+        let pause = sink.read_pause();
+        if !pause.is_zero() {
+            tokio::time::sleep(pause).await;
         }
     }
 }
