Ask refused callers to return by what a node is entitled to

A caller that found no token was asked to return by the rate of the tokens that this node held at that moment. A small limit goes to one node at a time, so all others said 3 s, although callers may return at any node and the service accepts some requests all the time.

Callers are spread by the part of the limits to which the node's demand entitles it. These parts add up to the claimable part over all nodes, so the callers of all of them together return at the rate that the upstreams accept.

Before, by reading: a node without tokens has no interval between tokens and says 3 s to each caller; refused_callers_return_in_their_order has a case for it now (250, 500, 750 ms at four a second).

--- a/crates/dispatch/src/balancer.rs
+++ b/crates/dispatch/src/balancer.rs
@@ -8,8 +8,8 @@
 };
 
 use crate::{
-    EntryState, ExchangeOutcome, LimitDemand, RequestBucket, RequestOrigin, UpstreamEntry,
-    UpstreamLoad, WantedRate, demand::DemandMeter, stats::UpstreamStats,
+    EntryState, ExchangeOutcome, LimitDemand, LimitShare, RequestBucket, RequestOrigin,
+    UpstreamEntry, UpstreamLoad, WantedRate, demand::DemandMeter, stats::UpstreamStats,
 };
 
 derive_copy! {
@@ -210,16 +210,18 @@
         self.upstreams[upstream].record_load_report(now, report);
     }
 
-    /// Sets the rate at which this node may send requests to an upstream that names a limit, or
-    /// removes the bound when it names none.
-    pub fn set_request_rate(
+    /// Sets this node's share of the limit that an upstream names, or removes the bound when it names
+    /// none.
+    pub fn set_limit_share(
         &mut self,
         now: Moment,
         upstream: UpstreamKey,
-        rate: Option<RequestRate>,
+        share: Option<LimitShare>,
     ) {
-        let bucket = &mut self.upstreams[upstream].bucket;
-        match (bucket.as_mut(), rate) {
+        let stats = &mut self.upstreams[upstream];
+        stats.entitled = share.map(|share| share.entitled).unwrap_or_default();
+        let bucket = &mut stats.bucket;
+        match (bucket.as_mut(), share.map(|share| share.rate())) {
             (Some(bucket), Some(rate)) => bucket.set_rate(now, rate),
             (None, Some(rate)) => *bucket = Some(RequestBucket::new(now, rate)),
             (_, None) => *bucket = None,
@@ -252,8 +254,10 @@
     }
 
     /// Records that a request found no token on any upstream of the service. Returns when a caller
-    /// that is refused now should return: callers are spread by the rate of the tokens, in the
-    /// order of their refusals. Returns `None` if limits are not the reason.
+    /// that is refused now should return: callers are spread by the rate to which this node is
+    /// entitled, in the order of their refusals. Returns `None` if limits are not the reason.
+    /// A caller may return at any node, so the rate of this node's tokens, which are with other nodes
+    /// for most of the time where limits are small, does not count.
     pub fn record_limited(
         &mut self,
         now: Moment,
@@ -266,9 +270,9 @@
             if !self.is_usable(now, *upstream) {
                 continue;
             }
-            let Some(bucket) = &self.upstreams[*upstream].bucket else { continue };
-            rate.0 += bucket.rate().0;
-            limited = true;
+            let stats = &self.upstreams[*upstream];
+            rate.0 += stats.entitled.0;
+            limited |= stats.bucket.is_some();
         }
         if !limited {
             return None;
--- a/crates/dispatch/src/limit_shares.rs
+++ b/crates/dispatch/src/limit_shares.rs
@@ -24,7 +24,10 @@
 use smallvec::SmallVec;
 
 pub use self::rates::{LimitClaim, LimitDemand, LimitShare, NodeClaims, WantedRate};
-use self::{division::ServiceDivision, rates::differs};
+use self::{
+    division::{PoolPart, ServiceDivision},
+    rates::differs,
+};
 
 /// Time without a response that names a limit after which the node with the highest demand probes
 /// the upstream, and the next one after twice that. Without probes nobody would learn that the limit
@@ -109,6 +112,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct OwnShare {
     wanted: WantedRate,
+    entitled: RequestRate,
     /// Whether a response has named the limit since the last record.
     is_seen: bool,
     /// Whether all nodes can read in the log that this one wants a share.
@@ -302,7 +306,8 @@
         let own = self.own.get(&process).copied().unwrap_or_default();
         let claimed = if now < own.usable_until { own.usable } else { RequestRate::ZERO };
         let guaranteed = self.guaranteed_rate(process, limit);
-        Some(LimitShare { limit, wanted: own.wanted, guaranteed, claimed })
+        let OwnShare { wanted, entitled, .. } = own;
+        Some(LimitShare { limit, wanted, guaranteed, claimed, entitled })
     }
 
     /// Returns whether this node should send a request to the upstream regardless of its share, to
@@ -351,11 +356,12 @@
         division: &mut ServiceDivision,
     ) -> bool {
         let Some(known) = self.limits.get(&process).copied() else { return false };
-        let target = self.target(now, process, wanted, division);
+        let PoolPart { target, entitled } = self.pool_part(now, process, wanted, division);
         let free = self.free_rate(now, process);
         let may_claim = self.loaded && now >= known.changed_at + CLAIM_DELAY;
         let all_read = self.unread.is_empty();
         let share = self.own.entry(process).or_default();
+        share.entitled = entitled;
         let is_held = !wanted.is_zero() && now.since(share.claimed_since) < MIN_HOLDING_TIME;
         let target = if is_held { target.max(share.claimed) } else { target };
         let claim = if may_claim { target.min(free) } else { RequestRate::ZERO };
--- a/crates/dispatch/src/limit_shares/division.rs
+++ b/crates/dispatch/src/limit_shares/division.rs
@@ -21,6 +21,15 @@
 /// nothing is left over.
 const SATED_DIVISOR: u64 = 16;
 
+/// What this node should have of one upstream's claim pool.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct PoolPart {
+    /// Rate to claim. A small pool goes to one node at a time.
+    pub(super) target: RequestRate,
+    /// Rate in proportion to the demand.
+    pub(super) entitled: RequestRate,
+}
+
 /// Limited upstreams of one service, as one update divides them.
 #[derive(Debug, Default)]
 pub(super) struct ServiceDivision {
@@ -53,10 +62,14 @@
     /// Returns how much of an upstream's limit a node should have, in proportion to the other
     /// nodes. `held` is what it has of the service's other upstreams.
     fn weight(self, wanted: WantedRate, held: RequestRate) -> u64 {
-        let callers = wanted.callers.0 as f64 * self.caller;
-        let entitled = RequestRate((callers + wanted.items.0 as f64 * self.item) as u64);
+        let entitled = self.rate(wanted);
         entitled.saturating_sub(held).0.max(entitled.0.div_ceil(SATED_DIVISOR))
     }
+
+    fn rate(self, wanted: WantedRate) -> RequestRate {
+        let callers = wanted.callers.0 as f64 * self.caller;
+        RequestRate((callers + wanted.items.0 as f64 * self.item) as u64)
+    }
 }
 
 impl LimitShares {
@@ -92,16 +105,16 @@
     }
 
     /// Returns the part of the claim pool that this node should have.
-    pub(super) fn target(
+    pub(super) fn pool_part(
         &self,
         now: Moment,
         process: ProcessDigest,
         wanted: WantedRate,
         division: &ServiceDivision,
-    ) -> RequestRate {
-        let Some(pool) = self.claim_pool(process) else { return RequestRate::ZERO };
+    ) -> PoolPart {
+        let Some(pool) = self.claim_pool(process) else { return PoolPart::default() };
         if wanted.is_zero() {
-            return RequestRate::ZERO;
+            return PoolPart::default();
         }
         let claims: Vec<(NodeDigest, LimitClaim)> = self.claims_of_others(now, process).collect();
         let total = claims.iter().fold(wanted, |total, (_, claim)| total.plus(claim.wanted));
@@ -111,6 +124,9 @@
             let weight = entitlement.weight(wanted, held);
             if claimed > RequestRate::ZERO { weight * 3 / 2 } else { weight }
         };
+        let own_entitled = entitlement.rate(wanted);
+        let all_entitled = entitlement.rate(total).0.max(1);
+        let entitled = RequestRate(pool.0 * own_entitled.0 / all_entitled);
         let mut candidates: Vec<(u64, NodeDigest)> = claims
             .iter()
             .filter(|(_, claim)| !claim.wanted.is_zero())
@@ -134,7 +150,8 @@
             candidates.pop();
         }
         let own = candidates.iter().find(|(_, node)| *node == self.me);
-        RequestRate(own.map_or(0, |(weight, _)| pool.0 * weight / total.max(1)))
+        let target = RequestRate(own.map_or(0, |(weight, _)| pool.0 * weight / total.max(1)));
+        PoolPart { target, entitled }
     }
 
     /// Returns how many of the other nodes want more of an upstream's limit than this one.
--- a/crates/dispatch/src/limit_shares/rates.rs
+++ b/crates/dispatch/src/limit_shares/rates.rs
@@ -37,6 +37,7 @@
     }
 
     /// How this node takes part in the division of one limit.
+    #[derive(Default)]
     pub struct LimitShare {
         /// Limit that the upstream names.
         pub limit: RequestRate,
@@ -46,6 +47,9 @@
         pub guaranteed: RequestRate,
         /// Rate that this node may use by its claim.
         pub claimed: RequestRate,
+        /// Part of the limit to which its demand entitles this node, of which it may have more or
+        /// less at a time.
+        pub entitled: RequestRate,
     }
 }
 
--- a/crates/dispatch/src/request_bucket.rs
+++ b/crates/dispatch/src/request_bucket.rs
@@ -42,12 +42,6 @@
         self.level_micro_requests = self.level_micro_requests.min(self.capacity());
     }
 
-    /// Returns the rate at which tokens are added.
-    #[must_use]
-    pub const fn rate(&self) -> RequestRate {
-        self.rate
-    }
-
     /// Returns whether the bucket has a token.
     #[must_use]
     pub fn has_token(&self, now: Moment) -> bool {
--- a/crates/dispatch/src/stats.rs
+++ b/crates/dispatch/src/stats.rs
@@ -1,6 +1,6 @@
 //! Load and health of one upstream, as one node sees them.
 
-use base::{Moment, Span, derive_copy};
+use base::{Moment, RequestRate, Span, derive_copy};
 use smallvec::SmallVec;
 
 use crate::{RequestBucket, UpstreamEntry};
@@ -81,6 +81,8 @@
     paused_models: SmallVec<[(String, Moment); 2]>,
     /// Tokens for this node's requests, if the upstream names a limit.
     pub(crate) bucket: Option<RequestBucket>,
+    /// Part of that limit to which this node is entitled.
+    pub(crate) entitled: RequestRate,
     /// Exponential moving average of the response time of plain requests, in microseconds.
     pub(crate) response_time: Option<f64>,
     /// Exponential moving average of the time between two events of a generation, in microseconds.
@@ -100,6 +102,7 @@
             failure_rate: 0.0,
             paused_models: SmallVec::new(),
             bucket: None,
+            entitled: RequestRate::ZERO,
             response_time: None,
             event_interval: None,
         }
@@ -167,6 +170,7 @@
         self.response_time = None;
         self.other_requests = 0;
         self.bucket = None;
+        self.entitled = RequestRate::ZERO;
     }
 
     pub(crate) fn record_event_interval(&mut self, interval: Span) {
--- a/crates/dispatch/tests/pick.rs
+++ b/crates/dispatch/tests/pick.rs
@@ -2,8 +2,8 @@
 
 use base::{Moment, RequestRate, Span, UpstreamKey, WeightVersion};
 use dispatch::{
-    EntryState, ExchangeOutcome, GenerationPickRequest, ModelRequirement, PlainPickRequest,
-    RemovalCause, RequestOrigin, UpstreamBalancer, UpstreamEntry, UpstreamLoad,
+    EntryState, ExchangeOutcome, GenerationPickRequest, LimitShare, ModelRequirement,
+    PlainPickRequest, RemovalCause, RequestOrigin, UpstreamBalancer, UpstreamEntry, UpstreamLoad,
 };
 use rstest::rstest;
 
@@ -282,27 +282,36 @@
 #[test]
 fn limited_upstream_is_picked_only_with_a_token() {
     let (mut balancer, keys) = balancer(2, 8);
-    balancer.set_request_rate(NOW, keys[0], Some(RequestRate::ONE));
+    balancer.set_limit_share(NOW, keys[0], Some(share(RequestRate::ONE)));
     for jitter_seed in 0..20 {
         assert_eq!(balancer.pick_plain(NOW, &plain_request(jitter_seed, &[])), Some(keys[1]));
     }
-    balancer.set_request_rate(NOW, keys[1], Some(RequestRate::ZERO));
+    balancer.set_limit_share(NOW, keys[1], Some(share(RequestRate::ZERO)));
     assert_eq!(balancer.pick_plain(NOW, &plain_request(1, &[])), None);
     assert_eq!(balancer.pick_generation(NOW, &generation_request(1, &[])), None);
     let later = NOW + Span::from_secs(1);
     assert_eq!(balancer.pick_plain(later, &plain_request(1, &[])), Some(keys[0]));
     balancer.begin_request(later, keys[0], RequestOrigin::Caller);
     assert_eq!(balancer.pick_plain(later, &plain_request(1, &[])), None);
-    balancer.set_request_rate(later, keys[1], None);
+    balancer.set_limit_share(later, keys[1], None);
     assert_eq!(balancer.pick_plain(later, &plain_request(1, &[])), Some(keys[1]));
 }
 
-/// Guards against callers that all return at the same time, or never, when limits refuse them.
-#[test]
-fn refused_callers_return_in_their_order() {
+fn share(claimed: RequestRate) -> LimitShare {
+    LimitShare { claimed, entitled: claimed, ..LimitShare::default() }
+}
+
+/// Guards against callers that all return at the same time, or never, when limits refuse them, and
+/// against long waits because another node holds the tokens at the moment.
+#[rstest]
+#[case::node_with_tokens(4_000)]
+#[case::node_without_tokens(0)]
+fn refused_callers_return_in_their_order(#[case] claimed: u64) {
     let (mut balancer, keys) = balancer(1, 8);
     assert_eq!(balancer.record_limited(NOW, "s", RequestOrigin::Caller), None);
-    balancer.set_request_rate(NOW, keys[0], Some(RequestRate(4_000)));
+    let entitled = RequestRate(4_000);
+    let limit_share = LimitShare { claimed: RequestRate(claimed), entitled, ..Default::default() };
+    balancer.set_limit_share(NOW, keys[0], Some(limit_share));
     let refuse = |balancer: &mut UpstreamBalancer| {
         balancer.record_limited(NOW, "s", RequestOrigin::Caller).unwrap().as_millis()
     };
@@ -315,7 +324,7 @@
 #[test]
 fn items_leave_scarce_tokens_to_callers() {
     let (mut balancer, keys) = balancer(1, 8);
-    balancer.set_request_rate(NOW, keys[0], Some(RequestRate::ONE));
+    balancer.set_limit_share(NOW, keys[0], Some(share(RequestRate::ONE)));
     let item = PlainPickRequest { origin: RequestOrigin::Item, ..plain_request(1, &[]) };
     let mut now = NOW + Span::from_secs(1);
     assert_eq!(balancer.pick_plain(now, &item), Some(keys[0]));
@@ -339,7 +348,7 @@
 fn limit_ends_with_the_process() {
     let (mut balancer, keys) = balancer(1, 8);
     let process = balancer.entry(keys[0]).process();
-    balancer.set_request_rate(NOW, keys[0], Some(RequestRate::ZERO));
+    balancer.set_limit_share(NOW, keys[0], Some(share(RequestRate::ZERO)));
     assert_eq!(balancer.pick_plain(NOW, &plain_request(1, &[])), None);
     let restarted = UpstreamEntry { started_at_ms: Some(99), ..balancer.entry(keys[0]).clone() };
     balancer.update(restarted);
--- a/crates/hibiscushinged/src/gateway/limits.rs
+++ b/crates/hibiscushinged/src/gateway/limits.rs
@@ -235,7 +235,7 @@
     let share = traffic.limits.shares.borrow().share(now, process);
     let mut balancer = traffic.balancer.borrow_mut();
     let Some(upstream) = balancer.upstream_of(process) else { return };
-    balancer.set_request_rate(now, upstream, share.map(|share| share.rate()));
+    balancer.set_limit_share(now, upstream, share);
     let mut logged = traffic.limits.logged.borrow_mut();
     let previous = match share {
         Some(share) => logged.insert(process, share),
