--- a/crates/dispatch/src/limit_shares/division.rs
+++ b/crates/dispatch/src/limit_shares/division.rs
@@ -17,8 +17,8 @@
 /// Part of a service's limits that items have before callers.
 const ITEM_PERCENT: u64 = 25;
 
-/// Part of its demand with which a node takes part after it has what it is entitled to, so that
-/// nothing is left over.
+/// A node that has what it is entitled to takes part with one in this of it, so that no limit is left
+/// over.
 const SATED_DIVISOR: u64 = 16;
 
 /// What this node should have of one upstream's claim pool.
@@ -41,7 +41,7 @@
     pub(super) own_claimed: RequestRate,
 }
 
-/// Rates to which the demands for a service entitle, for each request that is wanted.
+/// Part of the wanted requests that the limits of a service allow, by their origin.
 #[derive(Debug, Clone, Copy)]
 struct Entitlement {
     caller: f64,
@@ -66,6 +66,7 @@
         entitled.saturating_sub(held).0.max(entitled.0.div_ceil(SATED_DIVISOR))
     }
 
+    /// Returns the rate that a node is entitled to of all limits of the service together.
     fn rate(self, wanted: WantedRate) -> RequestRate {
         let callers = wanted.callers.0 as f64 * self.caller;
         RequestRate((callers + wanted.items.0 as f64 * self.item) as u64)
