--- a/crates/dispatch/src/limit_shares.rs
+++ b/crates/dispatch/src/limit_shares.rs
@@ -311,7 +311,7 @@
     }
 
     /// Returns whether this node should send a request to the upstream regardless of its share, to
-    /// learn whether the limit still holds. The answer counts as given.
+    /// learn whether the limit still holds. If so, the next probe is due after another period.
     pub fn take_probe(&mut self, now: Moment, process: ProcessDigest) -> bool {
         if !self.is_listed(process) {
             return false;
--- a/crates/hibiscushinged/src/gateway/cleanup.rs
+++ b/crates/hibiscushinged/src/gateway/cleanup.rs
@@ -25,8 +25,8 @@
 /// nodes.
 const EXPIRY_MARGIN: Span = Span::from_secs(60);
 
-/// Deletes old submissions and origins of the owned partitions and, on the owner of the first partition, old
-/// crash records, at intervals, until the process ends.
+/// Deletes old submissions and origins of the owned partitions and, on the owner of the first
+/// partition, old crash records, at intervals, until the process ends.
 pub(crate) async fn delete_old(traffic: Rc<TrafficState>) {
     loop {
         tokio::time::sleep(CLEANUP_PERIOD).await;
