Log whether a crash record counts towards the block of its request

Event 2104 names for each new record, on every node, whether it counts and how many crashes of the fingerprint do. No logic changes.

--- a/crates/hibiscushinged/src/gateway/crash_check.rs
+++ b/crates/hibiscushinged/src/gateway/crash_check.rs
@@ -7,13 +7,15 @@
 use std::{io, rc::Rc, time::Duration};
 
 use base::{ProcessDigest, Refusal, RefusalCode, UpstreamKey, WallTime, derive_copy};
-use delivery::{Conviction, Fingerprint, FingerprintStatus};
+use delivery::{Fingerprint, FingerprintStatus};
 use protocol::CrashKey;
 
 use crate::{
     clock::wall_now,
     gateway::{
-        channel::UpstreamChannel, plain::PlainJob, suspects::UnansweredRequest,
+        channel::UpstreamChannel,
+        plain::PlainJob,
+        suspects::{CrashCount, UnansweredRequest},
         traffic_state::TrafficState,
     },
     telemetry::log_event,
@@ -157,16 +159,20 @@
     let upstream = traffic.balancer.borrow().entry(upstream).id.clone();
     log_event!(warn, SuspectMarked, request, upstream, fingerprint = %key.fingerprint);
     let now = traffic.node.now();
-    let convicted = traffic.suspects.record_crash(now, wall_now(), key, started_at, ended_at);
-    if let Some(conviction) = convicted {
-        log_conviction(conviction);
+    if let Some(count) = traffic.suspects.record_crash(now, wall_now(), key, started_at, ended_at) {
+        log_count(key, &count);
     }
 }
 
-pub(crate) fn log_conviction(conviction: Conviction) {
-    let fingerprint = conviction.fingerprint;
-    let expires_at_ms = conviction.expires_at.0;
-    log_event!(warn, FingerprintConvicted, %fingerprint, expires_at_ms);
+/// Logs what a new crash record means, also that of another node.
+pub(crate) fn log_count(key: CrashKey, count: &CrashCount) {
+    let CrashKey { fingerprint, process } = key;
+    let (counted, crashes) = (count.counted, count.crashes);
+    log_event!(CrashCounted, %fingerprint, process = %format_args!("{process:016x}"), counted, crashes);
+    if let Some(conviction) = count.conviction {
+        let expires_at_ms = conviction.expires_at.0;
+        log_event!(warn, FingerprintConvicted, %fingerprint, expires_at_ms);
+    }
 }
 
 /// Returns whether the address of an upstream refuses connections, as it does when the process has
--- a/crates/hibiscushinged/src/gateway/crash_records.rs
+++ b/crates/hibiscushinged/src/gateway/crash_records.rs
@@ -10,7 +10,7 @@
 use crate::{
     clock::wall_now,
     gateway::{
-        crash_check::log_conviction,
+        crash_check::log_count,
         fetch::KeyChange,
         topic_follower::{ChangeSink, follow_topic},
         traffic_state::TrafficState,
@@ -52,9 +52,8 @@
         match decode_crash_record(&key, value.as_deref()) {
             Ok((key, record)) => {
                 let now = self.traffic.node.now();
-                let conviction = self.traffic.suspects.apply(now, wall_now(), key, record);
-                if let Some(conviction) = conviction {
-                    log_conviction(conviction);
+                if let Some(count) = self.traffic.suspects.apply(now, wall_now(), key, record) {
+                    log_count(key, &count);
                 }
             }
             Err(error) => {
--- a/crates/hibiscushinged/src/gateway/suspects.rs
+++ b/crates/hibiscushinged/src/gateway/suspects.rs
@@ -59,6 +59,16 @@
     unanswered: Vec<UnansweredRequest>,
 }
 
+/// What a new crash record means for its fingerprint.
+pub(crate) struct CrashCount {
+    /// Whether the crash counts. It does not if its run overlaps that of an earlier crash.
+    pub(crate) counted: bool,
+    /// Crashes of the fingerprint that count.
+    pub(crate) crashes: usize,
+    /// The conviction, if this crash causes one.
+    pub(crate) conviction: Option<Conviction>,
+}
+
 /// A request that got no response from a process.
 pub(crate) struct UnansweredRequest {
     pub(crate) id: String,
@@ -100,7 +110,7 @@
     }
 
     /// Records that a process ended while it ran a request with the fingerprint of `key`, from
-    /// `started_at` to `ended_at`. Returns the conviction if this crash causes one.
+    /// `started_at` to `ended_at`. Returns `None` if the crash is known already.
     pub(crate) fn record_crash(
         &self,
         now: Moment,
@@ -108,7 +118,7 @@
         key: CrashKey,
         started_at: WallTime,
         ended_at: WallTime,
-    ) -> Option<Conviction> {
+    ) -> Option<CrashCount> {
         let mut state = self.state.borrow_mut();
         let lifetime = state.policy.lifetime.as_millis().cast_signed();
         let expires_at = WallTime(ended_at.0.saturating_add(lifetime));
@@ -118,7 +128,7 @@
         let record = CrashRecord { started_at, ended_at, expires_at };
         state.unsent.insert(key, Some(record));
         self.unsent_added.notify_one();
-        state.insert(now, wall, key, record)
+        Some(state.insert(now, wall, key, record))
     }
 
     /// Remembers a request that got no response from a process.
@@ -158,15 +168,15 @@
         true
     }
 
-    /// Applies a crash record from the store, or its deletion if there is none. Returns the
-    /// conviction if the record causes one.
+    /// Applies a crash record from the store, or its deletion if there is none. Returns `None` if
+    /// nothing is new.
     pub(crate) fn apply(
         &self,
         now: Moment,
         wall: WallTime,
         key: CrashKey,
         record: Option<CrashRecord>,
-    ) -> Option<Conviction> {
+    ) -> Option<CrashCount> {
         let mut state = self.state.borrow_mut();
         let Some(record) = record else {
             state.remove(now, wall, key);
@@ -177,7 +187,7 @@
         if deleted || state.records.contains_key(&key) || state.records.len() >= MAX_RECORDS {
             return None;
         }
-        state.insert(now, wall, key, record)
+        Some(state.insert(now, wall, key, record))
     }
 
     /// Removes the records that a read of all keys of the store did not return. They were deleted
@@ -236,9 +246,10 @@
         wall: WallTime,
         key: CrashKey,
         record: CrashRecord,
-    ) -> Option<Conviction> {
+    ) -> CrashCount {
         self.records.insert(key, record);
-        self.recount(now, wall, key.fingerprint)
+        let (counted, conviction) = self.recount(now, wall, key.fingerprint);
+        CrashCount { counted: counted.contains(&key), crashes: counted.len(), conviction }
     }
 
     fn remove(&mut self, now: Moment, wall: WallTime, key: CrashKey) {
@@ -247,13 +258,14 @@
         }
     }
 
-    /// Decides on a fingerprint by its records. Returns the conviction if it is a new one.
+    /// Decides on a fingerprint by its records. Returns the crashes that count, and the conviction
+    /// if it is a new one.
     fn recount(
         &mut self,
         now: Moment,
         wall: WallTime,
         fingerprint: Fingerprint,
-    ) -> Option<Conviction> {
+    ) -> (SmallVec<[CrashKey; 4]>, Option<Conviction>) {
         let status = self.table.fingerprint_status(wall, fingerprint);
         let was_convicted = matches!(status, FingerprintStatus::Convicted { .. });
         let mut records: SmallVec<[(CrashKey, CrashRecord); 4]> =
@@ -261,12 +273,14 @@
         records.sort_unstable_by_key(|(_, record)| record.ended_at);
         self.handle(now, wall, SuspectEvent::Acquitted(fingerprint));
         let mut last_end = None;
+        let mut counted = SmallVec::new();
         let mut convicted = None;
         for (key, record) in records {
             if last_end.is_some_and(|last_end| record.started_at < last_end) {
                 continue;
             }
             last_end = Some(record.ended_at);
+            counted.push(key);
             let next = UpstreamKey(self.processes.len() as u32);
             let process = *self.processes.entry(key.process).or_insert(next);
             let suspicion = Suspicion {
@@ -280,7 +294,7 @@
                 }
             }
         }
-        convicted.filter(|_| !was_convicted)
+        (counted, convicted.filter(|_| !was_convicted))
     }
 
     fn forget_old_unanswered(&mut self, now: Moment) {
