Reproduce crashes by a request that several callers repeat at once

Three upstreams, three gateways, six callers at once; a crash comes 150 ms into the run, one process crashes once and returns with a new entry. The stand-in gains the delay of the crash.

--- a/crates/process-tests/src/site.rs
+++ b/crates/process-tests/src/site.rs
@@ -99,6 +99,7 @@
                 service_time: Duration::from_millis(5),
                 lose_response_every: 0,
                 crash_marker: None,
+                crash_delay: Duration::ZERO,
                 down_time: Duration::from_secs(1),
             },
             store: StoreOptions::default(),
@@ -147,6 +148,18 @@
         fleet
     }
 
+    /// Waits until all upstreams of the plain service accept connections, and writes their entries
+    /// as they are now. A crashed one has another process then.
+    pub async fn announce_services(&self) {
+        for service in &self.services {
+            wait_for("a connection to an upstream of the plain service", || async {
+                tokio::net::TcpStream::connect(service.address()).await.ok()
+            })
+            .await;
+            self.store.put_upstream(service.id(), &service.entry());
+        }
+    }
+
     /// Returns a configuration with two non-public plain routes (`/fetch/` idempotent, `/once/`
     /// not), the public route `/score/`, the rollout route `/draft/`, the resumable stream route
     /// `/talk/`, and the customer `brewer` with these keys.
--- a/crates/process-tests/tests/crashes.rs
+++ b/crates/process-tests/tests/crashes.rs
@@ -23,6 +23,9 @@
     options
 }
 
+/// Time from the arrival of a crashing request to the crash, in which runs of other callers begin.
+const CRASH_DELAY: Duration = Duration::from_millis(150);
+
 fn crashes(fleet: &SiteFleet) -> u64 {
     fleet.services.iter().map(site_stand_in::SiteService::crashes).sum()
 }
@@ -87,3 +90,44 @@
         .await;
     }
 }
+
+/// Guards against a block that comes too late because several callers repeat the crashing request
+/// at the same time, so that its runs overlap and each of them ends another upstream.
+#[actix_rt::test]
+async fn request_that_several_callers_repeat_at_once_is_blocked() {
+    let mut options = SiteOptions { services: 3, ..options() };
+    options.service.crash_delay = CRASH_DELAY;
+    options.service.down_time = Duration::from_millis(500);
+    let fleet = SiteFleet::start(options).await;
+    let mut crashes_by_round = Vec::new();
+    for round in 0..6 {
+        let callers = (0..6).map(|caller| {
+            let address = fleet.gateways[caller % 3].caller_address();
+            let headers = SiteFleet::headers(&format!("boom-{round}-{caller}"));
+            async move { call(address, "/fetch/proof", &headers, "boom").await }
+        });
+        for response in futures_util::future::join_all(callers).await {
+            assert!((500..600).contains(&response.status), "{response:?}");
+        }
+        crashes_by_round.push(crashes(&fleet));
+        fleet.announce_services().await;
+        wait_for_service(&fleet).await;
+    }
+    let allowed = CRASHES_BEFORE_BLOCK + RUNS_AFTER_THIRD_CRASH;
+    assert!(
+        crashes(&fleet) <= allowed,
+        "crashes after each round: {crashes_by_round:?}, of which {allowed} are allowed"
+    );
+}
+
+/// Waits until each gateway has an ordinary request answered.
+async fn wait_for_service(fleet: &SiteFleet) {
+    for gateway in &fleet.gateways {
+        wait_for("a response to an ordinary request", || async {
+            let headers = SiteFleet::headers("calm");
+            let response = call(gateway.caller_address(), "/fetch/proof", &headers, "calm").await;
+            (response.status == 200).then_some(())
+        })
+        .await;
+    }
+}
