Run suspects one at a time on all nodes, so that their crashes count

Callers saw: a request that crashes the upstreams that run it was repeated by several callers at once, and the plain service ended in several rounds before the request was refused.

Cause: crashes under overlapping runs count once, since upstreams that lose power together must convict no popular request. Nothing kept the runs of a suspect from overlapping, so each round of callers counted as one crash, however many upstreams it ended.

Ruled out by the lines 2104 of the reproduction: crashes without a record, and nodes without the records of others.

Change: before a node runs a suspect it appends a claim to the topic of the crash records, and runs the request once it has read the claim back and no earlier one is in force (delivery::RunQueue). A crash under such a run counts whatever its times say, so clocks that differ no longer delay the block either. The append that ends a claim also holds the crash under the run, so the next holder knows of it. Innocent suspects wait for their turn up to their latency objective; the first response clears them. If the store accepts no claim, a node runs suspects one at a time by itself.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -83,6 +83,7 @@
     2102 FingerprintConvicted "A request fingerprint is blocked: it crashed several upstreams."
     2103 SuspectAnswered "A request under which an upstream crashed was answered; one of its crash records is deleted."
     2104 CrashCounted "A crash record of a request is known on this node; its run overlaps that of an earlier one if it does not count."
+    2105 SuspectIsolated "A request under which an upstream crashed runs on this node, and on no other one at the same time if the run is exclusive."
     2006 AttemptStarted "A request was sent to an upstream."
     2007 AttemptFailed "An attempt of a request on an upstream failed."
     2008 StreamOriginUnsent "A stream begins without a stored record of its software version; resuming it elsewhere may be refused."
--- a/crates/delivery/src/lib.rs
+++ b/crates/delivery/src/lib.rs
@@ -6,6 +6,8 @@
 //! - [`ClaimTable`] decides which request holds an idempotency key, by the order of the claims in
 //!   the platform's log.
 //! - [`StreamAssembler`] assembles one complete answer from the streams of one or more upstreams.
+//! - [`RunQueue`] decides which node runs a request that was in flight at a crash, by the order of
+//!   their claims in the platform's store.
 //! - [`SuspectTable`] isolates requests that were in flight at a crash and blocks those that crash
 //!   a second upstream.
 //!
@@ -15,6 +17,7 @@
 mod attempt;
 mod claim;
 mod id;
+mod run_queue;
 mod stream;
 mod suspect;
 
@@ -28,6 +31,7 @@
         ClaimTaken, LogAvailability,
     },
     id::{ClaimKey, ExchangeNumber, Fingerprint, RequestId},
+    run_queue::{RunClaim, RunQueue},
     stream::{
         AnswerToken, BodyLength, EndMarker, StreamAction, StreamActions, StreamAssembler,
         StreamEvent, StreamFault, check_body,
--- a/crates/hibiscushinged/src/gateway.rs
+++ b/crates/hibiscushinged/src/gateway.rs
@@ -37,6 +37,7 @@
 mod store;
 mod stream_origins;
 mod submit;
+mod suspect_runs;
 mod suspects;
 #[cfg(test)]
 mod test_support;
--- a/crates/hibiscushinged/src/gateway/cleanup.rs
+++ b/crates/hibiscushinged/src/gateway/cleanup.rs
@@ -26,7 +26,7 @@
 const EXPIRY_MARGIN: Span = Span::from_secs(60);
 
 /// Deletes old submissions and origins of the owned partitions and, on the owner of the first
-/// partition, old crash records, at intervals, until the process ends.
+/// partition, old crash records and claims, at intervals, until the process ends.
 pub(crate) async fn delete_old(traffic: Rc<TrafficState>) {
     loop {
         tokio::time::sleep(CLEANUP_PERIOD).await;
@@ -34,7 +34,11 @@
         if owned.contains(&0) {
             let wall = wall_now();
             let expired_before = WallTime(wall.0 - EXPIRY_MARGIN.as_millis() as i64);
-            traffic.suspects.delete_expired(traffic.node.now(), wall, expired_before);
+            let now = traffic.node.now();
+            traffic.suspects.delete_expired(now, wall, expired_before);
+            if traffic.suspect_runs.delete_expired(now) {
+                traffic.suspects.unsent_added.notify_one();
+            }
         }
         for partition in owned {
             let Some(follower) = traffic.partitions.get(partition) else { continue };
--- a/crates/hibiscushinged/src/gateway/crash_check.rs
+++ b/crates/hibiscushinged/src/gateway/crash_check.rs
@@ -15,7 +15,8 @@
     gateway::{
         channel::UpstreamChannel,
         plain::PlainJob,
-        suspects::{CrashCount, UnansweredRequest},
+        suspect_runs::RunPermit,
+        suspects::{CrashCount, FailedRun, UnansweredRequest},
         traffic_state::TrafficState,
     },
     telemetry::log_event,
@@ -32,6 +33,8 @@
         process: u64,
         /// When the request was sent.
         started_at: WallTime,
+        /// Whether no other node runs the request.
+        isolated: bool,
     }
 }
 
@@ -47,7 +50,17 @@
     /// it now.
     pub(crate) fn new(traffic: &TrafficState, upstream: UpstreamKey) -> Self {
         let process = traffic.balancer.borrow().entry(upstream).process().0;
-        Self { upstream, process, started_at: wall_now() }
+        Self { upstream, process, started_at: wall_now(), isolated: false }
+    }
+
+    /// States by which permission the request runs, if it is a suspect.
+    pub(crate) fn permitted_by(self, permit: Option<&RunPermit>) -> Self {
+        Self { isolated: permit.is_some_and(RunPermit::is_exclusive), ..self }
+    }
+
+    fn failed_run(self) -> FailedRun {
+        let Self { started_at, isolated, .. } = self;
+        FailedRun { started_at, ended_at: wall_now(), isolated }
     }
 
     pub(crate) const fn process(&self) -> ProcessDigest {
@@ -82,15 +95,14 @@
             fingerprint: self.fingerprint,
             process: self.target.process,
             since: traffic.node.now(),
-            started_at: self.target.started_at,
-            ended_at: wall_now(),
+            run: self.target.failed_run(),
         });
     }
 
     fn record_crash(&self, traffic: &TrafficState) {
         let key = CrashKey { fingerprint: self.fingerprint, process: self.target.process };
-        let times = (self.target.started_at, wall_now());
-        record_crash(traffic, &self.request, self.target.upstream, key, times);
+        let run = self.target.failed_run();
+        record_crash(traffic, &self.request, self.target.upstream, key, run);
     }
 
     /// Records a complete response to the request.
@@ -142,24 +154,23 @@
 pub(crate) fn process_ended(traffic: &TrafficState, target: RunTarget) {
     for request in traffic.suspects.take_unanswered(traffic.node.now(), target.process) {
         let key = CrashKey { fingerprint: request.fingerprint, process: request.process };
-        let times = (request.started_at, request.ended_at);
-        record_crash(traffic, &request.id, target.upstream, key, times);
+        record_crash(traffic, &request.id, target.upstream, key, request.run);
     }
 }
 
-/// Records a crash under a request that ran between the two times.
+/// Records a crash under a run of a request.
 fn record_crash(
     traffic: &TrafficState,
     request: &str,
     upstream: UpstreamKey,
     key: CrashKey,
-    (started_at, ended_at): (WallTime, WallTime),
+    run: FailedRun,
 ) {
     traffic.node.metrics.upstream_crashes.inc();
     let upstream = traffic.balancer.borrow().entry(upstream).id.clone();
     log_event!(warn, SuspectMarked, request, upstream, fingerprint = %key.fingerprint);
     let now = traffic.node.now();
-    if let Some(count) = traffic.suspects.record_crash(now, wall_now(), key, started_at, ended_at) {
+    if let Some(count) = traffic.suspects.record_crash(now, wall_now(), key, run) {
         log_count(key, &count);
     }
 }
--- a/crates/hibiscushinged/src/gateway/plain.rs
+++ b/crates/hibiscushinged/src/gateway/plain.rs
@@ -15,6 +15,7 @@
     gateway::{
         attempt::{AttemptCall, AttemptError, FullResponse, log_attempt, run_exchange, wait_until},
         crash_check::{self, CallerRun, RunTarget},
+        suspect_runs,
         traffic_state::TrafficState,
     },
     telemetry::log_event,
@@ -132,13 +133,18 @@
     let mut running = FuturesUnordered::new();
     let hedge_delay = Span((job.latency_objective.0 as f64 * HEDGE_FRACTION) as u64);
     let mut hedge_at = traffic.node.now();
+    let mut permit = None;
     loop {
+        if running.is_empty() && permit.is_none() && state.may_send(traffic, job) {
+            match suspect_runs::acquire(traffic, job).await {
+                Ok(acquired) => permit = acquired,
+                Err(refusal) if state.tried.is_empty() => return Err(refusal),
+                Err(_) => return state.give_up(job.deadline.since(traffic.node.now())),
+            }
+        }
         let now = traffic.node.now();
         let time_left = job.deadline.since(now);
-        let may_send = state.tried.len() < job.max_attempts
-            && time_left >= MIN_ATTEMPT_TIME
-            && (job.retryable || !state.may_have_run)
-            && !state.is_blocked(traffic, job);
+        let may_send = time_left >= MIN_ATTEMPT_TIME && state.may_send(traffic, job);
         // A suspect runs on one upstream at a time.
         let should_hedge = job.retryable
             && now >= hedge_at
@@ -147,7 +153,7 @@
         if may_send && (running.is_empty() || should_hedge) {
             if let Some(upstream) = pick(traffic, job, &state.tried) {
                 state.tried.push(upstream);
-                let target = RunTarget::new(traffic, upstream);
+                let target = RunTarget::new(traffic, upstream).permitted_by(permit.as_ref());
                 state.running.push(target);
                 log_attempt(traffic, job, upstream, state.tried.len(), time_left);
                 running.push(run_attempt(traffic, job, target, time_left));
@@ -246,6 +252,13 @@
 }
 
 impl AttemptState {
+    /// Returns whether the request may be sent to a further upstream.
+    fn may_send(&self, traffic: &TrafficState, job: &PlainJob<'_>) -> bool {
+        self.tried.len() < job.max_attempts
+            && (job.retryable || !self.may_have_run)
+            && !self.is_blocked(traffic, job)
+    }
+
     /// Returns whether upstreams have ended under the request or its repeats so often that it is
     /// not sent again.
     fn is_blocked(&self, traffic: &TrafficState, job: &PlainJob<'_>) -> bool {
--- a/crates/hibiscushinged/src/gateway/relay.rs
+++ b/crates/hibiscushinged/src/gateway/relay.rs
@@ -20,6 +20,7 @@
         plain::{MAX_CRASHES, PlainJob, no_upstream, pick},
         response,
         stream_origins::record_origin,
+        suspect_runs::{self, RunPermit},
         traffic_state::TrafficState,
     },
     shared::InFlightGuard,
@@ -36,6 +37,7 @@
     exchange: Option<Exchange>,
     attempt: Option<AttemptGuard>,
     run: Option<CallerRun>,
+    _permit: Option<RunPermit>,
     _in_flight: InFlightGuard,
 }
 
@@ -54,10 +56,21 @@
     let mut reason = String::from("no upstream is usable");
     let mut may_have_run = false;
     let mut crashes = 0;
+    let mut permit = None;
     while tried.len() < job.max_attempts && crashes < MAX_CRASHES {
         if crash_check::check_convicted(traffic, job).is_err() {
             break;
         }
+        if permit.is_none() {
+            match suspect_runs::acquire(traffic, job).await {
+                Ok(acquired) => permit = acquired,
+                Err(refusal) if tried.is_empty() => return Err(refusal),
+                Err(refusal) => {
+                    reason = refusal.message;
+                    break;
+                }
+            }
+        }
         let time_left = job.deadline.since(traffic.node.now());
         let Some(upstream) = pick(traffic, job, &tried) else {
             if tried.is_empty() {
@@ -69,7 +82,7 @@
         log_attempt(traffic, job, upstream, tried.len(), time_left);
         let software = traffic.balancer.borrow().entry(upstream).software_version.clone();
         let attempt = AttemptGuard::acquire(traffic, upstream, job.origin);
-        let target = RunTarget::new(traffic, upstream);
+        let target = RunTarget::new(traffic, upstream).permitted_by(permit.as_ref());
         match begin(traffic, job, upstream, time_left).await {
             Ok(exchange) => {
                 let begins = job.retryable && job.software_version.is_none();
@@ -82,6 +95,7 @@
                     exchange: None,
                     attempt: Some(attempt),
                     run: CallerRun::new(job, target),
+                    _permit: permit,
                     _in_flight: in_flight,
                 };
                 return Ok(stream_response(exchange, state));
--- a/crates/hibiscushinged/src/gateway/suspects.rs
+++ b/crates/hibiscushinged/src/gateway/suspects.rs
@@ -2,8 +2,9 @@
 //!
 //! Each crash is a record in the store, by the request's fingerprint and the process that ended.
 //! [`SuspectTable`] decides by the records which fingerprints are convicted. A crash counts only if
-//! the request was sent after the previous one that counts. Otherwise upstreams that end together,
-//! for example because they lose power, would convict any request that runs on several of them.
+//! the request was sent after the previous one that counts, or ran in isolation (see
+//! [`suspect_runs`](crate::gateway::suspect_runs)). Otherwise upstreams that end together, for
+//! example because they lose power, would convict any request that runs on several of them.
 //! Each complete response to a request deletes one record of its fingerprint, so that a request
 //! which is often answered and was in flight at a few crashes is not convicted.
 
@@ -15,7 +16,7 @@
     collections::{BTreeMap, BTreeSet, HashMap},
 };
 
-use base::{Incarnation, Moment, Span, UpstreamKey, WallTime};
+use base::{Incarnation, Moment, Span, UpstreamKey, WallTime, derive_copy};
 use delivery::{
     Conviction, Fingerprint, FingerprintStatus, SuspectAction, SuspectActions, SuspectEvent,
     SuspectPolicy, SuspectTable, Suspicion,
@@ -59,6 +60,18 @@
     unanswered: Vec<UnansweredRequest>,
 }
 
+derive_copy! {
+    /// A run of a request that an upstream did not answer.
+    pub(crate) struct FailedRun {
+        /// When the request was sent.
+        pub(crate) started_at: WallTime,
+        /// When the exchange broke off or was given up.
+        pub(crate) ended_at: WallTime,
+        /// Whether no other node ran the request at the same time.
+        pub(crate) isolated: bool,
+    }
+}
+
 /// What a new crash record means for its fingerprint.
 pub(crate) struct CrashCount {
     /// Whether the crash counts. It does not if its run overlaps that of an earlier crash.
@@ -75,8 +88,7 @@
     pub(crate) fingerprint: Fingerprint,
     pub(crate) process: u64,
     pub(crate) since: Moment,
-    pub(crate) started_at: WallTime,
-    pub(crate) ended_at: WallTime,
+    pub(crate) run: FailedRun,
 }
 
 impl SuspectRegistry {
@@ -109,23 +121,22 @@
         self.state.borrow().table.fingerprint_status(wall, fingerprint)
     }
 
-    /// Records that a process ended while it ran a request with the fingerprint of `key`, from
-    /// `started_at` to `ended_at`. Returns `None` if the crash is known already.
+    /// Records that a process ended under a run of the request with the fingerprint of `key`. Returns `None` if the crash is known already.
     pub(crate) fn record_crash(
         &self,
         now: Moment,
         wall: WallTime,
         key: CrashKey,
-        started_at: WallTime,
-        ended_at: WallTime,
+        run: FailedRun,
     ) -> Option<CrashCount> {
         let mut state = self.state.borrow_mut();
+        let FailedRun { started_at, ended_at, isolated } = run;
         let lifetime = state.policy.lifetime.as_millis().cast_signed();
         let expires_at = WallTime(ended_at.0.saturating_add(lifetime));
         if state.records.contains_key(&key) || state.records.len() >= MAX_RECORDS {
             return None;
         }
-        let record = CrashRecord { started_at, ended_at, expires_at };
+        let record = CrashRecord { started_at, ended_at, isolated, expires_at };
         state.unsent.insert(key, Some(record));
         self.unsent_added.notify_one();
         Some(state.insert(now, wall, key, record))
@@ -276,7 +287,8 @@
         let mut counted = SmallVec::new();
         let mut convicted = None;
         for (key, record) in records {
-            if last_end.is_some_and(|last_end| record.started_at < last_end) {
+            let overlaps = last_end.is_some_and(|last_end| record.started_at < last_end);
+            if overlaps && !record.isolated {
                 continue;
             }
             last_end = Some(record.ended_at);
--- a/crates/hibiscushinged/src/gateway/suspects/tests.rs
+++ b/crates/hibiscushinged/src/gateway/suspects/tests.rs
@@ -10,11 +10,13 @@
 use protocol::{CrashKey, CrashRecord};
 use rstest::rstest;
 
-use super::{SuspectRegistry, UnansweredRequest};
+use super::{FailedRun, SuspectRegistry, UnansweredRequest};
 
 const NOW: Moment = Moment(1_000_000);
 const WALL: WallTime = WallTime(1_000_000);
 
+const RUN: FailedRun = FailedRun { started_at: WALL, ended_at: WALL, isolated: false };
+
 /// Duration of a run.
 const RUN_MILLIS: i64 = 5;
 
@@ -65,8 +67,12 @@
     /// Ends a process under a run that begins at `start`.
     fn crash_at(&self, node: usize, request: Fingerprint, process: u64, start: i64) {
         let key = CrashKey { fingerprint: request, process };
-        let (start, end) = (WallTime(start), WallTime(start + RUN_MILLIS));
-        self.nodes[node].record_crash(NOW, WALL, key, start, end);
+        let run = FailedRun {
+            started_at: WallTime(start),
+            ended_at: WallTime(start + RUN_MILLIS),
+            isolated: false,
+        };
+        self.nodes[node].record_crash(NOW, WALL, key, run);
     }
 
     fn convicted(&self, request: Fingerprint) -> Vec<bool> {
@@ -117,6 +123,20 @@
     assert_eq!(site.convicted(request(1)), vec![convicted; 3]);
 }
 
+/// Guards against a block that comes late because the clocks of nodes differ: isolated runs follow
+/// each other whatever their times say.
+#[test]
+fn crashes_of_isolated_runs_count_although_their_times_overlap() {
+    let mut site = Site::new(3);
+    for process in 1..=3 {
+        let key = CrashKey { fingerprint: request(1), process };
+        let run = FailedRun { isolated: true, ..RUN };
+        site.nodes[process as usize - 1].record_crash(NOW, WALL, key, run);
+    }
+    site.exchange(WALL);
+    assert_eq!(site.convicted(request(1)), [true; 3]);
+}
+
 /// Guards against blocking a request that was in flight beside a crashing one, or at random
 /// crashes, although upstreams answer it.
 #[rstest]
@@ -167,14 +187,8 @@
     let node = &site.nodes[0];
     for process in 1..=3 {
         let id = format!("r{process}");
-        let request = UnansweredRequest {
-            id,
-            fingerprint: request(1),
-            process,
-            since: NOW,
-            started_at: WALL,
-            ended_at: WALL,
-        };
+        let request =
+            UnansweredRequest { id, fingerprint: request(1), process, since: NOW, run: RUN };
         node.record_unanswered(request);
     }
     assert_eq!(node.status(WALL, request(1)), FingerprintStatus::Clear);
@@ -192,14 +206,8 @@
 fn request_unanswered_long_ago_is_no_suspect() {
     let node = SuspectRegistry::new(Incarnation(1));
     let id = String::from("r");
-    let request = UnansweredRequest {
-        id,
-        fingerprint: request(1),
-        process: 1,
-        since: NOW,
-        started_at: WALL,
-        ended_at: WALL,
-    };
+    let request =
+        UnansweredRequest { id, fingerprint: request(1), process: 1, since: NOW, run: RUN };
     node.record_unanswered(request);
     assert!(node.take_unanswered(NOW + Span::from_secs(7), 1).is_empty());
 }
--- a/crates/hibiscushinged/src/gateway/traffic_state.rs
+++ b/crates/hibiscushinged/src/gateway/traffic_state.rs
@@ -8,7 +8,8 @@
 use crate::gateway::{
     channel::Exchange, items::ItemScheduler, limits::LimitRegistry, node::NodeState,
     partitions::PartitionSet, pool::ChannelPool, response_buffer::BufferBudget,
-    store::StoreSession, stream_origins::OriginRegistry, suspects::SuspectRegistry,
+    store::StoreSession, stream_origins::OriginRegistry, suspect_runs::SuspectRuns,
+    suspects::SuspectRegistry,
 };
 
 /// State of the traffic thread.
@@ -21,6 +22,7 @@
     pub(crate) items: ItemScheduler,
     pub(crate) body_budget: BufferBudget,
     pub(crate) suspects: SuspectRegistry,
+    pub(crate) suspect_runs: SuspectRuns,
     pub(crate) limits: LimitRegistry,
     pub(crate) stream_origins: OriginRegistry,
 }
@@ -33,6 +35,7 @@
             items: ItemScheduler::default(),
             body_budget: BufferBudget::default(),
             suspects: SuspectRegistry::new(node.incarnation),
+            suspect_runs: SuspectRuns::new(node.incarnation),
             limits: LimitRegistry::new(&node.settings.vm_name, node.incarnation),
             stream_origins: OriginRegistry::default(),
             balancer: RefCell::default(),
--- a/crates/process-tests/tests/crashes.rs
+++ b/crates/process-tests/tests/crashes.rs
@@ -120,6 +120,54 @@
     );
 }
 
+/// Guards against refusing a popular request because it ran beside a crashing one: its runs are
+/// isolated only until one of them is answered.
+#[actix_rt::test]
+async fn popular_request_that_ran_beside_a_crash_is_served_to_all_callers() {
+    let mut options = SiteOptions { services: 1, ..options() };
+    options.service.service_time = Duration::from_millis(100);
+    options.service.crash_delay = Duration::from_millis(50);
+    options.service.down_time = Duration::from_millis(500);
+    let fleet = SiteFleet::start(options).await;
+    let attempts = std::cell::Cell::new(0);
+    wait_for("a crash beside the popular request", || async {
+        let attempt = attempts.replace(attempts.get() + 1);
+        let calls = [format!("boom-{attempt}"), String::from("popular")].map(|body| {
+            let headers = SiteFleet::headers(&body);
+            let address = fleet.gateways[0].caller_address();
+            async move { call(address, "/fetch/proof", &headers, &body).await }
+        });
+        futures_util::future::join_all(calls).await;
+        fleet.announce_services().await;
+        let marked = |line: &serde_json::Value| {
+            line["fields"]["event"] == 2101 && line["fields"]["request"] == "popular"
+        };
+        fleet.gateways[0].log().iter().any(marked).then_some(())
+    })
+    .await;
+    wait_for_service(&fleet).await;
+    let callers = (0..12).map(|caller| {
+        let address = fleet.gateways[caller % 3].caller_address();
+        async move {
+            wait_for("a response to the popular request", || async {
+                let headers = SiteFleet::headers(&format!("popular-{caller}"));
+                let response = call(address, "/fetch/proof", &headers, "popular").await;
+                assert!(!response.body.contains("convicted"), "{response:?}");
+                (response.status == 200).then_some(())
+            })
+            .await;
+        }
+    });
+    futures_util::future::join_all(callers).await;
+    wait_for("the deletion of the crash record", || async {
+        let answered = |gateway: &process_tests::GatewayProcess| {
+            gateway.log().iter().any(|line| line["fields"]["event"] == 2103)
+        };
+        fleet.gateways.iter().any(answered).then_some(())
+    })
+    .await;
+}
+
 /// Waits until each gateway has an ordinary request answered.
 async fn wait_for_service(fleet: &SiteFleet) {
     for gateway in &fleet.gateways {
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -20,11 +20,12 @@
     },
     record::{
         CrashKey, CrashRecord, EXPIRING_SUBMISSIONS_PREFIX, LimitRecord, OPEN_SUBMISSIONS_PREFIX,
-        SampleEntry, SampleSnapshot, StepPrompts, StreamDigest, StreamOrigin, UsageEntry, UsageKey,
-        WireAuthority, WireBatch, WireClaim, WireConfig, WireConviction, WireDemand, WireSample,
-        WireSnapshot, WireUsage, decode_crash_record, decode_limit_record, decode_stream_origin,
-        decode_submission_record, decode_usage_record, encode_crash_record, encode_limit_record,
-        encode_stream_origin, encode_submission_record, encode_usage_report, encode_usage_totals,
-        stream_origin_key, submission_prefix, usage_report_key, usage_totals_key,
+        RUN_CLAIM_PREFIX, SampleEntry, SampleSnapshot, StepPrompts, StreamDigest, StreamOrigin,
+        UsageEntry, UsageKey, WireAuthority, WireBatch, WireClaim, WireConfig, WireConviction,
+        WireDemand, WireSample, WireSnapshot, WireUsage, decode_crash_record, decode_limit_record,
+        decode_run_claim, decode_stream_origin, decode_submission_record, decode_usage_record,
+        encode_crash_record, encode_limit_record, encode_run_claim, encode_stream_origin,
+        encode_submission_record, encode_usage_report, encode_usage_totals, stream_origin_key,
+        submission_prefix, usage_report_key, usage_totals_key,
     },
 };
--- a/crates/protocol/src/record/crashes.rs
+++ b/crates/protocol/src/record/crashes.rs
@@ -21,6 +21,8 @@
         pub started_at: WallTime,
         /// When the exchange broke off or was given up.
         pub ended_at: WallTime,
+        /// Whether no other node ran the request at the same time.
+        pub isolated: bool,
         /// When the record no longer counts.
         pub expires_at: WallTime,
     }
@@ -31,6 +33,9 @@
         started_at_ms: i64,
         ended_at_ms: i64,
         expires_at_ms: i64,
+        /// Absent from records of releases that isolated no runs.
+        #[serde(default)]
+        isolated: bool,
     }
 }
 
@@ -45,6 +50,7 @@
             started_at_ms: record.started_at.0,
             ended_at_ms: record.ended_at.0,
             expires_at_ms: record.expires_at.0,
+            isolated: record.isolated,
         })
     });
     (format!("{}/{:016x}", key.fingerprint, key.process), value)
@@ -71,6 +77,7 @@
     let record = CrashRecord {
         started_at: WallTime(wire.started_at_ms),
         ended_at: WallTime(wire.ended_at_ms),
+        isolated: wire.isolated,
         expires_at: WallTime(wire.expires_at_ms),
     };
     Ok((key, Some(record)))
--- a/crates/protocol/tests/codec.rs
+++ b/crates/protocol/tests/codec.rs
@@ -9,7 +9,9 @@
     WallTime, WeightVersion,
 };
 use configuration::{ConfigEdit, ConfigRecord, ConfigVersion, EnvironmentName};
-use delivery::{ClaimDone, ClaimEvent, ClaimKey, ClaimOutcome, Conviction, Fingerprint, RequestId};
+use delivery::{
+    ClaimDone, ClaimEvent, ClaimKey, ClaimOutcome, Conviction, Fingerprint, RequestId, RunClaim,
+};
 use dispatch::{LimitClaim, NodeClaims, WantedRate};
 use fleet::{DemandKey, DemandSnapshot, SLOTS_PER_WEEK, WorkClass};
 use proptest::{
@@ -19,8 +21,9 @@
 use protocol::{
     CrashKey, CrashRecord, LimitRecord, MAX_MESSAGE_BYTES, SampleEntry, SampleSnapshot,
     StepPrompts, StreamDigest, StreamOrigin, StreamRecord, WireAuthority, decode_crash_record,
-    decode_limit_record, decode_message, decode_record, decode_stream_origin, encode_crash_record,
-    encode_limit_record, encode_message, encode_record, encode_stream_origin, stream_origin_key,
+    decode_limit_record, decode_message, decode_record, decode_run_claim, decode_stream_origin,
+    encode_crash_record, encode_limit_record, encode_message, encode_record, encode_run_claim,
+    encode_stream_origin, stream_origin_key,
 };
 use rollout::{
     DeliveryNumber, SampleBound, SampleFilled, SampleRecord, SampleTable, SampleVoided, Score,
@@ -127,8 +130,12 @@
         fingerprint: Fingerprint([0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 255]),
         process: 77,
     };
-    let record =
-        CrashRecord { started_at: WallTime(3), ended_at: WallTime(4), expires_at: WallTime(5) };
+    let record = CrashRecord {
+        started_at: WallTime(3),
+        ended_at: WallTime(4),
+        isolated: true,
+        expires_at: WallTime(5),
+    };
     for record in [Some(record), None] {
         let (text, value) = encode_crash_record(key, record);
         assert_eq!(decode_crash_record(&text, value.as_deref()), Ok((key, record)));
@@ -140,6 +147,20 @@
     }
 }
 
+/// Guards against a claim that keeps other nodes from running another request, or is never deleted.
+#[test]
+fn run_claims_are_unchanged_by_encoding_and_decoding() {
+    let claim = RunClaim { fingerprint: Fingerprint([7; 16]), node: Incarnation(9), number: 300 };
+    for lifetime in [Some(Span::from_millis(1_300)), None] {
+        let (key, value) = encode_run_claim(claim, lifetime);
+        assert!(decode_crash_record(&key, value.as_deref()).is_err(), "{key}");
+        assert_eq!(decode_run_claim(&key, value.as_deref()), Ok((claim, lifetime)));
+    }
+    for malformed in ["", "run/", "run/07/1/2", "run/07070707070707070707070707070707/9/1/1"] {
+        assert!(decode_run_claim(malformed, None).is_err(), "{malformed}");
+    }
+}
+
 #[test]
 fn message_over_the_size_limit_is_refused() {
     let bytes = vec![0xc0; MAX_MESSAGE_BYTES + 1];
