Count the crashes of a restarted upstream whose entry has not changed

Callers saw, in a test of our own: upstreams that a request crashes return at the same address before their entries in the store name the new processes. The request went on ending them: 3, 6, 9, 11, 13 and 15 crashes after each of six rounds, and no block.

Cause: a crash record is keyed by the process of the entry, so that a crash that several nodes see counts once. The next crash of an upstream whose entry stays has the same key and was dropped.

Change: isolated runs follow each other, so each that fails has ended another process. The key of such a crash also holds the claim.

--- a/crates/hibiscushinged/src/gateway/crash_check.rs
+++ b/crates/hibiscushinged/src/gateway/crash_check.rs
@@ -6,8 +6,8 @@
 
 use std::{io, rc::Rc, time::Duration};
 
-use base::{ProcessDigest, Refusal, RefusalCode, UpstreamKey, WallTime, derive_copy};
-use delivery::{Fingerprint, FingerprintStatus};
+use base::{ProcessDigest, Refusal, RefusalCode, UpstreamKey, WallTime, derive_copy, stable_hash};
+use delivery::{Fingerprint, FingerprintStatus, RunClaim};
 use protocol::CrashKey;
 
 use crate::{
@@ -33,8 +33,8 @@
         process: u64,
         /// When the request was sent.
         started_at: WallTime,
-        /// Whether no other node runs the request.
-        isolated: bool,
+        /// The claim that keeps other nodes from running the request, if it is a suspect.
+        claim: Option<RunClaim>,
     }
 }
 
@@ -50,17 +50,17 @@
     /// it now.
     pub(crate) fn new(traffic: &TrafficState, upstream: UpstreamKey) -> Self {
         let process = traffic.balancer.borrow().entry(upstream).process().0;
-        Self { upstream, process, started_at: wall_now(), isolated: false }
+        Self { upstream, process, started_at: wall_now(), claim: None }
     }
 
     /// States by which permission the request runs, if it is a suspect.
     pub(crate) fn permitted_by(self, permit: Option<&RunPermit>) -> Self {
-        Self { isolated: permit.is_some_and(RunPermit::is_exclusive), ..self }
+        Self { claim: permit.and_then(RunPermit::claim), ..self }
     }
 
     fn failed_run(self) -> FailedRun {
-        let Self { started_at, isolated, .. } = self;
-        FailedRun { started_at, ended_at: wall_now(), isolated }
+        let Self { started_at, claim, .. } = self;
+        FailedRun { started_at, ended_at: wall_now(), claim }
     }
 
     pub(crate) const fn process(&self) -> ProcessDigest {
@@ -100,8 +100,8 @@
     }
 
     fn record_crash(&self, traffic: &TrafficState) {
-        let key = CrashKey { fingerprint: self.fingerprint, process: self.target.process };
         let run = self.target.failed_run();
+        let key = crash_key(self.fingerprint, self.target.process, run.claim);
         record_crash(traffic, &self.request, self.target.upstream, key, run);
     }
 
@@ -153,11 +153,24 @@
 /// store has shown that it ended.
 pub(crate) fn process_ended(traffic: &TrafficState, target: RunTarget) {
     for request in traffic.suspects.take_unanswered(traffic.node.now(), target.process) {
-        let key = CrashKey { fingerprint: request.fingerprint, process: request.process };
+        let key = crash_key(request.fingerprint, request.process, request.run.claim);
         record_crash(traffic, &request.id, target.upstream, key, request.run);
     }
 }
 
+/// Returns the key of the record of a crash. The end of a process is one crash, whichever nodes see
+/// it. Isolated runs follow each other, so each that fails has ended a process of its own, also if
+/// the entry in the store does not name it yet.
+fn crash_key(fingerprint: Fingerprint, process: u64, claim: Option<RunClaim>) -> CrashKey {
+    let process = match claim {
+        Some(RunClaim { node, number, .. }) => {
+            stable_hash(&format!("{process}/{}/{number}", node.0))
+        }
+        None => process,
+    };
+    CrashKey { fingerprint, process }
+}
+
 /// Records a crash under a run of a request.
 fn record_crash(
     traffic: &TrafficState,
--- a/crates/hibiscushinged/src/gateway/suspect_runs.rs
+++ b/crates/hibiscushinged/src/gateway/suspect_runs.rs
@@ -126,9 +126,9 @@
 }
 
 impl RunPermit {
-    /// Returns whether no other node runs the request.
-    pub(crate) const fn is_exclusive(&self) -> bool {
-        self.claim.is_some()
+    /// Returns the claim that keeps other nodes from running the request, if the store has one.
+    pub(crate) const fn claim(&self) -> Option<RunClaim> {
+        self.claim
     }
 
     fn end_claim(&mut self) {
@@ -173,7 +173,7 @@
         }
     };
     if let Some(permit) = &permit {
-        let exclusive = permit.is_exclusive();
+        let exclusive = permit.claim().is_some();
         let waited_ms = traffic.node.now().since(started).as_millis();
         log_event!(SuspectIsolated, request = job.id, %fingerprint, exclusive, waited_ms);
     }
--- a/crates/hibiscushinged/src/gateway/suspects.rs
+++ b/crates/hibiscushinged/src/gateway/suspects.rs
@@ -18,8 +18,8 @@
 
 use base::{Incarnation, Moment, Span, UpstreamKey, WallTime, derive_copy};
 use delivery::{
-    Conviction, Fingerprint, FingerprintStatus, SuspectAction, SuspectActions, SuspectEvent,
-    SuspectPolicy, SuspectTable, Suspicion,
+    Conviction, Fingerprint, FingerprintStatus, RunClaim, SuspectAction, SuspectActions,
+    SuspectEvent, SuspectPolicy, SuspectTable, Suspicion,
 };
 use protocol::{CrashKey, CrashRecord};
 use smallvec::SmallVec;
@@ -67,8 +67,8 @@
         pub(crate) started_at: WallTime,
         /// When the exchange broke off or was given up.
         pub(crate) ended_at: WallTime,
-        /// Whether no other node ran the request at the same time.
-        pub(crate) isolated: bool,
+        /// The claim that kept other nodes from running the request, if it was a suspect.
+        pub(crate) claim: Option<RunClaim>,
     }
 }
 
@@ -130,7 +130,8 @@
         run: FailedRun,
     ) -> Option<CrashCount> {
         let mut state = self.state.borrow_mut();
-        let FailedRun { started_at, ended_at, isolated } = run;
+        let FailedRun { started_at, ended_at, claim } = run;
+        let isolated = claim.is_some();
         let lifetime = state.policy.lifetime.as_millis().cast_signed();
         let expires_at = WallTime(ended_at.0.saturating_add(lifetime));
         if state.records.contains_key(&key) || state.records.len() >= MAX_RECORDS {
--- a/crates/hibiscushinged/src/gateway/suspects/tests.rs
+++ b/crates/hibiscushinged/src/gateway/suspects/tests.rs
@@ -6,7 +6,7 @@
 };
 
 use base::{Incarnation, Moment, Span, WallTime};
-use delivery::{Fingerprint, FingerprintStatus};
+use delivery::{Fingerprint, FingerprintStatus, RunClaim};
 use protocol::{CrashKey, CrashRecord};
 use rstest::rstest;
 
@@ -15,7 +15,7 @@
 const NOW: Moment = Moment(1_000_000);
 const WALL: WallTime = WallTime(1_000_000);
 
-const RUN: FailedRun = FailedRun { started_at: WALL, ended_at: WALL, isolated: false };
+const RUN: FailedRun = FailedRun { started_at: WALL, ended_at: WALL, claim: None };
 
 /// Duration of a run.
 const RUN_MILLIS: i64 = 5;
@@ -70,7 +70,7 @@
         let run = FailedRun {
             started_at: WallTime(start),
             ended_at: WallTime(start + RUN_MILLIS),
-            isolated: false,
+            claim: None,
         };
         self.nodes[node].record_crash(NOW, WALL, key, run);
     }
@@ -130,7 +130,8 @@
     let mut site = Site::new(3);
     for process in 1..=3 {
         let key = CrashKey { fingerprint: request(1), process };
-        let run = FailedRun { isolated: true, ..RUN };
+        let claim = RunClaim { fingerprint: request(1), node: Incarnation(process), number: 0 };
+        let run = FailedRun { claim: Some(claim), ..RUN };
         site.nodes[process as usize - 1].record_crash(NOW, WALL, key, run);
     }
     site.exchange(WALL);
--- a/crates/process-tests/tests/crashes.rs
+++ b/crates/process-tests/tests/crashes.rs
@@ -95,6 +95,26 @@
 /// at the same time, so that its runs overlap and each of them ends another upstream.
 #[actix_rt::test]
 async fn request_that_several_callers_repeat_at_once_is_blocked() {
+    check_rounds_of_callers(EntryUpdates::AfterEachRound).await;
+}
+
+/// Guards against crashes that do not count because the upstream returns before its entry in the
+/// store names the new process.
+#[actix_rt::test]
+async fn crashes_count_although_the_entries_of_the_upstreams_stay() {
+    check_rounds_of_callers(EntryUpdates::Never).await;
+}
+
+/// When the entries of restarted upstreams name their new processes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum EntryUpdates {
+    AfterEachRound,
+    Never,
+}
+
+/// Has several callers repeat a crashing request in rounds, each after the upstreams have returned,
+/// and checks how many crashes that causes.
+async fn check_rounds_of_callers(entry_updates: EntryUpdates) {
     let mut options = SiteOptions { services: 3, ..options() };
     options.service.crash_delay = CRASH_DELAY;
     options.service.down_time = Duration::from_millis(500);
@@ -110,7 +130,9 @@
             assert!((500..600).contains(&response.status), "{response:?}");
         }
         crashes_by_round.push(crashes(&fleet));
-        fleet.announce_services().await;
+        if entry_updates == EntryUpdates::AfterEachRound {
+            fleet.announce_services().await;
+        }
         wait_for_service(&fleet).await;
     }
     let allowed = CRASHES_BEFORE_BLOCK + RUNS_AFTER_THIRD_CRASH;
--- a/crates/protocol/src/record/crashes.rs
+++ b/crates/protocol/src/record/crashes.rs
@@ -11,7 +11,8 @@
     pub struct CrashKey {
         /// Fingerprint of the request.
         pub fingerprint: Fingerprint,
-        /// Digest of the upstream's identifier and start time, which name its process.
+        /// Digest of the upstream's identifier and start time, which name its process, and of the
+        /// claim of the run if it was isolated.
         pub process: u64,
     }
 
