--- a/crates/soak/src/crashing.rs
+++ b/crates/soak/src/crashing.rs
@@ -1,7 +1,8 @@
-//! A caller that repeats a request which crashes the upstreams that run it.
+//! Callers that repeat a request which crashes the upstreams that run it, at the same time.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
+use futures_util::future::join_all;
 use process_tests::{CallResponse, SiteFleet, call};
 
 use crate::testbed::SoakTestbed;
@@ -9,6 +10,12 @@
 /// Text of a request that crashes the plain services.
 pub(crate) const CRASH_MARKER: &str = "boom";
 
+/// Time from the arrival of the request at an upstream to the crash, in which other runs begin.
+pub(crate) const CRASH_DELAY: Duration = Duration::from_millis(100);
+
+/// Callers that send the request at the same time.
+const CALLERS: usize = 4;
+
 /// Pause between two repeats of the request.
 const REPEAT_PAUSE: Duration = Duration::from_millis(300);
 
@@ -24,15 +31,18 @@
 /// Times that each gateway gets the request at the end.
 const FINAL_REPEATS: usize = 3;
 
-/// Sends the crashing request to one gateway after the other until the run stops. Once the gateways
+/// Sends the crashing request to several gateways at a time until the run stops. Once the gateways
 /// have recovered, checks that all of them refuse it, and that it crashes no more upstreams than it
 /// takes until they do.
 pub(crate) async fn run(testbed: Rc<SoakTestbed>) {
     let mut number = 0;
     while !testbed.is_stopping() {
-        number += 1;
-        let node = number % testbed.options.gateways;
-        send(&testbed, node, number).await;
+        let calls = (number..number + CALLERS).map(|number| {
+            let node = number % testbed.options.gateways;
+            send(&testbed, node, number)
+        });
+        join_all(calls).await;
+        number += CALLERS;
         tokio::time::sleep(REPEAT_PAUSE).await;
     }
     tokio::time::sleep(RECOVERY_TIME).await;
--- a/crates/soak/src/testbed.rs
+++ b/crates/soak/src/testbed.rs
@@ -112,6 +112,7 @@
                 id: format!("portal-{index}"),
                 lose_response_every: 23,
                 crash_marker: Some(String::from(crashing::CRASH_MARKER)),
+                crash_delay: crashing::CRASH_DELAY,
                 down_time: DOWN_TIME,
                 ..site_options.service.clone()
             };
@@ -125,6 +126,7 @@
             let service = ServiceOptions {
                 id: format!("direct-{index}"),
                 crash_marker: Some(String::from(crashing::CRASH_MARKER)),
+                crash_delay: crashing::CRASH_DELAY,
                 down_time: DOWN_TIME,
                 ..site_options.service.clone()
             };
