Reproduce callers of a node without links to upstreams that are not served

Two nodes with one store; at one of them the addresses of all upstreams refuse connections or never answer. Within 20 s none of its callers is served, while the other node serves each.

--- a/crates/hibiscushinged/src/gateway/serve.rs
+++ b/crates/hibiscushinged/src/gateway/serve.rs
@@ -1,5 +1,8 @@
 //! HTTP server for callers and trainers.
 
+#[cfg(test)]
+mod tests;
+
 use std::{
     cell::OnceCell, convert::Infallible, io, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
 };
--- /dev/null
+++ b/crates/hibiscushinged/src/gateway/serve/tests.rs
@@ -0,0 +1,231 @@
+//! Traffic servers of several nodes, of which some have lost their links to all upstreams.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use actix_http::header::{AUTHORIZATION, HOST, HeaderName, HeaderValue};
+use base::{Incarnation, Span};
+use clients::{HttpClient, HttpRequest, HttpResponse};
+use dispatch::UpstreamEntry;
+use document::GatewaySettings;
+use platform::{decode_config, decode_upstream_entry};
+use routebook::ActiveConfig;
+use rstest::rstest;
+use serde_json::json;
+use site_stand_in::{ServiceOptions, SiteService, SiteStore, StoreOptions, rendered_settings};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    sync::mpsc,
+};
+
+use super::TrafficServer;
+use crate::{
+    clock::ProcessClock,
+    gateway::{metrics::GatewayMetrics, node::NodeState, upstreams::UpstreamUpdate},
+    shared::NodePhase,
+};
+
+/// Upstreams of the service.
+const UPSTREAMS: usize = 3;
+
+/// Longer than any node needs to notice that its links are gone or back.
+const WAIT_LIMIT: Duration = Duration::from_secs(20);
+
+/// Deadline of a request.
+const DEADLINE_MS: u64 = 2_000;
+
+/// What a node meets at the addresses of the upstreams.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LinkFault {
+    /// New connections are refused.
+    Refuses,
+    /// New connections are never established.
+    Hangs,
+}
+
+/// A node that serves callers. Its upstreams are announced by the test in place of the control
+/// thread.
+struct TestNode {
+    node: Arc<NodeState>,
+    _server: TrafficServer,
+    updates: mpsc::UnboundedSender<UpstreamUpdate>,
+}
+
+/// Nodes with one store and the upstreams of one service.
+struct TestFleet {
+    store: SiteStore,
+    services: Vec<SiteService>,
+    nodes: Vec<TestNode>,
+    /// Connections that keep the queues of hanging addresses full.
+    held: Vec<TcpStream>,
+}
+
+impl TestFleet {
+    fn start() -> Self {
+        let store = SiteStore::start(StoreOptions::default()).unwrap();
+        let services = (0..UPSTREAMS).map(|index| {
+            SiteService::start(ServiceOptions {
+                listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+                id: format!("portal-{index}"),
+                service: String::from("portal"),
+                zone: String::from("z"),
+                slots: 8,
+                service_time: Duration::from_millis(5),
+                lose_response_every: 0,
+                crash_marker: None,
+                crash_delay: Duration::ZERO,
+                down_time: Duration::from_secs(1),
+            })
+            .unwrap()
+        });
+        let services = services.collect();
+        Self { store, services, nodes: Vec::new(), held: Vec::new() }
+    }
+
+    /// Starts a node that reaches all upstreams, or finds this fault at their addresses.
+    async fn start_node(&mut self, fault: Option<LinkFault>) {
+        let updates = self.start_server();
+        for (index, service) in self.services.iter().enumerate() {
+            let mut entry = entry(service);
+            entry.address = match fault {
+                None => entry.address,
+                Some(LinkFault::Refuses) => refusing_address().await,
+                Some(LinkFault::Hangs) => hanging_address(&mut self.held).await,
+            };
+            assert_eq!(entry.id, format!("portal-{index}"));
+            updates.send(UpstreamUpdate::Updated(entry)).unwrap();
+        }
+    }
+
+    fn start_server(&mut self) -> mpsc::UnboundedSender<UpstreamUpdate> {
+        static NEXT_NODE: AtomicU32 = AtomicU32::new(0);
+        let number = NEXT_NODE.fetch_add(1, Ordering::Relaxed);
+        let process = std::process::id();
+        let octets =
+            [127, 220 + (process % 30) as u8, (process / 30 % 250) as u8, 1 + number as u8];
+        let address = Ipv4Addr::from(octets);
+        let index = self.nodes.len();
+        let text = format!(
+            r#"
+            vm_name = "vm-{index}"
+            zone = "z"
+            cores = 1
+            listen = "{address}:18405"
+            ready = "{address}:18406"
+            metrics = "{address}:18407"
+            "#
+        ) + &rendered_settings(self.store.address(), 1, 1000);
+        let settings = GatewaySettings::parse("test", &text).unwrap();
+        let incarnation = Incarnation(1 + index as u64);
+        let node =
+            NodeState::new(settings, incarnation, ProcessClock::start(), GatewayMetrics::default());
+        let node = Arc::new(node);
+        let mut active = ActiveConfig::default();
+        active.apply(decode_config(config().to_string().as_bytes()).unwrap());
+        node.config.store(active.current().cloned());
+        node.advance_to(NodePhase::Serving);
+        let (updates, changes) = mpsc::unbounded_channel();
+        let server = TrafficServer::start(Arc::clone(&node), changes).unwrap();
+        self.nodes.push(TestNode { node, _server: server, updates: updates.clone() });
+        updates
+    }
+
+    /// Sends a request to a node.
+    async fn call(&self, node: usize, path: &str, id: &str) -> Option<HttpResponse> {
+        let address = self.nodes[node].node.settings.listen;
+        let mut request = HttpRequest::post(address, path, bytes::Bytes::from_static(b"body"));
+        let headers = [
+            (HOST, "studio.example"),
+            (AUTHORIZATION, "Token key-1"),
+            (HeaderName::from_static("x-request-id"), id),
+            (HeaderName::from_static("x-deadline-ms"), &DEADLINE_MS.to_string()),
+        ];
+        for (name, value) in headers {
+            request = request.with_header(name, HeaderValue::from_str(value).unwrap());
+        }
+        let client = HttpClient::new(Span::from_secs(1));
+        client.exchange(request, Span::from_secs(5), 1 << 20).await.ok()
+    }
+
+    /// Sends requests to a node until one is answered, and returns its identifier.
+    async fn wait_until_served(&self, node: usize, path: &str) -> Option<String> {
+        let started = tokio::time::Instant::now();
+        let mut number = 0;
+        while started.elapsed() < WAIT_LIMIT {
+            number += 1;
+            let id = format!("r{node}-{number}");
+            if self.call(node, path, &id).await.is_some_and(|response| response.status == 200) {
+                return Some(id);
+            }
+        }
+        None
+    }
+}
+
+fn entry(service: &SiteService) -> UpstreamEntry {
+    decode_upstream_entry(service.id(), service.entry().to_string().as_bytes()).unwrap()
+}
+
+fn config() -> serde_json::Value {
+    json!({
+        "version": 1,
+        "routes": [
+            {"name": "fetch", "host": "studio.example", "prefix": "/fetch/", "kind": "safe",
+             "deadline_ms": 2000, "goal_ms": 150, "priority": 2, "service": "portal",
+             "attempts": 2, "public": false},
+            {"name": "once", "host": "studio.example", "prefix": "/once/", "kind": "unsafe",
+             "deadline_ms": 2000, "goal_ms": 150, "priority": 2, "service": "portal",
+             "attempts": 2, "public": false},
+        ],
+        "services": [{"name": "portal", "health": "/healthz", "max_conns": 100}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 1_048_576,
+                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+        "tenants": [{"name": "brewer", "keys": ["key-1"]}],
+    })
+}
+
+async fn refusing_address() -> SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// Returns the address of a listener that accepts nothing and whose queue is full.
+async fn hanging_address(held: &mut Vec<TcpStream>) -> SocketAddr {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).unwrap();
+    let address = socket.local_addr().unwrap();
+    let listener = socket.listen(1).unwrap();
+    // The listener must outlive the test.
+    std::mem::forget(listener);
+    while let Ok(Ok(stream)) =
+        tokio::time::timeout(Duration::from_millis(100), TcpStream::connect(address)).await
+    {
+        held.push(stream);
+    }
+    address
+}
+
+/// Guards against callers of a node that has lost its links to all upstreams, while other nodes
+/// reach them: they are served far worse than the others.
+#[rstest]
+#[case::links_refuse(LinkFault::Refuses, "/fetch/proof")]
+#[case::links_hang(LinkFault::Hangs, "/fetch/proof")]
+#[case::unsafe_requests(LinkFault::Refuses, "/once/order")]
+#[actix_rt::test]
+async fn callers_of_a_node_without_links_are_served(#[case] fault: LinkFault, #[case] path: &str) {
+    let mut fleet = TestFleet::start();
+    fleet.start_node(Some(fault)).await;
+    fleet.start_node(None).await;
+    assert!(fleet.wait_until_served(1, path).await.is_some(), "the other node serves nobody");
+    let served = fleet.wait_until_served(0, path).await;
+    assert!(served.is_some(), "no caller of the node without links was served");
+    for service in &fleet.services {
+        assert_eq!(service.repeated_requests(), Vec::<String>::new());
+    }
+}
