--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -69,6 +69,8 @@
     1504 UpstreamChanged "The state of an upstream has changed."
     1505 UpstreamLimited "An upstream names a limit on its requests, another one than before, or none any more."
     1506 LimitShareChanged "This node's share of an upstream's limit has changed."
+    1507 LinksLost "This node reaches no upstream of a service; other nodes get the requests for it."
+    1508 LinksRegained "This node reaches upstreams of a service again, or still does after several failed."
     // Usage.
     1601 UsageBatchAppended "A usage batch was appended to the log."
     1602 UsageWindowClosed "A usage window is closed and its usage is final."
@@ -87,6 +89,8 @@
     2006 AttemptStarted "A request was sent to an upstream."
     2007 AttemptFailed "An attempt of a request on an upstream failed."
     2008 StreamOriginUnsent "A stream begins without a stored record of its software version; resuming it elsewhere may be refused."
+    2009 RequestForwarded "A request was passed to another node, because this node does not reach its upstreams."
+    2010 ForwardFailed "A request that was passed to another node got no response."
     // Rollout.
     3001 SamplePlaced "A sample slot was assigned to an upstream."
     3002 SampleFilled "The first result in log order filled a sample slot."
--- a/crates/base/src/refusal.rs
+++ b/crates/base/src/refusal.rs
@@ -31,6 +31,8 @@
         UpstreamsLimited,
         /// No upstream of the route is available.
         NoUpstream,
+        /// No node reaches an upstream of the route, although the platform lists some.
+        LinksLost,
         /// The upstream failed after the request may have reached it.
         UpstreamFailed,
         /// The request's deadline has passed.
@@ -118,6 +120,7 @@
             Self::Overloaded => "overloaded",
             Self::UpstreamsLimited => "upstreams-limited",
             Self::NoUpstream => "no-upstream",
+            Self::LinksLost => "links-lost",
             Self::UpstreamFailed => "upstream-failed",
             Self::DeadlineExceeded => "deadline-exceeded",
             Self::LogUnavailable => "log-unavailable",
@@ -151,6 +154,7 @@
             | Self::StreamUnknown
             | Self::VersionGone
             | Self::NoUpstream
+            | Self::LinksLost
             | Self::LogUnavailable
             | Self::Draining
             | Self::Isolated => 503,
--- a/crates/dispatch/src/balancer.rs
+++ b/crates/dispatch/src/balancer.rs
@@ -165,6 +165,27 @@
             && stats.removed_until.is_none_or(|until| now < until)
     }
 
+    /// Returns the usable upstreams of a service.
+    pub fn usable_upstreams(
+        &self,
+        now: Moment,
+        service: &str,
+    ) -> impl Iterator<Item = UpstreamKey> {
+        let upstreams = self.service_upstreams(service).iter().copied();
+        upstreams.filter(move |upstream| self.is_usable(now, *upstream))
+    }
+
+    /// Returns the services of all upstreams.
+    pub fn services(&self) -> impl Iterator<Item = &str> {
+        self.services.keys().map(String::as_str)
+    }
+
+    /// Returns whether an upstream has failed and is used only if there is no other.
+    #[must_use]
+    pub fn is_suspended(&self, now: Moment, upstream: UpstreamKey) -> bool {
+        self.upstreams[upstream].is_suspended(now)
+    }
+
     /// Returns whether a service has a usable upstream with this version of the software.
     #[must_use]
     pub fn has_software(&self, now: Moment, service: &str, version: &str) -> bool {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,12 +4,15 @@
 //! holds what one node knows about each upstream and chooses among them. [`plan_weight_loads`]
 //! decides which engines load which weight version next. [`LimitShares`] divides the limits on
 //! requests that upstreams name among all nodes, and a [`RequestBucket`] keeps this node's requests
-//! to its share.
+//! to its share. A [`LinkTracker`] judges whether this node reaches the upstreams at all, and a
+//! [`PeerTable`] chooses the node that gets its requests if it does not.
 
 mod balancer;
 mod demand;
 mod entry;
 mod limit_shares;
+mod links;
+mod peers;
 mod pick;
 mod request_bucket;
 mod stats;
@@ -19,6 +22,8 @@
     balancer::{RemovalCause, UpstreamBalancer, UpstreamChange},
     entry::{EntryState, UpstreamEntry},
     limit_shares::{LimitClaim, LimitDemand, LimitShare, LimitShares, NodeClaims, WantedRate},
+    links::{LinkState, LinkTracker},
+    peers::{PeerEntry, PeerOutcome, PeerTable},
     pick::{GenerationPickRequest, ModelRequirement, PlainPickRequest, RequestOrigin},
     request_bucket::RequestBucket,
     stats::{ExchangeOutcome, UpstreamLoad},
--- a/crates/document/src/gateway.rs
+++ b/crates/document/src/gateway.rs
@@ -25,6 +25,8 @@
         pub ready: SocketAddr,
         /// Address that serves metrics.
         pub metrics: SocketAddr,
+        /// Address that serves the requests of other gateways.
+        pub peer: SocketAddr,
         /// The platform's store.
         pub store: StoreSettings,
         /// Address of the platform that receives usage reports and orders for upstreams, if the
@@ -81,6 +83,7 @@
     listen: SocketAddr,
     ready: SocketAddr,
     metrics: SocketAddr,
+    peer: SocketAddr,
     duties: Option<SocketAddr>,
     store: WireStore,
     promises: WirePromises,
@@ -179,6 +182,7 @@
             listen: wire.listen,
             ready: wire.ready,
             metrics: wire.metrics,
+            peer: wire.peer,
             store: StoreSettings {
                 address: wire.store.address,
                 partitions: wire.store.partitions,
--- a/crates/hibiscushinged/src/gateway/attempt.rs
+++ b/crates/hibiscushinged/src/gateway/attempt.rs
@@ -6,7 +6,7 @@
     Method, RequestHead, StatusCode,
     header::{HeaderMap, HeaderName, HeaderValue},
 };
-use base::{Span, UpstreamKey};
+use base::{Moment, Span, UpstreamKey};
 use bytes::Bytes;
 use dispatch::{ExchangeOutcome, RequestOrigin};
 use platform::ResponseMetadata;
@@ -16,6 +16,7 @@
     gateway::{
         channel::{ChannelError, Exchange, UpstreamChannel},
         limits::{self, StatementSource},
+        links,
         plain::PlainJob,
         response_buffer::BodyTooLong,
         traffic_state::TrafficState,
@@ -24,7 +25,7 @@
 };
 
 /// Timeout for connecting to an upstream. A network hop takes one or two milliseconds.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// A request for one upstream.
 pub(crate) struct AttemptCall<'a> {
@@ -55,6 +56,9 @@
     NotRun(String),
     /// The request may have run.
     MaybeRun(String),
+    /// Another node to which the request was passed has refused it with this response. It did not
+    /// run there.
+    Refused(Box<FullResponse>),
 }
 
 /// Counts a request as in flight at its upstream. A guard that is dropped without
@@ -62,6 +66,7 @@
 pub(crate) struct AttemptGuard {
     traffic: Rc<TrafficState>,
     upstream: UpstreamKey,
+    started_at: Moment,
     ended: bool,
 }
 
@@ -73,7 +78,7 @@
     ) -> Self {
         let now = traffic.node.now();
         traffic.balancer.borrow_mut().begin_request(now, upstream, origin);
-        Self { traffic: Rc::clone(traffic), upstream, ended: false }
+        Self { traffic: Rc::clone(traffic), upstream, started_at: now, ended: false }
     }
 
     pub(crate) fn finish(mut self, outcome: ExchangeOutcome) {
@@ -84,6 +89,12 @@
         if !std::mem::replace(&mut self.ended, true) {
             let now = self.traffic.node.now();
             self.traffic.balancer.borrow_mut().finish_request(now, self.upstream, outcome);
+            match outcome {
+                ExchangeOutcome::TransportError | ExchangeOutcome::TimedOut => {
+                    links::record_failure(&self.traffic, self.upstream, self.started_at);
+                }
+                _ => {}
+            }
         }
     }
 }
@@ -144,6 +155,7 @@
             ));
         }
     };
+    links::record_response(traffic, call.upstream);
     let metadata = exchange.metadata();
     if let Some(load) = metadata.load {
         traffic.balancer.borrow_mut().record_load_report(traffic.node.now(), call.upstream, load);
@@ -225,7 +237,10 @@
     }
 }
 
-async fn read_body(traffic: &TrafficState, exchange: &mut Exchange) -> Result<Bytes, ChannelError> {
+pub(crate) async fn read_body(
+    traffic: &TrafficState,
+    exchange: &mut Exchange,
+) -> Result<Bytes, ChannelError> {
     let mut body = traffic.body_budget.buffer();
     while let Some(chunk) = exchange.chunk().await? {
         body.push(&chunk).map_err(|BodyTooLong { bytes }| {
@@ -267,7 +282,7 @@
 }
 
 /// Sleeps until a moment of the node's clock.
-pub(crate) async fn wait_until(traffic: &TrafficState, until: base::Moment) {
+pub(crate) async fn wait_until(traffic: &TrafficState, until: Moment) {
     tokio::time::sleep(to_duration(until.since(traffic.node.now()))).await;
 }
 
@@ -275,6 +290,7 @@
     pub(crate) fn reason(&self) -> &str {
         match self {
             Self::NotRun(reason) | Self::MaybeRun(reason) => reason,
+            Self::Refused(_) => "another node has refused the request",
         }
     }
 }
--- a/crates/hibiscushinged/src/gateway/cleanup.rs
+++ b/crates/hibiscushinged/src/gateway/cleanup.rs
@@ -12,7 +12,7 @@
 use crate::{
     clock::wall_now,
     gateway::{
-        fetch::fetch_keys, partition_follower::PartitionFollower,
+        fetch::fetch_keys, partition_follower::PartitionFollower, peers::delete_old_nodes,
         stream_origins::delete_old_origins, traffic_state::TrafficState,
     },
     telemetry::log_event,
@@ -26,7 +26,8 @@
 const EXPIRY_MARGIN: Span = Span::from_secs(60);
 
 /// Deletes old submissions and origins of the owned partitions and, on the owner of the first
-/// partition, old crash records and claims, at intervals, until the process ends.
+/// partition, old crash records, claims and entries of nodes, at
+/// intervals, until the process ends.
 pub(crate) async fn delete_old(traffic: Rc<TrafficState>) {
     loop {
         tokio::time::sleep(CLEANUP_PERIOD).await;
@@ -39,6 +40,7 @@
             if traffic.suspect_runs.delete_expired(now) {
                 traffic.suspects.unsent_added.notify_one();
             }
+            delete_old_nodes(&traffic).await;
         }
         for partition in owned {
             let Some(follower) = traffic.partitions.get(partition) else { continue };
--- a/crates/hibiscushinged/src/gateway/crash_check.rs
+++ b/crates/hibiscushinged/src/gateway/crash_check.rs
@@ -6,7 +6,9 @@
 
 use std::{io, rc::Rc, time::Duration};
 
-use base::{ProcessDigest, Refusal, RefusalCode, UpstreamKey, WallTime, derive_copy, stable_hash};
+use base::{
+    Moment, ProcessDigest, Refusal, RefusalCode, UpstreamKey, WallTime, derive_copy, stable_hash,
+};
 use delivery::{Fingerprint, FingerprintStatus, RunClaim};
 use protocol::CrashKey;
 
@@ -14,6 +16,7 @@
     clock::wall_now,
     gateway::{
         channel::UpstreamChannel,
+        links,
         plain::PlainJob,
         suspect_runs::RunPermit,
         suspects::{CrashCount, FailedRun, UnansweredRequest},
@@ -32,6 +35,8 @@
         pub(crate) upstream: UpstreamKey,
         process: u64,
         /// When the request was sent.
+        pub(crate) sent_at: Moment,
+        /// The same time by the wall clock, which other nodes compare.
         started_at: WallTime,
         /// The claim that keeps other nodes from running the request, if it is a suspect.
         claim: Option<RunClaim>,
@@ -50,7 +55,7 @@
     /// it now.
     pub(crate) fn new(traffic: &TrafficState, upstream: UpstreamKey) -> Self {
         let process = traffic.balancer.borrow().entry(upstream).process().0;
-        Self { upstream, process, started_at: wall_now(), claim: None }
+        Self { upstream, process, sent_at: traffic.node.now(), started_at: wall_now(), claim: None }
     }
 
     /// States by which permission the request runs, if it is a suspect.
@@ -76,9 +81,12 @@
     }
 
     /// Checks, after the exchange failed, whether the upstream has ended, and records the crash.
-    /// Returns whether it has.
+    /// Returns whether it has. If no other upstream accepts connections either, only the store's
+    /// list can show it.
     pub(crate) async fn check_crash(&self, traffic: &Rc<TrafficState>) -> bool {
-        let ended = refuses_connections(traffic, self.target.upstream).await;
+        let upstream = self.target.upstream;
+        let ended = refuses_connections(traffic, upstream).await
+            && links::is_cause_elsewhere(traffic, upstream).await;
         if ended {
             self.record_crash(traffic);
         } else {
--- a/crates/hibiscushinged/src/gateway/crash_check/tests.rs
+++ b/crates/hibiscushinged/src/gateway/crash_check/tests.rs
@@ -67,6 +67,7 @@
         max_attempts: 1,
         retryable: true,
         origin,
+        forwarded: false,
         software_version: None,
         digest: OnceCell::new(),
     }
--- /dev/null
+++ b/crates/hibiscushinged/src/gateway/forward.rs
@@ -0,0 +1,304 @@
+//! Passes requests to other nodes when this node does not reach the upstreams.
+//!
+//! The other node handles the request as one of a caller: it checks the key, chooses the upstream,
+//! counts usage and crashes, and keeps to limits. It never passes the request on.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use actix_http::{
+    Method, Request, RequestHead, Response, StatusCode,
+    body::BoxBody,
+    header::{HeaderMap, HeaderName, HeaderValue},
+};
+use base::{Execution, Span, VmKey};
+use bytes::Bytes;
+use dispatch::{PeerOutcome, PeerTable};
+use protocol::{ATTEMPTS_HEADER, ForwardOutcome, LINKS_PATH, OUTCOME_HEADER, SERVICE_HEADER};
+use smallvec::SmallVec;
+
+use crate::{
+    clock::to_duration,
+    gateway::{
+        attempt::{FullResponse, read_body},
+        channel::{Exchange, UpstreamChannel},
+        plain::PlainJob,
+        pool::ChannelPool,
+        response,
+        traffic_state::TrafficState,
+    },
+    telemetry::log_event,
+};
+
+const ATTEMPTS: HeaderName = HeaderName::from_static(ATTEMPTS_HEADER);
+const OUTCOME: HeaderName = HeaderName::from_static(OUTCOME_HEADER);
+const SERVICE: HeaderName = HeaderName::from_static(SERVICE_HEADER);
+
+/// Nodes that are asked, one after the other, before a request is refused because none of them
+/// reaches the upstreams.
+const MAX_NODES: usize = 4;
+
+/// Timeout for connecting to another node. A network hop takes one or two milliseconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// Host and identifier of the question whether a node reaches a service. A response is matched to
+/// its request by the identifier.
+const LINKS_HOST: &str = "node";
+const QUESTION_ID: &str = "links";
+
+/// Timeout of the question whether a node reaches a service. It covers a probe.
+const QUESTION_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Other nodes, and idle connections to them.
+pub(crate) struct PeerNodes {
+    pub(crate) table: RefCell<PeerTable>,
+    pool: ChannelPool<VmKey>,
+}
+
+/// Why a request that was passed on got no response.
+#[derive(Debug)]
+pub(crate) enum ForwardError {
+    /// No node reaches the upstreams. The request has not run.
+    Unreached,
+    /// The node did not respond. The request may have run.
+    Broken(String),
+}
+
+/// Response of another node whose head has arrived.
+pub(crate) struct ForwardedExchange {
+    pub(crate) exchange: Exchange,
+    pub(crate) outcome: ForwardOutcome,
+    pub(crate) guard: PeerGuard,
+}
+
+/// Counts a request as in flight at another node. A guard that is dropped without
+/// [`finish`](Self::finish) records the request as cancelled.
+pub(crate) struct PeerGuard {
+    traffic: Rc<TrafficState>,
+    peer: VmKey,
+    service: String,
+    ended: bool,
+}
+
+impl Default for PeerNodes {
+    fn default() -> Self {
+        Self { table: RefCell::default(), pool: ChannelPool::new() }
+    }
+}
+
+impl PeerGuard {
+    fn acquire(traffic: &Rc<TrafficState>, peer: VmKey, service: &str) -> Self {
+        traffic.peers.table.borrow_mut().begin_request(peer);
+        Self { traffic: Rc::clone(traffic), peer, service: String::from(service), ended: false }
+    }
+
+    fn finish(mut self, outcome: PeerOutcome) {
+        self.record(outcome);
+    }
+
+    /// Records a complete response, and keeps its connection for reuse.
+    pub(crate) fn answered(self, exchange: Exchange) {
+        let idle_timeout = exchange.metadata().idle_timeout;
+        if let Some(channel) = exchange.into_reusable() {
+            let now = self.traffic.node.now();
+            self.traffic.peers.pool.keep(now, self.peer, channel, idle_timeout);
+        }
+        self.finish(PeerOutcome::Answered);
+    }
+
+    fn record(&mut self, outcome: PeerOutcome) {
+        if !std::mem::replace(&mut self.ended, true) {
+            let now = self.traffic.node.now();
+            let mut table = self.traffic.peers.table.borrow_mut();
+            table.finish_request(now, self.peer, &self.service, outcome);
+        }
+    }
+}
+
+impl Drop for PeerGuard {
+    fn drop(&mut self) {
+        self.record(PeerOutcome::Cancelled);
+    }
+}
+
+/// Passes a request to another node, which may send it to as many upstreams as `attempts`. Returns
+/// the response once its head has arrived.
+///
+/// # Errors
+///
+/// Returns an error when no node reaches the upstreams, or when the node does not respond.
+pub(crate) async fn open(
+    traffic: &Rc<TrafficState>,
+    job: &PlainJob<'_>,
+    attempts: usize,
+) -> Result<ForwardedExchange, ForwardError> {
+    let mut tried: SmallVec<[VmKey; MAX_NODES]> = SmallVec::new();
+    while tried.len() < MAX_NODES {
+        let Some(peer) = pick(traffic, job.service, &tried) else { break };
+        tried.push(peer);
+        let guard = PeerGuard::acquire(traffic, peer, job.service);
+        let Some(channel) = connect(traffic, peer).await else {
+            guard.finish(PeerOutcome::Failed);
+            continue;
+        };
+        let time_left = job.deadline.since(traffic.node.now());
+        log_event!(
+            RequestForwarded,
+            request = job.id,
+            service = job.service,
+            node = traffic.peers.table.borrow().entry(peer).name,
+            attempts,
+            left_ms = time_left.as_millis(),
+        );
+        let mut headers = platform::node_headers(job.headers, job.host, job.id, time_left);
+        headers.insert(ATTEMPTS, HeaderValue::from(attempts));
+        let head = request_head(job.method.clone(), job.path, headers);
+        let Some(head) = head else { return Err(ForwardError::Unreached) };
+        let sending = channel.send(head, job.body.clone(), job.id);
+        let exchange = match tokio::time::timeout(to_duration(time_left), sending).await {
+            Ok(Ok(exchange)) => exchange,
+            Ok(Err(error)) => {
+                guard.finish(PeerOutcome::Failed);
+                return Err(ForwardError::Broken(error.to_string()));
+            }
+            Err(_) => {
+                guard.finish(PeerOutcome::Failed);
+                let reason = "the node sent no response before the deadline";
+                return Err(ForwardError::Broken(String::from(reason)));
+            }
+        };
+        let outcome = exchange.head().headers.get(OUTCOME).and_then(|value| value.to_str().ok());
+        let outcome =
+            outcome.map_or(ForwardOutcome::Refused(Execution::MayHaveRun), ForwardOutcome::parse);
+        if outcome == ForwardOutcome::LinksLost {
+            guard.finish(PeerOutcome::Unreached);
+            continue;
+        }
+        return Ok(ForwardedExchange { exchange, outcome, guard });
+    }
+    Err(ForwardError::Unreached)
+}
+
+/// Passes a request to another node and returns its complete response, with what became of it.
+///
+/// # Errors
+///
+/// Returns an error when no node reaches the upstreams, or when there is no complete response.
+pub(crate) async fn run(
+    traffic: &Rc<TrafficState>,
+    job: &PlainJob<'_>,
+    attempts: usize,
+) -> Result<(FullResponse, ForwardOutcome), ForwardError> {
+    let ForwardedExchange { mut exchange, outcome, guard } = open(traffic, job, attempts).await?;
+    let body = match read_body(traffic, &mut exchange).await {
+        Ok(body) => body,
+        Err(error) => {
+            guard.finish(PeerOutcome::Failed);
+            return Err(ForwardError::Broken(error.to_string()));
+        }
+    };
+    let response = FullResponse {
+        status: exchange.head().status,
+        headers: relay_headers(&exchange),
+        metadata: exchange.metadata().clone(),
+        body,
+    };
+    guard.answered(exchange);
+    Ok((response, outcome))
+}
+
+/// Returns the headers of a node's response that the caller gets.
+pub(crate) fn relay_headers(exchange: &Exchange) -> Vec<(HeaderName, HeaderValue)> {
+    let mut headers = platform::relay_headers(exchange.head());
+    headers.retain(|(name, _)| *name != OUTCOME);
+    headers
+}
+
+/// Removes the headers of the forwarding node from a request, and returns how many upstreams may
+/// run it.
+pub(crate) fn take_attempts(request: &mut Request) -> usize {
+    let headers = &mut request.head_mut().headers;
+    let attempts = headers.get(&ATTEMPTS).and_then(|value| value.to_str().ok()?.parse().ok());
+    headers.remove(&ATTEMPTS);
+    attempts.unwrap_or(1)
+}
+
+/// Returns the service of a node's question whether this node reaches it.
+pub(crate) fn asked_service(request: &Request) -> Option<String> {
+    if request.path() != LINKS_PATH {
+        return None;
+    }
+    request.head().headers.get(&SERVICE)?.to_str().ok().map(String::from)
+}
+
+/// Builds the answer to a node's question whether this node reaches a service.
+pub(crate) fn answer(reached: bool) -> Response<BoxBody> {
+    let status = if reached { StatusCode::NO_CONTENT } else { StatusCode::SERVICE_UNAVAILABLE };
+    let mut response = response::status(status);
+    platform::set_host_and_id(response.headers_mut(), LINKS_HOST, QUESTION_ID);
+    response
+}
+
+/// Marks the response to a forwarded request with what became of it.
+pub(crate) fn set_outcome(headers: &mut HeaderMap, outcome: ForwardOutcome) {
+    headers.insert(OUTCOME, HeaderValue::from_static(outcome.as_str()));
+}
+
+/// Asks other nodes, one after the other, whether they reach the upstreams of a service. Returns
+/// whether one does.
+pub(crate) async fn is_reached_elsewhere(traffic: &Rc<TrafficState>, service: &str) -> bool {
+    let mut tried: SmallVec<[VmKey; MAX_NODES]> = SmallVec::new();
+    while tried.len() < MAX_NODES {
+        let Some(peer) = pick(traffic, service, &tried) else { break };
+        tried.push(peer);
+        let guard = PeerGuard::acquire(traffic, peer, service);
+        let Ok(value) = HeaderValue::from_str(service) else { return false };
+        let mut headers = HeaderMap::new();
+        headers.insert(SERVICE, value);
+        platform::set_host_and_id(&mut headers, LINKS_HOST, QUESTION_ID);
+        let asking = async {
+            let channel = connect(traffic, peer).await?;
+            let head = request_head(Method::GET, LINKS_PATH, headers)?;
+            channel.send(head, Bytes::new(), QUESTION_ID).await.ok()
+        };
+        match tokio::time::timeout(QUESTION_TIMEOUT, asking).await {
+            Ok(Some(exchange)) if exchange.head().status == StatusCode::NO_CONTENT => {
+                guard.answered(exchange);
+                return true;
+            }
+            Ok(Some(_)) => guard.finish(PeerOutcome::Unreached),
+            Ok(None) | Err(_) => guard.finish(PeerOutcome::Failed),
+        }
+    }
+    false
+}
+
+fn pick(traffic: &TrafficState, service: &str, tried: &[VmKey]) -> Option<VmKey> {
+    let zone = &traffic.node.settings.zone;
+    let table = traffic.peers.table.borrow();
+    table.pick(traffic.node.now(), zone, service, tried, rand::random())
+}
+
+async fn connect(traffic: &TrafficState, peer: VmKey) -> Option<UpstreamChannel> {
+    if let Some(channel) = traffic.peers.pool.take(traffic.node.now(), peer) {
+        return Some(channel);
+    }
+    let address = traffic.peers.table.borrow().entry(peer).address;
+    let opening = UpstreamChannel::open(address, traffic.peers.pool.config());
+    tokio::time::timeout(CONNECT_TIMEOUT, opening).await.ok()?.ok()
+}
+
+fn request_head(method: Method, path: &str, headers: HeaderMap) -> Option<RequestHead> {
+    let mut head = RequestHead::default();
+    head.method = method;
+    head.uri = path.parse().ok()?;
+    head.headers = headers;
+    Some(head)
+}
+
+/// Returns the refusal of a request whose upstreams no node reaches.
+pub(crate) fn links_lost() -> base::Refusal {
+    /// Retry-After of the refusal.
+    const RETRY_AFTER: Span = Span::from_millis(300);
+    let message = "neither this node nor another one reaches an upstream of the service";
+    base::Refusal::not_run(base::RefusalCode::LinksLost, message).with_retry_after(RETRY_AFTER)
+}
--- a/crates/hibiscushinged/src/gateway/group.rs
+++ b/crates/hibiscushinged/src/gateway/group.rs
@@ -27,7 +27,8 @@
 /// member.
 const MEMBERS_POLL_PERIOD: Duration = Duration::from_secs(2);
 
-/// Keeps this node in the group and follows its partitions until it drains. A node below
+/// Keeps this node in the group and follows its partitions until it drains. While only other nodes
+/// reach the engines, it leaves the group. A node below
 /// [`MIN_WORKER_MILLICORES`] joins only once the group has no larger member.
 pub(crate) async fn stay_in_group(traffic: Rc<TrafficState>) {
     if traffic.node.settings.millicores < MIN_WORKER_MILLICORES {
@@ -36,7 +37,16 @@
     let member_timeout = MEMBER_TIMEOUT.max(traffic.node.settings.store.least_member_life);
     let member = member_name(&traffic);
     let topics = [String::from(SUBMISSION_TOPIC)];
+    let mut is_member = false;
     while traffic.node.phase() != NodePhase::Draining {
+        if traffic.node.has_lost_engines() {
+            if std::mem::take(&mut is_member) {
+                leave_group(&traffic).await;
+            }
+            tokio::time::sleep(JOIN_PERIOD).await;
+            continue;
+        }
+        is_member = true;
         let generation = traffic.partitions.generation.get();
         let joined = traffic.store.join(GROUP, &member, &topics, member_timeout, generation).await;
         // While the store does not respond, this node keeps its partitions: its appends are
--- a/crates/hibiscushinged/src/gateway/lease.rs
+++ b/crates/hibiscushinged/src/gateway/lease.rs
@@ -50,18 +50,19 @@
     loop {
         tokio::time::sleep(TICK_PERIOD).await;
         let now = control.node.now();
-        let draining = control.node.phase() == NodePhase::Draining;
+        let resigning =
+            control.node.phase() == NodePhase::Draining || control.node.has_lost_engines();
         let actions = {
             let mut lease_manager = control.lease.lease_manager.borrow_mut();
             let pause_over = now >= *control.lease.no_claim_before.borrow();
             let is_candidate =
-                pause_over && !draining && control.node.phase() == NodePhase::Serving;
+                pause_over && !resigning && control.node.phase() == NodePhase::Serving;
             lease_manager.set_role(if is_candidate {
                 LeaseRole::Candidate
             } else {
                 LeaseRole::Observer
             });
-            if draining { lease_manager.resign() } else { lease_manager.tick(now) }
+            if resigning { lease_manager.resign() } else { lease_manager.tick(now) }
         };
         for action in actions {
             apply_action(&control, action);
--- a/crates/hibiscushinged/src/gateway/node.rs
+++ b/crates/hibiscushinged/src/gateway/node.rs
@@ -1,15 +1,18 @@
 //! State that the control thread and the traffic thread share.
 
-use std::sync::{
-    Arc, Mutex, MutexGuard,
-    atomic::{AtomicBool, AtomicU64, Ordering},
+use std::{
+    collections::BTreeSet,
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
 };
 
 use arc_swap::ArcSwapOption;
 use base::{Incarnation, Moment, Span, derive_copy};
 use document::GatewaySettings;
 use routebook::ConfigIndex;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use usage::{WindowNumber, WindowTotals, window_of};
 
 use crate::{
@@ -43,6 +46,10 @@
     store_response_at: AtomicU64,
     store_failure_at: AtomicU64,
     store_lost: AtomicBool,
+    /// Notified when the control thread failed to reach an engine.
+    pub(crate) engine_call_failed: Notify,
+    /// Services with engines that only other nodes reach.
+    lost_engines: Mutex<BTreeSet<String>>,
     /// Progress of a planned stop in storing the last usage totals.
     last_totals: watch::Sender<LastTotals>,
 }
@@ -84,6 +91,8 @@
             store_response_at: AtomicU64::new(0),
             store_failure_at: AtomicU64::new(0),
             store_lost: AtomicBool::new(false),
+            engine_call_failed: Notify::new(),
+            lost_engines: Mutex::default(),
             last_totals: watch::Sender::new(LastTotals::NotDue),
         }
     }
@@ -120,6 +129,35 @@
             .expect("the lock of the window totals is poisoned: a thread panicked while it held it")
     }
 
+    /// Returns whether a service has engines, on which items run.
+    pub(crate) fn has_engines(&self, service: &str) -> bool {
+        let config = self.config.load();
+        let mut services = config.iter().flat_map(|config| config.services());
+        services.any(|found| found.name == service && found.engine.is_some())
+    }
+
+    /// Records that only other nodes reach the engines of a service.
+    pub(crate) fn add_lost_engines(&self, service: &str) {
+        self.lost_engines().insert(String::from(service));
+    }
+
+    /// Records that this node reaches the engines of a service again.
+    pub(crate) fn remove_lost_engines(&self, service: &str) {
+        self.lost_engines().remove(service);
+    }
+
+    /// Returns whether other nodes should run items and perform duties, because only they reach all
+    /// engines.
+    pub(crate) fn has_lost_engines(&self) -> bool {
+        !self.lost_engines().is_empty()
+    }
+
+    fn lost_engines(&self) -> MutexGuard<'_, BTreeSet<String>> {
+        self.lost_engines
+            .lock()
+            .expect("the lock of the lost engines is poisoned: a thread panicked while it held it")
+    }
+
     pub(crate) fn last_totals(&self) -> LastTotals {
         *self.last_totals.borrow()
     }
--- a/crates/hibiscushinged/src/gateway/plain.rs
+++ b/crates/hibiscushinged/src/gateway/plain.rs
@@ -3,19 +3,21 @@
 use std::{cell::OnceCell, rc::Rc};
 
 use actix_http::{Method, header::HeaderMap};
-use base::{Moment, Refusal, RefusalCode, Span, UpstreamKey};
+use base::{Execution, Moment, Refusal, RefusalCode, Span, UpstreamKey};
 use bytes::Bytes;
 use delivery::Fingerprint;
-use dispatch::{PlainPickRequest, RequestOrigin};
-use futures_util::{StreamExt as _, stream::FuturesUnordered};
+use dispatch::{LinkState, PlainPickRequest, RequestOrigin};
+use futures_util::{StreamExt as _, future::Either, stream::FuturesUnordered};
 use platform::{UpstreamRequestMetadata, forward_headers};
+use protocol::ForwardOutcome;
 use smallvec::SmallVec;
 
 use crate::{
     gateway::{
         attempt::{AttemptCall, AttemptError, FullResponse, log_attempt, run_exchange, wait_until},
         crash_check::{self, CallerRun, RunTarget},
-        suspect_runs,
+        forward::{self, ForwardError},
+        links, suspect_runs,
         traffic_state::TrafficState,
     },
     telemetry::log_event,
@@ -49,6 +51,8 @@
     pub(crate) max_attempts: usize,
     pub(crate) retryable: bool,
     pub(crate) origin: RequestOrigin,
+    /// Whether another node passed the request on, so that this one must not.
+    pub(crate) forwarded: bool,
     /// Software version at which a stream goes on, if the request resumes one.
     pub(crate) software_version: Option<String>,
     /// Fingerprint, once it was needed.
@@ -66,6 +70,11 @@
         Some(*self.digest.get_or_init(|| Fingerprint::of(customer, self.path, &self.body)))
     }
 
+    /// Returns whether the request may be passed to another node that reaches its upstreams.
+    pub(crate) fn may_forward(&self) -> bool {
+        self.origin == RequestOrigin::Caller && !self.forwarded
+    }
+
     /// Builds the request for one upstream, with the time that is left as its deadline.
     pub(crate) fn call(
         &self,
@@ -108,13 +117,20 @@
     /// Upstreams that ended while they ran the request.
     crashes: usize,
     may_have_run: bool,
+    /// Attempts that have run or may still run.
+    runs: usize,
+    /// Whether an upstream could not be connected to.
+    connect_failed: bool,
+    /// Whether the request was passed to another node.
+    forwarded: bool,
     failed_response: Option<FullResponse>,
     last_reason: Option<String>,
 }
 
 /// Result of one attempt.
 struct AttemptResult {
-    upstream: UpstreamKey,
+    /// The upstream, or none if another node got the request.
+    upstream: Option<UpstreamKey>,
     result: Result<FullResponse, AttemptError>,
     /// Whether the upstream ended while it ran the request.
     crashed: bool,
@@ -129,17 +145,27 @@
     traffic: &Rc<TrafficState>,
     job: &PlainJob<'_>,
 ) -> Result<FullResponse, Refusal> {
+    if job.forwarded && traffic.links.state(job.service) == LinkState::Lost {
+        return Err(forward::links_lost());
+    }
     let mut state = AttemptState::default();
     let mut running = FuturesUnordered::new();
     let hedge_delay = Span((job.latency_objective.0 as f64 * HEDGE_FRACTION) as u64);
     let mut hedge_at = traffic.node.now();
     let mut permit = None;
     loop {
-        if running.is_empty() && permit.is_none() && state.may_send(traffic, job) {
+        if running.is_empty()
+            && permit.is_none()
+            && state.may_send(traffic, job)
+            && !state.should_forward(traffic, job)
+        {
             match suspect_runs::acquire(traffic, job).await {
                 Ok(acquired) => permit = acquired,
                 Err(refusal) if state.tried.is_empty() => return Err(refusal),
-                Err(_) => return state.give_up(job.deadline.since(traffic.node.now())),
+                Err(_) => {
+                    let time_left = job.deadline.since(traffic.node.now());
+                    return state.give_up(traffic, job, time_left);
+                }
             }
         }
         let now = traffic.node.now();
@@ -150,23 +176,36 @@
             && now >= hedge_at
             && running.len() == 1
             && !crash_check::is_suspect(traffic, job);
-        if may_send && (running.is_empty() || should_hedge) {
+        if time_left >= MIN_ATTEMPT_TIME
+            && (running.is_empty() || job.retryable)
+            && state.should_forward(traffic, job)
+        {
+            // The other node runs a suspect by its own claim.
+            permit = None;
+            state.forwarded = true;
+            let attempts = job.max_attempts - state.runs;
+            running.push(Either::Right(run_forwarded(traffic, job, attempts)));
+        } else if may_send && !state.forwarded && (running.is_empty() || should_hedge) {
             if let Some(upstream) = pick(traffic, job, &state.tried) {
                 state.tried.push(upstream);
                 let target = RunTarget::new(traffic, upstream).permitted_by(permit.as_ref());
                 state.running.push(target);
                 log_attempt(traffic, job, upstream, state.tried.len(), time_left);
-                running.push(run_attempt(traffic, job, target, time_left));
+                state.runs += 1;
+                running.push(Either::Left(run_attempt(traffic, job, target, time_left)));
             }
             hedge_at = now + hedge_delay;
         }
         if running.is_empty() {
+            if state.forwarded && !state.may_have_run {
+                return Err(forward::links_lost());
+            }
             if may_send && state.tried.is_empty() {
                 return Err(no_upstream(traffic, job));
             }
-            return state.give_up(time_left);
+            return state.give_up(traffic, job, time_left);
         }
-        let next = if running.len() == 1 { hedge_at.min(job.deadline) } else { job.deadline };
+        let next = if hedge_at > now { hedge_at.min(job.deadline) } else { job.deadline };
         tokio::select! {
             Some(attempt) = running.next() => {
                 if let Some(response) = state.record_result(traffic, job, attempt) {
@@ -176,7 +215,11 @@
                     wait_until(traffic, (traffic.node.now() + RETRY_DELAY).min(job.deadline)).await;
                 }
             }
+            () = traffic.links.changed.notified() => {}
             () = wait_until(traffic, next) => {
+                for target in &state.running {
+                    links::record_failure(traffic, target.upstream, target.sent_at);
+                }
                 if traffic.node.now() >= job.deadline {
                     state.may_have_run = true;
                     for target in &state.running {
@@ -184,7 +227,7 @@
                             run.record_unanswered(traffic);
                         }
                     }
-                    return state.give_up(Span::ZERO);
+                    return state.give_up(traffic, job, Span::ZERO);
                 }
             }
         }
@@ -248,7 +291,27 @@
         }
         _ => false,
     };
-    AttemptResult { upstream, result, crashed }
+    AttemptResult { upstream: Some(upstream), result, crashed }
+}
+
+/// Passes a request to another node. A refusal is returned as the response if it is true for the
+/// request as a whole.
+async fn run_forwarded(
+    traffic: &Rc<TrafficState>,
+    job: &PlainJob<'_>,
+    attempts: usize,
+) -> AttemptResult {
+    let result = match forward::run(traffic, job, attempts).await {
+        Ok((response, ForwardOutcome::Refused(Execution::NotRun))) => {
+            Err(AttemptError::Refused(Box::new(response)))
+        }
+        Ok((response, _)) => Ok(response),
+        Err(ForwardError::Unreached) => {
+            Err(AttemptError::NotRun(String::from("no other node reaches an upstream either")))
+        }
+        Err(ForwardError::Broken(reason)) => Err(AttemptError::MaybeRun(reason)),
+    };
+    AttemptResult { upstream: None, result, crashed: false }
 }
 
 impl AttemptState {
@@ -259,6 +322,22 @@
             && !self.is_blocked(traffic, job)
     }
 
+    /// Returns whether the request should be passed to another node, because this one does not
+    /// reach the upstreams.
+    fn should_forward(&self, traffic: &TrafficState, job: &PlainJob<'_>) -> bool {
+        let unreached = match traffic.links.state(job.service) {
+            LinkState::Working => false,
+            LinkState::Doubtful => self.connect_failed,
+            LinkState::Lost => true,
+        };
+        unreached
+            && job.may_forward()
+            && !self.forwarded
+            && self.runs < job.max_attempts
+            && (job.retryable || !self.may_have_run && self.running.is_empty())
+            && !self.is_blocked(traffic, job)
+    }
+
     /// Returns whether upstreams have ended under the request or its repeats so often that it is
     /// not sent again.
     fn is_blocked(&self, traffic: &TrafficState, job: &PlainJob<'_>) -> bool {
@@ -273,10 +352,10 @@
         attempt: AttemptResult,
     ) -> Option<FullResponse> {
         let AttemptResult { upstream, result, crashed } = attempt;
-        self.running.retain(|running| running.upstream != upstream);
+        self.running.retain(|running| Some(running.upstream) != upstream);
         self.crashes += usize::from(crashed);
         let balancer = traffic.balancer.borrow();
-        let name = &balancer.entry(upstream).id;
+        let name = upstream.map(|upstream| balancer.entry(upstream).id.as_str());
         match result {
             Ok(response) if response.status.as_u16() < 500 => return Some(response),
             Ok(response) => {
@@ -292,6 +371,11 @@
                 }
                 self.failed_response = Some(response);
             }
+            Err(AttemptError::Refused(response))
+                if !self.may_have_run && self.running.is_empty() =>
+            {
+                return Some(*response);
+            }
             Err(error) => {
                 let ran = matches!(error, AttemptError::MaybeRun(_));
                 let fingerprint = job.fingerprint().filter(|_| ran).map(|found| found.to_string());
@@ -304,6 +388,10 @@
                     fingerprint,
                 );
                 self.may_have_run |= ran;
+                if !ran && upstream.is_some() {
+                    self.runs -= 1;
+                    self.connect_failed = true;
+                }
                 self.last_reason = Some(String::from(error.reason()));
             }
         }
@@ -312,10 +400,21 @@
 
     /// Returns the end of a request that gets no further attempt: the last failed response, or a
     /// refusal.
-    fn give_up(&mut self, time_left: Span) -> Result<FullResponse, Refusal> {
+    fn give_up(
+        &mut self,
+        traffic: &TrafficState,
+        job: &PlainJob<'_>,
+        time_left: Span,
+    ) -> Result<FullResponse, Refusal> {
         if let Some(response) = self.failed_response.take() {
             return Ok(response);
         }
+        if !self.may_have_run
+            && self.connect_failed
+            && traffic.links.state(job.service) != LinkState::Working
+        {
+            return Err(forward::links_lost());
+        }
         if time_left < MIN_ATTEMPT_TIME {
             return Err(self.refuse(RefusalCode::DeadlineExceeded, "the deadline has passed"));
         }
--- a/crates/hibiscushinged/src/gateway/pool.rs
+++ b/crates/hibiscushinged/src/gateway/pool.rs
@@ -1,9 +1,9 @@
 //! Pool of idle connections to upstreams.
 
-use std::{cell::RefCell, collections::HashMap};
+use std::{cell::RefCell, collections::HashMap, hash::Hash};
 
 use actix_http::ServiceConfig;
-use base::{Moment, Span, UpstreamKey};
+use base::{Moment, Span};
 use smallvec::SmallVec;
 
 use crate::gateway::channel::UpstreamChannel;
@@ -18,10 +18,10 @@
 /// Maximum number of idle connections per upstream. An engine runs 6 to 8 requests at once.
 const MAX_IDLE_PER_UPSTREAM: usize = 16;
 
-/// Idle connections of one thread, by upstream.
-pub(crate) struct ChannelPool {
+/// Idle connections of one thread, by upstream or node.
+pub(crate) struct ChannelPool<K> {
     config: ServiceConfig,
-    idle: RefCell<HashMap<UpstreamKey, Vec<IdleChannel>>>,
+    idle: RefCell<HashMap<K, Vec<IdleChannel>>>,
 }
 
 struct IdleChannel {
@@ -29,7 +29,7 @@
     expires_at: Moment,
 }
 
-impl ChannelPool {
+impl<K: Copy + Eq + Hash> ChannelPool<K> {
     pub(crate) fn new() -> Self {
         Self { config: ServiceConfig::default(), idle: RefCell::default() }
     }
@@ -41,7 +41,7 @@
     }
 
     /// Takes the most recently used connection that is still open.
-    pub(crate) fn take(&self, now: Moment, upstream: UpstreamKey) -> Option<UpstreamChannel> {
+    pub(crate) fn take(&self, now: Moment, upstream: K) -> Option<UpstreamChannel> {
         let mut idle = self.idle.borrow_mut();
         let channels = idle.get_mut(&upstream)?;
         while let Some(IdleChannel { channel, expires_at }) = channels.pop() {
@@ -56,7 +56,7 @@
     pub(crate) fn keep(
         &self,
         now: Moment,
-        upstream: UpstreamKey,
+        upstream: K,
         channel: UpstreamChannel,
         idle_timeout: Option<Span>,
     ) {
@@ -70,13 +70,13 @@
     }
 
     /// Returns the upstreams to which an idle connection is open.
-    pub(crate) fn connected(&self) -> SmallVec<[UpstreamKey; 16]> {
+    pub(crate) fn connected(&self) -> SmallVec<[K; 16]> {
         let idle = self.idle.borrow();
         idle.iter().filter(|(_, channels)| !channels.is_empty()).map(|(key, _)| *key).collect()
     }
 
     /// Closes all idle connections of an upstream that has left or restarted.
-    pub(crate) fn close(&self, upstream: UpstreamKey) {
+    pub(crate) fn close(&self, upstream: K) {
         self.idle.borrow_mut().remove(&upstream);
     }
 
--- a/crates/hibiscushinged/src/gateway/relay.rs
+++ b/crates/hibiscushinged/src/gateway/relay.rs
@@ -7,7 +7,7 @@
     body::{BodyStream, BoxBody},
 };
 use base::{Refusal, RefusalCode, Span, UpstreamKey};
-use dispatch::ExchangeOutcome;
+use dispatch::{ExchangeOutcome, LinkState};
 use futures_util::stream;
 use platform::relay_headers;
 use smallvec::SmallVec;
@@ -17,6 +17,7 @@
         attempt::{AttemptError, AttemptGuard, log_attempt, open_exchange},
         channel::Exchange,
         crash_check::{self, CallerRun, RunTarget},
+        forward::{self, ForwardError, ForwardedExchange},
         plain::{MAX_CRASHES, PlainJob, no_upstream, pick},
         response,
         stream_origins::record_origin,
@@ -52,15 +53,31 @@
     job: &PlainJob<'_>,
     in_flight: InFlightGuard,
 ) -> Result<Response<BoxBody>, Refusal> {
+    if job.forwarded && traffic.links.state(job.service) == LinkState::Lost {
+        return Err(forward::links_lost());
+    }
     let mut tried: SmallVec<[UpstreamKey; 4]> = SmallVec::new();
     let mut reason = String::from("no upstream is usable");
     let mut may_have_run = false;
     let mut crashes = 0;
     let mut permit = None;
+    let mut connect_failed = false;
     while tried.len() < job.max_attempts && crashes < MAX_CRASHES {
         if crash_check::check_convicted(traffic, job).is_err() {
             break;
         }
+        if should_forward(traffic, job, connect_failed) {
+            match forward::open(traffic, job, job.max_attempts).await {
+                Ok(forwarded) => return Ok(forwarded_response(forwarded, in_flight)),
+                Err(ForwardError::Unreached) => return Err(forward::links_lost()),
+                Err(ForwardError::Broken(cause)) => {
+                    log_event!(ForwardFailed, request = job.id, reason = cause);
+                    reason = cause;
+                    may_have_run = true;
+                    break;
+                }
+            }
+        }
         if permit.is_none() {
             match suspect_runs::acquire(traffic, job).await {
                 Ok(acquired) => permit = acquired,
@@ -104,8 +121,10 @@
                 attempt.finish(outcome);
                 log_event!(AttemptFailed, request = job.id, may_have_run = false, reason = cause);
                 reason = cause;
+                connect_failed = true;
             }
-            Err((AttemptError::MaybeRun(cause), outcome)) => {
+            Err((error, outcome)) => {
+                let cause = String::from(error.reason());
                 attempt.finish(outcome);
                 log_event!(AttemptFailed, request = job.id, may_have_run = true, reason = cause);
                 if let Some(run) = CallerRun::new(job, target) {
@@ -119,12 +138,50 @@
             }
         }
     }
+    if !may_have_run && connect_failed && traffic.links.state(job.service) != LinkState::Working {
+        if should_forward(traffic, job, connect_failed)
+            && let Ok(forwarded) = forward::open(traffic, job, job.max_attempts).await
+        {
+            return Ok(forwarded_response(forwarded, in_flight));
+        }
+        return Err(forward::links_lost());
+    }
     if may_have_run {
         return Err(Refusal::may_have_run(RefusalCode::UpstreamFailed, reason));
     }
     Err(Refusal::not_run(RefusalCode::Overloaded, reason).with_retry_after(RETRY_AFTER))
 }
 
+/// Returns whether a request should be passed to another node, because this one does not reach the
+/// upstreams.
+fn should_forward(traffic: &TrafficState, job: &PlainJob<'_>, connect_failed: bool) -> bool {
+    let unreached = match traffic.links.state(job.service) {
+        LinkState::Working => false,
+        LinkState::Doubtful => connect_failed,
+        LinkState::Lost => true,
+    };
+    unreached && job.may_forward()
+}
+
+/// Relays the response of another node. If it breaks off, so does the caller's.
+fn forwarded_response(forwarded: ForwardedExchange, in_flight: InFlightGuard) -> Response<BoxBody> {
+    let status = forwarded.exchange.head().status;
+    let headers = forward::relay_headers(&forwarded.exchange);
+    let state = (forwarded, in_flight);
+    let chunks = stream::unfold(Some(state), async |state| {
+        let (mut forwarded, in_flight) = state?;
+        match forwarded.exchange.chunk().await {
+            Ok(Some(chunk)) => Some((Ok(chunk), Some((forwarded, in_flight)))),
+            Ok(None) => {
+                forwarded.guard.answered(forwarded.exchange);
+                None
+            }
+            Err(error) => Some((Err(std::io::Error::other(error.to_string())), None)),
+        }
+    });
+    response::with_headers(status, BoxBody::new(BodyStream::new(Box::pin(chunks))), headers)
+}
+
 async fn begin(
     traffic: &Rc<TrafficState>,
     job: &PlainJob<'_>,
--- a/crates/hibiscushinged/src/gateway/reward.rs
+++ b/crates/hibiscushinged/src/gateway/reward.rs
@@ -114,6 +114,7 @@
         max_attempts: MAX_ATTEMPTS,
         retryable: true,
         origin: RequestOrigin::Item,
+        forwarded: false,
         software_version: None,
         digest: OnceCell::new(),
     };
--- a/crates/hibiscushinged/src/gateway/serve.rs
+++ b/crates/hibiscushinged/src/gateway/serve.rs
@@ -8,11 +8,12 @@
 };
 
 use actix_http::{HttpService, KeepAlive, Request, Response, body::BoxBody};
-use base::{Moment, Refusal, RefusalCode, Span};
+use base::{Moment, Refusal, RefusalCode, Span, derive_copy};
 use bytes::{Bytes, BytesMut};
 use dispatch::RequestOrigin;
 use futures_util::StreamExt as _;
 use platform::{RequestMetadata, RequestTarget, parse_request_head, parse_request_target};
+use protocol::ForwardOutcome;
 use routebook::{ConfigIndex, RequestKind, RouteSpec};
 use tokio::{net::TcpListener, sync::mpsc};
 
@@ -20,8 +21,9 @@
     accept::serve_connections,
     clock::to_duration,
     gateway::{
-        cleanup, crash_check, crash_records, group, limits,
+        cleanup, crash_check, crash_records, forward, group, limits, links,
         node::{LAST_TOTALS_TIMEOUT, NodeState},
+        peers,
         plain::{PlainJob, run_plain},
         relay, response, runner, stream_origins,
         submit::{self, NewSubmission, SubmissionRef},
@@ -71,6 +73,17 @@
     path: &'a str,
     body: Bytes,
     arrived_at: Moment,
+    /// Upstreams that may run the request, if another node has passed it on.
+    forwarded_attempts: Option<usize>,
+}
+
+derive_copy! {
+    /// Who sends requests to a listener.
+    enum RequestSource {
+        Caller,
+        /// Another node, which does not reach the upstreams.
+        Node,
+    }
 }
 
 impl TrafficServer {
@@ -83,9 +96,14 @@
         node: Arc<NodeState>,
         changes: mpsc::UnboundedReceiver<UpstreamUpdate>,
     ) -> io::Result<Self> {
-        let listener = listen(node.settings.listen)?;
+        let callers = listen(node.settings.listen)?;
+        let nodes = listen(node.settings.peer)?;
         let traffic = Rc::new(TrafficState::new(node));
-        actix_rt::spawn(accept_callers(Rc::clone(&traffic), listener));
+        actix_rt::spawn(accept(Rc::clone(&traffic), callers, RequestSource::Caller));
+        actix_rt::spawn(accept(Rc::clone(&traffic), nodes, RequestSource::Node));
+        actix_rt::spawn(links::follow_control_failures(Rc::clone(&traffic)));
+        actix_rt::spawn(peers::announce_node(Rc::clone(&traffic)));
+        actix_rt::spawn(peers::follow_nodes(Rc::clone(&traffic)));
         actix_rt::spawn(follow_upstreams(Rc::clone(&traffic), changes));
         actix_rt::spawn(close_idle_channels(Rc::clone(&traffic)));
         actix_rt::spawn(group::stay_in_group(Rc::clone(&traffic)));
@@ -112,6 +130,7 @@
         let node = &self.traffic.node;
         let started = node.now();
         self.traffic.items.stop();
+        peers::withdraw_node(&self.traffic).await;
         group::leave_group(&self.traffic).await;
         loop {
             let now = node.now();
@@ -146,7 +165,7 @@
     TcpListener::from_std(listener)
 }
 
-async fn accept_callers(traffic: Rc<TrafficState>, listener: TcpListener) {
+async fn accept(traffic: Rc<TrafficState>, listener: TcpListener, source: RequestSource) {
     let factory = HttpService::build()
         .keep_alive(KeepAlive::Timeout(CALLER_IDLE_TIMEOUT))
         .client_request_timeout(HEAD_TIMEOUT)
@@ -155,13 +174,27 @@
         .tcp_nodelay(true)
         .finish(move |request| {
             let traffic = Rc::clone(&traffic);
-            async move { Ok::<_, Infallible>(serve(traffic, request).await) }
+            async move { Ok::<_, Infallible>(serve(traffic, request, source).await) }
         })
         .tcp();
     serve_connections(listener, factory).await;
 }
 
-async fn serve(traffic: Rc<TrafficState>, mut request: Request) -> Response<BoxBody> {
+async fn serve(
+    traffic: Rc<TrafficState>,
+    mut request: Request,
+    source: RequestSource,
+) -> Response<BoxBody> {
+    let forwarded_attempts = match source {
+        RequestSource::Caller => None,
+        RequestSource::Node => {
+            if let Some(service) = forward::asked_service(&request) {
+                let reached = links::answer_question(&traffic, &service).await;
+                return forward::answer(reached);
+            }
+            Some(forward::take_attempts(&mut request))
+        }
+    };
     let arrived_at = traffic.node.now();
     let in_flight = traffic.node.track_in_flight();
     let metadata = parse_request_head(request.head());
@@ -174,6 +207,7 @@
                 path: &path,
                 body,
                 arrived_at,
+                forwarded_attempts,
             };
             handle_request(&traffic, &caller, in_flight).await
         }
@@ -181,6 +215,11 @@
     };
     let id = metadata.id.as_deref().unwrap_or_default();
     let took_ms = traffic.node.now().since(arrived_at).as_millis();
+    let outcome = match &result {
+        Ok(_) => ForwardOutcome::Response,
+        Err(refusal) if refusal.code == RefusalCode::LinksLost => ForwardOutcome::LinksLost,
+        Err(refusal) => ForwardOutcome::Refused(refusal.execution),
+    };
     let mut response = match result {
         Ok(response) => {
             let status = response.status().as_u16();
@@ -204,6 +243,9 @@
             response::refusal(&refusal)
         }
     };
+    if source == RequestSource::Node {
+        forward::set_outcome(response.headers_mut(), outcome);
+    }
     response::close_when_draining(&traffic.node, &mut response);
     response
 }
@@ -343,6 +385,7 @@
         return Err(Refusal::not_run(RefusalCode::NoUpstream, message));
     };
     let head = caller.request.head();
+    let max_attempts = route.max_attempts as usize;
     Ok(PlainJob {
         id,
         method: head.method.clone(),
@@ -354,9 +397,10 @@
         service,
         deadline,
         latency_objective: route.latency_objective,
-        max_attempts: route.max_attempts as usize,
+        max_attempts: caller.forwarded_attempts.unwrap_or(max_attempts).min(max_attempts),
         retryable: route.is_retryable(),
         origin: RequestOrigin::Caller,
+        forwarded: caller.forwarded_attempts.is_some(),
         software_version: None,
         digest: OnceCell::new(),
     })
--- a/crates/hibiscushinged/src/gateway/serve/tests.rs
+++ b/crates/hibiscushinged/src/gateway/serve/tests.rs
@@ -27,7 +27,7 @@
 use super::TrafficServer;
 use crate::{
     clock::ProcessClock,
-    gateway::{metrics::GatewayMetrics, node::NodeState, upstreams::UpstreamUpdate},
+    gateway::{forward, metrics::GatewayMetrics, node::NodeState, upstreams::UpstreamUpdate},
     shared::NodePhase,
 };
 
@@ -49,12 +49,10 @@
     Hangs,
 }
 
-/// A node that serves callers. Its upstreams are announced by the test in place of the control
-/// thread.
+/// A node that serves callers, without its control thread.
 struct TestNode {
     node: Arc<NodeState>,
-    _server: TrafficServer,
-    updates: mpsc::UnboundedSender<UpstreamUpdate>,
+    server: TrafficServer,
 }
 
 /// Nodes with one store and the upstreams of one service.
@@ -119,6 +117,7 @@
             listen = "{address}:18405"
             ready = "{address}:18406"
             metrics = "{address}:18407"
+            peer = "{address}:18408"
             "#
         ) + &rendered_settings(self.store.address(), 1, 1000);
         let settings = GatewaySettings::parse("test", &text).unwrap();
@@ -132,7 +131,7 @@
         node.advance_to(NodePhase::Serving);
         let (updates, changes) = mpsc::unbounded_channel();
         let server = TrafficServer::start(Arc::clone(&node), changes).unwrap();
-        self.nodes.push(TestNode { node, _server: server, updates: updates.clone() });
+        self.nodes.push(TestNode { node, server });
         updates
     }
 
@@ -211,6 +210,27 @@
     address
 }
 
+/// Guards against a node that keeps items and duties although only other nodes reach the engines,
+/// and against one that gives them up although no node does.
+#[rstest]
+#[case::other_node_reaches(None, true)]
+#[case::no_node_reaches(Some(LinkFault::Refuses), false)]
+#[actix_rt::test]
+async fn node_learns_whether_others_reach_the_upstreams(
+    #[case] fault_of_other: Option<LinkFault>,
+    #[case] expected: bool,
+) {
+    let mut fleet = TestFleet::start();
+    fleet.start_node(Some(LinkFault::Refuses)).await;
+    fleet.start_node(fault_of_other).await;
+    let traffic = &fleet.nodes[0].server.traffic;
+    let started = tokio::time::Instant::now();
+    while traffic.peers.table.borrow().is_empty() && started.elapsed() < WAIT_LIMIT {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(forward::is_reached_elsewhere(traffic, "portal").await, expected);
+}
+
 /// Guards against callers of a node that has lost its links to all upstreams, while other nodes
 /// reach them: they are served far worse than the others.
 #[rstest]
--- a/crates/hibiscushinged/src/gateway/test_support.rs
+++ b/crates/hibiscushinged/src/gateway/test_support.rs
@@ -22,6 +22,7 @@
         listen = "127.0.0.1:0"
         ready = "127.0.0.1:0"
         metrics = "127.0.0.1:0"
+        peer = "127.0.0.1:0"
         "#,
     ) + &rendered_settings(store, 1, 1000);
     let settings = GatewaySettings::parse("test", &text).unwrap();
--- a/crates/hibiscushinged/src/gateway/traffic_state.rs
+++ b/crates/hibiscushinged/src/gateway/traffic_state.rs
@@ -6,17 +6,19 @@
 use dispatch::UpstreamBalancer;
 
 use crate::gateway::{
-    channel::Exchange, items::ItemScheduler, limits::LimitRegistry, node::NodeState,
-    partitions::PartitionSet, pool::ChannelPool, response_buffer::BufferBudget,
-    store::StoreSession, stream_origins::OriginRegistry, suspect_runs::SuspectRuns,
-    suspects::SuspectRegistry,
+    channel::Exchange, forward::PeerNodes, items::ItemScheduler, limits::LimitRegistry,
+    links::LinkMonitor, node::NodeState, partitions::PartitionSet, pool::ChannelPool,
+    response_buffer::BufferBudget, store::StoreSession, stream_origins::OriginRegistry,
+    suspect_runs::SuspectRuns, suspects::SuspectRegistry,
 };
 
 /// State of the traffic thread.
 pub(crate) struct TrafficState {
     pub(crate) node: Arc<NodeState>,
     pub(crate) balancer: RefCell<UpstreamBalancer>,
-    pub(crate) pool: ChannelPool,
+    pub(crate) pool: ChannelPool<UpstreamKey>,
+    pub(crate) links: LinkMonitor,
+    pub(crate) peers: PeerNodes,
     pub(crate) store: Rc<StoreSession>,
     pub(crate) partitions: PartitionSet,
     pub(crate) items: ItemScheduler,
@@ -40,6 +42,8 @@
             stream_origins: OriginRegistry::default(),
             balancer: RefCell::default(),
             pool: ChannelPool::new(),
+            links: LinkMonitor::default(),
+            peers: PeerNodes::default(),
             node,
         }
     }
--- a/crates/hibiscushinged/src/gateway/upstreams.rs
+++ b/crates/hibiscushinged/src/gateway/upstreams.rs
@@ -9,7 +9,7 @@
 use crate::{
     gateway::{
         crash_check::{self, RunTarget},
-        limits,
+        limits, links,
         traffic_state::TrafficState,
     },
     telemetry::log_event,
@@ -28,7 +28,9 @@
             UpstreamUpdate::Updated(entry) => {
                 let (id, address) = (entry.id.clone(), entry.address);
                 let (state, software) = (entry.state, entry.software_version.clone());
+                let service = entry.service.clone();
                 let previous = self.balancer.borrow().key(&id);
+                let is_new = previous.is_none();
                 let previous = previous.map(|upstream| RunTarget::new(self, upstream));
                 let (upstream, change) = self.balancer.borrow_mut().update(entry);
                 if change == UpstreamChange::Restarted {
@@ -37,6 +39,9 @@
                         self.process_ended(target);
                     }
                 }
+                if is_new || change == UpstreamChange::Restarted {
+                    links::upstream_started(self, &service);
+                }
                 limits::process_updated(self, upstream);
                 log_event!(UpstreamChanged, upstream = id, %address, software, ?state, ?change);
             }
--- a/crates/hibiscushinged/src/gateway/weight_loads.rs
+++ b/crates/hibiscushinged/src/gateway/weight_loads.rs
@@ -141,6 +141,7 @@
         Ok(()) => None,
         Err(reason) => {
             log_event!(warn, WeightLoadFailed, engine, model, version, reason);
+            control.node.engine_call_failed.notify_one();
             Some(control.node.now() + FAILURE_BACKOFF)
         }
     };
--- a/crates/process-tests/src/site.rs
+++ b/crates/process-tests/src/site.rs
@@ -25,6 +25,7 @@
 const CALLER_PORT: u16 = 18_405;
 const READY_PORT: u16 = 18_406;
 const METRICS_PORT: u16 = 18_407;
+const PEER_PORT: u16 = 18_408;
 
 /// Size of a [`SiteFleet`] and options of its stand-ins.
 #[derive(Debug, Clone)]
@@ -262,6 +263,7 @@
             listen = "{address}:{CALLER_PORT}"
             ready = "{address}:{READY_PORT}"
             metrics = "{address}:{METRICS_PORT}"
+            peer = "{address}:{PEER_PORT}"
             duties = "{store}"
             "#,
         ) + &rendered_settings(store, 12, 4500);
--- /dev/null
+++ b/crates/protocol/src/forwarding.rs
@@ -0,0 +1,48 @@
+//! Headers of requests that one node passes to another, and of the responses.
+
+use base::{Execution, derive_copy};
+
+/// Header of a forwarded request: the upstreams that may still run it.
+pub const ATTEMPTS_HEADER: &str = "hibiscushinge-attempts";
+
+/// Header of the response to a forwarded request, see [`ForwardOutcome`].
+pub const OUTCOME_HEADER: &str = "hibiscushinge-outcome";
+
+/// Header of the question whether a node reaches the upstreams of a service: its name.
+pub const SERVICE_HEADER: &str = "hibiscushinge-service";
+
+/// Path of that question.
+pub const LINKS_PATH: &str = "/links";
+
+derive_copy! {
+    /// What became of a forwarded request.
+    pub enum ForwardOutcome {
+        /// An upstream responded.
+        Response,
+        /// The node refused the request, which has not run or may have run.
+        Refused(Execution),
+        /// The node does not reach the upstreams either, and the request has not run.
+        LinksLost,
+    }
+}
+
+impl ForwardOutcome {
+    /// Returns the value of [`OUTCOME_HEADER`].
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Response => "response",
+            Self::Refused(execution) => execution.as_str(),
+            Self::LinksLost => "links-lost",
+        }
+    }
+
+    /// Parses the value of [`OUTCOME_HEADER`]. Of a response without a known one, the request may
+    /// have run.
+    #[must_use]
+    pub fn parse(value: &str) -> Self {
+        let all = [Self::Response, Self::Refused(Execution::NotRun), Self::LinksLost];
+        let found = all.into_iter().find(|outcome| outcome.as_str() == value);
+        found.unwrap_or(Self::Refused(Execution::MayHaveRun))
+    }
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -5,6 +5,7 @@
 //! that a change of a domain type cannot change the encoding unnoticed.
 
 mod codec;
+mod forwarding;
 mod peer;
 mod record;
 
@@ -13,18 +14,20 @@
         MAX_MESSAGE_BYTES, MalformedMessage, StreamRecord, WireId, decode_message, decode_record,
         encode_message, encode_record,
     },
+    forwarding::{ATTEMPTS_HEADER, ForwardOutcome, LINKS_PATH, OUTCOME_HEADER, SERVICE_HEADER},
     peer::{
         PeerMessage, WireBatchHold, WireConfigCopy, WireHeartbeat, WireIdentity, WireIsolation,
         WireLimitAsk, WireLimitGrant, WireLiveness, WirePeerUpdate, WireSampleCopy, WireSuspicion,
         WireUpstream, WireZoneSummary,
     },
     record::{
-        CrashKey, CrashRecord, EXPIRING_SUBMISSIONS_PREFIX, LimitRecord, OPEN_SUBMISSIONS_PREFIX,
-        RUN_CLAIM_PREFIX, SampleEntry, SampleSnapshot, StepPrompts, StreamDigest, StreamOrigin,
-        UsageEntry, UsageKey, WireAuthority, WireBatch, WireClaim, WireConfig, WireConviction,
-        WireDemand, WireSample, WireSnapshot, WireUsage, decode_crash_record, decode_limit_record,
-        decode_run_claim, decode_stream_origin, decode_submission_record, decode_usage_record,
-        encode_crash_record, encode_limit_record, encode_run_claim, encode_stream_origin,
+        CrashKey, CrashRecord, EXPIRING_SUBMISSIONS_PREFIX, LimitRecord, NodeRecord,
+        OPEN_SUBMISSIONS_PREFIX, RUN_CLAIM_PREFIX, SampleEntry, SampleSnapshot, StepPrompts,
+        StreamDigest, StreamOrigin, UsageEntry, UsageKey, WireAuthority, WireBatch, WireClaim,
+        WireConfig, WireConviction, WireDemand, WireSample, WireSnapshot, WireUsage,
+        decode_crash_record, decode_limit_record, decode_node_record, decode_run_claim,
+        decode_stream_origin, decode_submission_record, decode_usage_record, encode_crash_record,
+        encode_limit_record, encode_node_record, encode_run_claim, encode_stream_origin,
         encode_submission_record, encode_usage_report, encode_usage_totals, stream_origin_key,
         submission_prefix, usage_report_key, usage_totals_key,
     },
--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod demand;
 mod limits;
+mod nodes;
 mod run_claims;
 mod samples;
 mod stream_origins;
@@ -20,6 +21,7 @@
     crashes::{CrashKey, CrashRecord, decode_crash_record, encode_crash_record},
     demand::WireDemand,
     limits::{LimitRecord, decode_limit_record, encode_limit_record},
+    nodes::{NodeRecord, decode_node_record, encode_node_record},
     run_claims::{RUN_CLAIM_PREFIX, decode_run_claim, encode_run_claim},
     samples::{SampleEntry, SampleSnapshot, StepPrompts, WireSample},
     stream_origins::{
