Test streams, usage and refusals at nodes without links

Streams are relayed whole from the other node, usage counts where the request runs, and a request that no node can serve is refused at once.

--- a/crates/hibiscushinged/src/gateway/serve/tests.rs
+++ b/crates/hibiscushinged/src/gateway/serve/tests.rs
@@ -11,14 +11,16 @@
 
 use actix_http::header::{AUTHORIZATION, HOST, HeaderName, HeaderValue};
 use base::{Incarnation, Span};
-use clients::{HttpClient, HttpRequest, HttpResponse};
-use dispatch::UpstreamEntry;
+use clients::{HttpClient, HttpRequest};
 use document::GatewaySettings;
 use platform::{decode_config, decode_upstream_entry};
 use routebook::ActiveConfig;
 use rstest::rstest;
 use serde_json::json;
-use site_stand_in::{ServiceOptions, SiteService, SiteStore, StoreOptions, rendered_settings};
+use site_stand_in::{
+    EngineOptions, ServiceOptions, SiteEngine, SiteService, SiteStore, StoreOptions,
+    rendered_settings,
+};
 use tokio::{
     net::{TcpSocket, TcpStream},
     sync::mpsc,
@@ -37,6 +39,9 @@
 /// Longer than any node needs to notice that its links are gone or back.
 const WAIT_LIMIT: Duration = Duration::from_secs(20);
 
+/// Events of a stream.
+const EVENTS: u64 = 10;
+
 /// Deadline of a request.
 const DEADLINE_MS: u64 = 2_000;
 
@@ -59,9 +64,12 @@
 struct TestFleet {
     store: SiteStore,
     services: Vec<SiteService>,
+    engine: SiteEngine,
     nodes: Vec<TestNode>,
     /// Connections that keep the queues of hanging addresses full.
     held: Vec<TcpStream>,
+    /// Sockets that keep the ports of refusing addresses.
+    reserved: Vec<TcpSocket>,
 }
 
 impl TestFleet {
@@ -83,20 +91,36 @@
             .unwrap()
         });
         let services = services.collect();
-        Self { store, services, nodes: Vec::new(), held: Vec::new() }
+        let engine = SiteEngine::start(EngineOptions {
+            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            id: String::from("engine-0"),
+            service: String::from("drafts"),
+            zone: String::from("z"),
+            software_version: String::from("v1"),
+            models: vec![String::from("m0")],
+            slots: 8,
+            event_interval: Duration::from_millis(10),
+            events: EVENTS,
+            load_time: Duration::from_millis(100),
+            break_stream_every: 0,
+            lease: Duration::from_secs(3),
+        })
+        .unwrap();
+        Self { store, services, engine, nodes: Vec::new(), held: Vec::new(), reserved: Vec::new() }
     }
 
     /// Starts a node that reaches all upstreams, or finds this fault at their addresses.
     async fn start_node(&mut self, fault: Option<LinkFault>) {
         let updates = self.start_server();
-        for (index, service) in self.services.iter().enumerate() {
-            let mut entry = entry(service);
+        let services = self.services.iter().map(|service| (service.id(), service.entry()));
+        let engine = (self.engine.id(), self.engine.entry());
+        for (id, entry) in services.chain([engine]) {
+            let mut entry = decode_upstream_entry(id, entry.to_string().as_bytes()).unwrap();
             entry.address = match fault {
                 None => entry.address,
-                Some(LinkFault::Refuses) => refusing_address().await,
+                Some(LinkFault::Refuses) => refusing_address(&mut self.reserved),
                 Some(LinkFault::Hangs) => hanging_address(&mut self.held).await,
             };
-            assert_eq!(entry.id, format!("portal-{index}"));
             updates.send(UpstreamUpdate::Updated(entry)).unwrap();
         }
     }
@@ -135,21 +159,22 @@
         updates
     }
 
-    /// Sends a request to a node.
-    async fn call(&self, node: usize, path: &str, id: &str) -> Option<HttpResponse> {
+    /// Sends a request to a node, and returns the status and the complete body.
+    async fn call(&self, node: usize, path: &str, id: &str) -> Option<(u16, bytes::Bytes)> {
         let address = self.nodes[node].node.settings.listen;
         let mut request = HttpRequest::post(address, path, bytes::Bytes::from_static(b"body"));
         let headers = [
             (HOST, "studio.example"),
             (AUTHORIZATION, "Token key-1"),
             (HeaderName::from_static("x-request-id"), id),
+            (HeaderName::from_static("x-model"), "m0"),
             (HeaderName::from_static("x-deadline-ms"), &DEADLINE_MS.to_string()),
         ];
         for (name, value) in headers {
             request = request.with_header(name, HeaderValue::from_str(value).unwrap());
         }
         let client = HttpClient::new(Span::from_secs(1));
-        client.exchange(request, Span::from_secs(5), 1 << 20).await.ok()
+        client.stream_all(request, Span::from_secs(5)).await.ok()
     }
 
     /// Sends requests to a node until one is answered, and returns its identifier.
@@ -159,7 +184,7 @@
         while started.elapsed() < WAIT_LIMIT {
             number += 1;
             let id = format!("r{node}-{number}");
-            if self.call(node, path, &id).await.is_some_and(|response| response.status == 200) {
+            if self.call(node, path, &id).await.is_some_and(|(status, _)| status == 200) {
                 return Some(id);
             }
         }
@@ -167,10 +192,6 @@
     }
 }
 
-fn entry(service: &SiteService) -> UpstreamEntry {
-    decode_upstream_entry(service.id(), service.entry().to_string().as_bytes()).unwrap()
-}
-
 fn config() -> serde_json::Value {
     json!({
         "version": 1,
@@ -178,20 +199,31 @@
             {"name": "fetch", "host": "studio.example", "prefix": "/fetch/", "kind": "safe",
              "deadline_ms": 2000, "goal_ms": 150, "priority": 2, "service": "portal",
              "attempts": 2, "public": false},
+            {"name": "talk", "host": "studio.example", "prefix": "/talk/", "kind": "stream",
+             "deadline_ms": 5000, "goal_ms": 500, "priority": 1, "service": "drafts",
+             "attempts": 2, "public": false, "can_resume": true},
             {"name": "once", "host": "studio.example", "prefix": "/once/", "kind": "unsafe",
              "deadline_ms": 2000, "goal_ms": 150, "priority": 2, "service": "portal",
              "attempts": 2, "public": false},
         ],
-        "services": [{"name": "portal", "health": "/healthz", "max_conns": 100}],
+        "services": [
+            {"name": "portal", "health": "/healthz", "max_conns": 100},
+            {"name": "drafts", "health": "/healthz", "max_conns": 100,
+             "engine": {"slots": 8, "models": [{"name": "m0"}]}},
+        ],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 1_048_576,
                    "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
         "tenants": [{"name": "brewer", "keys": ["key-1"]}],
     })
 }
 
-async fn refusing_address() -> SocketAddr {
-    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-    listener.local_addr().unwrap()
+/// Returns an address that refuses connections while its socket is kept.
+fn refusing_address(reserved: &mut Vec<TcpSocket>) -> SocketAddr {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).unwrap();
+    let address = socket.local_addr().unwrap();
+    reserved.push(socket);
+    address
 }
 
 /// Returns the address of a listener that accepts nothing and whose queue is full.
@@ -237,6 +269,8 @@
 #[case::links_refuse(LinkFault::Refuses, "/fetch/proof")]
 #[case::links_hang(LinkFault::Hangs, "/fetch/proof")]
 #[case::unsafe_requests(LinkFault::Refuses, "/once/order")]
+#[case::streams(LinkFault::Refuses, "/talk/1")]
+#[case::streams_hang(LinkFault::Hangs, "/talk/1")]
 #[actix_rt::test]
 async fn callers_of_a_node_without_links_are_served(#[case] fault: LinkFault, #[case] path: &str) {
     let mut fleet = TestFleet::start();
@@ -245,7 +279,34 @@
     assert!(fleet.wait_until_served(1, path).await.is_some(), "the other node serves nobody");
     let served = fleet.wait_until_served(0, path).await;
     assert!(served.is_some(), "no caller of the node without links was served");
+    if path.starts_with("/talk/") {
+        let (_, body) = fleet.call(0, path, "stream").await.expect("the stream is complete");
+        let events = String::from_utf8_lossy(&body).matches("id:").count();
+        assert_eq!(events as u64, EVENTS, "{body:?}");
+    }
     for service in &fleet.services {
         assert_eq!(service.repeated_requests(), Vec::<String>::new());
     }
+    let billed = |node: usize| !fleet.nodes[node].node.window_totals().take_changed().is_empty();
+    assert_eq!((billed(0), billed(1)), (false, true), "usage counts where the request runs");
+}
+
+/// Guards against requests that nodes without links pass to each other, or hold until their
+/// deadlines.
+#[rstest]
+#[case::links_refuse(LinkFault::Refuses)]
+#[case::links_hang(LinkFault::Hangs)]
+#[actix_rt::test]
+async fn request_is_refused_when_no_node_reaches_the_upstreams(#[case] fault: LinkFault) {
+    let mut fleet = TestFleet::start();
+    fleet.start_node(Some(fault)).await;
+    fleet.start_node(Some(fault)).await;
+    for number in 0..4 {
+        let id = format!("r{number}");
+        let (status, body) = fleet.call(0, "/fetch/proof", &id).await.expect("the node responds");
+        assert_eq!(status, 503, "{body:?}");
+    }
+    let (_, body) = fleet.call(0, "/fetch/proof", "last").await.expect("the node responds");
+    let body = String::from_utf8_lossy(&body).into_owned();
+    assert!(body.contains("links-lost") && body.contains("not-run"), "{body}");
 }
