Answer the report on streams that are resumed after all nodes were killed

The fault of the report does not occur here: the record of a stream is in the store before its first event, or the resumption is refused.

--- a/crates/process-tests/tests/software_versions.rs
+++ b/crates/process-tests/tests/software_versions.rs
@@ -24,6 +24,10 @@
     None,
     /// The gateway that saw the streams begin is killed.
     GatewayKilled,
+    /// All gateways are killed at the same time and start again.
+    AllGatewaysKilled,
+    /// All gateways are killed while the records of the streams wait for a store that is down.
+    AllKilledStoreDown,
     /// The store refuses all calls while callers return.
     StoreDownAtResume,
     /// The store refuses all calls while the streams begin.
@@ -71,6 +75,8 @@
 #[rstest]
 #[case::calm(Disturbance::None, STREAMS)]
 #[case::gateway_killed(Disturbance::GatewayKilled, STREAMS)]
+#[case::all_gateways_killed(Disturbance::AllGatewaysKilled, 0)]
+#[case::all_killed_with_records_unsent(Disturbance::AllKilledStoreDown, 0)]
 #[case::store_down_at_resume(Disturbance::StoreDownAtResume, 0)]
 #[case::store_down_at_start(Disturbance::StoreDownAtStart, 0)]
 #[case::store_slow(Disturbance::StoreSlow, 0)]
@@ -81,7 +87,9 @@
 ) {
     let mut fleet = SiteFleet::start(options()).await;
     match disturbance {
-        Disturbance::StoreDownAtStart => fleet.store.set_fault(StoreFault::Unavailable),
+        Disturbance::StoreDownAtStart | Disturbance::AllKilledStoreDown => {
+            fleet.store.set_fault(StoreFault::Unavailable);
+        }
         Disturbance::StoreSlow => fleet.store.set_fault(StoreFault::Delayed(500)),
         _ => {}
     }
@@ -93,6 +101,23 @@
     }
     match disturbance {
         Disturbance::GatewayKilled => fleet.gateways[0].kill(),
+        Disturbance::AllGatewaysKilled | Disturbance::AllKilledStoreDown => {
+            for gateway in &mut fleet.gateways {
+                gateway.kill();
+            }
+            fleet.store.set_fault(StoreFault::None);
+            for gateway in &mut fleet.gateways {
+                gateway.restart();
+            }
+            // Callers return at once, also to a gateway that has not read all of the store yet.
+            for gateway in &fleet.gateways {
+                wait_for("a response of the gateway", || async {
+                    let response = get(gateway.ready_address(), "/readyz", &[]).await;
+                    (response.status > 0).then_some(())
+                })
+                .await;
+            }
+        }
         Disturbance::StoreDownAtResume => fleet.store.set_fault(StoreFault::Unavailable),
         Disturbance::StoreDownAtStart => fleet.store.set_fault(StoreFault::None),
         _ => {}
@@ -117,6 +142,35 @@
     assert!(continued >= expected_continued, "{continued} of {STREAMS} streams went on");
 }
 
+/// Guards against a stream that mixes two versions because it breaks off again after all gateways
+/// have restarted, and the caller resumes the resumed stream.
+#[rstest]
+#[case::names_the_first_attempt("t", 200)]
+#[case::names_the_resumption("u", 503)]
+#[actix_rt::test]
+async fn stream_that_is_resumed_twice_keeps_its_software_version(
+    #[case] named: &str,
+    #[case] expected_status: u16,
+) {
+    let mut fleet = SiteFleet::start(options()).await;
+    let mut all = talk(&fleet, 0, "t", None, EVENTS_BEFORE_BREAK).await.events;
+    let again = talk(&fleet, 1, "u", Some(("t", all.last().unwrap().0)), EVENTS_BEFORE_BREAK).await;
+    assert_eq!(again.status, 200, "{again:?}");
+    all.extend(again.events);
+    for gateway in &mut fleet.gateways {
+        gateway.kill();
+    }
+    for gateway in &mut fleet.gateways {
+        gateway.restart();
+        gateway.wait_ready().await;
+    }
+    let last_event = all.last().unwrap().0;
+    let rest = talk(&fleet, 2, "v", Some((named, last_event)), usize::MAX).await;
+    assert_eq!(rest.status, expected_status, "{rest:?}");
+    all.extend(rest.events);
+    check_events(&all, 1);
+}
+
 /// Guards against a stream that goes on at any version, or waits for its deadline, when no gateway
 /// can know which version began it.
 #[rstest]
