Test that items of a node without links run at another node

Fails with 0 of 4 items finished within 20 s if the loss of the links does not make the node leave the consumer group.

--- a/crates/hibiscushinged/src/gateway/serve/tests.rs
+++ b/crates/hibiscushinged/src/gateway/serve/tests.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::{Ipv4Addr, SocketAddr},
+    rc::Rc,
     sync::{
         Arc,
         atomic::{AtomicU32, Ordering},
@@ -11,6 +12,7 @@
 
 use actix_http::header::{AUTHORIZATION, HOST, HeaderName, HeaderValue};
 use base::{Incarnation, Span};
+use bytes::Bytes;
 use clients::{HttpClient, HttpRequest};
 use document::GatewaySettings;
 use platform::{decode_config, decode_upstream_entry};
@@ -159,10 +161,14 @@
         updates
     }
 
-    /// Sends a request to a node, and returns the status and the complete body.
-    async fn call(&self, node: usize, path: &str, id: &str) -> Option<(u16, bytes::Bytes)> {
+    /// Posts a request to a node, and returns the status and the complete body.
+    async fn call(&self, node: usize, path: &str, id: &str) -> Option<(u16, Bytes)> {
         let address = self.nodes[node].node.settings.listen;
-        let mut request = HttpRequest::post(address, path, bytes::Bytes::from_static(b"body"));
+        self.send(HttpRequest::post(address, path, Bytes::from_static(b"body")), id).await
+    }
+
+    /// Sends a request of the customer, and returns the status and the complete body.
+    async fn send(&self, mut request: HttpRequest, id: &str) -> Option<(u16, Bytes)> {
         let headers = [
             (HOST, "studio.example"),
             (AUTHORIZATION, "Token key-1"),
@@ -199,6 +205,9 @@
             {"name": "fetch", "host": "studio.example", "prefix": "/fetch/", "kind": "safe",
              "deadline_ms": 2000, "goal_ms": 150, "priority": 2, "service": "portal",
              "attempts": 2, "public": false},
+            {"name": "draft", "host": "studio.example", "prefix": "/draft/", "kind": "rollout",
+             "deadline_ms": 10000, "goal_ms": 500, "priority": 1, "service": "drafts",
+             "attempts": 3, "public": false, "run_target_ms": 7500, "retention_s": 40},
             {"name": "talk", "host": "studio.example", "prefix": "/talk/", "kind": "stream",
              "deadline_ms": 5000, "goal_ms": 500, "priority": 1, "service": "drafts",
              "attempts": 2, "public": false, "can_resume": true},
@@ -256,10 +265,7 @@
     fleet.start_node(Some(LinkFault::Refuses)).await;
     fleet.start_node(fault_of_other).await;
     let traffic = &fleet.nodes[0].server.traffic;
-    let started = tokio::time::Instant::now();
-    while traffic.peers.table.borrow().is_empty() && started.elapsed() < WAIT_LIMIT {
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    wait_until(|| !traffic.peers.table.borrow().is_empty(), "the node knows the other").await;
     assert_eq!(forward::is_reached_elsewhere(traffic, "portal").await, expected);
 }
 
@@ -291,6 +297,57 @@
     assert_eq!((billed(0), billed(1)), (false, true), "usage counts where the request runs");
 }
 
+/// Guards against items that are not run because the node that owns them has lost its links to the
+/// engines.
+#[rstest]
+#[case::links_refuse(LinkFault::Refuses)]
+#[case::links_hang(LinkFault::Hangs)]
+#[actix_rt::test]
+async fn items_of_a_node_without_links_run_at_another_node(#[case] fault: LinkFault) {
+    let mut fleet = TestFleet::start();
+    fleet.start_node(Some(fault)).await;
+    let owner = Rc::clone(&fleet.nodes[0].server.traffic);
+    wait_until(|| !owner.partitions.owned().is_empty(), "the first node owns the items").await;
+    fleet.start_node(None).await;
+    wait_until(|| !owner.peers.table.borrow().is_empty(), "the first node knows the other").await;
+    let items = (0..4).map(|index| {
+        json!({
+            "id": format!("i{index}"),
+            "path": "/draft/1",
+            "headers": {"X-Model": "m0", "X-Token-Count": "20,350", "X-Prompt-Prefix": "aa:10,bb:10"},
+            "body": "AAEC",
+            "tokens": 370,
+            "group": "g",
+        })
+    });
+    let submission = json!({
+        "step": 1, "model": "m0", "min_version": 1, "target_groups": 1,
+        "items": items.collect::<Vec<_>>(),
+    });
+    let address = fleet.nodes[1].node.settings.listen;
+    let request = HttpRequest::post(address, "/draft/1", Bytes::from(submission.to_string()));
+    let (status, body) = fleet.send(request, "lot").await.expect("the node responds");
+    assert_eq!(status, 202, "{body:?}");
+    let started = tokio::time::Instant::now();
+    let mut finished = 0;
+    while finished < 4 && started.elapsed() < WAIT_LIMIT {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let request = HttpRequest::get(address, "/lots/lot?after=0");
+        let Some((200, body)) = fleet.send(request, "read").await else { continue };
+        finished = String::from_utf8_lossy(&body).matches("\"finished\"").count();
+    }
+    assert_eq!(finished, 4, "items finished at the end");
+}
+
+/// Waits until a condition holds.
+async fn wait_until(condition: impl Fn() -> bool, name: &str) {
+    let started = tokio::time::Instant::now();
+    while !condition() {
+        assert!(started.elapsed() < WAIT_LIMIT, "it does not come about that {name}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 /// Guards against requests that nodes without links pass to each other, or hold until their
 /// deadlines.
 #[rstest]
