--- a/crates/hibiscushinged/src/gateway/links.rs
+++ b/crates/hibiscushinged/src/gateway/links.rs
@@ -13,12 +13,10 @@
     telemetry::log_event,
 };
 
-/// Upstreams to which a probe connects at the same time.
+/// Upstreams to which a probe of doubtful links connects at the same time. A probe of lost links
+/// connects to one, since connections to upstreams are costly and all nodes regain theirs at once.
 const PROBED_UPSTREAMS: usize = 3;
 
-/// Upstreams of each service that are asked whether a failure has its cause in this node's links.
-const CHECKED_PER_SERVICE: usize = 2;
-
 /// Timeout of a probe's connections. A network hop takes one or two milliseconds.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -28,6 +26,8 @@
 /// Age of the last response from which on a node that asks for the links is answered by a probe.
 const MAX_EVIDENCE_AGE: Span = Span::from_secs(1);
 
+type UpstreamList = SmallVec<[UpstreamKey; 16]>;
+
 /// State of this node's links.
 #[derive(Default)]
 pub(crate) struct LinkMonitor {
@@ -93,8 +93,11 @@
 async fn watch(traffic: Rc<TrafficState>, service: String) {
     let has_engines = traffic.node.has_engines(&service);
     let mut reached_elsewhere = false;
+    let mut upstreams = PROBED_UPSTREAMS;
     while traffic.links.state(&service) != LinkState::Working {
-        if probe(&traffic, &service).await || traffic.links.state(&service) == LinkState::Working {
+        if probe(&traffic, &service, upstreams).await
+            || traffic.links.state(&service) == LinkState::Working
+        {
             break;
         }
         if traffic.links.tracker.borrow_mut().record_lost(&service) {
@@ -110,6 +113,7 @@
             reached_elsewhere = true;
             traffic.node.add_lost_engines(&service);
         }
+        upstreams = 1;
         tokio::time::sleep(PROBE_PERIOD).await;
     }
     if reached_elsewhere {
@@ -118,10 +122,10 @@
     log_event!(LinksRegained, service);
 }
 
-/// Connects to some upstreams of a service. Returns whether one of them accepted, or whether there
+/// Connects to `count` upstreams of a service. Returns whether one of them accepted, or whether there
 /// are none.
-pub(crate) async fn probe(traffic: &TrafficState, service: &str) -> bool {
-    let upstreams = random_upstreams(traffic, service);
+async fn probe(traffic: &TrafficState, service: &str, count: usize) -> bool {
+    let upstreams = random_upstreams(traffic, service, count);
     upstreams.is_empty() || connect_any(traffic, &upstreams).await
 }
 
@@ -129,11 +133,12 @@
 /// to ask. If none does, this node's links may be the cause of the failure.
 pub(crate) async fn is_cause_elsewhere(traffic: &TrafficState, failed: UpstreamKey) -> bool {
     let services: Vec<String> = traffic.balancer.borrow().services().map(String::from).collect();
-    let mut upstreams: SmallVec<[UpstreamKey; 8]> = SmallVec::new();
+    let mut upstreams = SmallVec::new();
     for service in services {
-        let others = random_upstreams(traffic, &service).into_iter();
-        upstreams.extend(others.filter(|upstream| *upstream != failed).take(CHECKED_PER_SERVICE));
+        upstreams.extend(random_upstreams(traffic, &service, PROBED_UPSTREAMS));
     }
+    upstreams.retain(|upstream| *upstream != failed);
+    let upstreams = take_random(upstreams, PROBED_UPSTREAMS);
     upstreams.is_empty() || connect_any(traffic, &upstreams).await
 }
 
@@ -147,20 +152,19 @@
         LinkState::Lost => false,
         LinkState::Working | LinkState::Doubtful => {
             traffic.node.now().since(last_response_at) < MAX_EVIDENCE_AGE
-                || probe(traffic, service).await
+                || probe(traffic, service, PROBED_UPSTREAMS).await
         }
     }
 }
 
-fn random_upstreams(
-    traffic: &TrafficState,
-    service: &str,
-) -> SmallVec<[UpstreamKey; PROBED_UPSTREAMS]> {
+fn random_upstreams(traffic: &TrafficState, service: &str, count: usize) -> UpstreamList {
     let balancer = traffic.balancer.borrow();
-    let mut upstreams: Vec<UpstreamKey> =
-        balancer.usable_upstreams(traffic.node.now(), service).collect();
-    let mut chosen = SmallVec::new();
-    while chosen.len() < PROBED_UPSTREAMS && !upstreams.is_empty() {
+    take_random(balancer.usable_upstreams(traffic.node.now(), service).collect(), count)
+}
+
+fn take_random(mut upstreams: UpstreamList, count: usize) -> UpstreamList {
+    let mut chosen = UpstreamList::new();
+    while chosen.len() < count && !upstreams.is_empty() {
         chosen.push(upstreams.swap_remove(rand::random_range(0..upstreams.len())));
     }
     chosen
