Run suspects on one node only when the store is too slow to return claims

Callers saw, in a test: a popular request that was in flight at one crash was refused for as long as the store took 700 ms a call, since each claim took longer than the request may wait (the case store_slow was not served within 60 s).

Change: if the claim was not accepted and read back within the latency objective, the request runs alone on this node, as it does while the store is down. A claim that is in the queue behind others still has to wait or be refused.

--- a/crates/delivery/src/run_queue.rs
+++ b/crates/delivery/src/run_queue.rs
@@ -53,6 +53,12 @@
         self.claims.retain(|claim, _| keep(*claim));
     }
 
+    /// Returns whether a claim was read and has not ended.
+    #[must_use]
+    pub fn contains(&self, claim: RunClaim) -> bool {
+        self.claims.contains_key(&claim)
+    }
+
     /// Returns whether a claim was read and no earlier claim of the fingerprint is in force.
     #[must_use]
     pub fn is_first(&self, now: Moment, claim: RunClaim) -> bool {
--- a/crates/hibiscushinged/src/gateway/suspect_runs.rs
+++ b/crates/hibiscushinged/src/gateway/suspect_runs.rs
@@ -148,7 +148,8 @@
 }
 
 /// Waits until this node may run a suspect. Returns `None` for a request that is no suspect, or is
-/// none any more. If the store accepts no claim, the request runs alone on this node only.
+/// none any more. If the store does not accept and return a claim in time, the request runs alone on
+/// this node only.
 ///
 /// # Errors
 ///
@@ -164,14 +165,14 @@
     }
     let started = traffic.node.now();
     let wait_end = (started + job.latency_objective).min(job.deadline);
-    let permit = tokio::select! {
-        permit = wait_for_turn(traffic, job, fingerprint) => permit?,
-        () = wait_until(traffic, wait_end) => {
-            let message = "an upstream ended under the request, and other runs of it come first";
-            let refusal = Refusal::not_run(RefusalCode::Overloaded, message);
-            return Err(refusal.with_retry_after(RETRY_AFTER));
-        }
+    let local_runs = traffic.suspect_runs.local_runs(fingerprint);
+    let local = tokio::select! {
+        local = local_runs.acquire_owned() => local,
+        () = wait_until(traffic, wait_end) => return Err(runs_ahead()),
     };
+    let Ok(local) = local else { return Ok(None) };
+    let permit = RunPermit { traffic: Rc::clone(traffic), claim: None, _local: local };
+    let permit = claim_run(traffic, job, fingerprint, permit, wait_end).await?;
     if let Some(permit) = &permit {
         let exclusive = permit.claim().is_some();
         let waited_ms = traffic.node.now().since(started).as_millis();
@@ -180,18 +181,19 @@
     Ok(permit)
 }
 
-async fn wait_for_turn(
+/// Claims the run in the store, and waits until `wait_end` for the claims before it.
+async fn claim_run(
     traffic: &Rc<TrafficState>,
     job: &PlainJob<'_>,
     fingerprint: Fingerprint,
+    mut permit: RunPermit,
+    wait_end: Moment,
 ) -> Result<Option<RunPermit>, Refusal> {
     let runs = &traffic.suspect_runs;
-    let Ok(local) = runs.local_runs(fingerprint).acquire_owned().await else { return Ok(None) };
     crash_check::check_convicted(traffic, job)?;
     if !crash_check::is_suspect(traffic, job) {
         return Ok(None);
     }
-    let mut permit = RunPermit { traffic: Rc::clone(traffic), claim: None, _local: local };
     if !traffic.node.is_store_reachable() {
         return Ok(Some(permit));
     }
@@ -199,10 +201,13 @@
     permit.claim = Some(claim);
     let lifetime = job.deadline.since(traffic.node.now()) + RELEASE_TIME;
     let (key, value) = encode_run_claim(claim, Some(lifetime));
-    let record = encode_keyed_record(&key, value.as_deref());
-    let stored = traffic.store.append(CRASH_TOPIC, 0, None, &[record]).await;
-    if !matches!(stored, Ok(AppendResponse::Appended { .. })) {
-        // The store session has logged the failure.
+    let records = [encode_keyed_record(&key, value.as_deref())];
+    let stored = tokio::select! {
+        stored = traffic.store.append(CRASH_TOPIC, 0, None, &records) => stored.ok(),
+        () = wait_until(traffic, wait_end) => None,
+    };
+    if !matches!(stored, Some(AppendResponse::Appended { .. })) {
+        // The store session has logged a failure.
         permit.end_claim();
         return Ok(Some(permit));
     }
@@ -213,10 +218,24 @@
         if !crash_check::is_suspect(traffic, job) {
             return Ok(None);
         }
-        if runs.queue.borrow().is_first(traffic.node.now(), claim) {
+        let now = traffic.node.now();
+        if runs.queue.borrow().is_first(now, claim) {
+            return Ok(Some(permit));
+        }
+        if now >= wait_end && runs.queue.borrow().contains(claim) {
+            return Err(runs_ahead());
+        }
+        if now >= wait_end {
+            // The store is too slow to return the claim.
+            permit.end_claim();
             return Ok(Some(permit));
         }
         // An error means that the state of this node is gone, and the process ends.
         let _ = tokio::time::timeout(EXPIRY_CHECK_PERIOD, changes.changed()).await;
     }
 }
+
+fn runs_ahead() -> Refusal {
+    let message = "an upstream ended under the request, and other runs of it come first";
+    Refusal::not_run(RefusalCode::Overloaded, message).with_retry_after(RETRY_AFTER)
+}
--- a/crates/process-tests/tests/crashes.rs
+++ b/crates/process-tests/tests/crashes.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use process_tests::{SiteFleet, SiteOptions, call, wait_for};
+use rstest::rstest;
+use site_stand_in::StoreFault;
 
 /// Upstreams that a crashing request may end before it is blocked.
 const CRASHES_BEFORE_BLOCK: u64 = 3;
@@ -143,9 +145,15 @@
 }
 
 /// Guards against refusing a popular request because it ran beside a crashing one: its runs are
-/// isolated only until one of them is answered.
+/// isolated only until one of them is answered, and not by a store that is too slow for that.
+#[rstest]
+#[case::calm(StoreFault::None)]
+#[case::store_slow(StoreFault::Delayed(700))]
+#[case::store_down(StoreFault::Unavailable)]
 #[actix_rt::test]
-async fn popular_request_that_ran_beside_a_crash_is_served_to_all_callers() {
+async fn popular_request_that_ran_beside_a_crash_is_served_to_all_callers(
+    #[case] store_fault: StoreFault,
+) {
     let mut options = SiteOptions { services: 1, ..options() };
     options.service.service_time = Duration::from_millis(100);
     options.service.crash_delay = Duration::from_millis(50);
@@ -168,6 +176,7 @@
     })
     .await;
     wait_for_service(&fleet).await;
+    fleet.store.set_fault(store_fault);
     let callers = (0..12).map(|caller| {
         let address = fleet.gateways[caller % 3].caller_address();
         async move {
