--- a/crates/hibiscushinged/src/gateway/serve.rs
+++ b/crates/hibiscushinged/src/gateway/serve.rs
@@ -130,8 +130,8 @@
         let node = &self.traffic.node;
         let started = node.now();
         self.traffic.items.stop();
-        peers::withdraw_node(&self.traffic).await;
-        group::leave_group(&self.traffic).await;
+        let withdrawing = peers::withdraw_node(&self.traffic);
+        tokio::join!(withdrawing, group::leave_group(&self.traffic));
         loop {
             let now = node.now();
             let items_running = self.traffic.items.unfinished_count() > 0
