--- a/crates/hibiscushinged/src/gateway/cleanup.rs
+++ b/crates/hibiscushinged/src/gateway/cleanup.rs
@@ -1,5 +1,5 @@
 //! Deletes submissions that have ended and whose results need no longer be readable, the origins of
-//! old streams, and expired crash records.
+//! old streams, expired crash records and claims, and entries of nodes that are gone.
 
 use std::{rc::Rc, time::Duration};
 
@@ -26,8 +26,7 @@
 const EXPIRY_MARGIN: Span = Span::from_secs(60);
 
 /// Deletes old submissions and origins of the owned partitions and, on the owner of the first
-/// partition, old crash records, claims and entries of nodes, at
-/// intervals, until the process ends.
+/// partition, old crash records, claims and entries of nodes, at intervals, until the process ends.
 pub(crate) async fn delete_old(traffic: Rc<TrafficState>) {
     loop {
         tokio::time::sleep(CLEANUP_PERIOD).await;
--- a/crates/hibiscushinged/src/gateway/crash_records.rs
+++ b/crates/hibiscushinged/src/gateway/crash_records.rs
@@ -21,7 +21,8 @@
     telemetry::log_event,
 };
 
-/// Topic of crash records and of claims to run suspects. It is compacted by key, because they must outlive the log's retention.
+/// Topic of crash records and of claims to run suspects. It is compacted by key, because records must
+/// outlive the log's retention.
 pub(crate) const CRASH_TOPIC: &str = "keyed.crashes";
 
 /// Longest time that a read waits for new records at the store. They are rare, and the followers of
--- a/crates/hibiscushinged/src/gateway/plain.rs
+++ b/crates/hibiscushinged/src/gateway/plain.rs
@@ -119,8 +119,8 @@
     may_have_run: bool,
     /// Attempts that have run or may still run.
     runs: usize,
-    /// Whether an upstream could not be connected to.
-    connect_failed: bool,
+    /// Whether an attempt failed before an upstream ran it.
+    send_failed: bool,
     /// Whether the request was passed to another node.
     forwarded: bool,
     failed_response: Option<FullResponse>,
@@ -327,7 +327,7 @@
     fn should_forward(&self, traffic: &TrafficState, job: &PlainJob<'_>) -> bool {
         let unreached = match traffic.links.state(job.service) {
             LinkState::Working => false,
-            LinkState::Doubtful => self.connect_failed,
+            LinkState::Doubtful => self.send_failed,
             LinkState::Lost => true,
         };
         unreached
@@ -390,7 +390,7 @@
                 self.may_have_run |= ran;
                 if !ran && upstream.is_some() {
                     self.runs -= 1;
-                    self.connect_failed = true;
+                    self.send_failed = true;
                 }
                 self.last_reason = Some(String::from(error.reason()));
             }
@@ -410,7 +410,7 @@
             return Ok(response);
         }
         if !self.may_have_run
-            && self.connect_failed
+            && self.send_failed
             && traffic.links.state(job.service) != LinkState::Working
         {
             return Err(forward::links_lost());
--- a/crates/hibiscushinged/src/gateway/relay.rs
+++ b/crates/hibiscushinged/src/gateway/relay.rs
@@ -61,12 +61,12 @@
     let mut may_have_run = false;
     let mut crashes = 0;
     let mut permit = None;
-    let mut connect_failed = false;
+    let mut send_failed = false;
     while tried.len() < job.max_attempts && crashes < MAX_CRASHES {
         if crash_check::check_convicted(traffic, job).is_err() {
             break;
         }
-        if should_forward(traffic, job, connect_failed) {
+        if should_forward(traffic, job, send_failed) {
             match forward::open(traffic, job, job.max_attempts).await {
                 Ok(forwarded) => return Ok(forwarded_response(forwarded, in_flight)),
                 Err(ForwardError::Unreached) => return Err(forward::links_lost()),
@@ -121,7 +121,7 @@
                 attempt.finish(outcome);
                 log_event!(AttemptFailed, request = job.id, may_have_run = false, reason = cause);
                 reason = cause;
-                connect_failed = true;
+                send_failed = true;
             }
             Err((error, outcome)) => {
                 let cause = String::from(error.reason());
@@ -138,8 +138,8 @@
             }
         }
     }
-    if !may_have_run && connect_failed && traffic.links.state(job.service) != LinkState::Working {
-        if should_forward(traffic, job, connect_failed)
+    if !may_have_run && send_failed && traffic.links.state(job.service) != LinkState::Working {
+        if should_forward(traffic, job, send_failed)
             && let Ok(forwarded) = forward::open(traffic, job, job.max_attempts).await
         {
             return Ok(forwarded_response(forwarded, in_flight));
@@ -154,10 +154,10 @@
 
 /// Returns whether a request should be passed to another node, because this one does not reach the
 /// upstreams.
-fn should_forward(traffic: &TrafficState, job: &PlainJob<'_>, connect_failed: bool) -> bool {
+fn should_forward(traffic: &TrafficState, job: &PlainJob<'_>, send_failed: bool) -> bool {
     let unreached = match traffic.links.state(job.service) {
         LinkState::Working => false,
-        LinkState::Doubtful => connect_failed,
+        LinkState::Doubtful => send_failed,
         LinkState::Lost => true,
     };
     unreached && job.may_forward()
