Pass a stream on whose connection falls silent before it begins

Callers saw, in a test: a stream sent on a kept connection to an upstream that had become unreachable waited for its deadline, although the node knew by then that its links were lost (case streams_fall_silent: served at the third request, 10 s later).

Change: a stream without a response within its objective makes the links doubtful, and a resumable one is passed to another node once they are lost.

--- a/crates/hibiscushinged/src/gateway/relay.rs
+++ b/crates/hibiscushinged/src/gateway/relay.rs
@@ -1,6 +1,6 @@
 //! Streamed responses, relayed to the caller as they arrive.
 
-use std::rc::Rc;
+use std::{pin::pin, rc::Rc};
 
 use actix_http::{
     Response,
@@ -14,10 +14,11 @@
 
 use crate::{
     gateway::{
-        attempt::{AttemptError, AttemptGuard, log_attempt, open_exchange},
+        attempt::{AttemptError, AttemptGuard, log_attempt, open_exchange, wait_until},
         channel::Exchange,
         crash_check::{self, CallerRun, RunTarget},
         forward::{self, ForwardError, ForwardedExchange},
+        links,
         plain::{MAX_CRASHES, PlainJob, no_upstream, pick},
         response,
         stream_origins::record_origin,
@@ -67,7 +68,7 @@
             break;
         }
         if should_forward(traffic, job, send_failed) {
-            match forward::open(traffic, job, job.max_attempts).await {
+            match forward::open(traffic, job, job.max_attempts - tried.len()).await {
                 Ok(forwarded) => return Ok(forwarded_response(forwarded, in_flight)),
                 Err(ForwardError::Unreached) => return Err(forward::links_lost()),
                 Err(ForwardError::Broken(cause)) => {
@@ -189,12 +190,25 @@
     time_left: Span,
 ) -> Result<Exchange, (AttemptError, ExchangeOutcome)> {
     let call = job.call(traffic, upstream, time_left);
-    let timeout = crate::clock::to_duration(time_left);
-    match tokio::time::timeout(timeout, open_exchange(traffic, call)).await {
-        Ok(result) => result,
-        Err(_) => {
+    let sent_at = traffic.node.now();
+    let silent_at = sent_at + job.latency_objective;
+    let mut opening = pin!(open_exchange(traffic, call));
+    loop {
+        let now = traffic.node.now();
+        let next = if silent_at > now { silent_at.min(job.deadline) } else { job.deadline };
+        tokio::select! {
+            result = &mut opening => return result,
+            () = traffic.links.changed.notified() => {}
+            () = wait_until(traffic, next) => links::record_failure(traffic, upstream, sent_at),
+        }
+        if traffic.node.now() >= job.deadline {
             let reason = String::from("the upstream sent no response before the deadline");
-            Err((AttemptError::MaybeRun(reason), ExchangeOutcome::TimedOut))
+            return Err((AttemptError::MaybeRun(reason), ExchangeOutcome::TimedOut));
+        }
+        // A silent connection says nothing more once the links are lost.
+        if job.retryable && traffic.links.state(job.service) == LinkState::Lost {
+            let reason = String::from("the links to all upstreams were lost during the request");
+            return Err((AttemptError::MaybeRun(reason), ExchangeOutcome::TimedOut));
         }
     }
 }
