End the state of lost links when nothing measures them any more

Callers saw, in a test: after the entries of all upstreams of a service had lapsed while its links counted as lost, they were refused for good, also once the entries were back. A probe without upstreams to connect to ended the probes, but not the state. Found by reading; the test fails before (the state stays for 20 s and more) and passes after.

--- a/crates/hibiscushinged/src/gateway/links.rs
+++ b/crates/hibiscushinged/src/gateway/links.rs
@@ -119,6 +119,8 @@
     if reached_elsewhere {
         traffic.node.remove_lost_engines(&service);
     }
+    // A service without upstreams gets no response that would end the state.
+    traffic.links.tracker.borrow_mut().forget_failures(&service);
     log_event!(LinksRegained, service);
 }
 
--- a/crates/hibiscushinged/src/gateway/serve/tests.rs
+++ b/crates/hibiscushinged/src/gateway/serve/tests.rs
@@ -14,6 +14,7 @@
 use base::{Incarnation, Span};
 use bytes::Bytes;
 use clients::{HttpClient, HttpRequest};
+use dispatch::{LinkState, RemovalCause};
 use document::GatewaySettings;
 use platform::{decode_config, decode_upstream_entry};
 use routebook::ActiveConfig;
@@ -63,10 +64,12 @@
     FallsSilent,
 }
 
-/// A node that serves callers, without its control thread.
+/// A node that serves callers. Its upstreams are announced by the test in place of the control
+/// thread.
 struct TestNode {
     node: Arc<NodeState>,
     server: TrafficServer,
+    updates: mpsc::UnboundedSender<UpstreamUpdate>,
 }
 
 /// Nodes with one store and the upstreams of one service.
@@ -165,7 +168,7 @@
         node.advance_to(NodePhase::Serving);
         let (updates, changes) = mpsc::unbounded_channel();
         let server = TrafficServer::start(Arc::clone(&node), changes).unwrap();
-        self.nodes.push(TestNode { node, server });
+        self.nodes.push(TestNode { node, server, updates: updates.clone() });
         updates
     }
 
@@ -388,6 +391,31 @@
     assert_eq!(finished, 4, "items finished at the end");
 }
 
+/// Pattern: the entries of all upstreams lapse while the store is away, and come back unchanged.
+///
+/// Guards against a node that takes its links for lost from then on, since nothing measures the links
+/// to a service without upstreams.
+#[actix_rt::test]
+async fn links_are_not_lost_for_good_when_entries_lapse() {
+    let mut fleet = TestFleet::start();
+    fleet.start_node(Some(LinkFault::Refuses)).await;
+    fleet.call(0, "/fetch/proof", "r").await.expect("the node responds");
+    let TestNode { server, updates, .. } = &fleet.nodes[0];
+    let links = &server.traffic.links;
+    wait_until(|| links.state("portal") == LinkState::Lost, "the links are lost").await;
+    for service in &fleet.services {
+        let id = String::from(service.id());
+        let cause = RemovalCause::Left;
+        updates.send(UpstreamUpdate::Removed { id, cause }).unwrap();
+    }
+    wait_until(|| links.state("portal") == LinkState::Working, "the links count as working").await;
+    for service in &fleet.services {
+        let entry = decode_upstream_entry(service.id(), service.entry().to_string().as_bytes());
+        updates.send(UpstreamUpdate::Updated(entry.unwrap())).unwrap();
+    }
+    assert!(fleet.wait_until_served(0, "/fetch/proof").await.is_some(), "callers are not served");
+}
+
 /// Waits until a condition holds.
 async fn wait_until(condition: impl Fn() -> bool, name: &str) {
     let started = tokio::time::Instant::now();
