Let the crashing upstream of a test ignore connections without a request

Cause: since the check of a crash connects to other upstreams, and the stand-in took a connection that was closed again for its first request. Its assumption was wrong, not the check: the upstream now ends at its first request, as before, whatever connections come ahead of it.

--- a/crates/hibiscushinged/src/gateway/crash_check/tests.rs
+++ b/crates/hibiscushinged/src/gateway/crash_check/tests.rs
@@ -8,7 +8,7 @@
 use delivery::{Fingerprint, FingerprintStatus};
 use dispatch::{RemovalCause, RequestOrigin};
 use rstest::rstest;
-use tokio::{io::AsyncReadExt as _, net::TcpListener};
+use tokio::{io::AsyncReadExt as _, net::TcpListener, sync::mpsc};
 
 use super::{RunTarget, process_ended};
 use crate::{
@@ -32,17 +32,34 @@
     BreaksOff,
 }
 
-/// Starts an upstream that has this fault at its first request, and adds it to the balancer.
+/// Starts an upstream that has this fault at its first request, and adds it to the balancer. A
+/// connection without a request, such as that of a check, changes nothing.
 async fn start_upstream(traffic: &TrafficState, id: &str, fault: UpstreamFault) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     traffic.balancer.borrow_mut().update(upstream_entry(id, address));
     actix_rt::spawn(async move {
-        let (mut stream, _) = listener.accept().await.unwrap();
-        let mut request = [0; 4_096];
-        assert!(stream.read(&mut request).await.unwrap() > 0);
+        let (requested, mut requests) = mpsc::unbounded_channel();
+        let mut readers = Vec::new();
+        let stream = loop {
+            tokio::select! {
+                Some(stream) = requests.recv() => break stream,
+                accepted = listener.accept() => {
+                    let (mut stream, _) = accepted.unwrap();
+                    let requested = requested.clone();
+                    readers.push(actix_rt::spawn(async move {
+                        let mut request = [0; 4_096];
+                        if stream.read(&mut request).await.is_ok_and(|length| length > 0) {
+                            requested.send(stream).unwrap();
+                        }
+                    }));
+                }
+            }
+        };
         if fault == UpstreamFault::Ends {
             drop(listener);
+            drop(stream);
+            readers.iter().for_each(actix_rt::task::JoinHandle::abort);
             return;
         }
         drop(stream);
