Log why a node does not get a request that was to be passed on

Found in the read-through: a node that accepts no connection, or does not reach the upstreams either, was skipped without a line. Also adds a test of the entries and outcomes of nodes, and says for each test of the links what it guards against. No logic changes.

--- a/crates/dispatch/tests/links.rs
+++ b/crates/dispatch/tests/links.rs
@@ -7,6 +7,7 @@
 
 const SERVICE: &str = "portal";
 
+/// Guards against requests that are passed on because one upstream has failed.
 #[rstest]
 #[case::one_of_three(&[0], 3, LinkState::Working)]
 #[case::one_of_three_twice(&[0, 0], 3, LinkState::Working)]
@@ -25,6 +26,7 @@
     assert_eq!(tracker.state("other"), LinkState::Working);
 }
 
+/// Guards against single failures that add up over time although upstreams respond.
 #[test]
 fn a_response_in_between_shows_that_links_work() {
     let mut tracker = LinkTracker::default();
@@ -37,6 +39,7 @@
     assert_eq!(tracker.state(SERVICE), LinkState::Working);
 }
 
+/// Guards against links that stay lost after a response or a new upstream.
 #[test]
 fn links_are_lost_only_while_nothing_responds() {
     let mut tracker = LinkTracker::default();
--- a/crates/hibiscushinged/src/gateway/forward.rs
+++ b/crates/hibiscushinged/src/gateway/forward.rs
@@ -10,7 +10,7 @@
     body::BoxBody,
     header::{HeaderMap, HeaderName, HeaderValue},
 };
-use base::{Execution, Span, VmKey};
+use base::{Execution, Refusal, RefusalCode, Span, VmKey};
 use bytes::Bytes;
 use dispatch::{PeerOutcome, PeerTable};
 use protocol::{ATTEMPTS_HEADER, ForwardOutcome, LINKS_PATH, OUTCOME_HEADER, SERVICE_HEADER};
@@ -48,6 +48,9 @@
 /// Timeout of the question whether a node reaches a service. It covers a probe.
 const QUESTION_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Retry-After of a request that no node can serve. A node probes its links in this interval.
+const RETRY_AFTER: Span = Span::from_millis(300);
+
 /// Other nodes, and idle connections to them.
 pub(crate) struct PeerNodes {
     pub(crate) table: RefCell<PeerTable>,
@@ -137,6 +140,7 @@
         tried.push(peer);
         let guard = PeerGuard::acquire(traffic, peer, job.service);
         let Some(channel) = connect(traffic, peer).await else {
+            log_skipped(traffic, job, peer, "it accepts no connection");
             guard.finish(PeerOutcome::Failed);
             continue;
         };
@@ -170,6 +174,7 @@
         let outcome =
             outcome.map_or(ForwardOutcome::Refused(Execution::MayHaveRun), ForwardOutcome::parse);
         if outcome == ForwardOutcome::LinksLost {
+            log_skipped(traffic, job, peer, "it does not reach the upstreams either");
             guard.finish(PeerOutcome::Unreached);
             continue;
         }
@@ -178,6 +183,13 @@
     Err(ForwardError::Unreached)
 }
 
+/// Logs why a node does not get a request, which is passed to the next node or refused then.
+fn log_skipped(traffic: &TrafficState, job: &PlainJob<'_>, peer: VmKey, reason: &str) {
+    let table = traffic.peers.table.borrow();
+    let (request, service, node) = (job.id, job.service, &table.entry(peer).name);
+    log_event!(ForwardFailed, request, service, node, reason);
+}
+
 /// Passes a request to another node and returns its complete response, with what became of it.
 ///
 /// # Errors
@@ -296,9 +308,7 @@
 }
 
 /// Returns the refusal of a request whose upstreams no node reaches.
-pub(crate) fn links_lost() -> base::Refusal {
-    /// Retry-After of the refusal.
-    const RETRY_AFTER: Span = Span::from_millis(300);
+pub(crate) fn links_lost() -> Refusal {
     let message = "neither this node nor another one reaches an upstream of the service";
-    base::Refusal::not_run(base::RefusalCode::LinksLost, message).with_retry_after(RETRY_AFTER)
+    Refusal::not_run(RefusalCode::LinksLost, message).with_retry_after(RETRY_AFTER)
 }
--- a/crates/protocol/tests/codec.rs
+++ b/crates/protocol/tests/codec.rs
@@ -5,25 +5,26 @@
     AuthorityRecord, LeaseClaim, LeaseScope, OrderId, OrderIntent, OrderKind, PriceClass,
 };
 use base::{
-    FencingToken, Incarnation, LogOffset, NodeDigest, ProcessDigest, RecordId, RequestRate, Span,
-    WallTime, WeightVersion,
+    Execution, FencingToken, Incarnation, LogOffset, NodeDigest, ProcessDigest, RecordId,
+    RequestRate, Span, WallTime, WeightVersion,
 };
 use configuration::{ConfigEdit, ConfigRecord, ConfigVersion, EnvironmentName};
 use delivery::{
     ClaimDone, ClaimEvent, ClaimKey, ClaimOutcome, Conviction, Fingerprint, RequestId, RunClaim,
 };
-use dispatch::{LimitClaim, NodeClaims, WantedRate};
+use dispatch::{LimitClaim, NodeClaims, PeerEntry, WantedRate};
 use fleet::{DemandKey, DemandSnapshot, SLOTS_PER_WEEK, WorkClass};
 use proptest::{
     prelude::*,
     test_runner::{Config, RngSeed, TestRunner},
 };
 use protocol::{
-    CrashKey, CrashRecord, LimitRecord, MAX_MESSAGE_BYTES, SampleEntry, SampleSnapshot,
-    StepPrompts, StreamDigest, StreamOrigin, StreamRecord, WireAuthority, decode_crash_record,
-    decode_limit_record, decode_message, decode_record, decode_run_claim, decode_stream_origin,
-    encode_crash_record, encode_limit_record, encode_message, encode_record, encode_run_claim,
-    encode_stream_origin, stream_origin_key,
+    CrashKey, CrashRecord, ForwardOutcome, LimitRecord, MAX_MESSAGE_BYTES, NodeRecord, SampleEntry,
+    SampleSnapshot, StepPrompts, StreamDigest, StreamOrigin, StreamRecord, WireAuthority,
+    decode_crash_record, decode_limit_record, decode_message, decode_node_record, decode_record,
+    decode_run_claim, decode_stream_origin, encode_crash_record, encode_limit_record,
+    encode_message, encode_node_record, encode_record, encode_run_claim, encode_stream_origin,
+    stream_origin_key,
 };
 use rollout::{
     DeliveryNumber, SampleBound, SampleFilled, SampleRecord, SampleTable, SampleVoided, Score,
@@ -161,6 +162,28 @@
     }
 }
 
+/// Guards against a node that others cannot reach, and against a refusal of another node that claims
+/// that the request has not run.
+#[test]
+fn entries_and_outcomes_of_nodes_are_unchanged_by_encoding_and_decoding() {
+    let entry = PeerEntry {
+        name: String::from("vm-1"),
+        zone: String::from("z"),
+        address: "10.1.0.7:7675".parse().unwrap(),
+    };
+    let record = NodeRecord { entry, written_at: WallTime(9) };
+    let (key, value) = encode_node_record(&record);
+    assert_eq!(decode_node_record(&key, &value), Ok(record));
+    assert!(decode_node_record("vm-1", b"").is_err());
+    let refused = [Execution::NotRun, Execution::MayHaveRun].map(ForwardOutcome::Refused);
+    for outcome in refused.into_iter().chain([ForwardOutcome::Response, ForwardOutcome::LinksLost])
+    {
+        assert_eq!(ForwardOutcome::parse(outcome.as_str()), outcome);
+    }
+    let unknown = ForwardOutcome::parse("unknown");
+    assert_eq!(unknown, ForwardOutcome::Refused(Execution::MayHaveRun));
+}
+
 #[test]
 fn message_over_the_size_limit_is_refused() {
     let bytes = vec![0xc0; MAX_MESSAGE_BYTES + 1];
