--- a/crates/base/src/time.rs
+++ b/crates/base/src/time.rs
@@ -30,13 +30,13 @@
     /// Builds a span from milliseconds.
     #[must_use]
     pub const fn from_millis(millis: u64) -> Self {
-        Self(millis * 1_000)
+        Self(millis.saturating_mul(1_000))
     }
 
     /// Builds a span from seconds.
     #[must_use]
     pub const fn from_secs(secs: u64) -> Self {
-        Self(secs * 1_000_000)
+        Self(secs.saturating_mul(1_000_000))
     }
 
     /// Returns the span in milliseconds, rounded down.
--- a/crates/dispatch/src/balancer.rs
+++ b/crates/dispatch/src/balancer.rs
@@ -1,6 +1,6 @@
 //! Entries, load and health of all upstreams, as one node knows them.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 use base::{
     Arena, Moment, ProcessDigest, RequestRate, Span, UpstreamKey, WeightVersion, derive_copy,
@@ -17,6 +17,8 @@
     pub enum RemovalCause {
         /// The store removed it while this node was following the store.
         Left,
+        /// Another writer has replaced it by one that names no upstream. The process may run on.
+        Unreadable,
         /// It is missing after this node could not reach the store for a time, or after the store
         /// was down. Such an entry may come back.
         Lapsed,
@@ -46,6 +48,10 @@
 /// callers.
 const CALLER_PRECEDENCE: Span = Span::from_secs(1);
 
+/// Largest number of leaving processes that are remembered before their entries are known. Another
+/// node names them when it responds to a request that was passed to it.
+const MAX_UNKNOWN_LEAVING: usize = 64;
+
 /// Interval at which items that find no tokens count as demand.
 const ITEM_DEMAND_INTERVAL: Span = Span::from_millis(250);
 
@@ -61,6 +67,8 @@
     services: HashMap<String, Vec<UpstreamKey>>,
     processes: HashMap<ProcessDigest, UpstreamKey>,
     queues: HashMap<String, ServiceQueue>,
+    /// Processes that are leaving and whose entries are not known yet, the latest last.
+    unknown_leaving: VecDeque<ProcessDigest>,
 }
 
 /// Demand for a service, and who of its requests goes first when tokens are scarce.
@@ -96,7 +104,9 @@
     pub fn update(&mut self, entry: UpstreamEntry) -> (UpstreamKey, UpstreamChange) {
         let Some(upstream) = self.ids.get(&entry.id).copied() else {
             let (id, service, process) = (entry.id.clone(), entry.service.clone(), entry.process());
-            let upstream = self.upstreams.push(UpstreamStats::new(entry));
+            let mut stats = UpstreamStats::new(entry);
+            stats.leaving = self.unknown_leaving.contains(&process);
+            let upstream = self.upstreams.push(stats);
             self.processes.insert(process, upstream);
             self.ids.insert(id, upstream);
             self.services.entry(service).or_default().push(upstream);
@@ -106,6 +116,7 @@
         let restarted = stats.entry.started_at_ms != entry.started_at_ms;
         if restarted {
             stats.restart();
+            stats.leaving = self.unknown_leaving.contains(&entry.process());
             self.processes.remove(&stats.entry.process());
             self.processes.insert(entry.process(), upstream);
         }
@@ -131,14 +142,35 @@
         let stats = &mut self.upstreams[upstream];
         if stats.removed_until.is_none() {
             let grace = match cause {
-                RemovalCause::Left => Span::ZERO,
+                RemovalCause::Left | RemovalCause::Unreadable => Span::ZERO,
                 RemovalCause::Lapsed => LAPSE_GRACE,
             };
             stats.removed_until = Some(now + grace);
         }
+        // Without a start time, only the removal shows that another process may follow.
+        if cause == RemovalCause::Left && stats.entry.started_at_ms.is_none() {
+            stats.leaving = false;
+        }
         Some(upstream)
     }
 
+    /// Records that a process said in a response that it is leaving. From then on it gets no new
+    /// requests of this node, whatever its entry says. Returns the key of its upstream if that was
+    /// not known before.
+    pub fn record_leaving(&mut self, process: ProcessDigest) -> Option<UpstreamKey> {
+        let Some(upstream) = self.upstream_of(process) else {
+            if !self.unknown_leaving.contains(&process) {
+                self.unknown_leaving.push_back(process);
+            }
+            if self.unknown_leaving.len() > MAX_UNKNOWN_LEAVING {
+                self.unknown_leaving.pop_front();
+            }
+            return None;
+        };
+        let was_leaving = std::mem::replace(&mut self.upstreams[upstream].leaving, true);
+        (!was_leaving).then_some(upstream)
+    }
+
     /// Returns the key of the upstream with this identifier, if it was ever known.
     #[must_use]
     pub fn key(&self, id: &str) -> Option<UpstreamKey> {
@@ -156,12 +188,13 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// Returns whether an upstream may be given requests: its last entry is ready, and is still in
-    /// the store or lapsed only a short time ago.
+    /// Returns whether an upstream may be given requests: it has not said that it is leaving, and
+    /// its last entry is ready and still in the store, or lapsed only a short time ago.
     #[must_use]
     pub fn is_usable(&self, now: Moment, upstream: UpstreamKey) -> bool {
         let stats = &self.upstreams[upstream];
         stats.entry.state == EntryState::Ready
+            && !stats.leaving
             && stats.removed_until.is_none_or(|until| now < until)
     }
 
@@ -354,7 +387,7 @@
         for upstream in self.service_upstreams(service) {
             let stats = &self.upstreams[*upstream];
             if self.is_usable(now, *upstream) && stats.bucket.is_none() {
-                slots += stats.entry.slots;
+                slots = u32::saturating_add(slots, stats.entry.slots);
             }
         }
         slots
@@ -371,8 +404,8 @@
                 continue;
             }
             let stats = &self.upstreams[*upstream];
-            slots += stats.entry.slots;
-            load += stats.load(now);
+            slots = u32::saturating_add(slots, stats.entry.slots);
+            load = u32::saturating_add(load, stats.load(now));
         }
         (slots, load)
     }
--- a/crates/dispatch/src/pick.rs
+++ b/crates/dispatch/src/pick.rs
@@ -245,7 +245,7 @@
 ) -> f64 {
     let time = stats.response_time.unwrap_or(ASSUMED_RESPONSE_US) * stats.failure_factor();
     let slots = f64::from(stats.entry.slots.max(1));
-    let utilization = f64::from(stats.load(now) + 1) / slots;
+    let utilization = (f64::from(stats.load(now)) + 1.0) / slots;
     // With a free slot the request runs at once; without one it waits in proportion to the queue.
     let load_factor = if utilization <= 1.0 {
         1.0 + utilization * FULL_SLOTS_COST_RISE
--- a/crates/dispatch/src/stats.rs
+++ b/crates/dispatch/src/stats.rs
@@ -66,6 +66,8 @@
     /// Set when the entry was removed from the store. Until this time the upstream is still used as
     /// a last resort.
     pub(crate) removed_until: Option<Moment>,
+    /// Whether the process has said in a response that it is leaving.
+    pub(crate) leaving: bool,
     /// Requests of this node in flight on the upstream.
     pub(crate) own_requests: u32,
     /// Requests of other nodes according to the last load report.
@@ -94,6 +96,7 @@
         Self {
             entry,
             removed_until: None,
+            leaving: false,
             own_requests: 0,
             other_requests: 0,
             reported_at: Moment(0),
@@ -109,7 +112,8 @@
     }
 
     pub(crate) fn record_load_report(&mut self, now: Moment, report: UpstreamLoad) {
-        self.other_requests = (report.running + report.queued).saturating_sub(self.own_requests);
+        self.other_requests =
+            report.running.saturating_add(report.queued).saturating_sub(self.own_requests);
         self.reported_at = now;
     }
 
@@ -163,6 +167,7 @@
 
     /// Drops the measurements of a process that has ended, when another one runs under the id.
     pub(crate) fn restart(&mut self) {
+        self.leaving = false;
         self.consecutive_failures = 0;
         self.suspended_until = Moment(0);
         self.failure_rate = 0.0;
@@ -182,7 +187,7 @@
     pub(crate) fn load(&self, now: Moment) -> u32 {
         let other_requests =
             if now.since(self.reported_at) < MAX_REPORT_AGE { self.other_requests } else { 0 };
-        self.own_requests + other_requests
+        self.own_requests.saturating_add(other_requests)
     }
 
     /// Returns the factor on expected times that accounts for the retries which failures cause.
--- a/crates/hibiscushinged/src/gateway.rs
+++ b/crates/hibiscushinged/src/gateway.rs
@@ -29,6 +29,7 @@
 mod peers;
 mod plain;
 mod pool;
+mod process_check;
 mod ready;
 mod relay;
 mod response;
--- a/crates/hibiscushinged/src/gateway/attempt.rs
+++ b/crates/hibiscushinged/src/gateway/attempt.rs
@@ -18,6 +18,7 @@
         limits::{self, StatementSource},
         links,
         plain::PlainJob,
+        process_check::check_process,
         response_buffer::BodyTooLong,
         traffic_state::TrafficState,
     },
@@ -38,6 +39,9 @@
     /// Customer to whose usage the request is counted, if any.
     pub(crate) billed_customer: Option<&'a str>,
     pub(crate) origin: RequestOrigin,
+    /// Whether only the process that this node knows as the upstream may run the request, since the
+    /// response is joined with others of the same software version.
+    pub(crate) process_bound: bool,
 }
 
 /// A response of an upstream with its complete body.
@@ -116,7 +120,11 @@
     traffic: &Rc<TrafficState>,
     call: AttemptCall<'_>,
 ) -> Result<Exchange, (AttemptError, ExchangeOutcome)> {
-    let address = traffic.balancer.borrow().entry(call.upstream).address;
+    let (address, process) = {
+        let balancer = traffic.balancer.borrow();
+        let entry = balancer.entry(call.upstream);
+        (entry.address, entry.process())
+    };
     let mut head = RequestHead::default();
     head.method = call.method.clone();
     head.uri = call
@@ -144,6 +152,14 @@
             }
         }
     };
+    let channel = if call.process_bound {
+        match check_process(traffic, call.upstream, channel).await {
+            Ok(channel) => channel,
+            Err(failed) => return Err((AttemptError::NotRun(failed.reason), failed.outcome)),
+        }
+    } else {
+        channel
+    };
     let counted_request = call.billed_customer.map(|customer| traffic.node.count_request(customer));
     let sent_at = traffic.node.now();
     let exchange = match channel.send(head, call.body, call.id).await {
@@ -161,6 +177,9 @@
         traffic.balancer.borrow_mut().record_load_report(traffic.node.now(), call.upstream, load);
     }
     if !metadata.misdirected {
+        if metadata.leaving {
+            traffic.record_leaving(process);
+        }
         let statement = StatementSource {
             upstream: call.upstream,
             request: call.id,
--- a/crates/hibiscushinged/src/gateway/channel.rs
+++ b/crates/hibiscushinged/src/gateway/channel.rs
@@ -11,6 +11,7 @@
     h1::{ClientCodec, ClientPayloadCodec, Message, MessageType},
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
 };
+use base::ProcessDigest;
 use bytes::{Bytes, BytesMut};
 use platform::{ResponseMetadata, parse_response_head};
 use tokio::{
@@ -53,6 +54,8 @@
     config: ServiceConfig,
     buffer: BytesMut,
     unsent: Bytes,
+    /// Process at the other end, once it was checked.
+    process: Option<ProcessDigest>,
 }
 
 /// A response whose head has arrived.
@@ -82,7 +85,16 @@
         // network partition held up after the partition has healed, when its caller has long
         // disconnected.
         stream.set_zero_linger()?;
-        Ok(Self { stream, config, buffer: BytesMut::new(), unsent: Bytes::new() })
+        Ok(Self { stream, config, buffer: BytesMut::new(), unsent: Bytes::new(), process: None })
+    }
+
+    pub(crate) const fn process(&self) -> Option<ProcessDigest> {
+        self.process
+    }
+
+    /// Records which process is at the other end. It stays the same until the connection breaks.
+    pub(crate) const fn set_process(&mut self, process: ProcessDigest) {
+        self.process = Some(process);
     }
 
     /// Returns whether the idle connection is still open and has no unread bytes.
@@ -99,10 +111,37 @@
     /// Returns an error when the connection fails or the response is malformed. The request may
     /// have run.
     pub(crate) async fn send(
-        mut self,
+        self,
         head: RequestHead,
         body: Bytes,
         id: &str,
+    ) -> Result<Exchange, ChannelError> {
+        self.exchange(head, body, |exchange| exchange.matches_request(id)).await
+    }
+
+    /// Sends a query of the upstream's own state, whose response may omit the identifier, and reads
+    /// the head of the response.
+    ///
+    /// # Errors
+    ///
+    /// As for [`send`](Self::send).
+    pub(crate) async fn query(
+        self,
+        head: RequestHead,
+        body: Bytes,
+        id: &str,
+    ) -> Result<Exchange, ChannelError> {
+        let is_response = |exchange: &Exchange| {
+            exchange.metadata.id.as_ref().is_none_or(|response_id| response_id == id)
+        };
+        self.exchange(head, body, is_response).await
+    }
+
+    async fn exchange(
+        mut self,
+        head: RequestHead,
+        body: Bytes,
+        is_response: impl Fn(&Exchange) -> bool,
     ) -> Result<Exchange, ChannelError> {
         let mut bytes = BytesMut::with_capacity(512 + body.len());
         let size = if body.is_empty() && head.method == Method::GET {
@@ -122,7 +161,7 @@
             let metadata = parse_response_head(&head);
             let body = body_state(codec, &method, &head);
             let mut exchange = Exchange { channel: self, head, metadata, body };
-            if exchange.matches_request(id) {
+            if is_response(&exchange) {
                 return Ok(exchange);
             }
             while let Some(chunk) = exchange.chunk().await? {
--- a/crates/hibiscushinged/src/gateway/control.rs
+++ b/crates/hibiscushinged/src/gateway/control.rs
@@ -147,7 +147,7 @@
                     offset,
                     reason
                 );
-                self.remove(change.key, RemovalCause::Left);
+                self.remove(change.key, RemovalCause::Unreadable);
             }
         }
     }
--- a/crates/hibiscushinged/src/gateway/crash_check/tests.rs
+++ b/crates/hibiscushinged/src/gateway/crash_check/tests.rs
@@ -83,6 +83,7 @@
         latency_objective: Span::from_secs(30),
         max_attempts: 1,
         retryable: true,
+        resumable: false,
         origin,
         forwarded: false,
         software_version: None,
--- a/crates/hibiscushinged/src/gateway/fetch.rs
+++ b/crates/hibiscushinged/src/gateway/fetch.rs
@@ -109,8 +109,15 @@
         let end = *first_end.get_or_insert(page.end);
         let last = page.items.last().map(|(key, _)| key.clone());
         for (key, value) in page.items {
-            if key.starts_with(prefix) {
-                items.push(KeyChange { offset: end, key, value: Some(value) });
+            if !key.starts_with(prefix) {
+                continue;
+            }
+            match value {
+                Ok(value) => items.push(KeyChange { offset: end, key, value: Some(value) }),
+                Err(error) => {
+                    let (topic, reason) = (&name.topic, error.to_string());
+                    log_event!(warn, LogRecordRefused, topic, key, offset = end, reason);
+                }
             }
         }
         match last {
--- a/crates/hibiscushinged/src/gateway/forward.rs
+++ b/crates/hibiscushinged/src/gateway/forward.rs
@@ -10,10 +10,13 @@
     body::BoxBody,
     header::{HeaderMap, HeaderName, HeaderValue},
 };
-use base::{Execution, Refusal, RefusalCode, Span, VmKey};
+use base::{Execution, ProcessDigest, Refusal, RefusalCode, Span, VmKey};
 use bytes::Bytes;
 use dispatch::{PeerOutcome, PeerTable};
-use protocol::{ATTEMPTS_HEADER, ForwardOutcome, LINKS_PATH, OUTCOME_HEADER, SERVICE_HEADER};
+use protocol::{
+    ATTEMPTS_HEADER, ForwardOutcome, LEAVING_HEADER, LINKS_PATH, OUTCOME_HEADER, SERVICE_HEADER,
+    decode_leaving, encode_leaving,
+};
 use smallvec::SmallVec;
 
 use crate::{
@@ -30,6 +33,7 @@
 };
 
 const ATTEMPTS: HeaderName = HeaderName::from_static(ATTEMPTS_HEADER);
+const LEAVING: HeaderName = HeaderName::from_static(LEAVING_HEADER);
 const OUTCOME: HeaderName = HeaderName::from_static(OUTCOME_HEADER);
 const SERVICE: HeaderName = HeaderName::from_static(SERVICE_HEADER);
 
@@ -178,6 +182,10 @@
             guard.finish(PeerOutcome::Unreached);
             continue;
         }
+        let leaving = exchange.head().headers.get(LEAVING).and_then(|value| value.to_str().ok());
+        if let Some(process) = leaving.and_then(decode_leaving) {
+            traffic.record_leaving(process);
+        }
         return Ok(ForwardedExchange { exchange, outcome, guard });
     }
     Err(ForwardError::Unreached)
@@ -221,10 +229,17 @@
 /// Returns the headers of a node's response that the caller gets.
 pub(crate) fn relay_headers(exchange: &Exchange) -> Vec<(HeaderName, HeaderValue)> {
     let mut headers = platform::relay_headers(exchange.head());
-    headers.retain(|(name, _)| *name != OUTCOME);
+    headers.retain(|(name, _)| *name != OUTCOME && *name != LEAVING);
     headers
 }
 
+/// Names a process that is leaving in the response to the node that passed the request on.
+pub(crate) fn name_leaving(headers: &mut Vec<(HeaderName, HeaderValue)>, process: ProcessDigest) {
+    if let Ok(value) = HeaderValue::from_str(&encode_leaving(process)) {
+        headers.push((LEAVING, value));
+    }
+}
+
 /// Removes the headers of the forwarding node from a request, and returns how many upstreams may
 /// run it.
 pub(crate) fn take_attempts(request: &mut Request) -> usize {
--- a/crates/hibiscushinged/src/gateway/generation.rs
+++ b/crates/hibiscushinged/src/gateway/generation.rs
@@ -133,6 +133,7 @@
         body: job.item.body.clone(),
         billed_customer: None,
         origin: RequestOrigin::Item,
+        process_bound: true,
     };
     let opened = tokio::time::timeout(EVENT_TIMEOUT, open_exchange(traffic, call)).await;
     let mut exchange = match opened {
--- a/crates/hibiscushinged/src/gateway/generation/tests.rs
+++ b/crates/hibiscushinged/src/gateway/generation/tests.rs
@@ -1,9 +1,10 @@
 //! Runs on engines whose event streams do not end.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use base::{WallTime, WeightVersion};
 use bytes::Bytes;
+use dispatch::UpstreamEntry;
 use rstest::rstest;
 use submissions::{GenerationEvent, SubmissionItem, SubmissionMetadata};
 use tokio::{
@@ -47,6 +48,11 @@
     ItemJob::new(0, &Arc::new(metadata), &Arc::new(item), one_version, None)
 }
 
+/// Returns the entry of an engine that cannot name its process.
+fn unchecked_entry(address: SocketAddr) -> UpstreamEntry {
+    UpstreamEntry { started_at_ms: None, ..upstream_entry("e", address) }
+}
+
 fn chunk(body: &str) -> String {
     format!("{:x}\r\n{body}\r\n", body.len())
 }
@@ -81,7 +87,7 @@
         }
     });
     let traffic = traffic(address);
-    let (upstream, _) = traffic.balancer.borrow_mut().update(upstream_entry("e", address));
+    let (upstream, _) = traffic.balancer.borrow_mut().update(unchecked_entry(address));
     let job = Rc::new(job(false));
     let started = traffic.node.now();
     let run = generate(&traffic, &job, upstream, "e", started);
@@ -116,7 +122,7 @@
         let _ = stream.read(&mut request).await;
     });
     let traffic = traffic(address);
-    let (upstream, _) = traffic.balancer.borrow_mut().update(upstream_entry("e", address));
+    let (upstream, _) = traffic.balancer.borrow_mut().update(unchecked_entry(address));
     let job = Rc::new(job(true));
     let version = Some(WeightVersion(text_version));
     let event = GenerationEvent { id: 1, data: String::from("a"), version };
--- a/crates/hibiscushinged/src/gateway/plain.rs
+++ b/crates/hibiscushinged/src/gateway/plain.rs
@@ -50,6 +50,8 @@
     pub(crate) latency_objective: Span,
     pub(crate) max_attempts: usize,
     pub(crate) retryable: bool,
+    /// Whether the response is a stream that another upstream may go on with.
+    pub(crate) resumable: bool,
     pub(crate) origin: RequestOrigin,
     /// Whether another node passed the request on, so that this one must not.
     pub(crate) forwarded: bool,
@@ -100,6 +102,7 @@
             body: self.body.clone(),
             billed_customer: self.customer,
             origin: self.origin,
+            process_bound: self.resumable,
         }
     }
 }
@@ -279,7 +282,13 @@
 ) -> AttemptResult {
     let upstream = target.upstream;
     let call = job.call(traffic, upstream, time_left);
-    let result = run_exchange(traffic, call).await;
+    let mut result = run_exchange(traffic, call).await;
+    if let Ok(response) = &mut result
+        && job.forwarded
+        && response.metadata.leaving
+    {
+        forward::name_leaving(&mut response.headers, target.process());
+    }
     let crashed = match &result {
         Err(AttemptError::MaybeRun(_)) => match CallerRun::new(job, target) {
             Some(run) => run.check_crash(traffic).await,
--- a/crates/hibiscushinged/src/gateway/relay.rs
+++ b/crates/hibiscushinged/src/gateway/relay.rs
@@ -6,13 +6,14 @@
     Response,
     body::{BodyStream, BoxBody},
 };
-use base::{Refusal, RefusalCode, Span, UpstreamKey};
+use base::{Moment, ProcessDigest, Refusal, RefusalCode, Span, UpstreamKey};
 use dispatch::{ExchangeOutcome, LinkState};
 use futures_util::stream;
 use platform::relay_headers;
 use smallvec::SmallVec;
 
 use crate::{
+    clock::to_duration,
     gateway::{
         attempt::{AttemptError, AttemptGuard, log_attempt, open_exchange, wait_until},
         channel::Exchange,
@@ -32,6 +33,10 @@
 /// Retry-After of a refused request.
 const RETRY_AFTER: Span = Span::from_millis(150);
 
+/// Time after the deadline of a request for which its stream may still end by itself. Upstreams end
+/// their responses at the deadline that they are given.
+const STREAM_END_GRACE: Span = Span::from_millis(400);
+
 /// State of a relayed stream. It counts as in flight until it is dropped.
 struct RelayState {
     traffic: Rc<TrafficState>,
@@ -39,6 +44,8 @@
     exchange: Option<Exchange>,
     attempt: Option<AttemptGuard>,
     run: Option<CallerRun>,
+    /// When the stream is cut if it has not ended.
+    ends_at: Moment,
     _permit: Option<RunPermit>,
     _in_flight: InFlightGuard,
 }
@@ -113,10 +120,13 @@
                     exchange: None,
                     attempt: Some(attempt),
                     run: CallerRun::new(job, target),
+                    ends_at: job.deadline + STREAM_END_GRACE,
                     _permit: permit,
                     _in_flight: in_flight,
                 };
-                return Ok(stream_response(exchange, state));
+                let leaving = job.forwarded && exchange.metadata().leaving;
+                let leaving = leaving.then(|| target.process());
+                return Ok(stream_response(exchange, leaving, state));
             }
             Err((AttemptError::NotRun(cause), outcome)) => {
                 attempt.finish(outcome);
@@ -213,9 +223,18 @@
     }
 }
 
-fn stream_response(exchange: Exchange, mut state: RelayState) -> Response<BoxBody> {
+/// Relays the response of an upstream. `leaving` is its process if another node has to learn that
+/// it is leaving.
+fn stream_response(
+    exchange: Exchange,
+    leaving: Option<ProcessDigest>,
+    mut state: RelayState,
+) -> Response<BoxBody> {
     let status = exchange.head().status;
-    let headers = relay_headers(exchange.head());
+    let mut headers = relay_headers(exchange.head());
+    if let Some(process) = leaving {
+        forward::name_leaving(&mut headers, process);
+    }
     state.exchange = Some(exchange);
     let body = BodyStream::new(Box::pin(stream::unfold(state, next_chunk)));
     response::with_headers(status, BoxBody::new(body), headers)
@@ -225,7 +244,16 @@
     mut state: RelayState,
 ) -> Option<(Result<bytes::Bytes, std::io::Error>, RelayState)> {
     let exchange = state.exchange.as_mut()?;
-    match exchange.chunk().await {
+    let time_left = state.ends_at.since(state.traffic.node.now());
+    let Ok(chunk) = tokio::time::timeout(to_duration(time_left), exchange.chunk()).await else {
+        state.exchange = None;
+        if let Some(attempt) = state.attempt.take() {
+            attempt.finish(ExchangeOutcome::TimedOut);
+        }
+        let error = std::io::Error::other("the stream did not end before the deadline");
+        return Some((Err(error), state));
+    };
+    match chunk {
         Ok(Some(chunk)) => Some((Ok(chunk), state)),
         Ok(None) => {
             let exchange = state.exchange.take()?;
--- a/crates/hibiscushinged/src/gateway/reward.rs
+++ b/crates/hibiscushinged/src/gateway/reward.rs
@@ -113,6 +113,7 @@
         latency_objective: route.latency_objective,
         max_attempts: MAX_ATTEMPTS,
         retryable: true,
+        resumable: false,
         origin: RequestOrigin::Item,
         forwarded: false,
         software_version: None,
--- a/crates/hibiscushinged/src/gateway/serve.rs
+++ b/crates/hibiscushinged/src/gateway/serve.rs
@@ -399,6 +399,7 @@
         latency_objective: route.latency_objective,
         max_attempts: caller.forwarded_attempts.unwrap_or(max_attempts).min(max_attempts),
         retryable: route.is_retryable(),
+        resumable: route.kind == RequestKind::Stream && route.can_resume,
         origin: RequestOrigin::Caller,
         forwarded: caller.forwarded_attempts.is_some(),
         software_version: None,
--- a/crates/hibiscushinged/src/gateway/serve/tests.rs
+++ b/crates/hibiscushinged/src/gateway/serve/tests.rs
@@ -1,5 +1,7 @@
 //! Traffic servers of several nodes, of which some have lost their links to all upstreams.
 
+mod leaving;
+
 use std::{
     net::{Ipv4Addr, SocketAddr},
     rc::Rc,
@@ -109,6 +111,7 @@
             service: String::from("drafts"),
             zone: String::from("z"),
             software_version: String::from("v1"),
+            started_at_ms: 1,
             models: vec![String::from("m0")],
             slots: 8,
             event_interval: Duration::from_millis(10),
@@ -128,6 +131,10 @@
         let engine = (self.engine.id(), self.engine.entry());
         for (id, entry) in services.chain([engine]) {
             let mut entry = decode_upstream_entry(id, entry.to_string().as_bytes()).unwrap();
+            if fault == Some(LinkFault::FallsSilent) {
+                // Its single response is that to a request, so it cannot name its process.
+                entry.started_at_ms = None;
+            }
             entry.address = match fault {
                 None => entry.address,
                 Some(LinkFault::Refuses) => refusing_address(&mut self.reserved),
--- a/crates/hibiscushinged/src/gateway/traffic_state.rs
+++ b/crates/hibiscushinged/src/gateway/traffic_state.rs
@@ -2,14 +2,17 @@
 
 use std::{cell::RefCell, rc::Rc, sync::Arc};
 
-use base::UpstreamKey;
+use base::{ProcessDigest, UpstreamKey};
 use dispatch::UpstreamBalancer;
 
-use crate::gateway::{
-    channel::Exchange, forward::PeerNodes, items::ItemScheduler, limits::LimitRegistry,
-    links::LinkMonitor, node::NodeState, partitions::PartitionSet, pool::ChannelPool,
-    response_buffer::BufferBudget, store::StoreSession, stream_origins::OriginRegistry,
-    suspect_runs::SuspectRuns, suspects::SuspectRegistry,
+use crate::{
+    gateway::{
+        channel::Exchange, forward::PeerNodes, items::ItemScheduler, limits::LimitRegistry,
+        links::LinkMonitor, node::NodeState, partitions::PartitionSet, pool::ChannelPool,
+        response_buffer::BufferBudget, store::StoreSession, stream_origins::OriginRegistry,
+        suspect_runs::SuspectRuns, suspects::SuspectRegistry,
+    },
+    telemetry::log_event,
 };
 
 /// State of the traffic thread.
@@ -48,8 +51,22 @@
         }
     }
 
+    /// Sends no further requests to a process that said in a response that it is leaving. Runs that
+    /// have begun there go on.
+    pub(crate) fn record_leaving(&self, process: ProcessDigest) {
+        let Some(upstream) = self.balancer.borrow_mut().record_leaving(process) else { return };
+        self.pool.close(upstream);
+        let balancer = self.balancer.borrow();
+        let entry = balancer.entry(upstream);
+        let (id, address, state) = (&entry.id, entry.address, entry.state);
+        log_event!(UpstreamChanged, upstream = id, %address, ?state, change = "leaving");
+    }
+
     /// Returns the connection of a complete exchange to the pool, if it can be reused.
     pub(crate) fn keep_channel(&self, upstream: UpstreamKey, exchange: Exchange) {
+        if exchange.metadata().leaving {
+            return;
+        }
         let idle_timeout = exchange.metadata().idle_timeout;
         if let Some(channel) = exchange.into_reusable() {
             self.pool.keep(self.node.now(), upstream, channel, idle_timeout);
--- a/crates/hibiscushinged/src/gateway/weight_loads.rs
+++ b/crates/hibiscushinged/src/gateway/weight_loads.rs
@@ -2,12 +2,12 @@
 
 use std::{
     cell::RefCell,
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     rc::Rc,
     time::Duration,
 };
 
-use base::{Moment, Span, WeightVersion};
+use base::{Moment, ProcessDigest, Span, WeightVersion};
 use dispatch::{
     EngineWeights, EntryState, UpstreamEntry, WeightLoad, WeightLoadLimits, plan_weight_loads,
 };
@@ -45,6 +45,8 @@
     loading: RefCell<HashMap<String, (String, WeightVersion, Moment)>>,
     /// Versions that engines have reported, which may be newer than those in their entries.
     reported_versions: RefCell<HashMap<String, Vec<(String, WeightVersion)>>>,
+    /// Processes of engines that said in a report that they are leaving.
+    leaving: RefCell<HashSet<ProcessDigest>>,
     /// Moments before which an engine gets no further order.
     backoffs: RefCell<HashMap<String, Moment>>,
 }
@@ -78,9 +80,11 @@
     for service in config.services() {
         let Some(engine) = &service.engine else { continue };
         let newest_versions = newest_versions(&versions, &engine.models);
-        let members = entries
-            .values()
-            .filter(|entry| entry.service == service.name && entry.state == EntryState::Ready);
+        let members = entries.values().filter(|entry| {
+            entry.service == service.name
+                && entry.state == EntryState::Ready
+                && !loader.is_leaving(entry)
+        });
         let engines: Vec<EngineWeights> = members.map(|entry| loader.engine(entry)).collect();
         let limits = WeightLoadLimits::for_service(engines.len(), engine.models.len());
         orders.extend(plan_weight_loads(now, &engines, &newest_versions, limits));
@@ -105,6 +109,7 @@
             engines: EngineControlClient::new(http),
             loading: RefCell::default(),
             reported_versions: RefCell::default(),
+            leaving: RefCell::default(),
             backoffs: RefCell::default(),
         }
     }
@@ -121,6 +126,11 @@
         EngineWeights { id: entry.id.clone(), versions, loading }
     }
 
+    fn is_leaving(&self, entry: &UpstreamEntry) -> bool {
+        let leaving = self.leaving.borrow();
+        !leaving.is_empty() && leaving.contains(&entry.process())
+    }
+
     fn finish(&self, engine: &str, backoff_until: Option<Moment>) {
         self.loading.borrow_mut().remove(engine);
         if let Some(until) = backoff_until {
@@ -157,6 +167,10 @@
     let client = &loader.engines;
     let report = client.report(entry.address, ORDER_TIMEOUT).await;
     let report = report.map_err(|error| error.to_string())?;
+    if report.leaving {
+        loader.leaving.borrow_mut().insert(entry.process());
+        return Err(String::from("the engine is leaving"));
+    }
     if report.busy {
         return Err(String::from("the engine is busy with another order"));
     }
--- a/crates/process-tests/src/site.rs
+++ b/crates/process-tests/src/site.rs
@@ -83,6 +83,7 @@
                 service: String::from("drafts"),
                 zone: String::from("zone-a"),
                 software_version: String::from("v1"),
+                started_at_ms: 1,
                 models: vec![String::from("m0")],
                 slots: 8,
                 event_interval: Duration::from_millis(20),
--- a/crates/process-tests/tests/software_versions.rs
+++ b/crates/process-tests/tests/software_versions.rs
@@ -1,14 +1,14 @@
 //! Upstreams with two versions of their software in one service, at gateways on the users'
 //! platform.
 
-use std::time::Duration;
+use std::{cell::RefCell, time::Duration};
 
 use process_tests::{
     ReceivedStream, SiteFleet, SiteOptions, call, get, read_stream, submission_body, wait_for,
 };
 use rstest::rstest;
 use serde_json::Value;
-use site_stand_in::{SiteEngine, StoreFault};
+use site_stand_in::{EngineOptions, SiteEngine, StoreFault};
 
 /// Events of a complete stream.
 const EVENTS: u64 = 10;
@@ -215,6 +215,102 @@
     assert_eq!((anew.status, anew.events.len() as u64), (200, EVENTS));
 }
 
+/// Starts an engine with the next version of the software under the identifier and address of one that
+/// has stopped.
+async fn replace_engine(stopped: &SiteEngine) -> SiteEngine {
+    let options = EngineOptions {
+        listen: stopped.address(),
+        id: String::from(stopped.id()),
+        software_version: String::from("v2"),
+        started_at_ms: 2,
+        ..SiteOptions::default().engine
+    };
+    stopped.stop().await;
+    wait_for("the address of the stopped engine", || async {
+        SiteEngine::start(options.clone()).ok()
+    })
+    .await
+}
+
+/// Pattern: an engine starts again with a new version under its identifier and address while a node
+/// still has the entry of its predecessor.
+///
+/// Guards against streams that go on at the new version although the entry names the old one, and
+/// against streams that begin there and are recorded under the old one.
+#[actix_rt::test]
+async fn restarted_engine_serves_no_streams_under_its_earlier_version() {
+    let options = SiteOptions { gateways: 2, engines: 1, newer_engines: 0, ..Default::default() };
+    let fleet = SiteFleet::start(options).await;
+    let first = talk(&fleet, 0, "t", None, EVENTS_BEFORE_BREAK).await;
+    assert_eq!(check_events(&first.events, 1), "v1");
+    let newer = replace_engine(&fleet.engines[0]).await;
+    let last_event = first.events.last().unwrap().0;
+    for gateway in [0, 1] {
+        for (id, resumes) in [("u", Some(("t", last_event))), ("v", None)] {
+            let id = format!("{id}{gateway}");
+            let stream = talk(&fleet, gateway, &id, resumes, usize::MAX).await;
+            assert_eq!(stream.status, 503, "{stream:?}");
+            assert!(stream.body.contains("not-run"), "{stream:?}");
+        }
+    }
+    assert_eq!(newer.runs(), 0);
+    fleet.store.put_upstream(newer.id(), &newer.entry());
+    let anew = wait_for("a stream at the new version", || async {
+        let stream = talk(&fleet, 1, "w", None, usize::MAX).await;
+        (stream.status == 200).then_some(stream)
+    })
+    .await;
+    assert_eq!(check_events(&anew.events, 1), "v2");
+    let gone = talk(&fleet, 0, "x", Some(("t", last_event)), usize::MAX).await;
+    assert!(gone.body.contains("version-gone"), "{gone:?}");
+}
+
+/// Pattern: a node stands still while engines of a new version join. Streams that began on them at
+/// another node break and are taken up at that node as soon as it goes on.
+///
+/// Guards against streams that go on at the only version that the node knew before.
+#[actix_rt::test]
+async fn node_that_stood_still_continues_streams_at_their_version() {
+    let options = SiteOptions { gateways: 2, engines: 1, newer_engines: 0, ..Default::default() };
+    let fleet = SiteFleet::start(options).await;
+    fleet.gateways[1].signal("STOP");
+    let newer = SiteEngine::start(EngineOptions {
+        id: String::from("engine-new"),
+        software_version: String::from("v2"),
+        ..SiteOptions::default().engine
+    })
+    .unwrap();
+    fleet.store.put_upstream(newer.id(), &newer.entry());
+    let begun = RefCell::new(Vec::new());
+    wait_for("streams at both versions", async || {
+        let number = begun.borrow().len();
+        let id = format!("t{number}");
+        let events = talk(&fleet, 0, &id, None, EVENTS_BEFORE_BREAK).await.events;
+        begun.borrow_mut().push((id, events));
+        let begun = begun.borrow();
+        let is_newer = |events: &[(u64, String)]| {
+            events.first().is_some_and(|(_, data)| software_of(data) == "v2")
+        };
+        let any_newer = begun.iter().any(|(_, events)| is_newer(events));
+        (any_newer && begun.len() >= STREAMS).then_some(())
+    })
+    .await;
+    fleet.gateways[1].signal("CONT");
+    for (id, events) in &begun.into_inner() {
+        let last_event = events.last().map_or(0, |(id, _)| *id);
+        let resumes = Some((id.as_str(), last_event));
+        let stream = talk(&fleet, 1, &format!("r{id}"), resumes, usize::MAX).await;
+        if stream.status != 200 {
+            assert!(stream.body.contains("not-run"), "{stream:?}");
+            continue;
+        }
+        let mut all = events.clone();
+        all.extend(stream.events);
+        check_events(&all, 1);
+        assert_eq!(all.last().unwrap().0, EVENTS);
+    }
+}
+
 /// Guards against items whose text was written by two versions of the software, because a broken
 /// run is continued at any engine.
 #[rstest]
--- a/crates/protocol/src/forwarding.rs
+++ b/crates/protocol/src/forwarding.rs
@@ -1,6 +1,6 @@
 //! Headers of requests that one node passes to another, and of the responses.
 
-use base::{Execution, derive_copy};
+use base::{Execution, ProcessDigest, derive_copy};
 
 /// Header of a forwarded request: the upstreams that may still run it.
 pub const ATTEMPTS_HEADER: &str = "hibiscushinge-attempts";
@@ -8,6 +8,10 @@
 /// Header of the response to a forwarded request, see [`ForwardOutcome`].
 pub const OUTCOME_HEADER: &str = "hibiscushinge-outcome";
 
+/// Header of the response to a forwarded request: the process that responded, if it said that it is
+/// leaving. The node that passes its response on must not send requests to it later.
+pub const LEAVING_HEADER: &str = "hibiscushinge-leaving";
+
 /// Header of the question whether a node reaches the upstreams of a service: its name.
 pub const SERVICE_HEADER: &str = "hibiscushinge-service";
 
@@ -46,3 +50,15 @@
         found.unwrap_or(Self::Refused(Execution::MayHaveRun))
     }
 }
+
+/// Returns the value of [`LEAVING_HEADER`] for a process.
+#[must_use]
+pub fn encode_leaving(process: ProcessDigest) -> String {
+    format!("{:016x}", process.0)
+}
+
+/// Parses the value of [`LEAVING_HEADER`].
+#[must_use]
+pub fn decode_leaving(value: &str) -> Option<ProcessDigest> {
+    u64::from_str_radix(value, 16).ok().map(ProcessDigest)
+}
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -14,7 +14,10 @@
         MAX_MESSAGE_BYTES, MalformedMessage, StreamRecord, WireId, decode_message, decode_record,
         encode_message, encode_record,
     },
-    forwarding::{ATTEMPTS_HEADER, ForwardOutcome, LINKS_PATH, OUTCOME_HEADER, SERVICE_HEADER},
+    forwarding::{
+        ATTEMPTS_HEADER, ForwardOutcome, LEAVING_HEADER, LINKS_PATH, OUTCOME_HEADER,
+        SERVICE_HEADER, decode_leaving, encode_leaving,
+    },
     peer::{
         PeerMessage, WireBatchHold, WireConfigCopy, WireHeartbeat, WireIdentity, WireIsolation,
         WireLimitAsk, WireLimitGrant, WireLiveness, WirePeerUpdate, WireSampleCopy, WireSuspicion,
--- a/crates/soak/src/testbed.rs
+++ b/crates/soak/src/testbed.rs
@@ -98,6 +98,7 @@
             let engine = EngineOptions {
                 id: format!("engine-{index}"),
                 software_version: format!("v{}", 1 + index % 2),
+                started_at_ms: 1,
                 ..site_options.engine.clone()
             };
             let upstream =
