--- a/crates/dispatch/src/pick.rs
+++ b/crates/dispatch/src/pick.rs
@@ -65,7 +65,8 @@
     }
 }
 
-/// Response time assumed for a plain request on an upstream without measurements, in microseconds.
+/// Response time assumed for a plain request while no upstream of its service has measurements, in
+/// microseconds. Later the mean of the others is assumed for one without.
 const ASSUMED_RESPONSE_US: f64 = 30_000.0;
 
 /// Time between two events assumed for an engine without measurements, in microseconds.
@@ -93,11 +94,19 @@
 /// choice.
 const MAX_JITTER: f64 = 0.15;
 
-/// Factor on the cost of an upstream to which an idle connection is open. Opening a new one costs a
+/// Factor on the cost of an engine to which an idle connection is open. Opening a new one costs a
 /// round trip, and an open connection is a resource with a cost of its own: the number of
 /// connections opened to upstreams counts against the service.
 const CONNECTED_FACTOR: f64 = 0.8;
 
+/// The same factor for a caller's request. It outweighs the zone and the jitter, and an upstream whose
+/// slots are half taken, but not one that is full or twice as slow as others.
+const CONNECTED_CALLER_FACTOR: f64 = 0.65;
+
+/// The same factor for a reward call. Nobody waits for a single one, so all slots of the connected
+/// upstreams are taken before a connection to another one is opened.
+const CONNECTED_REWARD_FACTOR: f64 = 0.4;
+
 /// A running generation is migrated when the other engine's time between events is below this part
 /// of the current one's. A migration costs some milliseconds for reading the prompt and text again,
 /// and a new connection, which has a cost of its own (see [`CONNECTED_FACTOR`]). Engines of the
@@ -116,6 +125,11 @@
     pub fn pick_plain(&self, now: Moment, request: &PlainPickRequest<'_>) -> Option<UpstreamKey> {
         let tried_zones = request.tried.iter().map(|key| self.upstreams[*key].entry.zone.as_str());
         let tried_zones: SmallVec<[&str; 4]> = tried_zones.collect();
+        let connected = match request.origin {
+            RequestOrigin::Caller => CONNECTED_CALLER_FACTOR,
+            RequestOrigin::Item => CONNECTED_REWARD_FACTOR,
+        };
+        let assumed_us = self.mean_response_us(request.service);
         let mut best: Option<(u8, f64, UpstreamKey)> = None;
         for upstream in self.service_upstreams(request.service) {
             if !self.is_usable(now, *upstream) || !self.admits(now, *upstream, request.origin) {
@@ -129,9 +143,9 @@
                 continue;
             }
             let rank = self.rank(now, *upstream, request.tried);
-            let cost = plain_cost(now, stats, &tried_zones, request)
+            let cost = plain_cost(now, stats, assumed_us, &tried_zones, request)
                 * jitter(request.jitter_seed, *upstream)
-                * connected_factor(request.connected, *upstream);
+                * connected_factor(request.connected, *upstream, connected);
             if best.is_none_or(|(best_rank, best_cost, _)| (rank, cost) < (best_rank, best_cost)) {
                 best = Some((rank, cost, *upstream));
             }
@@ -171,7 +185,7 @@
             let rank = self.rank(now, *upstream, request.tried);
             let cost = generation_cost(now, stats)
                 * jitter(request.jitter_seed, *upstream)
-                * connected_factor(request.connected, *upstream);
+                * connected_factor(request.connected, *upstream, CONNECTED_FACTOR);
             if request.warm_engine == Some(*upstream) {
                 warm_engine = Some((rank, cost, *upstream));
             }
@@ -217,6 +231,20 @@
         to_interval * slowdown * to.failure_factor() < from_interval * MAX_MIGRATION_INTERVAL_RATIO
     }
 
+    /// Returns the mean response time of the measured upstreams of a service, in microseconds.
+    /// Requests of services differ much in their work, and a low value would send requests to each
+    /// upstream in turn that has no measurements yet.
+    fn mean_response_us(&self, service: &str) -> f64 {
+        let (mut total, mut count) = (0.0, 0);
+        for upstream in self.service_upstreams(service) {
+            if let Some(time) = self.upstreams[*upstream].response_time {
+                total += time;
+                count += 1;
+            }
+        }
+        if count == 0 { ASSUMED_RESPONSE_US } else { total / f64::from(count) }
+    }
+
     /// Returns the rank of an upstream, which is compared before the cost; 0 is best. Suspension
     /// adds 1, a removed entry 2, and an earlier try 4.
     fn rank(&self, now: Moment, upstream: UpstreamKey, tried: &[UpstreamKey]) -> u8 {
@@ -236,14 +264,16 @@
 }
 
 /// Returns the expected time of a plain request in microseconds, weighted by the zone factors.
-/// `tried_zones` holds the availability zones of the upstreams tried before.
+/// `assumed_us` is the time assumed without measurements, and `tried_zones` holds the availability
+/// zones of the upstreams tried before.
 fn plain_cost(
     now: Moment,
     stats: &UpstreamStats,
+    assumed_us: f64,
     tried_zones: &[&str],
     request: &PlainPickRequest<'_>,
 ) -> f64 {
-    let time = stats.response_time.unwrap_or(ASSUMED_RESPONSE_US) * stats.failure_factor();
+    let time = stats.response_time.unwrap_or(assumed_us) * stats.failure_factor();
     let slots = f64::from(stats.entry.slots.max(1));
     let utilization = (f64::from(stats.load(now)) + 1.0) / slots;
     // With a free slot the request runs at once; without one it waits in proportion to the queue.
@@ -266,8 +296,8 @@
     time * (1.0 + SLOWDOWN_PER_REQUEST * f64::from(stats.load(now)))
 }
 
-fn connected_factor(connected: &[UpstreamKey], upstream: UpstreamKey) -> f64 {
-    if connected.contains(&upstream) { CONNECTED_FACTOR } else { 1.0 }
+fn connected_factor(connected: &[UpstreamKey], upstream: UpstreamKey, factor: f64) -> f64 {
+    if connected.contains(&upstream) { factor } else { 1.0 }
 }
 
 /// Returns a factor from 1 to 1 + [`MAX_JITTER`], which depends on the seed and the upstream.
--- a/crates/hibiscushinged/src/gateway/items.rs
+++ b/crates/hibiscushinged/src/gateway/items.rs
@@ -11,7 +11,9 @@
 };
 
 use base::{Moment, Span, UpstreamKey};
-use submissions::{GeneratedText, ItemQueue, ItemResult, SubmissionItem, SubmissionMetadata};
+use submissions::{
+    GeneratedText, ItemQueue, ItemRank, ItemResult, SubmissionItem, SubmissionMetadata,
+};
 use tokio::sync::Notify;
 
 use crate::{
@@ -157,7 +159,7 @@
             config.as_ref().and_then(|config| config.route(&job.metadata.host, &job.metadata.path));
         let due = route.map_or(node.now(), |route| due_at(node.now(), &job.metadata, route));
         // An item that has begun comes before others of its submission.
-        state.queue.push(due, 0, u32::MAX, Rc::clone(job));
+        state.queue.push(due, ItemRank::FIRST, Rc::clone(job));
         drop(state);
         self.wake();
     }
--- a/crates/hibiscushinged/src/gateway/runner.rs
+++ b/crates/hibiscushinged/src/gateway/runner.rs
@@ -1,6 +1,7 @@
 //! Runs the items of submissions in the partitions that this node owns.
 
 use std::{
+    cell::LazyCell,
     collections::{BTreeSet, HashMap},
     rc::Rc,
     time::Duration,
@@ -8,7 +9,8 @@
 
 use base::{Moment, Span, UpstreamKey};
 use dispatch::{GenerationPickRequest, ModelRequirement, RequestOrigin};
-use submissions::{SubmissionTable, result_records};
+use routebook::RouteSpec;
+use submissions::{ItemRank, SubmissionState, SubmissionTable, result_records};
 
 use crate::{
     clock::to_duration,
@@ -102,10 +104,10 @@
             continue;
         };
         let due = due_at(traffic.node.now(), metadata, route);
-        let mut groups: HashMap<&str, u32> = HashMap::new();
+        let slots = service_slots(traffic, route);
+        // Most changes bring no new items.
+        let tokens_before = LazyCell::new(|| tokens_before_groups(submission));
         for item in submission.items() {
-            let next = groups.len() as u32;
-            let group = *groups.entry(&item.group).or_insert(next);
             if submission.is_resolved(&item.id) || state.jobs.contains(&metadata.id, &item.id) {
                 continue;
             }
@@ -118,13 +120,42 @@
             ));
             job.progress.borrow_mut().queued_at = traffic.node.now();
             state.jobs.insert(&job);
-            state.queue.push(due, group, item.expected_tokens, job);
+            let tokens_before = tokens_before.get(item.group.as_str()).copied().unwrap_or(0);
+            state.queue.push(due, ItemRank::new(tokens_before, slots, item.expected_tokens), job);
         }
     }
     drop(state);
     traffic.items.wake();
 }
 
+/// Returns the slots of the services to which the items of a route go.
+fn service_slots(traffic: &TrafficState, route: &RouteSpec) -> u32 {
+    let (now, balancer) = (traffic.node.now(), traffic.balancer.borrow());
+    let targets = route.targets.iter();
+    let slots = targets.map(|target| balancer.occupancy(now, &target.service).0);
+    slots.fold(0, u32::saturating_add)
+}
+
+/// Returns how many tokens the groups before each group of a submission are expected to generate.
+fn tokens_before_groups(submission: &SubmissionState) -> HashMap<&str, u64> {
+    let mut groups: Vec<&str> = Vec::new();
+    let mut tokens: HashMap<&str, u64> = HashMap::new();
+    for item in submission.items() {
+        let group = tokens.entry(&item.group).or_insert_with(|| {
+            groups.push(&item.group);
+            0
+        });
+        *group += u64::from(item.expected_tokens);
+    }
+    let mut before = 0;
+    for group in groups {
+        if let Some(tokens) = tokens.get_mut(group) {
+            before += std::mem::replace(tokens, before);
+        }
+    }
+    tokens
+}
+
 /// Assigns queued items to engines with free slots.
 fn place(traffic: &Rc<TrafficState>) {
     let now = traffic.node.now();
--- a/crates/hibiscushinged/src/gateway/serve/tests/leaving.rs
+++ b/crates/hibiscushinged/src/gateway/serve/tests/leaving.rs
@@ -2,6 +2,7 @@
 //! them as ready.
 
 use rstest::rstest;
+use site_stand_in::SiteService;
 
 use super::{LinkFault, TestFleet, UPSTREAMS, wait_until};
 
@@ -16,7 +17,7 @@
         for service in leaving {
             service.set_leaving();
         }
-        leaving.iter().map(|service| service.served()).collect()
+        leaving.iter().map(SiteService::served).collect()
     }
 
     /// Asserts that each upstream that is leaving got one request at most since then: the one whose
--- a/crates/submissions/src/queue.rs
+++ b/crates/submissions/src/queue.rs
@@ -5,19 +5,35 @@
 use base::{Moment, derive_copy};
 
 derive_copy! {
+    /// Place of a waiting item among those of its submission. Items with lower ranks run first.
+    ///
+    /// The rank is when the item should start, in tokens of one slot since the submission arrived: when
+    /// the turn of its group comes, less the time that the item itself takes. So groups are completed
+    /// one after another where slots are scarce, and where they are not, long items start first,
+    /// whatever their group: a group is whole no sooner than its longest item.
+    pub struct ItemRank(i64);
+
     /// Sort key of a waiting item. Items with lower keys run first; the fields count in their
     /// order.
-    pub struct ItemPriority {
+    struct ItemPriority {
         /// When the results of the submission are due.
-        pub due: Moment,
-        /// Position of the item's group within its submission. Items are ordered by group so that
-        /// groups are completed one after another.
-        pub group: u32,
-        /// `u32::MAX` less the item's estimated tokens, so that the longest items of a group run
-        /// first.
-        pub inverted_tokens: u32,
+        due: Moment,
+        rank: ItemRank,
         /// Order in which items were added, which breaks ties.
-        pub sequence: u64,
+        sequence: u64,
+    }
+}
+
+impl ItemRank {
+    /// Rank that precedes all others of the submission.
+    pub const FIRST: Self = Self(i64::MIN);
+
+    /// Returns the rank of an item that generates about `expected_tokens`, where those of the groups
+    /// before its own generate `tokens_before` together, on this number of slots.
+    #[must_use]
+    pub fn new(tokens_before: u64, slots: u32, expected_tokens: u32) -> Self {
+        let turn = tokens_before / u64::from(slots.max(1));
+        Self(i64::try_from(turn).unwrap_or(i64::MAX).saturating_sub(i64::from(expected_tokens)))
     }
 }
 
@@ -35,13 +51,12 @@
 }
 
 impl<T> ItemQueue<T> {
-    /// Adds an item of the group at position `group` of its submission, whose results are due at
-    /// `due`.
-    pub fn push(&mut self, due: Moment, group: u32, expected_tokens: u32, item: T) {
+    /// Adds an item of a submission whose results are due at `due`.
+    pub fn push(&mut self, due: Moment, rank: ItemRank, item: T) {
         let sequence = self.next_sequence;
         self.next_sequence += 1;
-        let inverted_tokens = u32::MAX - expected_tokens;
-        self.waiting.insert(ItemPriority { due, group, inverted_tokens, sequence }, item);
+        let priority = ItemPriority { due, rank, sequence };
+        self.waiting.insert(priority, item);
     }
 
     /// Calls `try_place` for each item in order, and removes and returns those for which it found
--- a/crates/submissions/tests/table.rs
+++ b/crates/submissions/tests/table.rs
@@ -7,8 +7,8 @@
 use proptest::prelude::*;
 use rstest::rstest;
 use submissions::{
-    GeneratedText, GenerationEvent, ItemQueue, ItemResult, SubmissionItem, SubmissionRecord,
-    SubmissionTable, TextError,
+    GeneratedText, GenerationEvent, ItemQueue, ItemRank, ItemResult, SubmissionItem,
+    SubmissionRecord, SubmissionTable, TextError,
 };
 
 const ITEMS: u32 = 6;
@@ -167,10 +167,10 @@
 #[test]
 fn queue_runs_due_groups_first_without_head_of_line_blocking() {
     let mut queue = ItemQueue::default();
-    queue.push(Moment(20), 0, 10, "late");
-    queue.push(Moment(10), 1, 99, "second group");
-    queue.push(Moment(10), 0, 5, "short of first group");
-    queue.push(Moment(10), 0, 50, "long of first group");
+    queue.push(Moment(20), ItemRank::new(0, 1, 10), "late");
+    queue.push(Moment(10), ItemRank::new(55, 1, 40), "second group");
+    queue.push(Moment(10), ItemRank::new(0, 1, 5), "short of first group");
+    queue.push(Moment(10), ItemRank::new(0, 1, 50), "long of first group");
     let mut offered = Vec::new();
     let placed = queue.place(|item| {
         offered.push(*item);
