--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -27,5 +27,5 @@
     pick::{GenerationPickRequest, ModelRequirement, PlainPickRequest, RequestOrigin},
     request_bucket::RequestBucket,
     stats::{ExchangeOutcome, UpstreamLoad},
-    weight_loads::{EngineWeights, WeightLoad, WeightLoadLimits, plan_weight_loads},
+    weight_loads::{EngineWeights, ModelTarget, WeightLoad, WeightLoadLimits, plan_weight_loads},
 };
--- a/crates/dispatch/src/pick.rs
+++ b/crates/dispatch/src/pick.rs
@@ -110,9 +110,13 @@
 /// A running generation is migrated when the other engine's time between events is below this part
 /// of the current one's. A migration costs some milliseconds for reading the prompt and text again,
 /// and a new connection, which has a cost of its own (see [`CONNECTED_FACTOR`]). Engines of the
-/// slower kinds stay above this bound, so their runs are not migrated.
+/// slower kinds stay above this bound, so their runs are migrated only for the time that they save.
 const MAX_MIGRATION_INTERVAL_RATIO: f64 = 0.4;
 
+/// A running generation is also migrated when that saves this time, in microseconds. A group is whole
+/// no sooner than its longest item, so a long one on a slow engine delays its whole step.
+const MIN_MIGRATION_GAIN_US: f64 = 1_000_000.0;
+
 /// An engine that has the shared prompt in its cache is preferred while its cost is at most that of
 /// the best engine times this.
 const MAX_WARM_COST_RATIO: f64 = 1.2;
@@ -218,17 +222,26 @@
             && version.is_some_and(|version| version >= requirement.min_version)
     }
 
-    /// Returns whether a generation that runs on the engine `from` should be migrated to the engine
-    /// `to`, because measurements show it to be much faster.
+    /// Returns whether a generation that runs on the engine `from`, and is expected to send this many
+    /// further events, should be migrated to the engine `to`, because measurements show it to be
+    /// much faster or to end the generation much sooner.
     #[must_use]
-    pub fn should_migrate(&self, now: Moment, from: UpstreamKey, to: UpstreamKey) -> bool {
+    pub fn should_migrate(
+        &self,
+        now: Moment,
+        from: UpstreamKey,
+        to: UpstreamKey,
+        remaining_events: u64,
+    ) -> bool {
         let (from, to) = (&self.upstreams[from], &self.upstreams[to]);
         let (Some(from_interval), Some(to_interval)) = (from.event_interval, to.event_interval)
         else {
             return false;
         };
         let slowdown = 1.0 + SLOWDOWN_PER_REQUEST * f64::from(to.load(now));
-        to_interval * slowdown * to.failure_factor() < from_interval * MAX_MIGRATION_INTERVAL_RATIO
+        let to_interval = to_interval * slowdown * to.failure_factor();
+        let gain = (from_interval - to_interval) * remaining_events as f64;
+        to_interval < from_interval * MAX_MIGRATION_INTERVAL_RATIO || gain >= MIN_MIGRATION_GAIN_US
     }
 
     /// Returns the mean response time of the measured upstreams of a service, in microseconds.
--- a/crates/dispatch/src/weight_loads.rs
+++ b/crates/dispatch/src/weight_loads.rs
@@ -2,10 +2,10 @@
 //!
 //! A step accepts the newest version and the one before it, so an engine that has loaded a version
 //! is usable for two steps. The plan keeps as many engines as possible within one version of the
-//! newest: the next load goes to the model with the fewest usable engines, and there to an engine
-//! that is not usable.
+//! newest: the next load goes to the model with the fewest usable engines for its demand, and there
+//! to an engine that is not usable.
 
-use std::collections::HashSet;
+use std::{cmp::Ordering, collections::HashSet};
 
 use base::{Moment, Span, WeightVersion, derive_copy, derive_value};
 
@@ -20,6 +20,16 @@
         pub loading: Option<(String, WeightVersion, Moment)>,
     }
 
+    /// A model whose trainer publishes weight versions.
+    pub struct ModelTarget {
+        /// Name of the model.
+        pub model: String,
+        /// Newest published version.
+        pub newest: WeightVersion,
+        /// Tokens that a step of its trainer generates, or 0 if that is not known.
+        pub demand: u64,
+    }
+
     /// A weight load to be ordered.
     pub struct WeightLoad {
         /// Identifier of the engine.
@@ -39,9 +49,16 @@
         /// Engines of each model to be kept at the newest version, even where an older one is still
         /// accepted.
         pub engines_per_model: usize,
+        /// Usual time of a load, if it is known. Older ones in progress are about to end and do not
+        /// count as concurrent: that an engine has ended a load is learned late.
+        pub usual_load_time: Option<Span>,
     }
 }
 
+/// Divisor of the mean demand of the models: the quotient counts as the demand of a model with less,
+/// so that it keeps some usable engines.
+const MIN_DEMAND_DIVISOR: u64 = 4;
+
 /// Part of a service's engines that may load at the same time. The weight store slows down when
 /// more than about a fifth of them load.
 const MAX_CONCURRENT_SHARE: f64 = 0.21;
@@ -63,6 +80,7 @@
         Self {
             max_concurrent: max_concurrent.max(MIN_CONCURRENT_LOADS),
             engines_per_model: engines.div_ceil(models.max(1)),
+            usual_load_time: None,
         }
     }
 }
@@ -72,6 +90,8 @@
 struct ModelCoverage<'a> {
     model: &'a str,
     version: WeightVersion,
+    /// Demand by which the model's engines are weighed, at least 1.
+    weight: u64,
     /// Engines whose version a step accepts, now or after their load.
     usable: usize,
     /// Engines that have the newest version or are loading it.
@@ -79,30 +99,32 @@
 }
 
 /// Returns the loads to be ordered now, within `limits` and less those in progress.
-/// `newest_versions` holds the newest version of each model.
+/// `targets` holds the models and their newest versions.
 #[must_use]
 pub fn plan_weight_loads(
     now: Moment,
     engines: &[EngineWeights],
-    newest_versions: &[(String, WeightVersion)],
+    targets: &[ModelTarget],
     limits: WeightLoadLimits,
 ) -> Vec<WeightLoad> {
-    let loading = |engine: &&EngineWeights| engine.is_loading(now);
-    let max_orders = limits.max_concurrent.saturating_sub(engines.iter().filter(loading).count());
-    let mut models: Vec<ModelCoverage<'_>> = newest_versions
+    let concurrent = engines.iter().filter(|engine| engine.is_concurrent(now, limits)).count();
+    let max_orders = limits.max_concurrent.saturating_sub(concurrent);
+    let total = targets.iter().fold(0, |sum, target| u64::saturating_add(sum, target.demand));
+    let least = total / (targets.len().max(1) as u64 * MIN_DEMAND_DIVISOR);
+    let mut models: Vec<ModelCoverage<'_>> = targets
         .iter()
-        .map(|(model, version)| ModelCoverage::of(engines, model, *version))
+        .map(|target| ModelCoverage::of(engines, target, target.demand.max(least).max(1)))
         .collect();
     let mut ordered_engines: HashSet<&str> = HashSet::new();
     let mut orders = Vec::new();
     while orders.len() < max_orders {
-        models.sort_by_key(|state| (state.usable, state.current, state.model));
+        models.sort_by(ModelCoverage::compare);
         let mut chosen = None;
         for (position, state) in models.iter().enumerate() {
             let idle = engines.iter().filter(|engine| {
                 !engine.is_loading(now) && !ordered_engines.contains(engine.id.as_str())
             });
-            if let Some(engine) = state.choose(idle, newest_versions, limits) {
+            if let Some(engine) = state.choose(idle, targets, limits) {
                 chosen = Some((position, engine));
                 break;
             }
@@ -124,14 +146,26 @@
 }
 
 impl<'a> ModelCoverage<'a> {
-    fn of(engines: &[EngineWeights], model: &'a str, version: WeightVersion) -> Self {
+    fn of(engines: &[EngineWeights], target: &'a ModelTarget, weight: u64) -> Self {
+        let (model, version) = (target.model.as_str(), target.newest);
         let lags = engines.iter().map(|engine| engine.lag(model, version));
         let (mut usable, mut current) = (0, 0);
         for lag in lags {
             usable += usize::from(lag <= MAX_ACCEPTED_LAG);
             current += usize::from(lag == 0);
         }
-        Self { model, version, usable, current }
+        Self { model, version, weight, usable, current }
+    }
+
+    /// Orders models by their usable engines for the demand, fewest first.
+    fn compare(&self, other: &Self) -> Ordering {
+        let weighed = |own: usize, weight: u64| own as u128 * u128::from(weight);
+        weighed(self.usable, other.weight)
+            .cmp(&weighed(other.usable, self.weight))
+            .then_with(|| {
+                weighed(self.current, other.weight).cmp(&weighed(other.current, self.weight))
+            })
+            .then_with(|| self.model.cmp(other.model))
     }
 
     /// Chooses the engine to load the model next: one that is not usable for it, with the fewest
@@ -140,7 +174,7 @@
     fn choose<'e>(
         &self,
         engines: impl Iterator<Item = &'e EngineWeights>,
-        newest_versions: &[(String, WeightVersion)],
+        targets: &[ModelTarget],
         limits: WeightLoadLimits,
     ) -> Option<&'e EngineWeights> {
         let mut best: Option<((bool, usize, &str), &EngineWeights)> = None;
@@ -149,11 +183,7 @@
             if lag == 0 || (lag <= MAX_ACCEPTED_LAG && self.current >= limits.engines_per_model) {
                 continue;
             }
-            let rank = (
-                lag <= MAX_ACCEPTED_LAG,
-                engine.usable_models(newest_versions),
-                engine.id.as_str(),
-            );
+            let rank = (lag <= MAX_ACCEPTED_LAG, engine.usable_models(targets), engine.id.as_str());
             if best.as_ref().is_none_or(|(best_rank, _)| rank < *best_rank) {
                 best = Some((rank, engine));
             }
@@ -169,6 +199,13 @@
             .is_some_and(|(_, _, ordered_at)| now.since(*ordered_at) < LOAD_TIMEOUT)
     }
 
+    /// Returns whether the engine's load slows down others.
+    fn is_concurrent(&self, now: Moment, limits: WeightLoadLimits) -> bool {
+        let Some((_, _, ordered_at)) = &self.loading else { return false };
+        let is_ending = limits.usual_load_time.is_some_and(|time| now.since(*ordered_at) >= time);
+        self.is_loading(now) && !is_ending
+    }
+
     /// Returns how many versions the engine will be behind `version` once its load in progress has
     /// ended, or `u64::MAX` when it does not have the model.
     fn lag(&self, model: &str, version: WeightVersion) -> u64 {
@@ -184,10 +221,10 @@
 
     /// Returns the number of models of which the engine has, or is loading, a version that is
     /// recent enough for a step.
-    fn usable_models(&self, newest_versions: &[(String, WeightVersion)]) -> usize {
-        let usable = newest_versions
+    fn usable_models(&self, targets: &[ModelTarget]) -> usize {
+        let usable = targets
             .iter()
-            .filter(|(name, version)| self.lag(name, *version) <= MAX_ACCEPTED_LAG);
+            .filter(|target| self.lag(&target.model, target.newest) <= MAX_ACCEPTED_LAG);
         usable.count()
     }
 }
--- a/crates/dispatch/tests/pick.rs
+++ b/crates/dispatch/tests/pick.rs
@@ -253,13 +253,15 @@
 /// Guards against runs that stay on the slow engine, and against runs that migrate for a small
 /// gain.
 #[rstest]
-#[case(90, true)]
-#[case(66, false)]
-fn check_migration(#[case] slow_ms: u64, #[case] migrates: bool) {
+#[case::much_slower(90, 5, true)]
+#[case::slower_with_little_left(66, 20, false)]
+#[case::slower_with_much_left(66, 60, true)]
+#[case::about_as_fast(36, 120, false)]
+fn check_migration(#[case] slow_ms: u64, #[case] remaining_events: u64, #[case] migrates: bool) {
     let (mut balancer, keys) = balancer(2, 8);
     balancer.record_event_interval(keys[0], Span::from_millis(slow_ms));
     balancer.record_event_interval(keys[1], Span::from_millis(30));
-    assert_eq!(balancer.should_migrate(NOW, keys[0], keys[1]), migrates);
+    assert_eq!(balancer.should_migrate(NOW, keys[0], keys[1], remaining_events), migrates);
 }
 
 /// Pattern: a request crashes its upstream and is sent again while others run.
--- a/crates/hibiscushinged/src/gateway.rs
+++ b/crates/hibiscushinged/src/gateway.rs
@@ -23,6 +23,7 @@
 mod limits;
 mod links;
 mod metrics;
+mod model_demand;
 mod node;
 mod partition_follower;
 mod partitions;
--- a/crates/hibiscushinged/src/gateway/control.rs
+++ b/crates/hibiscushinged/src/gateway/control.rs
@@ -16,6 +16,7 @@
         control_state::ControlState,
         fetch::KeyChange,
         lease::keep_lease,
+        model_demand,
         node::NodeState,
         topic_follower::{ChangeSink, follow_topic},
         upstreams::UpstreamUpdate,
@@ -50,6 +51,7 @@
     actix_rt::spawn(follow(Rc::clone(&control), UPSTREAM_TOPIC, upstreams));
     actix_rt::spawn(follow(Rc::clone(&control), OPERATOR_TOPIC, operator));
     actix_rt::spawn(keep_lease(Rc::clone(&control)));
+    actix_rt::spawn(model_demand::follow_demands(Rc::clone(&control)));
     actix_rt::spawn(weight_loads::order_weight_loads(Rc::clone(&control)));
     actix_rt::spawn(usage::store_usage(Rc::clone(&control)));
     usage_reports::run(control).await;
--- a/crates/hibiscushinged/src/gateway/control_state.rs
+++ b/crates/hibiscushinged/src/gateway/control_state.rs
@@ -16,6 +16,8 @@
     pub(crate) entries: RefCell<BTreeMap<String, UpstreamEntry>>,
     /// Newest published weight version of each model.
     pub(crate) versions: RefCell<BTreeMap<String, WeightVersion>>,
+    /// Tokens that a step of each model generates, while this node holds the lease.
+    pub(crate) demands: RefCell<BTreeMap<String, u64>>,
 }
 
 impl ControlState {
@@ -25,6 +27,7 @@
             lease: LeaseHolder::new(&node),
             entries: RefCell::default(),
             versions: RefCell::default(),
+            demands: RefCell::default(),
             node,
         }
     }
--- a/crates/hibiscushinged/src/gateway/items.rs
+++ b/crates/hibiscushinged/src/gateway/items.rs
@@ -29,6 +29,10 @@
 /// generation can continue when the item returns.
 const TEXT_RETENTION: Span = Span::from_secs(30);
 
+/// Smoothing factor of [`ItemSchedulerState::tokens_per_event`], by which about the last fifty items
+/// count. Single estimates are far off.
+const TOKEN_RATIO_SMOOTHING: f64 = 0.02;
+
 /// Text of an item whose submission has ended.
 struct RetainedText {
     model: String,
@@ -48,6 +52,8 @@
     pub(crate) results: HashMap<u32, Vec<(String, ItemResult)>>,
     pub(crate) watched_partitions: HashSet<u32>,
     pub(crate) last_migration_at: Moment,
+    /// Moving average of the estimated tokens of an item for each event of its text.
+    pub(crate) tokens_per_event: Option<f64>,
 }
 
 impl Default for ItemSchedulerState {
@@ -60,6 +66,7 @@
             results: HashMap::new(),
             watched_partitions: HashSet::new(),
             last_migration_at: Moment(0),
+            tokens_per_event: None,
         }
     }
 }
@@ -171,12 +178,14 @@
         let (submission, item, state) = (&job.metadata.id, &job.item.id, result.state);
         log_event!(ItemResolved, submission, item, ?state, events, versions = ?result.versions);
         let submission = submission.clone();
-        self.state
-            .borrow_mut()
-            .results
-            .entry(job.partition)
-            .or_default()
-            .push((submission, result));
+        let mut state = self.state.borrow_mut();
+        if events > 0 {
+            let ratio = f64::from(job.item.expected_tokens) / events as f64;
+            let mean = state.tokens_per_event.unwrap_or(ratio);
+            state.tokens_per_event = Some(mean + (ratio - mean) * TOKEN_RATIO_SMOOTHING);
+        }
+        state.results.entry(job.partition).or_default().push((submission, result));
+        drop(state);
         self.results_ready.notify_one();
         self.wake();
     }
--- a/crates/hibiscushinged/src/gateway/runner.rs
+++ b/crates/hibiscushinged/src/gateway/runner.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::LazyCell,
+    cmp::Reverse,
     collections::{BTreeSet, HashMap},
     rc::Rc,
     time::Duration,
@@ -10,7 +11,9 @@
 use base::{Moment, Span, UpstreamKey};
 use dispatch::{GenerationPickRequest, ModelRequirement, RequestOrigin};
 use routebook::RouteSpec;
-use submissions::{ItemRank, SubmissionState, SubmissionTable, result_records};
+use submissions::{
+    ItemRank, SubmissionState, SubmissionTable, expected_remaining_events, result_records,
+};
 
 use crate::{
     clock::to_duration,
@@ -19,6 +22,7 @@
         commit::commit,
         generation,
         job::{ItemJob, ItemRun, JobProgress, due_at},
+        model_demand,
         partition_follower::PartitionFollower,
         traffic_state::TrafficState,
     },
@@ -107,6 +111,7 @@
         let slots = service_slots(traffic, route);
         // Most changes bring no new items.
         let tokens_before = LazyCell::new(|| tokens_before_groups(submission));
+        let mut is_new = false;
         for item in submission.items() {
             if submission.is_resolved(&item.id) || state.jobs.contains(&metadata.id, &item.id) {
                 continue;
@@ -122,6 +127,11 @@
             state.jobs.insert(&job);
             let tokens_before = tokens_before.get(item.group.as_str()).copied().unwrap_or(0);
             state.queue.push(due, ItemRank::new(tokens_before, slots, item.expected_tokens), job);
+            is_new = true;
+        }
+        if is_new {
+            let tokens = submission.items().map(|item| u64::from(item.expected_tokens)).sum();
+            model_demand::record_step(traffic, &metadata.model, tokens);
         }
     }
     drop(state);
@@ -248,19 +258,33 @@
         return;
     }
     state.last_migration_at = now;
-    let jobs: Vec<Rc<ItemJob>> = state.jobs.values().cloned().collect();
+    let tokens_per_event = state.tokens_per_event;
+    let running = state.jobs.values().filter(|job| job.run.borrow().is_some());
+    let mut jobs: Vec<(u64, Rc<ItemJob>)> = running
+        .map(|job| {
+            let events = job.progress.borrow().text.last_event_id();
+            let tokens = job.item.expected_tokens;
+            (expected_remaining_events(tokens, tokens_per_event, events), Rc::clone(job))
+        })
+        .collect();
     drop(state);
+    jobs.sort_by_key(|(remaining_events, _)| Reverse(*remaining_events));
     let mut migrated = 0;
-    for job in jobs {
+    for (remaining_events, job) in jobs {
         if migrated == MAX_MIGRATIONS_PER_CHECK {
             return;
         }
-        migrated += usize::from(migrate_run(&job, traffic, now));
+        migrated += usize::from(migrate_run(&job, traffic, now, remaining_events));
     }
 }
 
 /// Migrates a run whose text has begun to a much faster engine, if one has a free slot.
-fn migrate_run(job: &Rc<ItemJob>, traffic: &Rc<TrafficState>, now: Moment) -> bool {
+fn migrate_run(
+    job: &Rc<ItemJob>,
+    traffic: &Rc<TrafficState>,
+    now: Moment,
+    remaining_events: u64,
+) -> bool {
     let run = job.run.borrow();
     let Some(current) = run.as_ref() else { return false };
     let (from, time_at_engine) = (current.upstream, now.since(current.started_at));
@@ -286,7 +310,8 @@
     };
     let balancer = traffic.balancer.borrow();
     let picked = balancer.pick_generation(now, &request);
-    let Some(to) = picked.filter(|to| *to != from && balancer.should_migrate(now, from, *to))
+    let Some(to) = picked
+        .filter(|to| *to != from && balancer.should_migrate(now, from, *to, remaining_events))
     else {
         return false;
     };
--- a/crates/hibiscushinged/src/gateway/serve/tests.rs
+++ b/crates/hibiscushinged/src/gateway/serve/tests.rs
@@ -1,6 +1,7 @@
 //! Traffic servers of several nodes, of which some have lost their links to all upstreams.
 
 mod leaving;
+mod slow_streams;
 
 use std::{
     net::{Ipv4Addr, SocketAddr},
--- a/crates/hibiscushinged/src/gateway/traffic_state.rs
+++ b/crates/hibiscushinged/src/gateway/traffic_state.rs
@@ -8,9 +8,9 @@
 use crate::{
     gateway::{
         channel::Exchange, forward::PeerNodes, items::ItemScheduler, limits::LimitRegistry,
-        links::LinkMonitor, node::NodeState, partitions::PartitionSet, pool::ChannelPool,
-        response_buffer::BufferBudget, store::StoreSession, stream_origins::OriginRegistry,
-        suspect_runs::SuspectRuns, suspects::SuspectRegistry,
+        links::LinkMonitor, model_demand::WrittenDemand, node::NodeState, partitions::PartitionSet,
+        pool::ChannelPool, response_buffer::BufferBudget, store::StoreSession,
+        stream_origins::OriginRegistry, suspect_runs::SuspectRuns, suspects::SuspectRegistry,
     },
     telemetry::log_event,
 };
@@ -30,6 +30,7 @@
     pub(crate) suspect_runs: SuspectRuns,
     pub(crate) limits: LimitRegistry,
     pub(crate) stream_origins: OriginRegistry,
+    pub(crate) written_demand: WrittenDemand,
 }
 
 impl TrafficState {
@@ -43,6 +44,7 @@
             suspect_runs: SuspectRuns::new(node.incarnation),
             limits: LimitRegistry::new(&node.settings.vm_name, node.incarnation),
             stream_origins: OriginRegistry::default(),
+            written_demand: WrittenDemand::default(),
             balancer: RefCell::default(),
             pool: ChannelPool::new(),
             links: LinkMonitor::default(),
--- a/crates/hibiscushinged/src/gateway/weight_loads.rs
+++ b/crates/hibiscushinged/src/gateway/weight_loads.rs
@@ -1,7 +1,7 @@
 //! Weight load orders, issued by the holder of the fleet lease.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{BTreeMap, HashMap, HashSet},
     rc::Rc,
     time::Duration,
@@ -9,7 +9,8 @@
 
 use base::{Moment, ProcessDigest, Span, WeightVersion};
 use dispatch::{
-    EngineWeights, EntryState, UpstreamEntry, WeightLoad, WeightLoadLimits, plan_weight_loads,
+    EngineWeights, EntryState, ModelTarget, UpstreamEntry, WeightLoad, WeightLoadLimits,
+    plan_weight_loads,
 };
 use platform::{EngineControlClient, WeightLoadRequest, WeightLoadResponse};
 
@@ -19,7 +20,7 @@
 };
 
 /// Interval between planning rounds.
-const PLAN_PERIOD: Duration = Duration::from_millis(100);
+const PLAN_PERIOD: Duration = Duration::from_millis(50);
 
 /// Delay from an order to the first poll of the engine's report. A load takes 0.9 s when few
 /// engines load at once.
@@ -28,6 +29,9 @@
 /// Interval between further polls. Reports are 100 to 200 ms old.
 const REPORT_POLL_PERIOD: Duration = Duration::from_millis(120);
 
+/// Usual age of a report.
+const REPORT_AGE: Span = Span::from_millis(150);
+
 /// Maximum number of polls before a load counts as failed.
 const MAX_REPORT_POLLS: u32 = 20;
 
@@ -45,6 +49,8 @@
     loading: RefCell<HashMap<String, (String, WeightVersion, Moment)>>,
     /// Versions that engines have reported, which may be newer than those in their entries.
     reported_versions: RefCell<HashMap<String, Vec<(String, WeightVersion)>>>,
+    /// Usual time from an order to the end of its load, once one was measured.
+    usual_load_time: Cell<Option<Span>>,
     /// Processes of engines that said in a report that they are leaving.
     leaving: RefCell<HashSet<ProcessDigest>>,
     /// Moments before which an engine gets no further order.
@@ -75,31 +81,40 @@
     let now = control.node.now();
     let Some(config) = control.node.config.load_full() else { return Vec::new() };
     let entries = control.entries.borrow();
-    let versions = control.versions.borrow();
+    let (versions, demands) = (control.versions.borrow(), control.demands.borrow());
     let mut orders = Vec::new();
     for service in config.services() {
         let Some(engine) = &service.engine else { continue };
-        let newest_versions = newest_versions(&versions, &engine.models);
+        let targets = targets(&versions, &demands, &engine.models);
         let members = entries.values().filter(|entry| {
             entry.service == service.name
                 && entry.state == EntryState::Ready
                 && !loader.is_leaving(entry)
         });
         let engines: Vec<EngineWeights> = members.map(|entry| loader.engine(entry)).collect();
-        let limits = WeightLoadLimits::for_service(engines.len(), engine.models.len());
-        orders.extend(plan_weight_loads(now, &engines, &newest_versions, limits));
+        let limits = WeightLoadLimits {
+            usual_load_time: loader.usual_load_time.get(),
+            ..WeightLoadLimits::for_service(engines.len(), engine.models.len())
+        };
+        orders.extend(plan_weight_loads(now, &engines, &targets, limits));
     }
     let backoffs = loader.backoffs.borrow();
     orders.retain(|order| backoffs.get(&order.engine).is_none_or(|until| now >= *until));
     orders
 }
 
-fn newest_versions(
+/// Returns the models of a service of which a version is published.
+fn targets(
     versions: &BTreeMap<String, WeightVersion>,
+    demands: &BTreeMap<String, u64>,
     models: &[String],
-) -> Vec<(String, WeightVersion)> {
-    let named = models.iter().filter_map(|model| Some((model.clone(), *versions.get(model)?)));
-    named.collect()
+) -> Vec<ModelTarget> {
+    let published = models.iter().filter_map(|model| {
+        let newest = *versions.get(model)?;
+        let demand = demands.get(model).copied().unwrap_or(0);
+        Some(ModelTarget { model: model.clone(), newest, demand })
+    });
+    published.collect()
 }
 
 impl WeightLoader {
@@ -109,6 +124,7 @@
             engines: EngineControlClient::new(http),
             loading: RefCell::default(),
             reported_versions: RefCell::default(),
+            usual_load_time: Cell::new(None),
             leaving: RefCell::default(),
             backoffs: RefCell::default(),
         }
@@ -126,6 +142,13 @@
         EngineWeights { id: entry.id.clone(), versions, loading }
     }
 
+    /// Records after what time a report showed the end of a load.
+    fn record_load_time(&self, measured: Span) {
+        let load_time = measured.saturating_sub(REPORT_AGE);
+        let mean = |usual: Span| Span((usual.0 * 3 + load_time.0) / 4);
+        self.usual_load_time.set(Some(self.usual_load_time.get().map_or(load_time, mean)));
+    }
+
     fn is_leaving(&self, entry: &UpstreamEntry) -> bool {
         let leaving = self.leaving.borrow();
         !leaving.is_empty() && leaving.contains(&entry.process())
@@ -198,6 +221,7 @@
         fencing = identity.fencing.0,
     );
     control.node.metrics.loads_ordered.inc();
+    let ordered_at = control.node.now();
     match client.load_weights(entry.address, &request, ORDER_TIMEOUT).await {
         Ok(WeightLoadResponse::Accepted | WeightLoadResponse::Holds) => {}
         Ok(response) => return Err(format!("the engine responded to the order with {response:?}")),
@@ -210,6 +234,7 @@
         let Ok(report) = client.report(entry.address, ORDER_TIMEOUT).await else { continue };
         loader.reported_versions.borrow_mut().insert(order.engine.clone(), report.versions.clone());
         if has_version(&report.versions, order) {
+            loader.record_load_time(control.node.now().since(ordered_at));
             return Ok(());
         }
         if !report.busy && report.accepted_orders == request.accepted_orders {
--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -6,6 +6,7 @@
 mod crashes;
 mod demand;
 mod limits;
+mod model_demand;
 mod nodes;
 mod run_claims;
 mod samples;
@@ -21,6 +22,7 @@
     crashes::{CrashKey, CrashRecord, decode_crash_record, encode_crash_record},
     demand::WireDemand,
     limits::{LimitRecord, decode_limit_record, encode_limit_record},
+    model_demand::{ModelDemand, decode_model_demand, encode_model_demand},
     nodes::{NodeRecord, decode_node_record, encode_node_record},
     run_claims::{RUN_CLAIM_PREFIX, decode_run_claim, encode_run_claim},
     samples::{SampleEntry, SampleSnapshot, StepPrompts, WireSample},
--- a/crates/protocol/tests/codec.rs
+++ b/crates/protocol/tests/codec.rs
@@ -19,12 +19,12 @@
     test_runner::{Config, RngSeed, TestRunner},
 };
 use protocol::{
-    CrashKey, CrashRecord, ForwardOutcome, LimitRecord, MAX_MESSAGE_BYTES, NodeRecord, SampleEntry,
-    SampleSnapshot, StepPrompts, StreamDigest, StreamOrigin, StreamRecord, WireAuthority,
-    decode_crash_record, decode_limit_record, decode_message, decode_node_record, decode_record,
-    decode_run_claim, decode_stream_origin, encode_crash_record, encode_limit_record,
-    encode_message, encode_node_record, encode_record, encode_run_claim, encode_stream_origin,
-    stream_origin_key,
+    CrashKey, CrashRecord, ForwardOutcome, LimitRecord, MAX_MESSAGE_BYTES, ModelDemand, NodeRecord,
+    SampleEntry, SampleSnapshot, StepPrompts, StreamDigest, StreamOrigin, StreamRecord,
+    WireAuthority, decode_crash_record, decode_limit_record, decode_message, decode_model_demand,
+    decode_node_record, decode_record, decode_run_claim, decode_stream_origin, encode_crash_record,
+    encode_limit_record, encode_message, encode_model_demand, encode_node_record, encode_record,
+    encode_run_claim, encode_stream_origin, stream_origin_key,
 };
 use rollout::{
     DeliveryNumber, SampleBound, SampleFilled, SampleRecord, SampleTable, SampleVoided, Score,
@@ -300,3 +300,11 @@
     let keys = [StreamDigest(1), StreamDigest(0x10)].map(stream_origin_key);
     assert_eq!(keys, ["0000000000000001", "0000000000000010"]);
 }
+
+/// Guards against a demand that changes when it is encoded and decoded.
+#[test]
+fn model_demand_is_unchanged_by_encoding_and_decoding() {
+    let demand = ModelDemand { tokens: u64::MAX, written_at: WallTime(-3) };
+    assert_eq!(decode_model_demand(&encode_model_demand(demand)), Ok(demand));
+    assert!(decode_model_demand(b"").is_err());
+}
--- a/crates/submissions/src/lib.rs
+++ b/crates/submissions/src/lib.rs
@@ -19,7 +19,7 @@
     check::{SubmissionError, check_owner, check_submission},
     item::{ItemResult, ItemState, RewardCall, SubmissionItem, SubmissionMetadata},
     plan::{ending_records, opening_records, result_records},
-    queue::{ItemQueue, ItemRank},
+    queue::{ItemQueue, ItemRank, expected_remaining_events},
     table::{SubmissionRecord, SubmissionState, SubmissionTable},
     text::{GeneratedText, GenerationEvent, TextError},
 };
--- a/crates/submissions/src/queue.rs
+++ b/crates/submissions/src/queue.rs
@@ -37,6 +37,21 @@
     }
 }
 
+/// Returns how many events a text is expected to get besides the `events` that it has. An item whose
+/// estimate has proved too low, or means nothing since no ratio is known, is expected to go on for a
+/// part of what it has.
+#[must_use]
+pub fn expected_remaining_events(
+    expected_tokens: u32,
+    tokens_per_event: Option<f64>,
+    events: u64,
+) -> u64 {
+    /// Divisor of the events of a text that is longer than estimated.
+    const OVERRUN_DIVISOR: u64 = 3;
+    let expected = tokens_per_event.map_or(0.0, |ratio| f64::from(expected_tokens) / ratio);
+    (expected as u64).saturating_sub(events).max(events / OVERRUN_DIVISOR)
+}
+
 /// Priority queue of the items that wait for an engine.
 #[derive(Debug)]
 pub struct ItemQueue<T> {
--- a/crates/submissions/tests/queue.rs
+++ b/crates/submissions/tests/queue.rs
@@ -5,7 +5,7 @@
 use base::Moment;
 use proptest::prelude::*;
 use rstest::rstest;
-use submissions::{ItemQueue, ItemRank};
+use submissions::{ItemQueue, ItemRank, expected_remaining_events};
 
 const DUE: Moment = Moment(7_500_000);
 
@@ -97,6 +97,24 @@
     assert_eq!(placed, ["due sooner", "interrupted", "long", "short"]);
 }
 
+/// Guards against a long text that counts as nearly complete, and against an overflow by an estimate or
+/// ratio that makes no sense.
+#[rstest]
+#[case::not_begun(120, Some(1.0), 0, 120)]
+#[case::begun(120, Some(2.0), 20, 40)]
+#[case::longer_than_estimated(120, Some(1.0), 150, 50)]
+#[case::no_estimate(0, Some(1.0), 9, 3)]
+#[case::ratio_unknown(120, None, 9, 3)]
+#[case::ratio_of_zero(7, Some(0.0), 1, u64::MAX - 1)]
+fn check_remaining_events(
+    #[case] expected_tokens: u32,
+    #[case] tokens_per_event: Option<f64>,
+    #[case] events: u64,
+    #[case] expected: u64,
+) {
+    assert_eq!(expected_remaining_events(expected_tokens, tokens_per_event, events), expected);
+}
+
 proptest! {
     /// Guards against an item that is lost or placed twice.
     #[test]
