--- a/crates/process-tests/src/site.rs
+++ b/crates/process-tests/src/site.rs
@@ -3,7 +3,7 @@
 use std::{
     fs::File,
     net::{IpAddr, Ipv4Addr, SocketAddr},
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::atomic::{AtomicU32, Ordering},
     time::Duration,
@@ -282,12 +282,21 @@
     ///
     /// Panics when the process cannot be started.
     pub fn restart(&mut self) {
+        self.restart_as(&binary_path("hibiscushinged"));
+    }
+
+    /// Does what [`Self::restart`] does with another build of the daemon.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the process cannot be started.
+    pub fn restart_as(&mut self, program: &Path) {
         self.kill();
         let log = File::options().create(true).append(true).open(&self.log);
         let log = log.expect("the gateway's log file can be opened");
         let stderr =
             log.try_clone().expect("the gateway's log file can be used for both output streams");
-        let mut command = Command::new(binary_path("hibiscushinged"));
+        let mut command = Command::new(program);
         command.arg("--gateway").arg(&self.settings);
         command.stdout(Stdio::from(log)).stderr(Stdio::from(stderr));
         self.child = Some(
