--- a/crates/dispatch/tests/weight_loads.rs
+++ b/crates/dispatch/tests/weight_loads.rs
@@ -103,7 +103,7 @@
 /// load at a time, in 1.1 s each.
 ///
 /// Guards against loads that are divided by models alone: the large step then waits for 5 to 10 usable
-/// engines while the small one has 15 (trouble-3 of the users' large site, 55 s).
+/// engines while the small one has 15.
 #[test]
 fn usable_engines_follow_the_demand() {
     let demands = [5_800, 1_900];
--- a/crates/hibiscushinged/src/gateway/model_demand.rs
+++ b/crates/hibiscushinged/src/gateway/model_demand.rs
@@ -29,7 +29,7 @@
 /// Time after which a record is written again although the demand is about the same.
 const REWRITE_PERIOD: Span = Span::from_secs(20);
 
-/// A demand that differs from the one written by less than its quotient by this is about the same.
+/// A record is written again once the demand differs from it by more than the record divided by this.
 const CHANGE_DIVISOR: u64 = 4;
 
 /// Age from which on a record is ignored, since its trainer has stopped. Clocks of nodes differ by
