Show that a service without engines holds up the items of another

Cause: when no engine is found for an item, all items with the same model, least version and software version are skipped in that round, whatever service their routes lead to. The key does not hold the service.

The case reclaims the two cheap engines of one service while steps of two trainers run.

The order in case 3 is delayed by 400 ms now.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,7 +4,7 @@
 set -u
 here=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd) || exit 2
 cd "$here/../.." || exit 2
-program=target/review/release/stuck_step
+program=target/review/release/blocked_service
 daemon=target/release/hibiscushinged
 for file in "$program" "$daemon"; do
   [ -x "$file" ] || { echo "$file is missing: run the build of deploy/system.toml and review/build.sh"; exit 2; }
--- a/review/rig/src/bin/handover.rs
+++ b/review/rig/src/bin/handover.rs
@@ -16,8 +16,8 @@
 use site_stand_in::{SiteEngine, SiteService, SiteStore, StoreOptions};
 
 /// Delay of the order: its packet is lost once and sent again after the sender's time-out, which is
-/// 200 ms at least.
-const DELAY: Duration = Duration::from_millis(300);
+/// 200 ms at least on Linux and 1 s by RFC 6298.
+const DELAY: Duration = Duration::from_millis(400);
 
 const ENGINES: usize = 4;
 const GATEWAYS: usize = 10;
