--- a/review/rig/src/bin/handover.rs
+++ b/review/rig/src/bin/handover.rs
@@ -41,7 +41,10 @@
     let armed = Rc::new(Cell::new(false));
     let mut engines = Vec::new();
     for index in 0..ENGINES {
-        let engine = SiteEngine::start(engine_options(index, 4, Duration::from_millis(60), 20))?;
+        // The gateways are in zone-a: packets are lost between zones.
+        let mut options = engine_options(index, 4, Duration::from_millis(60), 20);
+        options.zone = String::from("zone-b");
+        let engine = SiteEngine::start(options)?;
         let (id, record) = (String::from(engine.id()), record.clone());
         let (holder, armed) = (Rc::clone(&holder), Rc::clone(&armed));
         let delayed = bench.trouble;
