Say of a forwarded request that it may have run unless a node says otherwise

Cause: after its loop of attempts `relay` passes a request to another node and took every error for `Unreached`. At the deadline, or when the other node closes the connection, the error is `Broken`: the request may have run. Four more places decided for themselves whether the request may have run: `Unreached` and a refusal of the other node after an earlier attempt that may have run, a response of the other node that does not say what became of the request, and a permit that is refused after a forwarded attempt (by reading).

Ruled out: a node that answers "links-lost" though it has sent the request on; it says so only before its first attempt.

Change: `relay` and `run_plain` record in one place whether an attempt may have run, and `Refusal::after_attempts` corrects every refusal by it. Both places that pass a stream on share one function, which logs 2010. A response without an outcome counts as no response.

Failed before: 7 of the 13 cases in serve/tests/forwarding.rs on.

--- a/crates/base/src/refusal.rs
+++ b/crates/base/src/refusal.rs
@@ -89,6 +89,16 @@
         Self { execution: Execution::MayHaveRun, ..Self::not_run(code, message) }
     }
 
+    /// Corrects the refusal of a request's last attempt for the request as a whole: if an earlier
+    /// attempt may have run, the request may have run, whatever became of the last one.
+    #[must_use]
+    pub fn after_attempts(self, may_have_run: bool) -> Self {
+        if !may_have_run || self.execution == Execution::MayHaveRun {
+            return self;
+        }
+        Self::may_have_run(RefusalCode::UpstreamFailed, self.message)
+    }
+
     /// Sets the time after which the caller may retry.
     #[must_use]
     pub fn with_retry_after(mut self, span: Span) -> Self {
--- a/crates/hibiscushinged/src/gateway/forward.rs
+++ b/crates/hibiscushinged/src/gateway/forward.rs
@@ -10,7 +10,7 @@
     body::BoxBody,
     header::{HeaderMap, HeaderName, HeaderValue},
 };
-use base::{Execution, ProcessDigest, Refusal, RefusalCode, Span, VmKey};
+use base::{ProcessDigest, Refusal, RefusalCode, Span, VmKey};
 use bytes::Bytes;
 use dispatch::{PeerOutcome, PeerTable};
 use protocol::{
@@ -175,8 +175,12 @@
             }
         };
         let outcome = exchange.head().headers.get(OUTCOME).and_then(|value| value.to_str().ok());
-        let outcome =
-            outcome.map_or(ForwardOutcome::Refused(Execution::MayHaveRun), ForwardOutcome::parse);
+        let Some(outcome) = outcome.map(ForwardOutcome::parse) else {
+            guard.finish(PeerOutcome::Failed);
+            let status = exchange.head().status.as_u16();
+            let reason = format!("the node sent status {status} and does not say what it means");
+            return Err(ForwardError::Broken(reason));
+        };
         if outcome == ForwardOutcome::LinksLost {
             log_skipped(traffic, job, peer, "it does not reach the upstreams either");
             guard.finish(PeerOutcome::Unreached);
--- a/crates/hibiscushinged/src/gateway/peers.rs
+++ b/crates/hibiscushinged/src/gateway/peers.rs
@@ -19,7 +19,7 @@
 };
 
 /// Topic of the entries. It is compacted by key, because entries must outlive the log's retention.
-const NODE_TOPIC: &str = "keyed.nodes";
+pub(crate) const NODE_TOPIC: &str = "keyed.nodes";
 
 /// Interval between writes of this node's entry.
 const WRITE_PERIOD: Duration = Duration::from_secs(20);
--- a/crates/hibiscushinged/src/gateway/plain.rs
+++ b/crates/hibiscushinged/src/gateway/plain.rs
@@ -147,11 +147,20 @@
 pub(crate) async fn run_plain(
     traffic: &Rc<TrafficState>,
     job: &PlainJob<'_>,
+) -> Result<FullResponse, Refusal> {
+    let mut state = AttemptState::default();
+    let response = run_attempts(traffic, job, &mut state).await;
+    response.map_err(|refusal| refusal.after_attempts(state.may_have_run))
+}
+
+async fn run_attempts(
+    traffic: &Rc<TrafficState>,
+    job: &PlainJob<'_>,
+    state: &mut AttemptState,
 ) -> Result<FullResponse, Refusal> {
     if job.forwarded && traffic.links.state(job.service) == LinkState::Lost {
         return Err(forward::links_lost());
     }
-    let mut state = AttemptState::default();
     let mut running = FuturesUnordered::new();
     let hedge_delay = Span((job.latency_objective.0 as f64 * HEDGE_FRACTION) as u64);
     let mut hedge_at = traffic.node.now();
--- a/crates/hibiscushinged/src/gateway/relay.rs
+++ b/crates/hibiscushinged/src/gateway/relay.rs
@@ -6,10 +6,11 @@
     Response,
     body::{BodyStream, BoxBody},
 };
-use base::{Moment, ProcessDigest, Refusal, RefusalCode, Span, UpstreamKey};
+use base::{Execution, Moment, ProcessDigest, Refusal, RefusalCode, Span, UpstreamKey};
 use dispatch::{ExchangeOutcome, LinkState};
 use futures_util::stream;
 use platform::relay_headers;
+use protocol::ForwardOutcome;
 use smallvec::SmallVec;
 
 use crate::{
@@ -55,18 +56,30 @@
 ///
 /// # Errors
 ///
-/// Returns a refusal when no upstream has begun to respond.
+/// Returns a refusal when no upstream has begun to respond. It says whether any attempt may have run.
 pub(crate) async fn relay(
     traffic: &Rc<TrafficState>,
     job: &PlainJob<'_>,
     in_flight: InFlightGuard,
+) -> Result<Response<BoxBody>, Refusal> {
+    let mut may_have_run = false;
+    let response = run_attempts(traffic, job, in_flight, &mut may_have_run).await;
+    response.map_err(|refusal| refusal.after_attempts(may_have_run))
+}
+
+/// Makes the attempts of a request. Sets `may_have_run` once one of them may have run the request
+/// without a response.
+async fn run_attempts(
+    traffic: &Rc<TrafficState>,
+    job: &PlainJob<'_>,
+    in_flight: InFlightGuard,
+    may_have_run: &mut bool,
 ) -> Result<Response<BoxBody>, Refusal> {
     if job.forwarded && traffic.links.state(job.service) == LinkState::Lost {
         return Err(forward::links_lost());
     }
     let mut tried: SmallVec<[UpstreamKey; 4]> = SmallVec::new();
     let mut reason = String::from("no upstream is usable");
-    let mut may_have_run = false;
     let mut crashes = 0;
     let mut permit = None;
     let mut send_failed = false;
@@ -75,16 +88,8 @@
             break;
         }
         if should_forward(traffic, job, send_failed) {
-            match forward::open(traffic, job, job.max_attempts - tried.len()).await {
-                Ok(forwarded) => return Ok(forwarded_response(forwarded, in_flight)),
-                Err(ForwardError::Unreached) => return Err(forward::links_lost()),
-                Err(ForwardError::Broken(cause)) => {
-                    log_event!(ForwardFailed, request = job.id, reason = cause);
-                    reason = cause;
-                    may_have_run = true;
-                    break;
-                }
-            }
+            let attempts = job.max_attempts - tried.len();
+            return forward(traffic, job, attempts, in_flight, *may_have_run).await;
         }
         if permit.is_none() {
             match suspect_runs::acquire(traffic, job).await {
@@ -142,24 +147,19 @@
                     crashes += usize::from(run.check_crash(traffic).await);
                 }
                 reason = cause;
-                may_have_run = true;
+                *may_have_run = true;
                 if !job.retryable {
                     break;
                 }
             }
         }
     }
-    if !may_have_run && send_failed && traffic.links.state(job.service) != LinkState::Working {
-        if should_forward(traffic, job, send_failed)
-            && let Ok(forwarded) = forward::open(traffic, job, job.max_attempts).await
-        {
-            return Ok(forwarded_response(forwarded, in_flight));
+    if !*may_have_run && send_failed && traffic.links.state(job.service) != LinkState::Working {
+        if should_forward(traffic, job, send_failed) {
+            return forward(traffic, job, job.max_attempts, in_flight, false).await;
         }
         return Err(forward::links_lost());
     }
-    if may_have_run {
-        return Err(Refusal::may_have_run(RefusalCode::UpstreamFailed, reason));
-    }
     Err(Refusal::not_run(RefusalCode::Overloaded, reason).with_retry_after(RETRY_AFTER))
 }
 
@@ -174,6 +174,35 @@
     unreached && job.may_forward()
 }
 
+/// Passes a request to another node and relays its response. `may_have_run` says whether an attempt
+/// of this node may have run the request, so that a refusal by the other node does not answer it.
+///
+/// # Errors
+///
+/// Returns a refusal that says whether the other node may have run the request.
+async fn forward(
+    traffic: &Rc<TrafficState>,
+    job: &PlainJob<'_>,
+    attempts: usize,
+    in_flight: InFlightGuard,
+    may_have_run: bool,
+) -> Result<Response<BoxBody>, Refusal> {
+    match forward::open(traffic, job, attempts).await {
+        Ok(ForwardedExchange { outcome: ForwardOutcome::Refused(Execution::NotRun), .. })
+            if may_have_run =>
+        {
+            let reason = "another node refused the request, which an upstream may have run before";
+            Err(Refusal::may_have_run(RefusalCode::UpstreamFailed, reason))
+        }
+        Ok(forwarded) => Ok(forwarded_response(forwarded, in_flight)),
+        Err(ForwardError::Unreached) => Err(forward::links_lost()),
+        Err(ForwardError::Broken(reason)) => {
+            log_event!(ForwardFailed, request = job.id, service = job.service, reason);
+            Err(Refusal::may_have_run(RefusalCode::UpstreamFailed, reason))
+        }
+    }
+}
+
 /// Relays the response of another node. If it breaks off, so does the caller's.
 fn forwarded_response(forwarded: ForwardedExchange, in_flight: InFlightGuard) -> Response<BoxBody> {
     let status = forwarded.exchange.head().status;
--- a/crates/hibiscushinged/src/gateway/serve/tests.rs
+++ b/crates/hibiscushinged/src/gateway/serve/tests.rs
@@ -1,7 +1,9 @@
 //! Traffic servers of several nodes, of which some have lost their links to all upstreams.
 
+mod forwarding;
 mod leaving;
 mod slow_streams;
+mod stub;
 
 use std::{
     net::{Ipv4Addr, SocketAddr},
@@ -231,6 +233,12 @@
             {"name": "talk", "host": "studio.example", "prefix": "/talk/", "kind": "stream",
              "deadline_ms": 10000, "goal_ms": 500, "priority": 1, "service": "drafts",
              "attempts": 2, "public": false, "can_resume": true},
+            {"name": "chat", "host": "studio.example", "prefix": "/chat/", "kind": "stream",
+             "deadline_ms": 10000, "goal_ms": 500, "priority": 1, "service": "drafts",
+             "attempts": 4, "public": false, "can_resume": true},
+            {"name": "say", "host": "studio.example", "prefix": "/say/", "kind": "stream",
+             "deadline_ms": 2000, "goal_ms": 500, "priority": 1, "service": "drafts",
+             "attempts": 1, "public": false},
             {"name": "once", "host": "studio.example", "prefix": "/once/", "kind": "unsafe",
              "deadline_ms": 2000, "goal_ms": 150, "priority": 2, "service": "portal",
              "attempts": 2, "public": false},
@@ -452,3 +460,8 @@
     let body = String::from_utf8_lossy(&body).into_owned();
     assert!(body.contains("links-lost") && body.contains("not-run"), "{body}");
 }
+
+/// Returns whether a status promises that the request has not run and will not run.
+fn is_promise(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
--- a/crates/protocol/src/forwarding.rs
+++ b/crates/protocol/src/forwarding.rs
@@ -41,8 +41,7 @@
         }
     }
 
-    /// Parses the value of [`OUTCOME_HEADER`]. Of a response without a known one, the request may
-    /// have run.
+    /// Parses the value of [`OUTCOME_HEADER`]. With an unknown one, the request may have run.
     #[must_use]
     pub fn parse(value: &str) -> Self {
         let all = [Self::Response, Self::Refused(Execution::NotRun), Self::LinksLost];
