Wait for requests until shortly before the end of the grace

Cause: one bound, the grace less 1.7 s, stood for waiting for requests, storing the last usage totals and the exit. No request was compared with it: late ones on kept connections were passed on with their whole deadline. What was left at the bound was cut, and so was a long response that was still being written, since its request no longer counted as in flight.

Ruled out: an early SIGKILL (the process ends by itself), and upstreams that break off.

Change: `admission::StopSchedule` holds the times of a stop. Totals are stored beside requests in flight. A request that may not end within the grace is refused once the load balancer no longer routes here; before, its deadline is cut to the time left. What has no response at eleven twelfths of the grace gets 504. Long responses are written in parts and count as in flight.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -1,11 +1,12 @@
 //! Fair queueing between customers, customer limits shared over nodes, refusal under overload, and
-//! the retry budget.
+//! the retry budget and planned stops.
 //!
 //! - [`FairQueue`] orders queued requests by weighted deficit round robin on tokens, and refuses at
 //!   once those that cannot be served before their deadline.
 //! - [`RateLimiter`] enforces customer limits on one node with token buckets. [`LimitAllocator`]
 //!   runs on the zone's delegate and grants each node its share of the limits.
 //! - [`RetryBudget`] bounds retries by recorded successes.
+//! - [`StopSchedule`] decides which requests a node accepts during a planned stop.
 //!
 //! Nothing here reads a clock: times and seeded random generators are passed in.
 
@@ -14,6 +15,7 @@
 mod queue;
 mod retry;
 mod ring;
+mod stop;
 
 pub use crate::{
     allocator::{AllocatorSettings, LimitAllocator, ZoneLimit},
@@ -24,4 +26,5 @@
     },
     retry::RetryBudget,
     ring::{RequestClass, TrainerKey},
+    stop::StopSchedule,
 };
--- a/crates/hibiscushinged/src/gateway.rs
+++ b/crates/hibiscushinged/src/gateway.rs
@@ -55,14 +55,14 @@
 
 use std::{io, sync::Arc};
 
+use admission::StopSchedule;
 use base::Incarnation;
 use document::GatewaySettings;
 use tokio::sync::mpsc;
 
 use crate::{
     clock::ProcessClock,
-    gateway::{metrics::GatewayMetrics, node::NodeState},
-    shared::NodePhase,
+    gateway::{metrics::GatewayMetrics, node::NodeState, serve::LOAD_BALANCER_LAG},
     telemetry::log_event,
 };
 
@@ -118,14 +118,14 @@
     /// Gives up this node's partitions, waits for running items and for requests in flight, and
     /// stores the last usage totals. When it returns, the process may exit.
     pub async fn drain(self) {
-        self.node.advance_to(NodePhase::Draining);
+        let grace = self.node.settings.promises.grace;
+        let schedule = StopSchedule::new(self.node.now(), grace, LOAD_BALANCER_LAG);
+        self.node.begin_stop(schedule);
         log_event!(ProcessDraining, requests = self.node.in_flight());
-        let drain_deadline = self.traffic.drain_deadline();
-        self.traffic.drain(drain_deadline).await;
+        self.traffic.drain(schedule).await;
         self.node.store_last_totals().await;
-        // The load balancer may have sent requests in the meantime. They were accepted and need a
-        // response.
-        self.traffic.finish_requests(drain_deadline).await;
+        // Requests that run or have arrived in the meantime need a response.
+        self.traffic.finish_requests(schedule).await;
         log_event!(ProcessStopped, requests = self.node.in_flight());
     }
 }
--- a/crates/hibiscushinged/src/gateway/node.rs
+++ b/crates/hibiscushinged/src/gateway/node.rs
@@ -8,8 +8,9 @@
     },
 };
 
+use admission::StopSchedule;
 use arc_swap::ArcSwapOption;
-use base::{Incarnation, Moment, Span, derive_copy};
+use base::{Incarnation, Moment, Refusal, RefusalCode, Span, derive_copy};
 use document::GatewaySettings;
 use routebook::ConfigIndex;
 use tokio::sync::{Notify, watch};
@@ -30,6 +31,9 @@
 /// disappears may have expired by mistake and come back.
 const STORE_SETTLE_TIME: Span = Span::from_secs(3);
 
+/// Retry-After of a request to a node that is stopping. The next connection reaches another node.
+const STOP_RETRY_AFTER: Span = Span::from_millis(10);
+
 /// Timeout for storing the last usage totals at a planned stop. A write takes some milliseconds,
 /// and the next one begins within a tenth of a second.
 pub(crate) const LAST_TOTALS_TIMEOUT: Span = Span::from_millis(400);
@@ -50,6 +54,8 @@
     pub(crate) engine_call_failed: Notify,
     /// Services with engines that only other nodes reach.
     lost_engines: Mutex<BTreeSet<String>>,
+    /// Schedule of a planned stop, once it has begun.
+    stop_schedule: watch::Sender<Option<StopSchedule>>,
     /// Progress of a planned stop in storing the last usage totals.
     last_totals: watch::Sender<LastTotals>,
 }
@@ -93,6 +99,7 @@
             store_lost: AtomicBool::new(false),
             engine_call_failed: Notify::new(),
             lost_engines: Mutex::default(),
+            stop_schedule: watch::Sender::new(None),
             last_totals: watch::Sender::new(LastTotals::NotDue),
         }
     }
@@ -109,6 +116,41 @@
         self.lifecycle.advance_to(phase);
     }
 
+    /// Begins a planned stop. Requests are accepted by this schedule from now on.
+    pub(crate) fn begin_stop(&self, schedule: StopSchedule) {
+        self.advance_to(NodePhase::Draining);
+        self.stop_schedule.send_replace(Some(schedule));
+    }
+
+    /// Returns the deadline for a request that arrives now, see [`StopSchedule::admit`].
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal when this node is stopping and might cut the request.
+    pub(crate) fn admit(&self, deadline: Moment) -> Result<Moment, Refusal> {
+        let schedule = *self.stop_schedule.borrow();
+        let admitted = match schedule {
+            Some(schedule) => schedule.admit(self.now(), deadline),
+            None => Some(deadline),
+        };
+        admitted.ok_or_else(|| {
+            let message = "this node is stopping and may end before the request does";
+            Refusal::not_run(RefusalCode::Draining, message).with_retry_after(STOP_RETRY_AFTER)
+        })
+    }
+
+    /// Completes when the responses to all requests are due because this node is stopping.
+    pub(crate) async fn responses_due(&self) {
+        let mut schedules = self.stop_schedule.subscribe();
+        // The sender lives as long as the node.
+        let Ok(schedule) = schedules.wait_for(Option::is_some).await.map(|schedule| *schedule)
+        else {
+            return std::future::pending().await;
+        };
+        let due = schedule.map_or(Moment(0), |schedule| schedule.responses_due());
+        tokio::time::sleep(to_duration(due.since(self.now()))).await;
+    }
+
     pub(crate) fn in_flight(&self) -> usize {
         self.lifecycle.in_flight()
     }
--- a/crates/hibiscushinged/src/gateway/serve.rs
+++ b/crates/hibiscushinged/src/gateway/serve.rs
@@ -8,6 +8,7 @@
 };
 
 use actix_http::{HttpService, KeepAlive, Request, Response, body::BoxBody};
+use admission::StopSchedule;
 use base::{Moment, Refusal, RefusalCode, Span, derive_copy};
 use bytes::{Bytes, BytesMut};
 use dispatch::RequestOrigin;
@@ -49,15 +50,18 @@
 
 /// Time from the start of a planned stop during which the load balancer may still open connections
 /// to this node. It takes the node out after two failed checks, one a second.
-const LOAD_BALANCER_LAG: Span = Span::from_millis(2_600);
-
-/// Time before the kill that is reserved for what follows the last request: storing the last usage
-/// totals, and the exit of a process on a slow machine.
-const EXIT_RESERVE: Span = Span(Span::from_millis(1_300).0 + LAST_TOTALS_TIMEOUT.0);
+pub(crate) const LOAD_BALANCER_LAG: Span = Span::from_millis(2_600);
 
 /// Timeout for running items at a planned stop.
 const ITEM_DRAIN_TIMEOUT: Span = Span::from_secs(3);
 
+/// Time for writing out the responses that are due at the end of a planned stop.
+const FLUSH_TIME: Span = Span::from_millis(100);
+
+/// Longest usual duration of a call about a submission: a long poll of 1 s, and reading what the
+/// cache of its partition lacks.
+const SUBMISSION_CALL_TIME: Span = Span::from_millis(2_500);
+
 /// Interval between checks of whether the process may end.
 const DRAIN_CHECK_PERIOD: Duration = Duration::from_millis(50);
 
@@ -118,37 +122,32 @@
         Ok(Self { traffic })
     }
 
-    /// Returns until when a planned stop that begins now may wait for requests.
-    pub(crate) fn drain_deadline(&self) -> Moment {
-        let node = &self.traffic.node;
-        node.now() + node.settings.promises.grace.saturating_sub(EXIT_RESERVE)
-    }
-
     /// Leaves the consumer group and waits for running items and requests. Returns when no more
-    /// requests are expected, or at `drain_deadline`.
-    pub(crate) async fn drain(&self, drain_deadline: Moment) {
+    /// requests are expected, or when there is only time left to store the last usage totals.
+    pub(crate) async fn drain(&self, schedule: StopSchedule) {
         let node = &self.traffic.node;
         let started = node.now();
         self.traffic.items.stop();
         let withdrawing = peers::withdraw_node(&self.traffic);
         tokio::join!(withdrawing, group::leave_group(&self.traffic));
+        let totals_due = schedule.responses_due() - LAST_TOTALS_TIMEOUT;
         loop {
             let now = node.now();
             let items_running = self.traffic.items.unfinished_count() > 0
                 && now.since(started) < ITEM_DRAIN_TIMEOUT;
-            let busy =
-                node.in_flight() > 0 || items_running || now.since(started) < LOAD_BALANCER_LAG;
-            if !busy || now >= drain_deadline {
+            let busy = node.in_flight() > 0 || items_running || now < schedule.routed_until();
+            if !busy || now >= totals_due {
                 return;
             }
             tokio::time::sleep(DRAIN_CHECK_PERIOD).await;
         }
     }
 
-    /// Waits until no request is in flight, or until `drain_deadline`.
-    pub(crate) async fn finish_requests(&self, drain_deadline: Moment) {
+    /// Waits until no request is in flight, or until those are left that cannot end in time.
+    pub(crate) async fn finish_requests(&self, schedule: StopSchedule) {
         let node = &self.traffic.node;
-        while node.in_flight() > 0 && node.now() < drain_deadline {
+        let ends_at = schedule.responses_due() + FLUSH_TIME;
+        while node.in_flight() > 0 && node.now() < ends_at {
             tokio::time::sleep(DRAIN_CHECK_PERIOD).await;
         }
     }
@@ -209,7 +208,11 @@
                 arrived_at,
                 forwarded_attempts,
             };
-            handle_request(&traffic, &caller, in_flight).await
+            tokio::select! {
+                biased;
+                result = handle_request(&traffic, &caller, in_flight) => result,
+                () = traffic.node.responses_due() => Err(stopped()),
+            }
         }
         Err(refusal) => Err(refusal),
     };
@@ -247,7 +250,13 @@
         forward::set_outcome(response.headers_mut(), outcome);
     }
     response::close_when_draining(&traffic.node, &mut response);
-    response
+    response::track_body(&traffic.node, response)
+}
+
+/// Returns the refusal of a request that is in flight when the process has to end.
+fn stopped() -> Refusal {
+    let message = "the node that ran the request is stopping";
+    Refusal::may_have_run(RefusalCode::DeadlineExceeded, message)
 }
 
 async fn read_body(
@@ -306,6 +315,7 @@
     let Some(customer) = authenticate(&config, caller)? else {
         return Err(key_refused());
     };
+    traffic.node.admit(caller.arrived_at + SUBMISSION_CALL_TIME)?;
     let submission_ref = SubmissionRef { submission, customer };
     match target {
         RequestTarget::Results { after, .. } => {
@@ -350,17 +360,18 @@
     let customer = if route.public { None } else { authenticate(config, caller)? };
     let id = metadata.id.as_deref().unwrap_or_default();
     let timeout = metadata.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
-    let deadline = caller.arrived_at + timeout;
     if route.kind == RequestKind::Submission {
         let Some(customer) = customer else { return Err(key_refused()) };
         // The route's timeout applies to the items. Only the sender's own deadline bounds the
         // append.
         let deadline = caller.arrived_at + metadata.deadline.unwrap_or(BODY_TIMEOUT);
+        traffic.node.admit(deadline.min(traffic.node.now() + SUBMISSION_CALL_TIME))?;
         let host = metadata.host.as_str();
         let new_submission =
             NewSubmission { id, customer, host, path, body: &caller.body, deadline };
         return submit::accept(traffic, &new_submission).await;
     }
+    let deadline = traffic.node.admit(caller.arrived_at + timeout)?;
     let mut job = plain_job(caller, route, customer, id, deadline)?;
     crash_check::check_convicted(traffic, &job)?;
     if route.kind == RequestKind::Stream {
--- a/crates/hibiscushinged/src/gateway/serve/tests.rs
+++ b/crates/hibiscushinged/src/gateway/serve/tests.rs
@@ -3,6 +3,7 @@
 mod forwarding;
 mod leaving;
 mod slow_streams;
+mod stopping;
 mod stub;
 
 use std::{
--- a/crates/hibiscushinged/src/gateway/serve/tests/stub.rs
+++ b/crates/hibiscushinged/src/gateway/serve/tests/stub.rs
@@ -1,4 +1,4 @@
-//! Servers that read requests and answer none of them with a success, as upstreams and as nodes.
+//! Servers that read requests and treat all of them in one way, as upstreams and as nodes.
 
 use std::{
     cell::RefCell,
@@ -29,11 +29,13 @@
     Silent,
     /// Status 503 by a server that does not say whether the request has run.
     Unexplained,
+    /// Status 200 with a body of this length.
+    Whole(usize),
     /// Status 503 of a node that says that the request has not run there.
     NotRun,
 }
 
-/// A server that reads requests and answers none of them with a success.
+/// A server that reads requests.
 pub(super) struct StubServer {
     pub(super) address: SocketAddr,
     /// Identifiers of the requests that it has read.
@@ -61,16 +63,23 @@
                         let _ = stream.write_all(head.as_bytes()).await;
                         return;
                     }
-                    let head =
-                        format!("HTTP/1.1 503 Service Unavailable\r\nx-request-id: {id}\r\n");
-                    read.borrow_mut().push(id);
-                    let outcome = match response {
+                    let answer = |status: &str, header: &str, length: usize| {
+                        let body = " ".repeat(length);
+                        format!(
+                            "HTTP/1.1 {status}\r\nx-request-id: {id}\r\n{header}content-length: \
+                             {length}\r\n\r\n{body}"
+                        )
+                    };
+                    read.borrow_mut().push(id.clone());
+                    let response = match response {
                         StubResponse::Closes => return,
                         StubResponse::Silent => std::future::pending().await,
-                        StubResponse::Unexplained => "",
-                        StubResponse::NotRun => "hibiscushinge-outcome: not-run\r\n",
+                        StubResponse::Unexplained => answer("503 Unavailable", "", 0),
+                        StubResponse::NotRun => {
+                            answer("503 Unavailable", "hibiscushinge-outcome: not-run\r\n", 0)
+                        }
+                        StubResponse::Whole(length) => answer("200 OK", "", length),
                     };
-                    let response = format!("{head}{outcome}content-length: 0\r\n\r\n");
                     let _ = stream.write_all(response.as_bytes()).await;
                 });
             }
--- a/crates/process-tests/tests/gateway.rs
+++ b/crates/process-tests/tests/gateway.rs
@@ -187,6 +187,46 @@
     assert_eq!(code, 0);
 }
 
+/// Guards against a planned stop that cuts requests before the last sixth of the grace.
+#[rstest]
+#[case::plain("/once/x", 0)]
+#[case::stream("/talk/x", 10)]
+#[actix_rt::test]
+async fn planned_stop_waits_for_long_requests(#[case] path: &str, #[case] expected_events: usize) {
+    /// Time that a request takes. The last sixth of the grace of 8 s begins after 6.67 s.
+    const SERVICE_TIME: std::time::Duration = std::time::Duration::from_millis(6_600);
+    let mut options = SiteOptions { gateways: 1, services: 1, engines: 1, ..Default::default() };
+    options.service.service_time = SERVICE_TIME;
+    options.engine.event_interval = SERVICE_TIME / options.engine.events as u32;
+    let fleet = SiteFleet::start(options).await;
+    let mut config = SiteFleet::config(2, &["key-1"]);
+    for route in config["routes"].as_array_mut().into_iter().flatten() {
+        route["deadline_ms"] = 10_000.into();
+    }
+    fleet.store.put_operator_key("config", &config);
+    let gateway = &fleet.gateways[0];
+    wait_for("the second configuration", || async {
+        let applied = gateway.log().into_iter().any(|line| line["fields"]["version"] == 2);
+        applied.then_some(())
+    })
+    .await;
+    let (address, mut headers) = (gateway.caller_address(), SiteFleet::headers("long"));
+    headers.push(("x-model", String::from("m0")));
+    let path = String::from(path);
+    let running = actix_rt::spawn(async move { call(address, &path, &headers, "body").await });
+    wait_for("an upstream to run the request", || async {
+        let runs = fleet.services[0].has_run("long") || fleet.engines[0].runs() > 0;
+        runs.then_some(())
+    })
+    .await;
+    gateway.signal("TERM");
+    let response = running.await.unwrap();
+    assert_eq!(response.status, 200, "{response:?}");
+    // The client of the test takes a stream that breaks off for a complete one.
+    let events = response.body.matches("id: ").count();
+    assert_eq!(events, expected_events, "{response:?}");
+}
+
 /// Pattern: the load balancer sends requests to a node in a planned stop until its process has
 /// ended. The store does not respond, so writing the last usage totals takes as long as it may.
 ///
