Name the decision about a request that another node is asked to run

Cause: a node without links passes requests to another node, which handled them by its own configuration. If that node is cut off from the store, its configuration is outdated, and its 404 was returned as the answer. Nothing in the exchange named what the sender had decided.

The tests show two more effects: the request runs at its old service, or for another customer. Ruled out: a version that falls at one node, late propagation.

Change: a forwarded request names service, customer, whether it may be repeated, and the version. A node whose configuration does not allow the same refuses it (config-differs), and the next node is asked. A 401, 403 or 404 by a node of an earlier build has the same effect. A node that is stopping or has no configuration is passed over as one without links.

--- a/crates/base/src/refusal.rs
+++ b/crates/base/src/refusal.rs
@@ -33,6 +33,9 @@
         NoUpstream,
         /// No node reaches an upstream of the route, although the platform lists some.
         LinksLost,
+        /// The configuration of this node does not allow what that of the node which passed the
+        /// request on has decided about it.
+        ConfigDiffers,
         /// The upstream failed after the request may have reached it.
         UpstreamFailed,
         /// The request's deadline has passed.
@@ -131,6 +134,7 @@
             Self::UpstreamsLimited => "upstreams-limited",
             Self::NoUpstream => "no-upstream",
             Self::LinksLost => "links-lost",
+            Self::ConfigDiffers => "config-differs",
             Self::UpstreamFailed => "upstream-failed",
             Self::DeadlineExceeded => "deadline-exceeded",
             Self::LogUnavailable => "log-unavailable",
@@ -165,6 +169,7 @@
             | Self::VersionGone
             | Self::NoUpstream
             | Self::LinksLost
+            | Self::ConfigDiffers
             | Self::LogUnavailable
             | Self::Draining
             | Self::Isolated => 503,
--- a/crates/hibiscushinged/src/gateway/crash_check/tests.rs
+++ b/crates/hibiscushinged/src/gateway/crash_check/tests.rs
@@ -82,6 +82,7 @@
         deadline: traffic.node.now() + Span::from_secs(30),
         latency_objective: Span::from_secs(30),
         max_attempts: 1,
+        config_version: 1,
         retryable: true,
         resumable: false,
         origin,
--- a/crates/hibiscushinged/src/gateway/forward.rs
+++ b/crates/hibiscushinged/src/gateway/forward.rs
@@ -1,7 +1,9 @@
 //! Passes requests to other nodes when this node does not reach the upstreams.
 //!
 //! The other node handles the request as one of a caller: it checks the key, chooses the upstream,
-//! counts usage and crashes, and keeps to limits. It never passes the request on.
+//! counts usage and crashes, and keeps to limits. It never passes the request on. Each request names
+//! what the sender's configuration has decided about it, and a node whose configuration does not
+//! allow the same refuses it: one of the two nodes may be cut off from the store.
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
@@ -10,13 +12,14 @@
     body::BoxBody,
     header::{HeaderMap, HeaderName, HeaderValue},
 };
-use base::{ProcessDigest, Refusal, RefusalCode, Span, VmKey};
+use base::{Execution, ProcessDigest, Refusal, RefusalCode, Span, VmKey, derive_value};
 use bytes::Bytes;
 use dispatch::{PeerOutcome, PeerTable};
 use protocol::{
-    ATTEMPTS_HEADER, ForwardOutcome, LEAVING_HEADER, LINKS_PATH, OUTCOME_HEADER, SERVICE_HEADER,
-    decode_leaving, encode_leaving,
+    ATTEMPTS_HEADER, CONFIG_HEADER, CUSTOMER_HEADER, ForwardOutcome, LEAVING_HEADER, LINKS_PATH,
+    OUTCOME_HEADER, RETRYABLE_HEADER, SERVICE_HEADER, decode_leaving, encode_leaving,
 };
+use routebook::RequestDecision;
 use smallvec::SmallVec;
 
 use crate::{
@@ -33,8 +36,11 @@
 };
 
 const ATTEMPTS: HeaderName = HeaderName::from_static(ATTEMPTS_HEADER);
+const CONFIG: HeaderName = HeaderName::from_static(CONFIG_HEADER);
+const CUSTOMER: HeaderName = HeaderName::from_static(CUSTOMER_HEADER);
 const LEAVING: HeaderName = HeaderName::from_static(LEAVING_HEADER);
 const OUTCOME: HeaderName = HeaderName::from_static(OUTCOME_HEADER);
+const RETRYABLE: HeaderName = HeaderName::from_static(RETRYABLE_HEADER);
 const SERVICE: HeaderName = HeaderName::from_static(SERVICE_HEADER);
 
 /// Nodes that are asked, one after the other, before a request is refused because none of them
@@ -70,6 +76,16 @@
     Broken(String),
 }
 
+derive_value! {
+    /// What another node says of a request that it passes on.
+    pub(crate) struct ForwardedRequest {
+        /// Upstreams that may run the request.
+        pub(crate) attempts: usize,
+        /// Decision that this node must agree with. Earlier builds do not name theirs.
+        pub(crate) decision: Option<RequestDecision>,
+    }
+}
+
 /// Response of another node whose head has arrived.
 pub(crate) struct ForwardedExchange {
     pub(crate) exchange: Exchange,
@@ -132,7 +148,8 @@
 ///
 /// # Errors
 ///
-/// Returns an error when no node reaches the upstreams, or when the node does not respond.
+/// Returns an error when no node reaches the upstreams and agrees with this one about the request, or
+/// when the node does not respond.
 pub(crate) async fn open(
     traffic: &Rc<TrafficState>,
     job: &PlainJob<'_>,
@@ -159,6 +176,9 @@
         );
         let mut headers = platform::node_headers(job.headers, job.host, job.id, time_left);
         headers.insert(ATTEMPTS, HeaderValue::from(attempts));
+        if set_decision(&mut headers, &job.decision()).is_none() {
+            return Err(ForwardError::Unreached);
+        }
         let head = request_head(job.method.clone(), job.path, headers);
         let Some(head) = head else { return Err(ForwardError::Unreached) };
         let sending = channel.send(head, job.body.clone(), job.id);
@@ -186,6 +206,11 @@
             guard.finish(PeerOutcome::Unreached);
             continue;
         }
+        if contradicts(outcome, exchange.head().status) {
+            log_skipped(traffic, job, peer, "its configuration does not allow the request");
+            guard.finish(PeerOutcome::Answered);
+            continue;
+        }
         let leaving = exchange.head().headers.get(LEAVING).and_then(|value| value.to_str().ok());
         if let Some(process) = leaving.and_then(decode_leaving) {
             traffic.record_leaving(process);
@@ -195,6 +220,58 @@
     Err(ForwardError::Unreached)
 }
 
+/// Returns whether a node has refused a request because its configuration differs. This node has found
+/// the route and the customer, so that "unknown" is no answer of the system. Earlier builds answer so.
+fn contradicts(outcome: ForwardOutcome, status: StatusCode) -> bool {
+    let unknown =
+        matches!(status, StatusCode::UNAUTHORIZED | StatusCode::FORBIDDEN | StatusCode::NOT_FOUND);
+    outcome == ForwardOutcome::ConfigDiffers
+        || outcome == ForwardOutcome::Refused(Execution::NotRun) && unknown
+}
+
+/// Returns what the node that passed a request on is told of its refusal.
+pub(crate) fn refusal_outcome(refusal: &Refusal) -> ForwardOutcome {
+    match (refusal.execution, refusal.code) {
+        (
+            Execution::NotRun,
+            RefusalCode::LinksLost | RefusalCode::Draining | RefusalCode::Isolated,
+        ) => ForwardOutcome::LinksLost,
+        (Execution::NotRun, RefusalCode::ConfigDiffers) => ForwardOutcome::ConfigDiffers,
+        (execution, _) => ForwardOutcome::Refused(execution),
+    }
+}
+
+/// Names the decision about a request to another node. Returns `None` if a name in it cannot be sent.
+fn set_decision(headers: &mut HeaderMap, decision: &RequestDecision) -> Option<()> {
+    headers.insert(SERVICE, HeaderValue::from_str(&decision.service).ok()?);
+    headers.insert(
+        RETRYABLE,
+        HeaderValue::from_static(if decision.retryable { "true" } else { "false" }),
+    );
+    headers.remove(&CUSTOMER);
+    if let Some(customer) = &decision.customer {
+        headers.insert(CUSTOMER, HeaderValue::from_str(customer).ok()?);
+    }
+    headers.insert(CONFIG, HeaderValue::from(decision.config_version));
+    Some(())
+}
+
+/// Removes the decision of the node that passed a request on from its headers, and returns it.
+fn take_decision(headers: &mut HeaderMap) -> Option<RequestDecision> {
+    let mut take = |name| {
+        let value = headers.remove(&name).next()?;
+        value.to_str().ok().map(String::from)
+    };
+    let (service, customer) = (take(SERVICE), take(CUSTOMER));
+    let (config_version, retryable) = (take(CONFIG), take(RETRYABLE));
+    Some(RequestDecision {
+        config_version: config_version?.parse().ok()?,
+        service: service?,
+        customer,
+        retryable: retryable?.parse().ok()?,
+    })
+}
+
 /// Logs why a node does not get a request, which is passed to the next node or refused then.
 fn log_skipped(traffic: &TrafficState, job: &PlainJob<'_>, peer: VmKey, reason: &str) {
     let table = traffic.peers.table.borrow();
@@ -244,13 +321,12 @@
     }
 }
 
-/// Removes the headers of the forwarding node from a request, and returns how many upstreams may
-/// run it.
-pub(crate) fn take_attempts(request: &mut Request) -> usize {
+/// Removes the headers of the forwarding node from a request, and returns what they say.
+pub(crate) fn take_forwarded(request: &mut Request) -> ForwardedRequest {
     let headers = &mut request.head_mut().headers;
     let attempts = headers.get(&ATTEMPTS).and_then(|value| value.to_str().ok()?.parse().ok());
     headers.remove(&ATTEMPTS);
-    attempts.unwrap_or(1)
+    ForwardedRequest { attempts: attempts.unwrap_or(1), decision: take_decision(headers) }
 }
 
 /// Returns the service of a node's question whether this node reaches it.
--- a/crates/hibiscushinged/src/gateway/plain.rs
+++ b/crates/hibiscushinged/src/gateway/plain.rs
@@ -10,6 +10,7 @@
 use futures_util::{StreamExt as _, future::Either, stream::FuturesUnordered};
 use platform::{UpstreamRequestMetadata, forward_headers};
 use protocol::ForwardOutcome;
+use routebook::RequestDecision;
 use smallvec::SmallVec;
 
 use crate::{
@@ -50,6 +51,8 @@
     pub(crate) latency_objective: Span,
     pub(crate) max_attempts: usize,
     pub(crate) retryable: bool,
+    /// Version of the configuration that decided about the request.
+    pub(crate) config_version: u64,
     /// Whether the response is a stream that another upstream may go on with.
     pub(crate) resumable: bool,
     pub(crate) origin: RequestOrigin,
@@ -77,6 +80,16 @@
         self.origin == RequestOrigin::Caller && !self.forwarded
     }
 
+    /// Returns what this node has decided about the request.
+    pub(crate) fn decision(&self) -> RequestDecision {
+        RequestDecision {
+            config_version: self.config_version,
+            service: String::from(self.service),
+            customer: self.customer.map(String::from),
+            retryable: self.retryable,
+        }
+    }
+
     /// Builds the request for one upstream, with the time that is left as its deadline.
     pub(crate) fn call(
         &self,
--- a/crates/hibiscushinged/src/gateway/reward.rs
+++ b/crates/hibiscushinged/src/gateway/reward.rs
@@ -112,6 +112,7 @@
         deadline: started + route.timeout,
         latency_objective: route.latency_objective,
         max_attempts: MAX_ATTEMPTS,
+        config_version: config.version(),
         retryable: true,
         resumable: false,
         origin: RequestOrigin::Item,
--- a/crates/hibiscushinged/src/gateway/serve.rs
+++ b/crates/hibiscushinged/src/gateway/serve.rs
@@ -15,14 +15,16 @@
 use futures_util::StreamExt as _;
 use platform::{RequestMetadata, RequestTarget, parse_request_head, parse_request_target};
 use protocol::ForwardOutcome;
-use routebook::{ConfigIndex, RequestKind, RouteSpec};
+use routebook::{ConfigIndex, RequestDecision, RequestKind, RouteSpec};
 use tokio::{net::TcpListener, sync::mpsc};
 
 use crate::{
     accept::serve_connections,
     clock::to_duration,
     gateway::{
-        cleanup, crash_check, crash_records, forward, group, limits, links,
+        cleanup, crash_check, crash_records,
+        forward::{self, ForwardedRequest},
+        group, limits, links,
         node::{LAST_TOTALS_TIMEOUT, NodeState},
         peers,
         plain::{PlainJob, run_plain},
@@ -77,8 +79,8 @@
     path: &'a str,
     body: Bytes,
     arrived_at: Moment,
-    /// Upstreams that may run the request, if another node has passed it on.
-    forwarded_attempts: Option<usize>,
+    /// What the other node says that has passed the request on, if one has.
+    forwarded: Option<ForwardedRequest>,
 }
 
 derive_copy! {
@@ -184,14 +186,14 @@
     mut request: Request,
     source: RequestSource,
 ) -> Response<BoxBody> {
-    let forwarded_attempts = match source {
+    let forwarded = match source {
         RequestSource::Caller => None,
         RequestSource::Node => {
             if let Some(service) = forward::asked_service(&request) {
                 let reached = links::answer_question(&traffic, &service).await;
                 return forward::answer(reached);
             }
-            Some(forward::take_attempts(&mut request))
+            Some(forward::take_forwarded(&mut request))
         }
     };
     let arrived_at = traffic.node.now();
@@ -206,7 +208,7 @@
                 path: &path,
                 body,
                 arrived_at,
-                forwarded_attempts,
+                forwarded,
             };
             tokio::select! {
                 biased;
@@ -220,8 +222,7 @@
     let took_ms = traffic.node.now().since(arrived_at).as_millis();
     let outcome = match &result {
         Ok(_) => ForwardOutcome::Response,
-        Err(refusal) if refusal.code == RefusalCode::LinksLost => ForwardOutcome::LinksLost,
-        Err(refusal) => ForwardOutcome::Refused(refusal.execution),
+        Err(refusal) => forward::refusal_outcome(refusal),
     };
     let mut response = match result {
         Ok(response) => {
@@ -352,14 +353,19 @@
     config: &ConfigIndex,
     in_flight: InFlightGuard,
 ) -> Result<Response<BoxBody>, Refusal> {
-    let (metadata, path) = (caller.metadata, caller.path);
-    let Some(route) = config.route(&metadata.host, path) else {
-        let message = format!("no route of host \"{}\" matches path \"{path}\"", metadata.host);
-        return Err(Refusal::not_run(RefusalCode::RouteUnknown, message));
-    };
-    let customer = if route.public { None } else { authenticate(config, caller)? };
+    let metadata = caller.metadata;
+    let found = find_route(config, caller);
+    let decision = caller.forwarded.as_ref().and_then(|forwarded| forwarded.decision.as_ref());
+    if let Some(decision) = decision {
+        check_decision(config, decision, &found)?;
+    }
+    let (route, customer) = found?;
     let id = metadata.id.as_deref().unwrap_or_default();
-    let timeout = metadata.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
+    let timeout = match metadata.deadline {
+        // The other node has bounded it by its own route.
+        Some(deadline) if decision.is_some() => deadline,
+        deadline => deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout)),
+    };
     if route.kind == RequestKind::Submission {
         let Some(customer) = customer else { return Err(key_refused()) };
         // The route's timeout applies to the items. Only the sender's own deadline bounds the
@@ -368,11 +374,11 @@
         traffic.node.admit(deadline.min(traffic.node.now() + SUBMISSION_CALL_TIME))?;
         let host = metadata.host.as_str();
         let new_submission =
-            NewSubmission { id, customer, host, path, body: &caller.body, deadline };
+            NewSubmission { id, customer, host, path: caller.path, body: &caller.body, deadline };
         return submit::accept(traffic, &new_submission).await;
     }
     let deadline = traffic.node.admit(caller.arrived_at + timeout)?;
-    let mut job = plain_job(caller, route, customer, id, deadline)?;
+    let mut job = plain_job(caller, config, route, customer, deadline)?;
     crash_check::check_convicted(traffic, &job)?;
     if route.kind == RequestKind::Stream {
         if let Some(resume) = &metadata.resume {
@@ -384,21 +390,61 @@
     run_plain(traffic, &job).await.map(response::relayed)
 }
 
+/// Finds the route of a request, and the customer whose key it carries.
+fn find_route<'c>(
+    config: &'c ConfigIndex,
+    caller: &CallerRequest<'_>,
+) -> Result<(&'c RouteSpec, Option<&'c str>), Refusal> {
+    let (host, path) = (&caller.metadata.host, caller.path);
+    let Some(route) = config.route(host, path) else {
+        let message = format!("no route of host \"{host}\" matches path \"{path}\"");
+        return Err(Refusal::not_run(RefusalCode::RouteUnknown, message));
+    };
+    let customer = if route.public { None } else { authenticate(config, caller)? };
+    Ok((route, customer))
+}
+
+/// Checks that this node's configuration allows what another node has decided about a request that it
+/// passes on. Otherwise one of the two is outdated, and which one is not known here.
+fn check_decision(
+    config: &ConfigIndex,
+    decision: &RequestDecision,
+    found: &Result<(&RouteSpec, Option<&str>), Refusal>,
+) -> Result<(), Refusal> {
+    if let Ok((route, customer)) = found
+        && decision.is_allowed_by(route, *customer)
+    {
+        return Ok(());
+    }
+    let message = format!(
+        "version {} of the configuration does not allow the request as version {} of the other node",
+        config.version(),
+        decision.config_version,
+    );
+    Err(Refusal::not_run(RefusalCode::ConfigDiffers, message))
+}
+
 fn plain_job<'a>(
     caller: &'a CallerRequest<'_>,
+    config: &ConfigIndex,
     route: &'a RouteSpec,
     customer: Option<&'a str>,
-    id: &'a str,
     deadline: Moment,
 ) -> Result<PlainJob<'a>, Refusal> {
-    let Some(service) = route.pick_service(rand::random()) else {
+    let decision = caller.forwarded.as_ref().and_then(|forwarded| forwarded.decision.as_ref());
+    let service = match decision {
+        Some(decision) => Some(decision.service.as_str()),
+        None => route.pick_service(rand::random()),
+    };
+    let Some(service) = service else {
         let message = format!("route \"{}\" has no service", route.name);
         return Err(Refusal::not_run(RefusalCode::NoUpstream, message));
     };
     let head = caller.request.head();
     let max_attempts = route.max_attempts as usize;
+    let forwarded_attempts = caller.forwarded.as_ref().map(|forwarded| forwarded.attempts);
     Ok(PlainJob {
-        id,
+        id: caller.metadata.id.as_deref().unwrap_or_default(),
         method: head.method.clone(),
         path: caller.path,
         host: &caller.metadata.host,
@@ -408,11 +454,12 @@
         service,
         deadline,
         latency_objective: route.latency_objective,
-        max_attempts: caller.forwarded_attempts.unwrap_or(max_attempts).min(max_attempts),
+        max_attempts: forwarded_attempts.unwrap_or(max_attempts).min(max_attempts),
         retryable: route.is_retryable(),
+        config_version: config.version(),
         resumable: route.kind == RequestKind::Stream && route.can_resume,
         origin: RequestOrigin::Caller,
-        forwarded: caller.forwarded_attempts.is_some(),
+        forwarded: caller.forwarded.is_some(),
         software_version: None,
         digest: OnceCell::new(),
     })
--- a/crates/hibiscushinged/src/gateway/serve/tests.rs
+++ b/crates/hibiscushinged/src/gateway/serve/tests.rs
@@ -1,5 +1,6 @@
 //! Traffic servers of several nodes, of which some have lost their links to all upstreams.
 
+mod configurations;
 mod forwarding;
 mod leaving;
 mod slow_streams;
@@ -173,9 +174,7 @@
         let node =
             NodeState::new(settings, incarnation, ProcessClock::start(), GatewayMetrics::default());
         let node = Arc::new(node);
-        let mut active = ActiveConfig::default();
-        active.apply(decode_config(config().to_string().as_bytes()).unwrap());
-        node.config.store(active.current().cloned());
+        apply_config(&node, &config());
         node.advance_to(NodePhase::Serving);
         let (updates, changes) = mpsc::unbounded_channel();
         let server = TrafficServer::start(Arc::clone(&node), changes).unwrap();
@@ -221,6 +220,13 @@
     }
 }
 
+/// Puts a configuration in force at a node, whatever its version.
+fn apply_config(node: &NodeState, config: &serde_json::Value) {
+    let mut active = ActiveConfig::default();
+    active.apply(decode_config(config.to_string().as_bytes()).unwrap());
+    node.config.store(active.current().cloned());
+}
+
 fn config() -> serde_json::Value {
     json!({
         "version": 1,
--- a/crates/hibiscushinged/src/gateway/serve/tests/stub.rs
+++ b/crates/hibiscushinged/src/gateway/serve/tests/stub.rs
@@ -31,6 +31,8 @@
     Unexplained,
     /// Status 200 with a body of this length.
     Whole(usize),
+    /// Status 404 of a node of an earlier build that does not know the route.
+    UnknownRoute,
     /// Status 503 of a node that says that the request has not run there.
     NotRun,
 }
@@ -78,6 +80,9 @@
                         StubResponse::NotRun => {
                             answer("503 Unavailable", "hibiscushinge-outcome: not-run\r\n", 0)
                         }
+                        StubResponse::UnknownRoute => {
+                            answer("404 Not Found", "hibiscushinge-outcome: not-run\r\n", 0)
+                        }
                         StubResponse::Whole(length) => answer("200 OK", "", length),
                     };
                     let _ = stream.write_all(response.as_bytes()).await;
--- a/crates/protocol/src/forwarding.rs
+++ b/crates/protocol/src/forwarding.rs
@@ -12,12 +12,23 @@
 /// leaving. The node that passes its response on must not send requests to it later.
 pub const LEAVING_HEADER: &str = "hibiscushinge-leaving";
 
-/// Header of the question whether a node reaches the upstreams of a service: its name.
+/// Header of a forwarded request: the service that runs it. Also of the question whether a node
+/// reaches the upstreams of a service.
 pub const SERVICE_HEADER: &str = "hibiscushinge-service";
 
 /// Path of that question.
 pub const LINKS_PATH: &str = "/links";
 
+/// Header of a forwarded request: the customer whose key it carries, absent on a public route.
+pub const CUSTOMER_HEADER: &str = "hibiscushinge-customer";
+
+/// Header of a forwarded request: whether it may run more than once, `true` or `false`. A request
+/// without it comes from a build that does not name its decision.
+pub const RETRYABLE_HEADER: &str = "hibiscushinge-retryable";
+
+/// Header of a forwarded request: version of the configuration by which the request was accepted.
+pub const CONFIG_HEADER: &str = "hibiscushinge-config";
+
 derive_copy! {
     /// What became of a forwarded request.
     pub enum ForwardOutcome {
@@ -25,8 +36,12 @@
         Response,
         /// The node refused the request, which has not run or may have run.
         Refused(Execution),
-        /// The node does not reach the upstreams either, and the request has not run.
+        /// The node does not reach the upstreams either, or takes no requests. The request has not
+        /// run.
         LinksLost,
+        /// The configuration of the node does not allow what that of the sender has decided. The
+        /// request has not run.
+        ConfigDiffers,
     }
 }
 
@@ -38,13 +53,19 @@
             Self::Response => "response",
             Self::Refused(execution) => execution.as_str(),
             Self::LinksLost => "links-lost",
+            Self::ConfigDiffers => "config-differs",
         }
     }
 
     /// Parses the value of [`OUTCOME_HEADER`]. With an unknown one, the request may have run.
     #[must_use]
     pub fn parse(value: &str) -> Self {
-        let all = [Self::Response, Self::Refused(Execution::NotRun), Self::LinksLost];
+        let all = [
+            Self::Response,
+            Self::Refused(Execution::NotRun),
+            Self::LinksLost,
+            Self::ConfigDiffers,
+        ];
         let found = all.into_iter().find(|outcome| outcome.as_str() == value);
         found.unwrap_or(Self::Refused(Execution::MayHaveRun))
     }
--- a/crates/protocol/tests/codec.rs
+++ b/crates/protocol/tests/codec.rs
@@ -176,8 +176,9 @@
     assert_eq!(decode_node_record(&key, &value), Ok(record));
     assert!(decode_node_record("vm-1", b"").is_err());
     let refused = [Execution::NotRun, Execution::MayHaveRun].map(ForwardOutcome::Refused);
-    for outcome in refused.into_iter().chain([ForwardOutcome::Response, ForwardOutcome::LinksLost])
-    {
+    let others =
+        [ForwardOutcome::Response, ForwardOutcome::LinksLost, ForwardOutcome::ConfigDiffers];
+    for outcome in refused.into_iter().chain(others) {
         assert_eq!(ForwardOutcome::parse(outcome.as_str()), outcome);
     }
     let unknown = ForwardOutcome::parse("unknown");
--- a/crates/routebook/tests/index.rs
+++ b/crates/routebook/tests/index.rs
@@ -3,8 +3,8 @@
 
 use base::{KeyDigest, Span};
 use routebook::{
-    ActiveConfig, ApplyOutcome, CallerLimits, ConfigIndex, CustomerSpec, RequestKind, RouteSpec,
-    SiteConfig, WeightedTarget,
+    ActiveConfig, ApplyOutcome, CallerLimits, ConfigIndex, CustomerSpec, RequestDecision,
+    RequestKind, RouteSpec, SiteConfig, WeightedTarget,
 };
 use rstest::rstest;
 use smallvec::smallvec;
@@ -95,3 +95,31 @@
     ];
     assert_eq!(route.pick_service(random), Some(expected));
 }
+
+/// Guards against a request that a node runs by the decision of another one, although its own
+/// configuration does not allow the same.
+#[rstest]
+#[case::same("short", Some("brewer"), true, true)]
+#[case::other_target("long", Some("brewer"), true, true)]
+#[case::target_without_weight("old", Some("brewer"), true, false)]
+#[case::unknown_service("other", Some("brewer"), true, false)]
+#[case::other_customer("short", Some("cider"), true, false)]
+#[case::public("short", None, true, false)]
+#[case::other_kind("short", Some("brewer"), false, false)]
+fn check_decision(
+    #[case] service: &str,
+    #[case] customer: Option<&str>,
+    #[case] retryable: bool,
+    #[case] expected: bool,
+) {
+    let mut route = route("short", "/a/");
+    route.targets.push(WeightedTarget { service: String::from("long"), weight: 1 });
+    route.targets.push(WeightedTarget { service: String::from("old"), weight: 0 });
+    let decision = RequestDecision {
+        config_version: 1,
+        service: String::from(service),
+        customer: customer.map(String::from),
+        retryable,
+    };
+    assert_eq!(decision.is_allowed_by(&route, Some("brewer")), expected);
+}
