Bound the bodies of responses by the memory of the VM, and read them in turns

Cause: all responses shared 64 MiB, whatever the memory of the VM. A buffer full of small chunks was decoded without a pause, since the decoder waits only when its buffer is empty.

Change: the setting `memory_mb`, an eighth of which holds bodies of responses; `Exchange::chunk` takes part in the runtime's budget.

--- a/crates/document/src/gateway.rs
+++ b/crates/document/src/gateway.rs
@@ -19,6 +19,8 @@
         pub first_start: bool,
         /// CPU limit of the process in thousandths of a core.
         pub millicores: u32,
+        /// Memory limit of the process in bytes.
+        pub memory_bytes: usize,
         /// Address that serves callers and trainers.
         pub listen: SocketAddr,
         /// Address that serves the readiness check of the load balancer.
@@ -80,6 +82,8 @@
     #[serde(default)]
     first_start: bool,
     cores: f64,
+    #[serde(default = "default_memory_mb")]
+    memory_mb: f64,
     listen: SocketAddr,
     ready: SocketAddr,
     metrics: SocketAddr,
@@ -144,6 +148,7 @@
 fn check_values(file: &str, wire: &WireGateway) -> Vec<DocumentProblem> {
     let must_be_positive = [
         ("cores", wire.cores),
+        ("memory_mb", wire.memory_mb),
         ("store.partitions", f64::from(wire.store.partitions)),
         ("store.reads_per_s", wire.store.reads_per_s),
         ("store.record_bytes", f64::from(wire.store.record_bytes)),
@@ -179,6 +184,7 @@
             zone: wire.zone,
             first_start: wire.first_start,
             millicores: (wire.cores * 1e3) as u32,
+            memory_bytes: (wire.memory_mb * 1e6) as usize,
             listen: wire.listen,
             ready: wire.ready,
             metrics: wire.metrics,
@@ -205,6 +211,12 @@
     }
 }
 
+/// Memory limit of settings files without one, which earlier deploy templates render: that of a small
+/// VM.
+const fn default_memory_mb() -> f64 {
+    120.0
+}
+
 fn span_from_millis(value: f64) -> Span {
     Span::from_micros((value * 1e3).max(0.0) as u64)
 }
--- a/crates/hibiscushinged/src/gateway/channel.rs
+++ b/crates/hibiscushinged/src/gateway/channel.rs
@@ -267,6 +267,8 @@
     }
 
     async fn next_chunk(&mut self) -> Result<Option<Bytes>, ChannelError> {
+        // Thousands of small chunks may be buffered. Other requests are served between them.
+        tokio::task::consume_budget().await;
         let mut framing_bytes = 0;
         loop {
             let decoded = match &mut self.body {
--- a/crates/hibiscushinged/src/gateway/response_buffer.rs
+++ b/crates/hibiscushinged/src/gateway/response_buffer.rs
@@ -7,16 +7,17 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Bytes that the bodies of all responses that are being read may hold. A gateway may use some
-/// hundred megabytes.
-const CAPACITY_BYTES: usize = 64 << 20;
+/// Part of the memory limit that the bodies of all responses that are being read may hold. Allocations
+/// of growing buffers take up to twice their content, and a node without load takes 25 MB.
+const MEMORY_FRACTION: usize = 8;
 
 /// Memory that all buffers of one node share.
 ///
 /// A buffer may hold as many bytes as are left free (dynamic thresholds). So one response can be
 /// half of the capacity long, and many responses without end leave room for ordinary ones.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct BufferBudget {
+    capacity: usize,
     used: Cell<usize>,
 }
 
@@ -34,6 +35,11 @@
 }
 
 impl BufferBudget {
+    /// Creates the budget of a process with this memory limit in bytes.
+    pub(crate) const fn new(memory_limit: usize) -> Self {
+        Self { capacity: memory_limit / MEMORY_FRACTION, used: Cell::new(0) }
+    }
+
     pub(crate) fn buffer(&self) -> BodyBuffer<'_> {
         BodyBuffer { budget: self, body: BytesMut::new() }
     }
@@ -48,7 +54,7 @@
     pub(crate) fn push(&mut self, chunk: &[u8]) -> Result<(), BodyTooLong> {
         let bytes = self.body.len() + chunk.len();
         let used = self.budget.used.get() + chunk.len();
-        if bytes > CAPACITY_BYTES.saturating_sub(used) {
+        if bytes > self.budget.capacity.saturating_sub(used) {
             return Err(BodyTooLong { bytes });
         }
         self.budget.used.set(used);
--- a/crates/hibiscushinged/src/gateway/response_buffer/tests.rs
+++ b/crates/hibiscushinged/src/gateway/response_buffer/tests.rs
@@ -1,6 +1,9 @@
 //! Bodies without end beside ordinary ones.
 
-use super::{BufferBudget, CAPACITY_BYTES};
+use super::BufferBudget;
+
+/// Memory limit of a VM of 512 MiB.
+const MEMORY_LIMIT: usize = 512 << 20;
 
 const CHUNK: [u8; 8 << 10] = [0; 8 << 10];
 
@@ -8,7 +11,7 @@
 /// without end, and against ordinary responses that fail beside them.
 #[test]
 fn endless_bodies_leave_room_for_others() {
-    let budget = BufferBudget::default();
+    let budget = BufferBudget::new(MEMORY_LIMIT);
     let mut endless: Vec<_> = (0..20).map(|_| budget.buffer()).collect();
     let mut open = true;
     while open {
@@ -17,7 +20,7 @@
             open |= buffer.push(&CHUNK).is_ok();
         }
     }
-    assert!(budget.used.get() <= CAPACITY_BYTES, "{} bytes are held", budget.used.get());
+    assert!(budget.used.get() <= MEMORY_LIMIT / 8, "{} bytes are held", budget.used.get());
     let mut ordinary = budget.buffer();
     for _ in 0..128 {
         assert_eq!(ordinary.push(&CHUNK), Ok(()));
@@ -30,11 +33,11 @@
 /// Guards against refusing a long response while nothing else is read.
 #[test]
 fn single_body_may_take_half_of_the_capacity() {
-    let budget = BufferBudget::default();
+    let budget = BufferBudget::new(MEMORY_LIMIT);
     let mut buffer = budget.buffer();
     let mut bytes = 0;
     while buffer.push(&CHUNK).is_ok() {
         bytes += CHUNK.len();
     }
-    assert_eq!(bytes, CAPACITY_BYTES / 2);
+    assert_eq!(bytes, MEMORY_LIMIT / 16);
 }
--- a/crates/hibiscushinged/src/gateway/serve/tests.rs
+++ b/crates/hibiscushinged/src/gateway/serve/tests.rs
@@ -163,6 +163,7 @@
             vm_name = "vm-{index}"
             zone = "z"
             cores = 1
+            memory_mb = 512
             listen = "{address}:18405"
             ready = "{address}:18406"
             metrics = "{address}:18407"
--- a/crates/hibiscushinged/src/gateway/traffic_state.rs
+++ b/crates/hibiscushinged/src/gateway/traffic_state.rs
@@ -39,7 +39,7 @@
             store: Rc::new(StoreSession::new(Arc::clone(&node))),
             partitions: PartitionSet::new(&node.settings.store),
             items: ItemScheduler::default(),
-            body_budget: BufferBudget::default(),
+            body_budget: BufferBudget::new(node.settings.memory_bytes),
             suspects: SuspectRegistry::new(node.incarnation),
             suspect_runs: SuspectRuns::new(node.incarnation),
             limits: LimitRegistry::new(&node.settings.vm_name, node.incarnation),
--- a/crates/process-tests/src/site.rs
+++ b/crates/process-tests/src/site.rs
@@ -261,6 +261,7 @@
             zone = "zone-a"
             first_start = {first_start}
             cores = 1.0
+            memory_mb = 120
             listen = "{address}:{CALLER_PORT}"
             ready = "{address}:{READY_PORT}"
             metrics = "{address}:{METRICS_PORT}"
@@ -361,6 +362,17 @@
         );
     }
 
+    /// Returns the largest amount of memory in bytes that the process has held so far, or `None` if it
+    /// does not run.
+    #[must_use]
+    pub fn peak_memory(&self) -> Option<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.as_ref()?.id()));
+        let status = status.ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let kibibytes: u64 = line.trim().strip_suffix("kB")?.trim().parse().ok()?;
+        Some(kibibytes << 10)
+    }
+
     /// Returns the exit code if the process has ended by itself. Returns `None` while it runs,
     /// after [`Self::kill`], and if a signal ended it.
     pub fn exit_code(&mut self) -> Option<i32> {
