Run a long request at each planned stop of the soak

Change: a service whose requests take 6.6 s. One of them is sent to a gateway 200 ms before its SIGTERM and must get a response if it runs.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -1,6 +1,6 @@
 //! Callers that send requests through the gateways and check the responses.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use base::Span;
 use bytes::Bytes;
@@ -13,6 +13,9 @@
 /// Timeout of one request. The routes of the configuration time out after 2 s.
 const REQUEST_TIMEOUT: Span = Span::from_secs(4);
 
+/// Timeout of a request to the slow service, longer than the grace of a planned stop.
+const SLOW_REQUEST_TIMEOUT: Span = Span::from_secs(12);
+
 /// Statuses that guarantee that a request has not run and never will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
@@ -38,14 +41,7 @@
         let path = if idempotent { "/fetch/x" } else { "/once/x" };
         let node = (caller + number) % testbed.options.gateways;
         let address = testbed.nodes.borrow()[node].process.caller_address();
-        let mut request = HttpRequest::post(address, path, Bytes::from(id.clone().into_bytes()));
-        for (name, value) in SiteFleet::headers(&id) {
-            let name = name.parse().expect("header names of the test fleet are valid");
-            request = request.with_header(
-                name,
-                value.parse().expect("header values of the test fleet are valid"),
-            );
-        }
+        let request = customer_request(address, path, &id);
         let response = client.exchange(request, REQUEST_TIMEOUT, 1 << 20).await;
         let Ok(response) = response else {
             testbed.count("no answer");
@@ -88,6 +84,37 @@
     }
 }
 
+/// Sends a request to the slow service through a gateway that is about to be stopped, and checks that
+/// it gets a response once it runs. The planned stop leaves enough time.
+pub(crate) async fn send_slow(testbed: Rc<SoakTestbed>, node: usize) {
+    let id = format!("slow-{node}-{}", testbed.slow.served());
+    let address = testbed.nodes.borrow()[node].process.caller_address();
+    let client = HttpClient::new(Span::from_millis(500));
+    let request = customer_request(address, "/slow/x", &id);
+    match client.exchange(request, SLOW_REQUEST_TIMEOUT, 1 << 20).await {
+        Ok(response) if response.status.as_u16() == 200 => testbed.count("slow answered"),
+        Ok(_) => testbed.count("slow failed"),
+        Err(error) if testbed.slow.has_run(&id) => {
+            testbed.report_violation(format!(
+                "request {id} was running at a SIGTERM and got no response: {error}"
+            ));
+        }
+        Err(_) => testbed.count("slow not sent"),
+    }
+}
+
+/// Builds a request of the customer. Its body is its identifier.
+fn customer_request(address: SocketAddr, path: &str, id: &str) -> HttpRequest {
+    let body = Bytes::copy_from_slice(id.as_bytes());
+    let mut request = HttpRequest::post(address, path, body);
+    for (name, value) in SiteFleet::headers(id) {
+        let name = name.parse().expect("header names of the test fleet are valid");
+        let value = value.parse().expect("header values of the test fleet are valid");
+        request = request.with_header(name, value);
+    }
+    request
+}
+
 fn check_response(testbed: &SoakTestbed, id: &str, body: &[u8]) {
     testbed.count("answered");
     let body: Value = serde_json::from_slice(body).unwrap_or_default();
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -9,7 +9,10 @@
 use rand::{Rng, RngExt as _};
 use site_stand_in::StoreFault;
 
-use crate::testbed::SoakTestbed;
+use crate::{
+    callers,
+    testbed::{self, SoakTestbed},
+};
 
 /// Longest pause between the starts of two faults. It is shorter than most faults, so that faults
 /// overlap.
@@ -21,6 +24,9 @@
 /// Time between SIGTERM and SIGKILL when the platform stops a process.
 const TERMINATION_GRACE_PERIOD: Duration = Duration::from_secs(8);
 
+/// Time before SIGTERM at which a slow request is sent.
+const SLOW_REQUEST_LEAD: Duration = Duration::from_millis(200);
+
 /// A fault. The number is the index of the gateway, engine or service. The report prints the
 /// `Debug` form.
 #[derive(Debug, Clone, Copy)]
@@ -97,7 +103,7 @@
     }
 }
 
-async fn apply_fault(testbed: &SoakTestbed, kind: FaultKind, duration: Duration) {
+async fn apply_fault(testbed: &Rc<SoakTestbed>, kind: FaultKind, duration: Duration) {
     testbed.count("faults");
     match kind {
         FaultKind::Kill(node) => {
@@ -153,7 +159,7 @@
                 let report = testbed.report.borrow();
                 2 + report.faults.len() as u64
             };
-            let config = process_tests::SiteFleet::config(version, &["key-1", "key-2"]);
+            let config = testbed::config(version, &["key-1", "key-2"]);
             testbed.store.put_operator_key("config", &config);
         }
     }
@@ -177,11 +183,14 @@
     nodes[node].unavailable = false;
 }
 
-/// Stops a gateway as the platform does: SIGTERM, SIGKILL after the grace period, and a restart.
-async fn terminate(testbed: &SoakTestbed, node: usize) {
+/// Stops a gateway as the platform does: SIGTERM, SIGKILL after the grace period, and a restart. A
+/// request that runs at the SIGTERM takes most of the grace period.
+async fn terminate(testbed: &Rc<SoakTestbed>, node: usize) {
     if !mark_unavailable(testbed, node) {
         return;
     }
+    let slow_request = actix_rt::spawn(callers::send_slow(Rc::clone(testbed), node));
+    tokio::time::sleep(SLOW_REQUEST_LEAD).await;
     testbed.nodes.borrow()[node].process.signal("TERM");
     let start = Instant::now();
     loop {
@@ -204,6 +213,10 @@
             None => {}
         }
     }
+    // The end of the process has ended it.
+    if let Err(error) = slow_request.await {
+        testbed.report_violation(format!("caller task failed: {error}"));
+    }
     restart_gateway(testbed, node);
 }
 
--- a/crates/soak/src/testbed.rs
+++ b/crates/soak/src/testbed.rs
@@ -11,6 +11,7 @@
 use process_tests::{GatewayProcess, SiteFleet, SiteOptions, TcpRelay};
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
 use site_stand_in::{EngineOptions, ServiceOptions, SiteEngine, SiteService, SiteStore};
 
 use crate::{SoakOptions, callers, crashing, faults, streams, trainer};
@@ -27,6 +28,10 @@
 /// Time for which a crashed upstream refuses connections.
 const DOWN_TIME: Duration = Duration::from_millis(800);
 
+/// Time that a request to the slow service takes. The last sixth of the grace of a planned stop, 8 s,
+/// begins after 6.67 s.
+const SLOW_SERVICE_TIME: Duration = Duration::from_millis(6_600);
+
 /// Number of events of a complete stream of an engine.
 pub(crate) const EVENTS_PER_STREAM: u64 = 10;
 
@@ -79,6 +84,8 @@
     pub(crate) services: Vec<SoakUpstream<SiteService>>,
     /// Plain services without a relay. A relay accepts connections while its service is down.
     pub(crate) direct: Vec<SiteService>,
+    /// The service of the route `/slow/`, whose requests take [`SLOW_SERVICE_TIME`].
+    pub(crate) slow: SiteService,
     pub(crate) report: RefCell<SoakReport>,
     /// Newest weight version that the trainer has published.
     pub(crate) weight_version: RefCell<u64>,
@@ -134,7 +141,14 @@
             SiteService::start(service).expect("a plain service stand-in can listen on loopback")
         });
         let direct = direct.collect();
-        store.put_operator_key("config", &SiteFleet::config(1, &["key-1"]));
+        let slow = SiteService::start(ServiceOptions {
+            id: String::from("slow-0"),
+            service: String::from("slow"),
+            service_time: SLOW_SERVICE_TIME,
+            ..site_options.service.clone()
+        });
+        let slow = slow.expect("a plain service stand-in can listen on loopback");
+        store.put_operator_key("config", &config(1, &["key-1"]));
         let mut nodes = Vec::new();
         for index in 0..options.gateways {
             let store_relay = TcpRelay::start().await;
@@ -149,6 +163,7 @@
             engines,
             services,
             direct,
+            slow,
             report: RefCell::new(SoakReport { seed: options.seed, ..Default::default() }),
             weight_version: RefCell::new(1),
             stopping: RefCell::new(false),
@@ -178,7 +193,7 @@
             entry["address"] = service.relay.address().to_string().into();
             self.store.put_upstream(service.upstream.id(), &entry);
         }
-        for service in &self.direct {
+        for service in self.direct.iter().chain([&self.slow]) {
             self.store.put_upstream(service.id(), &service.entry());
         }
     }
@@ -305,6 +320,21 @@
     }
 }
 
+/// Returns the configuration of the test fleet with the route `/slow/`.
+pub(crate) fn config(version: u64, keys: &[&str]) -> Value {
+    let mut config = SiteFleet::config(version, keys);
+    let mut route = config["routes"][1].clone();
+    route["name"] = "slow".into();
+    route["prefix"] = "/slow/".into();
+    route["service"] = "slow".into();
+    route["deadline_ms"] = 10_000.into();
+    let service = json!({"name": "slow", "health": "/healthz", "max_conns": 100});
+    for (list, entry) in [("routes", route), ("services", service)] {
+        config[list].as_array_mut().expect("the configuration has this list").push(entry);
+    }
+    config
+}
+
 impl fmt::Display for SoakReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let verdict = if self.violations.is_empty() { "passed" } else { "FAILED" };
