Bound the memory of the endless-bytes test by 120 MB, not 120 MiB

Cause: the stated target is 120 MB, and the bound was wider by 5 %. The message names the bytes held and the bound. Found when reading the change.

--- a/crates/process-tests/tests/endless.rs
+++ b/crates/process-tests/tests/endless.rs
@@ -14,7 +14,7 @@
 const REQUESTS: usize = 16;
 
 /// Memory of the smallest VM.
-const MAX_MEMORY_BYTES: u64 = 120 << 20;
+const MAX_MEMORY_BYTES: u64 = 120_000_000;
 
 /// Time for which the bytes are sent.
 const FLOOD_TIME: Duration = Duration::from_secs(4);
@@ -142,6 +142,9 @@
     }
     assert!(connections.get() > 0, "the endless upstream got no request");
     let memory = fleet.gateways[0].peak_memory().expect("the gateway still runs");
-    assert!(memory < MAX_MEMORY_BYTES, "the gateway held {} MiB", memory >> 20);
+    assert!(
+        memory < MAX_MEMORY_BYTES,
+        "the gateway held {memory} bytes, more than {MAX_MEMORY_BYTES}"
+    );
     assert!(served * 10 >= number * 9, "{served} of {number} other requests were served");
 }
