Queue items whatever arrives first, and place items by service

Cause: items were queued only when the records of their partition changed, so a node that had read the open submissions before its first configuration never queued them. And a requirement that no engine met was skipped for the rest of a round for all services, though only the engines of one had been asked.

Ruled out: late entries of upstreams (they wake the placing) and late partitions (the group calls `watch` again).

Change: NodeState::publish_config notifies the tasks that update jobs; the remembered requirement names the service.

--- a/crates/hibiscushinged/src/gateway/control.rs
+++ b/crates/hibiscushinged/src/gateway/control.rs
@@ -101,7 +101,7 @@
             return;
         }
         let node = &self.control.node;
-        node.config.store(active.current().cloned());
+        node.publish_config(active.current().cloned());
         node.advance_to(NodePhase::Serving);
         log_event!(ConfigApplied, version, offset, routes);
     }
--- a/crates/hibiscushinged/src/gateway/node.rs
+++ b/crates/hibiscushinged/src/gateway/node.rs
@@ -44,6 +44,8 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) clock: ProcessClock,
     pub(crate) config: ArcSwapOption<ConfigIndex>,
+    /// Number of configurations published so far.
+    config_changes: watch::Sender<u64>,
     pub(crate) metrics: GatewayMetrics,
     window_totals: Mutex<WindowTotals>,
     lifecycle: Arc<NodeLifecycle>,
@@ -91,6 +93,7 @@
             incarnation,
             clock,
             config: ArcSwapOption::empty(),
+            config_changes: watch::Sender::new(0),
             metrics,
             window_totals: Mutex::new(WindowTotals::default()),
             lifecycle: Arc::default(),
@@ -116,6 +119,16 @@
         self.lifecycle.advance_to(phase);
     }
 
+    /// Makes a configuration the current one, and notifies the tasks that wait for a change.
+    pub(crate) fn publish_config(&self, config: Option<Arc<ConfigIndex>>) {
+        self.config.store(config);
+        self.config_changes.send_modify(|count| *count += 1);
+    }
+
+    pub(crate) fn subscribe_to_configs(&self) -> watch::Receiver<u64> {
+        self.config_changes.subscribe()
+    }
+
     /// Begins a planned stop. Requests are accepted by this schedule from now on.
     pub(crate) fn begin_stop(&self, schedule: StopSchedule) {
         self.advance_to(NodePhase::Draining);
--- a/crates/hibiscushinged/src/gateway/partition_follower/tests.rs
+++ b/crates/hibiscushinged/src/gateway/partition_follower/tests.rs
@@ -8,7 +8,10 @@
 use site_stand_in::{SiteStore, StoreOptions};
 use submissions::{ItemResult, SubmissionItem, SubmissionMetadata, SubmissionRecord};
 
-use crate::gateway::{partitions::SUBMISSION_TOPIC, test_support::traffic};
+use crate::gateway::{
+    partitions::SUBMISSION_TOPIC,
+    test_support::{traffic, upstream_entry},
+};
 
 const ITEMS: u32 = 40;
 
@@ -169,6 +172,65 @@
     assert_eq!(traffic.items.waiting(), waiting);
 }
 
+/// What a node learns after its start, in any order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Arrival {
+    Configuration,
+    Engine,
+    Partition,
+    Submission,
+}
+
+const ARRIVALS: [Arrival; 4] =
+    [Arrival::Configuration, Arrival::Engine, Arrival::Partition, Arrival::Submission];
+
+/// Pattern: all nodes are restarted in the middle of a step, while the partition of the store that
+/// holds the configuration does not respond.
+///
+/// Guards against items that are never queued because their submission was read before the first
+/// configuration, and nothing was appended to their partition afterwards. No order of arrival may
+/// matter.
+#[rstest::rstest]
+#[actix_rt::test]
+async fn check_order_of_arrival(
+    #[values(0, 1, 2, 3)] first: usize,
+    #[values(1, 2, 3)] second: usize,
+    #[values(false, true)] swapped: bool,
+) {
+    let mut order = ARRIVALS;
+    order.swap(0, first);
+    order.swap(1, second);
+    if swapped {
+        order.swap(2, 3);
+    }
+    let traffic = traffic("127.0.0.1:1".parse().unwrap());
+    let follower = traffic.partitions.get(0).unwrap();
+    follower.cache.borrow_mut().follow_from(0, traffic.node.now());
+    for arrival in order {
+        match arrival {
+            Arrival::Configuration => {
+                let config = platform::decode_config(CONFIG.as_bytes()).unwrap();
+                traffic.node.publish_config(Some(Arc::new(routebook::ConfigIndex::new(config))));
+            }
+            Arrival::Engine => {
+                let entry = upstream_entry("e", "127.0.0.1:1".parse().unwrap());
+                traffic.balancer.borrow_mut().update(entry);
+            }
+            Arrival::Partition => {
+                traffic.partitions.set_owned(&std::collections::BTreeSet::from([0]));
+                follower.cache.borrow_mut().finish_scan(&[], 0);
+                crate::gateway::runner::watch(&traffic, follower);
+            }
+            Arrival::Submission => {
+                follower.apply_own_append(0, 2, submission());
+            }
+        }
+        // Lets the task that follows the partition handle the change.
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(traffic.items.waiting(), ITEMS as usize, "{order:?}");
+}
+
 /// Guards against a store that fills up with submissions whose results need no longer be readable,
 /// and against the deletion of submissions that must still be readable.
 #[rstest::rstest]
--- a/crates/hibiscushinged/src/gateway/runner.rs
+++ b/crates/hibiscushinged/src/gateway/runner.rs
@@ -1,5 +1,8 @@
 //! Runs the items of submissions in the partitions that this node owns.
 
+#[cfg(test)]
+mod tests;
+
 use std::{
     cell::LazyCell,
     cmp::Reverse,
@@ -63,7 +66,8 @@
 /// Maximum number of runs that are migrated at one check.
 const MAX_MIGRATIONS_PER_CHECK: usize = 4;
 
-/// Updates the jobs of an owned partition now, and from then on whenever its cache changes.
+/// Updates the jobs of an owned partition now, and from then on whenever its cache or the
+/// configuration changes: items are queued only while the configuration has their route.
 pub(crate) fn watch(traffic: &Rc<TrafficState>, follower: &Rc<PartitionFollower>) {
     let partition = follower.name.partition;
     if !traffic.items.state.borrow_mut().watched_partitions.insert(partition) {
@@ -73,9 +77,14 @@
     let (traffic, follower) = (Rc::clone(traffic), Rc::clone(follower));
     actix_rt::spawn(async move {
         let mut changes = follower.subscribe();
+        let mut configs = traffic.node.subscribe_to_configs();
         loop {
             update_jobs(&traffic, &follower);
-            if changes.changed().await.is_err() {
+            let changed = tokio::select! {
+                changed = changes.changed() => changed,
+                changed = configs.changed() => changed,
+            };
+            if changed.is_err() {
                 return;
             }
         }
@@ -172,19 +181,21 @@
     let Some(config) = traffic.node.config.load_full() else { return };
     let mut state = traffic.items.state.borrow_mut();
     let state = &mut *state;
-    let mut unplaceable: BTreeSet<(String, u64, Option<String>)> = BTreeSet::new();
+    // Requirements that no engine of a service meets at present. Engines of other services may.
+    let mut unplaceable: BTreeSet<(&str, String, u64, Option<String>)> = BTreeSet::new();
     let warm_engines = &mut state.warm_engines;
     let connected = traffic.pool.connected();
     state.queue.place(|job| {
         let metadata = &job.metadata;
         let mut progress = job.progress.borrow_mut();
         let software = progress.text.software_version().map(String::from);
-        let requirement = (metadata.model.clone(), metadata.min_version.0, software.clone());
+        let Some(route) = config.route(&metadata.host, &metadata.path) else { return false };
+        let Some(service) = route.pick_service(rand::random()) else { return false };
+        let (model, version) = (metadata.model.clone(), metadata.min_version.0);
+        let requirement = (service, model, version, software.clone());
         if unplaceable.contains(&requirement) {
             return false;
         }
-        let Some(route) = config.route(&metadata.host, &metadata.path) else { return false };
-        let Some(service) = route.pick_service(rand::random()) else { return false };
         let prompt = job.item.shared_prompt.as_ref();
         let request = GenerationPickRequest {
             service,
