Send an identifier once on a connection

Cause: responses are matched to requests by the identifier alone, and a refused request could be sent again on the same connection, so a late second copy of the refusal was taken for the response to the second send.

Ruled out: copies that arrive before the connection is used again (connections with unread bytes were dropped before).

Change: a connection remembers the identifiers that were sent on it, and the pools of upstreams and of nodes pass over it for another send of one of them. A connection is used for 512 exchanges at most.

--- a/crates/hibiscushinged/src/gateway/attempt.rs
+++ b/crates/hibiscushinged/src/gateway/attempt.rs
@@ -1,5 +1,8 @@
 //! One attempt: a request to one upstream and its response.
 
+#[cfg(test)]
+mod tests;
+
 use std::{rc::Rc, time::Duration};
 
 use actix_http::{
@@ -132,7 +135,7 @@
         .parse()
         .map_err(|error| not_run_error(format!("the path of the request is invalid: {error}")))?;
     head.headers = call.headers;
-    let channel = match traffic.pool.take(traffic.node.now(), call.upstream) {
+    let channel = match traffic.pool.take(traffic.node.now(), call.upstream, call.id) {
         Some(channel) => channel,
         None => {
             traffic.node.metrics.channels_opened.inc();
--- a/crates/hibiscushinged/src/gateway/channel.rs
+++ b/crates/hibiscushinged/src/gateway/channel.rs
@@ -11,7 +11,7 @@
     h1::{ClientCodec, ClientPayloadCodec, Message, MessageType},
     header::{CONTENT_LENGTH, TRANSFER_ENCODING},
 };
-use base::ProcessDigest;
+use base::{ProcessDigest, stable_hash};
 use bytes::{Bytes, BytesMut};
 use platform::{ResponseMetadata, parse_response_head};
 use tokio::{
@@ -36,6 +36,10 @@
 /// Largest part of a body that may arrive without content, such as chunk extensions.
 const MAX_FRAMING_BYTES: usize = 64 << 10;
 
+/// Maximum number of exchanges on a connection. It bounds the memory for their identifiers to 4 KiB,
+/// and opening a connection adds one or two milliseconds to one in this many requests.
+const MAX_EXCHANGES: usize = 512;
+
 /// Free capacity of the read buffer before each read.
 const READ_RESERVE_BYTES: usize = 8 << 10;
 
@@ -56,6 +60,9 @@
     unsent: Bytes,
     /// Process at the other end, once it was checked.
     process: Option<ProcessDigest>,
+    /// Hashes of the identifiers that were sent on the connection. A late copy of the response to
+    /// one of them must not be taken for the response to another send of it.
+    sent_ids: Vec<u64>,
 }
 
 /// A response whose head has arrived.
@@ -85,7 +92,14 @@
         // network partition held up after the partition has healed, when its caller has long
         // disconnected.
         stream.set_zero_linger()?;
-        Ok(Self { stream, config, buffer: BytesMut::new(), unsent: Bytes::new(), process: None })
+        Ok(Self {
+            stream,
+            config,
+            buffer: BytesMut::new(),
+            unsent: Bytes::new(),
+            process: None,
+            sent_ids: Vec::new(),
+        })
     }
 
     pub(crate) const fn process(&self) -> Option<ProcessDigest> {
@@ -97,6 +111,22 @@
         self.process = Some(process);
     }
 
+    /// Returns whether a request with this identifier was sent on the connection. Another send of it
+    /// needs another connection: an upstream may send the response to the first one twice.
+    pub(crate) fn has_sent(&self, id: &str) -> bool {
+        self.sent_ids.contains(&stable_hash(id))
+    }
+
+    /// Returns whether the connection has reached its maximum number of exchanges.
+    pub(crate) const fn is_used_up(&self) -> bool {
+        self.sent_ids.len() >= MAX_EXCHANGES
+    }
+
+    /// Returns the number of requests that were sent on the connection.
+    pub(crate) const fn exchanges(&self) -> usize {
+        self.sent_ids.len()
+    }
+
     /// Returns whether the idle connection is still open and has no unread bytes.
     pub(crate) fn is_reusable(&self) -> bool {
         let mut byte = [0];
@@ -105,17 +135,19 @@
     }
 
     /// Sends a request and reads the head of its response. Responses to other requests are skipped.
+    /// The identifier must not have been [sent](Self::has_sent) on the connection before.
     ///
     /// # Errors
     ///
     /// Returns an error when the connection fails or the response is malformed. The request may
     /// have run.
     pub(crate) async fn send(
-        self,
+        mut self,
         head: RequestHead,
         body: Bytes,
         id: &str,
     ) -> Result<Exchange, ChannelError> {
+        self.sent_ids.push(stable_hash(id));
         self.exchange(head, body, |exchange| exchange.matches_request(id)).await
     }
 
@@ -126,11 +158,12 @@
     ///
     /// As for [`send`](Self::send).
     pub(crate) async fn query(
-        self,
+        mut self,
         head: RequestHead,
         body: Bytes,
         id: &str,
     ) -> Result<Exchange, ChannelError> {
+        self.sent_ids.push(stable_hash(id));
         let is_response = |exchange: &Exchange| {
             exchange.metadata.id.as_ref().is_none_or(|response_id| response_id == id)
         };
--- a/crates/hibiscushinged/src/gateway/forward.rs
+++ b/crates/hibiscushinged/src/gateway/forward.rs
@@ -160,7 +160,7 @@
         let Some(peer) = pick(traffic, job.service, &tried) else { break };
         tried.push(peer);
         let guard = PeerGuard::acquire(traffic, peer, job.service);
-        let Some(channel) = connect(traffic, peer).await else {
+        let Some(channel) = connect(traffic, peer, job.id).await else {
             log_skipped(traffic, job, peer, "it accepts no connection");
             guard.finish(PeerOutcome::Failed);
             continue;
@@ -363,7 +363,7 @@
         headers.insert(SERVICE, value);
         platform::set_host_and_id(&mut headers, LINKS_HOST, QUESTION_ID);
         let asking = async {
-            let channel = connect(traffic, peer).await?;
+            let channel = connect(traffic, peer, QUESTION_ID).await?;
             let head = request_head(Method::GET, LINKS_PATH, headers)?;
             channel.send(head, Bytes::new(), QUESTION_ID).await.ok()
         };
@@ -385,8 +385,9 @@
     table.pick(traffic.node.now(), zone, service, tried, rand::random())
 }
 
-async fn connect(traffic: &TrafficState, peer: VmKey) -> Option<UpstreamChannel> {
-    if let Some(channel) = traffic.peers.pool.take(traffic.node.now(), peer) {
+/// Returns a connection to a node on which no request with this identifier was sent.
+async fn connect(traffic: &TrafficState, peer: VmKey, id: &str) -> Option<UpstreamChannel> {
+    if let Some(channel) = traffic.peers.pool.take(traffic.node.now(), peer, id) {
         return Some(channel);
     }
     let address = traffic.peers.table.borrow().entry(peer).address;
--- a/crates/hibiscushinged/src/gateway/pool.rs
+++ b/crates/hibiscushinged/src/gateway/pool.rs
@@ -40,11 +40,16 @@
         self.config.clone()
     }
 
-    /// Takes the most recently used connection that is still open.
-    pub(crate) fn take(&self, now: Moment, upstream: K) -> Option<UpstreamChannel> {
+    /// Takes the most recently used connection that is still open and on which no request with this
+    /// identifier was sent.
+    pub(crate) fn take(&self, now: Moment, upstream: K, id: &str) -> Option<UpstreamChannel> {
         let mut idle = self.idle.borrow_mut();
         let channels = idle.get_mut(&upstream)?;
-        while let Some(IdleChannel { channel, expires_at }) = channels.pop() {
+        for index in (0..channels.len()).rev() {
+            if channels[index].channel.has_sent(id) {
+                continue;
+            }
+            let IdleChannel { channel, expires_at } = channels.remove(index);
             if now < expires_at && channel.is_reusable() {
                 return Some(channel);
             }
@@ -52,7 +57,8 @@
         None
     }
 
-    /// Adds a connection after a complete exchange, unless the upstream has enough idle ones.
+    /// Adds a connection after a complete exchange, unless it is used up or the upstream has enough
+    /// idle ones.
     pub(crate) fn keep(
         &self,
         now: Moment,
@@ -60,6 +66,9 @@
         channel: UpstreamChannel,
         idle_timeout: Option<Span>,
     ) {
+        if channel.is_used_up() {
+            return;
+        }
         let lifetime =
             idle_timeout.unwrap_or(DEFAULT_IDLE_TIMEOUT).0 as f64 * IDLE_TIMEOUT_FRACTION;
         let mut idle = self.idle.borrow_mut();
--- a/crates/hibiscushinged/src/gateway/process_check.rs
+++ b/crates/hibiscushinged/src/gateway/process_check.rs
@@ -71,9 +71,11 @@
 ) -> Result<UpstreamChannel, CheckFailed> {
     let broken = |reason: String| CheckFailed { reason, outcome: ExchangeOutcome::TransportError };
     let replaced = |reason| CheckFailed { reason, outcome: ExchangeOutcome::Misdirected };
-    let head = process_query(id, QUERY_ID);
+    // A connection may be asked again, for the process of a newer entry.
+    let query_id = format!("{QUERY_ID}-{}", channel.exchanges());
+    let head = process_query(id, &query_id);
     let mut exchange = channel
-        .query(head, Bytes::new(), QUERY_ID)
+        .query(head, Bytes::new(), &query_id)
         .await
         .map_err(|error| broken(error.to_string()))?;
     let body = read_report(&mut exchange).await.map_err(broken)?;
