Release a lease only after the last call under it

Cause: LeaseManager::resign released the lease at once and left it to its drivers to wait for their calls, which none did. A successor claims a released lease without a wait, so an order or usage report in flight could arrive after one with a higher fencing token. The model check took the contract as a guard and resigned only without open orders.

Ruled out: leases that expire or are superseded (the successor's wait includes the order timeout), and configurations without duties (the lease is kept).

Change: the lease manager counts the calls under the lease. resign ends its use at once, and the release follows when no call can arrive any more, or not at all if the term ends first. Gateway and own mode record their calls; event 1210 says that a release waits. In both model checks a process resigns with orders or reports in any state.

--- a/crates/authority/src/lease.rs
+++ b/crates/authority/src/lease.rs
@@ -6,7 +6,8 @@
 use smallvec::{SmallVec, smallvec};
 
 use crate::{
-    AuthorityRecord, LeaseClaim, LeaseRelease, LeaseRenewal, LeaseScope,
+    AuthorityRecord, CallEnd, LeaseClaim, LeaseRelease, LeaseRenewal, LeaseScope,
+    call::OpenCalls,
     lease_records::{LeaseRecords, RecordValidity},
 };
 
@@ -81,6 +82,9 @@
         sent_at: Moment,
         /// End of the term, less the margin.
         until: Moment,
+        /// Whether this process no longer uses the lease, and releases it once none of its calls can
+        /// arrive any more.
+        resigning: bool,
     }
 }
 
@@ -91,6 +95,9 @@
         Append(AuthorityRecord),
         /// This process now holds the lease with this fencing token.
         Acquired(FencingToken),
+        /// This process no longer uses the lease with this fencing token. It releases the lease once
+        /// none of its calls can arrive any more.
+        ReleaseDeferred(FencingToken),
         /// This process no longer holds the lease.
         Lost {
             /// Fencing token of the lease that ended.
@@ -113,12 +120,13 @@
     lease_records: Option<LeaseRecords>,
     pending: Option<PendingRecord>,
     held: Option<HeldLease>,
+    calls: OpenCalls,
 }
 
 impl LeaseManager {
     /// Creates a manager that does nothing until [`LeaseManager::restart_from`] is called.
     #[must_use]
-    pub const fn new(
+    pub fn new(
         settings: LeaseSettings,
         scope: LeaseScope,
         incarnation: Incarnation,
@@ -134,6 +142,7 @@
             lease_records: None,
             pending: None,
             held: None,
+            calls: OpenCalls::default(),
         }
     }
 
@@ -185,8 +194,9 @@
         }
     }
 
-    /// Ends, renews or claims the lease if that is due at `now`.
+    /// Ends, renews, releases or claims the lease if that is due at `now`.
     pub fn tick(&mut self, now: Moment) -> SmallVec<[LeaseAction; 4]> {
+        self.calls.settle(now);
         let Some(lease_records) = &self.lease_records else { return SmallVec::new() };
         let Some(held) = self.held else {
             if self.role == LeaseRole::Observer
@@ -205,6 +215,9 @@
                 clear_from,
             }))];
         };
+        if held.resigning {
+            return self.resign(now);
+        }
         if now >= held.until {
             return self.drop_lease(LossCause::Expired).into_iter().collect();
         }
@@ -221,16 +234,44 @@
         }))]
     }
 
-    /// Releases the lease and becomes an observer, as in a planned stop. The driver calls this when
-    /// all its orders have their responses.
-    pub fn resign(&mut self) -> SmallVec<[LeaseAction; 4]> {
+    /// Stops using the lease and becomes an observer, as in a planned stop. The lease is released
+    /// once none of the [calls](LeaseManager::begin_call) under it can arrive any more, since a
+    /// successor may claim a released lease at once. A later call of this function or of
+    /// [`LeaseManager::tick`] releases it, unless its term ends before.
+    pub fn resign(&mut self, now: Moment) -> SmallVec<[LeaseAction; 4]> {
         self.role = LeaseRole::Observer;
-        let Some(held) = self.held else { return SmallVec::new() };
-        let mut actions = smallvec![self.release_record(held.fencing)];
+        self.calls.settle(now);
+        let Some(held) = &mut self.held else { return SmallVec::new() };
+        let fencing = held.fencing;
+        if now >= held.until {
+            return self.drop_lease(LossCause::Expired).into_iter().collect();
+        }
+        if !self.calls.is_empty() {
+            let begins = !std::mem::replace(&mut held.resigning, true);
+            return begins.then_some(LeaseAction::ReleaseDeferred(fencing)).into_iter().collect();
+        }
+        let mut actions = smallvec![self.release_record(fencing)];
         actions.extend(self.drop_lease(LossCause::Released));
         actions
     }
 
+    /// Returns whether this process holds a lease that it no longer uses and has not yet released.
+    #[must_use]
+    pub fn is_resigning(&self) -> bool {
+        self.held.is_some_and(|held| held.resigning)
+    }
+
+    /// Records that a call under the lease begins. The driver calls this before the check of
+    /// [`LeaseManager::permit`] that precedes the first byte.
+    pub const fn begin_call(&mut self) {
+        self.calls.begin();
+    }
+
+    /// Records how a call that [`LeaseManager::begin_call`] has recorded ended.
+    pub fn end_call(&mut self, now: Moment, end: CallEnd) {
+        self.calls.end(now, end, self.settings.order_timeout);
+    }
+
     /// Records that the log writer did not accept the record of the last [`LeaseAction::Append`]. A
     /// later [`LeaseManager::tick`] tries again.
     pub const fn append_refused(&mut self) {
@@ -250,7 +291,7 @@
         fencing_support: FencingSupport,
     ) -> Result<FencingToken, PermitDenial> {
         let Some(held) = self.held else { return Err(PermitDenial::NotHeld) };
-        if now >= held.until {
+        if held.resigning || now >= held.until {
             return Err(PermitDenial::NotHeld);
         }
         let from = held.acquired_at + self.settings.extra_wait;
@@ -291,6 +332,9 @@
     pub fn next_deadline(&self) -> Option<Moment> {
         let lease_records = self.lease_records.as_ref()?;
         match self.held {
+            Some(held) if held.resigning => {
+                Some(self.calls.settled_at().map_or(held.until, |at| at.min(held.until)))
+            }
             Some(held) if self.pending.is_some() => Some(held.until),
             Some(held) => Some(held.until.min(held.sent_at + self.settings.renewal)),
             None if self.role == LeaseRole::Observer || self.pending.is_some() => None,
@@ -335,7 +379,9 @@
         }
         let until = self.lease_end(own.sent_at, claim.term);
         if now < until {
-            self.held = Some(HeldLease { fencing, acquired_at: now, sent_at: own.sent_at, until });
+            let sent_at = own.sent_at;
+            let resigning = false;
+            self.held = Some(HeldLease { fencing, acquired_at: now, sent_at, until, resigning });
             actions.push(LeaseAction::Acquired(fencing));
         }
         actions
--- a/crates/authority/src/lib.rs
+++ b/crates/authority/src/lib.rs
@@ -5,12 +5,14 @@
 //! each record of the scope's stream the driver calls [`LeaseManager::read`] and then
 //! [`OrderManager::read`].
 
+mod call;
 mod lease;
 mod lease_records;
 mod order;
 mod record;
 
 pub use crate::{
+    call::CallEnd,
     lease::{
         FencingSupport, LeaseAction, LeaseManager, LeaseRole, LeaseSettings, LossCause,
         PermitDenial,
--- a/crates/authority/tests/lease.rs
+++ b/crates/authority/tests/lease.rs
@@ -1,7 +1,7 @@
 //! Checks of [`LeaseManager`].
 
 use authority::{
-    AuthorityRecord, FencingSupport, LeaseAction, LeaseClaim, LeaseManager, LeaseRelease,
+    AuthorityRecord, CallEnd, FencingSupport, LeaseAction, LeaseClaim, LeaseManager, LeaseRelease,
     LeaseRenewal, LeaseRole, LeaseScope, LeaseSettings, LossCause, PermitDenial,
 };
 use base::{FencingToken, Incarnation, LogOffset, Moment, Span};
@@ -194,12 +194,50 @@
     lease_manager.read(at(1), LogOffset(0), &own);
     let lost = LeaseAction::Lost { fencing: FencingToken(0), cause: LossCause::Released };
     assert_eq!(
-        lease_manager.resign().as_slice(),
+        lease_manager.resign(at(1)).as_slice(),
         [LeaseAction::Append(release(OWN_PROCESS, 0)), lost]
     );
     assert_eq!((lease_manager.held_token(at(1)), lease_manager.next_deadline()), (None, None));
 
-    assert!(pending.resign().is_empty());
+    assert!(pending.resign(at(0)).is_empty());
     let actions = pending.read(at(1), LogOffset(0), &own);
     assert_eq!(actions.as_slice(), [LeaseAction::Append(release(OWN_PROCESS, 0))]);
 }
+
+/// Pattern: a planned stop while an order is on its way to an engine that does not check fencing
+/// tokens.
+///
+/// Guards against a lease that is released while a call under it may still arrive: the successor
+/// claims it at once, and the late call arrives with a lower fencing token. Without a response the
+/// call may arrive until the order timeout of 3 s has passed. A lease whose term ends first is not released.
+#[rstest]
+#[case::answered(CallEnd::Answered, 2, Some(2))]
+#[case::not_sent(CallEnd::NotSent, 2, Some(2))]
+#[case::unanswered(CallEnd::Unanswered, 2, Some(6))]
+#[case::term_ends_first(CallEnd::Unanswered, 6, None)]
+fn check_call_in_flight_at_the_release(
+    #[case] end: CallEnd,
+    #[case] ends_at: u64,
+    #[case] released_at: Option<u64>,
+) {
+    let mut lease_manager = lease_manager(0);
+    let own = appended(&lease_manager.tick(at(0))).expect("the stream is empty");
+    lease_manager.read(at(0), LogOffset(0), &own);
+    lease_manager.begin_call();
+    let deferred = LeaseAction::ReleaseDeferred(FencingToken(0));
+    assert_eq!(lease_manager.resign(at(1)).as_slice(), [deferred]);
+    assert_eq!(lease_manager.held_token(at(1)), None, "no further call may begin");
+    let mut released = None;
+    for secs in 1..20 {
+        if secs == ends_at {
+            lease_manager.end_call(at(secs), end);
+        }
+        for action in lease_manager.tick(at(secs)) {
+            if action == LeaseAction::Append(release(OWN_PROCESS, 0)) {
+                released = Some(secs);
+            }
+        }
+    }
+    assert_eq!(released, released_at);
+    assert!(!lease_manager.is_resigning());
+}
--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -56,6 +56,7 @@
     // Authority and orders.
     1201 LeaseAcquired "This node has acquired the lease of a scope."
     1202 LeaseLost "This node no longer holds the lease of a scope."
+    1210 LeaseReleaseDeferred "This node no longer uses a lease, and releases it once none of its calls can arrive any more."
     1301 OrderIssued "An upstream order was sent to the platform."
     1302 OrderSettled "The outcome of an upstream order is known, or its intent is void."
     // Configuration.
--- a/crates/hibiscushinged/src/control/admin.rs
+++ b/crates/hibiscushinged/src/control/admin.rs
@@ -123,8 +123,8 @@
     }
 
     /// Drains the node and returns when the daemon may exit: waits for running requests and sample
-    /// slots until the drain timeout, gives up the leases, and waits up to 10 s for the log to
-    /// acknowledge the remaining records and usage.
+    /// slots until the drain timeout, gives up the leases, and waits up to 10 s until no order of
+    /// this node can arrive any more and the log has acknowledged the remaining records and usage.
     pub(crate) async fn drain(self: &Rc<Self>) {
         self.shared.advance_to(NodePhase::Draining);
         log_event!(ProcessDraining, in_flight = self.shared.in_flight());
@@ -140,7 +140,7 @@
         actix_rt::time::sleep(DRAIN_POLL_PERIOD).await;
         self.flush_usage(self.now());
         let limit = self.now() + base::Span::from_secs(10);
-        while self.has_unlogged_records() && self.now() < limit {
+        while (self.has_unlogged_records() || self.is_resigning()) && self.now() < limit {
             actix_rt::time::sleep(DRAIN_POLL_PERIOD).await;
         }
         let left = to_duration(deadline.since(self.now())).as_secs();
--- a/crates/hibiscushinged/src/control/authority.rs
+++ b/crates/hibiscushinged/src/control/authority.rs
@@ -7,7 +7,7 @@
     LeaseSettings, OrderAction, OrderManager, OrderSettings,
 };
 use base::{FencingToken, Incarnation, LogOffset, Moment, Span, rendezvous_weight};
-use clients::SendPermit;
+use clients::{CallError, SendPermit};
 use document::FencingCheck;
 
 use crate::{
@@ -16,7 +16,7 @@
         follow::{NextRead, StreamEvent, follow},
         streams::USAGE_STREAM,
     },
-    shared::SharedState,
+    shared::{SharedState, call_end},
     telemetry::log_event,
 };
 
@@ -191,15 +191,43 @@
         state.scopes.iter().map(|driver| driver.scope.clone()).collect()
     }
 
-    /// Gives up all leases, so that other nodes need not wait for their expiry after a shutdown.
+    /// Gives up all leases, so that other nodes need not wait for their expiry after a shutdown. A
+    /// lease with calls in flight is released later, see [`Control::is_resigning`].
     pub(crate) fn resign(self: &Rc<Self>) {
+        let now = self.now();
         for scope in self.scopes() {
             self.with_scope(&scope, |driver| {
-                (driver.lease_manager.resign().into_vec(), Vec::new())
+                (driver.lease_manager.resign(now).into_vec(), Vec::new())
             });
         }
     }
 
+    /// Returns whether a lease is kept until calls under it can no longer arrive.
+    pub(crate) fn is_resigning(&self) -> bool {
+        self.state().scopes.iter().any(|driver| driver.lease_manager.is_resigning())
+    }
+
+    /// Makes a call that only the holder of a scope may make. The lease is not released while it may
+    /// still arrive.
+    pub(crate) async fn call_as_holder<T>(
+        self: &Rc<Self>,
+        scope: &LeaseScope,
+        call: impl Future<Output = Result<T, CallError>>,
+    ) -> Result<T, CallError> {
+        self.with_scope(scope, |driver| {
+            driver.lease_manager.begin_call();
+            (Vec::new(), Vec::new())
+        });
+        let result = call.await;
+        let end = call_end(&result);
+        let now = self.now();
+        self.with_scope(scope, |driver| {
+            driver.lease_manager.end_call(now, end);
+            (Vec::new(), Vec::new())
+        });
+        result
+    }
+
     /// Runs `decide` on the driver of a scope and performs the actions that it returns. Does
     /// nothing for an unknown scope.
     pub(crate) fn with_scope(
@@ -220,6 +248,9 @@
                     log_event!(LeaseAcquired, scope = %scope, fencing = fencing.0);
                     self.set_held_token(scope, Some(fencing));
                 }
+                LeaseAction::ReleaseDeferred(fencing) => {
+                    log_event!(LeaseReleaseDeferred, scope = %scope, fencing = fencing.0);
+                }
                 LeaseAction::Lost { cause, .. } => {
                     log_event!(LeaseLost, scope = %scope, cause = ?cause);
                     self.set_held_token(scope, None);
--- a/crates/hibiscushinged/src/control/orders.rs
+++ b/crates/hibiscushinged/src/control/orders.rs
@@ -62,7 +62,7 @@
                 Some(permitted) if permitted == fencing => SendPermit::Granted,
                 _ => SendPermit::Denied,
             });
-        let result = guarded.place_order(&order).await;
+        let result = self.call_as_holder(&scope, guarded.place_order(&order)).await;
         if result.as_ref().is_err_and(|error| error.failure == CallFailure::Denied) {
             // The order was not sent and stays open. The order manager queries it after its
             // timeout, if this node then holds the lease.
--- a/crates/hibiscushinged/src/control/usage.rs
+++ b/crates/hibiscushinged/src/control/usage.rs
@@ -294,7 +294,9 @@
         let fencing_support = fencing_support(self.shared.settings.platform_fencing);
         let check = self.lease_check(&LeaseScope::Usage, report.fencing, fencing_support);
         let guarded = self.platform.guarded(check);
-        let response = match guarded.report_usage(&wire_report(&report)).await {
+        let report = wire_report(&report);
+        let call = self.call_as_holder(&LeaseScope::Usage, guarded.report_usage(&report));
+        let response = match call.await {
             Ok(ReportOutcome::Accepted) => ReportResponse::Accepted,
             Ok(ReportOutcome::Conflict) => {
                 tracing::error!(
--- a/crates/hibiscushinged/src/control/weights.rs
+++ b/crates/hibiscushinged/src/control/weights.rs
@@ -176,7 +176,7 @@
         // The call may wait for a connection first, so the lease is checked again just before the
         // request is written.
         let guarded = self.engines.guarded(self.lease_check(&scope, fencing, fencing_support));
-        let result = guarded.load_version(address, &order).await;
+        let result = self.call_as_holder(&scope, guarded.load_version(address, &order)).await;
         if result.as_ref().is_err_and(|error| error.failure == CallFailure::Denied) {
             return;
         }
--- a/crates/hibiscushinged/src/gateway/holder.rs
+++ b/crates/hibiscushinged/src/gateway/holder.rs
@@ -3,11 +3,15 @@
 
 use std::cell::RefCell;
 
-use authority::{FencingSupport, LeaseManager, LeaseRole, LeaseScope, LeaseSettings};
+use authority::{CallEnd, FencingSupport, LeaseManager, LeaseRole, LeaseScope, LeaseSettings};
 use base::{FencingToken, Moment, Span};
+use clients::CallError;
 use platform::HolderIdentity;
 
-use crate::{gateway::node::NodeState, shared::NodePhase};
+use crate::{
+    gateway::node::NodeState,
+    shared::{NodePhase, call_end},
+};
 
 /// Term of the lease. A successor acts about a second after it has expired.
 const LEASE_TERM: Span = Span::from_millis(2_000);
@@ -35,6 +39,16 @@
     pub(crate) no_claim_before: RefCell<Moment>,
 }
 
+/// A call that only the lease holder may make. One that is dropped without
+/// [`finish`](Self::finish) counts as unanswered.
+pub(crate) struct HolderCall<'a> {
+    /// Identity to send with the call.
+    pub(crate) identity: HolderIdentity,
+    node: &'a NodeState,
+    holder: &'a LeaseHolder,
+    end: CallEnd,
+}
+
 impl LeaseHolder {
     pub(crate) fn new(node: &NodeState) -> Self {
         let settings = LeaseSettings {
@@ -60,12 +74,28 @@
         self.lease_manager.borrow().permit(node.now(), FencingSupport::Ignored).ok()
     }
 
-    /// Returns the holder identity to send with calls, while this node may act as holder.
-    pub(crate) fn identity(&self, node: &NodeState) -> Option<HolderIdentity> {
+    /// Begins a call that only the holder may make, while this node may act as holder. The lease is
+    /// not released while the call may still arrive.
+    pub(crate) fn begin_call<'a>(&'a self, node: &'a NodeState) -> Option<HolderCall<'a>> {
         // The fencing token is a log offset and the first one is 0, which a receiver may take for a
         // missing token.
         let fencing = FencingToken(self.permit(node)?.0 + 1);
-        Some(HolderIdentity { holder: node.settings.vm_name.clone(), fencing })
+        let identity = HolderIdentity { holder: node.settings.vm_name.clone(), fencing };
+        self.lease_manager.borrow_mut().begin_call();
+        Some(HolderCall { identity, node, holder: self, end: CallEnd::Unanswered })
+    }
+}
+
+impl HolderCall<'_> {
+    /// Records the result of the call. One without a response may still arrive.
+    pub(crate) fn finish<T>(mut self, result: &Result<T, CallError>) {
+        self.end = call_end(result);
+    }
+}
+
+impl Drop for HolderCall<'_> {
+    fn drop(&mut self) {
+        self.holder.lease_manager.borrow_mut().end_call(self.node.now(), self.end);
     }
 }
 
--- a/crates/hibiscushinged/src/gateway/lease.rs
+++ b/crates/hibiscushinged/src/gateway/lease.rs
@@ -1,5 +1,8 @@
 //! The fleet lease, kept as records in the store's log.
 
+#[cfg(test)]
+mod tests;
+
 use std::{rc::Rc, time::Duration};
 
 use authority::{AuthorityRecord, LeaseAction, LeaseRole};
@@ -62,7 +65,7 @@
             } else {
                 LeaseRole::Observer
             });
-            if resigning { lease_manager.resign() } else { lease_manager.tick(now) }
+            if resigning { lease_manager.resign(now) } else { lease_manager.tick(now) }
         };
         for action in actions {
             apply_action(&control, action);
@@ -124,6 +127,9 @@
         LeaseAction::Acquired(fencing) => {
             log_event!(LeaseAcquired, fencing = fencing.0);
         }
+        LeaseAction::ReleaseDeferred(fencing) => {
+            log_event!(LeaseReleaseDeferred, fencing = fencing.0);
+        }
         LeaseAction::Lost { fencing, cause } => {
             let node = &control.node;
             control.lease.no_claim_before.replace(node.now() + claim_pause(node));
--- a/crates/hibiscushinged/src/gateway/test_support.rs
+++ b/crates/hibiscushinged/src/gateway/test_support.rs
@@ -12,8 +12,13 @@
     gateway::{metrics::GatewayMetrics, node::NodeState, traffic_state::TrafficState},
 };
 
-/// Returns the state of a node that uses the store at this address and has started no tasks.
+/// Returns the state of the traffic thread of a node that has started no tasks.
 pub(crate) fn traffic(store: SocketAddr) -> Rc<TrafficState> {
+    Rc::new(TrafficState::new(node(store)))
+}
+
+/// Returns the state of a node that uses the store at this address.
+pub(crate) fn node(store: SocketAddr) -> Arc<NodeState> {
     let text = String::from(
         r#"
         vm_name = "a"
@@ -27,8 +32,7 @@
     ) + &rendered_settings(store, 1, 1000);
     let settings = GatewaySettings::parse("test", &text).unwrap();
     let metrics = GatewayMetrics::default();
-    let node = NodeState::new(settings, Incarnation(1), ProcessClock::start(), metrics);
-    Rc::new(TrafficState::new(Arc::new(node)))
+    Arc::new(NodeState::new(settings, Incarnation(1), ProcessClock::start(), metrics))
 }
 
 /// Returns the entry of an upstream of the service `drafts` that runs model `m`.
--- a/crates/hibiscushinged/src/gateway/usage_reports.rs
+++ b/crates/hibiscushinged/src/gateway/usage_reports.rs
@@ -187,9 +187,12 @@
     address: std::net::SocketAddr,
     report: &UsageReport,
 ) -> bool {
-    let Some(identity) = control.lease.identity(&control.node) else { return false };
+    let Some(call) = control.lease.begin_call(&control.node) else { return false };
+    let identity = call.identity.clone();
     let client = UsageClient::new(holder_client(control, IDLE_TIMEOUT), address);
-    match client.report_usage(&identity, report, ORDER_TIMEOUT).await {
+    let result = client.report_usage(&identity, report, ORDER_TIMEOUT).await;
+    call.finish(&result);
+    match result {
         Ok(()) => {
             control.node.metrics.usage_reports.inc();
             let requests: u64 = report.counts.values().sum();
--- a/crates/hibiscushinged/src/gateway/weight_loads.rs
+++ b/crates/hibiscushinged/src/gateway/weight_loads.rs
@@ -201,9 +201,10 @@
     if has_version(&report.versions, order) {
         return Ok(());
     }
-    let Some(identity) = control.lease.identity(&control.node) else {
+    let Some(call) = control.lease.begin_call(&control.node) else {
         return Err(String::from("this node no longer holds the lease"));
     };
+    let identity = call.identity.clone();
     let request = WeightLoadRequest {
         engine: order.engine.clone(),
         model: order.model.clone(),
@@ -222,7 +223,9 @@
     );
     control.node.metrics.loads_ordered.inc();
     let ordered_at = control.node.now();
-    match client.load_weights(entry.address, &request, ORDER_TIMEOUT).await {
+    let result = client.load_weights(entry.address, &request, ORDER_TIMEOUT).await;
+    call.finish(&result);
+    match result {
         Ok(WeightLoadResponse::Accepted | WeightLoadResponse::Holds) => {}
         Ok(response) => return Err(format!("the engine responded to the order with {response:?}")),
         // The engine may have accepted the order. Its reports tell.
--- a/crates/hibiscushinged/src/shared.rs
+++ b/crates/hibiscushinged/src/shared.rs
@@ -6,7 +6,9 @@
 };
 
 use arc_swap::ArcSwap;
+use authority::CallEnd;
 use base::Incarnation;
+use clients::{CallError, CallFailure};
 use delivery::RequestId;
 use document::DaemonSettings;
 use tokio::sync::mpsc;
@@ -155,3 +157,13 @@
 pub(crate) fn format_request_id(id: RequestId) -> String {
     format!("{:016x}-{:x}", id.node.0, id.sequence)
 }
+
+/// Returns how a call of a lease holder ended, by its result.
+pub(crate) fn call_end<T>(result: &Result<T, CallError>) -> CallEnd {
+    match result {
+        Ok(_) => CallEnd::Answered,
+        Err(error) if matches!(error.failure, CallFailure::Status(_)) => CallEnd::Answered,
+        Err(error) if error.may_have_run() => CallEnd::Unanswered,
+        Err(_) => CallEnd::NotSent,
+    }
+}
--- a/crates/model-check/src/authority.rs
+++ b/crates/model-check/src/authority.rs
@@ -103,7 +103,7 @@
         Reconnect(usize),
         /// A process restarts under a new incarnation, without any state.
         Restart(usize),
-        /// A lease holder resigns the lease, as in a planned stop.
+        /// A lease holder resigns the lease, as in a planned stop, with orders in any state.
         Resign(usize),
     }
 }
@@ -168,6 +168,12 @@
         orders
     }
 
+    /// Returns whether the lease manager knows the orders that may still arrive, and releases the
+    /// lease only after them.
+    fn counts_calls(&self) -> bool {
+        true
+    }
+
     /// Returns an order to send before its intent has been read back from the log.
     fn send_before_intent(&self, _intent: &OrderIntent) -> Option<OrderIntent> {
         None
--- a/crates/model-check/src/authority/process.rs
+++ b/crates/model-check/src/authority/process.rs
@@ -3,8 +3,8 @@
 use std::rc::Rc;
 
 use authority::{
-    AuthorityRecord, LeaseAction, LeaseManager, LeaseRole, LeaseScope, OrderAction, OrderId,
-    OrderIntent, OrderKind, OrderManager, OrderRequest, PriceClass,
+    AuthorityRecord, CallEnd, LeaseAction, LeaseManager, LeaseRole, LeaseScope, OrderAction,
+    OrderId, OrderIntent, OrderKind, OrderManager, OrderRequest, PriceClass,
 };
 use base::{FencingToken, Incarnation, LogOffset, Moment, derive_copy};
 
@@ -137,7 +137,7 @@
                         process.order_manager =
                             self.guards.manager_after_takeover(process.order_manager.clone());
                     }
-                    LeaseAction::Lost { .. } => {}
+                    LeaseAction::ReleaseDeferred(_) | LeaseAction::Lost { .. } => {}
                 }
             }
             let actions = process.order_manager.read(now, &process.lease_manager, record);
@@ -243,6 +243,9 @@
             let fencing = self.guards.check_clock(state.now, process, intent.id);
             let process = &mut next.processes[index];
             let intent = process.queued_orders.remove(0);
+            if fencing.is_some() && self.guards.counts_calls() {
+                process.lease_manager.begin_call();
+            }
             process.checked =
                 fencing.map(|fencing| CheckedOrder { intent, fencing, checked_at: state.now });
             steps.push((AuthorityStep::CheckClock(index), next));
@@ -275,7 +278,7 @@
     ) {
         let now = state.now;
         let mut next = state.clone();
-        next.processes[index].checked = None;
+        self.end_call(&mut next, index, CallEnd::Answered);
         let response = self.receive(&mut next, &checked.intent, checked.fencing);
         let process = &mut next.processes[index];
         let actions = process.order_manager.handle_response(
@@ -287,12 +290,12 @@
         process.queue_actions(actions);
         steps.push((AuthorityStep::Write(index), next));
         if let Some(mut next) = self.spend_fault(state) {
-            next.processes[index].checked = None;
+            self.end_call(&mut next, index, CallEnd::Unanswered);
             self.receive(&mut next, &checked.intent, checked.fencing);
             steps.push((AuthorityStep::WriteAnswerLost(index), next));
         }
         if let Some(mut next) = self.spend_fault(state) {
-            next.processes[index].checked = None;
+            self.end_call(&mut next, index, CallEnd::Unanswered);
             let CheckedOrder { intent, fencing, .. } = checked.clone();
             let due = now + self.settings.lease.order_timeout;
             next.in_transit.push(OrderInTransit { intent, fencing, due });
@@ -300,6 +303,15 @@
         }
     }
 
+    fn end_call(&self, state: &mut AuthorityState, index: usize, end: CallEnd) {
+        let now = state.now;
+        let process = &mut state.processes[index];
+        process.checked = None;
+        if self.guards.counts_calls() {
+            process.lease_manager.end_call(now, end);
+        }
+    }
+
     fn fault_steps(
         &self,
         state: &AuthorityState,
@@ -324,12 +336,10 @@
         let incarnation = process.incarnation.0 + RESTART_STRIDE;
         next.processes[index] = ProcessState::new(&self.settings, state.now, first, incarnation);
         steps.push((AuthorityStep::Restart(index), next));
-        let has_no_open_order =
-            process.checked.is_none() && process.order_manager.open_orders() == 0;
-        if process.lease_manager.held_token(state.now).is_some() && has_no_open_order {
+        if process.lease_manager.held_token(state.now).is_some() {
             let mut next = faulted;
             let process = &mut next.processes[index];
-            for action in process.lease_manager.resign() {
+            for action in process.lease_manager.resign(state.now) {
                 if let LeaseAction::Append(record) = action {
                     process.outbox.push(Rc::new(record));
                 }
--- a/crates/model-check/src/usage/process.rs
+++ b/crates/model-check/src/usage/process.rs
@@ -10,7 +10,7 @@
     UsageBatch, UsageByCustomer, UsageLedger, UsageRecord, WindowClose, WindowNumber, WindowReport,
     WindowReporter,
 };
-use authority::{LeaseAction, LeaseManager, LeaseRole, LeaseScope, LeaseSettings};
+use authority::{CallEnd, LeaseAction, LeaseManager, LeaseRole, LeaseScope, LeaseSettings};
 use base::{Incarnation, LogOffset, Moment, RecordId, Span, derive_copy};
 
 use super::{ReportInTransit, UsageGuards, UsageModel, UsageState, UsageStep, UsageStreamRecord};
@@ -142,6 +142,12 @@
     fn queue_usage(&mut self, record: UsageRecord) {
         self.queue(UsageStreamRecord::Usage(record));
     }
+
+    /// Handles a report without a response, which may still arrive.
+    fn lose_response(&mut self, now: Moment) {
+        self.lease_manager.end_call(now, CallEnd::Unanswered);
+        self.reporter.handle_response(now, ReportResponse::Lost);
+    }
 }
 
 impl<G: UsageGuards> UsageModel<G> {
@@ -343,7 +349,10 @@
         let process = Rc::make_mut(&mut next.processes[index]);
         if let Some(report) = process.unchecked_report.take() {
             match process.lease_manager.held_token(now) {
-                Some(_) => process.checked_report = Some(report),
+                Some(_) => {
+                    process.lease_manager.begin_call();
+                    process.checked_report = Some(report);
+                }
                 None => drop(process.reporter.handle_response(now, ReportResponse::Lost)),
             }
             steps.push((UsageStep::CheckClock(index), next));
@@ -352,21 +361,18 @@
         let Some(report) = process.checked_report.take() else { return };
         if let Some(mut next) = self.spend_fault(&next) {
             self.receive(&mut next, &report);
-            Rc::make_mut(&mut next.processes[index])
-                .reporter
-                .handle_response(now, ReportResponse::Lost);
+            Rc::make_mut(&mut next.processes[index]).lose_response(now);
             steps.push((UsageStep::ReportAnswerLost(index), next));
         }
         if let Some(mut next) = self.spend_fault(&next) {
             let due = now + Self::LEASE.order_timeout;
             next.in_transit.push(ReportInTransit { report: report.clone(), due });
-            Rc::make_mut(&mut next.processes[index])
-                .reporter
-                .handle_response(now, ReportResponse::Lost);
+            Rc::make_mut(&mut next.processes[index]).lose_response(now);
             steps.push((UsageStep::ReportDelayed(index), next));
         }
         let response = self.receive(&mut next, &report);
         let process = Rc::make_mut(&mut next.processes[index]);
+        process.lease_manager.end_call(now, CallEnd::Answered);
         if let Some(reported) = process.reporter.handle_response(now, response) {
             process.queue_usage(UsageRecord::Reported(reported));
         }
@@ -390,12 +396,10 @@
             steps.push((UsageStep::CutOff(index), next));
         }
         steps.push((UsageStep::Restart(index), self.restart(state, faulted.clone(), index)));
-        let has_no_open_report =
-            process.unchecked_report.is_none() && process.checked_report.is_none();
-        if process.lease_manager.held_token(state.now).is_some() && has_no_open_report {
+        if process.lease_manager.held_token(state.now).is_some() {
             let mut next = faulted;
             let process = Rc::make_mut(&mut next.processes[index]);
-            let actions = process.lease_manager.resign();
+            let actions = process.lease_manager.resign(state.now);
             process.queue_lease(actions);
             steps.push((UsageStep::Resign(index), next));
         }
--- a/crates/model-check/tests/authority.rs
+++ b/crates/model-check/tests/authority.rs
@@ -198,6 +198,46 @@
     );
 }
 
+/// Bounds for a receiver that ignores fencing tokens, and holders that do not wait for that: a
+/// planned stop and a delayed order are two faults.
+const RELEASED: ModelBounds =
+    ModelBounds { horizon: 4, faults: 2, pause_limit: Some(RELEASED_PAUSE), ..IGNORED };
+
+/// Twice the margin. There is no extra wait.
+const RELEASED_PAUSE: u64 = 2;
+
+/// Returns settings of holders that send orders as soon as they have the lease, as the gateway does.
+fn without_extra_wait(bounds: ModelBounds) -> ModelSettings {
+    let mut settings = ModelSettings::small(bounds);
+    settings.lease.extra_wait = Span::ZERO;
+    settings
+}
+
+/// Guards against a lease that is released while an order under it may still arrive.
+#[test]
+fn no_order_arrives_after_a_release() {
+    let settings = without_extra_wait(RELEASED);
+    let model = AuthorityModel { settings, guards: ProductGuards };
+    check_invariants(&model, &RELEASED);
+}
+
+struct ReleaseWithOrderInFlight;
+
+impl AuthorityGuards for ReleaseWithOrderInFlight {
+    fn counts_calls(&self) -> bool {
+        false
+    }
+}
+
+/// If a holder releases its lease while an order is in flight, the order arrives after one of the
+/// successor.
+#[test]
+fn a_release_with_an_order_in_flight_is_detected() {
+    let settings = without_extra_wait(RELEASED);
+    let model = AuthorityModel { settings, guards: ReleaseWithOrderInFlight };
+    check_violation_found(&model, FENCED_ORDERS);
+}
+
 struct NoClockCheck;
 
 impl AuthorityGuards for NoClockCheck {
