Divide what cold upstreams bear among all nodes

Cause: upstreams of some services are cold after a start under traffic and crash when all nodes send to them at once. Nothing bounded that.

Change: LimitShares takes a limit with an end for a cold process, half of what the upstream sustains; the lower of it and a named limit applies. A fifth is divided at once among all members, listed or not, and the rest by claims. A share that rises above its earlier ones brings its burst at once; the sum of what the buckets hold is unchanged. Members are kept across an outage of the log, after which every node took itself for the only one until its first read; this also concerns named limits.

--- a/crates/dispatch/src/balancer.rs
+++ b/crates/dispatch/src/balancer.rs
@@ -9,7 +9,8 @@
 
 use crate::{
     EntryState, ExchangeOutcome, LimitDemand, LimitShare, RequestBucket, RequestOrigin,
-    UpstreamEntry, UpstreamLoad, WantedRate, demand::DemandMeter, stats::UpstreamStats,
+    ServiceWarmup, UpstreamEntry, UpstreamLoad, WantedRate, demand::DemandMeter,
+    stats::UpstreamStats,
 };
 
 derive_copy! {
@@ -67,6 +68,8 @@
     services: HashMap<String, Vec<UpstreamKey>>,
     processes: HashMap<ProcessDigest, UpstreamKey>,
     queues: HashMap<String, ServiceQueue>,
+    /// Services whose upstreams have to warm up.
+    pub(crate) warmups: HashMap<String, ServiceWarmup>,
     /// Processes that are leaving and whose entries are not known yet, the latest last.
     unknown_leaving: VecDeque<ProcessDigest>,
 }
@@ -127,7 +130,7 @@
         }
         let draining = entry.state == EntryState::Draining;
         stats.entry = entry;
-        stats.removed_until = None;
+        stats.reappeared |= stats.removed_until.take().is_some();
         let change = match (restarted, draining) {
             (true, _) => UpstreamChange::Restarted,
             (false, true) => UpstreamChange::Draining,
@@ -264,8 +267,7 @@
         self.upstreams[upstream].record_load_report(now, report);
     }
 
-    /// Sets this node's share of the limit that an upstream names, or removes the bound when it names
-    /// none.
+    /// Sets this node's share of an upstream's limit, or removes the bound when it has none.
     pub fn set_limit_share(
         &mut self,
         now: Moment,
@@ -274,11 +276,18 @@
     ) {
         let stats = &mut self.upstreams[upstream];
         stats.entitled = share.map(|share| share.entitled).unwrap_or_default();
-        let bucket = &mut stats.bucket;
-        match (bucket.as_mut(), share.map(|share| share.rate())) {
-            (Some(bucket), Some(rate)) => bucket.set_rate(now, rate),
-            (None, Some(rate)) => *bucket = Some(RequestBucket::new(now, rate)),
-            (_, None) => *bucket = None,
+        stats.bucket_ends_at = share.and_then(|share| share.ends_at);
+        let Some(share) = share else {
+            stats.bucket = None;
+            return;
+        };
+        // A cold time is over before an empty bucket of a small rate has a token.
+        if share.is_warmup {
+            let bucket = RequestBucket::new(now, RequestRate::ZERO);
+            stats.bucket.get_or_insert(bucket).set_rate_filled(now, share.rate());
+        } else {
+            let bucket = RequestBucket::new(now, share.rate());
+            stats.bucket.get_or_insert(bucket).set_rate(now, share.rate());
         }
     }
 
@@ -295,7 +304,7 @@
     pub fn limit_demand(&self, now: Moment, upstream: UpstreamKey) -> LimitDemand {
         let stats = &self.upstreams[upstream];
         let service = stable_hash(&stats.entry.service);
-        let is_unused = stats.bucket.is_some_and(|bucket| bucket.is_unused(now));
+        let is_unused = stats.bucket(now).is_some_and(|bucket| bucket.is_unused(now));
         let queue = self.queues.get(&stats.entry.service).filter(|_| !is_unused);
         let wanted = queue.map(|queue| queue.wanted_rate(now)).unwrap_or_default();
         LimitDemand { service, wanted }
@@ -326,7 +335,7 @@
             }
             let stats = &self.upstreams[*upstream];
             rate.0 += stats.entitled.0;
-            limited |= stats.bucket.is_some();
+            limited |= stats.bucket(now).is_some();
         }
         if !limited {
             return None;
@@ -352,7 +361,7 @@
     /// the tokens to callers while callers are refused, but for one in [`TOKENS_PER_ITEM`].
     pub(crate) fn admits(&self, now: Moment, upstream: UpstreamKey, origin: RequestOrigin) -> bool {
         let stats = &self.upstreams[upstream];
-        let Some(bucket) = &stats.bucket else { return true };
+        let Some(bucket) = stats.bucket(now) else { return true };
         if !bucket.has_token(now) {
             return false;
         }
@@ -386,7 +395,7 @@
         let mut slots = 0;
         for upstream in self.service_upstreams(service) {
             let stats = &self.upstreams[*upstream];
-            if self.is_usable(now, *upstream) && stats.bucket.is_none() {
+            if self.is_usable(now, *upstream) && stats.bucket(now).is_none() {
                 slots = u32::saturating_add(slots, stats.entry.slots);
             }
         }
--- a/crates/dispatch/src/entry.rs
+++ b/crates/dispatch/src/entry.rs
@@ -31,8 +31,7 @@
         pub slots: u32,
         /// Whether it accepts requests.
         pub state: EntryState,
-        /// Time left of its warm-up, during which it is slower. The value is decoded and not yet
-        /// used.
+        /// Time left of its warm-up when the entry was written, or zero if the entry names none.
         pub warmup: Span,
         /// Loaded weight version of each model. Empty for a plain service.
         pub versions: Vec<(String, WeightVersion)>,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -16,6 +16,7 @@
 mod pick;
 mod request_bucket;
 mod stats;
+mod warmup;
 mod weight_loads;
 
 pub use crate::{
@@ -27,5 +28,6 @@
     pick::{GenerationPickRequest, ModelRequirement, PlainPickRequest, RequestOrigin},
     request_bucket::RequestBucket,
     stats::{ExchangeOutcome, UpstreamLoad},
+    warmup::{ServiceWarmup, WarmupLimit},
     weight_loads::{EngineWeights, ModelTarget, WeightLoad, WeightLoadLimits, plan_weight_loads},
 };
--- a/crates/dispatch/src/limit_shares.rs
+++ b/crates/dispatch/src/limit_shares.rs
@@ -14,9 +14,13 @@
 //!
 //! What a node claims follows from the demand for the service at all nodes: callers come before
 //! items, and a node that holds enough of the service's other limits leaves the rest to others.
+//!
+//! A cold upstream has a limit too, which each node knows from the upstream's entry and which ends by
+//! the node's own clock. It is never written to the log.
 
 mod division;
 mod rates;
+mod warmup;
 
 use std::collections::BTreeMap;
 
@@ -27,6 +31,7 @@
 use self::{
     division::{PoolPart, ServiceDivision},
     rates::differs,
+    warmup::ColdProcess,
 };
 
 /// Time without a response that names a limit after which the node with the highest demand probes
@@ -78,10 +83,14 @@
     /// Whether this node reached the log at the last update.
     is_log_reachable: bool,
     limits: BTreeMap<ProcessDigest, KnownLimit>,
+    /// Processes that are cold. A process may also name a limit.
+    cold: BTreeMap<ProcessDigest, ColdProcess>,
     others: BTreeMap<NodeDigest, OtherNode>,
     own: BTreeMap<ProcessDigest, OwnShare>,
     /// Number of the last record that was written.
     sequence: u64,
+    /// Whether a record of this incarnation was read back, so that the other nodes know this one.
+    is_member: bool,
     /// Records that have not been read back, with the times at which they were sent.
     unread: SmallVec<[(u64, Moment); 4]>,
     written_at: Option<Moment>,
@@ -101,6 +110,16 @@
     probed_at: Moment,
 }
 
+/// Limit of an upstream that applies now.
+#[derive(Debug, Clone, Copy)]
+struct CurrentLimit {
+    rate: RequestRate,
+    /// Whether it applies because the upstream is cold.
+    is_warmup: bool,
+    /// When it ends by itself, if it does.
+    ends_at: Option<Moment>,
+}
+
 #[derive(Debug, Clone)]
 struct OtherNode {
     /// Sorted by process.
@@ -136,9 +155,11 @@
             loaded: false,
             is_log_reachable: true,
             limits: BTreeMap::new(),
+            cold: BTreeMap::new(),
             others: BTreeMap::new(),
             own: BTreeMap::new(),
             sequence: 0,
+            is_member: false,
             unread: SmallVec::new(),
             written_at: None,
             unsent_limits: BTreeMap::new(),
@@ -251,6 +272,7 @@
     /// the one that deletes it from the log.
     pub fn forget_process(&mut self, process: ProcessDigest) -> bool {
         self.own.remove(&process);
+        self.cold.remove(&process);
         let Some(known) = self.limits.remove(&process) else { return false };
         self.unsent_limits.remove(&process);
         let deletes = known.rate.is_some() && self.rank(process, self.others.keys().copied()) == 0;
@@ -269,6 +291,13 @@
         is_log_reachable: bool,
         demand: impl Fn(ProcessDigest) -> LimitDemand,
     ) -> Option<NodeClaims> {
+        self.end_warmups(now);
+        if is_log_reachable && !self.is_log_reachable {
+            // Their records of the outage have not been read yet.
+            for other in self.others.values_mut() {
+                other.member_until = other.member_until.max(now + MEMBER_RENEWAL);
+            }
+        }
         self.is_log_reachable = is_log_reachable;
         if !is_log_reachable {
             return None;
@@ -285,8 +314,7 @@
                 changed |= self.update_share(now, process, wanted, &mut division);
             }
         }
-        let limits = &self.limits;
-        self.own.retain(|process, _| limits.get(process).is_some_and(|known| known.rate.is_some()));
+        self.own.retain(|process, _| demands.contains_key(process));
         let has_claims = self.own.values().any(|share| !share.wanted.is_zero());
         let renewal = if has_claims { CLAIM_RENEWAL } else { MEMBER_RENEWAL };
         let renewal_due = self.written_at.is_none_or(|at| now.since(at) >= renewal);
@@ -302,18 +330,19 @@
     /// upstream has none.
     #[must_use]
     pub fn share(&self, now: Moment, process: ProcessDigest) -> Option<LimitShare> {
-        let limit = self.limits.get(&process)?.rate?;
+        let limit = self.limit(now, process)?;
         let own = self.own.get(&process).copied().unwrap_or_default();
         let claimed = if now < own.usable_until { own.usable } else { RequestRate::ZERO };
         let guaranteed = self.guaranteed_rate(process, limit);
         let OwnShare { wanted, entitled, .. } = own;
-        Some(LimitShare { limit, wanted, guaranteed, claimed, entitled })
+        let CurrentLimit { rate: limit, is_warmup, ends_at } = limit;
+        Some(LimitShare { limit, is_warmup, ends_at, wanted, guaranteed, claimed, entitled })
     }
 
     /// Returns whether this node should send a request to the upstream regardless of its share, to
     /// learn whether the limit still holds. If so, the next probe is due after another period.
     pub fn take_probe(&mut self, now: Moment, process: ProcessDigest) -> bool {
-        if !self.is_listed(process) {
+        if !self.is_listed(process) || self.cold.contains_key(&process) {
             return false;
         }
         let rank = self.demand_rank(now, process);
@@ -330,9 +359,12 @@
         probes
     }
 
-    /// Returns the processes whose limits are known.
+    /// Returns the processes whose limits are known, and those that are cold.
     pub fn limited_processes(&self) -> impl Iterator<Item = ProcessDigest> {
-        self.limits.iter().filter(|(_, known)| known.rate.is_some()).map(|(process, _)| *process)
+        let named = self.limits.iter().filter(|(_, known)| known.rate.is_some());
+        let named = named.map(|(process, _)| *process);
+        let cold = self.cold.keys().copied();
+        named.chain(cold.filter(|process| !self.is_named(*process)))
     }
 
     /// Takes the limits that the log does not have yet.
@@ -355,10 +387,10 @@
         wanted: WantedRate,
         division: &mut ServiceDivision,
     ) -> bool {
-        let Some(known) = self.limits.get(&process).copied() else { return false };
+        let Some(changed_at) = self.limit_changed_at(process) else { return false };
         let PoolPart { target, entitled } = self.pool_part(now, process, wanted, division);
         let free = self.free_rate(now, process);
-        let may_claim = self.loaded && now >= known.changed_at + CLAIM_DELAY;
+        let may_claim = self.loaded && now >= changed_at + CLAIM_DELAY;
         let all_read = self.unread.is_empty();
         let share = self.own.entry(process).or_default();
         share.entitled = entitled;
@@ -404,21 +436,28 @@
     }
 
     fn set_limit(&mut self, now: Moment, process: ProcessDigest, limit: Option<RequestRate>) {
+        let previous = self.limit(now, process);
         let known = KnownLimit { rate: limit, changed_at: now, seen_at: now, probed_at: now };
-        let previous = self.limits.insert(process, known);
-        let previous = previous.and_then(|known| known.rate);
-        // All nodes reduce their use in proportion, until the claims are divided again.
+        self.limits.insert(process, known);
+        self.reduce_use(now, process, previous);
+    }
+
+    /// Reduces this node's use of an upstream in proportion when its limit has fallen, as all nodes
+    /// do until the claims are divided again.
+    fn reduce_use(&mut self, now: Moment, process: ProcessDigest, previous: Option<CurrentLimit>) {
+        let limit = self.limit(now, process);
         if let (Some(share), Some(limit), Some(previous)) =
             (self.own.get_mut(&process), limit, previous)
-            && limit < previous
+            && limit.rate < previous.rate
         {
-            share.usable = RequestRate(share.usable.0 * limit.0 / previous.0.max(1));
+            share.usable = RequestRate(share.usable.0 * limit.rate.0 / previous.rate.0.max(1));
         }
     }
 
     /// Accepts the claims of this node's record, which was read back, as far as the others' claims
     /// that precede it leave room.
     fn confirm_claims(&mut self, record: &NodeClaims) {
+        self.is_member = true;
         let sent = self.unread.iter().find(|(sequence, _)| *sequence == record.sequence).copied();
         self.unread.retain(|(sequence, _)| *sequence > record.sequence);
         for (process, share) in &mut self.own {
--- a/crates/dispatch/src/limit_shares/division.rs
+++ b/crates/dispatch/src/limit_shares/division.rs
@@ -4,7 +4,7 @@
 
 use base::{Moment, NodeDigest, ProcessDigest, RequestRate, rendezvous_weight};
 
-use super::{LimitClaim, LimitDemand, LimitShares, WantedRate};
+use super::{CurrentLimit, LimitClaim, LimitDemand, LimitShares, WantedRate};
 
 /// Part of a limit that is divided equally among the nodes that want it, without claims.
 const GUARANTEED_PERCENT: u64 = 20;
@@ -83,7 +83,7 @@
     ) -> Vec<ServiceDivision> {
         let mut divisions: BTreeMap<u64, ServiceDivision> = BTreeMap::new();
         for (process, demand) in demands {
-            let Some(pool) = self.claim_pool(*process) else { continue };
+            let Some(pool) = self.claim_pool(now, *process) else { continue };
             let division = divisions.entry(demand.service).or_default();
             division.pool.0 += pool.0;
             division.processes.push(*process);
@@ -113,7 +113,7 @@
         wanted: WantedRate,
         division: &ServiceDivision,
     ) -> PoolPart {
-        let Some(pool) = self.claim_pool(process) else { return PoolPart::default() };
+        let Some(pool) = self.claim_pool(now, process) else { return PoolPart::default() };
         if wanted.is_zero() {
             return PoolPart::default();
         }
@@ -168,21 +168,27 @@
 
     /// Returns the part of the claim pool that the other nodes do not claim.
     pub(super) fn free_rate(&self, now: Moment, process: ProcessDigest) -> RequestRate {
-        let Some(pool) = self.claim_pool(process) else { return RequestRate::ZERO };
+        let Some(pool) = self.claim_pool(now, process) else { return RequestRate::ZERO };
         let claims = self.claims_of_others(now, process);
         pool.saturating_sub(RequestRate(claims.map(|(_, claim)| claim.claimed.0).sum()))
     }
 
-    fn claim_pool(&self, process: ProcessDigest) -> Option<RequestRate> {
-        self.limits.get(&process).and_then(|known| known.rate).map(claim_pool)
+    fn claim_pool(&self, now: Moment, process: ProcessDigest) -> Option<RequestRate> {
+        self.limit(now, process).map(|limit| claim_pool(limit.rate))
     }
 
     pub(super) fn guaranteed_rate(
         &self,
         process: ProcessDigest,
-        limit: RequestRate,
+        limit: CurrentLimit,
     ) -> RequestRate {
-        let others = if self.is_listed(process) {
+        let others = if limit.is_warmup {
+            // A cold time is too short to learn first which nodes want a share.
+            if !self.loaded || !self.is_member {
+                return RequestRate::ZERO;
+            }
+            self.others.keys().copied().collect()
+        } else if self.is_listed(process) {
             self.claimants(process)
         } else if self.loaded && !self.is_log_reachable {
             // A node that cannot write that it wants a share takes part as one of all members.
@@ -190,7 +196,7 @@
         } else {
             return RequestRate::ZERO;
         };
-        let pool = guaranteed_pool(limit);
+        let pool = guaranteed_pool(limit.rate);
         let holders = (pool.0 / MIN_SHARE.0).clamp(1, others.len() as u64 + 1);
         if self.rank(process, others.into_iter()) >= holders {
             return RequestRate::ZERO;
--- a/crates/dispatch/src/limit_shares/rates.rs
+++ b/crates/dispatch/src/limit_shares/rates.rs
@@ -1,6 +1,6 @@
 //! Rates that nodes want, claim and have of the limits of upstreams.
 
-use base::{Incarnation, ProcessDigest, RequestRate, derive_copy, derive_value};
+use base::{Incarnation, Moment, ProcessDigest, RequestRate, derive_copy, derive_value};
 
 /// A claim and a wanted rate are written again when they change by more than one in this.
 const CHANGE_DIVISOR: u64 = 4;
@@ -39,8 +39,13 @@
     /// How this node takes part in the division of one limit.
     #[derive(Default)]
     pub struct LimitShare {
-        /// Limit that the upstream names.
+        /// Limit that the upstream names, or that holds while it is cold.
         pub limit: RequestRate,
+        /// Whether the limit holds because the upstream is cold.
+        pub is_warmup: bool,
+        /// When the limit ends by itself, if it does: the upstream is cold until then and names no
+        /// limit.
+        pub ends_at: Option<Moment>,
         /// Rate that this node could use.
         pub wanted: WantedRate,
         /// Rate that this node may use without a claim.
--- a/crates/dispatch/src/request_bucket.rs
+++ b/crates/dispatch/src/request_bucket.rs
@@ -19,6 +19,8 @@
         rate: RequestRate,
         level_micro_requests: i64,
         refilled_at: Moment,
+        /// Highest rate so far.
+        peak_rate: RequestRate,
         /// When a token was last taken, or the rate last rose from zero.
         idle_since: Moment,
     }
@@ -28,7 +30,7 @@
     /// Creates an empty bucket.
     #[must_use]
     pub const fn new(now: Moment, rate: RequestRate) -> Self {
-        Self { rate, level_micro_requests: 0, refilled_at: now, idle_since: now }
+        Self { rate, level_micro_requests: 0, refilled_at: now, peak_rate: rate, idle_since: now }
     }
 
     /// Sets the rate at which tokens are added from now on.
@@ -39,9 +41,22 @@
             self.idle_since = now;
         }
         self.rate = rate;
+        self.peak_rate = self.peak_rate.max(rate);
         self.level_micro_requests = self.level_micro_requests.min(self.capacity());
     }
 
+    /// Sets the rate as [`set_rate`](Self::set_rate) does. A rate above all earlier ones adds at once
+    /// what the rise brings in [`FILL_TIME`]. So the tokens of all nodes stay within what their
+    /// buckets hold together, and a rate that falls and rises again adds nothing.
+    pub fn set_rate_filled(&mut self, now: Moment, rate: RequestRate) {
+        let rise = rate.saturating_sub(self.peak_rate);
+        self.set_rate(now, rate);
+        let fill_ms = i64::try_from(FILL_TIME.as_millis()).unwrap_or(i64::MAX);
+        let added = i64::try_from(rise.0).unwrap_or(i64::MAX).saturating_mul(fill_ms);
+        let level = self.level_micro_requests.saturating_add(added);
+        self.level_micro_requests = level.min(self.capacity());
+    }
+
     /// Returns whether the bucket has a token.
     #[must_use]
     pub fn has_token(&self, now: Moment) -> bool {
--- a/crates/dispatch/src/stats.rs
+++ b/crates/dispatch/src/stats.rs
@@ -68,6 +68,10 @@
     pub(crate) removed_until: Option<Moment>,
     /// Whether the process has said in a response that it is leaving.
     pub(crate) leaving: bool,
+    /// End of the time for which the process is cold.
+    pub(crate) cold_until: Moment,
+    /// Whether the entry has returned after its removal, and the cold time has not been set since.
+    pub(crate) reappeared: bool,
     /// Requests of this node in flight on the upstream.
     pub(crate) own_requests: u32,
     /// Requests of other nodes according to the last load report.
@@ -81,8 +85,10 @@
     failure_rate: f64,
     /// Models of which the engine gets no generations, each until a time.
     paused_models: SmallVec<[(String, Moment); 2]>,
-    /// Tokens for this node's requests, if the upstream names a limit.
+    /// Tokens for this node's requests, if the upstream has a limit.
     pub(crate) bucket: Option<RequestBucket>,
+    /// When the limit ends by itself.
+    pub(crate) bucket_ends_at: Option<Moment>,
     /// Part of that limit to which this node is entitled.
     pub(crate) entitled: RequestRate,
     /// Exponential moving average of the response time of plain requests, in microseconds.
@@ -97,6 +103,8 @@
             entry,
             removed_until: None,
             leaving: false,
+            cold_until: Moment(0),
+            reappeared: false,
             own_requests: 0,
             other_requests: 0,
             reported_at: Moment(0),
@@ -105,6 +113,7 @@
             failure_rate: 0.0,
             paused_models: SmallVec::new(),
             bucket: None,
+            bucket_ends_at: None,
             entitled: RequestRate::ZERO,
             response_time: None,
             event_interval: None,
@@ -161,6 +170,11 @@
         self.paused_models.iter().any(|(name, until)| name == model && now < *until)
     }
 
+    /// Returns the tokens for this node's requests, if the upstream has a limit now.
+    pub(crate) fn bucket(&self, now: Moment) -> Option<&RequestBucket> {
+        self.bucket.as_ref().filter(|_| self.bucket_ends_at.is_none_or(|at| now < at))
+    }
+
     pub(crate) fn is_suspended(&self, now: Moment) -> bool {
         now < self.suspended_until
     }
@@ -168,6 +182,7 @@
     /// Drops the measurements of a process that has ended, when another one runs under the id.
     pub(crate) fn restart(&mut self) {
         self.leaving = false;
+        self.cold_until = Moment(0);
         self.consecutive_failures = 0;
         self.suspended_until = Moment(0);
         self.failure_rate = 0.0;
