Limit requests to cold upstreams in the gateway

Cold times come from entries and from X-Cold-Ms in responses, also of the process check. Requests to services with a warm-up are bound to the process. A request that was begun before its upstream was known to be cold takes a token before it is sent, or is not sent. A new record of an entry that repeats a cold time is not dropped as unchanged.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -71,6 +71,7 @@
     1506 LimitShareChanged "This node's share of an upstream's limit has changed."
     1507 LinksLost "This node reaches no upstream of a service; other nodes get the requests for it."
     1508 LinksRegained "This node reaches upstreams of a service again, or still does after several failed."
+    1520 UpstreamCold "An upstream is cold; the requests of all nodes to it are limited until it is warm."
     // Usage.
     1601 UsageBatchAppended "A usage batch was appended to the log."
     1602 UsageWindowClosed "A usage window is closed and its usage is final."
--- a/crates/hibiscushinged/src/gateway.rs
+++ b/crates/hibiscushinged/src/gateway.rs
@@ -51,6 +51,7 @@
 mod upstreams;
 mod usage;
 mod usage_reports;
+mod warmup;
 mod weight_loads;
 
 use std::{io, sync::Arc};
--- a/crates/hibiscushinged/src/gateway/attempt.rs
+++ b/crates/hibiscushinged/src/gateway/attempt.rs
@@ -21,6 +21,7 @@
         process_check::check_process,
         response_buffer::BodyTooLong,
         traffic_state::TrafficState,
+        warmup,
     },
     telemetry::log_event,
 };
@@ -40,7 +41,8 @@
     pub(crate) billed_customer: Option<&'a str>,
     pub(crate) origin: RequestOrigin,
     /// Whether only the process that this node knows as the upstream may run the request, since the
-    /// response is joined with others of the same software version.
+    /// response is joined with others of the same software version, or since a new process may be
+    /// cold.
     pub(crate) process_bound: bool,
 }
 
@@ -132,6 +134,8 @@
         .parse()
         .map_err(|error| not_run_error(format!("the path of the request is invalid: {error}")))?;
     head.headers = call.headers;
+    let was_limited =
+        traffic.balancer.borrow().is_warmup_limited(traffic.node.now(), call.upstream);
     let channel = match traffic.pool.take(traffic.node.now(), call.upstream) {
         Some(channel) => channel,
         None => {
@@ -160,6 +164,7 @@
     } else {
         channel
     };
+    warmup::admit_late(traffic, call.upstream, call.origin, was_limited)?;
     let counted_request = call.billed_customer.map(|customer| traffic.node.count_request(customer));
     let sent_at = traffic.node.now();
     let exchange = match channel.send(head, call.body, call.id).await {
@@ -187,6 +192,9 @@
             ran: exchange.head().status.is_success(),
         };
         limits::record_statement(traffic, statement, metadata.limit);
+        if let Some(remaining) = metadata.cold_time {
+            warmup::record_cold_time(traffic, call.upstream, process, remaining);
+        }
     }
     if !metadata.not_run {
         return Ok(exchange);
--- a/crates/hibiscushinged/src/gateway/control.rs
+++ b/crates/hibiscushinged/src/gateway/control.rs
@@ -3,7 +3,7 @@
 use std::{cell::RefCell, collections::HashSet, rc::Rc, sync::Arc};
 
 use base::Span;
-use dispatch::RemovalCause;
+use dispatch::{RemovalCause, UpstreamEntry};
 use platform::{
     OPERATOR_TOPIC, OperatorKey, UPSTREAM_TOPIC, decode_config, decode_model_version,
     decode_upstream_entry, parse_operator_key,
@@ -20,7 +20,9 @@
         node::NodeState,
         topic_follower::{ChangeSink, follow_topic},
         upstreams::UpstreamUpdate,
-        usage, usage_reports, weight_loads,
+        usage, usage_reports,
+        warmup::service_warmups,
+        weight_loads,
     },
     shared::NodePhase,
     telemetry::log_event,
@@ -35,6 +37,7 @@
 struct OperatorSink {
     control: Rc<ControlState>,
     active: RefCell<ActiveConfig>,
+    updates: mpsc::UnboundedSender<UpstreamUpdate>,
 }
 
 /// Applies the entries of upstreams, and sends their changes to the traffic thread.
@@ -46,8 +49,12 @@
 /// Runs the tasks of the control thread until the process ends.
 pub(crate) async fn run(node: Arc<NodeState>, updates: mpsc::UnboundedSender<UpstreamUpdate>) {
     let control = Rc::new(ControlState::new(node));
+    let operator = OperatorSink {
+        control: Rc::clone(&control),
+        active: RefCell::default(),
+        updates: updates.clone(),
+    };
     let upstreams = UpstreamSink { control: Rc::clone(&control), updates };
-    let operator = OperatorSink { control: Rc::clone(&control), active: RefCell::default() };
     actix_rt::spawn(follow(Rc::clone(&control), UPSTREAM_TOPIC, upstreams));
     actix_rt::spawn(follow(Rc::clone(&control), OPERATOR_TOPIC, operator));
     actix_rt::spawn(keep_lease(Rc::clone(&control)));
@@ -100,6 +107,10 @@
         if active.apply(config) == ApplyOutcome::NotNewer {
             return;
         }
+        // The traffic thread knows the warm-ups before it serves by the configuration.
+        if let Some(config) = active.current() {
+            send(&self.updates, UpstreamUpdate::Warmups(service_warmups(config)));
+        }
         let node = &self.control.node;
         node.config.store(active.current().cloned());
         node.advance_to(NodePhase::Serving);
@@ -120,11 +131,24 @@
             self.remove(id, RemovalCause::Lapsed);
         }
         for change in changes {
-            self.apply(change);
+            self.apply_record(change, RecordAge::Listed);
         }
     }
 
     fn apply(&self, change: KeyChange) {
+        self.apply_record(change, RecordAge::New);
+    }
+}
+
+/// Whether a record is new, or was found in a full read, in which it may have been read before.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum RecordAge {
+    Listed,
+    New,
+}
+
+impl UpstreamSink {
+    fn apply_record(&self, change: KeyChange, age: RecordAge) {
         let Some(value) = change.value else {
             let store_settling = self.control.node.is_store_settling();
             let cause = if store_settling { RemovalCause::Lapsed } else { RemovalCause::Left };
@@ -134,7 +158,9 @@
         match decode_upstream_entry(&change.key, &value) {
             Ok(entry) => {
                 let previous = self.control.entries.borrow_mut().insert(change.key, entry.clone());
-                if previous.as_ref() != Some(&entry) {
+                // An upstream that becomes cold once more may write the same entry again.
+                let is_cold_again = age == RecordAge::New && self.names_cold_time(&entry);
+                if previous.as_ref() != Some(&entry) || is_cold_again {
                     self.send(UpstreamUpdate::Updated(entry));
                 }
             }
@@ -153,9 +179,7 @@
             }
         }
     }
-}
 
-impl UpstreamSink {
     fn remove(&self, id: String, cause: RemovalCause) {
         if self.control.entries.borrow_mut().remove(&id).is_some() {
             self.send(UpstreamUpdate::Removed { id, cause });
@@ -163,10 +187,19 @@
     }
 
     fn send(&self, update: UpstreamUpdate) {
-        if self.updates.send(update).is_err() {
-            tracing::debug!(
-                "dropping the change of an upstream, since the traffic thread has ended"
-            );
-        }
+        send(&self.updates, update);
+    }
+
+    /// Returns whether an entry names a cold time of a service whose upstreams have to warm up.
+    fn names_cold_time(&self, entry: &UpstreamEntry) -> bool {
+        let config = self.control.node.config.load();
+        let service = config.as_ref().and_then(|config| config.service(&entry.service));
+        entry.warmup > Span::ZERO && service.is_some_and(|service| service.warmup.is_some())
+    }
+}
+
+fn send(updates: &mpsc::UnboundedSender<UpstreamUpdate>, update: UpstreamUpdate) {
+    if updates.send(update).is_err() {
+        tracing::debug!("dropping the change of an upstream, since the traffic thread has ended");
     }
 }
--- a/crates/hibiscushinged/src/gateway/limits.rs
+++ b/crates/hibiscushinged/src/gateway/limits.rs
@@ -18,12 +18,13 @@
     stable_hash,
 };
 use bytes::Bytes;
-use dispatch::{LimitShare, LimitShares, NodeClaims};
+use dispatch::{LimitShare, LimitShares, NodeClaims, WarmupLimit};
 use platform::{AppendResponse, LimitStatement, encode_keyed_record};
 use protocol::{LimitRecord, decode_limit_record, encode_limit_record};
 use tokio::sync::Notify;
 
 use crate::{
+    clock::to_duration,
     gateway::{
         fetch::KeyChange,
         topic_follower::{ChangeSink, follow_topic},
@@ -63,7 +64,7 @@
     shares: RefCell<LimitShares>,
     /// Shares as they were last logged.
     logged: RefCell<BTreeMap<ProcessDigest, LimitShare>>,
-    /// Notified when a limit has to be written.
+    /// Notified when a limit has to be written, or an upstream has become cold.
     news: Notify,
 }
 
@@ -131,6 +132,22 @@
     apply_rate(traffic, traffic.node.now(), process);
 }
 
+/// Sets the limit of an upstream while it is cold, or removes it. Returns whether it was unknown.
+pub(crate) fn set_warmup(
+    traffic: &TrafficState,
+    now: Moment,
+    upstream: UpstreamKey,
+    limit: Option<WarmupLimit>,
+) -> bool {
+    let process = traffic.balancer.borrow().entry(upstream).process();
+    let changed = traffic.limits.shares.borrow_mut().set_warmup(now, process, limit);
+    apply_rate(traffic, now, process);
+    if changed {
+        traffic.limits.news.notify_one();
+    }
+    changed
+}
+
 /// Drops the limit of a process that has ended.
 pub(crate) fn process_ended(traffic: &TrafficState, process: ProcessDigest) {
     traffic.limits.logged.borrow_mut().remove(&process);
@@ -150,6 +167,8 @@
     loop {
         let limits = update_claims(&traffic).await;
         let period = if limits > 0 { UPDATE_PERIOD } else { IDLE_PERIOD };
+        let step = traffic.limits.shares.borrow().next_warmup_step(traffic.node.now());
+        let period = step.map_or(period, |step| period.min(to_duration(step)));
         tokio::select! {
             () = traffic.limits.news.notified() => tokio::time::sleep(NEWS_DELAY).await,
             () = tokio::time::sleep(period) => {}
--- a/crates/hibiscushinged/src/gateway/metrics.rs
+++ b/crates/hibiscushinged/src/gateway/metrics.rs
@@ -34,6 +34,7 @@
     pub(crate) store_failures: Counter,
     pub(crate) channels_opened: Counter,
     pub(crate) upstream_crashes: Counter,
+    pub(crate) cold_upstreams: Counter,
     pub(crate) loads_ordered: Counter<u64, AtomicU64>,
     pub(crate) usage_reports: Counter,
 }
@@ -51,6 +52,7 @@
             store_failures: Counter::default(),
             channels_opened: Counter::default(),
             upstream_crashes: Counter::default(),
+            cold_upstreams: Counter::default(),
             loads_ordered: Counter::default(),
             usage_reports: Counter::default(),
         }
@@ -98,6 +100,8 @@
         registry.register("channels_opened", channels, self.channels_opened.clone());
         let crashes = "Requests in flight on an upstream that ended";
         registry.register("upstream_crashes", crashes, self.upstream_crashes.clone());
+        let cold = "Times that this node learned that an upstream is cold";
+        registry.register("cold_upstreams", cold, self.cold_upstreams.clone());
         let loads = "Weight loads ordered";
         registry.register("loads_ordered", loads, self.loads_ordered.clone());
         let usage = "Usage windows reported";
--- a/crates/hibiscushinged/src/gateway/plain.rs
+++ b/crates/hibiscushinged/src/gateway/plain.rs
@@ -97,7 +97,10 @@
         upstream: UpstreamKey,
         time_left: Span,
     ) -> AttemptCall<'_> {
-        let instance = traffic.balancer.borrow().entry(upstream).id.clone();
+        let (instance, has_warmup) = {
+            let balancer = traffic.balancer.borrow();
+            (balancer.entry(upstream).id.clone(), balancer.has_warmup(self.service))
+        };
         let metadata = UpstreamRequestMetadata {
             id: self.id,
             host: self.host,
@@ -115,7 +118,7 @@
             body: self.body.clone(),
             billed_customer: self.customer,
             origin: self.origin,
-            process_bound: self.resumable,
+            process_bound: self.resumable || has_warmup,
         }
     }
 }
--- a/crates/hibiscushinged/src/gateway/process_check.rs
+++ b/crates/hibiscushinged/src/gateway/process_check.rs
@@ -9,7 +9,7 @@
 use std::{rc::Rc, time::Duration};
 
 use actix_http::StatusCode;
-use base::{ProcessDigest, UpstreamKey};
+use base::{ProcessDigest, Span, UpstreamKey};
 use bytes::Bytes;
 use dispatch::ExchangeOutcome;
 use platform::{decode_process_start, process_query};
@@ -17,6 +17,7 @@
 use crate::gateway::{
     channel::{Exchange, UpstreamChannel},
     traffic_state::TrafficState,
+    warmup,
 };
 
 /// Timeout of the check. A report takes a round trip and no slot.
@@ -55,7 +56,13 @@
     }
     let checking = query(channel, &id, process, expected);
     match tokio::time::timeout(CHECK_TIMEOUT, checking).await {
-        Ok(result) => result,
+        Ok(Ok((channel, cold_time))) => {
+            if let Some(remaining) = cold_time {
+                warmup::record_cold_time(traffic, upstream, process, remaining);
+            }
+            Ok(channel)
+        }
+        Ok(Err(failed)) => Err(failed),
         Err(_) => Err(CheckFailed {
             reason: format!("the upstream did not name its process within {CHECK_TIMEOUT:?}"),
             outcome: ExchangeOutcome::TimedOut,
@@ -63,12 +70,14 @@
     }
 }
 
+/// Asks the process at the far end of a connection when it started. Returns the connection and the
+/// cold time that the response names.
 async fn query(
     channel: UpstreamChannel,
     id: &str,
     process: ProcessDigest,
     expected_ms: u64,
-) -> Result<UpstreamChannel, CheckFailed> {
+) -> Result<(UpstreamChannel, Option<Span>), CheckFailed> {
     let broken = |reason: String| CheckFailed { reason, outcome: ExchangeOutcome::TransportError };
     let replaced = |reason| CheckFailed { reason, outcome: ExchangeOutcome::Misdirected };
     let head = process_query(id, QUERY_ID);
@@ -94,11 +103,12 @@
              node has read says {expected_ms} ms",
         )));
     }
+    let cold_time = exchange.metadata().cold_time;
     let mut channel = exchange
         .into_reusable()
         .ok_or_else(|| broken(String::from("the upstream closed the connection")))?;
     channel.set_process(process);
-    Ok(channel)
+    Ok((channel, cold_time))
 }
 
 async fn read_report(exchange: &mut Exchange) -> Result<Vec<u8>, String> {
--- a/crates/hibiscushinged/src/gateway/upstreams.rs
+++ b/crates/hibiscushinged/src/gateway/upstreams.rs
@@ -1,9 +1,9 @@
 //! Applies the changes of upstreams that the control thread reports, and closes idle connections.
 
-use std::rc::Rc;
+use std::{collections::HashMap, rc::Rc};
 
 use base::Moment;
-use dispatch::{RemovalCause, UpstreamChange, UpstreamEntry};
+use dispatch::{RemovalCause, ServiceWarmup, UpstreamChange, UpstreamEntry};
 use tokio::sync::mpsc;
 
 use crate::{
@@ -11,6 +11,7 @@
         crash_check::{self, RunTarget},
         limits, links,
         traffic_state::TrafficState,
+        warmup,
     },
     telemetry::log_event,
 };
@@ -19,7 +20,12 @@
 #[derive(Debug)]
 pub(crate) enum UpstreamUpdate {
     Updated(UpstreamEntry),
-    Removed { id: String, cause: RemovalCause },
+    Removed {
+        id: String,
+        cause: RemovalCause,
+    },
+    /// The services whose upstreams have to warm up, by the newest configuration.
+    Warmups(HashMap<String, ServiceWarmup>),
 }
 
 impl TrafficState {
@@ -43,6 +49,7 @@
                     links::upstream_started(self, &service);
                 }
                 limits::process_updated(self, upstream);
+                warmup::entry_updated(self, upstream);
                 log_event!(UpstreamChanged, upstream = id, %address, software, ?state, ?change);
             }
             UpstreamUpdate::Removed { id, cause } => {
@@ -54,6 +61,7 @@
                 }
                 log_event!(UpstreamChanged, upstream = id, change = "removed", ?cause);
             }
+            UpstreamUpdate::Warmups(warmups) => warmup::config_changed(self, warmups),
         }
         self.items.wake();
     }
--- a/crates/routebook/src/lib.rs
+++ b/crates/routebook/src/lib.rs
@@ -15,6 +15,6 @@
     index::ConfigIndex,
     spec::{
         CallerLimits, CustomerSpec, EngineSpec, RequestKind, RouteSpec, ScalingSpec, ServiceSpec,
-        SiteConfig, WeightedTarget,
+        SiteConfig, WarmupSpec, WeightedTarget,
     },
 };
--- a/crates/routebook/src/spec.rs
+++ b/crates/routebook/src/spec.rs
@@ -1,6 +1,6 @@
 //! Declared parts of a configuration.
 
-use base::{KeyDigest, Span, derive_copy, derive_value};
+use base::{KeyDigest, RequestRate, Span, derive_copy, derive_value};
 use smallvec::SmallVec;
 
 derive_copy! {
@@ -28,6 +28,15 @@
         /// Timeout after which an idle connection is closed.
         pub idle_timeout: Span,
     }
+
+    /// Warm-up of the upstreams of a service. An upstream is cold after it starts under traffic, and
+    /// crashes when it gets far more requests than it sustains then.
+    pub struct WarmupSpec {
+        /// Time for which an upstream is cold.
+        pub duration: Span,
+        /// Requests that a cold upstream sustains from all nodes together.
+        pub rate: RequestRate,
+    }
 }
 
 derive_value! {
@@ -102,6 +111,8 @@
         pub engine: Option<EngineSpec>,
         /// Scaling bounds, or `None` when upstreams cannot be ordered.
         pub scale: Option<ScalingSpec>,
+        /// Warm-up, or `None` when the upstreams need none.
+        pub warmup: Option<WarmupSpec>,
     }
 
     /// A customer and its keys.
