--- a/crates/hibiscushinged/src/gateway/warmup.rs
+++ b/crates/hibiscushinged/src/gateway/warmup.rs
@@ -1,6 +1,9 @@
 //! Cold times of upstreams: passes what entries, responses and the configuration say of them to the
 //! balancer, and the limits that follow to [`limits`].
 
+#[cfg(test)]
+mod tests;
+
 use std::{collections::HashMap, rc::Rc};
 
 use base::{ProcessDigest, Span, UpstreamKey};
