--- a/crates/hibiscushinged/src/gateway/warmup.rs
+++ b/crates/hibiscushinged/src/gateway/warmup.rs
@@ -74,10 +74,11 @@
         return Ok(());
     }
     let reason = String::from("the upstream has become cold and bears no further request now");
-    Err((AttemptError::NotRun(reason), ExchangeOutcome::Cancelled))
+    Err((AttemptError::NotRun(reason), ExchangeOutcome::Overloaded))
 }
 
-fn apply_limit(traffic: &TrafficState, upstream: UpstreamKey, source: &str) {
+/// Applies the limit of an upstream that has been marked as cold. `source` says by what.
+pub(crate) fn apply_limit(traffic: &TrafficState, upstream: UpstreamKey, source: &str) {
     let now = traffic.node.now();
     let limit = traffic.balancer.borrow().warmup_limit(now, upstream);
     let is_news = limits::set_warmup(traffic, now, upstream, limit);
