Evacuate availability zones by order of the operator

Cause: the operator's key `evacuate/ZONE` was not decoded, so upstreams of a zone that is about to fail got requests until their entries changed.

Ruled out: a message over the channel of upstream updates, since the traffic thread may see a configuration before the message; draining the entries of a zone, since they would be changed in two places.

Change: `platform` decodes the key. The control thread publishes the evacuated zones before a configuration of the same read, and the traffic thread applies them before it uses a configuration. `UpstreamBalancer::is_usable` is false for upstreams of these zones, and `open_exchange` asks again before it sends. Weight loads leave the zones out. Runs that would outlast 5 s move with their texts to free slots in other zones. A read of all keys withdraws what it does not list only if it is complete: a page without keys that is not the last one is an error now, and a key whose value cannot be read is not deleted. `TrafficState::zone_returned` is called once for each withdrawal; the warm-up of upstreams can extend it.

With the condition taken out of `is_usable` six tests of dispatch fail (`Some("a") was chosen`).

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -71,6 +71,9 @@
     1506 LimitShareChanged "This node's share of an upstream's limit has changed."
     1507 LinksLost "This node reaches no upstream of a service; other nodes get the requests for it."
     1508 LinksRegained "This node reaches upstreams of a service again, or still does after several failed."
+    1530 ZoneEvacuated "The operator has ordered the evacuation of a zone; its upstreams get no requests of this node."
+    1531 ZoneReturned "The evacuation of a zone was withdrawn; its upstreams get requests of this node again."
+    1532 RunEvacuated "A run of an item moves from an engine of an evacuated zone to one of another zone."
     // Usage.
     1601 UsageBatchAppended "A usage batch was appended to the log."
     1602 UsageWindowClosed "A usage window is closed and its usage is final."
--- a/crates/dispatch/src/balancer.rs
+++ b/crates/dispatch/src/balancer.rs
@@ -1,6 +1,6 @@
 //! Entries, load and health of all upstreams, as one node knows them.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use base::{
     Arena, Moment, ProcessDigest, RequestRate, Span, UpstreamKey, WeightVersion, derive_copy,
@@ -69,6 +69,8 @@
     queues: HashMap<String, ServiceQueue>,
     /// Processes that are leaving and whose entries are not known yet, the latest last.
     unknown_leaving: VecDeque<ProcessDigest>,
+    /// Evacuated zones, each with the time at which this node learned of it.
+    pub(crate) evacuated: BTreeMap<String, Moment>,
 }
 
 /// Demand for a service, and who of its requests goes first when tokens are scarce.
@@ -106,6 +108,7 @@
             let (id, service, process) = (entry.id.clone(), entry.service.clone(), entry.process());
             let mut stats = UpstreamStats::new(entry);
             stats.leaving = self.unknown_leaving.contains(&process);
+            stats.evacuated_at = self.evacuated.get(&stats.entry.zone).copied();
             let upstream = self.upstreams.push(stats);
             self.processes.insert(process, upstream);
             self.ids.insert(id, upstream);
@@ -126,6 +129,7 @@
             self.services.entry(entry.service.clone()).or_default().push(upstream);
         }
         let draining = entry.state == EntryState::Draining;
+        stats.evacuated_at = self.evacuated.get(&entry.zone).copied();
         stats.entry = entry;
         stats.removed_until = None;
         let change = match (restarted, draining) {
@@ -188,13 +192,15 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// Returns whether an upstream may be given requests: it has not said that it is leaving, and
-    /// its last entry is ready and still in the store, or lapsed only a short time ago.
+    /// Returns whether an upstream may be given requests: its zone is not evacuated, it has not said
+    /// that it is leaving, and its last entry is ready and still in the store, or lapsed only a short
+    /// time ago.
     #[must_use]
     pub fn is_usable(&self, now: Moment, upstream: UpstreamKey) -> bool {
         let stats = &self.upstreams[upstream];
         stats.entry.state == EntryState::Ready
             && !stats.leaving
+            && stats.evacuated_at.is_none()
             && stats.removed_until.is_none_or(|until| now < until)
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,12 +4,14 @@
 //! holds what one node knows about each upstream and chooses among them. [`plan_weight_loads`]
 //! decides which engines load which weight version next. [`LimitShares`] divides the limits on
 //! requests that upstreams name among all nodes, and a [`RequestBucket`] keeps this node's requests
-//! to its share. A [`LinkTracker`] judges whether this node reaches the upstreams at all, and a
-//! [`PeerTable`] chooses the node that gets its requests if it does not.
+//! to its share. [`ZoneEvacuations`] holds the zones whose upstreams get no requests. A
+//! [`LinkTracker`] judges whether this node reaches the upstreams at all, and a [`PeerTable`]
+//! chooses the node that gets its requests if it does not.
 
 mod balancer;
 mod demand;
 mod entry;
+mod evacuation;
 mod limit_shares;
 mod links;
 mod peers;
@@ -21,6 +23,7 @@
 pub use crate::{
     balancer::{RemovalCause, UpstreamBalancer, UpstreamChange},
     entry::{EntryState, UpstreamEntry},
+    evacuation::{EVACUATION_TIME, ZoneEvacuations},
     limit_shares::{LimitClaim, LimitDemand, LimitShare, LimitShares, NodeClaims, WantedRate},
     links::{LinkState, LinkTracker},
     peers::{PeerEntry, PeerOutcome, PeerTable},
--- a/crates/dispatch/src/stats.rs
+++ b/crates/dispatch/src/stats.rs
@@ -68,6 +68,8 @@
     pub(crate) removed_until: Option<Moment>,
     /// Whether the process has said in a response that it is leaving.
     pub(crate) leaving: bool,
+    /// When this node learned that its zone is evacuated, if it is.
+    pub(crate) evacuated_at: Option<Moment>,
     /// Requests of this node in flight on the upstream.
     pub(crate) own_requests: u32,
     /// Requests of other nodes according to the last load report.
@@ -97,6 +99,7 @@
             entry,
             removed_until: None,
             leaving: false,
+            evacuated_at: None,
             own_requests: 0,
             other_requests: 0,
             reported_at: Moment(0),
--- a/crates/hibiscushinged/src/gateway.rs
+++ b/crates/hibiscushinged/src/gateway.rs
@@ -12,6 +12,7 @@
 mod control_state;
 mod crash_check;
 mod crash_records;
+mod evacuation;
 mod fetch;
 mod forward;
 mod generation;
--- a/crates/hibiscushinged/src/gateway/attempt.rs
+++ b/crates/hibiscushinged/src/gateway/attempt.rs
@@ -160,6 +160,10 @@
     } else {
         channel
     };
+    // Connecting and the check of the process have taken time.
+    if traffic.balancer.borrow().is_evacuated(call.upstream) {
+        return Err(not_run_error(String::from("the zone of the upstream is evacuated")));
+    }
     let counted_request = call.billed_customer.map(|customer| traffic.node.count_request(customer));
     let sent_at = traffic.node.now();
     let exchange = match channel.send(head, call.body, call.id).await {
--- a/crates/hibiscushinged/src/gateway/control.rs
+++ b/crates/hibiscushinged/src/gateway/control.rs
@@ -1,6 +1,14 @@
 //! The control thread: follows the store's topics and runs the tasks of the lease holder.
 
-use std::{cell::RefCell, collections::HashSet, rc::Rc, sync::Arc};
+#[cfg(test)]
+mod tests;
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeSet, HashSet},
+    rc::Rc,
+    sync::Arc,
+};
 
 use base::Span;
 use dispatch::RemovalCause;
@@ -62,13 +70,38 @@
 }
 
 impl ChangeSink for OperatorSink {
-    fn replace(&self, changes: Vec<KeyChange>) {
+    /// The evacuated zones are published before a configuration. The read is complete, so an
+    /// evacuation whose key is missing was withdrawn.
+    fn replace(&self, changes: Vec<KeyChange>, unreadable: &[String]) {
+        let node = &self.control.node;
+        let mut ordered: BTreeSet<&str> = BTreeSet::new();
+        let keys = changes.iter().map(|change| (change.key.as_str(), change.offset));
+        let end = changes.last().map_or(0, |change| change.offset);
+        for (key, offset) in keys.chain(unreadable.iter().map(|key| (key.as_str(), end))) {
+            if let OperatorKey::Evacuation(zone) = parse_operator_key(key) {
+                node.evacuate_zone(zone, offset);
+                ordered.insert(zone);
+            }
+        }
+        for zone in node.evacuated.load().zones() {
+            if !ordered.contains(zone) {
+                node.return_zone(zone, None);
+            }
+        }
         for change in changes {
             self.apply(change);
         }
     }
 
     fn apply(&self, change: KeyChange) {
+        if let OperatorKey::Evacuation(zone) = parse_operator_key(&change.key) {
+            // The key alone is the order, so its value is not decoded.
+            match change.value {
+                Some(_) => self.control.node.evacuate_zone(zone, change.offset),
+                None => self.control.node.return_zone(zone, Some(change.offset)),
+            }
+            return;
+        }
         let Some(value) = change.value else { return };
         let refused = |reason: String| {
             let (key, offset) = (&change.key, change.offset);
@@ -87,7 +120,7 @@
                 }
                 Err(error) => refused(error.to_string()),
             },
-            OperatorKey::Other => {}
+            OperatorKey::Evacuation(_) | OperatorKey::Other => {}
         }
     }
 }
@@ -110,7 +143,7 @@
 impl ChangeSink for UpstreamSink {
     /// A known upstream whose entry is missing counts as lapsed, not as having left: its entry may
     /// have expired while the store or this node was cut off.
-    fn replace(&self, changes: Vec<KeyChange>) {
+    fn replace(&self, changes: Vec<KeyChange>, _unreadable: &[String]) {
         let listed: HashSet<&str> = changes.iter().map(|change| change.key.as_str()).collect();
         let entries = self.control.entries.borrow();
         let missing = entries.keys().filter(|id| !listed.contains(id.as_str()));
--- a/crates/hibiscushinged/src/gateway/crash_records.rs
+++ b/crates/hibiscushinged/src/gateway/crash_records.rs
@@ -42,7 +42,7 @@
 }
 
 impl ChangeSink for CrashSink {
-    fn replace(&self, changes: Vec<KeyChange>) {
+    fn replace(&self, changes: Vec<KeyChange>, _unreadable: &[String]) {
         let now = self.traffic.node.now();
         let (claims, crashes): (Vec<KeyChange>, Vec<KeyChange>) =
             changes.into_iter().partition(|change| change.key.starts_with(RUN_CLAIM_PREFIX));
--- a/crates/hibiscushinged/src/gateway/fetch.rs
+++ b/crates/hibiscushinged/src/gateway/fetch.rs
@@ -1,5 +1,8 @@
 //! Reads of a keyed partition: first the newest record of every key, then the records that follow.
 
+#[cfg(test)]
+mod tests;
+
 use base::Span;
 use bytes::Bytes;
 use clients::CallError;
@@ -35,6 +38,8 @@
 #[derive(Debug)]
 pub(crate) struct FetchedPartition {
     pub(crate) keys: FetchedKeys,
+    /// Keys of a read of all keys whose values cannot be read. They are not deleted.
+    pub(crate) unreadable: Vec<String>,
     /// Offset from which the next fetch continues.
     pub(crate) next_offset: u64,
     /// Whether the partition ends there. A response of the store holds a bounded number of bytes.
@@ -59,7 +64,12 @@
                 let next_offset = records.last().map_or(from, |record| record.offset + 1);
                 let changes = records.iter().filter_map(|record| decode_change(name, record));
                 let keys = FetchedKeys::Changes(changes.collect());
-                return Ok(FetchedPartition { keys, next_offset, complete: next_offset >= end });
+                return Ok(FetchedPartition {
+                    keys,
+                    unreadable: Vec::new(),
+                    next_offset,
+                    complete: next_offset >= end,
+                });
             }
             ReadResponse::Trimmed { first } => {
                 log_event!(
@@ -73,16 +83,19 @@
             }
         }
     }
-    let KeySet { items, end, single_page } = fetch_keys(store, name, "").await?;
+    let KeySet { items, unreadable, end, single_page } = fetch_keys(store, name, "").await?;
     // Later pages may miss what was appended meanwhile, so the log is read from the end of the
     // first page.
-    Ok(FetchedPartition { keys: FetchedKeys::All(items), next_offset: end, complete: single_page })
+    let keys = FetchedKeys::All(items);
+    Ok(FetchedPartition { keys, unreadable, next_offset: end, complete: single_page })
 }
 
 /// Newest values of the keys with a prefix.
 #[derive(Debug)]
 pub(crate) struct KeySet {
     pub(crate) items: Vec<KeyChange>,
+    /// Keys whose values cannot be read.
+    unreadable: Vec<String>,
     /// End of the partition as of the first page. The pages together are no consistent snapshot, so
     /// records from there on may be missing.
     pub(crate) end: u64,
@@ -93,7 +106,7 @@
 ///
 /// # Errors
 ///
-/// Returns an error when a call fails.
+/// Returns an error when a call fails, or when a page has no keys and is not the last one.
 pub(crate) async fn fetch_keys(
     store: &StoreSession,
     name: &PartitionName,
@@ -102,6 +115,7 @@
     // The prefix without its last character sorts before all keys with the prefix.
     let mut after = (!prefix.is_empty()).then(|| String::from(&prefix[..prefix.len() - 1]));
     let mut items = Vec::new();
+    let mut unreadable = Vec::new();
     let mut first_end = None;
     loop {
         let page = store.read_latest(&name.topic, name.partition, after.as_deref()).await?;
@@ -117,12 +131,17 @@
                 Err(error) => {
                     let (topic, reason) = (&name.topic, error.to_string());
                     log_event!(warn, LogRecordRefused, topic, key, offset = end, reason);
+                    unreadable.push(key);
                 }
             }
         }
         match last {
             Some(last) if page.has_more && last.starts_with(prefix) => after = Some(last),
-            _ => return Ok(KeySet { items, end, single_page }),
+            // Without a key there is none from which the next page could start.
+            None if page.has_more => {
+                return Err(CallError::malformed("a page without keys is not the last one"));
+            }
+            _ => return Ok(KeySet { items, unreadable, end, single_page }),
         }
     }
 }
--- a/crates/hibiscushinged/src/gateway/limits.rs
+++ b/crates/hibiscushinged/src/gateway/limits.rs
@@ -304,7 +304,7 @@
 }
 
 impl ChangeSink for LimitSink {
-    fn replace(&self, changes: Vec<KeyChange>) {
+    fn replace(&self, changes: Vec<KeyChange>, _unreadable: &[String]) {
         let records: Vec<LimitRecord> = changes.iter().filter_map(decode).collect();
         let mut processes = HashSet::new();
         let mut nodes = HashSet::new();
--- a/crates/hibiscushinged/src/gateway/links.rs
+++ b/crates/hibiscushinged/src/gateway/links.rs
@@ -56,6 +56,10 @@
 /// have become doubtful.
 pub(crate) fn record_failure(traffic: &Rc<TrafficState>, upstream: UpstreamKey, since: Moment) {
     let balancer = traffic.balancer.borrow();
+    if balancer.is_evacuated(upstream) {
+        // The links to the upstreams that are in use do not show there.
+        return;
+    }
     let service = balancer.entry(upstream).service.clone();
     let usable = balancer.usable_upstreams(traffic.node.now(), &service).count();
     let mut tracker = traffic.links.tracker.borrow_mut();
@@ -160,6 +164,8 @@
 }
 
 fn random_upstreams(traffic: &TrafficState, service: &str, count: usize) -> UpstreamList {
+    // Another node may ask for the links before this one has used a configuration.
+    traffic.apply_evacuations();
     let balancer = traffic.balancer.borrow();
     take_random(balancer.usable_upstreams(traffic.node.now(), service).collect(), count)
 }
--- a/crates/hibiscushinged/src/gateway/metrics.rs
+++ b/crates/hibiscushinged/src/gateway/metrics.rs
@@ -8,6 +8,7 @@
     metrics::{
         counter::Counter,
         family::Family,
+        gauge::Gauge,
         histogram::{Histogram, exponential_buckets},
     },
     registry::Registry,
@@ -36,6 +37,9 @@
     pub(crate) upstream_crashes: Counter,
     pub(crate) loads_ordered: Counter<u64, AtomicU64>,
     pub(crate) usage_reports: Counter,
+    pub(crate) evacuated_zones: Gauge,
+    pub(crate) evacuation_orders: Counter,
+    pub(crate) evacuated_runs: Counter,
 }
 
 impl Default for GatewayMetrics {
@@ -53,6 +57,9 @@
             upstream_crashes: Counter::default(),
             loads_ordered: Counter::default(),
             usage_reports: Counter::default(),
+            evacuated_zones: Gauge::default(),
+            evacuation_orders: Counter::default(),
+            evacuated_runs: Counter::default(),
         }
     }
 }
@@ -102,6 +109,12 @@
         registry.register("loads_ordered", loads, self.loads_ordered.clone());
         let usage = "Usage windows reported";
         registry.register("usage_reports", usage, self.usage_reports.clone());
+        let zones = "Zones that are evacuated at present";
+        registry.register("evacuated_zones", zones, self.evacuated_zones.clone());
+        let orders = "Orders to evacuate a zone that took effect";
+        registry.register("evacuation_orders", orders, self.evacuation_orders.clone());
+        let moved = "Runs of items moved out of an evacuated zone";
+        registry.register("evacuated_runs", moved, self.evacuated_runs.clone());
         let mut page = String::new();
         if let Err(error) = encode(&mut page, &registry) {
             tracing::warn!(%error, "rendering the metrics failed; the page is incomplete");
--- a/crates/hibiscushinged/src/gateway/node.rs
+++ b/crates/hibiscushinged/src/gateway/node.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     clock::{ProcessClock, to_duration, wall_now},
-    gateway::metrics::GatewayMetrics,
+    gateway::{evacuation::PublishedZones, metrics::GatewayMetrics},
     shared::{InFlightGuard, NodeLifecycle, NodePhase},
     telemetry::log_event,
 };
@@ -43,6 +43,8 @@
     pub(crate) settings: GatewaySettings,
     pub(crate) incarnation: Incarnation,
     pub(crate) clock: ProcessClock,
+    /// Evacuated zones. They are published before a configuration that was read with them.
+    pub(crate) evacuated: PublishedZones,
     pub(crate) config: ArcSwapOption<ConfigIndex>,
     pub(crate) metrics: GatewayMetrics,
     window_totals: Mutex<WindowTotals>,
@@ -90,6 +92,7 @@
             settings,
             incarnation,
             clock,
+            evacuated: PublishedZones::default(),
             config: ArcSwapOption::empty(),
             metrics,
             window_totals: Mutex::new(WindowTotals::default()),
--- a/crates/hibiscushinged/src/gateway/peers.rs
+++ b/crates/hibiscushinged/src/gateway/peers.rs
@@ -49,7 +49,7 @@
 }
 
 impl ChangeSink for NodeSink {
-    fn replace(&self, changes: Vec<KeyChange>) {
+    fn replace(&self, changes: Vec<KeyChange>, _unreadable: &[String]) {
         let names: HashSet<&str> = changes.iter().map(|change| change.key.as_str()).collect();
         self.traffic.peers.table.borrow_mut().retain(|name| names.contains(name));
         for change in changes {
--- a/crates/hibiscushinged/src/gateway/reward.rs
+++ b/crates/hibiscushinged/src/gateway/reward.rs
@@ -88,7 +88,7 @@
 }
 
 async fn call(traffic: &Rc<TrafficState>, reward: &RewardCall) -> CallOutcome {
-    let Some(config) = traffic.node.config.load_full() else { return CallOutcome::Retry };
+    let Some(config) = traffic.config() else { return CallOutcome::Retry };
     let Some(route) = config.route(&reward.host, &reward.path) else { return CallOutcome::NoRoute };
     let Some(service) = route.pick_service(rand::random()) else { return CallOutcome::NoRoute };
     // Evaluated again after each wait, since upstreams come and go.
--- a/crates/hibiscushinged/src/gateway/runner.rs
+++ b/crates/hibiscushinged/src/gateway/runner.rs
@@ -20,7 +20,7 @@
     gateway::{
         attempt::AttemptGuard,
         commit::commit,
-        generation,
+        evacuation, generation,
         job::{ItemJob, ItemRun, JobProgress, due_at},
         model_demand,
         partition_follower::PartitionFollower,
@@ -51,7 +51,7 @@
 /// Usual time between two events of a generation. While all engines of the software version that
 /// began a text are full and others are free, the item waits for as long as it takes to generate
 /// its events again.
-const USUAL_EVENT_INTERVAL: Span = Span::from_millis(30);
+pub(crate) const USUAL_EVENT_INTERVAL: Span = Span::from_millis(30);
 
 /// Minimum time that a run stays on an engine before it may migrate. It covers a usual prompt and
 /// some events.
@@ -100,7 +100,7 @@
     if !may_run {
         return;
     }
-    let Some(config) = traffic.node.config.load_full() else { return };
+    let Some(config) = traffic.config() else { return };
     let mut state = traffic.items.state.borrow_mut();
     for submission in cache.open_submissions() {
         let metadata = submission.metadata();
@@ -169,7 +169,7 @@
 /// Assigns queued items to engines with free slots.
 fn place(traffic: &Rc<TrafficState>) {
     let now = traffic.node.now();
-    let Some(config) = traffic.node.config.load_full() else { return };
+    let Some(config) = traffic.config() else { return };
     let mut state = traffic.items.state.borrow_mut();
     let state = &mut *state;
     let mut unplaceable: BTreeSet<(String, u64, Option<String>)> = BTreeSet::new();
@@ -328,7 +328,7 @@
     true
 }
 
-fn start(job: &Rc<ItemJob>, traffic: &Rc<TrafficState>, upstream: UpstreamKey) {
+pub(crate) fn start(job: &Rc<ItemJob>, traffic: &Rc<TrafficState>, upstream: UpstreamKey) {
     let attempt = AttemptGuard::acquire(traffic, upstream, RequestOrigin::Item);
     let started_at = traffic.node.now();
     let run = generation::run(Rc::clone(traffic), Rc::clone(job), upstream, attempt);
@@ -352,6 +352,8 @@
             () = tokio::time::sleep(period) => {}
         }
         if traffic.node.phase() != NodePhase::Draining {
+            // Runs that move come first: they lose their engines, queued items lose nothing.
+            evacuation::move_runs(&traffic);
             place(&traffic);
             migrate_runs(&traffic);
         }
--- a/crates/hibiscushinged/src/gateway/serve.rs
+++ b/crates/hibiscushinged/src/gateway/serve.rs
@@ -22,7 +22,7 @@
     accept::serve_connections,
     clock::to_duration,
     gateway::{
-        cleanup, crash_check, crash_records,
+        cleanup, crash_check, crash_records, evacuation,
         forward::{self, ForwardedRequest},
         group, limits, links,
         node::{LAST_TOTALS_TIMEOUT, NodeState},
@@ -112,6 +112,7 @@
         actix_rt::spawn(peers::follow_nodes(Rc::clone(&traffic)));
         actix_rt::spawn(follow_upstreams(Rc::clone(&traffic), changes));
         actix_rt::spawn(close_idle_channels(Rc::clone(&traffic)));
+        actix_rt::spawn(evacuation::follow_evacuations(Rc::clone(&traffic)));
         actix_rt::spawn(group::stay_in_group(Rc::clone(&traffic)));
         actix_rt::spawn(runner::place_items(Rc::clone(&traffic)));
         actix_rt::spawn(runner::store_results(Rc::clone(&traffic)));
@@ -300,7 +301,7 @@
     caller: &CallerRequest<'_>,
     in_flight: InFlightGuard,
 ) -> Result<Response<BoxBody>, Refusal> {
-    let Some(config) = traffic.node.config.load_full() else {
+    let Some(config) = traffic.config() else {
         let message = "this node has no configuration yet";
         return Err(
             Refusal::not_run(RefusalCode::Isolated, message).with_retry_after(STARTUP_RETRY_AFTER)
--- a/crates/hibiscushinged/src/gateway/topic_follower.rs
+++ b/crates/hibiscushinged/src/gateway/topic_follower.rs
@@ -14,8 +14,9 @@
 
 /// Receiver of the changes of one topic.
 pub(crate) trait ChangeSink {
-    /// Processes the newest values of all keys, after a full read of the topic.
-    fn replace(&self, changes: Vec<KeyChange>);
+    /// Processes the newest values of all keys, after a full read of the topic. The values of the
+    /// `unreadable` keys exist and cannot be read.
+    fn replace(&self, changes: Vec<KeyChange>, unreadable: &[String]);
 
     /// Processes the change of one key.
     fn apply(&self, change: KeyChange);
@@ -44,7 +45,7 @@
         };
         next_offset = Some(fetched.next_offset);
         match fetched.keys {
-            FetchedKeys::All(changes) => sink.replace(changes),
+            FetchedKeys::All(changes) => sink.replace(changes, &fetched.unreadable),
             FetchedKeys::Changes(changes) => {
                 for change in changes {
                     sink.apply(change);
--- a/crates/hibiscushinged/src/gateway/traffic_state.rs
+++ b/crates/hibiscushinged/src/gateway/traffic_state.rs
@@ -7,10 +7,11 @@
 
 use crate::{
     gateway::{
-        channel::Exchange, forward::PeerNodes, items::ItemScheduler, limits::LimitRegistry,
-        links::LinkMonitor, model_demand::WrittenDemand, node::NodeState, partitions::PartitionSet,
-        pool::ChannelPool, response_buffer::BufferBudget, store::StoreSession,
-        stream_origins::OriginRegistry, suspect_runs::SuspectRuns, suspects::SuspectRegistry,
+        channel::Exchange, evacuation::AppliedZones, forward::PeerNodes, items::ItemScheduler,
+        limits::LimitRegistry, links::LinkMonitor, model_demand::WrittenDemand, node::NodeState,
+        partitions::PartitionSet, pool::ChannelPool, response_buffer::BufferBudget,
+        store::StoreSession, stream_origins::OriginRegistry, suspect_runs::SuspectRuns,
+        suspects::SuspectRegistry,
     },
     telemetry::log_event,
 };
@@ -19,6 +20,7 @@
 pub(crate) struct TrafficState {
     pub(crate) node: Arc<NodeState>,
     pub(crate) balancer: RefCell<UpstreamBalancer>,
+    pub(crate) evacuated: AppliedZones,
     pub(crate) pool: ChannelPool<UpstreamKey>,
     pub(crate) links: LinkMonitor,
     pub(crate) peers: PeerNodes,
@@ -46,6 +48,7 @@
             stream_origins: OriginRegistry::default(),
             written_demand: WrittenDemand::default(),
             balancer: RefCell::default(),
+            evacuated: AppliedZones::default(),
             pool: ChannelPool::new(),
             links: LinkMonitor::default(),
             peers: PeerNodes::default(),
@@ -66,7 +69,7 @@
 
     /// Returns the connection of a complete exchange to the pool, if it can be reused.
     pub(crate) fn keep_channel(&self, upstream: UpstreamKey, exchange: Exchange) {
-        if exchange.metadata().leaving {
+        if exchange.metadata().leaving || self.balancer.borrow().is_evacuated(upstream) {
             return;
         }
         let idle_timeout = exchange.metadata().idle_timeout;
--- a/crates/hibiscushinged/src/gateway/weight_loads.rs
+++ b/crates/hibiscushinged/src/gateway/weight_loads.rs
@@ -80,6 +80,7 @@
 fn plan(control: &ControlState, loader: &WeightLoader) -> Vec<WeightLoad> {
     let now = control.node.now();
     let Some(config) = control.node.config.load_full() else { return Vec::new() };
+    let evacuated = control.node.evacuated.load();
     let entries = control.entries.borrow();
     let (versions, demands) = (control.versions.borrow(), control.demands.borrow());
     let mut orders = Vec::new();
@@ -90,6 +91,7 @@
             entry.service == service.name
                 && entry.state == EntryState::Ready
                 && !loader.is_leaving(entry)
+                && !evacuated.contains(&entry.zone)
         });
         let engines: Vec<EngineWeights> = members.map(|entry| loader.engine(entry)).collect();
         let limits = WeightLoadLimits {
@@ -201,6 +203,9 @@
     if has_version(&report.versions, order) {
         return Ok(());
     }
+    if control.node.is_evacuated(&entry.zone) {
+        return Ok(());
+    }
     let Some(identity) = control.lease.identity(&control.node) else {
         return Err(String::from("this node no longer holds the lease"));
     };
@@ -231,6 +236,10 @@
     }
     for poll in 0..MAX_REPORT_POLLS {
         tokio::time::sleep(if poll == 0 { FIRST_REPORT_DELAY } else { REPORT_POLL_PERIOD }).await;
+        if control.node.is_evacuated(&entry.zone) {
+            // Later reports and the entry show how the load has ended.
+            return Ok(());
+        }
         let Ok(report) = client.report(entry.address, ORDER_TIMEOUT).await else { continue };
         loader.reported_versions.borrow_mut().insert(order.engine.clone(), report.versions.clone());
         if has_version(&report.versions, order) {
