Keep requests, items and reward calls in their home regions

Cause: `home_regions` of routes and customers were ignored, so a request ran at any upstream of its service, and its body could be passed to any node.

Ruled out: upstreams outside as `tried`, since these are a last resort; regions in the entries of upstreams, which name zones only.

Change: `platform` decodes the lists, `routebook::HomeRegions` intersects those of the route and the customer, and the balancer filters every choice by the region of an upstream's zone. The gateway's settings gain `region` and `zones`, a table or a text with a JSON object, as the platform's templates render JSON. A request is passed only to nodes in a home region or the caller's region; it names its home regions and the caller's region, and the receiving node applies the constraints of both configurations. Items with other home regions do not hold up each other. The node that owns an item may be outside of its home regions; that is left.

The template was not rendered by the platform.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -74,6 +74,7 @@
     1530 ZoneEvacuated "The operator has ordered the evacuation of a zone; its upstreams get no requests of this node."
     1531 ZoneReturned "The evacuation of a zone was withdrawn; its upstreams get requests of this node again."
     1532 RunEvacuated "A run of an item moves from an engine of an evacuated zone to one of another zone."
+    1540 HomeRegionUnknown "A route or a customer names a home region of which this node knows no zone; requests find no upstream there."
     // Usage.
     1601 UsageBatchAppended "A usage batch was appended to the log."
     1602 UsageWindowClosed "A usage window is closed and its usage is final."
--- a/crates/dispatch/src/balancer.rs
+++ b/crates/dispatch/src/balancer.rs
@@ -8,7 +8,7 @@
 };
 
 use crate::{
-    EntryState, ExchangeOutcome, LimitDemand, LimitShare, RequestBucket, RequestOrigin,
+    EntryState, ExchangeOutcome, HomeFilter, LimitDemand, LimitShare, RequestBucket, RequestOrigin,
     UpstreamEntry, UpstreamLoad, WantedRate, demand::DemandMeter, stats::UpstreamStats,
 };
 
@@ -71,6 +71,8 @@
     unknown_leaving: VecDeque<ProcessDigest>,
     /// Evacuated zones, each with the time at which this node learned of it.
     pub(crate) evacuated: BTreeMap<String, Moment>,
+    /// Region of each availability zone.
+    pub(crate) regions: BTreeMap<String, String>,
 }
 
 /// Demand for a service, and who of its requests goes first when tokens are scarce.
@@ -225,12 +227,19 @@
         self.upstreams[upstream].is_suspended(now)
     }
 
-    /// Returns whether a service has a usable upstream with this version of the software.
+    /// Returns whether a service has a usable upstream with this version of the software in the home
+    /// regions of a request.
     #[must_use]
-    pub fn has_software(&self, now: Moment, service: &str, version: &str) -> bool {
+    pub fn has_software(
+        &self,
+        now: Moment,
+        service: &str,
+        version: &str,
+        home: HomeFilter<'_>,
+    ) -> bool {
         self.service_upstreams(service).iter().any(|upstream| {
             let entry = &self.upstreams[*upstream].entry;
-            entry.software_version == version && self.is_usable(now, *upstream)
+            entry.software_version == version && self.is_usable_at_home(now, *upstream, home)
         })
     }
 
@@ -313,7 +322,7 @@
         self.processes.get(&process).copied()
     }
 
-    /// Records that a request found no token on any upstream of the service. Returns when a caller
+    /// Records that a request found no token on any upstream of the service in its home regions. Returns when a caller
     /// that is refused now should return: callers are spread by the rate to which this node is
     /// entitled, in the order of their refusals. Returns `None` if limits are not the reason.
     /// A caller may return at any node, so the rate of this node's tokens, which are with other nodes
@@ -323,11 +332,12 @@
         now: Moment,
         service: &str,
         origin: RequestOrigin,
+        home: HomeFilter<'_>,
     ) -> Option<Span> {
         let mut rate = RequestRate::ZERO;
         let mut limited = false;
         for upstream in self.service_upstreams(service) {
-            if !self.is_usable(now, *upstream) {
+            if !self.is_usable_at_home(now, *upstream, home) {
                 continue;
             }
             let stats = &self.upstreams[*upstream];
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 mod demand;
 mod entry;
 mod evacuation;
+mod home;
 mod limit_shares;
 mod links;
 mod peers;
@@ -24,6 +25,7 @@
     balancer::{RemovalCause, UpstreamBalancer, UpstreamChange},
     entry::{EntryState, UpstreamEntry},
     evacuation::{EVACUATION_TIME, ZoneEvacuations},
+    home::HomeFilter,
     limit_shares::{LimitClaim, LimitDemand, LimitShare, LimitShares, NodeClaims, WantedRate},
     links::{LinkState, LinkTracker},
     peers::{PeerEntry, PeerOutcome, PeerTable},
--- a/crates/dispatch/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -127,10 +127,28 @@
         service: &str,
         tried: &[VmKey],
         seed: u64,
+    ) -> Option<VmKey> {
+        self.pick_among(now, zone, service, tried, seed, |_| true)
+    }
+
+    /// As [`PeerTable::pick`], among the nodes that a request `allows`.
+    #[must_use]
+    pub fn pick_among(
+        &self,
+        now: Moment,
+        zone: &str,
+        service: &str,
+        tried: &[VmKey],
+        seed: u64,
+        allows: impl Fn(&PeerEntry) -> bool,
     ) -> Option<VmKey> {
         let mut best = None;
         for (peer, state) in self.peers.iter() {
-            if !state.listed || now < state.suspended_until || tried.contains(&peer) {
+            if !state.listed
+                || now < state.suspended_until
+                || tried.contains(&peer)
+                || !allows(&state.entry)
+            {
                 continue;
             }
             let unreached =
--- a/crates/dispatch/src/pick.rs
+++ b/crates/dispatch/src/pick.rs
@@ -4,7 +4,7 @@
 
 use smallvec::SmallVec;
 
-use crate::{UpstreamBalancer, stats::UpstreamStats};
+use crate::{HomeFilter, UpstreamBalancer, stats::UpstreamStats};
 
 derive_copy! {
     /// A model and the oldest weight version that may generate its tokens.
@@ -42,6 +42,8 @@
         pub origin: RequestOrigin,
         /// Software version that the upstream must have, if the request resumes a stream.
         pub software_version: Option<&'a str>,
+        /// Regions in which the upstream must be.
+        pub home: HomeFilter<'a>,
         /// Seed of the jitter that keeps nodes with equal knowledge from the same choice.
         pub jitter_seed: u64,
     }
@@ -54,6 +56,8 @@
         pub requirement: ModelRequirement<'a>,
         /// Software version that the engine must have, if the generation continues a text.
         pub software_version: Option<&'a str>,
+        /// Regions in which the engine must be.
+        pub home: HomeFilter<'a>,
         /// Engines on which the generation failed. They are used only when no other is left.
         pub tried: &'a [UpstreamKey],
         /// Engine that has the shared part of the prompt in its cache, if any.
@@ -136,7 +140,9 @@
         let assumed_us = self.mean_response_us(request.service);
         let mut best: Option<(u8, f64, UpstreamKey)> = None;
         for upstream in self.service_upstreams(request.service) {
-            if !self.is_usable(now, *upstream) || !self.admits(now, *upstream, request.origin) {
+            if !self.is_usable_at_home(now, *upstream, request.home)
+                || !self.admits(now, *upstream, request.origin)
+            {
                 continue;
             }
             let stats = &self.upstreams[*upstream];
@@ -182,6 +188,7 @@
                 || full
                 || stats.is_suspended(now)
                 || !self.accepts(now, *upstream, request.requirement)
+                || !self.is_usable_at_home(now, *upstream, request.home)
                 || !self.admits(now, *upstream, RequestOrigin::Item)
             {
                 continue;
--- a/crates/dispatch/tests/connections.rs
+++ b/crates/dispatch/tests/connections.rs
@@ -60,6 +60,7 @@
             suspect: false,
             origin,
             software_version: None,
+            home: None,
             jitter_seed: self.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15),
         };
         let upstream = self.balancer.pick_plain(NOW, &request).unwrap();
--- a/crates/dispatch/tests/evacuation.rs
+++ b/crates/dispatch/tests/evacuation.rs
@@ -60,6 +60,7 @@
         suspect: false,
         origin,
         software_version: None,
+        home: None,
         jitter_seed,
     }
 }
@@ -69,6 +70,7 @@
         service: "s",
         requirement: ModelRequirement { model: "m", min_version: WeightVersion(1) },
         software_version: None,
+        home: None,
         tried: &[],
         warm_engine: Some(warm),
         connected: &[warm],
@@ -104,7 +106,7 @@
     assert_eq!(balancer.occupancy(NOW, "s").0 as usize, in_use * 2 * 4);
     assert_eq!(balancer.unlimited_slots(NOW, "s") as usize, in_use * 2 * 4);
     for zone in ZONES {
-        let has_software = balancer.has_software(NOW, "s", &format!("v-{zone}"));
+        let has_software = balancer.has_software(NOW, "s", &format!("v-{zone}"), None);
         assert_eq!(has_software, !evacuated.contains(&zone));
     }
 }
--- a/crates/dispatch/tests/leaving.rs
+++ b/crates/dispatch/tests/leaving.rs
@@ -42,12 +42,14 @@
         suspect: false,
         origin: RequestOrigin::Caller,
         software_version: None,
+        home: None,
         jitter_seed: 0,
     };
     let generation = GenerationPickRequest {
         service: "s",
         requirement: ModelRequirement { model: "m", min_version: WeightVersion(2) },
         software_version: Some("v1"),
+        home: None,
         tried: &others,
         warm_engine: Some(upstream),
         connected: &[upstream],
@@ -176,7 +178,7 @@
         balancer.record_leaving(balancer.entry(key).process());
     }
     assert!(keys.iter().all(|key| !is_picked(&balancer, NOW, *key)));
-    assert!(!balancer.has_software(NOW, "s", "v1"), "a stream cannot go on");
+    assert!(!balancer.has_software(NOW, "s", "v1", None), "a stream cannot go on");
     assert_eq!(balancer.usable_upstreams(NOW, "s").count(), 0);
 }
 
--- a/crates/dispatch/tests/pick.rs
+++ b/crates/dispatch/tests/pick.rs
@@ -39,6 +39,7 @@
         service: "s",
         requirement,
         software_version: None,
+        home: None,
         tried,
         warm_engine: None,
         connected: &[],
@@ -55,6 +56,7 @@
         suspect: false,
         origin: RequestOrigin::Caller,
         software_version: None,
+        home: None,
         jitter_seed,
     }
 }
@@ -310,12 +312,12 @@
 #[case::node_without_tokens(0)]
 fn refused_callers_return_in_their_order(#[case] claimed: u64) {
     let (mut balancer, keys) = balancer(1, 8);
-    assert_eq!(balancer.record_limited(NOW, "s", RequestOrigin::Caller), None);
+    assert_eq!(balancer.record_limited(NOW, "s", RequestOrigin::Caller, None), None);
     let entitled = RequestRate(4_000);
     let limit_share = LimitShare { claimed: RequestRate(claimed), entitled, ..Default::default() };
     balancer.set_limit_share(NOW, keys[0], Some(limit_share));
     let refuse = |balancer: &mut UpstreamBalancer| {
-        balancer.record_limited(NOW, "s", RequestOrigin::Caller).unwrap().as_millis()
+        balancer.record_limited(NOW, "s", RequestOrigin::Caller, None).unwrap().as_millis()
     };
     let returns: Vec<u64> = (0..20).map(|_| refuse(&mut balancer)).collect();
     assert_eq!(returns[..4], [250, 500, 750, 1_000]);
@@ -332,7 +334,7 @@
     assert_eq!(balancer.pick_plain(now, &item), Some(keys[0]));
     let mut item_tokens = 0;
     for _ in 0..12 {
-        balancer.record_limited(now, "s", RequestOrigin::Caller);
+        balancer.record_limited(now, "s", RequestOrigin::Caller, None);
         let origin = if balancer.pick_plain(now, &item).is_some() {
             item_tokens += 1;
             RequestOrigin::Item
@@ -379,9 +381,9 @@
     }
     balancer.begin_request(NOW, keys[0], RequestOrigin::Item);
     assert_eq!(balancer.pick_generation(NOW, &continued(1, "v1")), None);
-    assert!(balancer.has_software(NOW, "s", "v1"));
+    assert!(balancer.has_software(NOW, "s", "v1", None));
     balancer.remove(NOW, "u0", RemovalCause::Left);
-    assert!(!balancer.has_software(NOW, "s", "v1"));
+    assert!(!balancer.has_software(NOW, "s", "v1", None));
 }
 
 /// Guards against a resumed stream that goes on at another software version, for want of others.
--- a/crates/document/src/gateway.rs
+++ b/crates/document/src/gateway.rs
@@ -1,6 +1,6 @@
 //! Settings of a gateway daemon, which keeps all persistent state in the platform's store.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use base::{Span, derive_value};
 use serde::Deserialize;
@@ -14,6 +14,10 @@
         pub vm_name: String,
         /// Availability zone of the VM.
         pub zone: String,
+        /// Region of the VM, if the deployment names regions.
+        pub region: Option<String>,
+        /// Region of each availability zone, as far as the deployment names it.
+        pub zones: BTreeMap<String, String>,
         /// Whether the whole system starts for the first time. Otherwise this process may be the
         /// restart of a lease holder, and waits before it claims the lease.
         pub first_start: bool,
@@ -79,6 +83,9 @@
 struct WireGateway {
     vm_name: String,
     zone: String,
+    region: Option<String>,
+    #[serde(default)]
+    zones: WireZones,
     #[serde(default)]
     first_start: bool,
     cores: f64,
@@ -93,6 +100,15 @@
     promises: WirePromises,
 }
 
+/// Regions of the zones: a table, or a text that holds a JSON object, since the platform fills
+/// templates with JSON. An empty text is an empty table.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum WireZones {
+    Table(BTreeMap<String, String>),
+    Text(String),
+}
+
 #[derive(Deserialize)]
 struct WireStore {
     address: SocketAddr,
@@ -114,7 +130,41 @@
     settle_ms: f64,
 }
 
+impl Default for WireZones {
+    fn default() -> Self {
+        Self::Table(BTreeMap::new())
+    }
+}
+
+impl WireZones {
+    /// Returns the table, or the text if it holds none.
+    fn table(&self) -> Result<BTreeMap<String, String>, &str> {
+        match self {
+            Self::Table(zones) => Ok(zones.clone()),
+            Self::Text(text) if text.trim().is_empty() => Ok(BTreeMap::new()),
+            Self::Text(text) => serde_json::from_str(text).map_err(|_| text.as_str()),
+        }
+    }
+}
+
 impl GatewaySettings {
+    /// Returns the region of an availability zone, if it is known.
+    #[must_use]
+    pub fn region_of(&self, zone: &str) -> Option<&str> {
+        let own = self.region.as_deref().filter(|_| zone == self.zone);
+        own.or_else(|| self.zones.get(zone).map(String::as_str))
+    }
+
+    /// Returns the region of each zone, that of the VM included.
+    #[must_use]
+    pub fn zone_regions(&self) -> BTreeMap<String, String> {
+        let mut regions = self.zones.clone();
+        if let Some(region) = &self.region {
+            regions.insert(self.zone.clone(), region.clone());
+        }
+        regions
+    }
+
     /// Parses and validates the settings. `file` is the file name shown in problems. Unknown keys
     /// are ignored, since the platform that writes the file may add some.
     ///
@@ -174,6 +224,42 @@
             allowed: String::from("a number above zero"),
         });
     }
+    problems.extend(check_regions(file, wire));
+    problems
+}
+
+fn check_regions(file: &str, wire: &WireGateway) -> Vec<DocumentProblem> {
+    let problem = |key: &str, value: &str, allowed: &str| DocumentProblem {
+        file: String::from(file),
+        line: 1,
+        key: String::from(key),
+        value: format!("\"{value}\""),
+        allowed: String::from(allowed),
+    };
+    let mut problems = Vec::new();
+    if wire.region.as_ref().is_some_and(String::is_empty) {
+        problems.push(problem("region", "", "the name of a region"));
+    }
+    let zones = match wire.zones.table() {
+        Ok(zones) => zones,
+        Err(text) => {
+            let allowed = "a table, or a JSON object, of zones with their regions";
+            problems.push(problem("zones", text, allowed));
+            return problems;
+        }
+    };
+    for (zone, region) in &zones {
+        if zone.is_empty() || region.is_empty() {
+            let key = format!("zones.{zone}");
+            problems.push(problem(&key, region, "the name of a zone with that of its region"));
+        }
+    }
+    if let (Some(own), Some(listed)) = (&wire.region, zones.get(&wire.zone))
+        && own != listed
+    {
+        let allowed = format!("\"{listed}\", the region of the zone of the VM in `zones`");
+        problems.push(problem("region", own, &allowed));
+    }
     problems
 }
 
@@ -182,6 +268,8 @@
         Self {
             vm_name: wire.vm_name,
             zone: wire.zone,
+            region: wire.region,
+            zones: wire.zones.table().unwrap_or_default(),
             first_start: wire.first_start,
             millicores: (wire.cores * 1e3) as u32,
             memory_bytes: (wire.memory_mb * 1e6) as usize,
--- a/crates/hibiscushinged/src/gateway/control.rs
+++ b/crates/hibiscushinged/src/gateway/control.rs
@@ -137,6 +137,11 @@
         node.config.store(active.current().cloned());
         node.advance_to(NodePhase::Serving);
         log_event!(ConfigApplied, version, offset, routes);
+        if let Some(config) = active.current() {
+            for region in node.unknown_regions(config) {
+                log_event!(warn, HomeRegionUnknown, region, version);
+            }
+        }
     }
 }
 
--- a/crates/hibiscushinged/src/gateway/crash_check/tests.rs
+++ b/crates/hibiscushinged/src/gateway/crash_check/tests.rs
@@ -87,6 +87,7 @@
         resumable: false,
         origin,
         forwarded: false,
+        home: routebook::HomeRegions::default(),
         software_version: None,
         digest: OnceCell::new(),
     }
--- a/crates/hibiscushinged/src/gateway/evacuation.rs
+++ b/crates/hibiscushinged/src/gateway/evacuation.rs
@@ -167,6 +167,7 @@
     job: &ItemJob,
     from: UpstreamKey,
 ) -> Option<UpstreamKey> {
+    let home = job.home(&*traffic.config()?);
     let balancer = traffic.balancer.borrow();
     let progress = job.progress.borrow();
     let request = GenerationPickRequest {
@@ -176,6 +177,7 @@
             min_version: job.metadata.min_version,
         },
         software_version: progress.text.software_version(),
+        home: home.as_list(),
         tried: &progress.tried,
         warm_engine: None,
         connected: &traffic.pool.connected(),
--- a/crates/hibiscushinged/src/gateway/evacuation/tests.rs
+++ b/crates/hibiscushinged/src/gateway/evacuation/tests.rs
@@ -5,6 +5,7 @@
 use base::{UpstreamKey, WallTime, WeightVersion};
 use bytes::Bytes;
 use dispatch::UpstreamEntry;
+use routebook::ConfigIndex;
 use rstest::rstest;
 use submissions::{GenerationEvent, SubmissionItem, SubmissionMetadata};
 use tokio::net::TcpListener;
@@ -46,6 +47,14 @@
     assert!(is_usable(), "the withdrawal was not applied");
 }
 
+/// Puts a configuration without routes in force.
+fn apply_config(traffic: &TrafficState) {
+    let config = br#"{"version":1,"routes":[],"services":[],"limits":{"max_header_bytes":1,
+        "max_body_bytes":1,"header_timeout_ms":1,"idle_timeout_ms":1}}"#;
+    let config = ConfigIndex::new(platform::decode_config(config).unwrap());
+    traffic.node.config.store(Some(Arc::new(config)));
+}
+
 /// A job whose item is expected to send one event for each token, and whose text has begun.
 fn job(traffic: &TrafficState, expected_tokens: u32) -> Rc<ItemJob> {
     let metadata = SubmissionMetadata {
@@ -103,6 +112,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let traffic = traffic(address);
+    apply_config(&traffic);
     let from = add_upstream(&traffic, "from", "b", address);
     for zone in other_zones {
         add_upstream(&traffic, &format!("to-{zone}"), zone, address);
@@ -135,6 +145,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let traffic = traffic(address);
+    apply_config(&traffic);
     let engines = ["from-1", "from-2"].map(|id| add_upstream(&traffic, id, "b", address));
     let to = add_upstream(&traffic, "to", "a", address);
     let job = job(&traffic, 10_000);
--- a/crates/hibiscushinged/src/gateway/forward.rs
+++ b/crates/hibiscushinged/src/gateway/forward.rs
@@ -16,10 +16,11 @@
 use bytes::Bytes;
 use dispatch::{PeerOutcome, PeerTable};
 use protocol::{
-    ATTEMPTS_HEADER, CONFIG_HEADER, CUSTOMER_HEADER, ForwardOutcome, LEAVING_HEADER, LINKS_PATH,
-    OUTCOME_HEADER, RETRYABLE_HEADER, SERVICE_HEADER, decode_leaving, encode_leaving,
+    ATTEMPTS_HEADER, CALLER_REGION_HEADER, CONFIG_HEADER, CUSTOMER_HEADER, ForwardOutcome,
+    HOME_REGIONS_HEADER, LEAVING_HEADER, LINKS_PATH, OUTCOME_HEADER, RETRYABLE_HEADER,
+    SERVICE_HEADER, decode_leaving, encode_leaving,
 };
-use routebook::RequestDecision;
+use routebook::{HomeRegions, RequestDecision};
 use smallvec::SmallVec;
 
 use crate::{
@@ -36,6 +37,8 @@
 };
 
 const ATTEMPTS: HeaderName = HeaderName::from_static(ATTEMPTS_HEADER);
+const CALLER_REGION: HeaderName = HeaderName::from_static(CALLER_REGION_HEADER);
+const HOME_REGIONS: HeaderName = HeaderName::from_static(HOME_REGIONS_HEADER);
 const CONFIG: HeaderName = HeaderName::from_static(CONFIG_HEADER);
 const CUSTOMER: HeaderName = HeaderName::from_static(CUSTOMER_HEADER);
 const LEAVING: HeaderName = HeaderName::from_static(LEAVING_HEADER);
@@ -83,6 +86,10 @@
         pub(crate) attempts: usize,
         /// Decision that this node must agree with. Earlier builds do not name theirs.
         pub(crate) decision: Option<RequestDecision>,
+        /// Home regions by the configuration of that node.
+        pub(crate) home: HomeRegions,
+        /// Region of the node to which the caller connected, if it is known.
+        pub(crate) caller_region: Option<String>,
     }
 }
 
@@ -157,7 +164,7 @@
 ) -> Result<ForwardedExchange, ForwardError> {
     let mut tried: SmallVec<[VmKey; MAX_NODES]> = SmallVec::new();
     while tried.len() < MAX_NODES {
-        let Some(peer) = pick(traffic, job.service, &tried) else { break };
+        let Some(peer) = pick(traffic, job.service, &tried, &job.home) else { break };
         tried.push(peer);
         let guard = PeerGuard::acquire(traffic, peer, job.service);
         let Some(channel) = connect(traffic, peer).await else {
@@ -176,7 +183,9 @@
         );
         let mut headers = platform::node_headers(job.headers, job.host, job.id, time_left);
         headers.insert(ATTEMPTS, HeaderValue::from(attempts));
-        if set_decision(&mut headers, &job.decision()).is_none() {
+        if set_decision(&mut headers, &job.decision()).is_none()
+            || set_regions(&mut headers, &job.home, own_region(traffic)).is_none()
+        {
             return Err(ForwardError::Unreached);
         }
         let head = request_head(job.method.clone(), job.path, headers);
@@ -272,6 +281,39 @@
     })
 }
 
+/// Names the home regions of a request to another node, and the region of its caller. Returns `None`
+/// if a name in them cannot be sent.
+fn set_regions(
+    headers: &mut HeaderMap,
+    home: &HomeRegions,
+    caller_region: Option<&str>,
+) -> Option<()> {
+    headers.remove(&HOME_REGIONS);
+    headers.remove(&CALLER_REGION);
+    if let Some(home) = home.as_list() {
+        if home.iter().any(|region| region.contains(',')) {
+            return None;
+        }
+        headers.insert(HOME_REGIONS, HeaderValue::from_str(&home.join(",")).ok()?);
+    }
+    if let Some(region) = caller_region {
+        headers.insert(CALLER_REGION, HeaderValue::from_str(region).ok()?);
+    }
+    Some(())
+}
+
+/// Removes the home regions and the caller's region from the headers of a forwarded request, and
+/// returns them.
+fn take_regions(headers: &mut HeaderMap) -> (HomeRegions, Option<String>) {
+    let mut take = |name| {
+        let value = headers.remove(&name).next()?;
+        value.to_str().ok().map(String::from)
+    };
+    let home = take(HOME_REGIONS)
+        .map(|home| HomeRegions::only(home.split(',').filter(|region| !region.is_empty())));
+    (home.unwrap_or_default(), take(CALLER_REGION))
+}
+
 /// Logs why a node does not get a request, which is passed to the next node or refused then.
 fn log_skipped(traffic: &TrafficState, job: &PlainJob<'_>, peer: VmKey, reason: &str) {
     let table = traffic.peers.table.borrow();
@@ -326,7 +368,27 @@
     let headers = &mut request.head_mut().headers;
     let attempts = headers.get(&ATTEMPTS).and_then(|value| value.to_str().ok()?.parse().ok());
     headers.remove(&ATTEMPTS);
-    ForwardedRequest { attempts: attempts.unwrap_or(1), decision: take_decision(headers) }
+    let (home, caller_region) = take_regions(headers);
+    let decision = take_decision(headers);
+    ForwardedRequest { attempts: attempts.unwrap_or(1), decision, home, caller_region }
+}
+
+/// Checks that this node may have the body of a request that another node passes on, by its home
+/// regions and the region of its caller.
+///
+/// # Errors
+///
+/// Returns a refusal when it may not.
+pub(crate) fn check_region(
+    traffic: &TrafficState,
+    home: &HomeRegions,
+    forwarded: &ForwardedRequest,
+) -> Result<(), Refusal> {
+    if home.allows_node(own_region(traffic), forwarded.caller_region.as_deref()) {
+        return Ok(());
+    }
+    let message = "this node is neither in a home region of the request nor in that of its caller";
+    Err(Refusal::not_run(RefusalCode::ConfigDiffers, message))
 }
 
 /// Returns the service of a node's question whether this node reaches it.
@@ -355,7 +417,9 @@
 pub(crate) async fn is_reached_elsewhere(traffic: &Rc<TrafficState>, service: &str) -> bool {
     let mut tried: SmallVec<[VmKey; MAX_NODES]> = SmallVec::new();
     while tried.len() < MAX_NODES {
-        let Some(peer) = pick(traffic, service, &tried) else { break };
+        // The question has no body of a caller.
+        let home = HomeRegions::default();
+        let Some(peer) = pick(traffic, service, &tried, &home) else { break };
         tried.push(peer);
         let guard = PeerGuard::acquire(traffic, peer, service);
         let Ok(value) = HeaderValue::from_str(service) else { return false };
@@ -379,10 +443,25 @@
     false
 }
 
-fn pick(traffic: &TrafficState, service: &str, tried: &[VmKey]) -> Option<VmKey> {
-    let zone = &traffic.node.settings.zone;
+fn pick(
+    traffic: &TrafficState,
+    service: &str,
+    tried: &[VmKey],
+    home: &HomeRegions,
+) -> Option<VmKey> {
+    let settings = &traffic.node.settings;
     let table = traffic.peers.table.borrow();
-    table.pick(traffic.node.now(), zone, service, tried, rand::random())
+    let caller_region = own_region(traffic);
+    let (now, seed) = (traffic.node.now(), rand::random());
+    table.pick_among(now, &settings.zone, service, tried, seed, |entry| {
+        home.allows_node(settings.region_of(&entry.zone), caller_region)
+    })
+}
+
+/// Returns the region of this node, if it is known.
+pub(crate) fn own_region(traffic: &TrafficState) -> Option<&str> {
+    let settings = &traffic.node.settings;
+    settings.region_of(&settings.zone)
 }
 
 async fn connect(traffic: &TrafficState, peer: VmKey) -> Option<UpstreamChannel> {
--- a/crates/hibiscushinged/src/gateway/job.rs
+++ b/crates/hibiscushinged/src/gateway/job.rs
@@ -8,7 +8,7 @@
 };
 
 use base::{Moment, Span, UpstreamKey};
-use routebook::RouteSpec;
+use routebook::{ConfigIndex, HomeRegions, RouteSpec};
 use smallvec::SmallVec;
 use submissions::{GeneratedText, SubmissionItem, SubmissionMetadata};
 use tokio::task::AbortHandle;
@@ -89,6 +89,20 @@
     }
 }
 
+impl ItemJob {
+    /// Returns the regions in which the item may run, by its route and its customer.
+    pub(crate) fn home(&self, config: &ConfigIndex) -> HomeRegions {
+        let SubmissionMetadata { customer, host, path, .. } = &*self.metadata;
+        match config.route(host, path) {
+            Some(route) => HomeRegions::of_request(config, route, Some(customer)),
+            None => {
+                let customer = config.customer_named(customer);
+                customer.map(|customer| customer.home_regions.clone()).unwrap_or_default()
+            }
+        }
+    }
+}
+
 impl JobTable {
     pub(crate) fn contains(&self, submission: &str, item: &str) -> bool {
         self.submissions.get(submission).is_some_and(|jobs| jobs.contains_key(item))
--- a/crates/hibiscushinged/src/gateway/limits/tests.rs
+++ b/crates/hibiscushinged/src/gateway/limits/tests.rs
@@ -20,6 +20,7 @@
         suspect: false,
         origin: RequestOrigin::Caller,
         software_version: None,
+        home: None,
         jitter_seed: 1,
     };
     traffic.balancer.borrow().pick_plain(traffic.node.now(), &request).is_some()
--- a/crates/hibiscushinged/src/gateway/metrics.rs
+++ b/crates/hibiscushinged/src/gateway/metrics.rs
@@ -40,6 +40,7 @@
     pub(crate) evacuated_zones: Gauge,
     pub(crate) evacuation_orders: Counter,
     pub(crate) evacuated_runs: Counter,
+    pub(crate) home_refusals: Counter,
 }
 
 impl Default for GatewayMetrics {
@@ -60,6 +61,7 @@
             evacuated_zones: Gauge::default(),
             evacuation_orders: Counter::default(),
             evacuated_runs: Counter::default(),
+            home_refusals: Counter::default(),
         }
     }
 }
@@ -115,6 +117,8 @@
         registry.register("evacuation_orders", orders, self.evacuation_orders.clone());
         let moved = "Runs of items moved out of an evacuated zone";
         registry.register("evacuated_runs", moved, self.evacuated_runs.clone());
+        let home = "Requests refused without a usable upstream in their home regions";
+        registry.register("home_refusals", home, self.home_refusals.clone());
         let mut page = String::new();
         if let Err(error) = encode(&mut page, &registry) {
             tracing::warn!(%error, "rendering the metrics failed; the page is incomplete");
--- a/crates/hibiscushinged/src/gateway/node.rs
+++ b/crates/hibiscushinged/src/gateway/node.rs
@@ -168,6 +168,13 @@
         Some(config.as_ref()?.route(host, path)?.max_attempts)
     }
 
+    /// Returns the home regions that a configuration names and of which this node knows no zone.
+    pub(crate) fn unknown_regions<'c>(&self, config: &'c ConfigIndex) -> BTreeSet<&'c str> {
+        let known: BTreeSet<String> = self.settings.zone_regions().into_values().collect();
+        let named = config.home_regions().flat_map(|home| home.as_list().unwrap_or_default());
+        named.map(String::as_str).filter(|region| !known.contains(*region)).collect()
+    }
+
     pub(crate) fn window_totals(&self) -> MutexGuard<'_, WindowTotals> {
         self.window_totals
             .lock()
--- a/crates/hibiscushinged/src/gateway/plain.rs
+++ b/crates/hibiscushinged/src/gateway/plain.rs
@@ -10,7 +10,7 @@
 use futures_util::{StreamExt as _, future::Either, stream::FuturesUnordered};
 use platform::{UpstreamRequestMetadata, forward_headers};
 use protocol::ForwardOutcome;
-use routebook::RequestDecision;
+use routebook::{HomeRegions, RequestDecision};
 use smallvec::SmallVec;
 
 use crate::{
@@ -58,6 +58,8 @@
     pub(crate) origin: RequestOrigin,
     /// Whether another node passed the request on, so that this one must not.
     pub(crate) forwarded: bool,
+    /// Regions in which the request may run.
+    pub(crate) home: HomeRegions,
     /// Software version at which a stream goes on, if the request resumes one.
     pub(crate) software_version: Option<String>,
     /// Fingerprint, once it was needed.
@@ -276,6 +278,7 @@
         suspect,
         origin: job.origin,
         software_version: job.software_version.as_deref(),
+        home: job.home.as_list(),
         jitter_seed: rand::random(),
     };
     traffic.balancer.borrow().pick_plain(traffic.node.now(), &request)
@@ -285,12 +288,18 @@
 /// upstreams if these are the reason.
 pub(crate) fn no_upstream(traffic: &TrafficState, job: &PlainJob<'_>) -> Refusal {
     let now = traffic.node.now();
-    let limited = traffic.balancer.borrow_mut().record_limited(now, job.service, job.origin);
+    let home = job.home.as_list();
+    let limited = traffic.balancer.borrow_mut().record_limited(now, job.service, job.origin, home);
     let (code, message, retry_after) = match limited {
         Some(span) => {
             let message = "all usable upstreams have reached the limits on requests that they name";
             (RefusalCode::UpstreamsLimited, message, span)
         }
+        None if home.is_some() => {
+            traffic.node.metrics.home_refusals.inc();
+            let message = "no upstream in the home regions of the request is usable";
+            (RefusalCode::NoUpstream, message, RETRY_AFTER)
+        }
         None => (RefusalCode::NoUpstream, "no upstream is usable", RETRY_AFTER),
     };
     Refusal::not_run(code, message).with_retry_after(retry_after)
--- a/crates/hibiscushinged/src/gateway/reward.rs
+++ b/crates/hibiscushinged/src/gateway/reward.rs
@@ -54,7 +54,7 @@
     job.scoring.set(true);
     let mut failures = 0;
     while traffic.items.is_wanted(job) {
-        match call(traffic, reward).await {
+        match call(traffic, job, reward).await {
             CallOutcome::Scored(score) => {
                 traffic.items.resolve(job, finished_result(job, Some(score)));
                 return;
@@ -87,7 +87,7 @@
     }
 }
 
-async fn call(traffic: &Rc<TrafficState>, reward: &RewardCall) -> CallOutcome {
+async fn call(traffic: &Rc<TrafficState>, job: &ItemJob, reward: &RewardCall) -> CallOutcome {
     let Some(config) = traffic.config() else { return CallOutcome::Retry };
     let Some(route) = config.route(&reward.host, &reward.path) else { return CallOutcome::NoRoute };
     let Some(service) = route.pick_service(rand::random()) else { return CallOutcome::NoRoute };
@@ -117,6 +117,8 @@
         resumable: false,
         origin: RequestOrigin::Item,
         forwarded: false,
+        // The call has the text of the item, so the home regions of both apply.
+        home: job.home(&config).and(&route.home_regions),
         software_version: None,
         digest: OnceCell::new(),
     };
--- a/crates/hibiscushinged/src/gateway/runner.rs
+++ b/crates/hibiscushinged/src/gateway/runner.rs
@@ -166,20 +166,27 @@
     tokens
 }
 
+/// What an engine must meet for an item: model, least weight version, software version and home
+/// regions.
+type ItemRequirement = (String, u64, Option<String>, Option<Vec<String>>);
+
 /// Assigns queued items to engines with free slots.
 fn place(traffic: &Rc<TrafficState>) {
     let now = traffic.node.now();
     let Some(config) = traffic.config() else { return };
     let mut state = traffic.items.state.borrow_mut();
     let state = &mut *state;
-    let mut unplaceable: BTreeSet<(String, u64, Option<String>)> = BTreeSet::new();
+    let mut unplaceable: BTreeSet<ItemRequirement> = BTreeSet::new();
     let warm_engines = &mut state.warm_engines;
     let connected = traffic.pool.connected();
     state.queue.place(|job| {
         let metadata = &job.metadata;
         let mut progress = job.progress.borrow_mut();
         let software = progress.text.software_version().map(String::from);
-        let requirement = (metadata.model.clone(), metadata.min_version.0, software.clone());
+        let home = job.home(&config);
+        let home_list = home.as_list().map(<[String]>::to_vec);
+        let requirement =
+            (metadata.model.clone(), metadata.min_version.0, software.clone(), home_list);
         if unplaceable.contains(&requirement) {
             return false;
         }
@@ -193,6 +200,7 @@
                 min_version: metadata.min_version,
             },
             software_version: software.as_deref(),
+            home: home.as_list(),
             tried: &progress.tried,
             warm_engine: prompt.and_then(|prompt| warm_engines.get(prompt).copied()),
             connected: &connected,
@@ -209,7 +217,8 @@
             picked = Some(upstream);
         }
         let Some(upstream) = picked else {
-            traffic.balancer.borrow_mut().record_limited(now, service, RequestOrigin::Item);
+            let (mut balancer, origin) = (traffic.balancer.borrow_mut(), RequestOrigin::Item);
+            balancer.record_limited(now, service, origin, home.as_list());
             unplaceable.insert(requirement);
             return false;
         };
@@ -237,7 +246,7 @@
     let version = progress.text.software_version()?;
     let max_wait = Span(USUAL_EVENT_INTERVAL.0 * progress.text.last_event_id());
     let balancer = traffic.balancer.borrow();
-    let reason = if !balancer.has_software(now, request.service, version) {
+    let reason = if !balancer.has_software(now, request.service, version, request.home) {
         "no engine of the software version that began the text is left"
     } else if now.since(progress.queued_at) >= max_wait {
         "all engines of the software version that began the text are full"
@@ -295,6 +304,8 @@
     {
         return false;
     }
+    let Some(config) = traffic.config() else { return false };
+    let home = job.home(&config);
     let service = traffic.balancer.borrow().entry(from).service.clone();
     let request = GenerationPickRequest {
         service: &service,
@@ -303,6 +314,7 @@
             min_version: job.metadata.min_version,
         },
         software_version: progress.text.software_version(),
+        home: home.as_list(),
         tried: &[from],
         warm_engine: None,
         connected: &traffic.pool.connected(),
--- a/crates/hibiscushinged/src/gateway/serve.rs
+++ b/crates/hibiscushinged/src/gateway/serve.rs
@@ -15,7 +15,7 @@
 use futures_util::StreamExt as _;
 use platform::{RequestMetadata, RequestTarget, parse_request_head, parse_request_target};
 use protocol::ForwardOutcome;
-use routebook::{ConfigIndex, RequestDecision, RequestKind, RouteSpec};
+use routebook::{ConfigIndex, HomeRegions, RequestDecision, RequestKind, RouteSpec};
 use tokio::{net::TcpListener, sync::mpsc};
 
 use crate::{
@@ -361,6 +361,10 @@
         check_decision(config, decision, &found)?;
     }
     let (route, customer) = found?;
+    let home = HomeRegions::of_request(config, route, customer);
+    if let Some(forwarded) = &caller.forwarded {
+        forward::check_region(traffic, &home, forwarded)?;
+    }
     let id = metadata.id.as_deref().unwrap_or_default();
     let timeout = match metadata.deadline {
         // The other node has bounded it by its own route.
@@ -380,6 +384,10 @@
     }
     let deadline = traffic.node.admit(caller.arrived_at + timeout)?;
     let mut job = plain_job(caller, config, route, customer, deadline)?;
+    job.home = home;
+    if let Some(forwarded) = &caller.forwarded {
+        job.home = job.home.and(&forwarded.home);
+    }
     crash_check::check_convicted(traffic, &job)?;
     if route.kind == RequestKind::Stream {
         if let Some(resume) = &metadata.resume {
@@ -461,6 +469,7 @@
         resumable: route.kind == RequestKind::Stream && route.can_resume,
         origin: RequestOrigin::Caller,
         forwarded: caller.forwarded.is_some(),
+        home: HomeRegions::default(),
         software_version: None,
         digest: OnceCell::new(),
     })
--- a/crates/hibiscushinged/src/gateway/serve/tests.rs
+++ b/crates/hibiscushinged/src/gateway/serve/tests.rs
@@ -2,6 +2,7 @@
 
 mod configurations;
 mod forwarding;
+mod home;
 mod leaving;
 mod slow_streams;
 mod stopping;
@@ -162,6 +163,7 @@
             r#"
             vm_name = "vm-{index}"
             zone = "z"
+            zones = {{ z = "east", y = "south", x = "north" }}
             cores = 1
             memory_mb = 512
             listen = "{address}:18405"
--- a/crates/hibiscushinged/src/gateway/serve/tests/stub.rs
+++ b/crates/hibiscushinged/src/gateway/serve/tests/stub.rs
@@ -100,8 +100,13 @@
 impl TestFleet {
     /// Announces another node at this address, and waits until the first node knows it.
     pub(super) async fn announce_node(&self, address: SocketAddr) {
+        self.announce_node_in("z", address).await;
+    }
+
+    /// Announces another node in a zone, and waits until the first node knows it.
+    pub(super) async fn announce_node_in(&self, zone: &str, address: SocketAddr) {
         let traffic = &self.nodes[0].server.traffic;
-        let entry = PeerEntry { name: String::from("stub"), zone: String::from("z"), address };
+        let entry = PeerEntry { name: String::from("stub"), zone: String::from(zone), address };
         let (key, value) = encode_node_record(&NodeRecord { entry, written_at: wall_now() });
         let record = encode_keyed_record(&key, Some(&value));
         traffic.store.append(NODE_TOPIC, 0, None, &[record]).await.expect("the store responds");
--- a/crates/hibiscushinged/src/gateway/stream_origins.rs
+++ b/crates/hibiscushinged/src/gateway/stream_origins.rs
@@ -136,7 +136,8 @@
             return Err(refusal.with_retry_after(RETRY_AFTER));
         }
     };
-    if !traffic.balancer.borrow().has_software(traffic.node.now(), job.service, &version) {
+    let (now, home) = (traffic.node.now(), job.home.as_list());
+    if !traffic.balancer.borrow().has_software(now, job.service, &version, home) {
         let message = format!("no upstream has software version {version}; begin the stream anew");
         return Err(Refusal::not_run(RefusalCode::VersionGone, message));
     }
--- a/crates/hibiscushinged/src/gateway/traffic_state.rs
+++ b/crates/hibiscushinged/src/gateway/traffic_state.rs
@@ -37,6 +37,8 @@
 
 impl TrafficState {
     pub(crate) fn new(node: Arc<NodeState>) -> Self {
+        let mut balancer = UpstreamBalancer::default();
+        balancer.set_regions(node.settings.zone_regions());
         Self {
             store: Rc::new(StoreSession::new(Arc::clone(&node))),
             partitions: PartitionSet::new(&node.settings.store),
@@ -47,7 +49,7 @@
             limits: LimitRegistry::new(&node.settings.vm_name, node.incarnation),
             stream_origins: OriginRegistry::default(),
             written_demand: WrittenDemand::default(),
-            balancer: RefCell::default(),
+            balancer: RefCell::new(balancer),
             evacuated: AppliedZones::default(),
             pool: ChannelPool::new(),
             links: LinkMonitor::default(),
--- a/crates/process-tests/src/site.rs
+++ b/crates/process-tests/src/site.rs
@@ -259,6 +259,8 @@
             r#"
             vm_name = "vm-{index}"
             zone = "zone-a"
+            region = "region-a"
+            zones = '{{"zone-a":"region-a","zone-b":"region-b"}}'
             first_start = {first_start}
             cores = 1.0
             memory_mb = 120
--- a/crates/protocol/src/forwarding.rs
+++ b/crates/protocol/src/forwarding.rs
@@ -29,6 +29,13 @@
 /// Header of a forwarded request: version of the configuration by which the request was accepted.
 pub const CONFIG_HEADER: &str = "hibiscushinge-config";
 
+/// Header of a forwarded request: region of the node to which the caller connected, absent where it
+/// is unknown.
+pub const CALLER_REGION_HEADER: &str = "hibiscushinge-caller-region";
+
+/// Header of a forwarded request: its home regions, separated by commas, absent without a constraint.
+pub const HOME_REGIONS_HEADER: &str = "hibiscushinge-home-regions";
+
 derive_copy! {
     /// What became of a forwarded request.
     pub enum ForwardOutcome {
--- a/crates/protocol/src/lib.rs
+++ b/crates/protocol/src/lib.rs
@@ -15,9 +15,9 @@
         encode_message, encode_record,
     },
     forwarding::{
-        ATTEMPTS_HEADER, CONFIG_HEADER, CUSTOMER_HEADER, ForwardOutcome, LEAVING_HEADER,
-        LINKS_PATH, OUTCOME_HEADER, RETRYABLE_HEADER, SERVICE_HEADER, decode_leaving,
-        encode_leaving,
+        ATTEMPTS_HEADER, CALLER_REGION_HEADER, CONFIG_HEADER, CUSTOMER_HEADER, ForwardOutcome,
+        HOME_REGIONS_HEADER, LEAVING_HEADER, LINKS_PATH, OUTCOME_HEADER, RETRYABLE_HEADER,
+        SERVICE_HEADER, decode_leaving, encode_leaving,
     },
     peer::{
         PeerMessage, WireBatchHold, WireConfigCopy, WireHeartbeat, WireIdentity, WireIsolation,
--- a/crates/routebook/src/index.rs
+++ b/crates/routebook/src/index.rs
@@ -4,7 +4,7 @@
 
 use base::{Arena, KeyDigest, RouteKey};
 
-use crate::{CallerLimits, CustomerSpec, RouteSpec, ServiceSpec, SiteConfig};
+use crate::{CallerLimits, CustomerSpec, HomeRegions, RouteSpec, ServiceSpec, SiteConfig};
 
 /// One version of the configuration, indexed for lookups by host and path, service name and key.
 #[derive(Debug)]
@@ -24,6 +24,7 @@
     customers: Vec<CustomerSpec>,
     /// Positions in `customers`.
     keys: HashMap<KeyDigest, usize>,
+    names: HashMap<String, usize>,
 }
 
 impl ConfigIndex {
@@ -78,6 +79,13 @@
         self.routes.iter().map(|(_, route)| route)
     }
 
+    /// Iterates over the home regions of all routes and customers.
+    pub fn home_regions(&self) -> impl Iterator<Item = &HomeRegions> {
+        let routes = self.routes().map(|route| &route.home_regions);
+        let customers = self.customers.iter().flat_map(|index| &index.customers);
+        routes.chain(customers.map(|customer| &customer.home_regions))
+    }
+
     /// Finds a service by its name.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&ServiceSpec> {
@@ -101,16 +109,25 @@
         let index = self.customers.as_ref()?;
         index.keys.get(&key).map(|position| &index.customers[*position])
     }
+
+    /// Finds a customer by its name.
+    #[must_use]
+    pub fn customer_named(&self, name: &str) -> Option<&CustomerSpec> {
+        let index = self.customers.as_ref()?;
+        index.names.get(name).map(|position| &index.customers[*position])
+    }
 }
 
 impl CustomerIndex {
     fn new(customers: Vec<CustomerSpec>) -> Self {
         let mut keys = HashMap::new();
+        let mut names = HashMap::new();
         for (position, customer) in customers.iter().enumerate() {
+            names.insert(customer.name.clone(), position);
             for key in &customer.keys {
                 keys.insert(*key, position);
             }
         }
-        Self { customers, keys }
+        Self { customers, keys, names }
     }
 }
--- a/crates/routebook/src/spec.rs
+++ b/crates/routebook/src/spec.rs
@@ -3,6 +3,8 @@
 use base::{KeyDigest, Span, derive_copy, derive_value};
 use smallvec::SmallVec;
 
+use crate::HomeRegions;
+
 derive_copy! {
     /// Kind of the requests on a route, which says whether they may be retried.
     pub enum RequestKind {
@@ -70,6 +72,8 @@
         pub retention: Option<Span>,
         /// Target time of all results of a submission.
         pub completion_objective: Option<Span>,
+        /// Regions in which its requests may run.
+        pub home_regions: HomeRegions,
     }
 
     /// The model engines of a service.
@@ -112,6 +116,8 @@
         pub keys: Vec<KeyDigest>,
         /// Priority that replaces that of the route, if any. The value is decoded and not yet used.
         pub priority: Option<u8>,
+        /// Regions in which its requests may run.
+        pub home_regions: HomeRegions,
     }
 
     /// One version of the configuration, as decoded from the store.
--- a/crates/routebook/tests/index.rs
+++ b/crates/routebook/tests/index.rs
@@ -3,8 +3,8 @@
 
 use base::{KeyDigest, Span};
 use routebook::{
-    ActiveConfig, ApplyOutcome, CallerLimits, ConfigIndex, CustomerSpec, RequestDecision,
-    RequestKind, RouteSpec, SiteConfig, WeightedTarget,
+    ActiveConfig, ApplyOutcome, CallerLimits, ConfigIndex, CustomerSpec, HomeRegions,
+    RequestDecision, RequestKind, RouteSpec, SiteConfig, WeightedTarget,
 };
 use rstest::rstest;
 use smallvec::smallvec;
@@ -25,6 +25,7 @@
         one_version: false,
         retention: None,
         completion_objective: None,
+        home_regions: HomeRegions::default(),
     }
 }
 
@@ -43,6 +44,7 @@
             name: String::from("brewer"),
             keys: vec![KeyDigest::of("k1"), KeyDigest::of("k2")],
             priority: None,
+            home_regions: HomeRegions::default(),
         }]),
     }
 }
