--- a/crates/dispatch/src/balancer.rs
+++ b/crates/dispatch/src/balancer.rs
@@ -1,6 +1,6 @@
 //! Entries, load and health of all upstreams, as one node knows them.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use base::{
     Arena, Moment, ProcessDigest, RequestRate, Span, UpstreamKey, WeightVersion, derive_copy,
@@ -8,7 +8,7 @@
 };
 
 use crate::{
-    EntryState, ExchangeOutcome, LimitDemand, LimitShare, RequestBucket, RequestOrigin,
+    EntryState, ExchangeOutcome, HomeFilter, LimitDemand, LimitShare, RequestBucket, RequestOrigin,
     ServiceWarmup, UpstreamEntry, UpstreamLoad, WantedRate, demand::DemandMeter,
     stats::UpstreamStats,
 };
@@ -72,6 +72,10 @@
     pub(crate) warmups: HashMap<String, ServiceWarmup>,
     /// Processes that are leaving and whose entries are not known yet, the latest last.
     unknown_leaving: VecDeque<ProcessDigest>,
+    /// Evacuated zones, each with the time at which this node learned of it.
+    pub(crate) evacuated: BTreeMap<String, Moment>,
+    /// Region of each availability zone.
+    pub(crate) regions: BTreeMap<String, String>,
 }
 
 /// Demand for a service, and who of its requests goes first when tokens are scarce.
@@ -109,6 +113,7 @@
             let (id, service, process) = (entry.id.clone(), entry.service.clone(), entry.process());
             let mut stats = UpstreamStats::new(entry);
             stats.leaving = self.unknown_leaving.contains(&process);
+            stats.evacuated_at = self.evacuated.get(&stats.entry.zone).copied();
             let upstream = self.upstreams.push(stats);
             self.processes.insert(process, upstream);
             self.ids.insert(id, upstream);
@@ -129,6 +134,7 @@
             self.services.entry(entry.service.clone()).or_default().push(upstream);
         }
         let draining = entry.state == EntryState::Draining;
+        stats.evacuated_at = self.evacuated.get(&entry.zone).copied();
         stats.entry = entry;
         stats.reappeared |= stats.removed_until.take().is_some();
         let change = match (restarted, draining) {
@@ -191,13 +197,15 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
-    /// Returns whether an upstream may be given requests: it has not said that it is leaving, and
-    /// its last entry is ready and still in the store, or lapsed only a short time ago.
+    /// Returns whether an upstream may be given requests: its zone is not evacuated, it has not said
+    /// that it is leaving, and its last entry is ready and still in the store, or lapsed only a short
+    /// time ago.
     #[must_use]
     pub fn is_usable(&self, now: Moment, upstream: UpstreamKey) -> bool {
         let stats = &self.upstreams[upstream];
         stats.entry.state == EntryState::Ready
             && !stats.leaving
+            && stats.evacuated_at.is_none()
             && stats.removed_until.is_none_or(|until| now < until)
     }
 
@@ -222,12 +230,19 @@
         self.upstreams[upstream].is_suspended(now)
     }
 
-    /// Returns whether a service has a usable upstream with this version of the software.
+    /// Returns whether a service has a usable upstream with this version of the software in the home
+    /// regions of a request.
     #[must_use]
-    pub fn has_software(&self, now: Moment, service: &str, version: &str) -> bool {
+    pub fn has_software(
+        &self,
+        now: Moment,
+        service: &str,
+        version: &str,
+        home: HomeFilter<'_>,
+    ) -> bool {
         self.service_upstreams(service).iter().any(|upstream| {
             let entry = &self.upstreams[*upstream].entry;
-            entry.software_version == version && self.is_usable(now, *upstream)
+            entry.software_version == version && self.is_usable_at_home(now, *upstream, home)
         })
     }
 
@@ -316,7 +331,7 @@
         self.processes.get(&process).copied()
     }
 
-    /// Records that a request found no token on any upstream of the service. Returns when a caller
+    /// Records that a request found no token on any upstream of the service in its home regions. Returns when a caller
     /// that is refused now should return: callers are spread by the rate to which this node is
     /// entitled, in the order of their refusals. Returns `None` if limits are not the reason.
     /// A caller may return at any node, so the rate of this node's tokens, which are with other nodes
@@ -326,11 +341,12 @@
         now: Moment,
         service: &str,
         origin: RequestOrigin,
+        home: HomeFilter<'_>,
     ) -> Option<Span> {
         let mut rate = RequestRate::ZERO;
         let mut limited = false;
         for upstream in self.service_upstreams(service) {
-            if !self.is_usable(now, *upstream) {
+            if !self.is_usable_at_home(now, *upstream, home) {
                 continue;
             }
             let stats = &self.upstreams[*upstream];
--- a/crates/dispatch/src/stats.rs
+++ b/crates/dispatch/src/stats.rs
@@ -72,6 +72,8 @@
     pub(crate) cold_until: Moment,
     /// Whether the entry has returned after its removal, and the cold time has not been set since.
     pub(crate) reappeared: bool,
+    /// When this node learned that its zone is evacuated, if it is.
+    pub(crate) evacuated_at: Option<Moment>,
     /// Requests of this node in flight on the upstream.
     pub(crate) own_requests: u32,
     /// Requests of other nodes according to the last load report.
@@ -105,6 +107,7 @@
             leaving: false,
             cold_until: Moment(0),
             reappeared: false,
+            evacuated_at: None,
             own_requests: 0,
             other_requests: 0,
             reported_at: Moment(0),
--- a/crates/dispatch/tests/warmup/cluster.rs
+++ b/crates/dispatch/tests/warmup/cluster.rs
@@ -204,13 +204,14 @@
             suspect: false,
             origin: RequestOrigin::Caller,
             software_version: None,
+            home: None,
             jitter_seed: self.rng.random(),
         };
         let Some(upstream) = node.balancer.pick_plain(now, &request) else {
             if node.balancer.key("e0").is_none() {
                 return;
             }
-            let return_in = node.balancer.record_limited(now, "s", RequestOrigin::Caller);
+            let return_in = node.balancer.record_limited(now, "s", RequestOrigin::Caller, None);
             assert!(return_in.is_some_and(|span| span > Span::ZERO), "refused without a time");
             self.refused += 1;
             return;
--- a/crates/hibiscushinged/src/gateway/attempt.rs
+++ b/crates/hibiscushinged/src/gateway/attempt.rs
@@ -167,6 +167,10 @@
     } else {
         channel
     };
+    // Connecting and the check of the process have taken time.
+    if traffic.balancer.borrow().is_evacuated(call.upstream) {
+        return Err(not_run_error(String::from("the zone of the upstream is evacuated")));
+    }
     warmup::admit_late(traffic, call.upstream, call.origin, was_limited)?;
     let counted_request = call.billed_customer.map(|customer| traffic.node.count_request(customer));
     let sent_at = traffic.node.now();
--- a/crates/hibiscushinged/src/gateway/metrics.rs
+++ b/crates/hibiscushinged/src/gateway/metrics.rs
@@ -8,6 +8,7 @@
     metrics::{
         counter::Counter,
         family::Family,
+        gauge::Gauge,
         histogram::{Histogram, exponential_buckets},
     },
     registry::Registry,
@@ -37,6 +38,10 @@
     pub(crate) cold_upstreams: Counter,
     pub(crate) loads_ordered: Counter<u64, AtomicU64>,
     pub(crate) usage_reports: Counter,
+    pub(crate) evacuated_zones: Gauge,
+    pub(crate) evacuation_orders: Counter,
+    pub(crate) evacuated_runs: Counter,
+    pub(crate) home_refusals: Counter,
 }
 
 impl Default for GatewayMetrics {
@@ -55,6 +60,10 @@
             cold_upstreams: Counter::default(),
             loads_ordered: Counter::default(),
             usage_reports: Counter::default(),
+            evacuated_zones: Gauge::default(),
+            evacuation_orders: Counter::default(),
+            evacuated_runs: Counter::default(),
+            home_refusals: Counter::default(),
         }
     }
 }
@@ -106,6 +115,14 @@
         registry.register("loads_ordered", loads, self.loads_ordered.clone());
         let usage = "Usage windows reported";
         registry.register("usage_reports", usage, self.usage_reports.clone());
+        let zones = "Zones that are evacuated at present";
+        registry.register("evacuated_zones", zones, self.evacuated_zones.clone());
+        let orders = "Orders to evacuate a zone that took effect";
+        registry.register("evacuation_orders", orders, self.evacuation_orders.clone());
+        let moved = "Runs of items moved out of an evacuated zone";
+        registry.register("evacuated_runs", moved, self.evacuated_runs.clone());
+        let home = "Requests refused without a usable upstream in their home regions";
+        registry.register("home_refusals", home, self.home_refusals.clone());
         let mut page = String::new();
         if let Err(error) = encode(&mut page, &registry) {
             tracing::warn!(%error, "rendering the metrics failed; the page is incomplete");
--- a/crates/hibiscushinged/src/gateway/node.rs
+++ b/crates/hibiscushinged/src/gateway/node.rs
@@ -18,7 +18,7 @@
 
 use crate::{
     clock::{ProcessClock, to_duration, wall_now},
-    gateway::metrics::GatewayMetrics,
+    gateway::{evacuation::PublishedZones, metrics::GatewayMetrics},
     shared::{InFlightGuard, NodeLifecycle, NodePhase},
     telemetry::log_event,
 };
@@ -43,6 +43,8 @@
     pub(crate) settings: GatewaySettings,
     pub(crate) incarnation: Incarnation,
     pub(crate) clock: ProcessClock,
+    /// Evacuated zones. They are published before a configuration that was read with them.
+    pub(crate) evacuated: PublishedZones,
     pub(crate) config: ArcSwapOption<ConfigIndex>,
     /// Number of configurations published so far.
     config_changes: watch::Sender<u64>,
@@ -92,6 +94,7 @@
             settings,
             incarnation,
             clock,
+            evacuated: PublishedZones::default(),
             config: ArcSwapOption::empty(),
             config_changes: watch::Sender::new(0),
             metrics,
@@ -178,6 +181,13 @@
         Some(config.as_ref()?.route(host, path)?.max_attempts)
     }
 
+    /// Returns the home regions that a configuration names and of which this node knows no zone.
+    pub(crate) fn unknown_regions<'c>(&self, config: &'c ConfigIndex) -> BTreeSet<&'c str> {
+        let known: BTreeSet<String> = self.settings.zone_regions().into_values().collect();
+        let named = config.home_regions().flat_map(|home| home.as_list().unwrap_or_default());
+        named.map(String::as_str).filter(|region| !known.contains(*region)).collect()
+    }
+
     pub(crate) fn window_totals(&self) -> MutexGuard<'_, WindowTotals> {
         self.window_totals
             .lock()
--- a/crates/hibiscushinged/src/gateway/runner.rs
+++ b/crates/hibiscushinged/src/gateway/runner.rs
@@ -23,7 +23,7 @@
     gateway::{
         attempt::AttemptGuard,
         commit::commit,
-        generation,
+        evacuation, generation,
         job::{ItemJob, ItemRun, JobProgress, due_at},
         model_demand,
         partition_follower::PartitionFollower,
@@ -54,7 +54,7 @@
 /// Usual time between two events of a generation. While all engines of the software version that
 /// began a text are full and others are free, the item waits for as long as it takes to generate
 /// its events again.
-const USUAL_EVENT_INTERVAL: Span = Span::from_millis(30);
+pub(crate) const USUAL_EVENT_INTERVAL: Span = Span::from_millis(30);
 
 /// Minimum time that a run stays on an engine before it may migrate. It covers a usual prompt and
 /// some events.
@@ -109,7 +109,7 @@
     if !may_run {
         return;
     }
-    let Some(config) = traffic.node.config.load_full() else { return };
+    let Some(config) = traffic.config() else { return };
     let mut state = traffic.items.state.borrow_mut();
     for submission in cache.open_submissions() {
         let metadata = submission.metadata();
@@ -175,14 +175,18 @@
     tokens
 }
 
+/// What an engine must meet for an item: service, model, least weight version, software version and
+/// home regions.
+type ItemRequirement<'s> = (&'s str, String, u64, Option<String>, Option<Vec<String>>);
+
 /// Assigns queued items to engines with free slots.
 fn place(traffic: &Rc<TrafficState>) {
     let now = traffic.node.now();
-    let Some(config) = traffic.node.config.load_full() else { return };
+    let Some(config) = traffic.config() else { return };
     let mut state = traffic.items.state.borrow_mut();
     let state = &mut *state;
     // Requirements that no engine of a service meets at present. Engines of other services may.
-    let mut unplaceable: BTreeSet<(&str, String, u64, Option<String>)> = BTreeSet::new();
+    let mut unplaceable: BTreeSet<ItemRequirement<'_>> = BTreeSet::new();
     let warm_engines = &mut state.warm_engines;
     let connected = traffic.pool.connected();
     state.queue.place(|job| {
@@ -191,8 +195,10 @@
         let software = progress.text.software_version().map(String::from);
         let Some(route) = config.route(&metadata.host, &metadata.path) else { return false };
         let Some(service) = route.pick_service(rand::random()) else { return false };
+        let home = job.home(&config);
+        let home_list = home.as_list().map(<[String]>::to_vec);
         let (model, version) = (metadata.model.clone(), metadata.min_version.0);
-        let requirement = (service, model, version, software.clone());
+        let requirement = (service, model, version, software.clone(), home_list);
         if unplaceable.contains(&requirement) {
             return false;
         }
@@ -204,6 +210,7 @@
                 min_version: metadata.min_version,
             },
             software_version: software.as_deref(),
+            home: home.as_list(),
             tried: &progress.tried,
             warm_engine: prompt.and_then(|prompt| warm_engines.get(prompt).copied()),
             connected: &connected,
@@ -220,7 +227,8 @@
             picked = Some(upstream);
         }
         let Some(upstream) = picked else {
-            traffic.balancer.borrow_mut().record_limited(now, service, RequestOrigin::Item);
+            let (mut balancer, origin) = (traffic.balancer.borrow_mut(), RequestOrigin::Item);
+            balancer.record_limited(now, service, origin, home.as_list());
             unplaceable.insert(requirement);
             return false;
         };
@@ -248,7 +256,7 @@
     let version = progress.text.software_version()?;
     let max_wait = Span(USUAL_EVENT_INTERVAL.0 * progress.text.last_event_id());
     let balancer = traffic.balancer.borrow();
-    let reason = if !balancer.has_software(now, request.service, version) {
+    let reason = if !balancer.has_software(now, request.service, version, request.home) {
         "no engine of the software version that began the text is left"
     } else if now.since(progress.queued_at) >= max_wait {
         "all engines of the software version that began the text are full"
@@ -306,6 +314,8 @@
     {
         return false;
     }
+    let Some(config) = traffic.config() else { return false };
+    let home = job.home(&config);
     let service = traffic.balancer.borrow().entry(from).service.clone();
     let request = GenerationPickRequest {
         service: &service,
@@ -314,6 +324,7 @@
             min_version: job.metadata.min_version,
         },
         software_version: progress.text.software_version(),
+        home: home.as_list(),
         tried: &[from],
         warm_engine: None,
         connected: &traffic.pool.connected(),
@@ -339,7 +350,7 @@
     true
 }
 
-fn start(job: &Rc<ItemJob>, traffic: &Rc<TrafficState>, upstream: UpstreamKey) {
+pub(crate) fn start(job: &Rc<ItemJob>, traffic: &Rc<TrafficState>, upstream: UpstreamKey) {
     let attempt = AttemptGuard::acquire(traffic, upstream, RequestOrigin::Item);
     let started_at = traffic.node.now();
     let run = generation::run(Rc::clone(traffic), Rc::clone(job), upstream, attempt);
@@ -363,6 +374,8 @@
             () = tokio::time::sleep(period) => {}
         }
         if traffic.node.phase() != NodePhase::Draining {
+            // Runs that move come first: they lose their engines, queued items lose nothing.
+            evacuation::move_runs(&traffic);
             place(&traffic);
             migrate_runs(&traffic);
         }
--- a/crates/hibiscushinged/src/gateway/serve.rs
+++ b/crates/hibiscushinged/src/gateway/serve.rs
@@ -15,14 +15,14 @@
 use futures_util::StreamExt as _;
 use platform::{RequestMetadata, RequestTarget, parse_request_head, parse_request_target};
 use protocol::ForwardOutcome;
-use routebook::{ConfigIndex, RequestDecision, RequestKind, RouteSpec};
+use routebook::{ConfigIndex, HomeRegions, RequestDecision, RequestKind, RouteSpec};
 use tokio::{net::TcpListener, sync::mpsc};
 
 use crate::{
     accept::serve_connections,
     clock::to_duration,
     gateway::{
-        cleanup, crash_check, crash_records,
+        cleanup, crash_check, crash_records, evacuation,
         forward::{self, ForwardedRequest},
         group, limits, links,
         node::{LAST_TOTALS_TIMEOUT, NodeState},
@@ -112,6 +112,7 @@
         actix_rt::spawn(peers::follow_nodes(Rc::clone(&traffic)));
         actix_rt::spawn(follow_upstreams(Rc::clone(&traffic), changes));
         actix_rt::spawn(close_idle_channels(Rc::clone(&traffic)));
+        actix_rt::spawn(evacuation::follow_evacuations(Rc::clone(&traffic)));
         actix_rt::spawn(group::stay_in_group(Rc::clone(&traffic)));
         actix_rt::spawn(runner::place_items(Rc::clone(&traffic)));
         actix_rt::spawn(runner::store_results(Rc::clone(&traffic)));
@@ -300,7 +301,7 @@
     caller: &CallerRequest<'_>,
     in_flight: InFlightGuard,
 ) -> Result<Response<BoxBody>, Refusal> {
-    let Some(config) = traffic.node.config.load_full() else {
+    let Some(config) = traffic.config() else {
         let message = "this node has no configuration yet";
         return Err(
             Refusal::not_run(RefusalCode::Isolated, message).with_retry_after(STARTUP_RETRY_AFTER)
@@ -360,6 +361,10 @@
         check_decision(config, decision, &found)?;
     }
     let (route, customer) = found?;
+    let home = HomeRegions::of_request(config, route, customer);
+    if let Some(forwarded) = &caller.forwarded {
+        forward::check_region(traffic, &home, forwarded)?;
+    }
     let id = metadata.id.as_deref().unwrap_or_default();
     let timeout = match metadata.deadline {
         // The other node has bounded it by its own route.
@@ -379,6 +384,10 @@
     }
     let deadline = traffic.node.admit(caller.arrived_at + timeout)?;
     let mut job = plain_job(caller, config, route, customer, deadline)?;
+    job.home = home;
+    if let Some(forwarded) = &caller.forwarded {
+        job.home = job.home.and(&forwarded.home);
+    }
     crash_check::check_convicted(traffic, &job)?;
     if route.kind == RequestKind::Stream {
         if let Some(resume) = &metadata.resume {
@@ -460,6 +469,7 @@
         resumable: route.kind == RequestKind::Stream && route.can_resume,
         origin: RequestOrigin::Caller,
         forwarded: caller.forwarded.is_some(),
+        home: HomeRegions::default(),
         software_version: None,
         digest: OnceCell::new(),
     })
--- a/crates/hibiscushinged/src/gateway/traffic_state.rs
+++ b/crates/hibiscushinged/src/gateway/traffic_state.rs
@@ -7,10 +7,11 @@
 
 use crate::{
     gateway::{
-        channel::Exchange, forward::PeerNodes, items::ItemScheduler, limits::LimitRegistry,
-        links::LinkMonitor, model_demand::WrittenDemand, node::NodeState, partitions::PartitionSet,
-        pool::ChannelPool, response_buffer::BufferBudget, store::StoreSession,
-        stream_origins::OriginRegistry, suspect_runs::SuspectRuns, suspects::SuspectRegistry,
+        channel::Exchange, evacuation::AppliedZones, forward::PeerNodes, items::ItemScheduler,
+        limits::LimitRegistry, links::LinkMonitor, model_demand::WrittenDemand, node::NodeState,
+        partitions::PartitionSet, pool::ChannelPool, response_buffer::BufferBudget,
+        store::StoreSession, stream_origins::OriginRegistry, suspect_runs::SuspectRuns,
+        suspects::SuspectRegistry,
     },
     telemetry::log_event,
 };
@@ -19,6 +20,7 @@
 pub(crate) struct TrafficState {
     pub(crate) node: Arc<NodeState>,
     pub(crate) balancer: RefCell<UpstreamBalancer>,
+    pub(crate) evacuated: AppliedZones,
     pub(crate) pool: ChannelPool<UpstreamKey>,
     pub(crate) links: LinkMonitor,
     pub(crate) peers: PeerNodes,
@@ -35,6 +37,8 @@
 
 impl TrafficState {
     pub(crate) fn new(node: Arc<NodeState>) -> Self {
+        let mut balancer = UpstreamBalancer::default();
+        balancer.set_regions(node.settings.zone_regions());
         Self {
             store: Rc::new(StoreSession::new(Arc::clone(&node))),
             partitions: PartitionSet::new(&node.settings.store),
@@ -45,7 +49,8 @@
             limits: LimitRegistry::new(&node.settings.vm_name, node.incarnation),
             stream_origins: OriginRegistry::default(),
             written_demand: WrittenDemand::default(),
-            balancer: RefCell::default(),
+            balancer: RefCell::new(balancer),
+            evacuated: AppliedZones::default(),
             pool: ChannelPool::new(),
             links: LinkMonitor::default(),
             peers: PeerNodes::default(),
@@ -66,7 +71,7 @@
 
     /// Returns the connection of a complete exchange to the pool, if it can be reused.
     pub(crate) fn keep_channel(&self, upstream: UpstreamKey, exchange: Exchange) {
-        if exchange.metadata().leaving {
+        if exchange.metadata().leaving || self.balancer.borrow().is_evacuated(upstream) {
             return;
         }
         let idle_timeout = exchange.metadata().idle_timeout;
