Count the upstreams of a returned zone as cold

An evacuation leaves upstreams without traffic, so they need the warm-up of their service when it is withdrawn.

--- a/crates/hibiscushinged/src/gateway/evacuation/tests.rs
+++ b/crates/hibiscushinged/src/gateway/evacuation/tests.rs
@@ -2,9 +2,9 @@
 
 use std::{net::SocketAddr, rc::Rc, sync::Arc};
 
-use base::{UpstreamKey, WallTime, WeightVersion};
+use base::{RequestRate, Span, UpstreamKey, WallTime, WeightVersion};
 use bytes::Bytes;
-use dispatch::UpstreamEntry;
+use dispatch::{ServiceWarmup, UpstreamEntry};
 use routebook::ConfigIndex;
 use rstest::rstest;
 use submissions::{GenerationEvent, SubmissionItem, SubmissionMetadata};
@@ -47,6 +47,26 @@
     assert!(is_usable(), "the withdrawal was not applied");
 }
 
+/// Guards against a burst of requests to upstreams that had no traffic during an evacuation.
+#[actix_rt::test]
+async fn upstreams_of_a_returned_zone_are_cold() {
+    let address = "127.0.0.1:1".parse().unwrap();
+    let traffic = traffic(address);
+    let upstream = add_upstream(&traffic, "e", "b", address);
+    let other = add_upstream(&traffic, "f", "a", address);
+    let service = traffic.balancer.borrow().entry(upstream).service.clone();
+    let warmup = ServiceWarmup { duration: Span::from_secs(3), rate: RequestRate(16_000) };
+    traffic.balancer.borrow_mut().set_warmups([(service, warmup)].into());
+    traffic.node.evacuate_zone("b", 0);
+    traffic.config();
+    traffic.node.return_zone("b", Some(1));
+    traffic.config();
+    let now = traffic.node.now();
+    let is_limited = |upstream| traffic.balancer.borrow().is_warmup_limited(now, upstream);
+    assert!(is_limited(upstream), "the upstream of the returned zone");
+    assert!(!is_limited(other), "an upstream of another zone");
+}
+
 /// Puts a configuration without routes in force.
 fn apply_config(traffic: &TrafficState) {
     let config = br#"{"version":1,"routes":[],"services":[],"limits":{"max_header_bytes":1,
