Hand over running items when their partition moves

Cause: a node that lost a partition dropped its jobs and cut their runs, or (at a planned stop) kept them while the next owner started the same items from nothing.

Ruled out: storing texts as they grow (twice the bytes), sending texts from node to node (the group does not name the next owner), unconditional appends (a late one would outlive its submission), and ordering records by wall clocks (nodes' clocks differ).

Change: before the group call that releases a partition, the node appends one record `s/ID/h/ITEM` for each item that it runs or that has a text, within half of the member timeout, and then calls at once. Runs go on for 3 s at most; one that ends without a result is recorded as over. The next owner holds items with a run in progress and continues their texts, trying the engine of the record first. The store stand-in gives a partition to its next owner only when the previous one has released it.

Result: tests of `submissions` and `protocol`, and the tests of `gateway::{handover, items, partition_follower}` pass. Process tests were not run for this commit.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -104,6 +104,10 @@
     3010 ItemResolved "The final result of an item is known and will be written to the store."
     3011 SubmissionDeleted "An ended submission was deleted after the time to read its results."
     3012 TextDiscarded "The text of an item is generated anew, since no engine can continue it."
+    3013 ItemsHandedOver "The states of items whose partition this node has lost were written to the store."
+    3014 HandoverNotStored "States of items were not written to the store in time; the next owner may run them again."
+    3015 ItemHeld "An item waits, since an earlier owner of its partition may be running it."
+    3016 ItemContinued "A run continues the text that an earlier owner of the partition handed over."
     3101 WeightLoadOrdered "An upstream was ordered to load a weight version."
     3102 WeightLoadFailed "An upstream failed to load a weight version; the order will be retried."
     // Fleet.
--- a/crates/hibiscushinged/src/gateway.rs
+++ b/crates/hibiscushinged/src/gateway.rs
@@ -16,6 +16,7 @@
 mod forward;
 mod generation;
 mod group;
+mod handover;
 mod holder;
 mod items;
 mod job;
--- a/crates/hibiscushinged/src/gateway/group.rs
+++ b/crates/hibiscushinged/src/gateway/group.rs
@@ -5,7 +5,7 @@
 use base::Span;
 
 use crate::{
-    gateway::{partitions::SUBMISSION_TOPIC, runner, traffic_state::TrafficState},
+    gateway::{handover, partitions::SUBMISSION_TOPIC, runner, traffic_state::TrafficState},
     shared::NodePhase,
     telemetry::log_event,
 };
@@ -16,6 +16,10 @@
 /// settings demand a longer one. A running node makes three calls in this time.
 const MEMBER_TIMEOUT: Span = Span::from_millis(1_200);
 
+/// Divisor of the member timeout: the quotient bounds the time for handing over items before a call
+/// that releases their partition. The membership must not expire meanwhile.
+const HANDOVER_DIVISOR: u64 = 2;
+
 /// Interval between calls that renew the membership.
 const JOIN_PERIOD: Duration = Duration::from_millis(350);
 
@@ -34,7 +38,7 @@
     if traffic.node.settings.millicores < MIN_WORKER_MILLICORES {
         wait_until_needed(&traffic).await;
     }
-    let member_timeout = MEMBER_TIMEOUT.max(traffic.node.settings.store.least_member_life);
+    let member_timeout = member_timeout(&traffic);
     let member = member_name(&traffic);
     let topics = [String::from(SUBMISSION_TOPIC)];
     let mut is_member = false;
@@ -56,7 +60,14 @@
             traffic.partitions.generation.set(assignment.generation);
             let partitions =
                 assignment.partitions.into_iter().filter(|(topic, _)| topic == SUBMISSION_TOPIC);
-            set_owned_partitions(&traffic, &partitions.map(|(_, partition)| partition).collect());
+            let partitions = partitions.map(|(_, partition)| partition).collect();
+            if traffic.node.phase() == NodePhase::Draining {
+                return;
+            }
+            if hand_over_partitions(&traffic, &partitions).await {
+                // The next call releases the partitions, whose items run on no node until then.
+                continue;
+            }
         }
         tokio::time::sleep(JOIN_PERIOD).await;
     }
@@ -83,11 +94,30 @@
 /// Leaves the group, so that other nodes take over its partitions at once.
 pub(crate) async fn leave_group(traffic: &Rc<TrafficState>) {
     let member = member_name(traffic);
-    set_owned_partitions(traffic, &BTreeSet::new());
+    hand_over_partitions(traffic, &BTreeSet::new()).await;
     // If the call fails, the membership expires; the store session has logged the failure.
     let _ = traffic.store.leave(GROUP, &member).await;
 }
 
+/// Sets the partitions that this node owns, and hands over the items of those that it has lost.
+/// Returns whether it has lost any. The store gives a lost partition to its next owner only at the
+/// next call of this node.
+async fn hand_over_partitions(traffic: &Rc<TrafficState>, partitions: &BTreeSet<u32>) -> bool {
+    let owned = traffic.partitions.owned();
+    set_owned_partitions(traffic, partitions);
+    let lost: BTreeSet<u32> = owned.difference(&traffic.partitions.owned()).copied().collect();
+    if lost.is_empty() {
+        return false;
+    }
+    let timeout = Span(member_timeout(traffic).0 / HANDOVER_DIVISOR);
+    handover::release(traffic, &lost, timeout).await;
+    true
+}
+
+fn member_timeout(traffic: &TrafficState) -> Span {
+    MEMBER_TIMEOUT.max(traffic.node.settings.store.least_member_life)
+}
+
 fn set_owned_partitions(traffic: &Rc<TrafficState>, partitions: &BTreeSet<u32>) {
     if !traffic.partitions.set_owned(partitions) {
         return;
@@ -97,6 +127,7 @@
     log_event!(PartitionsAssigned, parts = ?partitions, generation);
     for partition in partitions {
         if let Some(follower) = traffic.partitions.get(partition) {
+            traffic.items.reclaim(partition);
             follower.follow(&traffic.store);
             runner::watch(traffic, follower);
         }
--- a/crates/hibiscushinged/src/gateway/items.rs
+++ b/crates/hibiscushinged/src/gateway/items.rs
@@ -50,6 +50,8 @@
     /// Engine that most recently processed a shared prompt, and may have it cached.
     pub(crate) warm_engines: HashMap<String, UpstreamKey>,
     pub(crate) results: HashMap<u32, Vec<(String, ItemResult)>>,
+    /// Jobs of released partitions whose run ended without a result, until that is on record.
+    pub(crate) drained: Vec<Rc<ItemJob>>,
     pub(crate) watched_partitions: HashSet<u32>,
     pub(crate) last_migration_at: Moment,
     /// Moving average of the estimated tokens of an item for each event of its text.
@@ -64,6 +66,7 @@
             retained: HashMap::new(),
             warm_engines: HashMap::new(),
             results: HashMap::new(),
+            drained: Vec::new(),
             watched_partitions: HashSet::new(),
             last_migration_at: Moment(0),
             tokens_per_event: None,
@@ -77,6 +80,7 @@
     pub(crate) state: RefCell<ItemSchedulerState>,
     pub(crate) queue_changed: Notify,
     pub(crate) results_ready: Notify,
+    pub(crate) drained_run_ended: Notify,
     pub(crate) stopped: Cell<bool>,
     pub(crate) reward_limiter: RewardLimiter,
 }
@@ -117,11 +121,12 @@
         self.state.borrow_mut().queue.retain(|_| false);
     }
 
-    /// Returns the number of items that are running or whose results are not stored yet.
+    /// Returns the number of items that are running, or whose results or unfinished texts are not
+    /// stored yet.
     pub(crate) fn unfinished_count(&self) -> usize {
         let state = self.state.borrow();
         let running = state.jobs.values().filter(|job| job.run.borrow().is_some()).count();
-        running + state.results.values().map(Vec::len).sum::<usize>()
+        running + state.drained.len() + state.results.values().map(Vec::len).sum::<usize>()
     }
 
     /// Returns the number of items that wait for an engine.
@@ -152,12 +157,38 @@
         state.retained.retain(|_, retained| now.since(retained.retained_at) < TEXT_RETENTION);
     }
 
-    /// Puts an interrupted item back into the queue, unless its job was dropped or this node is
-    /// stopping. It waits there if the configuration has no route for it at present.
+    /// Keeps the runs of a partition that has come back to this node.
+    pub(crate) fn reclaim(&self, partition: u32) {
+        for job in self.state.borrow().jobs.values() {
+            if job.partition == partition {
+                job.drain_until.set(None);
+            }
+        }
+    }
+
+    /// Drops the job of a released partition whose run ended without a result, and has this put on
+    /// record for the next owner.
+    pub(crate) fn end_drained_run(&self, now: Moment, job: &Rc<ItemJob>) {
+        let mut state = self.state.borrow_mut();
+        state.jobs.extract(|other| std::ptr::eq(other, Rc::as_ptr(job)));
+        state.retain_text(now, job);
+        state.drained.push(Rc::clone(job));
+        self.drained_run_ended.notify_one();
+    }
+
+    /// Puts an interrupted item back into the queue, unless its job was dropped, its partition
+    /// belongs to another node, or this node is stopping. It waits there if the configuration has no route for it at present.
     pub(crate) fn requeue(&self, node: &NodeState, job: &Rc<ItemJob>) {
         job.run.take();
+        if !self.is_wanted(job) {
+            return;
+        }
+        if job.drain_until.get().is_some() {
+            self.end_drained_run(node.now(), job);
+            return;
+        }
         let mut state = self.state.borrow_mut();
-        if !state.jobs.contains_job(job) || self.stopped.get() {
+        if self.stopped.get() {
             return;
         }
         job.progress.borrow_mut().queued_at = node.now();
@@ -174,6 +205,7 @@
     /// Records the final result of an item, to be stored soon.
     pub(crate) fn resolve(&self, job: &ItemJob, result: ItemResult) {
         job.run.take();
+        job.resolved.set(true);
         let events = job.progress.borrow().text.last_event_id();
         let (submission, item, state) = (&job.metadata.id, &job.item.id, result.state);
         log_event!(ItemResolved, submission, item, ?state, events, versions = ?result.versions);
--- a/crates/hibiscushinged/src/gateway/job.rs
+++ b/crates/hibiscushinged/src/gateway/job.rs
@@ -10,7 +10,7 @@
 use base::{Moment, Span, UpstreamKey};
 use routebook::RouteSpec;
 use smallvec::SmallVec;
-use submissions::{GeneratedText, SubmissionItem, SubmissionMetadata};
+use submissions::{GeneratedText, HandoverTracker, SubmissionItem, SubmissionMetadata};
 use tokio::task::AbortHandle;
 
 use crate::clock::wall_now;
@@ -31,6 +31,10 @@
     /// Whether the text is complete and its score is pending.
     pub(crate) scoring: Cell<bool>,
     pub(crate) run: RefCell<Option<ItemRun>>,
+    /// Whether the result is known, and perhaps not stored yet.
+    pub(crate) resolved: Cell<bool>,
+    /// When the run ends at the latest, once another node owns the partition.
+    pub(crate) drain_until: Cell<Option<Moment>>,
 }
 
 /// A run in progress: its task, its engine and when it started.
@@ -51,6 +55,10 @@
     pub(crate) tried: SmallVec<[UpstreamKey; 4]>,
     /// When the item was last put into the queue.
     pub(crate) queued_at: Moment,
+    /// Runs on earlier owners of the partition.
+    pub(crate) handover: HandoverTracker,
+    /// Engine that generated the text, from when it is handed over until the item starts.
+    pub(crate) handover_engine: Option<String>,
 }
 
 /// Jobs by submission and item.
@@ -77,6 +85,8 @@
             empty_runs: 0,
             tried: SmallVec::new(),
             queued_at: Moment::default(),
+            handover: HandoverTracker::default(),
+            handover_engine: None,
         };
         Self {
             partition,
@@ -85,11 +95,22 @@
             progress: RefCell::new(progress),
             scoring: Cell::new(false),
             run: RefCell::new(None),
+            resolved: Cell::new(false),
+            drain_until: Cell::new(None),
         }
     }
+
+    /// Returns whether a run is in progress, or its result is not stored yet.
+    pub(crate) fn is_running(&self) -> bool {
+        self.run.borrow().is_some() || self.resolved.get()
+    }
 }
 
 impl JobTable {
+    pub(crate) fn get(&self, submission: &str, item: &str) -> Option<&Rc<ItemJob>> {
+        self.submissions.get(submission)?.get(item)
+    }
+
     pub(crate) fn contains(&self, submission: &str, item: &str) -> bool {
         self.submissions.get(submission).is_some_and(|jobs| jobs.contains_key(item))
     }
--- a/crates/hibiscushinged/src/gateway/metrics.rs
+++ b/crates/hibiscushinged/src/gateway/metrics.rs
@@ -36,6 +36,9 @@
     pub(crate) upstream_crashes: Counter,
     pub(crate) loads_ordered: Counter<u64, AtomicU64>,
     pub(crate) usage_reports: Counter,
+    pub(crate) items_handed_over: Counter,
+    pub(crate) items_held: Counter,
+    pub(crate) items_continued: Counter,
 }
 
 impl Default for GatewayMetrics {
@@ -53,6 +56,9 @@
             upstream_crashes: Counter::default(),
             loads_ordered: Counter::default(),
             usage_reports: Counter::default(),
+            items_handed_over: Counter::default(),
+            items_held: Counter::default(),
+            items_continued: Counter::default(),
         }
     }
 }
@@ -102,6 +108,12 @@
         registry.register("loads_ordered", loads, self.loads_ordered.clone());
         let usage = "Usage windows reported";
         registry.register("usage_reports", usage, self.usage_reports.clone());
+        let handed_over = "Items handed over to the next owner of their partition";
+        registry.register("items_handed_over", handed_over, self.items_handed_over.clone());
+        let held = "Items held while an earlier owner of their partition may be running them";
+        registry.register("items_held", held, self.items_held.clone());
+        let continued = "Items started with a text that an earlier owner handed over";
+        registry.register("items_continued", continued, self.items_continued.clone());
         let mut page = String::new();
         if let Err(error) = encode(&mut page, &registry) {
             tracing::warn!(%error, "rendering the metrics failed; the page is incomplete");
--- a/crates/hibiscushinged/src/gateway/runner.rs
+++ b/crates/hibiscushinged/src/gateway/runner.rs
@@ -20,7 +20,7 @@
     gateway::{
         attempt::AttemptGuard,
         commit::commit,
-        generation,
+        generation, handover,
         job::{ItemJob, ItemRun, JobProgress, due_at},
         model_demand,
         partition_follower::PartitionFollower,
@@ -83,7 +83,7 @@
 }
 
 /// Queues the open items of a partition, and drops jobs whose items are resolved, whose submissions
-/// have ended, or whose partition another node owns.
+/// have ended, or which do not run and whose partition another node owns.
 fn update_jobs(traffic: &Rc<TrafficState>, follower: &PartitionFollower) {
     let partition = follower.name.partition;
     let cache = follower.cache();
@@ -92,7 +92,7 @@
     let may_run = owned && cache.is_scanned();
     traffic.items.drop_jobs(traffic.node.now(), partition, |job| {
         let Some(submission) = cache.table().get(&job.metadata.id) else { return true };
-        !owned && !traffic.items.stopped.get()
+        !owned && !traffic.items.stopped.get() && !job.is_running()
             || submission.is_ended()
             || submission.is_resolved(&job.item.id)
             || may_run && !cache.is_loaded(&job.metadata.id)
@@ -126,9 +126,14 @@
             job.progress.borrow_mut().queued_at = traffic.node.now();
             state.jobs.insert(&job);
             let tokens_before = tokens_before.get(item.group.as_str()).copied().unwrap_or(0);
-            state.queue.push(due, ItemRank::new(tokens_before, slots, item.expected_tokens), job);
+            let rank = match submission.handover(&item.id) {
+                Some(_) => ItemRank::FIRST,
+                None => ItemRank::new(tokens_before, slots, item.expected_tokens),
+            };
+            state.queue.push(due, rank, job);
             is_new = true;
         }
+        handover::observe(traffic, &state, submission);
         if is_new {
             let tokens = submission.items().map(|item| u64::from(item.expected_tokens)).sum();
             model_demand::record_step(traffic, &metadata.model, tokens);
@@ -178,6 +183,9 @@
     state.queue.place(|job| {
         let metadata = &job.metadata;
         let mut progress = job.progress.borrow_mut();
+        if progress.handover.held_until(now).is_some() {
+            return false;
+        }
         let software = progress.text.software_version().map(String::from);
         let requirement = (metadata.model.clone(), metadata.min_version.0, software.clone());
         if unplaceable.contains(&requirement) {
@@ -186,6 +194,8 @@
         let Some(route) = config.route(&metadata.host, &metadata.path) else { return false };
         let Some(service) = route.pick_service(rand::random()) else { return false };
         let prompt = job.item.shared_prompt.as_ref();
+        let handover_engine =
+            progress.handover_engine.as_ref().and_then(|id| traffic.balancer.borrow().key(id));
         let request = GenerationPickRequest {
             service,
             requirement: ModelRequirement {
@@ -194,7 +204,8 @@
             },
             software_version: software.as_deref(),
             tried: &progress.tried,
-            warm_engine: prompt.and_then(|prompt| warm_engines.get(prompt).copied()),
+            warm_engine: handover_engine
+                .or_else(|| prompt.and_then(|prompt| warm_engines.get(prompt).copied())),
             connected: &connected,
             jitter_seed: rand::random(),
         };
@@ -292,6 +303,7 @@
     if time_at_engine < MIN_TIME_AT_ENGINE
         || progress.text.last_event_id() == 0
         || job.scoring.get()
+        || job.drain_until.get().is_some()
     {
         return false;
     }
@@ -329,6 +341,7 @@
 }
 
 fn start(job: &Rc<ItemJob>, traffic: &Rc<TrafficState>, upstream: UpstreamKey) {
+    handover::note_start(traffic, job);
     let attempt = AttemptGuard::acquire(traffic, upstream, RequestOrigin::Item);
     let started_at = traffic.node.now();
     let run = generation::run(Rc::clone(traffic), Rc::clone(job), upstream, attempt);
--- a/crates/hibiscushinged/src/gateway/serve.rs
+++ b/crates/hibiscushinged/src/gateway/serve.rs
@@ -24,7 +24,7 @@
     gateway::{
         cleanup, crash_check, crash_records,
         forward::{self, ForwardedRequest},
-        group, limits, links,
+        group, handover, limits, links,
         node::{LAST_TOTALS_TIMEOUT, NodeState},
         peers,
         plain::{PlainJob, run_plain},
@@ -54,8 +54,9 @@
 /// to this node. It takes the node out after two failed checks, one a second.
 pub(crate) const LOAD_BALANCER_LAG: Span = Span::from_millis(2_600);
 
-/// Timeout for running items at a planned stop.
-const ITEM_DRAIN_TIMEOUT: Span = Span::from_secs(3);
+/// Timeout for running items at a planned stop, and for the records of those that are left then.
+const ITEM_STOP_TIMEOUT: Span =
+    Span(submissions::ITEM_DRAIN_TIMEOUT.0 + handover::LEFT_RUNS_TIMEOUT.0);
 
 /// Time for writing out the responses that are due at the end of a planned stop.
 const FLUSH_TIME: Span = Span::from_millis(100);
@@ -115,6 +116,7 @@
         actix_rt::spawn(group::stay_in_group(Rc::clone(&traffic)));
         actix_rt::spawn(runner::place_items(Rc::clone(&traffic)));
         actix_rt::spawn(runner::store_results(Rc::clone(&traffic)));
+        actix_rt::spawn(handover::store_ended_runs(Rc::clone(&traffic)));
         actix_rt::spawn(cleanup::delete_old(Rc::clone(&traffic)));
         actix_rt::spawn(crash_records::follow_crash_records(Rc::clone(&traffic)));
         actix_rt::spawn(crash_records::store_crash_records(Rc::clone(&traffic)));
@@ -135,8 +137,8 @@
         let totals_due = schedule.responses_due() - LAST_TOTALS_TIMEOUT;
         loop {
             let now = node.now();
-            let items_running = self.traffic.items.unfinished_count() > 0
-                && now.since(started) < ITEM_DRAIN_TIMEOUT;
+            let items_running =
+                self.traffic.items.unfinished_count() > 0 && now.since(started) < ITEM_STOP_TIMEOUT;
             let busy = node.in_flight() > 0 || items_running || now < schedule.routed_until();
             if !busy || now >= totals_due {
                 return;
--- a/crates/process-tests/tests/gateway.rs
+++ b/crates/process-tests/tests/gateway.rs
@@ -133,6 +133,46 @@
     assert_eq!(fleet.store.violations(), Vec::new());
 }
 
+/// Pattern: partitions are dealt anew, or the owner is stopped, while all items of a submission run.
+///
+/// Guards against items that the next owner starts from nothing, and against runs that the change of
+/// owner cuts.
+#[rstest]
+#[case::dealt_anew(false)]
+#[case::planned_stop(true)]
+#[actix_rt::test]
+async fn running_items_are_handed_over(#[case] stop_owner: bool) {
+    let mut options = SiteOptions { gateways: 2, ..Default::default() };
+    options.engine.event_interval = std::time::Duration::from_millis(60);
+    let fleet = SiteFleet::start(options).await;
+    let body = submission_body("s", 8, 1).to_string();
+    let response =
+        call(fleet.gateways[0].caller_address(), "/draft/s", &SiteFleet::headers("s"), &body).await;
+    assert_eq!(response.status, 202, "{response:?}");
+    let starts = || {
+        let lines = fleet.gateways.iter().enumerate().flat_map(|(index, gateway)| {
+            gateway.log().into_iter().map(move |line| (index, line["fields"].clone()))
+        });
+        let lines = lines.filter(|(_, fields)| fields["name"] == "ItemStarted");
+        lines.collect::<Vec<(usize, Value)>>()
+    };
+    let owner = wait_for("all items to run", || async {
+        let starts = starts();
+        (starts.len() >= 8).then(|| starts[0].0)
+    })
+    .await;
+    if stop_owner {
+        fleet.gateways[owner].signal("TERM");
+    } else {
+        fleet.store.reassign_partitions();
+    }
+    let results = read_all(&fleet, "s", 8).await;
+    check_results("s", &results);
+    let from_nothing = starts().into_iter().filter(|(_, fields)| fields["resume_after"] == 0);
+    assert_eq!(from_nothing.count(), 8, "an item was started anew: {:?}", starts());
+    assert_eq!(fleet.store.violations(), Vec::new());
+}
+
 /// Guards against weight loads that two lease holders order, or that nobody orders after the holder
 /// was killed.
 #[actix_rt::test]
--- a/crates/protocol/src/record/submissions.rs
+++ b/crates/protocol/src/record/submissions.rs
@@ -1,7 +1,8 @@
 //! Records of submissions in keyed topics of the platform's store.
 //!
-//! A key consists of the id of the submission and the kind of the record. No key is written twice
-//! with different content, so compaction, which keeps the newest record of a key, loses nothing.
+//! A key consists of the id of the submission and the kind of the record. No key but that of a
+//! hand-over is written twice with different content, so compaction, which keeps the newest record of
+//! a key, loses nothing. Of the hand-overs of an item only the newest one counts.
 //! All keys of a submission share a prefix, so that a node can read one submission without reading
 //! its whole partition. The markers of open submissions share another prefix, by which the new
 //! owner of a partition finds the submissions with items left to run.
@@ -12,7 +13,8 @@
 use base::{WallTime, WeightVersion};
 use bytes::Bytes;
 use submissions::{
-    ItemResult, ItemState, RewardCall, SubmissionItem, SubmissionMetadata, SubmissionRecord,
+    HandoverText, ItemHandover, ItemResult, ItemState, RewardCall, SubmissionItem,
+    SubmissionMetadata, SubmissionRecord,
 };
 
 use crate::codec::{MalformedMessage, decode_message, encode_message, wire};
@@ -38,6 +40,17 @@
             versions: Vec<u64>,
             score: Option<String>,
         },
+        HandedOver {
+            revision: u32,
+            item: String,
+            output: String,
+            last_event: u64,
+            versions: Vec<u64>,
+            software: String,
+            engine: String,
+            running: bool,
+            written_ms: i64,
+        },
         Ended,
         Marked,
         Expiring { accepted_ms: i64 },
@@ -103,6 +116,10 @@
             let value = encode_message(&WireSubmissionRecord::from(result));
             (format!("s/{submission}/r/{position}"), Some(value))
         }
+        SubmissionRecord::HandedOver { submission, handover } => {
+            let value = encode_message(&WireSubmissionRecord::from(handover));
+            (format!("s/{submission}/h/{}", handover.item), Some(value))
+        }
         SubmissionRecord::Ended { submission } => {
             (format!("s/{submission}/e"), Some(encode_message(&WireSubmissionRecord::Ended)))
         }
@@ -151,6 +168,14 @@
         return Ok(Some(SubmissionRecord::Expiring { submission, accepted_at }));
     }
     let Some(value) = value else { return Ok(None) };
+    if let Some((submission, item)) = split_handover_key(key) {
+        let handover = ItemHandover::try_from(decode_message::<WireSubmissionRecord>(value)?)?;
+        if handover.item != item {
+            return Err(MalformedMessage::new(format!("key \"{key}\" does not fit its value")));
+        }
+        let submission = String::from(submission);
+        return Ok(Some(SubmissionRecord::HandedOver { submission, handover }));
+    }
     let mut parts = key.split('/').skip(1);
     let (submission, kind) = (parts.next(), parts.next());
     let number = parts.next().map(str::parse::<u32>).transpose();
@@ -179,6 +204,13 @@
     Ok(Some(record))
 }
 
+/// Returns the submission and the item of the key of a hand-over. The identifier of an item may hold
+/// slashes, that of a submission may not.
+fn split_handover_key(key: &str) -> Option<(&str, &str)> {
+    let (submission, rest) = key.strip_prefix("s/")?.split_once('/')?;
+    Some((submission, rest.strip_prefix("h/")?))
+}
+
 fn opened_record(
     id: String,
     wire: WireSubmissionRecord,
@@ -236,6 +268,53 @@
     }
 }
 
+impl From<&ItemHandover> for WireSubmissionRecord {
+    fn from(handover: &ItemHandover) -> Self {
+        let ItemHandover { item, revision, text, engine, is_running, written_at } =
+            handover.clone();
+        Self::HandedOver {
+            revision,
+            item,
+            output: text.output,
+            last_event: text.last_event_id,
+            versions: text.versions.into_iter().map(|version| version.0).collect(),
+            software: text.software_version,
+            engine,
+            running: is_running,
+            written_ms: written_at.0,
+        }
+    }
+}
+
+impl TryFrom<WireSubmissionRecord> for ItemHandover {
+    type Error = MalformedMessage;
+
+    fn try_from(wire: WireSubmissionRecord) -> Result<Self, MalformedMessage> {
+        let WireSubmissionRecord::HandedOver {
+            revision,
+            item,
+            output,
+            last_event,
+            versions,
+            software,
+            engine,
+            running,
+            written_ms,
+        } = wire
+        else {
+            return Err(MalformedMessage::new("the record is not the hand-over of an item"));
+        };
+        let text = HandoverText {
+            output,
+            last_event_id: last_event,
+            versions: versions.into_iter().map(WeightVersion).collect(),
+            software_version: software,
+        };
+        let (is_running, written_at) = (running, WallTime(written_ms));
+        Ok(Self { item, revision, text, engine, is_running, written_at })
+    }
+}
+
 impl From<&SubmissionItem> for WireItem {
     fn from(item: &SubmissionItem) -> Self {
         Self {
--- a/crates/protocol/tests/stored.rs
+++ b/crates/protocol/tests/stored.rs
@@ -25,15 +25,17 @@
     stream_origin_key,
 };
 use submissions::{
-    ItemResult, ItemState, RewardCall, SubmissionItem, SubmissionMetadata, SubmissionRecord,
+    HandoverText, ItemHandover, ItemResult, ItemState, RewardCall, SubmissionItem,
+    SubmissionMetadata, SubmissionRecord,
 };
 use usage::{TotalsPhase, WindowNumber};
 
 /// Bytes by earlier builds, oldest first: lines of name, key and value in hexadecimal. Later files
 /// hold only what has changed or been added.
-const FILES: [(&str, &str); 2] = [
+const FILES: [(&str, &str); 3] = [
     ("157a492", include_str!("stored/157a492.txt")),
     ("16bbb65", include_str!("stored/16bbb65.txt")),
+    ("handover", include_str!("stored/handover.txt")),
 ];
 
 /// A record with its encoding by this build.
@@ -82,6 +84,20 @@
         versions: [WeightVersion(6), WeightVersion(7)].into(),
         score: Some(String::from("3e1b")),
     };
+    let text = HandoverText {
+        output: String::from("a\nb"),
+        last_event_id: 2,
+        versions: [WeightVersion(6), WeightVersion(7)].into(),
+        software_version: String::from("v1.2"),
+    };
+    let handover = ItemHandover {
+        item: String::from("i/1"),
+        revision: 1,
+        text,
+        engine: String::from("i-7"),
+        is_running: true,
+        written_at: WallTime(1_700_000_000_000),
+    };
     let items =
         SubmissionRecord::Items { submission: submission.clone(), first: 0, items: vec![item] };
     let accepted_at = WallTime(1_700_000_000_000);
@@ -92,6 +108,10 @@
             "submission-result",
             SubmissionRecord::Result { submission: submission.clone(), position: 3, result },
         ),
+        (
+            "submission-handover",
+            SubmissionRecord::HandedOver { submission: submission.clone(), handover },
+        ),
         ("submission-ended", SubmissionRecord::Ended { submission: submission.clone() }),
         ("submission-marker", SubmissionRecord::OpenMarkerSet { submission: submission.clone() }),
         ("submission-expiring", SubmissionRecord::Expiring { submission, accepted_at }),
--- a/crates/submissions/src/lib.rs
+++ b/crates/submissions/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod cache;
 mod check;
+mod handover;
 mod item;
 mod plan;
 mod queue;
@@ -17,6 +18,10 @@
 pub use crate::{
     cache::{LogBatch, PartitionCache, SubmissionSnapshot},
     check::{SubmissionError, check_owner, check_submission},
+    handover::{
+        HandoverText, HandoverTracker, ITEM_DRAIN_TIMEOUT, ItemHandover, handover_batches,
+        handover_records,
+    },
     item::{ItemResult, ItemState, RewardCall, SubmissionItem, SubmissionMetadata},
     plan::{ending_records, opening_records, result_records},
     queue::{ItemQueue, ItemRank, expected_remaining_events},
--- a/crates/submissions/src/table.rs
+++ b/crates/submissions/src/table.rs
@@ -4,7 +4,7 @@
 
 use base::{WallTime, derive_value};
 
-use crate::{ItemResult, SubmissionItem, SubmissionMetadata};
+use crate::{ItemHandover, ItemResult, SubmissionItem, SubmissionMetadata};
 
 derive_value! {
     /// A record of a partition of submissions.
@@ -29,6 +29,13 @@
             /// Result of the item.
             result: ItemResult,
         },
+        /// An item passes to the next owner of the partition.
+        HandedOver {
+            /// Identifier of the submission.
+            submission: String,
+            /// State of the item.
+            handover: ItemHandover,
+        },
         /// The submission was ended by its sender. Its remaining items do not run.
         Ended {
             /// Identifier of the submission.
@@ -72,13 +79,16 @@
     result_count: u32,
     /// Position of the result of each item that has one.
     resolved: HashMap<String, u32>,
+    /// Newest hand-over of each item without a result.
+    handovers: HashMap<String, ItemHandover>,
     ended: bool,
 }
 
 /// Submissions of one partition.
 ///
 /// Applying a record is idempotent, and records of one submission may be applied in any order: for
-/// each kind and position, the first one applied wins. Repeats and reordering occur when a node
+/// each kind and position, the first one applied wins, and of the hand-overs of an item the one with
+/// the highest revision. Repeats and reordering occur when a node
 /// reads the newest records of all keys and then follows the partition from an earlier offset.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct SubmissionTable {
@@ -110,6 +120,10 @@
                 let state = self.submissions.entry(submission.clone()).or_default();
                 state.add_result(position, result).then_some(submission)
             }
+            SubmissionRecord::HandedOver { submission, handover } => {
+                let state = self.submissions.entry(submission.clone()).or_default();
+                state.add_handover(handover).then_some(submission)
+            }
             SubmissionRecord::Ended { submission } => {
                 let state = self.submissions.entry(submission.clone()).or_default();
                 if std::mem::replace(&mut state.ended, true) {
@@ -158,6 +172,7 @@
         if self.results[at].is_some() {
             return false;
         }
+        self.handovers.remove(&result.item);
         self.resolved.insert(result.item.clone(), position);
         self.results[at] = Some(Arc::new(result));
         while self.results.get(self.result_count as usize).is_some_and(Option::is_some) {
@@ -166,6 +181,16 @@
         true
     }
 
+    fn add_handover(&mut self, handover: ItemHandover) -> bool {
+        let stored = self.handovers.get(&handover.item);
+        let is_outdated = stored.is_some_and(|stored| !handover.supersedes(stored));
+        if is_outdated || self.is_resolved(&handover.item) {
+            return false;
+        }
+        self.handovers.insert(handover.item.clone(), handover);
+        true
+    }
+
     /// Returns whether the metadata and all items are known.
     fn is_complete(&self) -> bool {
         self.metadata.is_some() && self.items.iter().all(Option::is_some)
@@ -201,6 +226,17 @@
         self.resolved.contains_key(item)
     }
 
+    /// Returns the newest hand-over of an item without a result, if there is one.
+    #[must_use]
+    pub fn handover(&self, item: &str) -> Option<&ItemHandover> {
+        self.handovers.get(item)
+    }
+
+    /// Iterates over the newest hand-over of each item that has one and has no result.
+    pub fn handovers(&self) -> impl Iterator<Item = &ItemHandover> {
+        self.handovers.values()
+    }
+
     /// Returns the number of results before the first missing one, which is the next free position.
     #[must_use]
     pub const fn result_count(&self) -> u32 {
--- a/crates/submissions/src/text.rs
+++ b/crates/submissions/src/text.rs
@@ -5,6 +5,8 @@
 use base::{WeightVersion, derive_value};
 use smallvec::SmallVec;
 
+use crate::HandoverText;
+
 derive_value! {
     /// One event of a generation.
     pub struct GenerationEvent {
@@ -144,6 +146,36 @@
         Ok(())
     }
 
+    /// Continues the text that another node has handed over, if it has more events than this one and
+    /// its weight versions are allowed. Returns whether it does.
+    pub fn adopt(&mut self, handover: &HandoverText) -> bool {
+        let versions = &handover.versions;
+        let Some(newest) = versions.last().copied() else { return false };
+        let is_allowed = versions.iter().all(|version| *version >= self.min_version)
+            && (!self.one_version || versions.len() == 1);
+        if !is_allowed || handover.last_event_id <= self.last_event_id {
+            return false;
+        }
+        let HandoverText { output, last_event_id, versions, software_version } = handover.clone();
+        self.output = output;
+        self.last_event_id = last_event_id;
+        self.versions = versions;
+        self.software_version = software_version;
+        self.current_version = newest;
+        true
+    }
+
+    /// Returns the text as it is handed over to another node.
+    #[must_use]
+    pub fn to_handover(&self) -> HandoverText {
+        HandoverText {
+            output: self.output.clone(),
+            last_event_id: self.last_event_id,
+            versions: self.versions.clone(),
+            software_version: self.software_version().map(String::from).unwrap_or_default(),
+        }
+    }
+
     /// Returns the software version that must continue the text, or `None` while it is empty.
     #[must_use]
     pub fn software_version(&self) -> Option<&str> {
