--- a/crates/hibiscushinged/src/gateway/metrics.rs
+++ b/crates/hibiscushinged/src/gateway/metrics.rs
@@ -42,6 +42,9 @@
     pub(crate) evacuation_orders: Counter,
     pub(crate) evacuated_runs: Counter,
     pub(crate) home_refusals: Counter,
+    pub(crate) items_handed_over: Counter,
+    pub(crate) items_held: Counter,
+    pub(crate) items_continued: Counter,
 }
 
 impl Default for GatewayMetrics {
@@ -64,6 +67,9 @@
             evacuation_orders: Counter::default(),
             evacuated_runs: Counter::default(),
             home_refusals: Counter::default(),
+            items_handed_over: Counter::default(),
+            items_held: Counter::default(),
+            items_continued: Counter::default(),
         }
     }
 }
@@ -123,6 +129,12 @@
         registry.register("evacuated_runs", moved, self.evacuated_runs.clone());
         let home = "Requests refused without a usable upstream in their home regions";
         registry.register("home_refusals", home, self.home_refusals.clone());
+        let handed_over = "Items handed over to the next owner of their partition";
+        registry.register("items_handed_over", handed_over, self.items_handed_over.clone());
+        let held = "Items held while an earlier owner of their partition may be running them";
+        registry.register("items_held", held, self.items_held.clone());
+        let continued = "Items started with a text that an earlier owner handed over";
+        registry.register("items_continued", continued, self.items_continued.clone());
         let mut page = String::new();
         if let Err(error) = encode(&mut page, &registry) {
             tracing::warn!(%error, "rendering the metrics failed; the page is incomplete");
--- a/crates/hibiscushinged/src/gateway/runner.rs
+++ b/crates/hibiscushinged/src/gateway/runner.rs
@@ -23,7 +23,7 @@
     gateway::{
         attempt::AttemptGuard,
         commit::commit,
-        evacuation, generation,
+        evacuation, generation, handover,
         job::{ItemJob, ItemRun, JobProgress, due_at},
         model_demand,
         partition_follower::PartitionFollower,
@@ -92,7 +92,7 @@
 }
 
 /// Queues the open items of a partition, and drops jobs whose items are resolved, whose submissions
-/// have ended, or whose partition another node owns.
+/// have ended, or which do not run and whose partition another node owns.
 fn update_jobs(traffic: &Rc<TrafficState>, follower: &PartitionFollower) {
     let partition = follower.name.partition;
     let cache = follower.cache();
@@ -101,7 +101,7 @@
     let may_run = owned && cache.is_scanned();
     traffic.items.drop_jobs(traffic.node.now(), partition, |job| {
         let Some(submission) = cache.table().get(&job.metadata.id) else { return true };
-        !owned && !traffic.items.stopped.get()
+        !owned && !traffic.items.stopped.get() && !job.is_running()
             || submission.is_ended()
             || submission.is_resolved(&job.item.id)
             || may_run && !cache.is_loaded(&job.metadata.id)
@@ -135,9 +135,14 @@
             job.progress.borrow_mut().queued_at = traffic.node.now();
             state.jobs.insert(&job);
             let tokens_before = tokens_before.get(item.group.as_str()).copied().unwrap_or(0);
-            state.queue.push(due, ItemRank::new(tokens_before, slots, item.expected_tokens), job);
+            let rank = match submission.handover(&item.id) {
+                Some(_) => ItemRank::FIRST,
+                None => ItemRank::new(tokens_before, slots, item.expected_tokens),
+            };
+            state.queue.push(due, rank, job);
             is_new = true;
         }
+        handover::observe(traffic, &state, submission);
         if is_new {
             let tokens = submission.items().map(|item| u64::from(item.expected_tokens)).sum();
             model_demand::record_step(traffic, &metadata.model, tokens);
@@ -192,6 +197,9 @@
     state.queue.place(|job| {
         let metadata = &job.metadata;
         let mut progress = job.progress.borrow_mut();
+        if progress.handover.held_until(now).is_some() {
+            return false;
+        }
         let software = progress.text.software_version().map(String::from);
         let Some(route) = config.route(&metadata.host, &metadata.path) else { return false };
         let Some(service) = route.pick_service(rand::random()) else { return false };
@@ -203,6 +211,8 @@
             return false;
         }
         let prompt = job.item.shared_prompt.as_ref();
+        let handover_engine =
+            progress.handover_engine.as_ref().and_then(|id| traffic.balancer.borrow().key(id));
         let request = GenerationPickRequest {
             service,
             requirement: ModelRequirement {
@@ -212,7 +222,8 @@
             software_version: software.as_deref(),
             home: home.as_list(),
             tried: &progress.tried,
-            warm_engine: prompt.and_then(|prompt| warm_engines.get(prompt).copied()),
+            warm_engine: handover_engine
+                .or_else(|| prompt.and_then(|prompt| warm_engines.get(prompt).copied())),
             connected: &connected,
             jitter_seed: rand::random(),
         };
@@ -311,6 +322,7 @@
     if time_at_engine < MIN_TIME_AT_ENGINE
         || progress.text.last_event_id() == 0
         || job.scoring.get()
+        || job.drain_until.get().is_some()
     {
         return false;
     }
@@ -351,6 +363,7 @@
 }
 
 pub(crate) fn start(job: &Rc<ItemJob>, traffic: &Rc<TrafficState>, upstream: UpstreamKey) {
+    handover::note_start(traffic, job);
     let attempt = AttemptGuard::acquire(traffic, upstream, RequestOrigin::Item);
     let started_at = traffic.node.now();
     let run = generation::run(Rc::clone(traffic), Rc::clone(job), upstream, attempt);
