Claim idle connections while a round of items is placed

Cause: the driver listed the engines with an idle connection once a round, so that all items of a step were drawn to the same engines, however few connections these had, while connections to other engines stayed idle until they expired.

Change: dispatch::IdleConnections counts connections and each placement claims one. Generations weigh a connection as callers' requests do (0.65): it outweighs jitter and half-taken slots, not an engine that is nearly twice as slow.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 mod balancer;
 mod demand;
 mod entry;
+mod idle_connections;
 mod limit_shares;
 mod links;
 mod peers;
@@ -21,6 +22,7 @@
 pub use crate::{
     balancer::{RemovalCause, UpstreamBalancer, UpstreamChange},
     entry::{EntryState, UpstreamEntry},
+    idle_connections::IdleConnections,
     limit_shares::{LimitClaim, LimitDemand, LimitShare, LimitShares, NodeClaims, WantedRate},
     links::{LinkState, LinkTracker},
     peers::{PeerEntry, PeerOutcome, PeerTable},
--- a/crates/dispatch/src/pick.rs
+++ b/crates/dispatch/src/pick.rs
@@ -4,7 +4,7 @@
 
 use smallvec::SmallVec;
 
-use crate::{UpstreamBalancer, stats::UpstreamStats};
+use crate::{IdleConnections, UpstreamBalancer, stats::UpstreamStats};
 
 derive_copy! {
     /// A model and the oldest weight version that may generate its tokens.
@@ -32,8 +32,8 @@
         /// Upstreams to which the request was sent before. They are used only when no other is
         /// left.
         pub tried: &'a [UpstreamKey],
-        /// Upstreams to which an idle connection is open.
-        pub connected: &'a [UpstreamKey],
+        /// Idle connections of this node.
+        pub connected: &'a IdleConnections,
         /// Whether the request was in flight on an upstream that crashed. It then goes to an
         /// upstream that runs nothing else, if there is one, so that no other request fails with
         /// it.
@@ -58,8 +58,8 @@
         pub tried: &'a [UpstreamKey],
         /// Engine that has the shared part of the prompt in its cache, if any.
         pub warm_engine: Option<UpstreamKey>,
-        /// Engines to which an idle connection is open.
-        pub connected: &'a [UpstreamKey],
+        /// Idle connections of this node that no other placement of the round has claimed.
+        pub connected: &'a IdleConnections,
         /// Seed of the jitter that keeps nodes with equal knowledge from the same choice.
         pub jitter_seed: u64,
     }
@@ -94,14 +94,11 @@
 /// choice.
 const MAX_JITTER: f64 = 0.15;
 
-/// Factor on the cost of an engine to which an idle connection is open. Opening a new one costs a
-/// round trip, and an open connection is a resource with a cost of its own: the number of
-/// connections opened to upstreams counts against the service.
-const CONNECTED_FACTOR: f64 = 0.8;
-
-/// The same factor for a caller's request. It outweighs the zone and the jitter, and an upstream whose
-/// slots are half taken, but not one that is full or twice as slow as others.
-const CONNECTED_CALLER_FACTOR: f64 = 0.65;
+/// Factor on the cost of an upstream to which an idle connection is open, for a generation or a caller's
+/// request. Opening a new one costs a round trip and, for a moment, a slot of the upstream. The factor
+/// outweighs the zone, the jitter and an upstream whose slots are half taken, but not one that is full
+/// or nearly twice as slow as others.
+const CONNECTED_FACTOR: f64 = 0.65;
 
 /// The same factor for a reward call. Nobody waits for a single one, so all slots of the connected
 /// upstreams are taken before a connection to another one is opened.
@@ -130,7 +127,7 @@
         let tried_zones = request.tried.iter().map(|key| self.upstreams[*key].entry.zone.as_str());
         let tried_zones: SmallVec<[&str; 4]> = tried_zones.collect();
         let connected = match request.origin {
-            RequestOrigin::Caller => CONNECTED_CALLER_FACTOR,
+            RequestOrigin::Caller => CONNECTED_FACTOR,
             RequestOrigin::Item => CONNECTED_REWARD_FACTOR,
         };
         let assumed_us = self.mean_response_us(request.service);
@@ -309,8 +306,8 @@
     time * (1.0 + SLOWDOWN_PER_REQUEST * f64::from(stats.load(now)))
 }
 
-fn connected_factor(connected: &[UpstreamKey], upstream: UpstreamKey, factor: f64) -> f64 {
-    if connected.contains(&upstream) { factor } else { 1.0 }
+fn connected_factor(connected: &IdleConnections, upstream: UpstreamKey, factor: f64) -> f64 {
+    if connected.contains(upstream) { factor } else { 1.0 }
 }
 
 /// Returns a factor from 1 to 1 + [`MAX_JITTER`], which depends on the seed and the upstream.
--- a/crates/dispatch/tests/connections.rs
+++ b/crates/dispatch/tests/connections.rs
@@ -2,9 +2,10 @@
 
 use std::collections::{HashMap, HashSet};
 
-use base::{Moment, Span, UpstreamKey};
+use base::{Moment, Span, UpstreamKey, WeightVersion};
 use dispatch::{
-    EntryState, ExchangeOutcome, PlainPickRequest, RequestOrigin, UpstreamBalancer, UpstreamEntry,
+    EntryState, ExchangeOutcome, GenerationPickRequest, IdleConnections, ModelRequirement,
+    PlainPickRequest, RequestOrigin, UpstreamBalancer, UpstreamEntry,
 };
 use rstest::rstest;
 
@@ -25,7 +26,7 @@
             slots: SLOTS,
             state: EntryState::Ready,
             warmup: Span::ZERO,
-            versions: Vec::new(),
+            versions: vec![(String::from("m"), WeightVersion(1))],
             started_at_ms: Some(1),
             cheap: false,
             time_to_reclaim: None,
@@ -37,7 +38,7 @@
 /// A node with its idle connections by upstream.
 struct NodeModel {
     balancer: UpstreamBalancer,
-    idle: HashMap<UpstreamKey, usize>,
+    idle: HashMap<UpstreamKey, u32>,
     opened: usize,
     seed: u64,
 }
@@ -47,11 +48,14 @@
         Self { balancer: balancer(upstreams), idle: HashMap::new(), opened: 0, seed }
     }
 
+    fn connected(&self) -> IdleConnections {
+        self.idle.iter().map(|(upstream, count)| (*upstream, *count)).collect()
+    }
+
     /// Sends a request and returns its upstream. Takes an idle connection to it or opens one.
     fn begin(&mut self, origin: RequestOrigin) -> UpstreamKey {
         self.seed += 1;
-        let idle = self.idle.iter().filter(|(_, count)| **count > 0);
-        let connected: Vec<UpstreamKey> = idle.map(|(upstream, _)| *upstream).collect();
+        let connected = self.connected();
         let request = PlainPickRequest {
             service: "s",
             zone: "zone-0",
@@ -64,11 +68,42 @@
         };
         let upstream = self.balancer.pick_plain(NOW, &request).unwrap();
         self.balancer.begin_request(NOW, upstream, origin);
+        self.connect(upstream);
+        upstream
+    }
+
+    /// Places `count` generations in one round, as a step that arrives does, and returns their engines.
+    fn place(&mut self, count: usize) -> Vec<UpstreamKey> {
+        let mut connected = self.connected();
+        let mut placed = Vec::new();
+        for _ in 0..count {
+            self.seed += 1;
+            let request = GenerationPickRequest {
+                service: "s",
+                requirement: ModelRequirement { model: "m", min_version: WeightVersion(1) },
+                software_version: None,
+                tried: &[],
+                warm_engine: None,
+                connected: &connected,
+                jitter_seed: self.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+            };
+            let upstream = self.balancer.pick_generation(NOW, &request).unwrap();
+            self.balancer.begin_request(NOW, upstream, RequestOrigin::Item);
+            connected.claim(upstream);
+            placed.push(upstream);
+        }
+        // The requests are sent after the whole round is placed.
+        for upstream in &placed {
+            self.connect(*upstream);
+        }
+        placed
+    }
+
+    fn connect(&mut self, upstream: UpstreamKey) {
         match self.idle.get_mut(&upstream).filter(|count| **count > 0) {
             Some(count) => *count -= 1,
             None => self.opened += 1,
         }
-        upstream
     }
 
     fn finish(&mut self, upstream: UpstreamKey, took: Span) {
@@ -130,3 +165,23 @@
     let fair = nodes.div_ceil(in_zone);
     assert!(busiest <= fair * 2, "{busiest} of {nodes} nodes use one upstream, {fair} are fair");
 }
+
+/// Pattern: a node with an idle connection to each of 38 engines places a step of 30 items at once.
+///
+/// Guards against items of one round that all go to the engines that are cheapest, because each of these
+/// has one idle connection, which opens further ones there while those to other engines stay idle.
+#[rstest]
+#[case::engines_of_one_speed(&[50])]
+#[case::some_engines_slower(&[45, 50, 60, 65])]
+fn items_of_a_round_share_the_idle_connections(#[case] intervals_ms: &[u64]) {
+    let mut node = NodeModel::new(38, 1);
+    let mut upstreams: Vec<UpstreamKey> = node.balancer.usable_upstreams(NOW, "s").collect();
+    upstreams.sort_unstable();
+    for (index, upstream) in upstreams.into_iter().enumerate() {
+        let interval = Span::from_millis(intervals_ms[index % intervals_ms.len()]);
+        node.balancer.record_event_interval(upstream, interval);
+        node.idle.insert(upstream, 1);
+    }
+    node.place(30);
+    assert_eq!(node.opened, 0, "connections opened beside 38 idle ones for 30 items");
+}
--- a/crates/dispatch/tests/leaving.rs
+++ b/crates/dispatch/tests/leaving.rs
@@ -2,8 +2,8 @@
 
 use base::{Moment, Span, UpstreamKey, WeightVersion};
 use dispatch::{
-    EntryState, GenerationPickRequest, ModelRequirement, PlainPickRequest, RemovalCause,
-    RequestOrigin, UpstreamBalancer, UpstreamEntry, UpstreamLoad,
+    EntryState, GenerationPickRequest, IdleConnections, ModelRequirement, PlainPickRequest,
+    RemovalCause, RequestOrigin, UpstreamBalancer, UpstreamEntry, UpstreamLoad,
 };
 use rstest::rstest;
 
@@ -32,13 +32,14 @@
 /// Returns whether a request of any kind may be sent to the upstream: of a caller, the repeat of one
 /// that was tried at all others, a suspect, the rest of a stream, a reward call, and an item.
 fn is_picked(balancer: &UpstreamBalancer, now: Moment, upstream: UpstreamKey) -> bool {
+    let connected: IdleConnections = [(upstream, 1)].into_iter().collect();
     let others: Vec<UpstreamKey> =
         balancer.usable_upstreams(now, "s").filter(|key| *key != upstream).collect();
     let plain = PlainPickRequest {
         service: "s",
         zone: "a",
         tried: &[],
-        connected: &[upstream],
+        connected: &connected,
         suspect: false,
         origin: RequestOrigin::Caller,
         software_version: None,
@@ -50,7 +51,7 @@
         software_version: Some("v1"),
         tried: &others,
         warm_engine: Some(upstream),
-        connected: &[upstream],
+        connected: &connected,
         jitter_seed: 0,
     };
     let kinds = [
--- a/crates/dispatch/tests/pick.rs
+++ b/crates/dispatch/tests/pick.rs
@@ -2,13 +2,16 @@
 
 use base::{Moment, RequestRate, Span, UpstreamKey, WeightVersion};
 use dispatch::{
-    EntryState, ExchangeOutcome, GenerationPickRequest, LimitShare, ModelRequirement,
-    PlainPickRequest, RemovalCause, RequestOrigin, UpstreamBalancer, UpstreamEntry, UpstreamLoad,
+    EntryState, ExchangeOutcome, GenerationPickRequest, IdleConnections, LimitShare,
+    ModelRequirement, PlainPickRequest, RemovalCause, RequestOrigin, UpstreamBalancer,
+    UpstreamEntry, UpstreamLoad,
 };
 use rstest::rstest;
 
 const NOW: Moment = Moment(10_000_000);
 
+static NO_CONNECTIONS: IdleConnections = IdleConnections::new();
+
 fn entry(id: &str, slots: u32) -> UpstreamEntry {
     UpstreamEntry {
         id: String::from(id),
@@ -41,7 +44,7 @@
         software_version: None,
         tried,
         warm_engine: None,
-        connected: &[],
+        connected: &NO_CONNECTIONS,
         jitter_seed,
     }
 }
@@ -51,7 +54,7 @@
         service: "s",
         zone: "a",
         tried,
-        connected: &[],
+        connected: &NO_CONNECTIONS,
         suspect: false,
         origin: RequestOrigin::Caller,
         software_version: None,
--- a/crates/hibiscushinged/src/gateway/limits/tests.rs
+++ b/crates/hibiscushinged/src/gateway/limits/tests.rs
@@ -1,7 +1,7 @@
 //! Responses that name limits, and responses that name none.
 
 use base::{RequestRate, Span, UpstreamKey};
-use dispatch::{PlainPickRequest, RequestOrigin};
+use dispatch::{IdleConnections, PlainPickRequest, RequestOrigin};
 use platform::LimitStatement;
 use rstest::rstest;
 
@@ -16,7 +16,7 @@
         service: "drafts",
         zone: "z",
         tried: &[],
-        connected: &[],
+        connected: &IdleConnections::default(),
         suspect: false,
         origin: RequestOrigin::Caller,
         software_version: None,
--- a/crates/hibiscushinged/src/gateway/plain.rs
+++ b/crates/hibiscushinged/src/gateway/plain.rs
@@ -266,7 +266,7 @@
     tried: &[UpstreamKey],
 ) -> Option<UpstreamKey> {
     let zone = &traffic.node.settings.zone;
-    let connected = &traffic.pool.connected();
+    let connected = &traffic.pool.idle_counts(traffic.node.now());
     let suspect = crash_check::is_suspect(traffic, job);
     let request = PlainPickRequest {
         service: job.service,
--- a/crates/hibiscushinged/src/gateway/pool.rs
+++ b/crates/hibiscushinged/src/gateway/pool.rs
@@ -4,7 +4,6 @@
 
 use actix_http::ServiceConfig;
 use base::{Moment, Span};
-use smallvec::SmallVec;
 
 use crate::gateway::channel::UpstreamChannel;
 
@@ -69,10 +68,14 @@
         }
     }
 
-    /// Returns the upstreams to which an idle connection is open.
-    pub(crate) fn connected(&self) -> SmallVec<[K; 16]> {
+    /// Returns how many idle connections are open to each upstream or node.
+    pub(crate) fn idle_counts<C: FromIterator<(K, u32)>>(&self, now: Moment) -> C {
         let idle = self.idle.borrow();
-        idle.iter().filter(|(_, channels)| !channels.is_empty()).map(|(key, _)| *key).collect()
+        let counts = idle.iter().map(|(key, channels)| {
+            let usable = channels.iter().filter(|idle| now < idle.expires_at).count();
+            (*key, u32::try_from(usable).unwrap_or(u32::MAX))
+        });
+        counts.collect()
     }
 
     /// Closes all idle connections of an upstream that has left or restarted.
--- a/crates/hibiscushinged/src/gateway/runner.rs
+++ b/crates/hibiscushinged/src/gateway/runner.rs
@@ -9,7 +9,7 @@
 };
 
 use base::{Moment, Span, UpstreamKey};
-use dispatch::{GenerationPickRequest, ModelRequirement, RequestOrigin};
+use dispatch::{GenerationPickRequest, IdleConnections, ModelRequirement, RequestOrigin};
 use routebook::RouteSpec;
 use submissions::{
     ItemRank, SubmissionState, SubmissionTable, expected_remaining_events, result_records,
@@ -174,7 +174,7 @@
     let state = &mut *state;
     let mut unplaceable: BTreeSet<(String, u64, Option<String>)> = BTreeSet::new();
     let warm_engines = &mut state.warm_engines;
-    let connected = traffic.pool.connected();
+    let mut connected: IdleConnections = traffic.pool.idle_counts(now);
     state.queue.place(|job| {
         let metadata = &job.metadata;
         let mut progress = job.progress.borrow_mut();
@@ -214,6 +214,7 @@
             return false;
         };
         drop(progress);
+        connected.claim(upstream);
         if let Some(prompt) = prompt {
             if warm_engines.len() >= MAX_WARM_PROMPTS {
                 warm_engines.clear();
@@ -305,7 +306,7 @@
         software_version: progress.text.software_version(),
         tried: &[from],
         warm_engine: None,
-        connected: &traffic.pool.connected(),
+        connected: &traffic.pool.idle_counts(now),
         jitter_seed: rand::random(),
     };
     let balancer = traffic.balancer.borrow();
