--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 mod entry;
 mod evacuation;
 mod home;
+mod idle_connections;
 mod limit_shares;
 mod links;
 mod peers;
@@ -27,6 +28,7 @@
     entry::{EntryState, UpstreamEntry},
     evacuation::{EVACUATION_TIME, ZoneEvacuations},
     home::HomeFilter,
+    idle_connections::IdleConnections,
     limit_shares::{LimitClaim, LimitDemand, LimitShare, LimitShares, NodeClaims, WantedRate},
     links::{LinkState, LinkTracker},
     peers::{PeerEntry, PeerOutcome, PeerTable},
--- a/crates/dispatch/tests/warmup/cluster.rs
+++ b/crates/dispatch/tests/warmup/cluster.rs
@@ -4,8 +4,8 @@
 
 use base::{Incarnation, Moment, NodeDigest, RequestRate, Span, UpstreamKey};
 use dispatch::{
-    EntryState, ExchangeOutcome, LimitShares, NodeClaims, PlainPickRequest, RequestOrigin,
-    ServiceWarmup, UpstreamBalancer, UpstreamEntry,
+    EntryState, ExchangeOutcome, IdleConnections, LimitShares, NodeClaims, PlainPickRequest,
+    RequestOrigin, ServiceWarmup, UpstreamBalancer, UpstreamEntry,
 };
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -14,6 +14,8 @@
     ServiceWarmup { duration: Span::from_secs(3), rate: RequestRate(16_000) };
 
 /// Step of the virtual time.
+static NO_CONNECTIONS: IdleConnections = IdleConnections::new();
+
 const STEP: Span = Span::from_millis(10);
 
 /// Longest time from the choice of an upstream to the arrival of the request, in milliseconds.
@@ -200,7 +202,7 @@
             service: "s",
             zone: "a",
             tried: &[],
-            connected: &[],
+            connected: &NO_CONNECTIONS,
             suspect: false,
             origin: RequestOrigin::Caller,
             software_version: None,
--- a/crates/hibiscushinged/src/gateway/evacuation.rs
+++ b/crates/hibiscushinged/src/gateway/evacuation.rs
@@ -184,7 +184,7 @@
         home: home.as_list(),
         tried: &progress.tried,
         warm_engine: None,
-        connected: &traffic.pool.connected(),
+        connected: &traffic.pool.idle_counts(now),
         jitter_seed: rand::random(),
     };
     balancer.pick_generation(now, &request)
--- a/crates/hibiscushinged/src/gateway/runner.rs
+++ b/crates/hibiscushinged/src/gateway/runner.rs
@@ -12,7 +12,7 @@
 };
 
 use base::{Moment, Span, UpstreamKey};
-use dispatch::{GenerationPickRequest, ModelRequirement, RequestOrigin};
+use dispatch::{GenerationPickRequest, IdleConnections, ModelRequirement, RequestOrigin};
 use routebook::RouteSpec;
 use submissions::{
     ItemRank, SubmissionState, SubmissionTable, expected_remaining_events, result_records,
@@ -193,7 +193,7 @@
     // Requirements that no engine of a service meets at present. Engines of other services may.
     let mut unplaceable: BTreeSet<ItemRequirement<'_>> = BTreeSet::new();
     let warm_engines = &mut state.warm_engines;
-    let connected = traffic.pool.connected();
+    let mut connected: IdleConnections = traffic.pool.idle_counts(now);
     state.queue.place(|job| {
         let metadata = &job.metadata;
         let mut progress = job.progress.borrow_mut();
@@ -244,6 +244,7 @@
             return false;
         };
         drop(progress);
+        connected.claim(upstream);
         if let Some(prompt) = prompt {
             if warm_engines.len() >= MAX_WARM_PROMPTS {
                 warm_engines.clear();
@@ -339,7 +340,7 @@
         home: home.as_list(),
         tried: &[from],
         warm_engine: None,
-        connected: &traffic.pool.connected(),
+        connected: &traffic.pool.idle_counts(now),
         jitter_seed: rand::random(),
     };
     let balancer = traffic.balancer.borrow();
