--- a/crates/dispatch/tests/home.rs
+++ b/crates/dispatch/tests/home.rs
@@ -4,8 +4,8 @@
 
 use base::{Moment, RequestRate, Span, UpstreamKey, WeightVersion};
 use dispatch::{
-    EntryState, GenerationPickRequest, LimitShare, ModelRequirement, PlainPickRequest,
-    RequestOrigin, UpstreamBalancer, UpstreamEntry,
+    EntryState, GenerationPickRequest, IdleConnections, LimitShare, ModelRequirement,
+    PlainPickRequest, RequestOrigin, UpstreamBalancer, UpstreamEntry,
 };
 use rstest::rstest;
 
@@ -63,6 +63,7 @@
     for seed in 0..100 {
         for (connected, tried) in [(&keys[..], &[][..]), (&keys[2..], &keys[..2]), (&[], &keys[..])]
         {
+            let connected: &IdleConnections = &connected.iter().map(|key| (*key, 1)).collect();
             let plain = PlainPickRequest {
                 service: "s",
                 zone: "d",
--- a/crates/dispatch/tests/warmup/cluster.rs
+++ b/crates/dispatch/tests/warmup/cluster.rs
@@ -13,9 +13,9 @@
 pub(crate) const WARMUP: ServiceWarmup =
     ServiceWarmup { duration: Span::from_secs(3), rate: RequestRate(16_000) };
 
-/// Step of the virtual time.
 static NO_CONNECTIONS: IdleConnections = IdleConnections::new();
 
+/// Step of the virtual time.
 const STEP: Span = Span::from_millis(10);
 
 /// Longest time from the choice of an upstream to the arrival of the request, in milliseconds.
