Test that running generations move out of an evacuated zone with their texts

Cause: unit tests show the choice of the runs that move, not that the texts are whole afterwards.

Change: a process test with generations of 12 s, whose zone is evacuated while they run.

--- a/crates/process-tests/tests/evacuation.rs
+++ b/crates/process-tests/tests/evacuation.rs
@@ -1,5 +1,7 @@
 //! Evacuation of an availability zone at gateways on the users' platform.
 
+use std::time::Duration;
+
 use base::Span;
 use clients::{HttpClient, HttpRequest};
 use process_tests::{
@@ -200,3 +202,55 @@
     .await;
     assert!(results.iter().all(|result| result["state"] == "finished"), "{results:?}");
 }
+
+/// Pattern: long generations run when their zone is evacuated, and an engine in another zone has free
+/// slots.
+///
+/// Guards against runs that stay in the zone, and against texts with a gap or a repeated event because
+/// they moved.
+#[actix_rt::test]
+async fn running_generations_move_with_their_texts() {
+    const ITEMS: usize = 4;
+    const EVENTS: u64 = 60;
+    let mut options = SiteOptions::default();
+    options.engine.events = EVENTS;
+    options.engine.event_interval = Duration::from_millis(200);
+    let engine_options = EngineOptions {
+        id: String::from("engine-other"),
+        zone: String::from(OTHER_ZONE),
+        ..options.engine.clone()
+    };
+    let fleet = SiteFleet::start(options).await;
+    let service = SiteService::start(ServiceOptions {
+        id: String::from("portal-other"),
+        zone: String::from(OTHER_ZONE),
+        ..SiteOptions::default().service
+    })
+    .unwrap();
+    fleet.store.put_upstream(service.id(), &service.entry());
+    let address = fleet.gateways[0].caller_address();
+    let body = submission_body("s", ITEMS, 1).to_string();
+    let accepted = call(address, "/draft/s", &SiteFleet::headers("s"), &body).await;
+    assert_eq!(accepted.status, 202, "{accepted:?}");
+    let runs = || fleet.engines.iter().map(SiteEngine::runs).sum::<u64>();
+    wait_for("the runs of all items", || async { (runs() >= ITEMS as u64).then_some(()) }).await;
+    let engine = SiteEngine::start(engine_options).unwrap();
+    fleet.store.put_upstream(engine.id(), &engine.entry());
+    fleet.store.put_operator_key(&order(ZONE), &json!({}));
+    let results = wait_for("all results", || async {
+        let response = get(address, "/lots/s?after=0", &SiteFleet::headers("read")).await;
+        let body: Value = serde_json::from_str(&response.body).ok()?;
+        body["results"].as_array().filter(|results| results.len() == ITEMS).cloned()
+    })
+    .await;
+    for result in results {
+        assert_eq!(result["state"], "finished");
+        let output = result["output"].as_str().unwrap();
+        let numbers: Vec<&str> = output.lines().filter_map(|line| line.split(':').nth(1)).collect();
+        let expected: Vec<String> = (1..=EVENTS).map(|number| number.to_string()).collect();
+        assert_eq!(numbers, expected, "{output}");
+    }
+    let mut lines = fleet.gateways.iter().flat_map(GatewayProcess::log);
+    assert!(lines.any(|line| line["fields"]["name"] == "RunEvacuated"), "no run has moved");
+    assert!(engine.runs() > 0);
+}
