--- a/crates/dispatch/tests/evacuation.rs
+++ b/crates/dispatch/tests/evacuation.rs
@@ -2,8 +2,8 @@
 
 use base::{Moment, Span, UpstreamKey, WeightVersion};
 use dispatch::{
-    EVACUATION_TIME, EntryState, GenerationPickRequest, ModelRequirement, PlainPickRequest,
-    RequestOrigin, UpstreamBalancer, UpstreamEntry, ZoneEvacuations,
+    EVACUATION_TIME, EntryState, GenerationPickRequest, IdleConnections, ModelRequirement,
+    PlainPickRequest, RequestOrigin, UpstreamBalancer, UpstreamEntry, ZoneEvacuations,
 };
 use rstest::rstest;
 
@@ -49,7 +49,7 @@
 fn plain_request<'a>(
     origin: RequestOrigin,
     tried: &'a [UpstreamKey],
-    connected: &'a [UpstreamKey],
+    connected: &'a IdleConnections,
     jitter_seed: u64,
 ) -> PlainPickRequest<'a> {
     PlainPickRequest {
@@ -73,7 +73,7 @@
         home: None,
         tried: &[],
         warm_engine: Some(warm),
-        connected: &[warm],
+        connected: &[(warm, 1)].into_iter().collect(),
         jitter_seed: seed,
     };
     balancer.pick_generation(NOW, &request)
@@ -82,7 +82,7 @@
 /// Asserts that every kind of choice uses exactly the zones that are not evacuated.
 fn check_zones(balancer: &UpstreamBalancer, evacuated: &[&str]) {
     let own = balancer.key("a0").unwrap();
-    let connected = [own];
+    let connected: IdleConnections = [(own, 1)].into_iter().collect();
     let others: Vec<UpstreamKey> =
         ["b0", "b1", "c0", "c1"].iter().filter_map(|id| balancer.key(id)).collect();
     let mut picked = Vec::new();
