--- a/crates/process-tests/src/lib.rs
+++ b/crates/process-tests/src/lib.rs
@@ -19,7 +19,7 @@
         HeldLease, ORDERED_SERVICE, ORDERED_ZONE, edit_pools, held_lease, lease_options,
         lease_status, start_ordered, wait_for_ordered,
     },
-    process::{ProcessHandle, wait_for},
+    process::{ProcessHandle, memory_and_descriptors, wait_for},
     relay::{RelayFlow, TcpRelay},
     site::{GatewayProcess, SiteFleet, SiteOptions, submission_body},
 };
--- a/crates/process-tests/src/process.rs
+++ b/crates/process-tests/src/process.rs
@@ -117,6 +117,17 @@
     }
 }
 
+/// Returns the largest amount of memory in bytes that a process has held so far, and the number of its
+/// open descriptors. Returns `None` if it does not run.
+#[must_use]
+pub fn memory_and_descriptors(id: u32) -> Option<(u64, usize)> {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+    let kibibytes: u64 = line.trim().strip_suffix("kB")?.trim().parse().ok()?;
+    let descriptors = std::fs::read_dir(format!("/proc/{id}/fd")).ok()?.count();
+    Some((kibibytes << 10, descriptors))
+}
+
 /// Returns the path of a binary that was built together with the test.
 pub(crate) fn binary_path(binary: &str) -> PathBuf {
     // Cargo puts test binaries into `deps`, one folder below the binaries of the workspace.
--- a/crates/process-tests/src/site.rs
+++ b/crates/process-tests/src/site.rs
@@ -1,8 +1,9 @@
 //! Gateways as separate processes, in front of in-process stand-ins for the users' platform.
 
 use std::{
-    fs::File,
+    fs::{File, Permissions},
     net::{IpAddr, Ipv4Addr, SocketAddr},
+    os::unix::fs::PermissionsExt as _,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::atomic::{AtomicU32, Ordering},
@@ -15,7 +16,7 @@
     rendered_settings,
 };
 
-use crate::process::{binary_path, wait_for};
+use crate::process::{binary_path, memory_and_descriptors, wait_for};
 
 /// Host name of all routes.
 const HOST: &str = "studio.example";
@@ -305,6 +306,21 @@
         );
     }
 
+    /// Does what [`Self::restart`] does, with a limit on the open descriptors of the process.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the process cannot be started.
+    pub fn restart_with_descriptors(&mut self, limit: usize) {
+        let program = self.settings.with_extension("sh");
+        let daemon = binary_path("hibiscushinged");
+        let script = format!("#!/bin/sh\nulimit -n {limit}\nexec '{}' \"$@\"\n", daemon.display());
+        std::fs::write(&program, script).expect("the script can be written");
+        std::fs::set_permissions(&program, Permissions::from_mode(0o755))
+            .expect("the script can be made executable");
+        self.restart_as(&program);
+    }
+
     /// Returns the address for callers.
     #[must_use]
     pub const fn caller_address(&self) -> SocketAddr {
@@ -323,6 +339,18 @@
         SocketAddr::new(self.address, METRICS_PORT)
     }
 
+    /// Returns the address for other gateways.
+    #[must_use]
+    pub const fn peer_address(&self) -> SocketAddr {
+        SocketAddr::new(self.address, PEER_PORT)
+    }
+
+    /// Returns the process id, or `None` after [`Self::kill`].
+    #[must_use]
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Returns the log lines so far, those of earlier starts included. Lines that are not JSON are
     /// left out.
     #[must_use]
@@ -366,11 +394,7 @@
     /// does not run.
     #[must_use]
     pub fn peak_memory(&self) -> Option<u64> {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.as_ref()?.id()));
-        let status = status.ok()?;
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
-        let kibibytes: u64 = line.trim().strip_suffix("kB")?.trim().parse().ok()?;
-        Some(kibibytes << 10)
+        memory_and_descriptors(self.id()?).map(|(memory, _)| memory)
     }
 
     /// Returns the exit code if the process has ended by itself. Returns `None` while it runs,
