Bound what clients' connections hold, and read no further than they do

Cause: actix-http reads up to 128 KiB of a connection and parses all of it at once (its bound of 16 waiting requests is checked before the parsing only), and encodes responses while the bytes before are not taken; a response without a body is encoded whatever the buffer holds. All requests of such a read are served in one turn of the thread, so that heads and deadlines of others time out. Nothing bounded the number of connections or the bodies of all requests together. Ruled out: the read buffer itself (3 MB for 24 connections).

Change, on all ports and in both modes: accepted streams are wrapped. A connection is read in steps of 4 KiB (bodies of known length whole), by 4 KiB in advance while a request runs, and not while a write is blocked; a write without progress for 15 s closes it. Each listener has limits on connections and on bytes held for them (event 2020, metric closed_connections), and closes the one that holds most, or was idle the longest. Bodies of requests share three tenths of the memory; what does not fit is refused at once as not run. New settings: connections.{max,unread_mb,write_timeout_s}, and in the own mode bounds.{memory_bytes,connections,unread_bytes} and timeouts.write.

The test of long bodies is added here; the body limit of the stand-ins rises from 16 to 32 MiB for it.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -91,6 +91,7 @@
     2008 StreamOriginUnsent "A stream begins without a stored record of its software version; resuming it elsewhere may be refused."
     2009 RequestForwarded "A request was passed to another node, because this node does not reach its upstreams."
     2010 ForwardFailed "Another node to which a request was to be passed cannot serve it, or did not respond."
+    2020 ConnectionClosed "A client's connection was closed because of its unread responses or a limit on connections."
     // Rollout.
     3001 SamplePlaced "A sample slot was assigned to an upstream."
     3002 SampleFilled "The first result in log order filled a sample slot."
--- a/crates/document/src/gateway.rs
+++ b/crates/document/src/gateway.rs
@@ -5,7 +5,7 @@
 use base::{Span, derive_value};
 use serde::Deserialize;
 
-use crate::DocumentProblem;
+use crate::{DocumentProblem, settings::DEFAULT_WRITE_TIMEOUT};
 
 derive_value! {
     /// Settings of one gateway daemon.
@@ -21,6 +21,14 @@
         pub millicores: u32,
         /// Memory limit of the process in bytes.
         pub memory_bytes: usize,
+        /// Number of connections of callers, or `None` to derive it from the memory and the
+        /// descriptors of the process.
+        pub max_connections: Option<usize>,
+        /// Bytes held for connections whose clients have not read their responses, or `None` to
+        /// derive them from the memory.
+        pub max_unread_bytes: Option<usize>,
+        /// Time without progress after which a response that its client does not read is given up.
+        pub write_timeout: Span,
         /// Address that serves callers and trainers.
         pub listen: SocketAddr,
         /// Address that serves the readiness check of the load balancer.
@@ -84,6 +92,8 @@
     cores: f64,
     #[serde(default = "default_memory_mb")]
     memory_mb: f64,
+    #[serde(default)]
+    connections: WireConnections,
     listen: SocketAddr,
     ready: SocketAddr,
     metrics: SocketAddr,
@@ -93,6 +103,13 @@
     promises: WirePromises,
 }
 
+#[derive(Default, Deserialize)]
+struct WireConnections {
+    max: Option<u32>,
+    unread_mb: Option<f64>,
+    write_timeout_s: Option<f64>,
+}
+
 #[derive(Deserialize)]
 struct WireStore {
     address: SocketAddr,
@@ -146,7 +163,11 @@
 }
 
 fn check_values(file: &str, wire: &WireGateway) -> Vec<DocumentProblem> {
+    let connections = &wire.connections;
     let must_be_positive = [
+        ("connections.max", connections.max.map_or(1.0, f64::from)),
+        ("connections.unread_mb", connections.unread_mb.unwrap_or(1.0)),
+        ("connections.write_timeout_s", connections.write_timeout_s.unwrap_or(1.0)),
         ("cores", wire.cores),
         ("memory_mb", wire.memory_mb),
         ("store.partitions", f64::from(wire.store.partitions)),
@@ -185,6 +206,12 @@
             first_start: wire.first_start,
             millicores: (wire.cores * 1e3) as u32,
             memory_bytes: (wire.memory_mb * 1e6) as usize,
+            max_connections: wire.connections.max.map(|max| max as usize),
+            max_unread_bytes: wire.connections.unread_mb.map(|unread| (unread * 1e6) as usize),
+            write_timeout: wire
+                .connections
+                .write_timeout_s
+                .map_or(DEFAULT_WRITE_TIMEOUT, |timeout| span_from_millis(timeout * 1e3)),
             listen: wire.listen,
             ready: wire.ready,
             metrics: wire.metrics,
--- a/crates/document/src/settings.rs
+++ b/crates/document/src/settings.rs
@@ -64,12 +64,22 @@
         pub channel_messages: u32,
         /// Bytes of sample texts that this node stores, its own ones and copies for other nodes.
         pub sample_bytes: u32,
+        /// Memory limit of the process in bytes, from which the limits on connections are derived.
+        pub memory_bytes: u32,
+        /// Number of connections of callers, or `None` to derive it from the memory and the
+        /// descriptors of the process.
+        pub connections: Option<u32>,
+        /// Bytes held for connections whose clients have not read their responses, or `None` to
+        /// derive them from the memory.
+        pub unread_bytes: Option<u32>,
     }
 
     /// Timeouts of calls, and the validity of limit grants.
     pub struct TimeoutSettings {
         /// Timeout of establishing a connection.
         pub connect: Span,
+        /// Time without progress after which a response that its client does not read is given up.
+        pub write: Span,
         /// Timeout of a call to the platform's log.
         pub log: Span,
         /// Timeout of any other call to the platform except orders, which have
@@ -106,6 +116,9 @@
     }
 }
 
+/// Time that callers may leave a connection unused, which is also allowed to one that does not read.
+pub(crate) const DEFAULT_WRITE_TIMEOUT: Span = Span::from_secs(15);
+
 impl DaemonSettings {
     /// Parses and validates the settings. `file` is the file name shown in problems.
     ///
@@ -133,6 +146,7 @@
     fn default() -> Self {
         Self {
             connect: Span::from_secs(1),
+            write: DEFAULT_WRITE_TIMEOUT,
             log: Span::from_secs(2),
             platform: Span::from_secs(3),
             peer: Span::from_secs(1),
@@ -156,6 +170,9 @@
             answer_bytes: 1 << 20,
             channel_messages: 4_096,
             sample_bytes: 32 << 20,
+            memory_bytes: 120_000_000,
+            connections: None,
+            unread_bytes: None,
         }
     }
 }
@@ -210,6 +227,9 @@
         answer_bytes: bound("answer_bytes", default.answer_bytes),
         channel_messages: bound("channel_messages", default.channel_messages),
         sample_bytes: bound("sample_bytes", default.sample_bytes),
+        memory_bytes: bound("memory_bytes", default.memory_bytes),
+        connections: section.has("connections").then(|| bound("connections", 1)),
+        unread_bytes: section.has("unread_bytes").then(|| bound("unread_bytes", 1)),
     }
 }
 
@@ -219,6 +239,7 @@
     let default = TimeoutSettings::default();
     TimeoutSettings {
         connect: duration("connect", default.connect),
+        write: duration("write", default.write),
         log: duration("log", default.log),
         platform: duration("platform", default.platform),
         peer: duration("peer", default.peer),
--- a/crates/hibiscushinged/src/control/server.rs
+++ b/crates/hibiscushinged/src/control/server.rs
@@ -12,6 +12,9 @@
 
 use crate::{
     accept::serve_connections,
+    connections::{
+        self, ClientKind, ConnectionRegistry, ServedBody, daemon_registry, guarded_service,
+    },
     control::{Control, peers::PEER_PATH, transfer},
     control_message::AdminRequest,
     shared::NodePhase,
@@ -19,7 +22,8 @@
 };
 
 pub(crate) async fn serve_peers(control: Rc<Control>, listener: TcpListener) {
-    serve(listener, move |request| {
+    let registry = daemon_registry(&control.shared, ClientKind::Nodes, 1);
+    serve(registry, listener, move |request| {
         let control = Rc::clone(&control);
         async move { handle_peer_request(&control, request).await }
     })
@@ -27,7 +31,8 @@
 }
 
 pub(crate) async fn serve_admin(control: Rc<Control>, listener: TcpListener) {
-    serve(listener, move |request| {
+    let registry = daemon_registry(&control.shared, ClientKind::Operators, 1);
+    serve(registry, listener, move |request| {
         let control = Rc::clone(&control);
         async move { handle_admin_request(&control, &request) }
     })
@@ -35,20 +40,20 @@
 }
 
 /// Serves connections on the current thread until the process ends.
-async fn serve<F, A>(listener: TcpListener, handler: F)
+async fn serve<F, A>(registry: Rc<ConnectionRegistry>, listener: TcpListener, handler: F)
 where
     F: Fn(Request) -> A + Clone + 'static,
     A: Future<Output = Response<BoxBody>> + 'static,
 {
     let listener = tokio::net::TcpListener::from_std(listener)
         .expect("the listener is non-blocking and can be registered with the runtime");
-    let factory = HttpService::build()
-        .finish(move |request| {
+    let http =
+        HttpService::build().on_connect_ext(connections::attach).finish(move |mut request| {
+            let guard = connections::begin_request(&mut request);
             let response = handler(request);
-            async move { Ok::<_, Infallible>(response.await) }
-        })
-        .tcp();
-    serve_connections(listener, factory).await;
+            async move { Ok::<_, Infallible>(ServedBody::respond(response.await, guard)) }
+        });
+    serve_connections(listener, guarded_service(registry, http)).await;
 }
 
 async fn handle_peer_request(control: &Rc<Control>, mut request: Request) -> Response<BoxBody> {
--- a/crates/hibiscushinged/src/gateway.rs
+++ b/crates/hibiscushinged/src/gateway.rs
@@ -62,10 +62,12 @@
 
 use crate::{
     clock::ProcessClock,
-    gateway::{metrics::GatewayMetrics, node::NodeState, serve::LOAD_BALANCER_LAG},
+    gateway::{metrics::GatewayMetrics, serve::LOAD_BALANCER_LAG},
     telemetry::log_event,
 };
 
+pub(crate) use crate::gateway::node::NodeState;
+
 /// A running gateway: the state that its threads share, and the server of the traffic thread.
 pub struct Gateway {
     node: Arc<NodeState>,
--- a/crates/hibiscushinged/src/gateway/metrics.rs
+++ b/crates/hibiscushinged/src/gateway/metrics.rs
@@ -23,12 +23,18 @@
     code: String,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabel {
+    reason: String,
+}
+
 /// Metrics of one gateway. Histograms are in seconds.
 #[derive(Debug)]
 pub(crate) struct GatewayMetrics {
     responses: Family<StatusLabel, Counter>,
     response_time: Histogram,
     refusals: Family<CodeLabel, Counter>,
+    closed_connections: Family<ReasonLabel, Counter>,
     run_time: Histogram,
     reward_time: Histogram,
     pub(crate) store_failures: Counter,
@@ -46,6 +52,7 @@
             responses: Family::default(),
             response_time: times(),
             refusals: Family::default(),
+            closed_connections: Family::default(),
             run_time: times(),
             reward_time: times(),
             store_failures: Counter::default(),
@@ -71,6 +78,12 @@
         self.refusals.get_or_create(&label).inc();
     }
 
+    /// Counts a client's connection that was closed because of a limit.
+    pub(crate) fn count_closed_connection(&self, reason: &'static str) {
+        let label = ReasonLabel { reason: String::from(reason) };
+        self.closed_connections.get_or_create(&label).inc();
+    }
+
     /// Records the duration of an item's run on one engine.
     pub(crate) fn observe_run(&self, took: Span) {
         self.run_time.observe(took.as_secs_f64());
@@ -89,6 +102,8 @@
         let time = "Seconds from arrival to the answer";
         registry.register("answer_seconds", time, self.response_time.clone());
         registry.register("refusals", "Requests refused, by code", self.refusals.clone());
+        let closed = "Connections of clients closed because of a limit, by reason";
+        registry.register("closed_connections", closed, self.closed_connections.clone());
         registry.register("run_seconds", "Seconds of a run of an item", self.run_time.clone());
         let reward = "Seconds of a reward call";
         registry.register("reward_seconds", reward, self.reward_time.clone());
--- a/crates/hibiscushinged/src/gateway/ready.rs
+++ b/crates/hibiscushinged/src/gateway/ready.rs
@@ -23,14 +23,14 @@
 pub(crate) fn start(node: &Arc<NodeState>) -> io::Result<()> {
     let ready = listen(node.settings.ready)?;
     let state = Arc::clone(node);
-    serve_endpoint(ready, move |_: &Request| {
+    serve_endpoint(node, ready, move |_: &Request| {
         let status =
             if is_ready(&state) { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         response::status(status)
     });
     let metrics = listen(node.settings.metrics)?;
     let state = Arc::clone(node);
-    serve_endpoint(metrics, move |_: &Request| {
+    serve_endpoint(node, metrics, move |_: &Request| {
         let page = state.metrics.render();
         let content_type = "application/openmetrics-text; version=1.0.0; charset=utf-8";
         with_body(StatusCode::OK, content_type, Bytes::from(page))
--- a/crates/hibiscushinged/src/gateway/serve.rs
+++ b/crates/hibiscushinged/src/gateway/serve.rs
@@ -21,6 +21,7 @@
 use crate::{
     accept::serve_connections,
     clock::to_duration,
+    connections::{self, ClientKind, ServedBody, gateway_registry, guarded_service},
     gateway::{
         cleanup, crash_check, crash_records,
         forward::{self, ForwardedRequest},
@@ -167,18 +168,27 @@
 }
 
 async fn accept(traffic: Rc<TrafficState>, listener: TcpListener, source: RequestSource) {
-    let factory = HttpService::build()
+    let kind = match source {
+        RequestSource::Caller => ClientKind::Callers,
+        RequestSource::Node => ClientKind::Nodes,
+    };
+    let registry = gateway_registry(&traffic.node, kind);
+    let http = HttpService::build()
         .keep_alive(KeepAlive::Timeout(CALLER_IDLE_TIMEOUT))
         .client_request_timeout(HEAD_TIMEOUT)
         .client_disconnect_timeout(Duration::from_secs(1))
+        // `HalfClose::EndsRequest` of the registry says the same.
         .h1_allow_half_closed(false)
-        .tcp_nodelay(true)
-        .finish(move |request| {
+        .on_connect_ext(connections::attach)
+        .finish(move |mut request| {
             let traffic = Rc::clone(&traffic);
-            async move { Ok::<_, Infallible>(serve(traffic, request, source).await) }
-        })
-        .tcp();
-    serve_connections(listener, factory).await;
+            let guard = connections::begin_request(&mut request);
+            async move {
+                let response = serve(traffic, request, source).await;
+                Ok::<_, Infallible>(ServedBody::respond(response, guard))
+            }
+        });
+    serve_connections(listener, guarded_service(registry, http)).await;
 }
 
 async fn serve(
@@ -267,6 +277,7 @@
 ) -> Result<Bytes, Refusal> {
     let config = traffic.node.config.load();
     let max_bytes = config.as_ref().map_or(usize::MAX, |config| config.limits().max_body_bytes);
+    connections::expect_body(request)?;
     let mut payload = request.take_payload();
     let mut body = BytesMut::new();
     let reading = async {
@@ -281,13 +292,17 @@
                 let message = format!("the body of the request exceeds {max_bytes} bytes");
                 return Err(Refusal::not_run(RefusalCode::BodyTooLong, message));
             }
+            connections::count_body(request, &chunk)?;
             body.extend_from_slice(&chunk);
         }
         Ok(())
     };
     let timeout = metadata.deadline.unwrap_or(BODY_TIMEOUT);
     match tokio::time::timeout(to_duration(timeout), reading).await {
-        Ok(result) => result.map(|()| body.freeze()),
+        Ok(result) => {
+            connections::finish_body(request);
+            result.map(|()| body.freeze())
+        }
         Err(_) => {
             let message = "the body of the request did not arrive before the timeout";
             Err(Refusal::not_run(RefusalCode::RequestTimeout, message))
@@ -468,15 +483,18 @@
 /// Serves requests with a synchronous handler on an address of its own, as for readiness and
 /// metrics.
 pub(crate) fn serve_endpoint(
+    node: &Arc<NodeState>,
     listener: TcpListener,
     handler: impl Fn(&Request) -> Response<BoxBody> + Clone + 'static,
 ) {
-    let factory = HttpService::build()
+    let registry = gateway_registry(node, ClientKind::Operators);
+    let http = HttpService::build()
         .client_disconnect_timeout(Duration::from_secs(1))
-        .finish(move |request: Request| {
+        .on_connect_ext(connections::attach)
+        .finish(move |mut request: Request| {
             let handler = handler.clone();
-            async move { Ok::<_, Infallible>(handler(&request)) }
-        })
-        .tcp();
-    actix_rt::spawn(serve_connections(listener, factory));
+            let guard = connections::begin_request(&mut request);
+            async move { Ok::<_, Infallible>(ServedBody::respond(handler(&request), guard)) }
+        });
+    actix_rt::spawn(serve_connections(listener, guarded_service(registry, http)));
 }
--- a/crates/hibiscushinged/src/lib.rs
+++ b/crates/hibiscushinged/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod accept;
 mod clock;
+mod connections;
 mod control;
 mod control_message;
 mod gateway;
--- a/crates/hibiscushinged/src/metrics.rs
+++ b/crates/hibiscushinged/src/metrics.rs
@@ -59,6 +59,11 @@
             .send();
     }
 
+    /// Counts a client's connection that was closed because of a limit.
+    pub(crate) fn count_closed_connection(&self, reason: &'static str) {
+        self.client.count_with_tags("connections.closed", 1).with_tag("reason", reason).send();
+    }
+
     /// Sends the requests in flight on this node and the estimated tokens of those that are queued.
     pub(crate) fn gauge_load(&self, in_flight: usize, queued_tokens: u64) {
         self.client.gauge_with_tags("requests.in_flight", in_flight as u64).send();
--- a/crates/hibiscushinged/src/traffic/request.rs
+++ b/crates/hibiscushinged/src/traffic/request.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 
 use crate::{
+    connections,
     shared::{NodePhase, SharedState},
     view::{KeyAcceptance, ResolvedRoute, RoutingView},
 };
@@ -126,6 +127,7 @@
 /// Reads a whole request body of at most `max_bytes` bytes.
 pub(crate) async fn read_body(request: &mut Request, max_bytes: usize) -> Result<Bytes, Refusal> {
     let invalid = |message| Refusal::not_run(RefusalCode::RequestInvalid, message);
+    connections::expect_body(request)?;
     let mut payload = request.take_payload();
     let mut body = BytesMut::new();
     while let Some(chunk) = payload.next().await {
@@ -134,8 +136,10 @@
         if body.len() + chunk.len() > max_bytes {
             return Err(invalid(format!("the body exceeds the limit of {max_bytes} bytes")));
         }
+        connections::count_body(request, &chunk)?;
         body.extend_from_slice(&chunk);
     }
+    connections::finish_body(request);
     Ok(body.freeze())
 }
 
--- a/crates/hibiscushinged/src/traffic/server.rs
+++ b/crates/hibiscushinged/src/traffic/server.rs
@@ -7,6 +7,7 @@
 use base::{Refusal, RefusalCode};
 
 use crate::{
+    connections::{self, ClientKind, ServedBody, daemon_registry, guarded_service},
     shared::SharedState,
     traffic::{caller, response, trainer, worker::TrafficWorker},
 };
@@ -25,12 +26,18 @@
         .shutdown_timeout(shared.settings.timeouts.drain.as_millis() / 1_000)
         .listen("callers", listener, move || {
             let worker = Rc::new(TrafficWorker::new(Arc::clone(&shared)));
-            HttpService::build()
-                .finish(move |request| {
+            let registry = daemon_registry(&worker.shared, ClientKind::Callers, threads);
+            let http = HttpService::build().on_connect_ext(connections::attach).finish(
+                move |mut request| {
                     let worker = Rc::clone(&worker);
-                    async move { Ok::<_, Infallible>(serve(worker, request).await) }
-                })
-                .tcp()
+                    let guard = connections::begin_request(&mut request);
+                    async move {
+                        let response = serve(worker, request).await;
+                        Ok::<_, Infallible>(ServedBody::respond(response, guard))
+                    }
+                },
+            );
+            guarded_service(registry, http)
         })?
         .run();
     let handle = server.handle();
--- a/crates/process-tests/tests/unread.rs
+++ b/crates/process-tests/tests/unread.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use process_tests::{
-    FleetOptions, SiteFleet, SiteOptions, TestFleet, call, memory_and_descriptors,
+    FleetOptions, SiteFleet, SiteOptions, TestFleet, call, memory_and_descriptors, wait_for,
 };
 use rstest::rstest;
 use tokio::{
@@ -30,6 +30,9 @@
 /// Pause before a connection that was closed is opened again.
 const RECONNECT_DELAY: Duration = Duration::from_secs(1);
 
+/// Longest body that the configuration of users allows.
+const LONGEST_BODY: usize = 32_000_000;
+
 /// Bytes of one write of the flood.
 const WRITE_BYTES: usize = 64 << 10;
 
@@ -285,3 +288,38 @@
         task.abort();
     }
 }
+
+/// Guards against long bodies that together take the memory of a gateway, and against refusing a single
+/// body within the limit.
+#[actix_rt::test]
+async fn bodies_of_requests_leave_memory() {
+    let fleet = SiteFleet::start(SiteOptions { gateways: 1, ..Default::default() }).await;
+    let gateway = &fleet.gateways[0];
+    let address = gateway.caller_address();
+    let mut config = SiteFleet::config(2, &["key-1"]);
+    config["limits"]["max_body_bytes"] = LONGEST_BODY.into();
+    // Reading a long body takes a debug build on a busy machine longer than the usual deadline.
+    config["routes"][2]["deadline_ms"] = 20_000.into();
+    fleet.store.put_operator_key("config", &config);
+    let body = "b".repeat(LONGEST_BODY);
+    wait_for("status 200 for a body of the longest length", || async {
+        let headers = SiteFleet::headers("single");
+        let response = call(address, "/score/x", &headers, &body).await;
+        (response.status == 200).then_some(())
+    })
+    .await;
+    let flood = RequestFlood {
+        start: "POST /score/x HTTP/1.1\r\nhost: studio.example\r\nx-request-id: flood\r\n\
+                content-length: 32000000\r\n\r\n",
+        part: "bytes...",
+        reading: ResponseReading::Never,
+    };
+    let tasks = flood.start(address);
+    tokio::time::sleep(FLOOD_TIME).await;
+    check_process(gateway.id().expect("the gateway was started"), 3_075);
+    for task in tasks {
+        task.abort();
+    }
+    let response = call(address, "/score/x", &SiteFleet::headers("ordinary"), "body").await;
+    assert_eq!(response.status, 200, "an ordinary request was not served: {response:?}");
+}
--- a/crates/stand-ins/src/http.rs
+++ b/crates/stand-ins/src/http.rs
@@ -18,7 +18,7 @@
 };
 
 /// Longest request body accepted. A longer one is refused with status 413.
-const MAX_BODY_BYTES: usize = 16 << 20;
+const MAX_BODY_BYTES: usize = 32 << 20;
 
 /// What a crash does besides dropping all connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
