--- a/crates/hibiscushinged/src/connections/tests.rs
+++ b/crates/hibiscushinged/src/connections/tests.rs
@@ -28,12 +28,15 @@
 }
 
 fn registry(max_connections: usize, max_bytes: usize) -> Rc<ConnectionRegistry> {
-    let limits = ProcessLimits {
-        max_connections,
-        max_bytes,
-        max_body_bytes: 100,
-        write_timeout: Duration::from_secs(15),
-    };
+    registry_with_timeout(max_connections, max_bytes, Duration::from_secs(15))
+}
+
+fn registry_with_timeout(
+    max_connections: usize,
+    max_bytes: usize,
+    write_timeout: Duration,
+) -> Rc<ConnectionRegistry> {
+    let limits = ProcessLimits { max_connections, max_bytes, max_body_bytes: 100, write_timeout };
     let metrics = ConnectionMetrics::Discard;
     ConnectionRegistry::new(ClientKind::Callers, HalfClose::EndsRequest, limits, metrics)
 }
@@ -109,6 +112,16 @@
     assert_eq!(registry.table.borrow().held_bytes(), 20_000);
 }
 
+/// Guards against a connection that stays open for good because its client takes no byte.
+#[actix_rt::test]
+async fn blocked_write_fails_after_its_timeout() {
+    let registry = registry_with_timeout(8, 1 << 20, Duration::from_millis(10));
+    let (mut stream, _client) = connect(&registry);
+    let result = stream.write_all(&[0; PIPE_BYTES + 1]).await;
+    assert_eq!(result.unwrap_err().kind(), io::ErrorKind::TimedOut);
+    assert!(read_once(&mut stream).await.unwrap().is_err(), "the connection is still open");
+}
+
 /// Guards against idle connections that leave no place for a new one.
 #[actix_rt::test]
 async fn new_connection_displaces_the_longest_idle_one() {
--- a/crates/process-tests/tests/unread.rs
+++ b/crates/process-tests/tests/unread.rs
@@ -3,7 +3,8 @@
 use std::{net::SocketAddr, time::Duration};
 
 use process_tests::{
-    FleetOptions, SiteFleet, SiteOptions, TestFleet, call, memory_and_descriptors, wait_for,
+    FleetOptions, SiteFleet, SiteOptions, TestFleet, call, memory_and_descriptors, submission_body,
+    wait_for,
 };
 use rstest::rstest;
 use tokio::{
@@ -198,6 +199,13 @@
      x-model: m0\r\ncontent-length: 0\r\n\r\n"
     )
 )]
+#[case::long_polls(
+    GatewayPort::Callers,
+    RequestFlood::requests(
+        "GET /lots/s?after=99 HTTP/1.1\r\nhost: studio.example\r\nauthorization: Token key-1\r\n\
+     x-wait-ms: 1000\r\n\r\n"
+    )
+)]
 #[case::body_without_end(GatewayPort::Callers, RequestFlood {
     start: "POST /score/x HTTP/1.1\r\nhost: studio.example\r\nx-request-id: flood\r\n\
             transfer-encoding: chunked\r\n\r\n",
@@ -230,6 +238,10 @@
 ) {
     let fleet = SiteFleet::start(SiteOptions { gateways: 1, ..Default::default() }).await;
     let gateway = &fleet.gateways[0];
+    let submission = submission_body("s", 4, 1).to_string();
+    let response =
+        call(gateway.caller_address(), "/draft/s", &SiteFleet::headers("s"), &submission).await;
+    assert_eq!(response.status, 202, "{response:?}");
     let tasks = flood.start(match port {
         GatewayPort::Callers => gateway.caller_address(),
         GatewayPort::Nodes => gateway.peer_address(),
