Test the hand-over of running items with processes

Cause: no process test moved a partition while items run, and the store stand-in gave it to its next owner at once.

Change: a submission of 8 items runs for 2.5 s on one of two gateways; the partitions are dealt anew, or the owner is stopped. The next owner must hold items, and none may be started from nothing.

--- a/crates/process-tests/tests/gateway.rs
+++ b/crates/process-tests/tests/gateway.rs
@@ -143,7 +143,8 @@
 #[actix_rt::test]
 async fn running_items_are_handed_over(#[case] stop_owner: bool) {
     let mut options = SiteOptions { gateways: 2, ..Default::default() };
-    options.engine.event_interval = std::time::Duration::from_millis(60);
+    // A run lasts 2.5 s: several calls to the group, and less than the time for runs to finish.
+    options.engine.event_interval = std::time::Duration::from_millis(250);
     let fleet = SiteFleet::start(options).await;
     let body = submission_body("s", 8, 1).to_string();
     let response =
@@ -168,6 +169,9 @@
     }
     let results = read_all(&fleet, "s", 8).await;
     check_results("s", &results);
+    let held = fleet.gateways[1 - owner].log();
+    let held = held.iter().filter(|line| line["fields"]["name"] == "ItemHeld").count();
+    assert!(held > 0, "no item was held by the next owner");
     let from_nothing = starts().into_iter().filter(|(_, fields)| fields["resume_after"] == 0);
     assert_eq!(from_nothing.count(), 8, "an item was started anew: {:?}", starts());
     assert_eq!(fleet.store.violations(), Vec::new());
@@ -276,7 +280,7 @@
 #[actix_rt::test]
 async fn requests_that_arrive_during_a_planned_stop_are_answered() {
     let mut options = SiteOptions { gateways: 1, ..Default::default() };
-    options.service.service_time = std::time::Duration::from_millis(150);
+    options.service.service_time = std::time::Duration::from_millis(250);
     let fleet = SiteFleet::start(options).await;
     let address = fleet.gateways[0].caller_address();
     fleet.store.set_fault(StoreFault::Silent);
