Settle partitions before the process test deals them anew

The failing run was not traced; by the rotation of the stand-in, partitions that the second gateway has not got yet can be dealt back to the first one.

Change: the test waits until both gateways own partitions.

--- a/crates/process-tests/tests/gateway.rs
+++ b/crates/process-tests/tests/gateway.rs
@@ -146,6 +146,14 @@
     // A run lasts 2.5 s: several calls to the group, and less than the time for runs to finish.
     options.engine.event_interval = std::time::Duration::from_millis(250);
     let fleet = SiteFleet::start(options).await;
+    // Before the first owner has released partitions to the other one, they may be dealt back to it.
+    let owns_partitions = |gateway: &process_tests::GatewayProcess| {
+        gateway.log().iter().any(|line| line["fields"]["name"] == "PartitionsAssigned")
+    };
+    wait_for("both gateways to own partitions", || async {
+        fleet.gateways.iter().all(owns_partitions).then_some(())
+    })
+    .await;
     let body = submission_body("s", 8, 1).to_string();
     let response =
         call(fleet.gateways[0].caller_address(), "/draft/s", &SiteFleet::headers("s"), &body).await;
