Give nodes half of the callers' number of connections

Each request that another node passes on takes a connection of its own, so that an eighth (114 on the smallest VM) could close requests in progress when a whole zone loses its links. Callers get two fifths of the descriptors, nodes a fifth, and the rest stays with upstreams and the store.

--- a/crates/hibiscushinged/src/connections/limits.rs
+++ b/crates/hibiscushinged/src/connections/limits.rs
@@ -34,26 +34,27 @@
 }
 
 impl ProcessLimits {
-    /// Derives the limits from the memory of the process and its descriptor limit. Half of the
-    /// descriptors are left to connections to upstreams and the store. A tenth of the memory holds
-    /// what clients have not read, and a quarter is for idle connections.
+    /// Derives the limits from the memory of the process and its descriptor limit. Callers get two
+    /// fifths of the descriptors and nodes half of that, and the rest is left to connections to
+    /// upstreams and the store. A tenth of the memory holds what callers have not read, and a quarter
+    /// is for their idle connections.
     pub(crate) fn derive(memory_bytes: usize, write_timeout: Duration) -> Self {
         let descriptors = descriptor_limit();
         let usable = descriptors - RESERVED_DESCRIPTORS.min(descriptors / 4);
         Self {
-            max_connections: (usable / 2).min(memory_bytes / 4 / IDLE_CONNECTION_BYTES).max(1),
+            max_connections: (usable / 5 * 2).min(memory_bytes / 4 / IDLE_CONNECTION_BYTES).max(1),
             max_bytes: memory_bytes / 10,
             max_body_bytes: memory_bytes / 10 * 3,
             write_timeout,
         }
     }
 
-    /// Returns the limits for clients of a kind. Nodes have an eighth of what callers have, operators
-    /// a thirty-second part.
+    /// Returns the limits for clients of a kind. Nodes have half of what callers have: each request that
+    /// another node passes on takes a connection. Operators have a thirty-second part.
     pub(super) fn of(self, kind: ClientKind) -> ConnectionLimits {
         let part = match kind {
             ClientKind::Callers => 1,
-            ClientKind::Nodes => 8,
+            ClientKind::Nodes => 2,
             ClientKind::Operators => 32,
         };
         ConnectionLimits {
