Let the bodies of callers' and nodes' requests share one budget in the gateway

Each of the two listeners had three tenths of the memory for bodies, together more than the smallest VM leaves.

--- a/crates/hibiscushinged/src/connections.rs
+++ b/crates/hibiscushinged/src/connections.rs
@@ -83,7 +83,7 @@
     table: RefCell<ConnectionTable>,
     open: RefCell<BTreeMap<ConnectionNumber, Rc<ConnectionState>>>,
     /// Bytes that the bodies of requests in progress may still take.
-    free_body_bytes: Cell<usize>,
+    free_body_bytes: Rc<Cell<usize>>,
     write_timeout: Duration,
     metrics: ConnectionMetrics,
 }
@@ -135,16 +135,21 @@
         half_close: HalfClose,
         limits: ProcessLimits,
         metrics: ConnectionMetrics,
-    ) -> Rc<Self> {
-        Rc::new(Self {
+    ) -> Self {
+        Self {
             kind,
             half_close,
             table: RefCell::new(ConnectionTable::new(limits.of(kind))),
             open: RefCell::default(),
-            free_body_bytes: Cell::new(limits.max_body_bytes),
+            free_body_bytes: Rc::new(Cell::new(limits.max_body_bytes)),
             write_timeout: limits.write_timeout,
             metrics,
-        })
+        }
+    }
+
+    /// Lets the bodies of both listeners' requests share the memory of the other one.
+    pub(crate) fn sharing_bodies_with(self, other: &Self) -> Self {
+        Self { free_body_bytes: Rc::clone(&other.free_body_bytes), ..self }
     }
 
     /// Enters a connection, and closes another one if there are too many.
@@ -368,7 +373,7 @@
 
 /// Builds the service of a listener, which guards each accepted stream.
 pub(crate) fn guarded_service<H>(
-    registry: Rc<ConnectionRegistry>,
+    registry: ConnectionRegistry,
     http: H,
 ) -> impl ServiceFactory<TcpStream, Config = (), Response = (), Error = DispatchError, InitError = ()>
 where
@@ -380,6 +385,7 @@
             InitError = (),
         >,
 {
+    let registry = Rc::new(registry);
     let guard = fn_service(move |stream: TcpStream| {
         let registry = Rc::clone(&registry);
         async move {
--- a/crates/hibiscushinged/src/connections/limits.rs
+++ b/crates/hibiscushinged/src/connections/limits.rs
@@ -1,6 +1,6 @@
 //! Limits on clients' connections, derived from settings, memory and descriptors.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use admission::ConnectionLimits;
 
@@ -80,7 +80,7 @@
 }
 
 /// Creates the registry of a listener's connections.
-pub(crate) fn gateway_registry(node: &Arc<NodeState>, kind: ClientKind) -> Rc<ConnectionRegistry> {
+pub(crate) fn gateway_registry(node: &Arc<NodeState>, kind: ClientKind) -> ConnectionRegistry {
     let settings = &node.settings;
     let derived = ProcessLimits::derive(settings.memory_bytes, to_duration(settings.write_timeout));
     let limits = ProcessLimits {
@@ -101,7 +101,7 @@
     shared: &Arc<SharedState>,
     kind: ClientKind,
     threads: usize,
-) -> Rc<ConnectionRegistry> {
+) -> ConnectionRegistry {
     let settings = &shared.settings;
     let write_timeout = to_duration(settings.timeouts.write);
     let derived = ProcessLimits::derive(settings.bounds.memory_bytes as usize, write_timeout);
--- a/crates/hibiscushinged/src/connections/tests.rs
+++ b/crates/hibiscushinged/src/connections/tests.rs
@@ -38,7 +38,7 @@
 ) -> Rc<ConnectionRegistry> {
     let limits = ProcessLimits { max_connections, max_bytes, max_body_bytes: 100, write_timeout };
     let metrics = ConnectionMetrics::Discard;
-    ConnectionRegistry::new(ClientKind::Callers, HalfClose::EndsRequest, limits, metrics)
+    Rc::new(ConnectionRegistry::new(ClientKind::Callers, HalfClose::EndsRequest, limits, metrics))
 }
 
 /// Returns a guarded stream and the client's end of it.
--- a/crates/hibiscushinged/src/control/server.rs
+++ b/crates/hibiscushinged/src/control/server.rs
@@ -40,7 +40,7 @@
 }
 
 /// Serves connections on the current thread until the process ends.
-async fn serve<F, A>(registry: Rc<ConnectionRegistry>, listener: TcpListener, handler: F)
+async fn serve<F, A>(registry: ConnectionRegistry, listener: TcpListener, handler: F)
 where
     F: Fn(Request) -> A + Clone + 'static,
     A: Future<Output = Response<BoxBody>> + 'static,
--- a/crates/hibiscushinged/src/gateway/serve.rs
+++ b/crates/hibiscushinged/src/gateway/serve.rs
@@ -21,7 +21,9 @@
 use crate::{
     accept::serve_connections,
     clock::to_duration,
-    connections::{self, ClientKind, ServedBody, gateway_registry, guarded_service},
+    connections::{
+        self, ClientKind, ConnectionRegistry, ServedBody, gateway_registry, guarded_service,
+    },
     gateway::{
         cleanup, crash_check, crash_records,
         forward::{self, ForwardedRequest},
@@ -106,8 +108,11 @@
         let callers = listen(node.settings.listen)?;
         let nodes = listen(node.settings.peer)?;
         let traffic = Rc::new(TrafficState::new(node));
-        actix_rt::spawn(accept(Rc::clone(&traffic), callers, RequestSource::Caller));
-        actix_rt::spawn(accept(Rc::clone(&traffic), nodes, RequestSource::Node));
+        let of_callers = gateway_registry(&traffic.node, ClientKind::Callers);
+        let of_nodes = gateway_registry(&traffic.node, ClientKind::Nodes);
+        let of_nodes = of_nodes.sharing_bodies_with(&of_callers);
+        actix_rt::spawn(accept(Rc::clone(&traffic), callers, of_callers, RequestSource::Caller));
+        actix_rt::spawn(accept(Rc::clone(&traffic), nodes, of_nodes, RequestSource::Node));
         actix_rt::spawn(links::follow_control_failures(Rc::clone(&traffic)));
         actix_rt::spawn(peers::announce_node(Rc::clone(&traffic)));
         actix_rt::spawn(peers::follow_nodes(Rc::clone(&traffic)));
@@ -167,12 +172,12 @@
     TcpListener::from_std(listener)
 }
 
-async fn accept(traffic: Rc<TrafficState>, listener: TcpListener, source: RequestSource) {
-    let kind = match source {
-        RequestSource::Caller => ClientKind::Callers,
-        RequestSource::Node => ClientKind::Nodes,
-    };
-    let registry = gateway_registry(&traffic.node, kind);
+async fn accept(
+    traffic: Rc<TrafficState>,
+    listener: TcpListener,
+    registry: ConnectionRegistry,
+    source: RequestSource,
+) {
     let http = HttpService::build()
         .keep_alive(KeepAlive::Timeout(CALLER_IDLE_TIMEOUT))
         .client_request_timeout(HEAD_TIMEOUT)
