--- a/crates/hibiscushinged/src/gateway/items.rs
+++ b/crates/hibiscushinged/src/gateway/items.rs
@@ -177,7 +177,8 @@
     }
 
     /// Puts an interrupted item back into the queue, unless its job was dropped, its partition
-    /// belongs to another node, or this node is stopping. It waits there if the configuration has no route for it at present.
+    /// belongs to another node, or this node is stopping. It waits there if the configuration has no
+    /// route for it at present.
     pub(crate) fn requeue(&self, node: &NodeState, job: &Rc<ItemJob>) {
         job.run.take();
         if !self.is_wanted(job) {
