--- a/crates/process-tests/tests/unread.rs
+++ b/crates/process-tests/tests/unread.rs
@@ -13,7 +13,7 @@
     task::JoinHandle,
 };
 
-/// Connections of the flood. The trial that ended a process had as many.
+/// Connections of the flood. As many raised the memory of a daemon without bounds to 277 MB.
 const CONNECTIONS: usize = 24;
 
 /// Time for which each connection sends requests.
