review: scripts of the second review end their processes when they are ended

Cause: bash dies from SIGTERM while the case runs in its foreground, and the case went on with its gateways for up to 40 s; a case that was killed left its gateways.

--- a/review/rig-2/src/lib.rs
+++ b/review/rig-2/src/lib.rs
@@ -102,7 +102,7 @@
     record.line(if trouble { "run with the disruption" } else { "run without the disruption" });
     // The future of the case owns the gateways, so they end with it, also after a signal.
     let outcome = actix_rt::System::new().block_on(async {
-        let case = case(record.clone(), PathBuf::from(folder), trouble);
+        let case = case(record.clone(), PathBuf::from(&folder), trouble);
         tokio::select! {
             outcome = tokio::time::timeout(CASE_TIMEOUT, case) => outcome,
             reason = stop_signal() => Ok(Err(reason)),
@@ -126,16 +126,27 @@
             COULD_NOT_RUN
         }
     };
+    // The script does this too, unless it was killed.
+    let _ = std::fs::remove_dir_all(&folder);
     std::process::exit(code);
 }
 
-/// Waits for a signal that asks the case to stop.
+/// Waits until the script that started the case has ended, also if it was killed.
+async fn script_end() {
+    let script = std::os::unix::process::parent_id();
+    while std::os::unix::process::parent_id() == script {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+}
+
+/// Waits for a signal that asks the case to stop, or for the end of the script that started it.
 async fn stop_signal() -> String {
     let terminate = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate());
     let Ok(mut terminate) = terminate else { return std::future::pending().await };
     tokio::select! {
         _ = terminate.recv() => {}
         _ = tokio::signal::ctrl_c() => {}
+        () = script_end() => return String::from("its script has ended"),
     }
     String::from("it was stopped by a signal")
 }
