--- a/review/rig-2/src/bin/lapsed_entry.rs
+++ b/review/rig-2/src/bin/lapsed_entry.rs
@@ -95,7 +95,8 @@
     if trouble {
         record.line("the store answers again");
     }
-    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    // The machines are in touch again when they take the submissions.
+    tokio::time::sleep_until(returned + STABLE_WINDOW + Duration::from_millis(50)).await;
 
     for number in 0..SUBMISSIONS {
         let id = format!("{:016x}", 0x7c41_e09b_52d6_a300_u64 + number as u64);
