Read a prefix of keys to its end, whatever keys sort before it

Callers saw: after a restart of all gateways, a submission `step-1` was unknown (404) at every gateway for good if later submissions were called `step-1-1` and so on. Sent again, it was accepted and run a second time, with other results at the same positions.

Cause: `fetch_keys` started after `s/step-1` and took a page whose last key lacks the prefix `s/step-1/` for the last one. Keys of `s/step-1-1/` sort before the prefix, and 500 of them or 1 MB fill a page. The empty result meant "no such submission" to the cache, to acceptance, to a new owner's scan and to the deletion of old submissions.

Ruled out: the start of the scan, pages that change while they are read, and the cache itself.

Change: `PrefixScan` decides from the last key of a page whether the prefix lies ahead or behind; a page that leads nowhere is an error. All reads by prefix use it (submissions, markers, deletion, stream origins).

--- a/crates/hibiscushinged/src/gateway.rs
+++ b/crates/hibiscushinged/src/gateway.rs
@@ -21,6 +21,7 @@
 mod holder;
 mod items;
 mod job;
+mod key_scan;
 mod lease;
 mod limits;
 mod links;
--- a/crates/hibiscushinged/src/gateway/fetch.rs
+++ b/crates/hibiscushinged/src/gateway/fetch.rs
@@ -8,7 +8,13 @@
 use clients::CallError;
 use platform::{ReadResponse, StoredRecord, decode_keyed_record};
 
-use crate::{gateway::store::StoreSession, telemetry::log_event};
+use crate::{
+    gateway::{
+        key_scan::{PrefixScan, ScanStep, StalledScan},
+        store::StoreSession,
+    },
+    telemetry::log_event,
+};
 
 /// A keyed partition of a topic.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -102,26 +108,32 @@
     single_page: bool,
 }
 
-/// Reads the newest values of the keys with a prefix.
+/// Reads the newest values of the keys with a prefix. A key that is missing from the result did not
+/// exist when the read began, or was changed since.
 ///
 /// # Errors
 ///
-/// Returns an error when a call fails, or when a page has no keys and is not the last one.
+/// Returns an error when a call fails, or when a page does not lead to the next one.
 pub(crate) async fn fetch_keys(
     store: &StoreSession,
     name: &PartitionName,
     prefix: &str,
 ) -> Result<KeySet, CallError> {
-    // The prefix without its last character sorts before all keys with the prefix.
-    let mut after = (!prefix.is_empty()).then(|| String::from(&prefix[..prefix.len() - 1]));
+    let mut scan = PrefixScan::new(prefix);
     let mut items = Vec::new();
     let mut unreadable = Vec::new();
     let mut first_end = None;
     loop {
-        let page = store.read_latest(&name.topic, name.partition, after.as_deref()).await?;
+        let page = store.read_latest(&name.topic, name.partition, scan.after()).await?;
         let single_page = first_end.is_none();
         let end = *first_end.get_or_insert(page.end);
-        let last = page.items.last().map(|(key, _)| key.clone());
+        let step = scan.record_page(page.items.last().map(|(key, _)| key.as_str()), page.has_more);
+        let step = step.map_err(|StalledScan| {
+            let after = scan.after().unwrap_or_default();
+            CallError::malformed(format!(
+                "no key follows \"{after}\" on a page that is not the last"
+            ))
+        })?;
         for (key, value) in page.items {
             if !key.starts_with(prefix) {
                 continue;
@@ -135,13 +147,8 @@
                 }
             }
         }
-        match last {
-            Some(last) if page.has_more && last.starts_with(prefix) => after = Some(last),
-            // Without a key there is none from which the next page could start.
-            None if page.has_more => {
-                return Err(CallError::malformed("a page without keys is not the last one"));
-            }
-            _ => return Ok(KeySet { items, unreadable, end, single_page }),
+        if step == ScanStep::Complete {
+            return Ok(KeySet { items, unreadable, end, single_page });
         }
     }
 }
--- a/crates/hibiscushinged/src/gateway/fetch/tests.rs
+++ b/crates/hibiscushinged/src/gateway/fetch/tests.rs
@@ -1,12 +1,15 @@
-//! Reads of all keys whose responses are incomplete.
+//! Reads of keys whose responses are incomplete, or that take several pages.
 
+use bytes::Bytes;
+use platform::encode_keyed_record;
 use rstest::rstest;
+use site_stand_in::{SiteStore, StoreOptions};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::TcpListener,
 };
 
-use super::{FetchedKeys, PartitionName, Span, fetch};
+use super::{FetchedKeys, PartitionName, Span, fetch, fetch_keys};
 use crate::gateway::test_support::traffic;
 
 /// Guards against keys that count as deleted, such as the order to evacuate a zone: because a page
@@ -42,3 +45,36 @@
     });
     assert_eq!(counts, expected);
 }
+
+/// Guards against keys that count as absent because the first page holds only keys that sort before
+/// them: `s/step-1-1/` and `s/step-1./` sort before `s/step-1/`.
+#[rstest]
+#[case::many_keys(600, 10)]
+#[case::large_values(20, 100_000)]
+#[case::several_pages(1_700, 10)]
+#[actix_rt::test]
+async fn keys_with_a_similar_prefix_hide_no_key(#[case] others: usize, #[case] value_bytes: usize) {
+    let store = SiteStore::start(StoreOptions::default()).unwrap();
+    let traffic = traffic(store.address());
+    let name = PartitionName { topic: String::from("keyed.submissions"), partition: 0 };
+    let value = vec![7; value_bytes];
+    let mut records: Vec<Bytes> = Vec::new();
+    for number in 0..others {
+        for before_or_after in ["s/step-1-1/", "s/step-1.~/", "s/step-1~/", "s/step-10/"] {
+            let key = format!("{before_or_after}{number:04}");
+            records.push(encode_keyed_record(&key, Some(&value)));
+        }
+    }
+    for key in ["s/step-1/i/0", "s/step-1/o"] {
+        records.push(encode_keyed_record(key, Some(&value)));
+    }
+    store.append(&name.topic, name.partition, records);
+    let found = fetch_keys(&traffic.store, &name, "s/step-1/").await.unwrap();
+    let keys: Vec<&str> = found.items.iter().map(|change| change.key.as_str()).collect();
+    assert_eq!(keys, ["s/step-1/i/0", "s/step-1/o"]);
+    // A prefix of several pages is read to its end, and one without keys is read as empty.
+    let found = fetch_keys(&traffic.store, &name, "s/step-1-1/").await.unwrap();
+    assert_eq!(found.items.len(), others);
+    let found = fetch_keys(&traffic.store, &name, "s/step-1-/").await.unwrap();
+    assert_eq!(found.items.len(), 0);
+}
--- a/crates/hibiscushinged/src/gateway/partition_follower.rs
+++ b/crates/hibiscushinged/src/gateway/partition_follower.rs
@@ -109,7 +109,7 @@
         self.cache.borrow_mut().follow_from(end, read_started_at);
         let open: Vec<&str> = markers
             .iter()
-            .map(|marker| marker.key.trim_start_matches(OPEN_SUBMISSIONS_PREFIX))
+            .filter_map(|marker| marker.key.strip_prefix(OPEN_SUBMISSIONS_PREFIX))
             .collect();
         for submission in &open {
             self.load(store, submission).await?;
--- a/crates/hibiscushinged/src/gateway/partition_follower/tests.rs
+++ b/crates/hibiscushinged/src/gateway/partition_follower/tests.rs
@@ -21,8 +21,13 @@
 }
 
 fn submission() -> Vec<SubmissionRecord> {
+    submission_with("s", ITEMS)
+}
+
+/// Returns the records of a submission with this identifier.
+fn submission_with(id: &str, item_count: u32) -> Vec<SubmissionRecord> {
     let metadata = SubmissionMetadata {
-        id: String::from("s"),
+        id: String::from(id),
         customer: String::from("brewer"),
         host: String::from("h"),
         path: String::from("/p/"),
@@ -31,9 +36,9 @@
         min_version: WeightVersion(1),
         target_groups: 1,
         accepted_at: WallTime(0),
-        item_count: ITEMS,
+        item_count,
     };
-    let items = (0..ITEMS).map(|index| SubmissionItem {
+    let items = (0..item_count).map(|index| SubmissionItem {
         id: format!("i{index}"),
         path: String::from("/p/1"),
         headers: Vec::new(),
@@ -44,7 +49,7 @@
         reward: None,
     });
     let items =
-        SubmissionRecord::Items { submission: String::from("s"), first: 0, items: items.collect() };
+        SubmissionRecord::Items { submission: String::from(id), first: 0, items: items.collect() };
     vec![SubmissionRecord::Opened(metadata), items]
 }
 
@@ -96,14 +101,7 @@
     let traffic = traffic(store.address());
     let follower = traffic.partitions.get(0).unwrap();
     for other in ["a", "s1", "z"] {
-        let mut records = submission();
-        for record in &mut records {
-            match record {
-                SubmissionRecord::Opened(metadata) => metadata.id = String::from(other),
-                SubmissionRecord::Items { submission, .. } => *submission = String::from(other),
-                _ => {}
-            }
-        }
+        let records = submission_with(other, ITEMS);
         store.append(SUBMISSION_TOPIC, 0, records.iter().map(bytes).collect());
     }
     store.append(SUBMISSION_TOPIC, 0, submission().iter().map(bytes).collect());
@@ -271,3 +269,69 @@
     assert!(!traffic.partitions.set_owned(&partition_set(&[0, 10])));
     assert!(traffic.partitions.set_owned(&partition_set(&[])));
 }
+
+/// Appends the results of `count` items of a submission.
+fn append_results(store: &SiteStore, id: &str, count: u32) {
+    let results = (0..count).map(|position| {
+        let result = ItemResult::errored(format!("i{position}"));
+        bytes(&SubmissionRecord::Result { submission: String::from(id), position, result })
+    });
+    store.append(SUBMISSION_TOPIC, 0, results.collect());
+}
+
+/// Pattern: a trainer's submissions `step-1`, `step-1-1`, `step-1-2` and so on, and a restart of all
+/// nodes.
+///
+/// Guards against an accepted submission that counts as unknown after the restart, because the keys
+/// of later submissions fill the first page that is read: it gets status 404, is accepted again when
+/// it is repeated, and its items are never run by the new owner.
+#[actix_rt::test]
+async fn submission_is_found_beside_similar_identifiers() {
+    let store = SiteStore::start(StoreOptions::default()).unwrap();
+    for id in ["step-1", "step-1-1", "step-1-2", "step-1."] {
+        let mut records = submission_with(id, 300);
+        records.push(SubmissionRecord::OpenMarkerSet { submission: String::from(id) });
+        store.append(SUBMISSION_TOPIC, 0, records.iter().map(bytes).collect());
+        append_results(&store, id, 290);
+    }
+    store.drop_history();
+
+    let reader = traffic(store.address());
+    let follower = reader.partitions.get(0).unwrap();
+    follower.load(&reader.store, "step-1").await.unwrap();
+    let listed = follower.table().get("step-1").map(submissions::SubmissionState::result_count);
+    assert_eq!(listed, Some(290));
+
+    let owner = traffic(store.address());
+    let follower = owner.partitions.get(0).unwrap();
+    owner.partitions.set_owned(&std::collections::BTreeSet::from([0]));
+    let mut changes = follower.subscribe();
+    follower.follow(&owner.store);
+    changes.wait_for(|_| follower.cache().is_scanned()).await.unwrap();
+    let cache = follower.cache();
+    let mut open: Vec<&str> =
+        cache.open_submissions().map(|open| open.metadata().id.as_str()).collect();
+    open.sort();
+    assert_eq!(open, ["step-1", "step-1-1", "step-1-2", "step-1."]);
+}
+
+/// Guards against keys of an old submission that stay in the store for ever, because its marker is
+/// deleted while the keys of similar identifiers hide those that belong to it.
+#[actix_rt::test]
+async fn old_submission_is_deleted_beside_similar_identifiers() {
+    let store = SiteStore::start(StoreOptions::default()).unwrap();
+    for id in ["step-1-1", "step-1-2", "step-1"] {
+        store.append(SUBMISSION_TOPIC, 0, submission_with(id, 300).iter().map(bytes).collect());
+        append_results(&store, id, 300);
+    }
+    let (submission, accepted_at) = (String::from("step-1"), WallTime(0));
+    let marker = SubmissionRecord::Expiring { submission, accepted_at };
+    store.append(SUBMISSION_TOPIC, 0, vec![bytes(&marker)]);
+    let traffic = traffic(store.address());
+    let follower = traffic.partitions.get(0).unwrap();
+    crate::gateway::cleanup::delete_old_in_partition(&traffic, follower).await.unwrap();
+    for key in ["z/step-1", "s/step-1/o", "s/step-1/i/0", "s/step-1/r/299"] {
+        assert!(store.value(SUBMISSION_TOPIC, 0, key).is_none(), "{key}");
+    }
+    assert!(store.value(SUBMISSION_TOPIC, 0, "s/step-1-1/o").is_some());
+}
