Count crashes under reward calls, and block those that end servers

Cause: reward calls had no fingerprint, so no crash under them was recorded on any node. Two further causes, found with the test, hold for callers' requests too: the check whether the links work asked servers that had just ended, and took the links for the cause; and runs that ended in the same millisecond could count as one.

Ruled out: the crash check itself (it saw each refused connection in the log of the test).

Change: a reward call has a fingerprint with its identifier. A blocked one is not sent but for two further runs (`CallProbation`), which acquit a harmless call; its item is `errored` from the longest `retention_s` on. Live upstreams are asked first whether links work. Crashes are sorted by their starts too.

--- a/crates/hibiscushinged/src/gateway/crash_check.rs
+++ b/crates/hibiscushinged/src/gateway/crash_check.rs
@@ -1,5 +1,5 @@
-//! Checks whether an upstream ended while it ran a caller's request, and what follows for repeats of
-//! the request.
+//! Checks whether an upstream ended while it ran a caller's request or a reward call, and what follows
+//! for repeats of the request.
 
 #[cfg(test)]
 mod tests;
@@ -43,8 +43,8 @@
     }
 }
 
-/// A caller's request on one upstream process.
-pub(crate) struct CallerRun {
+/// A caller's request or a reward call on one upstream process.
+pub(crate) struct RequestRun {
     request: String,
     fingerprint: Fingerprint,
     target: RunTarget,
@@ -73,11 +73,9 @@
     }
 }
 
-impl CallerRun {
-    /// Returns `None` for a reward call, which is never a suspect.
-    pub(crate) fn new(job: &PlainJob<'_>, target: RunTarget) -> Option<Self> {
-        let fingerprint = job.fingerprint()?;
-        Some(Self { request: String::from(job.id), fingerprint, target })
+impl RequestRun {
+    pub(crate) fn new(job: &PlainJob<'_>, target: RunTarget) -> Self {
+        Self { request: String::from(job.id), fingerprint: job.fingerprint(), target }
     }
 
     /// Checks, after the exchange failed, whether the upstream has ended, and records the crash.
@@ -127,9 +125,7 @@
     if traffic.suspects.is_empty() {
         return;
     }
-    if let Some(run) = CallerRun::new(job, target) {
-        run.record_response(traffic);
-    }
+    RequestRun::new(job, target).record_response(traffic);
 }
 
 /// Refuses a request whose fingerprint is convicted.
@@ -139,6 +135,9 @@
 /// Returns the refusal, which says when the request may be sent again.
 pub(crate) fn check_convicted(traffic: &TrafficState, job: &PlainJob<'_>) -> Result<(), Refusal> {
     let FingerprintStatus::Convicted { retry_after } = status(traffic, job) else { return Ok(()) };
+    if job.on_probation {
+        return Ok(());
+    }
     let message = "the request is blocked because several upstreams ended while they ran it";
     Err(Refusal::not_run(RefusalCode::Convicted, message).with_retry_after(retry_after))
 }
@@ -153,8 +152,7 @@
     if traffic.suspects.has_no_suspects() {
         return FingerprintStatus::Clear;
     }
-    let Some(fingerprint) = job.fingerprint() else { return FingerprintStatus::Clear };
-    traffic.suspects.status(wall_now(), fingerprint)
+    traffic.suspects.status(wall_now(), job.fingerprint())
 }
 
 /// Records the crashes of the requests that got no response from a process, after its entry in the
--- a/crates/hibiscushinged/src/gateway/crash_check/tests.rs
+++ b/crates/hibiscushinged/src/gateway/crash_check/tests.rs
@@ -87,6 +87,7 @@
         resumable: false,
         origin,
         forwarded: false,
+        on_probation: false,
         home: routebook::HomeRegions::default(),
         software_version: None,
         digest: OnceCell::new(),
@@ -98,7 +99,7 @@
 }
 
 /// Guards against blocking a request because connections broke, and against missing the end of an
-/// upstream. A reward call belongs to an item, which is owed whatever happens.
+/// upstream, also under a reward call.
 #[rstest]
 #[case::upstream_ends(
     UpstreamFault::Ends,
@@ -113,7 +114,13 @@
     false,
     FingerprintStatus::Clear
 )]
-#[case::reward_call(UpstreamFault::Ends, RequestOrigin::Item, false, FingerprintStatus::Clear)]
+#[case::reward_call(UpstreamFault::Ends, RequestOrigin::Item, false, FingerprintStatus::Suspect)]
+#[case::reward_call_broken_off(
+    UpstreamFault::BreaksOff,
+    RequestOrigin::Item,
+    false,
+    FingerprintStatus::Clear
+)]
 #[actix_rt::test]
 async fn only_the_end_of_an_upstream_makes_a_suspect(
     #[case] fault: UpstreamFault,
@@ -131,7 +138,7 @@
         run_plain(&traffic, &job).await.err()
     };
     assert_eq!(refusal.map(|refusal| refusal.execution), Some(Execution::MayHaveRun));
-    assert_eq!(status(&traffic), expected);
+    assert_eq!(traffic.suspects.status(wall_now(), job.fingerprint()), expected);
 }
 
 /// Guards against a request that ends all upstreams within one attempt of its caller.
--- a/crates/hibiscushinged/src/gateway/job.rs
+++ b/crates/hibiscushinged/src/gateway/job.rs
@@ -15,7 +15,7 @@
 };
 use tokio::task::AbortHandle;
 
-use crate::clock::wall_now;
+use crate::{clock::wall_now, gateway::traffic_state::TrafficState};
 
 /// Delay that each rank of route priority adds to the due time of its items in the queue. A higher
 /// rank is less urgent.
@@ -57,6 +57,10 @@
     pub(crate) tried: SmallVec<[UpstreamKey; 4]>,
     /// When the item was last put into the queue.
     pub(crate) queued_at: Moment,
+    /// When this node began to run the item, which is later than its submission.
+    pub(crate) known_since: Moment,
+    /// Longest time after which a configuration has allowed the item to be given up.
+    pub(crate) retention: Option<Span>,
     /// Runs on earlier owners of the partition.
     pub(crate) handover: HandoverTracker,
     /// Engine that generated the text, from when it is handed over until the item starts.
@@ -87,6 +91,8 @@
             empty_runs: 0,
             tried: SmallVec::new(),
             queued_at: Moment::default(),
+            known_since: Moment::default(),
+            retention: None,
             handover: HandoverTracker::default(),
             handover_engine: None,
         };
@@ -109,6 +115,20 @@
 }
 
 impl ItemJob {
+    /// Returns whether the item may be resolved as errored because it has been open for the time that
+    /// its route names. A configuration may lack the route or name a shorter time for a moment, so the
+    /// longest time counts.
+    pub(crate) fn may_be_given_up(&self, traffic: &TrafficState) -> bool {
+        let config = traffic.config();
+        let route = config
+            .as_ref()
+            .and_then(|config| config.route(&self.metadata.host, &self.metadata.path));
+        let mut progress = self.progress.borrow_mut();
+        progress.retention = progress.retention.max(route.and_then(|route| route.retention));
+        let age = traffic.node.now().since(progress.known_since);
+        progress.retention.is_some_and(|retention| age >= retention)
+    }
+
     /// Returns the regions in which the item may run, by its route and its customer.
     pub(crate) fn home(&self, config: &ConfigIndex) -> HomeRegions {
         let SubmissionMetadata { customer, host, path, .. } = &*self.metadata;
--- a/crates/hibiscushinged/src/gateway/links.rs
+++ b/crates/hibiscushinged/src/gateway/links.rs
@@ -136,15 +136,17 @@
 }
 
 /// Returns whether an upstream other than `failed` accepts connections, or whether there is none
-/// to ask. If none does, this node's links may be the cause of the failure.
+/// to ask. If none does, this node's links may be the cause of the failure. Upstreams that have failed
+/// lately are asked last: several of them may have ended.
 pub(crate) async fn is_cause_elsewhere(traffic: &TrafficState, failed: UpstreamKey) -> bool {
-    let services: Vec<String> = traffic.balancer.borrow().services().map(String::from).collect();
-    let mut upstreams = SmallVec::new();
-    for service in services {
-        upstreams.extend(random_upstreams(traffic, &service, PROBED_UPSTREAMS));
-    }
-    upstreams.retain(|upstream| *upstream != failed);
-    let upstreams = take_random(upstreams, PROBED_UPSTREAMS);
+    let (mut upstreams, suspended): (UpstreamList, UpstreamList) = {
+        let (now, balancer) = (traffic.node.now(), traffic.balancer.borrow());
+        let all = balancer.services().flat_map(|service| balancer.usable_upstreams(now, service));
+        let others = all.filter(|upstream| *upstream != failed);
+        others.partition(|upstream| !balancer.is_suspended(now, *upstream))
+    };
+    upstreams = take_random(upstreams, PROBED_UPSTREAMS);
+    upstreams.extend(take_random(suspended, PROBED_UPSTREAMS - upstreams.len()));
     upstreams.is_empty() || connect_any(traffic, &upstreams).await
 }
 
--- a/crates/hibiscushinged/src/gateway/plain.rs
+++ b/crates/hibiscushinged/src/gateway/plain.rs
@@ -16,7 +16,7 @@
 use crate::{
     gateway::{
         attempt::{AttemptCall, AttemptError, FullResponse, log_attempt, run_exchange, wait_until},
-        crash_check::{self, CallerRun, RunTarget},
+        crash_check::{self, RequestRun, RunTarget},
         forward::{self, ForwardError},
         links, suspect_runs,
         traffic_state::TrafficState,
@@ -58,6 +58,8 @@
     pub(crate) origin: RequestOrigin,
     /// Whether another node passed the request on, so that this one must not.
     pub(crate) forwarded: bool,
+    /// Whether the request runs although it is blocked.
+    pub(crate) on_probation: bool,
     /// Regions in which the request may run.
     pub(crate) home: HomeRegions,
     /// Software version at which a stream goes on, if the request resumes one.
@@ -67,14 +69,16 @@
 }
 
 impl PlainJob<'_> {
-    /// Returns the fingerprint by which every node recognizes repeats of a caller's request, or
-    /// `None` for a reward call: an item is owed even if upstreams crash while they run it.
-    pub(crate) fn fingerprint(&self) -> Option<Fingerprint> {
-        if self.origin == RequestOrigin::Item {
-            return None;
-        }
-        let customer = self.customer.unwrap_or_default();
-        Some(*self.digest.get_or_init(|| Fingerprint::of(customer, self.path, &self.body)))
+    /// Returns the fingerprint by which every node recognizes repeats of the request. A caller's repeat
+    /// has another identifier. A reward call keeps its own, and calls of other items may have equal
+    /// bodies, so that a crash under one of them says nothing of the others.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        *self.digest.get_or_init(|| match self.origin {
+            RequestOrigin::Caller => {
+                Fingerprint::of(self.customer.unwrap_or_default(), self.path, &self.body)
+            }
+            RequestOrigin::Item => Fingerprint::of(self.id, self.path, &self.body),
+        })
     }
 
     /// Returns whether the request may be passed to another node that reaches its upstreams.
@@ -253,9 +257,7 @@
                 if traffic.node.now() >= job.deadline {
                     state.may_have_run = true;
                     for target in &state.running {
-                        if let Some(run) = CallerRun::new(job, *target) {
-                            run.record_unanswered(traffic);
-                        }
+                        RequestRun::new(job, *target).record_unanswered(traffic);
                     }
                     return state.give_up(traffic, job, Span::ZERO);
                 }
@@ -324,10 +326,7 @@
         forward::name_leaving(&mut response.headers, target.process());
     }
     let crashed = match &result {
-        Err(AttemptError::MaybeRun(_)) => match CallerRun::new(job, target) {
-            Some(run) => run.check_crash(traffic).await,
-            None => false,
-        },
+        Err(AttemptError::MaybeRun(_)) => RequestRun::new(job, target).check_crash(traffic).await,
         Ok(response) if response.status.as_u16() < 500 => {
             crash_check::record_response(traffic, job, target);
             false
@@ -421,7 +420,7 @@
             }
             Err(error) => {
                 let ran = matches!(error, AttemptError::MaybeRun(_));
-                let fingerprint = job.fingerprint().filter(|_| ran).map(|found| found.to_string());
+                let fingerprint = ran.then(|| job.fingerprint().to_string());
                 log_event!(
                     AttemptFailed,
                     request = job.id,
--- a/crates/hibiscushinged/src/gateway/relay.rs
+++ b/crates/hibiscushinged/src/gateway/relay.rs
@@ -18,7 +18,7 @@
     gateway::{
         attempt::{AttemptError, AttemptGuard, log_attempt, open_exchange, wait_until},
         channel::{ChannelError, Exchange},
-        crash_check::{self, CallerRun, RunTarget},
+        crash_check::{self, RequestRun, RunTarget},
         forward::{self, ForwardError, ForwardedExchange},
         links,
         plain::{MAX_CRASHES, PlainJob, no_upstream, pick},
@@ -44,7 +44,7 @@
     upstream: UpstreamKey,
     exchange: Option<Exchange>,
     attempt: Option<AttemptGuard>,
-    run: Option<CallerRun>,
+    run: RequestRun,
     /// Where the events end, if the stream ends with its connection.
     boundary: Option<EventBoundary>,
     /// When the stream is cut if it has not ended.
@@ -126,7 +126,7 @@
                     upstream,
                     exchange: None,
                     attempt: Some(attempt),
-                    run: CallerRun::new(job, target),
+                    run: RequestRun::new(job, target),
                     boundary: (exchange.ends_with_connection()
                         && exchange.head().status.is_success())
                     .then(EventBoundary::default),
@@ -148,9 +148,8 @@
                 let cause = String::from(error.reason());
                 attempt.finish(outcome);
                 log_event!(AttemptFailed, request = job.id, may_have_run = true, reason = cause);
-                if let Some(run) = CallerRun::new(job, target) {
-                    crashes += usize::from(run.check_crash(traffic).await);
-                }
+                let run = RequestRun::new(job, target);
+                crashes += usize::from(run.check_crash(traffic).await);
                 reason = cause;
                 *may_have_run = true;
                 if !job.retryable {
@@ -303,10 +302,8 @@
         }
         Ok(None) => {
             let exchange = state.exchange.take()?;
-            if let Some(run) = &state.run
-                && exchange.head().status.as_u16() < 500
-            {
-                run.record_response(&state.traffic);
+            if exchange.head().status.as_u16() < 500 {
+                state.run.record_response(&state.traffic);
             }
             state.traffic.keep_channel(state.upstream, exchange);
             if let Some(attempt) = state.attempt.take() {
@@ -319,9 +316,7 @@
             if let Some(attempt) = state.attempt.take() {
                 attempt.finish(ExchangeOutcome::TransportError);
             }
-            if let Some(run) = &state.run {
-                run.check_crash(&state.traffic).await;
-            }
+            state.run.check_crash(&state.traffic).await;
             Some((Err(std::io::Error::other(error.to_string())), state))
         }
     }
--- a/crates/hibiscushinged/src/gateway/reward.rs
+++ b/crates/hibiscushinged/src/gateway/reward.rs
@@ -8,10 +8,11 @@
 use actix_http::{Method, StatusCode, header::HeaderMap};
 use base::RefusalCode;
 use dispatch::RequestOrigin;
-use submissions::{FailureBudget, ItemResult, ItemState, RewardCall};
+use submissions::{CallProbation, FailureBudget, ItemResult, ItemState, RewardCall};
 
 use crate::{
     gateway::{
+        crash_check,
         job::ItemJob,
         plain::{PlainJob, run_plain},
         traffic_state::TrafficState,
@@ -48,6 +49,8 @@
         /// Version of the configuration.
         config_version: u64,
     },
+    /// Several upstreams ended while they ran the call, so it is not sent again.
+    Blocked,
 }
 
 /// Has the complete text of an item scored, if the item asks for it, and resolves the item.
@@ -59,8 +62,10 @@
     job.scoring.set(true);
     let mut failures = FailureBudget::default();
     let mut is_delayed = false;
+    let mut probation = CallProbation::default();
+    let mut on_probation = false;
     while traffic.items.is_wanted(job) {
-        match call(traffic, job, reward).await {
+        match call(traffic, job, reward, std::mem::take(&mut on_probation)).await {
             CallOutcome::Scored(score) => {
                 traffic.items.resolve(job, finished_result(job, Some(score)));
                 return;
@@ -95,13 +100,30 @@
                     );
                 }
             }
+            CallOutcome::Blocked => {
+                let (submission, item) = (&job.metadata.id, &job.item.id);
+                if !probation.is_blocked() {
+                    log_event!(warn, RewardBlocked, submission, item, request = reward.id);
+                }
+                on_probation = probation.observe_block(traffic.node.now());
+                if job.may_be_given_up(traffic) {
+                    traffic.items.resolve(job, ItemResult::errored(item.as_str()));
+                    return;
+                }
+            }
             CallOutcome::Retry => {}
         }
         tokio::time::sleep(RETRY_DELAY).await;
     }
 }
 
-async fn call(traffic: &Rc<TrafficState>, job: &ItemJob, reward: &RewardCall) -> CallOutcome {
+/// Makes a reward call, unless it is blocked and not `on_probation`.
+async fn call(
+    traffic: &Rc<TrafficState>,
+    job: &ItemJob,
+    reward: &RewardCall,
+    on_probation: bool,
+) -> CallOutcome {
     let Some(config) = traffic.config() else { return CallOutcome::Retry };
     let route = config.route(&reward.host, &reward.path);
     let target = route.and_then(|route| Some((route, route.pick_service(rand::random())?)));
@@ -128,17 +150,21 @@
         service,
         deadline: started + route.timeout,
         latency_objective: route.latency_objective,
-        max_attempts: MAX_ATTEMPTS,
+        max_attempts: if on_probation { 1 } else { MAX_ATTEMPTS },
         config_version: config.version(),
         retryable: true,
         resumable: false,
         origin: RequestOrigin::Item,
         forwarded: false,
+        on_probation,
         // The call has the text of the item, so the home regions of both apply.
         home: job.home(&config).and(&route.home_regions),
         software_version: None,
         digest: OnceCell::new(),
     };
+    if crash_check::check_convicted(traffic, &plain).is_err() {
+        return CallOutcome::Blocked;
+    }
     match run_plain(traffic, &plain).await {
         Ok(response) if response.status.as_u16() < 300 => {
             traffic.node.metrics.observe_reward(traffic.node.now().since(started));
--- a/crates/hibiscushinged/src/gateway/runner.rs
+++ b/crates/hibiscushinged/src/gateway/runner.rs
@@ -136,6 +136,8 @@
             {
                 let mut progress = job.progress.borrow_mut();
                 progress.queued_at = traffic.node.now();
+                progress.known_since = progress.queued_at;
+                progress.retention = route.retention;
                 progress.failures = FailureBudget::new(route.max_attempts);
             }
             state.jobs.insert(&job);
--- a/crates/hibiscushinged/src/gateway/serve.rs
+++ b/crates/hibiscushinged/src/gateway/serve.rs
@@ -491,6 +491,7 @@
         resumable: route.kind == RequestKind::Stream && route.can_resume,
         origin: RequestOrigin::Caller,
         forwarded: caller.forwarded.is_some(),
+        on_probation: false,
         home: HomeRegions::default(),
         software_version: None,
         digest: OnceCell::new(),
--- a/crates/hibiscushinged/src/gateway/suspect_runs.rs
+++ b/crates/hibiscushinged/src/gateway/suspect_runs.rs
@@ -159,10 +159,10 @@
     traffic: &Rc<TrafficState>,
     job: &PlainJob<'_>,
 ) -> Result<Option<RunPermit>, Refusal> {
-    let Some(fingerprint) = job.fingerprint() else { return Ok(None) };
     if !crash_check::is_suspect(traffic, job) {
         return Ok(None);
     }
+    let fingerprint = job.fingerprint();
     let started = traffic.node.now();
     let wait_end = (started + job.latency_objective).min(job.deadline);
     let local_runs = traffic.suspect_runs.local_runs(fingerprint);
--- a/crates/hibiscushinged/src/gateway/suspects.rs
+++ b/crates/hibiscushinged/src/gateway/suspects.rs
@@ -1,4 +1,5 @@
-//! Requests of callers that were in flight on upstreams when these ended, as all nodes know them.
+//! Requests of callers and reward calls that were in flight on upstreams when these ended, as all nodes
+//! know them.
 //!
 //! Each crash is a record in the store, by the request's fingerprint and the process that ended.
 //! [`SuspectTable`] decides by the records which fingerprints are convicted. A crash counts only if
@@ -282,7 +283,8 @@
         let was_convicted = matches!(status, FingerprintStatus::Convicted { .. });
         let mut records: SmallVec<[(CrashKey, CrashRecord); 4]> =
             self.keys_of(fingerprint).map(|key| (key, self.records[&key])).collect();
-        records.sort_unstable_by_key(|(_, record)| record.ended_at);
+        // Runs that follow each other may end in the same millisecond.
+        records.sort_unstable_by_key(|(_, record)| (record.ended_at, record.started_at));
         self.handle(now, wall, SuspectEvent::Acquitted(fingerprint));
         let mut last_end = None;
         let mut counted = SmallVec::new();
--- a/crates/submissions/src/failure.rs
+++ b/crates/submissions/src/failure.rs
@@ -1,4 +1,7 @@
-//! When an item is given up because its runs or its reward calls fail.
+//! When an item is given up because its runs or its reward calls fail, and when a blocked call is tried
+//! again.
+
+use base::{Moment, Span};
 
 /// Failed runs of an item, or failed reward calls, against the number that gives it up.
 ///
@@ -31,3 +34,40 @@
         self.limit.is_some_and(|limit| self.failures >= limit)
     }
 }
+
+/// Time from the block of a call to its first further run. Upstreams that have ended are back by
+/// then. The time to the second one is twice as long.
+const FIRST_PROBATION_DELAY: Span = Span::from_secs(5);
+
+/// Further runs of a blocked call. Each may end another upstream, of which three may be lost to a call
+/// after it was blocked.
+const MAX_PROBATION_RUNS: u32 = 2;
+
+/// Further runs of a call that is blocked because upstreams ended while they ran it.
+///
+/// Calls that ran beside a deadly one are blocked with it. A response to a further run shows that a
+/// call is harmless, and a deadly one has few of them.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CallProbation {
+    next_run_at: Option<Moment>,
+    runs: u32,
+}
+
+impl CallProbation {
+    /// Records that the call is blocked. Returns whether it is run once more now.
+    pub fn observe_block(&mut self, now: Moment) -> bool {
+        let next_run_at = *self.next_run_at.get_or_insert(now + FIRST_PROBATION_DELAY);
+        if self.runs == MAX_PROBATION_RUNS || now < next_run_at {
+            return false;
+        }
+        self.runs += 1;
+        self.next_run_at = Some(now + Span(FIRST_PROBATION_DELAY.0 << self.runs));
+        true
+    }
+
+    /// Returns whether the call has been blocked.
+    #[must_use]
+    pub const fn is_blocked(&self) -> bool {
+        self.next_run_at.is_some()
+    }
+}
--- a/crates/submissions/tests/failure.rs
+++ b/crates/submissions/tests/failure.rs
@@ -1,7 +1,8 @@
-//! Limits on failed runs that change with the configuration.
+//! Limits on failed runs that change with the configuration, and further runs of blocked calls.
 
+use base::Moment;
 use rstest::rstest;
-use submissions::FailureBudget;
+use submissions::{CallProbation, FailureBudget};
 
 /// Returns the failure at which an item is given up, whose limit was `first` at the beginning and is
 /// `limits` at its failures.
@@ -31,3 +32,14 @@
 ) {
     assert_eq!(given_up_at(first, limits), expected);
 }
+
+/// Guards against a deadly call that is sent again and again, and against a harmless one that is never
+/// tried again.
+#[test]
+fn blocked_call_has_two_further_runs() {
+    let mut probation = CallProbation::default();
+    assert!(!probation.is_blocked());
+    let runs = (0..600_u64).filter(|second| probation.observe_block(Moment(second * 1_000_000)));
+    assert_eq!(runs.collect::<Vec<_>>(), [5, 15]);
+    assert!(probation.is_blocked());
+}
