Keep the home regions of a customer that the configuration lacks

Cause: `ItemJob::home` took a missing customer for one without home regions.

Change: an item keeps what the last configuration with its customer said of it.

Test failed before: item_keeps_the_home_regions_of_a_missing_customer, 3 of 5 cases (`left: None right: Some(["east"])`).

--- a/crates/hibiscushinged/src/gateway/job.rs
+++ b/crates/hibiscushinged/src/gateway/job.rs
@@ -1,5 +1,8 @@
 //! Items that this node runs, and the table of them.
 
+#[cfg(test)]
+mod tests;
+
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
@@ -37,6 +40,8 @@
     pub(crate) resolved: Cell<bool>,
     /// When the run ends at the latest, once another node owns the partition.
     pub(crate) drain_until: Cell<Option<Moment>>,
+    /// Home regions of the customer by the last configuration that had it.
+    customer_home: RefCell<HomeRegions>,
 }
 
 /// A run in progress: its task, its engine and when it started.
@@ -105,6 +110,7 @@
             run: RefCell::new(None),
             resolved: Cell::new(false),
             drain_until: Cell::new(None),
+            customer_home: RefCell::default(),
         }
     }
 
@@ -129,15 +135,16 @@
         progress.retention.is_some_and(|retention| age >= retention)
     }
 
-    /// Returns the regions in which the item may run, by its route and its customer.
+    /// Returns the regions in which the item may run, by its route and its customer. A configuration
+    /// may lack the customer for a moment, so what the last one said of it holds meanwhile.
     pub(crate) fn home(&self, config: &ConfigIndex) -> HomeRegions {
-        let SubmissionMetadata { customer, host, path, .. } = &*self.metadata;
-        match config.route(host, path) {
-            Some(route) => HomeRegions::of_request(config, route, Some(customer)),
-            None => {
-                let customer = config.customer_named(customer);
-                customer.map(|customer| customer.home_regions.clone()).unwrap_or_default()
-            }
+        if let Some(customer) = config.customer_named(&self.metadata.customer) {
+            self.customer_home.replace(customer.home_regions.clone());
+        }
+        let home = self.customer_home.borrow();
+        match config.route(&self.metadata.host, &self.metadata.path) {
+            Some(route) => route.home_regions.and(&home),
+            None => home.clone(),
         }
     }
 }
