Record the number of partitions of submissions in the store

Cause: each process chose one or all partitions by its own settings at its start. The number decides where a submission lies and who owns it.

Ruled out: the restart alone, and a store that lost anything.

Change: `gateway::layout` reads the number from keyed.layout; the first node proposes it by a conditional append. Until it is known a node has no partitions and refuses submissions as not run.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -53,6 +53,7 @@
     1106 StoreLost "The platform's store is unreachable or refuses this node."
     1107 StoreRegained "The platform's store responds again."
     1108 PartitionsAssigned "The partitions whose submissions this node runs have changed."
+    1109 PartitionsKnown "The number of partitions that submissions use on all nodes is known; this node would have proposed another one if the two differ."
     // Authority and orders.
     1201 LeaseAcquired "This node has acquired the lease of a scope."
     1202 LeaseLost "This node no longer holds the lease of a scope."
--- a/crates/hibiscushinged/src/gateway.rs
+++ b/crates/hibiscushinged/src/gateway.rs
@@ -22,6 +22,7 @@
 mod items;
 mod job;
 mod key_scan;
+mod layout;
 mod lease;
 mod limits;
 mod links;
--- a/crates/hibiscushinged/src/gateway/group.rs
+++ b/crates/hibiscushinged/src/gateway/group.rs
@@ -38,6 +38,8 @@
     if traffic.node.settings.millicores < MIN_WORKER_MILLICORES {
         wait_until_needed(&traffic).await;
     }
+    // A partition that is assigned before would not be run.
+    traffic.partitions.known_count().await;
     let member_timeout = member_timeout(&traffic);
     let member = member_name(&traffic);
     let topics = [String::from(SUBMISSION_TOPIC)];
--- a/crates/hibiscushinged/src/gateway/serve.rs
+++ b/crates/hibiscushinged/src/gateway/serve.rs
@@ -27,7 +27,7 @@
     gateway::{
         cleanup, crash_check, crash_records, evacuation,
         forward::{self, ForwardedRequest},
-        group, handover, limits, links,
+        group, handover, layout, limits, links,
         node::{LAST_TOTALS_TIMEOUT, NodeState},
         peers,
         plain::{PlainJob, run_plain},
@@ -120,6 +120,7 @@
         actix_rt::spawn(follow_upstreams(Rc::clone(&traffic), changes));
         actix_rt::spawn(close_idle_channels(Rc::clone(&traffic)));
         actix_rt::spawn(evacuation::follow_evacuations(Rc::clone(&traffic)));
+        actix_rt::spawn(layout::agree_on_partitions(Rc::clone(&traffic)));
         actix_rt::spawn(group::stay_in_group(Rc::clone(&traffic)));
         actix_rt::spawn(runner::place_items(Rc::clone(&traffic)));
         actix_rt::spawn(runner::store_results(Rc::clone(&traffic)));
--- a/crates/hibiscushinged/src/gateway/stream_origins.rs
+++ b/crates/hibiscushinged/src/gateway/stream_origins.rs
@@ -57,7 +57,7 @@
 
 /// A record that has to be written, and who waits for it.
 struct UnsentOrigin {
-    partition: u32,
+    stream: StreamDigest,
     record: Bytes,
     begun_at: Moment,
     /// Notified once the record is in the store.
@@ -76,8 +76,9 @@
     StreamDigest(stable_hash(&format!("{}/{request}", customer.unwrap_or_default())))
 }
 
-fn partition_of(traffic: &TrafficState, stream: StreamDigest) -> u32 {
-    (stream.0 % u64::from(traffic.partitions.count())) as u32
+/// Returns the partition of a stream's record among this many.
+fn partition_of(partitions: u32, stream: StreamDigest) -> u32 {
+    (stream.0 % u64::from(partitions)) as u32
 }
 
 /// Writes which software version begins the stream of a request. Returns when that is done, or
@@ -96,8 +97,7 @@
     let origins = &traffic.stream_origins;
     origins.remember(now, stream, origin);
     let (written, result) = oneshot::channel();
-    let partition = partition_of(traffic, stream);
-    let unsent = UnsentOrigin { partition, record, begun_at: now, written };
+    let unsent = UnsentOrigin { stream, record, begun_at: now, written };
     origins.unsent.borrow_mut().push(unsent);
     origins.unsent_added.notify_one();
     // The first event does not wait for a store that does not respond anyway.
@@ -153,7 +153,10 @@
     if let Some((origin, _)) = traffic.stream_origins.recent.borrow().get(&stream) {
         return Ok(Some(origin.clone()));
     }
-    let partition = partition_of(traffic, stream);
+    let Some(partitions) = traffic.partitions.count() else {
+        return Err(String::from("this node has not read yet how many partitions there are"));
+    };
+    let partition = partition_of(partitions, stream);
     let name = PartitionName { topic: String::from(ORIGIN_TOPIC), partition };
     let key = stream_origin_key(stream);
     let read = tokio::time::timeout(READ_TIMEOUT, fetch_keys(&traffic.store, &name, &key)).await;
@@ -168,12 +171,14 @@
 /// Writes the origins of streams until the process ends.
 pub(crate) async fn store_origins(traffic: Rc<TrafficState>) {
     let origins = &traffic.stream_origins;
+    let partitions = traffic.partitions.known_count().await;
     loop {
         origins.unsent_added.notified().await;
         tokio::time::sleep(BATCH_DELAY).await;
         let mut batches: HashMap<u32, Vec<UnsentOrigin>> = HashMap::new();
         for unsent in origins.unsent.take() {
-            batches.entry(unsent.partition).or_default().push(unsent);
+            let partition = partition_of(partitions, unsent.stream);
+            batches.entry(partition).or_default().push(unsent);
         }
         // A slow write does not delay the streams that begin meanwhile.
         for (partition, batch) in batches {
--- a/crates/hibiscushinged/src/gateway/submit.rs
+++ b/crates/hibiscushinged/src/gateway/submit.rs
@@ -66,7 +66,7 @@
 ) -> Result<Response<BoxBody>, Refusal> {
     let body = decode_submission(new_submission.body).map_err(|error| invalid_request(&error))?;
     check_submission(new_submission.id, &body.items).map_err(|error| invalid_request(&error))?;
-    let follower = traffic.partitions.of_customer(new_submission.customer);
+    let follower = partition_of(traffic, new_submission.customer)?;
     follower.follow(&traffic.store);
     let records = submission_records(traffic, new_submission, body);
     let time_left = new_submission.deadline.since(traffic.node.now());
@@ -101,6 +101,21 @@
     }
 }
 
+/// Returns the partition of a customer's submissions.
+///
+/// # Errors
+///
+/// Returns a refusal while this node has not learned where submissions lie.
+fn partition_of<'t>(
+    traffic: &'t TrafficState,
+    customer: &str,
+) -> Result<&'t Rc<PartitionFollower>, Refusal> {
+    traffic.partitions.of_customer(customer).ok_or_else(|| {
+        let message = "this node has not read yet how many partitions submissions use";
+        Refusal::not_run(RefusalCode::LogUnavailable, message).with_retry_after(STORE_RETRY_AFTER)
+    })
+}
+
 fn invalid_request(error: &impl std::error::Error) -> Refusal {
     Refusal::not_run(RefusalCode::RequestInvalid, error.to_string())
 }
@@ -187,7 +202,7 @@
     after: u32,
     wait: Span,
 ) -> Result<Response<BoxBody>, Refusal> {
-    let follower = traffic.partitions.of_customer(submission_ref.customer);
+    let follower = partition_of(traffic, submission_ref.customer)?;
     let mut changes = follower.subscribe();
     require_submission(traffic, follower, submission_ref).await?;
     let deadline = traffic.node.now() + wait;
@@ -244,7 +259,7 @@
     submission_ref: &SubmissionRef<'_>,
     item: &str,
 ) -> Result<Response<BoxBody>, Refusal> {
-    let follower = traffic.partitions.of_customer(submission_ref.customer);
+    let follower = partition_of(traffic, submission_ref.customer)?;
     require_submission(traffic, follower, submission_ref).await?;
     let table = follower.table();
     let found = table.get(submission_ref.submission).and_then(|state| state.item(item));
@@ -261,7 +276,7 @@
     traffic: &Rc<TrafficState>,
     submission_ref: &SubmissionRef<'_>,
 ) -> Result<Response<BoxBody>, Refusal> {
-    let follower = traffic.partitions.of_customer(submission_ref.customer);
+    let follower = partition_of(traffic, submission_ref.customer)?;
     require_submission(traffic, follower, submission_ref).await?;
     let submission = submission_ref.submission;
     let submissions = [submission];
--- a/crates/hibiscushinged/src/gateway/test_support.rs
+++ b/crates/hibiscushinged/src/gateway/test_support.rs
@@ -12,9 +12,12 @@
     gateway::{metrics::GatewayMetrics, node::NodeState, traffic_state::TrafficState},
 };
 
-/// Returns the state of the traffic thread of a node that has started no tasks.
+/// Returns the state of the traffic thread of a node that has started no tasks. Submissions use one
+/// partition.
 pub(crate) fn traffic(store: SocketAddr) -> Rc<TrafficState> {
-    Rc::new(TrafficState::new(node(store)))
+    let traffic = TrafficState::new(node(store));
+    traffic.partitions.set_count(1);
+    Rc::new(traffic)
 }
 
 /// Returns the state of a node that uses the store at this address.
--- a/crates/hibiscushinged/src/gateway/traffic_state.rs
+++ b/crates/hibiscushinged/src/gateway/traffic_state.rs
@@ -41,7 +41,7 @@
         balancer.set_regions(node.settings.zone_regions());
         Self {
             store: Rc::new(StoreSession::new(Arc::clone(&node))),
-            partitions: PartitionSet::new(&node.settings.store),
+            partitions: PartitionSet::new(),
             items: ItemScheduler::default(),
             body_budget: BufferBudget::new(node.settings.memory_bytes),
             suspects: SuspectRegistry::new(node.incarnation),
--- a/crates/protocol/src/record.rs
+++ b/crates/protocol/src/record.rs
@@ -5,6 +5,7 @@
 mod config;
 mod crashes;
 mod demand;
+mod layout;
 mod limits;
 mod model_demand;
 mod nodes;
@@ -21,6 +22,7 @@
     config::{WireConfig, WireSnapshot},
     crashes::{CrashKey, CrashRecord, decode_crash_record, encode_crash_record},
     demand::WireDemand,
+    layout::{LAYOUT_KEY, decode_partition_count, encode_partition_count},
     limits::{LimitRecord, decode_limit_record, encode_limit_record},
     model_demand::{ModelDemand, decode_model_demand, encode_model_demand},
     nodes::{NodeRecord, decode_node_record, encode_node_record},
--- a/crates/protocol/tests/stored.rs
+++ b/crates/protocol/tests/stored.rs
@@ -16,13 +16,13 @@
 use delivery::{Fingerprint, RunClaim};
 use dispatch::{LimitClaim, NodeClaims, PeerEntry, WantedRate};
 use protocol::{
-    CrashKey, CrashRecord, LimitRecord, ModelDemand, NodeRecord, StreamDigest, StreamOrigin,
-    StreamRecord as _, WireAuthority, decode_crash_record, decode_limit_record, decode_message,
-    decode_model_demand, decode_node_record, decode_run_claim, decode_stream_origin,
-    decode_submission_record, decode_usage_record, encode_crash_record, encode_limit_record,
-    encode_message, encode_model_demand, encode_node_record, encode_run_claim,
-    encode_stream_origin, encode_submission_record, encode_usage_report, encode_usage_totals,
-    stream_origin_key,
+    CrashKey, CrashRecord, LAYOUT_KEY, LimitRecord, ModelDemand, NodeRecord, StreamDigest,
+    StreamOrigin, StreamRecord as _, WireAuthority, decode_crash_record, decode_limit_record,
+    decode_message, decode_model_demand, decode_node_record, decode_partition_count,
+    decode_run_claim, decode_stream_origin, decode_submission_record, decode_usage_record,
+    encode_crash_record, encode_limit_record, encode_message, encode_model_demand,
+    encode_node_record, encode_partition_count, encode_run_claim, encode_stream_origin,
+    encode_submission_record, encode_usage_report, encode_usage_totals, stream_origin_key,
 };
 use submissions::{
     HandoverText, ItemHandover, ItemResult, ItemState, RewardCall, SubmissionItem,
@@ -32,10 +32,11 @@
 
 /// Bytes by earlier builds, oldest first: lines of name, key and value in hexadecimal. Later files
 /// hold only what has changed or been added.
-const FILES: [(&str, &str); 3] = [
+const FILES: [(&str, &str); 4] = [
     ("157a492", include_str!("stored/157a492.txt")),
     ("16bbb65", include_str!("stored/16bbb65.txt")),
     ("handover", include_str!("stored/handover.txt")),
+    ("layout", include_str!("stored/layout.txt")),
 ];
 
 /// A record with its encoding by this build.
@@ -190,6 +191,7 @@
         ),
         ("usage-report", some(encode_usage_report(window, &counts))),
         ("model-demand", (String::from("m0"), Some(encode_model_demand(demand)))),
+        ("partition-count", (String::from(LAYOUT_KEY), Some(encode_partition_count(12)))),
     ];
     for (name, record) in submission_records() {
         samples.push((name, encode_submission_record(&record)));
@@ -214,6 +216,7 @@
         "limit" | "limit-claims" => format!("{:?}", decode_limit_record(key, value)),
         "node" => format!("{:?}", decode_node_record(key, bytes)),
         "stream-origin" => format!("{:?}", decode_stream_origin(bytes)),
+        "partition-count" => format!("{:?}", decode_partition_count(bytes)),
         "model-demand" => format!("{:?}", decode_model_demand(bytes)),
         name if name.starts_with("usage-") => format!("{:?}", decode_usage_record(key, bytes)),
         name if name.starts_with("submission-") => {
