--- a/crates/hibiscushinged/src/gateway/reward/tests.rs
+++ b/crates/hibiscushinged/src/gateway/reward/tests.rs
@@ -214,7 +214,7 @@
 /// Servers of the service that runs the reward calls.
 const SERVERS: usize = 6;
 
-/// Starts servers that end under a reward call whose body is [`DEADLY`] and score all others. Returns
+/// Starts servers that end under a reward call whose body is [`CRASHING`] and score all others. Returns
 /// the number of those that have ended.
 async fn start_ending_servers(traffic: &TrafficState) -> Rc<Cell<usize>> {
     let ended = Rc::new(Cell::new(0));
@@ -227,14 +227,14 @@
         traffic.balancer.borrow_mut().update(entry);
         let ended = Rc::clone(&ended);
         actix_rt::spawn(async move {
-            let (deadly, mut deadly_requests) = mpsc::unbounded_channel();
+            let (crashing, mut crashing_calls) = mpsc::unbounded_channel();
             let mut connections = Vec::new();
             loop {
                 tokio::select! {
-                    _ = deadly_requests.recv() => break,
+                    _ = crashing_calls.recv() => break,
                     accepted = listener.accept() => {
                         let (stream, _) = accepted.unwrap();
-                        let connection = serve_calls(stream, deadly.clone());
+                        let connection = serve_calls(stream, crashing.clone());
                         connections.push(actix_rt::spawn(connection));
                     }
                 }
@@ -247,15 +247,15 @@
     ended
 }
 
-const DEADLY: &str = "deadly";
+const CRASHING: &str = "crashing";
 
-/// Scores the calls on a connection until one is deadly.
-async fn serve_calls(mut stream: TcpStream, deadly: mpsc::UnboundedSender<()>) {
+/// Scores the calls on a connection until one is to end the server.
+async fn serve_calls(mut stream: TcpStream, crashing: mpsc::UnboundedSender<()>) {
     let mut request = vec![0; 4_096];
     while let Ok(length @ 1..) = stream.read(&mut request).await {
         let request = String::from_utf8_lossy(&request[..length]).into_owned();
-        if request.ends_with(DEADLY) {
-            let _ = deadly.send(());
+        if request.ends_with(CRASHING) {
+            let _ = crashing.send(());
             return std::future::pending().await;
         }
         let id = request.lines().find_map(|line| line.strip_prefix("x-request-id: "));
@@ -282,7 +282,7 @@
     let traffic = traffic("127.0.0.1:1".parse().unwrap());
     let ended = start_ending_servers(&traffic).await;
     publish_with_retention(&traffic, 1, Some((3, "portal")), retention_s);
-    let job = add_item(&traffic, "i", Bytes::from_static(DEADLY.as_bytes()));
+    let job = add_item(&traffic, "i", Bytes::from_static(CRASHING.as_bytes()));
     let started = tokio::time::Instant::now();
     let scoring = score_and_resolve(&traffic, &job);
     let watch_time = if expected.is_some() { TEST_TIMEOUT } else { Duration::from_secs(3) };
--- a/crates/submissions/src/failure.rs
+++ b/crates/submissions/src/failure.rs
@@ -45,8 +45,8 @@
 
 /// Further runs of a call that is blocked because upstreams ended while they ran it.
 ///
-/// Calls that ran beside a deadly one are blocked with it. A response to a further run shows that a
-/// call is harmless, and a deadly one has few of them.
+/// A call that only ran beside the one that ended them is blocked too. A response to a further run
+/// lifts its block, and a call that ends upstreams has few of these runs.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct CallProbation {
     next_run_at: Option<Moment>,
--- a/crates/submissions/tests/failure.rs
+++ b/crates/submissions/tests/failure.rs
@@ -33,8 +33,8 @@
     assert_eq!(given_up_at(first, limits), expected);
 }
 
-/// Guards against a deadly call that is sent again and again, and against a harmless one that is never
-/// tried again.
+/// Guards against a call that ends upstreams and is sent again and again, and against one that was
+/// blocked by mistake and is never tried again.
 #[test]
 fn blocked_call_has_two_further_runs() {
     let mut probation = CallProbation::default();
