Divide waiting results among appends of the store's size

Cause: the owner of a partition appended all of them in one call beyond call_bytes, which the store refuses, and `commit` repeated it without a pause.

Change: `result_batches` divides results in their order, `commit` pauses after errors, and the deletion of an old submission is divided with its marker last. The stand-in refuses appends beyond call_bytes.

Test failed before (one batch for all): waiting_results_are_divided_among_appends, `results are stored: Elapsed(())`. Measured: tests only.

--- a/crates/hibiscushinged/src/gateway/cleanup.rs
+++ b/crates/hibiscushinged/src/gateway/cleanup.rs
@@ -4,6 +4,7 @@
 use std::{rc::Rc, time::Duration};
 
 use base::{Span, WallTime};
+use bytes::Bytes;
 use clients::CallError;
 use platform::{AppendResponse, encode_keyed_record};
 use protocol::{EXPIRING_SUBMISSIONS_PREFIX, decode_submission_record, submission_prefix};
@@ -12,8 +13,11 @@
 use crate::{
     clock::wall_now,
     gateway::{
-        fetch::fetch_keys, partition_follower::PartitionFollower, peers::delete_old_nodes,
-        stream_origins::delete_old_origins, traffic_state::TrafficState,
+        fetch::{PartitionName, fetch_keys},
+        partition_follower::PartitionFollower,
+        peers::delete_old_nodes,
+        stream_origins::delete_old_origins,
+        traffic_state::TrafficState,
     },
     telemetry::log_event,
 };
@@ -85,14 +89,42 @@
         let prefix = submission_prefix(&submission);
         let keys = fetch_keys(&traffic.store, name, &prefix).await?;
         let keys = keys.items.iter().map(|change| change.key.as_str());
-        // The marker is deleted in the same append as the keys. If it went first, a crash would
-        // leave keys that no later round finds.
-        let records: Vec<_> =
+        // The marker is deleted last. If it went first, a crash would leave keys that no later round
+        // finds.
+        let records: Vec<Bytes> =
             keys.chain([marker.key.as_str()]).map(|key| encode_keyed_record(key, None)).collect();
-        let stored = traffic.store.append(&name.topic, name.partition, None, &records).await?;
-        if let AppendResponse::Appended { .. } = stored {
+        if append_all(traffic, name, &records).await? {
             log_event!(SubmissionDeleted, submission, part = name.partition, keys = records.len());
         }
     }
     Ok(())
 }
+
+/// Appends records in their order, in as many calls as their size needs. Returns whether the store has
+/// accepted all of them.
+///
+/// # Errors
+///
+/// Returns an error when the store does not respond to a call. Earlier ones have taken effect.
+async fn append_all(
+    traffic: &TrafficState,
+    name: &PartitionName,
+    records: &[Bytes],
+) -> Result<bool, CallError> {
+    let call_bytes = traffic.node.settings.store.call_bytes as usize;
+    let mut rest = records;
+    while !rest.is_empty() {
+        let mut bytes = 0;
+        let fitting = rest.iter().take_while(|record| {
+            bytes += record.len();
+            bytes <= call_bytes
+        });
+        let (call, later) = rest.split_at(fitting.count().max(1));
+        let stored = traffic.store.append(&name.topic, name.partition, None, call).await?;
+        if !matches!(stored, AppendResponse::Appended { .. }) {
+            return Ok(false);
+        }
+        rest = later;
+    }
+    Ok(true)
+}
--- a/crates/hibiscushinged/src/gateway/commit.rs
+++ b/crates/hibiscushinged/src/gateway/commit.rs
@@ -85,6 +85,7 @@
                     failure = CommitError::Unknown;
                 }
                 up_to_date = false;
+                tokio::time::sleep(RETRY_DELAY).await;
             }
         }
     }
--- a/crates/hibiscushinged/src/gateway/runner.rs
+++ b/crates/hibiscushinged/src/gateway/runner.rs
@@ -15,8 +15,8 @@
 use dispatch::{GenerationPickRequest, IdleConnections, ModelRequirement, RequestOrigin};
 use routebook::RouteSpec;
 use submissions::{
-    FailureBudget, ItemRank, SubmissionState, SubmissionTable, expected_remaining_events,
-    result_records,
+    FailureBudget, ItemRank, ItemResult, SubmissionState, SubmissionTable,
+    expected_remaining_events, result_batches, result_records,
 };
 
 use crate::{
@@ -418,17 +418,35 @@
 async fn store_partition_results(traffic: &Rc<TrafficState>, partition: u32) {
     let Some(follower) = traffic.partitions.get(partition) else { return };
     let Some(results) = traffic.items.state.borrow_mut().results.remove(&partition) else { return };
-    let submissions: BTreeSet<&str> =
-        results.iter().map(|(submission, _)| submission.as_str()).collect();
-    let submissions: Vec<&str> = submissions.into_iter().collect();
-    let build = |table: &SubmissionTable| result_records(table, &results);
-    let stored = commit(traffic, follower, COMMIT_TIMEOUT, &submissions, build).await;
-    if stored.is_ok() {
+    let call_bytes = traffic.node.settings.store.call_bytes as usize;
+    let mut unstored = Vec::new();
+    for batch in result_batches(results, call_bytes) {
+        // The order of the results stays, so nothing is stored after a batch that was not.
+        if !unstored.is_empty() || !store_batch(traffic, follower, &batch).await {
+            unstored.extend(batch);
+        }
+    }
+    if unstored.is_empty() {
         return;
     }
     // The append was not confirmed, so the results are kept and appended again.
     let mut state = traffic.items.state.borrow_mut();
-    state.results.entry(partition).or_default().extend(results);
+    let newer = state.results.remove(&partition).unwrap_or_default();
+    unstored.extend(newer);
+    state.results.insert(partition, unstored);
     drop(state);
     traffic.items.results_ready.notify_one();
 }
+
+/// Appends results, and returns whether they are stored.
+async fn store_batch(
+    traffic: &Rc<TrafficState>,
+    follower: &Rc<PartitionFollower>,
+    batch: &[(String, ItemResult)],
+) -> bool {
+    let submissions: BTreeSet<&str> =
+        batch.iter().map(|(submission, _)| submission.as_str()).collect();
+    let submissions: Vec<&str> = submissions.into_iter().collect();
+    let build = |table: &SubmissionTable| result_records(table, batch);
+    commit(traffic, follower, COMMIT_TIMEOUT, &submissions, build).await.is_ok()
+}
--- a/crates/hibiscushinged/src/gateway/runner/tests.rs
+++ b/crates/hibiscushinged/src/gateway/runner/tests.rs
@@ -1,14 +1,18 @@
-//! Placement of queued items, without a network.
+//! Placement of queued items, without a network, and storage of results in a stand-in store.
 
-use std::{rc::Rc, sync::Arc};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use base::{Moment, WallTime, WeightVersion};
 use bytes::Bytes;
+use platform::encode_keyed_record;
+use protocol::encode_submission_record;
 use rstest::rstest;
-use submissions::{ItemRank, SubmissionItem, SubmissionMetadata};
+use site_stand_in::{SiteStore, StoreOptions};
+use submissions::{ItemRank, ItemResult, SubmissionItem, SubmissionMetadata, SubmissionRecord};
 
 use crate::gateway::{
     job::ItemJob,
+    partitions::SUBMISSION_TOPIC,
     test_support::{traffic, upstream_entry},
     traffic_state::TrafficState,
 };
@@ -72,3 +76,69 @@
     assert!(waiting.run.borrow().is_none(), "no engine of the service is left");
     assert!(placed.run.borrow().is_some(), "an engine of the other service is free");
 }
+
+/// Items of a submission whose results wait for the store, and the length of each text.
+const WAITING_RESULTS: u32 = 288;
+const TEXT_BYTES: usize = 29_000;
+
+/// Pattern: the store is away while many items are resolved, so that their results wait and together
+/// exceed the largest append.
+///
+/// Guards against results that are never stored, because the store refuses an append of all of them
+/// again and again.
+#[actix_rt::test]
+async fn waiting_results_are_divided_among_appends() {
+    let store = SiteStore::start(StoreOptions::default()).unwrap();
+    let traffic = traffic(store.address());
+    let follower = traffic.partitions.get(0).unwrap();
+    let id = || String::from("s");
+    let items = (0..WAITING_RESULTS).map(|index| SubmissionItem {
+        id: format!("i{index}"),
+        path: String::from("/a/1"),
+        headers: Vec::new(),
+        body: Bytes::new(),
+        group: String::from("g"),
+        expected_tokens: 1,
+        shared_prompt: None,
+        reward: None,
+    });
+    let metadata = SubmissionMetadata {
+        id: id(),
+        customer: String::from("brewer"),
+        host: String::from("h"),
+        path: String::from("/a/"),
+        model: String::from("m"),
+        step: 0,
+        min_version: WeightVersion(1),
+        target_groups: 1,
+        accepted_at: WallTime(0),
+        item_count: WAITING_RESULTS,
+    };
+    let records = [
+        SubmissionRecord::Opened(metadata),
+        SubmissionRecord::Items { submission: id(), first: 0, items: items.collect() },
+    ];
+    let encoded = records.iter().map(|record| {
+        let (key, value) = encode_submission_record(record);
+        encode_keyed_record(&key, value.as_deref())
+    });
+    store.append(SUBMISSION_TOPIC, 0, encoded.collect());
+    let results = (0..WAITING_RESULTS).map(|index| {
+        let output = "x".repeat(TEXT_BYTES);
+        (id(), ItemResult { output, ..ItemResult::errored(format!("i{index}")) })
+    });
+    traffic.items.state.borrow_mut().results.insert(0, results.collect());
+
+    let storing = actix_rt::spawn(super::store_results(Rc::clone(&traffic)));
+    traffic.items.results_ready.notify_one();
+    let mut changes = follower.subscribe();
+    let is_stored = || {
+        let listed = follower.table().get("s").map(submissions::SubmissionState::result_count);
+        listed == Some(WAITING_RESULTS)
+    };
+    let stored = changes.wait_for(|_| is_stored());
+    let _ =
+        tokio::time::timeout(Duration::from_secs(30), stored).await.expect("results are stored");
+    storing.abort();
+    assert_eq!(store.refused_appends(), 0);
+}
--- a/crates/submissions/src/handover.rs
+++ b/crates/submissions/src/handover.rs
@@ -7,7 +7,7 @@
 use base::{Moment, Span, WallTime, WeightVersion, derive_copy, derive_value};
 use smallvec::SmallVec;
 
-use crate::{SubmissionRecord, SubmissionTable};
+use crate::{SubmissionRecord, SubmissionTable, item::RECORD_OVERHEAD_BYTES};
 
 /// Timeout for the runs of a node that has released their partition, or that stops. The next owner
 /// of the partition starts none of these items for as long.
@@ -18,9 +18,6 @@
 /// first one that ended long ago.
 const MAX_RECORD_AGE: Span = Span::from_secs(6);
 
-/// Bytes reserved for the field names and lengths of an encoded record.
-const RECORD_OVERHEAD_BYTES: usize = 256;
-
 /// Longest key of the store in bytes.
 const MAX_KEY_BYTES: usize = 255;
 
--- a/crates/submissions/src/item.rs
+++ b/crates/submissions/src/item.rs
@@ -86,7 +86,18 @@
     }
 }
 
+/// Bytes reserved for the field names and lengths of an encoded record.
+pub(crate) const RECORD_OVERHEAD_BYTES: usize = 256;
+
 impl ItemResult {
+    /// Returns an upper bound of the bytes of the record of this result.
+    pub(crate) fn encoded_bytes(&self, submission: &str) -> usize {
+        let score = self.score.as_ref().map_or(0, String::len);
+        let versions = self.versions.len() * (size_of::<WeightVersion>() + 1);
+        let strings = submission.len() + self.item.len() + self.output.len() + score;
+        RECORD_OVERHEAD_BYTES + strings + versions
+    }
+
     /// Builds the result of an item that was abandoned, without a text.
     #[must_use]
     pub fn errored(item: impl Into<String>) -> Self {
--- a/crates/submissions/src/lib.rs
+++ b/crates/submissions/src/lib.rs
@@ -25,7 +25,7 @@
         handover_records,
     },
     item::{ItemResult, ItemState, RewardCall, SubmissionItem, SubmissionMetadata},
-    plan::{ending_records, opening_records, result_records},
+    plan::{ending_records, opening_records, result_batches, result_records},
     queue::{ItemQueue, ItemRank, expected_remaining_events},
     table::{SubmissionRecord, SubmissionState, SubmissionTable},
     text::{GeneratedText, GenerationEvent, TextError},
--- a/crates/submissions/src/plan.rs
+++ b/crates/submissions/src/plan.rs
@@ -57,3 +57,26 @@
     }
     (!records.is_empty()).then_some(records)
 }
+
+/// Divides results, each with its submission, among appends of at most `max_call_bytes`. A larger result
+/// is alone in its append.
+#[must_use]
+pub fn result_batches(
+    results: Vec<(String, ItemResult)>,
+    max_call_bytes: usize,
+) -> Vec<Vec<(String, ItemResult)>> {
+    let mut batches: Vec<Vec<(String, ItemResult)>> = Vec::new();
+    let mut size = 0;
+    for (submission, result) in results {
+        let bytes = result.encoded_bytes(&submission);
+        size += bytes;
+        match batches.last_mut() {
+            Some(batch) if size <= max_call_bytes => batch.push((submission, result)),
+            _ => {
+                size = bytes;
+                batches.push(vec![(submission, result)]);
+            }
+        }
+    }
+    batches
+}
