Let the soak kill all gateways, drop the reward route, change settings and use similar identifiers

The new faults have random numbers of their own, so those of earlier seeds stay as they are.

Not yet: an upstream that leaves right after an outage, and reward calls that end servers.

Seed 72 is a case of the tests.

--- a/crates/process-tests/src/site.rs
+++ b/crates/process-tests/src/site.rs
@@ -279,6 +279,20 @@
         process
     }
 
+    /// Replaces a line of the settings file, as the platform does when the settings change. The
+    /// process reads it at its next start.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the file has no such line, or cannot be written.
+    pub fn change_settings(&self, from: &str, to: &str) {
+        let text = std::fs::read_to_string(&self.settings);
+        let text = text.expect("the gateway's settings file can be read");
+        assert!(text.contains(from), "the settings have no line \"{from}\"");
+        std::fs::write(&self.settings, text.replace(from, to))
+            .expect("the gateway's settings file can be written");
+    }
+
     /// Kills the process if it runs, and starts it again with the same settings, addresses and log
     /// file.
     ///
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -9,21 +9,25 @@
 use rand::{Rng, RngExt as _};
 use site_stand_in::StoreFault;
 
-use crate::{
-    callers,
-    testbed::{self, SoakTestbed},
-};
+use crate::{callers, testbed::SoakTestbed};
 
 /// Longest pause between the starts of two faults. It is shorter than most faults, so that faults
 /// overlap.
 const MAX_PAUSE_MS: u64 = 900;
 
+/// Longest pause between the starts of two faults that concern all gateways.
+const MAX_WIDE_PAUSE_MS: u64 = 6_000;
+
 /// Longest duration of a fault. Faults of the real platform last from 2 to 14 s.
 const MAX_FAULT_DURATION_MS: u64 = 4_000;
 
 /// Time between SIGTERM and SIGKILL when the platform stops a process.
 const TERMINATION_GRACE_PERIOD: Duration = Duration::from_secs(8);
 
+/// Lines of a gateway's settings between which its restarts alternate. By the first one, submissions of a
+/// new site would use all partitions, and by the second one a single one.
+const READS_PER_S: (&str, &str) = ("reads_per_s = 4500", "reads_per_s = 1000");
+
 /// Time before SIGTERM at which a slow request is sent.
 const SLOW_REQUEST_LEAD: Duration = Duration::from_millis(200);
 
@@ -33,6 +37,8 @@
 enum FaultKind {
     /// SIGKILL, and a restart after at most 2 s.
     Kill(usize),
+    /// SIGKILL of all gateways at once, and a restart after at most 2 s.
+    KillAll,
     /// SIGSTOP, and SIGCONT at the end of the fault.
     Pause(usize),
     /// A planned stop with SIGTERM, and a restart.
@@ -57,16 +63,37 @@
     ServicePath(usize, RelayFlow),
     /// A new version of the configuration, which stays in force.
     Configuration,
+    /// A version of the configuration without the route of the reward calls, and one that has it again
+    /// at the end of the fault.
+    RouteMissing,
 }
 
 /// Starts faults, each in a task of its own, until the fault period of the run has passed.
 pub(crate) async fn inject(testbed: &Rc<SoakTestbed>, random: &mut impl Rng) {
+    inject_series(testbed, random, MAX_PAUSE_MS, random_fault).await;
+}
+
+/// Does what [`inject`] does with faults that concern all gateways. They have random numbers of their
+/// own, so that the other faults of a seed stay as they are.
+pub(crate) async fn inject_wide(testbed: &Rc<SoakTestbed>, random: &mut impl Rng) {
+    inject_series(testbed, random, MAX_WIDE_PAUSE_MS, |_, random| {
+        if random.random_bool(0.5) { FaultKind::KillAll } else { FaultKind::RouteMissing }
+    })
+    .await;
+}
+
+async fn inject_series<R: Rng>(
+    testbed: &Rc<SoakTestbed>,
+    random: &mut R,
+    max_pause_ms: u64,
+    next_fault: impl Fn(&SoakTestbed, &mut R) -> FaultKind,
+) {
     let start = Instant::now();
     while start.elapsed() < testbed.options.duration {
-        let pause = random.random_range(50..MAX_PAUSE_MS);
+        let pause = random.random_range(50..max_pause_ms);
         tokio::time::sleep(Duration::from_millis(pause)).await;
         let duration = Duration::from_millis(random.random_range(200..MAX_FAULT_DURATION_MS));
-        let kind = random_fault(testbed, random);
+        let kind = next_fault(testbed, random);
         let at = start.elapsed().as_millis();
         let line = format!("{at} ms {kind:?} for {} ms", duration.as_millis());
         testbed.report.borrow_mut().faults.push(line);
@@ -114,6 +141,16 @@
             tokio::time::sleep(duration.min(Duration::from_secs(2))).await;
             restart_gateway(testbed, node);
         }
+        FaultKind::KillAll => {
+            let killed = mark_all_unavailable(testbed);
+            for node in &killed {
+                testbed.nodes.borrow_mut()[*node].process.kill();
+            }
+            tokio::time::sleep(duration.min(Duration::from_secs(2))).await;
+            for node in killed {
+                restart_gateway(testbed, node);
+            }
+        }
         FaultKind::Pause(node) => {
             if !mark_unavailable(testbed, node) {
                 return;
@@ -154,15 +191,24 @@
             tokio::time::sleep(duration).await;
             testbed.services[service].relay.set_flow(RelayFlow::Pass);
         }
-        FaultKind::Configuration => {
-            let version = {
-                let report = testbed.report.borrow();
-                2 + report.faults.len() as u64
-            };
-            let config = testbed::config(version, &["key-1", "key-2"]);
-            testbed.store.put_operator_key("config", &config);
+        FaultKind::Configuration => testbed.change_config(true),
+        FaultKind::RouteMissing => {
+            testbed.change_config(false);
+            tokio::time::sleep(duration).await;
+            testbed.change_config(true);
+        }
+    }
+}
+
+/// Marks all available gateways as unavailable, and returns them.
+fn mark_all_unavailable(testbed: &SoakTestbed) -> Vec<usize> {
+    let mut marked = Vec::new();
+    for (index, node) in testbed.nodes.borrow_mut().iter_mut().enumerate() {
+        if !std::mem::replace(&mut node.unavailable, true) {
+            marked.push(index);
         }
     }
+    marked
 }
 
 /// Marks a gateway as unavailable and returns `true`, unless it is unavailable already or the last
@@ -177,10 +223,16 @@
     true
 }
 
+/// Restarts a gateway. At every second restart its settings name another capacity of the store.
 fn restart_gateway(testbed: &SoakTestbed, node: usize) {
     let mut nodes = testbed.nodes.borrow_mut();
-    nodes[node].process.restart();
-    nodes[node].unavailable = false;
+    let node = &mut nodes[node];
+    let (from, to) =
+        if node.restarts % 2 == 0 { READS_PER_S } else { (READS_PER_S.1, READS_PER_S.0) };
+    node.process.change_settings(from, to);
+    node.restarts += 1;
+    node.process.restart();
+    node.unavailable = false;
 }
 
 /// Stops a gateway as the platform does: SIGTERM, SIGKILL after the grace period, and a restart. A
--- a/crates/soak/src/testbed.rs
+++ b/crates/soak/src/testbed.rs
@@ -1,7 +1,7 @@
 //! The test bed of a run: gateways, stand-ins and relays, the course of the run, and its report.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::BTreeMap,
     fmt,
     rc::Rc,
@@ -12,7 +12,9 @@
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
-use site_stand_in::{EngineOptions, ServiceOptions, SiteEngine, SiteService, SiteStore};
+use site_stand_in::{
+    EngineOptions, ServiceOptions, SiteEngine, SiteService, SiteStore, StoreOptions,
+};
 
 use crate::{SoakOptions, callers, crashing, faults, streams, trainer};
 
@@ -22,6 +24,9 @@
 /// Time between two writes of the upstream entries to the store.
 const ENTRY_WRITE_PERIOD: Duration = Duration::from_millis(500);
 
+/// Keys in one page of the store.
+const PAGE_KEYS: usize = 20;
+
 /// Number of plain services that the gateways reach without a relay.
 const DIRECT_SERVICES: usize = 6;
 
@@ -67,6 +72,8 @@
     pub(crate) store_relay: TcpRelay,
     /// Whether a fault has stopped or paused the process, or is stopping it.
     pub(crate) unavailable: bool,
+    /// Number of restarts so far.
+    pub(crate) restarts: usize,
 }
 
 /// An engine or a plain service, with the relay through which all gateways reach it.
@@ -89,6 +96,8 @@
     pub(crate) report: RefCell<SoakReport>,
     /// Newest weight version that the trainer has published.
     pub(crate) weight_version: RefCell<u64>,
+    /// Newest version of the configuration.
+    config_version: Cell<u64>,
     /// Whether the fault period is over, so that callers and trainer finish.
     pub(crate) stopping: RefCell<bool>,
 }
@@ -97,8 +106,10 @@
     /// Starts the stand-ins, relays and gateways, and waits until the gateways are ready.
     pub(crate) async fn start(options: SoakOptions) -> Rc<Self> {
         let site_options = SiteOptions::default();
-        let store = SiteStore::start(site_options.store.clone())
-            .expect("the store stand-in can listen on loopback");
+        // Submissions with similar identifiers fill several pages of keys.
+        let store_options = StoreOptions { page_keys: PAGE_KEYS, ..site_options.store.clone() };
+        let store =
+            SiteStore::start(store_options).expect("the store stand-in can listen on loopback");
         let mut engines = Vec::new();
         for index in 0..options.engines {
             // Two versions of the software serve side by side.
@@ -154,7 +165,7 @@
             let store_relay = TcpRelay::start().await;
             store_relay.set_target(store.address());
             let process = GatewayProcess::start(store_relay.address(), index, true);
-            nodes.push(SoakNode { process, store_relay, unavailable: false });
+            nodes.push(SoakNode { process, store_relay, unavailable: false, restarts: 0 });
         }
         let testbed = Self {
             options,
@@ -166,6 +177,7 @@
             slow,
             report: RefCell::new(SoakReport { seed: options.seed, ..Default::default() }),
             weight_version: RefCell::new(1),
+            config_version: Cell::new(1),
             stopping: RefCell::new(false),
         };
         testbed.write_entries();
@@ -198,6 +210,18 @@
         }
     }
 
+    /// Puts the next version of the configuration in force. Without `scored`, it lacks the route of the
+    /// reward calls.
+    pub(crate) fn change_config(&self, scored: bool) {
+        let version = self.config_version.get() + 1;
+        self.config_version.set(version);
+        let mut config = config(version, &["key-1", "key-2"]);
+        if !scored && let Some(routes) = config["routes"].as_array_mut() {
+            routes.retain(|route| route["name"] != "score");
+        }
+        self.store.put_operator_key("config", &config);
+    }
+
     /// Writes the entries periodically, since they name the weight versions that the engines have
     /// loaded.
     async fn refresh_entries(self: Rc<Self>) {
@@ -250,7 +274,12 @@
         self.direct[0].set_limit(Some(UPSTREAM_LIMIT));
         let limited_at = Instant::now();
         let trainer = actix_rt::spawn(trainer::run(Rc::clone(&self)));
-        faults::inject(&self, &mut random).await;
+        let mut wide_random = ChaCha8Rng::seed_from_u64(self.options.seed);
+        wide_random.set_stream(1);
+        tokio::join!(
+            faults::inject(&self, &mut random),
+            faults::inject_wide(&self, &mut wide_random)
+        );
         faults::end_faults(&self).await;
         *self.stopping.borrow_mut() = true;
         for caller in callers {
@@ -321,7 +350,7 @@
 }
 
 /// Returns the configuration of the test fleet with the route `/slow/`.
-pub(crate) fn config(version: u64, keys: &[&str]) -> Value {
+fn config(version: u64, keys: &[&str]) -> Value {
     let mut config = SiteFleet::config(version, keys);
     let mut route = config["routes"][1].clone();
     route["name"] = "slow".into();
--- a/crates/soak/src/trainer.rs
+++ b/crates/soak/src/trainer.rs
@@ -42,7 +42,11 @@
     while !testbed.is_stopping() {
         step += 1;
         let min_version = testbed.weight_version.borrow().saturating_sub(1).max(1);
-        let id = format!("lot{}x{step}", testbed.options.seed);
+        // The identifier of the first submission begins those of all others.
+        let id = match step {
+            1 => format!("lot{}", testbed.options.seed),
+            _ => format!("lot{}-{step}", testbed.options.seed),
+        };
         let mut submission = SeenSubmission { id, min_version, results: BTreeMap::new() };
         if submit(&testbed, &submission).await {
             testbed.count("submissions");
@@ -52,7 +56,7 @@
         }
     }
     let mut last = SeenSubmission {
-        id: format!("lot{}last", testbed.options.seed),
+        id: format!("lot{}-last", testbed.options.seed),
         min_version: testbed.weight_version.borrow().saturating_sub(1).max(1),
         results: BTreeMap::new(),
     };
--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -11,6 +11,9 @@
 // The network delayed a usage report that its sender, a former lease holder, had abandoned. It
 // arrived after the report of the successor. Abandoned calls now end with a connection reset.
 #[case::delayed_usage_report(213, 8)]
+// After a restart of all gateways, submissions were unknown whose identifier begins others, and those
+// that a gateway with changed settings looked for in another partition.
+#[case::unknown_submissions(72, 10)]
 #[actix_rt::test]
 async fn check_seed(#[case] seed: u64, #[case] seconds: u64) {
     let duration = Duration::from_secs(seconds);
