--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -228,7 +228,7 @@
     let mut nodes = testbed.nodes.borrow_mut();
     let node = &mut nodes[node];
     let (from, to) =
-        if node.restarts % 2 == 0 { READS_PER_S } else { (READS_PER_S.1, READS_PER_S.0) };
+        if node.restarts.is_multiple_of(2) { READS_PER_S } else { (READS_PER_S.1, READS_PER_S.0) };
     node.process.change_settings(from, to);
     node.restarts += 1;
     node.process.restart();
