Let the soak wait until all gateways are ready before it checks the end

Trace from the logs: gateway 0 was restarted at 14:12:27.9 and wrote its first line at 14:12:33.85, after the last check at 14:12:33.6; the process that starts the faults stood still from 901 ms to 6,398 ms too. All gateways had convicted the request, also gateway 0 once it ran. So the check asked a gateway that did not run yet.

Change: `end_faults` waits for the readiness of each gateway, as the start does. What is checked is the same.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -289,6 +289,8 @@
     for node in testbed.nodes.borrow().iter() {
         node.store_relay.set_flow(RelayFlow::Pass);
     }
+    // The start of a process can take seconds on a busy machine.
+    testbed.wait_ready().await;
     for engine in &testbed.engines {
         engine.relay.set_flow(RelayFlow::Pass);
     }
--- a/crates/soak/src/testbed.rs
+++ b/crates/soak/src/testbed.rs
@@ -181,8 +181,14 @@
             stopping: RefCell::new(false),
         };
         testbed.write_entries();
+        testbed.wait_ready().await;
+        Rc::new(testbed)
+    }
+
+    /// Waits until the readiness check of each gateway succeeds.
+    pub(crate) async fn wait_ready(&self) {
         let addresses: Vec<_> =
-            testbed.nodes.borrow().iter().map(|node| node.process.ready_address()).collect();
+            self.nodes.borrow().iter().map(|node| node.process.ready_address()).collect();
         for address in addresses {
             process_tests::wait_for("a gateway that is ready", || async move {
                 let response = process_tests::get(address, "/readyz", &[]).await;
@@ -190,7 +196,6 @@
             })
             .await;
         }
-        Rc::new(testbed)
     }
 
     /// Writes the entries of all upstreams to the store, with the addresses of their relays.
