Know the limit of reward calls since the item was queued, and log why partitions are unknown

Change: the budget of reward calls is part of the item's progress and starts with the limit of when the item was queued, as that of its runs. `layout` tells a store that does not respond from a record that cannot be read, logs each with what follows, and retries the second every 2 s instead of ten times a second. only_the_end_of_an_upstream_makes_a_suspect names the fingerprints itself again instead of asking the code under test.

Test failed before: limit_of_reward_calls_is_known_since_the_item_was_queued (`given up after the first of three failures`).

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -117,7 +117,7 @@
     3015 ItemHeld "An item waits, since an earlier owner of its partition may be running it."
     3016 ItemContinued "A run continues the text that an earlier owner of the partition handed over."
     3017 RewardDelayed "The reward call of an item waits, since the configuration has no route or no service for it."
-    3018 RewardBlocked "The reward call of an item is not sent again, since several upstreams ended while they ran it."
+    3018 RewardBlocked "The reward call of an item is blocked, since several upstreams ended while they ran it; it has two further runs."
     3101 WeightLoadOrdered "An upstream was ordered to load a weight version."
     3102 WeightLoadFailed "An upstream failed to load a weight version; the order will be retried."
     // Fleet.
--- a/crates/dispatch/src/lapse.rs
+++ b/crates/dispatch/src/lapse.rs
@@ -12,7 +12,7 @@
 /// missed renewals, which takes longer.
 const MIN_OUTAGE: Span = Span::from_millis(750);
 
-/// Time from the choice of an upstream until a request has reached it.
+/// Time from the last check whether an upstream may be used until a request has reached it.
 const SEND_TIME: Span = Span::from_millis(200);
 
 /// Time window after an outage in which a missing entry may have lapsed, and its upstream is still
--- a/crates/hibiscushinged/src/gateway/crash_check/tests.rs
+++ b/crates/hibiscushinged/src/gateway/crash_check/tests.rs
@@ -138,7 +138,11 @@
         run_plain(&traffic, &job).await.err()
     };
     assert_eq!(refusal.map(|refusal| refusal.execution), Some(Execution::MayHaveRun));
-    assert_eq!(traffic.suspects.status(wall_now(), job.fingerprint()), expected);
+    let fingerprint = match origin {
+        RequestOrigin::Caller => Fingerprint::of("brewer", PATH, b"body"),
+        RequestOrigin::Item => Fingerprint::of("r", PATH, b"body"),
+    };
+    assert_eq!(traffic.suspects.status(wall_now(), fingerprint), expected);
 }
 
 /// Guards against a request that ends all upstreams within one attempt of its caller.
--- a/crates/hibiscushinged/src/gateway/job.rs
+++ b/crates/hibiscushinged/src/gateway/job.rs
@@ -56,6 +56,8 @@
     pub(crate) text: GeneratedText,
     /// Runs that ended with status 500.
     pub(crate) failures: FailureBudget,
+    /// Reward calls that ended with status 500.
+    pub(crate) reward_failures: FailureBudget,
     /// Number of runs that continued the text and ended at once, without a further event.
     pub(crate) empty_runs: u32,
     /// Engines whose runs of the item failed, latest last.
@@ -93,6 +95,7 @@
         let progress = JobProgress {
             text,
             failures: FailureBudget::default(),
+            reward_failures: FailureBudget::default(),
             empty_runs: 0,
             tried: SmallVec::new(),
             queued_at: Moment::default(),
--- a/crates/hibiscushinged/src/gateway/layout.rs
+++ b/crates/hibiscushinged/src/gateway/layout.rs
@@ -29,51 +29,73 @@
 /// Delay before the record is read again after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Delay before the record is read again that could not be decoded. Somebody has to repair it.
+const REPAIR_DELAY: Duration = Duration::from_secs(2);
+
+/// Result of an attempt to learn the number of partitions.
+enum AgreementStep {
+    Known(u32),
+    /// Another node has proposed a number meanwhile.
+    Outrun,
+    /// The store did not respond, or refused the call.
+    Unavailable(String),
+    /// The record cannot be decoded. It is not replaced, since other nodes may have read it.
+    Unreadable(String),
+}
+
 /// Learns the number of partitions, or proposes it if no node has yet.
 pub(crate) async fn agree_on_partitions(traffic: Rc<TrafficState>) {
     loop {
-        match read_or_propose(&traffic).await {
-            Ok(Some(partitions)) => {
+        let step = read_or_propose(&traffic).await;
+        match step.unwrap_or_else(|error| AgreementStep::Unavailable(error.to_string())) {
+            AgreementStep::Known(partitions) => {
                 let proposed = proposed_count(&traffic.node.settings.store);
                 log_event!(PartitionsKnown, partitions, proposed);
                 traffic.partitions.set_count(partitions);
                 return;
             }
-            Ok(None) => {}
-            // The store session has logged the failure.
-            Err(_) => tokio::time::sleep(RETRY_DELAY).await,
+            AgreementStep::Outrun => {}
+            AgreementStep::Unavailable(reason) => {
+                tracing::debug!(
+                    reason,
+                    "the number of partitions is not known yet; it is read again, and submissions are \
+                     refused meanwhile"
+                );
+                tokio::time::sleep(RETRY_DELAY).await;
+            }
+            AgreementStep::Unreadable(reason) => {
+                let (topic, key) = (LAYOUT_TOPIC, LAYOUT_KEY);
+                log_event!(warn, LogRecordRefused, topic, key, reason);
+                tokio::time::sleep(REPAIR_DELAY).await;
+            }
         }
     }
 }
 
-/// Reads the number of partitions. Proposes it if there is none, and returns `None` if another node was
-/// faster.
-async fn read_or_propose(traffic: &TrafficState) -> Result<Option<u32>, CallError> {
+/// Reads the number of partitions, or proposes it if there is none.
+async fn read_or_propose(traffic: &TrafficState) -> Result<AgreementStep, CallError> {
     let name = PartitionName { topic: String::from(LAYOUT_TOPIC), partition: 0 };
     let keys = fetch_keys(&traffic.store, &name, LAYOUT_KEY).await?;
     let found = keys.items.iter().find(|change| change.key == LAYOUT_KEY);
     if let Some(value) = found.and_then(|change| change.value.as_deref()) {
-        return match decode_partition_count(value) {
-            Ok(partitions) => Ok(Some(partitions)),
-            Err(error) => {
-                let (topic, key, reason) = (LAYOUT_TOPIC, LAYOUT_KEY, error.to_string());
-                log_event!(warn, LogRecordRefused, topic, key, offset = keys.end, reason);
-                Err(CallError::malformed(reason))
-            }
-        };
+        return Ok(match decode_partition_count(value) {
+            Ok(partitions) => AgreementStep::Known(partitions),
+            Err(error) => AgreementStep::Unreadable(error.to_string()),
+        });
     }
     if keys.end > 0 {
-        // A value that cannot be read is there, and a further record would not hold.
-        return Err(CallError::malformed("the record of the partitions cannot be read"));
+        let reason = "the topic has records, and none has a value that can be read";
+        return Ok(AgreementStep::Unreadable(String::from(reason)));
     }
     let proposed = proposed_count(&traffic.node.settings.store);
     let value = encode_partition_count(proposed);
     let record = encode_keyed_record(LAYOUT_KEY, Some(&value));
-    match traffic.store.append(LAYOUT_TOPIC, 0, Some(keys.end), &[record]).await? {
-        AppendResponse::Appended { .. } => Ok(Some(proposed)),
-        AppendResponse::OffsetMismatch { .. } => Ok(None),
+    let stored = traffic.store.append(LAYOUT_TOPIC, 0, Some(keys.end), &[record]).await?;
+    Ok(match stored {
+        AppendResponse::Appended { .. } => AgreementStep::Known(proposed),
+        AppendResponse::OffsetMismatch { .. } => AgreementStep::Outrun,
         AppendResponse::Refused(status) => {
-            Err(CallError::malformed(format!("the store refused the record with status {status}")))
+            AgreementStep::Unavailable(format!("the store refused the record with status {status}"))
         }
-    }
+    })
 }
--- a/crates/hibiscushinged/src/gateway/partition_follower/tests.rs
+++ b/crates/hibiscushinged/src/gateway/partition_follower/tests.rs
@@ -6,7 +6,7 @@
 use platform::encode_keyed_record;
 use protocol::encode_submission_record;
 use site_stand_in::{SiteStore, StoreOptions};
-use submissions::{ItemResult, SubmissionItem, SubmissionMetadata, SubmissionRecord};
+use submissions::{ItemResult, RewardCall, SubmissionItem, SubmissionMetadata, SubmissionRecord};
 
 use crate::gateway::{
     partitions::SUBMISSION_TOPIC,
@@ -335,3 +335,50 @@
     }
     assert!(store.value(SUBMISSION_TOPIC, 0, "s/step-1-1/o").is_some());
 }
+
+/// Pattern: a configuration lowers the attempts of the reward calls after an item was queued, and before
+/// its text is complete.
+///
+/// Guards against an item that is given up after the first failed call, although the configuration may
+/// change back (MIXED).
+#[actix_rt::test]
+async fn limit_of_reward_calls_is_known_since_the_item_was_queued() {
+    let config = |version: u64, attempts: u32| {
+        let mut config: serde_json::Value = serde_json::from_str(CONFIG).unwrap();
+        config["version"] = version.into();
+        let mut route = config["routes"][0].clone();
+        route["name"] = "score".into();
+        route["prefix"] = "/score/".into();
+        route["kind"] = "safe".into();
+        route["attempts"] = attempts.into();
+        config["routes"].as_array_mut().unwrap().push(route);
+        let config = platform::decode_config(config.to_string().as_bytes()).unwrap();
+        Some(Arc::new(routebook::ConfigIndex::new(config)))
+    };
+    let mut records = submission_with("s", 1);
+    let Some(SubmissionRecord::Items { items, .. }) = records.last_mut() else { panic!("items") };
+    items[0].reward = Some(RewardCall {
+        id: String::from("call"),
+        host: String::from("h"),
+        path: String::from("/score/1"),
+        body: bytes::Bytes::new(),
+    });
+    let traffic = traffic("127.0.0.1:1".parse().unwrap());
+    traffic.node.publish_config(config(1, 3));
+    let follower = traffic.partitions.get(0).unwrap();
+    follower.cache.borrow_mut().follow_from(0, traffic.node.now());
+    traffic.partitions.set_owned(&std::collections::BTreeSet::from([0]));
+    follower.cache.borrow_mut().finish_scan(&[], 0);
+    crate::gateway::runner::watch(&traffic, follower);
+    follower.apply_own_append(0, 2, records);
+    tokio::task::yield_now().await;
+    traffic.node.publish_config(config(2, 1));
+    let state = traffic.items.state.borrow();
+    let job = state.jobs.get("s", "i0").expect("the item is queued");
+    let failures = &mut job.progress.borrow_mut().reward_failures;
+    failures.record_failure(Some(1));
+    assert!(!failures.is_exhausted(), "given up after the first of three failures");
+    failures.record_failure(Some(1));
+    failures.record_failure(Some(1));
+    assert!(failures.is_exhausted(), "not given up after three failures");
+}
--- a/crates/hibiscushinged/src/gateway/plain.rs
+++ b/crates/hibiscushinged/src/gateway/plain.rs
@@ -58,7 +58,7 @@
     pub(crate) origin: RequestOrigin,
     /// Whether another node passed the request on, so that this one must not.
     pub(crate) forwarded: bool,
-    /// Whether the request runs although it is blocked.
+    /// Whether the request is sent although its fingerprint is convicted.
     pub(crate) on_probation: bool,
     /// Regions in which the request may run.
     pub(crate) home: HomeRegions,
--- a/crates/hibiscushinged/src/gateway/relay.rs
+++ b/crates/hibiscushinged/src/gateway/relay.rs
@@ -45,7 +45,7 @@
     exchange: Option<Exchange>,
     attempt: Option<AttemptGuard>,
     run: RequestRun,
-    /// Where the events end, if the stream ends with its connection.
+    /// Whether the stream so far ends after an event, if its end is that of its connection.
     boundary: Option<EventBoundary>,
     /// When the stream is cut if it has not ended.
     ends_at: Moment,
--- a/crates/hibiscushinged/src/gateway/reward.rs
+++ b/crates/hibiscushinged/src/gateway/reward.rs
@@ -8,7 +8,7 @@
 use actix_http::{Method, StatusCode, header::HeaderMap};
 use base::RefusalCode;
 use dispatch::RequestOrigin;
-use submissions::{CallProbation, FailureBudget, ItemResult, ItemState, RewardCall};
+use submissions::{CallProbation, ItemResult, ItemState, RewardCall};
 
 use crate::{
     gateway::{
@@ -49,7 +49,7 @@
         /// Version of the configuration.
         config_version: u64,
     },
-    /// Several upstreams ended while they ran the call, so it is not sent again.
+    /// Several upstreams ended while they ran the call, so it was not sent.
     Blocked,
 }
 
@@ -60,7 +60,6 @@
         return;
     };
     job.scoring.set(true);
-    let mut failures = FailureBudget::default();
     let mut is_delayed = false;
     let mut probation = CallProbation::default();
     let mut on_probation = false;
@@ -71,15 +70,18 @@
                 return;
             }
             CallOutcome::Failed { max_failures } => {
-                let failed_calls = failures.record_failure(Some(max_failures));
+                let (failures, given_up) = {
+                    let budget = &mut job.progress.borrow_mut().reward_failures;
+                    (budget.record_failure(Some(max_failures)), budget.is_exhausted())
+                };
                 log_event!(
                     AttemptFailed,
                     request = reward.id,
                     status = 500,
-                    failures = failed_calls,
+                    failures,
                     max_failures
                 );
-                if failures.is_exhausted() {
+                if given_up {
                     traffic.items.resolve(job, ItemResult::errored(job.item.id.as_str()));
                     return;
                 }
--- a/crates/hibiscushinged/src/gateway/runner.rs
+++ b/crates/hibiscushinged/src/gateway/runner.rs
@@ -138,7 +138,11 @@
                 progress.queued_at = traffic.node.now();
                 progress.known_since = progress.queued_at;
                 progress.retention = route.retention;
-                progress.failures = FailureBudget::new(route.max_attempts);
+                progress.failures = FailureBudget::new(Some(route.max_attempts));
+                progress.reward_failures =
+                    FailureBudget::new(item.reward.as_ref().and_then(|reward| {
+                        Some(config.route(&reward.host, &reward.path)?.max_attempts)
+                    }));
             }
             state.jobs.insert(&job);
             let tokens_before = tokens_before.get(item.group.as_str()).copied().unwrap_or(0);
--- a/crates/hibiscushinged/src/gateway/topic_follower.rs
+++ b/crates/hibiscushinged/src/gateway/topic_follower.rs
@@ -35,9 +35,7 @@
     fn apply(&self, change: KeyChange);
 
     /// Records the outcome of a read that was sent at `sent_at`, before what it returned is processed.
-    fn record_read(&self, sent_at: Moment, outcome: ReadOutcome) {
-        let _ = (sent_at, outcome);
-    }
+    fn record_read(&self, _sent_at: Moment, _outcome: ReadOutcome) {}
 
     /// Returns the pause before the next read. Changes that arrive meanwhile share that read.
     fn read_pause(&self) -> Duration {
--- a/crates/submissions/src/failure.rs
+++ b/crates/submissions/src/failure.rs
@@ -14,10 +14,11 @@
 }
 
 impl FailureBudget {
-    /// Creates the budget of a route whose configuration allows this many failures.
+    /// Creates the budget of a route by the configuration of the moment, which allows this many failures
+    /// or lacks the route.
     #[must_use]
-    pub const fn new(limit: u32) -> Self {
-        Self { failures: 0, limit: Some(limit) }
+    pub const fn new(limit: Option<u32>) -> Self {
+        Self { failures: 0, limit }
     }
 
     /// Records a failure under a configuration that names this limit, or lacks the route. Returns the
--- a/crates/submissions/tests/failure.rs
+++ b/crates/submissions/tests/failure.rs
@@ -7,7 +7,7 @@
 /// Returns the failure at which an item is given up, whose limit was `first` at the beginning and is
 /// `limits` at its failures.
 fn given_up_at(first: Option<u32>, limits: &[Option<u32>]) -> Option<usize> {
-    let mut budget = first.map_or_else(FailureBudget::default, FailureBudget::new);
+    let mut budget = FailureBudget::new(first);
     limits.iter().position(|limit| {
         budget.record_failure(*limit);
         budget.is_exhausted()
