Review case 14: dead idle channels keep items from the engines (LOST)

Cause: after a timeout the other idle channels to the engines stay in the pool and are tried one by one.

--- a/review/rig-3/src/cases.rs
+++ b/review/rig-3/src/cases.rs
@@ -34,6 +34,7 @@
         match name {
             "finished" => finished(&record, &temporary.0).await,
             "budget" => budget(&record, &temporary.0).await,
+            "silent" => silent(&record, &temporary.0).await,
             "memory" => memory(&record, &temporary.0).await,
             _ => Err(format!("there is no case {name}")),
         }
@@ -408,3 +409,70 @@
     record.note(format!("own ends by machine: {ends:?}"));
     Ok(None)
 }
+
+/// LOST: a step runs out of time while one of its items is at no engine.
+///
+/// The open channels between the gateways and the engines go silent for good, without a reset, while new
+/// ones work.
+async fn silent(record: &Record, folder: &Path) -> Outcome {
+    let mut engines = Vec::new();
+    for index in 0..4 {
+        let options = [("--events", String::from("20")), ("--interval-ms", String::from("50"))];
+        let engine = Engine::new(index, &options).with_proxy().await;
+        engines.push(engine.map_err(|error| error.to_string())?);
+    }
+    let mut site = Deployment::start(record, folder, 2, SMALL_SITE, 3, engines).await?;
+    let _portals = start_portals(&site.store, 2, Duration::from_millis(20));
+    let outcome = silent_in(record, &mut site).await;
+    site.stop().await;
+    outcome
+}
+
+async fn silent_in(record: &Record, site: &mut Deployment) -> Outcome {
+    /// Deadline of a step, by the sheet.
+    const STEP_TIME: f64 = 12.0;
+    tokio::time::sleep(3 * SECOND).await;
+    let first: Vec<String> = (0..32).map(|index| format!("first-{index}")).collect();
+    let first: Vec<&str> = first.iter().map(String::as_str).collect();
+    site.submit("lot-1", &first).await?;
+    let until = record.seconds() + 20.0;
+    while site.results("lot-1").await.map_or(0, |results| results.len()) < first.len() {
+        if record.seconds() > until {
+            return Err(String::from("the first step does not end"));
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    record.note("the first step is complete");
+    if trouble() {
+        for engine in &site.engines {
+            engine.silence();
+        }
+        record.note("the open channels to the engines are silent from now on; new ones work");
+    }
+    // `stable_window_ms`
+    tokio::time::sleep(Duration::from_millis(3_200)).await;
+    let second: Vec<String> = (0..5).map(|index| format!("second-{index}")).collect();
+    let second: Vec<&str> = second.iter().map(String::as_str).collect();
+    site.submit("lot-2", &second).await?;
+    let sent_at = record.seconds();
+    let mut results = Vec::new();
+    while record.seconds() < sent_at + STEP_TIME {
+        if let Some(read) = site.results("lot-2").await.filter(|read| read.len() > results.len()) {
+            record.note(format!("{} of {} results are listed", read.len(), second.len()));
+            results = read;
+        }
+        if results.len() == second.len() {
+            return Ok(None);
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let begun = |item: &str| !record.lines_with(&format!(" {item} ")).is_empty();
+    let (begun, waiting): (Vec<&str>, Vec<&str>) =
+        second.iter().copied().partition(|item| begun(item));
+    record.note(format!(
+        "at the deadline of the step, at an engine so far: {begun:?}; at none: {waiting:?}"
+    ));
+    Ok((!begun.is_empty() && !waiting.is_empty()).then(|| {
+        format!("LOST: the step ran out of time, and {waiting:?} have been at no engine for {STEP_TIME} s")
+    }))
+}
--- a/review/rig-3/src/engine.rs
+++ b/review/rig-3/src/engine.rs
@@ -163,8 +163,11 @@
         answer(stream, "500 Internal Server Error", id, "X-Response-Stamp: s\r\n", b"")?;
         return Ok(true);
     }
-    let framing =
-        if options.unframed { "Connection: close\r\n" } else { "Transfer-Encoding: chunked\r\n" };
+    let framing = if options.unframed {
+        "Connection: close\r\n"
+    } else {
+        "Transfer-Encoding: chunked\r\nKeep-Alive: timeout=75\r\n"
+    };
     let head = format!(
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: {id}\r\n\
          X-Weight-Versions: 1\r\nX-Response-Stamp: s\r\n{framing}\r\n"
--- a/review/rig-3/src/site.rs
+++ b/review/rig-3/src/site.rs
@@ -17,7 +17,9 @@
 use site_stand_in::{ServiceOptions, SiteService, SiteStore, StoreOptions};
 use tokio::{
     io::{AsyncBufReadExt as _, BufReader},
+    net::TcpStream,
     process::{Child, Command},
+    sync::Notify,
 };
 
 use crate::http;
@@ -236,6 +238,8 @@
 pub struct Engine {
     pub id: String,
     pub address: SocketAddr,
+    /// Proxy through which the gateways reach the engine, if there is one.
+    proxy: Option<Proxy>,
     arguments: Vec<String>,
     child: Option<Child>,
 }
@@ -247,11 +251,26 @@
         Self {
             id: format!("i-engine-{index}"),
             address: free_address(own_ip()),
+            proxy: None,
             arguments: arguments.collect(),
             child: None,
         }
     }
 
+    /// Has the gateways reach the engine through a proxy.
+    pub async fn with_proxy(mut self) -> std::io::Result<Self> {
+        self.proxy = Some(Proxy::start(self.address).await?);
+        Ok(self)
+    }
+
+    /// Silences the open connections of the proxy for good, without a reset. New ones work.
+    pub fn silence(&self) {
+        if let Some(proxy) = &self.proxy {
+            proxy.epoch.fetch_add(1, Ordering::AcqRel);
+            proxy.changed.notify_waiters();
+        }
+    }
+
     /// Starts the process and writes its entry. What it reports is copied into the record.
     pub async fn start(&mut self, store: &SiteStore, record: &Record) -> std::io::Result<()> {
         let born = unix_ms();
@@ -275,7 +294,7 @@
         store.put_upstream(
             &self.id,
             &json!({
-                "service": "drafts", "address": self.address, "zone": "zone-a", "version": "v1",
+                "service": "drafts", "address": self.proxy.as_ref().map_or(self.address, |proxy| proxy.address), "zone": "zone-a", "version": "v1",
                 "slots": 8, "state": "ready", "warmup_ms": 0, "seqno": 0, "born": born,
                 "models": [{"name": "m0", "version": 1, "adapters": []}],
             }),
@@ -295,6 +314,47 @@
     }
 }
 
+/// Passes connections on to an engine, and can silence the open ones.
+struct Proxy {
+    address: SocketAddr,
+    epoch: Arc<AtomicU32>,
+    changed: Arc<Notify>,
+}
+
+impl Proxy {
+    async fn start(engine: SocketAddr) -> std::io::Result<Self> {
+        let listener = tokio::net::TcpListener::bind((own_ip(), 0)).await?;
+        let address = listener.local_addr()?;
+        let (epoch, changed) = (Arc::new(AtomicU32::new(0)), Arc::new(Notify::new()));
+        let proxy = Self { address, epoch: Arc::clone(&epoch), changed: Arc::clone(&changed) };
+        actix_rt::spawn(async move {
+            while let Ok((mut client, _)) = listener.accept().await {
+                let (epoch, changed) = (Arc::clone(&epoch), Arc::clone(&changed));
+                actix_rt::spawn(async move {
+                    let opened_in = epoch.load(Ordering::Acquire);
+                    let Ok(mut server) = TcpStream::connect(engine).await else { return };
+                    let _ = (client.set_nodelay(true), server.set_nodelay(true));
+                    let silenced = async {
+                        while epoch.load(Ordering::Acquire) == opened_in {
+                            let notified = changed.notified();
+                            if epoch.load(Ordering::Acquire) == opened_in {
+                                notified.await;
+                            }
+                        }
+                    };
+                    tokio::select! {
+                        _ = tokio::io::copy_bidirectional(&mut client, &mut server) => return,
+                        () = silenced => {}
+                    }
+                    // Both ends stay open, and nothing passes any more.
+                    std::future::pending::<()>().await;
+                });
+            }
+        });
+        Ok(proxy)
+    }
+}
+
 /// Starts upstreams of the plain service and writes their entries.
 pub fn start_portals(store: &SiteStore, count: usize, service_time: Duration) -> Vec<SiteService> {
     let portals = (0..count).map(|index| {
