--- a/review/rig-3/src/cases.rs
+++ b/review/rig-3/src/cases.rs
@@ -3,7 +3,7 @@
 use std::{path::Path, process::ExitCode, time::Duration};
 
 use serde_json::Value;
-use site_stand_in::SiteStore;
+use site_stand_in::{SiteService, SiteStore};
 
 use crate::{
     engine::event_data,
@@ -34,6 +34,7 @@
         match name {
             "finished" => finished(&record, &temporary.0).await,
             "budget" => budget(&record, &temporary.0).await,
+            "moved" => moved(&record, &temporary.0).await,
             "silent" => silent(&record, &temporary.0).await,
             "memory" => memory(&record, &temporary.0).await,
             _ => Err(format!("there is no case {name}")),
@@ -73,7 +74,7 @@
         engines: Vec<Engine>,
     ) -> Result<Self, String> {
         let store = start_store();
-        store.put_operator_key("config", &manifest(1, attempts));
+        store.put_operator_key("config", &manifest(1, attempts, "portal"));
         let options = GatewayOptions {
             cores,
             memory_mb,
@@ -167,7 +168,7 @@
         Engine::new(index, &options)
     });
     let mut site = Deployment::start(record, folder, 2, SMALL_SITE, 3, engines.collect()).await?;
-    let _portals = start_portals(&site.store, 2, Duration::from_millis(20));
+    let _portals = start_portals(&site.store, "portal", 2, Duration::from_millis(20));
     let outcome = finished_in(record, &mut site, EVENTS, POISON).await;
     site.stop().await;
     outcome
@@ -241,7 +242,7 @@
     });
     let mut site =
         Deployment::start(record, folder, 6, SMALL_SITE, ATTEMPTS, engines.collect()).await?;
-    let _portals = start_portals(&site.store, 2, Duration::from_millis(20));
+    let _portals = start_portals(&site.store, "portal", 2, Duration::from_millis(20));
     let outcome = budget_in(record, &mut site, ATTEMPTS).await;
     site.stop().await;
     outcome
@@ -422,7 +423,7 @@
         engines.push(engine.map_err(|error| error.to_string())?);
     }
     let mut site = Deployment::start(record, folder, 2, SMALL_SITE, 3, engines).await?;
-    let _portals = start_portals(&site.store, 2, Duration::from_millis(20));
+    let _portals = start_portals(&site.store, "portal", 2, Duration::from_millis(20));
     let outcome = silent_in(record, &mut site).await;
     site.stop().await;
     outcome
@@ -476,3 +477,62 @@
         format!("LOST: the step ran out of time, and {waiting:?} have been at no engine for {STEP_TIME} s")
     }))
 }
+
+/// CONFIG: a request is run by the old service later than `config_ms` after the ack of a version that has
+/// moved its route.
+///
+/// The route of the reward calls moves to another service while calls wait for their turn.
+async fn moved(record: &Record, folder: &Path) -> Outcome {
+    let engines = (0..9).map(|index| {
+        let options = [("--events", String::from("10")), ("--interval-ms", String::from("30"))];
+        Engine::new(index, &options)
+    });
+    let mut site = Deployment::start(record, folder, 2, SMALL_SITE, 3, engines.collect()).await?;
+    let outcome = moved_in(record, &mut site).await;
+    site.stop().await;
+    outcome
+}
+
+async fn moved_in(record: &Record, site: &mut Deployment) -> Outcome {
+    /// `config_ms` of the sheet.
+    const CONFIG_TIME: Duration = Duration::from_millis(2_000);
+    const WORK: Duration = Duration::from_millis(500);
+    let old = start_portals(&site.store, "portal", 2, WORK);
+    let new = start_portals(&site.store, "portal-new", 2, WORK);
+    tokio::time::sleep(4 * SECOND).await;
+    let items: Vec<String> = (0..72).map(|index| format!("item-{index}")).collect();
+    let items: Vec<&str> = items.iter().map(String::as_str).collect();
+    site.submit("lot-1", &items).await?;
+    let served = |portals: &[SiteService]| portals.iter().map(SiteService::served).sum::<u64>();
+    let until = record.seconds() + 10.0;
+    while served(&old) == 0 && record.seconds() < until {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    if trouble() {
+        site.store.put_operator_key("config", &manifest(2, 3, "portal-new"));
+        record.note(
+            "the store has acknowledged version 2, which moves the reward calls to portal-new",
+        );
+    }
+    tokio::time::sleep(CONFIG_TIME).await;
+    let before = served(&old);
+    record.note(format!(
+        "{CONFIG_TIME:?} later: portal has run {before}, portal-new {}",
+        served(&new)
+    ));
+    let until = record.seconds() + 20.0;
+    let mut listed = 0;
+    while listed < items.len() && record.seconds() < until {
+        tokio::time::sleep(Duration::from_millis(250)).await;
+        listed = site.results("lot-1").await.map_or(listed, |results| results.len());
+        record.note(format!(
+            "portal has run {}, portal-new {}; {listed} results are listed",
+            served(&old),
+            served(&new)
+        ));
+    }
+    let late = served(&old) - before;
+    Ok((trouble() && late > 0).then(|| {
+        format!("CONFIG: the old service has run {late} reward calls later than {CONFIG_TIME:?} after the ack")
+    }))
+}
--- a/review/rig-3/src/site.rs
+++ b/review/rig-3/src/site.rs
@@ -356,12 +356,17 @@
 }
 
 /// Starts upstreams of the plain service and writes their entries.
-pub fn start_portals(store: &SiteStore, count: usize, service_time: Duration) -> Vec<SiteService> {
+pub fn start_portals(
+    store: &SiteStore,
+    service: &str,
+    count: usize,
+    service_time: Duration,
+) -> Vec<SiteService> {
     let portals = (0..count).map(|index| {
         let options = ServiceOptions {
             listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
-            id: format!("i-portal-{index}"),
-            service: String::from("portal"),
+            id: format!("i-{service}-{index}"),
+            service: String::from(service),
             zone: String::from("zone-a"),
             slots: 8,
             service_time,
@@ -382,15 +387,15 @@
 }
 
 /// Returns a manifest with the route of the submissions (`attempts` as given), that of the reward
-/// calls and a plain one.
-pub fn manifest(version: u64, attempts: u32) -> Value {
+/// calls, which goes to the service `scorer`, and a plain one.
+pub fn manifest(version: u64, attempts: u32, scorer: &str) -> Value {
     json!({
         "version": version,
         "routes": [
             {"name": "fetch", "host": HOST, "prefix": "/fetch/", "kind": "safe", "deadline_ms": 2000,
              "goal_ms": 400, "priority": 2, "service": "portal", "attempts": 2, "public": false},
             {"name": "score", "host": HOST, "prefix": "/score/", "kind": "safe", "deadline_ms": 2000,
-             "goal_ms": 400, "priority": 2, "service": "portal", "attempts": 4, "public": true},
+             "goal_ms": 400, "priority": 2, "service": scorer, "attempts": 4, "public": true},
             {"name": "draft", "host": HOST, "prefix": "/draft/", "kind": "rollout",
              "deadline_ms": 10000, "goal_ms": 500, "priority": 1, "service": "drafts",
              "attempts": attempts, "public": false, "run_target_ms": 7500, "retention_s": 40},
@@ -399,6 +404,7 @@
             {"name": "drafts", "health": "/healthz", "max_conns": 140,
              "engine": {"slots": 8, "models": [{"name": "m0"}]}},
             {"name": "portal", "health": "/healthz", "max_conns": 110},
+            {"name": "portal-new", "health": "/healthz", "max_conns": 110},
         ],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 33554432,
                    "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
