--- a/review/rig-3/src/cases.rs
+++ b/review/rig-3/src/cases.rs
@@ -34,6 +34,7 @@
         match name {
             "finished" => finished(&record, &temporary.0).await,
             "budget" => budget(&record, &temporary.0).await,
+            "deadly" => deadly(&record, &temporary.0).await,
             "moved" => moved(&record, &temporary.0).await,
             "silent" => silent(&record, &temporary.0).await,
             "memory" => memory(&record, &temporary.0).await,
@@ -536,3 +537,89 @@
         format!("CONFIG: the old service has run {late} reward calls later than {CONFIG_TIME:?} after the ack")
     }))
 }
+
+/// BUDGET: a request that crashes the engines that run it reaches engines again and again.
+///
+/// One item crashes each engine that begins to run it. The engine is back after three seconds.
+async fn deadly(record: &Record, folder: &Path) -> Outcome {
+    let poison = if trouble() { "item-1@1" } else { "" };
+    let engines = (0..4).map(|index| {
+        let options = [
+            ("--events", String::from("10")),
+            ("--interval-ms", String::from("30")),
+            ("--poison", String::from(poison)),
+        ];
+        Engine::new(index, &options)
+    });
+    let mut site = Deployment::start(record, folder, 2, SMALL_SITE, 3, engines.collect()).await?;
+    let _portals = start_portals(&site.store, "portal", 2, Duration::from_millis(20));
+    let outcome = deadly_in(record, &mut site).await;
+    site.stop().await;
+    outcome
+}
+
+async fn deadly_in(record: &Record, site: &mut Deployment) -> Outcome {
+    /// Crashes after which the rule counts, retries that it allows then, and `stable_window_ms`.
+    const CRASHES: usize = 3;
+    const RETRIES: usize = 3;
+    const STABLE_TIME: f64 = 3.0;
+    /// Time for which a crashed engine is down.
+    const DOWN_MS: u64 = 3_000;
+    tokio::time::sleep(4 * SECOND).await;
+    let items: Vec<String> = (0..8).map(|index| format!("item-{index}")).collect();
+    let items: Vec<&str> = items.iter().map(String::as_str).collect();
+    site.submit("lot-1", &items).await?;
+    let mut down: Vec<(usize, u64)> = Vec::new();
+    let mut counted_from = None;
+    let mut runs_before = 0;
+    let mut listed = 0;
+    let until = record.seconds() + 30.0;
+    while record.seconds() < until {
+        for index in 0..site.engines.len() {
+            if site.engines[index].has_ended() && !down.iter().any(|(known, _)| *known == index) {
+                down.push((index, unix_ms() + DOWN_MS));
+            }
+        }
+        for (index, back_at) in std::mem::take(&mut down) {
+            if unix_ms() < back_at {
+                down.push((index, back_at));
+                continue;
+            }
+            let started = site.engines[index].start(&site.store, record).await;
+            started.map_err(|error| error.to_string())?;
+        }
+        let crashes = record.lines_with("engine crash").len();
+        let runs = record
+            .lines_with(" item-1 0")
+            .iter()
+            .filter(|line| line.contains("engine run"))
+            .count();
+        if crashes >= CRASHES && counted_from.is_none() {
+            counted_from = Some(record.seconds() + STABLE_TIME);
+        }
+        if counted_from.is_none_or(|from| record.seconds() < from) {
+            runs_before = runs;
+        }
+        if let Some(results) = site.results("lot-1").await.filter(|results| results.len() > listed)
+        {
+            listed = results.len();
+            record.note(format!("{listed} of {} results are listed", items.len()));
+        }
+        if listed == items.len() {
+            return Ok(None);
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let crashes = record.lines_with("engine crash").len();
+    let runs =
+        record.lines_with(" item-1 0").iter().filter(|line| line.contains("engine run")).count();
+    let retries = runs - runs_before;
+    record.note(format!(
+        "item-1 has crashed {crashes} engine processes; it was sent {retries} times later than {STABLE_TIME} s after \
+         the third crash; {listed} of {} results are listed",
+        items.len()
+    ));
+    Ok((retries > RETRIES).then(|| {
+        format!("BUDGET: item-1 was sent {retries} times later than {STABLE_TIME} s after it had crashed the third engine")
+    }))
+}
