--- a/review/rig-3/src/cases.rs
+++ b/review/rig-3/src/cases.rs
@@ -41,9 +41,13 @@
             _ => Err(format!("there is no case {name}")),
         }
     };
-    // All processes end with their handles.
-    let outcome = tokio::time::timeout(LIMIT, playing).await;
-    let outcome = outcome.unwrap_or_else(|_| Err(format!("it takes longer than {LIMIT:?}")));
+    // All processes end with their handles, also when the driver is asked to end.
+    let outcome = tokio::select! {
+        outcome = tokio::time::timeout(LIMIT, playing) => {
+            outcome.unwrap_or_else(|_| Err(format!("it takes longer than {LIMIT:?}")))
+        }
+        () = asked_to_end() => Err(String::from("the driver was asked to end")),
+    };
     let (code, text) = match outcome {
         Ok(None) => (0, String::from("the rule held")),
         Ok(Some(broken)) => (1, format!("the rule was broken: {broken}")),
@@ -54,6 +58,20 @@
     ExitCode::from(code)
 }
 
+/// Completes when the driver gets SIGTERM or SIGINT.
+async fn asked_to_end() {
+    use tokio::signal::unix::{SignalKind, signal};
+    let terminate = signal(SignalKind::terminate());
+    let interrupt = signal(SignalKind::interrupt());
+    let (Ok(mut terminate), Ok(mut interrupt)) = (terminate, interrupt) else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
+
 /// Returns how the rule was broken, if it was. An error says why the case could not run.
 type Outcome = Result<Option<String>, String>;
 
--- a/review/rig-3/src/engine.rs
+++ b/review/rig-3/src/engine.rs
@@ -80,6 +80,11 @@
         eprintln!("the engine cannot listen on {}", text("--listen"));
         return ExitCode::from(2);
     };
+    // The driver holds the other end of the standard input. Without the driver the engine ends too.
+    thread::spawn(|| {
+        let _ = io::copy(&mut io::stdin(), &mut io::sink());
+        std::process::exit(0);
+    });
     report("listening", &options.id, "", 0);
     for stream in listener.incoming().flatten() {
         let options = Arc::clone(&options);
--- a/review/rig-3/src/site.rs
+++ b/review/rig-3/src/site.rs
@@ -94,10 +94,12 @@
     Ipv4Addr::from(octets)
 }
 
-/// Returns an address with a port that was free a moment ago.
-fn free_address(ip: Ipv4Addr) -> SocketAddr {
-    let listener = TcpListener::bind((ip, 0)).expect("a loopback address has a free port");
-    listener.local_addr().expect("a bound listener has an address")
+/// Returns addresses of a process with different ports that were free a moment ago.
+fn free_addresses<const N: usize>() -> [SocketAddr; N] {
+    let ip = own_ip();
+    let listeners =
+        [(); N].map(|()| TcpListener::bind((ip, 0)).expect("a loopback address has a free port"));
+    listeners.map(|listener| listener.local_addr().expect("a bound listener has an address"))
 }
 
 /// A gateway process, started with the command of the deploy file.
@@ -124,8 +126,7 @@
     /// platform's `bootstrap`.
     pub fn new(folder: &Path, index: usize, options: &GatewayOptions) -> Self {
         let name = format!("front-zone-a-{index}");
-        let ip = own_ip();
-        let (address, ready) = (free_address(ip), free_address(ip));
+        let [address, ready, metrics, peer] = free_addresses();
         let gateway = Self {
             settings: folder.join(format!("{name}.toml")),
             log: folder.join(format!("{name}.log")),
@@ -134,7 +135,6 @@
             ready,
             child: None,
         };
-        let (metrics, peer) = (free_address(ip), free_address(ip));
         let text = format!(
             "vm_name = \"{}\"\nzone = \"zone-a\"\nregion = \"region-a\"\n\
              zones = '{{\"zone-a\":\"region-a\"}}'\nfirst_start = FIRST\ncores = {}\nmemory_mb = {}\n\
@@ -250,7 +250,7 @@
             arguments.iter().flat_map(|(name, value)| [String::from(*name), value.clone()]);
         Self {
             id: format!("i-engine-{index}"),
-            address: free_address(own_ip()),
+            address: free_addresses::<1>()[0],
             proxy: None,
             arguments: arguments.collect(),
             child: None,
@@ -277,7 +277,8 @@
         let mut command = Command::new(std::env::current_exe()?);
         command.arg("engine").args(["--id", &self.id, "--born", &born.to_string()]);
         command.args(["--listen", &self.address.to_string(), "--model", "m0", "--slots", "8"]);
-        command.args(&self.arguments).stdout(Stdio::piped()).stderr(Stdio::null());
+        command.args(&self.arguments).stdin(Stdio::piped());
+        command.stdout(Stdio::piped()).stderr(Stdio::null());
         let mut child = command.kill_on_drop(true).spawn()?;
         let mut lines = BufReader::new(child.stdout.take().expect("piped")).lines();
         let first = tokio::time::timeout(Duration::from_secs(5), lines.next_line()).await;
