--- a/review/rig-3/src/cases.rs
+++ b/review/rig-3/src/cases.rs
@@ -195,7 +195,7 @@
 
 async fn finished_in(record: &Record, site: &mut Deployment, events: u64, poison: &str) -> Outcome {
     tokio::time::sleep(2 * SECOND).await;
-    let items: Vec<String> = (0..8).map(|index| format!("item-{index}")).collect();
+    let items: Vec<String> = (0..40).map(|index| format!("item-{index}")).collect();
     let items: Vec<&str> = items.iter().map(String::as_str).collect();
     site.submit("lot-1", &items).await?;
     let whole = |item: &str| {
@@ -584,14 +584,14 @@
     /// Time for which a crashed engine is down.
     const DOWN_MS: u64 = 3_000;
     tokio::time::sleep(4 * SECOND).await;
-    let items: Vec<String> = (0..8).map(|index| format!("item-{index}")).collect();
+    let items: Vec<String> = (0..40).map(|index| format!("item-{index}")).collect();
     let items: Vec<&str> = items.iter().map(String::as_str).collect();
     site.submit("lot-1", &items).await?;
     let mut down: Vec<(usize, u64)> = Vec::new();
     let mut counted_from = None;
     let mut runs_before = 0;
     let mut listed = 0;
-    let until = record.seconds() + 30.0;
+    let until = record.seconds() + 20.0;
     while record.seconds() < until {
         for index in 0..site.engines.len() {
             if site.engines[index].has_ended() && !down.iter().any(|(known, _)| *known == index) {
