--- a/review/rig-3/src/site.rs
+++ b/review/rig-3/src/site.rs
@@ -154,7 +154,13 @@
         let mut command = Command::new(program);
         command.arg("--gateway").arg(&self.settings).kill_on_drop(true);
         command.stdout(Stdio::from(log.try_clone()?)).stderr(Stdio::from(log));
-        self.child = Some(command.spawn()?);
+        let child = command.spawn()?;
+        // For the script, which ends the gateways if the driver is killed.
+        let pids = self.settings.with_file_name("pids");
+        if let Some(id) = child.id() {
+            writeln!(File::options().create(true).append(true).open(pids)?, "{id}")?;
+        }
+        self.child = Some(child);
         record.note(format!("gateway {} started", self.name));
         Ok(())
     }
