Do not reuse idle connections that are as old as one that fell silent

Idempotent requests got no answer although they were sent to two upstreams, resumable streams waited until their deadline, and non-idempotent requests were lost one after the other.

Cause: an exchange that met a dead connection dropped this one only. The pool kept the other idle connections to the same upstream, and the next run of the item went to another upstream, again on an idle connection. Streams had no time-out but the deadline of the request.

Ruled out: engines that are full or suspended (suspended for 250 ms at most, and items were placed again at once), the links (they counted as working, since probes connected), and the limit of each upstream's connections alone: to close them at one upstream leaves those of the next one.

Change: a tracker in dispatch notes for each exchange whether its connection worked before and since when this node waits for bytes. While one is silent for too long, idle connections to that upstream that have not delivered since are not used; if it is given up, they are closed (event 1509). The next attempt of the same item, request or stream uses connections that have delivered since, or a new one, at any upstream. Resumable streams leave a connection that is probably dead. Requests that are passed to another node have connections of their own.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -73,6 +73,7 @@
     1506 LimitShareChanged "This node's share of an upstream's limit has changed."
     1507 LinksLost "This node reaches no upstream of a service; other nodes get the requests for it."
     1508 LinksRegained "This node reaches upstreams of a service again, or still does after several failed."
+    1509 ConnectionSilent "An exchange was given up on a connection that had worked and fell silent; older idle ones to the upstream were closed."
     1520 UpstreamCold "An upstream is cold; the requests of all nodes to it are limited until it is warm."
     1530 ZoneEvacuated "The operator has ordered the evacuation of a zone; its upstreams get no requests of this node."
     1531 ZoneReturned "The evacuation of a zone was withdrawn; its upstreams get requests of this node again."
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,7 +6,8 @@
 //! requests that upstreams name among all nodes, and a [`RequestBucket`] keeps this node's requests
 //! to its share. [`ZoneEvacuations`] holds the zones whose upstreams get no requests. A
 //! [`LinkTracker`] judges whether this node reaches the upstreams at all, and a [`PeerTable`]
-//! chooses the node that gets its requests if it does not. A [`LapseWindow`] tells entries that lapsed
+//! chooses the node that gets its requests if it does not. A [`SilenceTracker`] judges which idle
+//! connections may be dead. A [`LapseWindow`] tells entries that lapsed
 //! in an outage of the store from those of upstreams that leave.
 
 mod balancer;
@@ -21,6 +22,7 @@
 mod peers;
 mod pick;
 mod request_bucket;
+mod silence;
 mod stats;
 mod warmup;
 mod weight_loads;
@@ -37,6 +39,7 @@
     peers::{PeerEntry, PeerOutcome, PeerTable},
     pick::{GenerationPickRequest, ModelRequirement, PlainPickRequest, RequestOrigin},
     request_bucket::RequestBucket,
+    silence::{ConnectionAge, ExchangeKey, SilenceTracker},
     stats::{ExchangeOutcome, UpstreamLoad},
     warmup::{ServiceWarmup, WarmupLimit},
     weight_loads::{EngineWeights, ModelTarget, WeightLoad, WeightLoadLimits, plan_weight_loads},
--- a/crates/hibiscushinged/src/gateway/attempt.rs
+++ b/crates/hibiscushinged/src/gateway/attempt.rs
@@ -11,7 +11,7 @@
 };
 use base::{Moment, Span, UpstreamKey};
 use bytes::Bytes;
-use dispatch::{ExchangeOutcome, RequestOrigin};
+use dispatch::{ConnectionAge, ExchangeOutcome, RequestOrigin};
 use platform::ResponseMetadata;
 
 use crate::{
@@ -21,6 +21,7 @@
         limits::{self, StatementSource},
         links,
         plain::PlainJob,
+        pool::ExchangeWatch,
         process_check::check_process,
         response_buffer::BodyTooLong,
         traffic_state::TrafficState,
@@ -47,6 +48,10 @@
     /// response is joined with others of the same software version, or since a new process may be
     /// cold.
     pub(crate) process_bound: bool,
+    /// Moment since which the connection must have delivered, since older ones may be dead.
+    pub(crate) trusted_since: Moment,
+    /// Silence from which a connection that is not new may be dead.
+    pub(crate) silence_limit: Span,
 }
 
 /// A response of an upstream with its complete body.
@@ -139,13 +144,14 @@
     head.headers = call.headers;
     let was_limited =
         traffic.balancer.borrow().is_warmup_limited(traffic.node.now(), call.upstream);
-    let channel = match traffic.pool.take(traffic.node.now(), call.upstream, call.id) {
-        Some(channel) => channel,
+    let now = traffic.node.now();
+    let (channel, age) = match traffic.pool.take(now, call.upstream, call.id, call.trusted_since) {
+        Some((channel, idle_since)) => (channel, ConnectionAge::Reused(idle_since)),
         None => {
             traffic.node.metrics.channels_opened.inc();
             let opening = UpstreamChannel::open(address, traffic.pool.config());
             match tokio::time::timeout(CONNECT_TIMEOUT, opening).await {
-                Ok(Ok(channel)) => channel,
+                Ok(Ok(channel)) => (channel, ConnectionAge::New),
                 Ok(Err(error)) => {
                     let reason = format!("connecting to upstream {address} failed: {error}");
                     return Err((AttemptError::NotRun(reason), ExchangeOutcome::TransportError));
@@ -159,8 +165,8 @@
             }
         }
     };
-    let channel = if call.process_bound {
-        match check_process(traffic, call.upstream, channel).await {
+    let mut channel = if call.process_bound {
+        match check_process(traffic, call.upstream, channel, age).await {
             Ok(channel) => channel,
             Err(failed) => return Err((AttemptError::NotRun(failed.reason), failed.outcome)),
         }
@@ -175,6 +181,8 @@
     warmup::admit_late(traffic, call.upstream, call.origin, was_limited)?;
     let counted_request = call.billed_customer.map(|customer| traffic.node.count_request(customer));
     let sent_at = traffic.node.now();
+    let watch = ExchangeWatch::begin(traffic, call.upstream, age, call.silence_limit);
+    channel.set_watch(watch);
     let exchange = match channel.send(head, call.body, call.id).await {
         Ok(exchange) => exchange,
         Err(error) => {
--- a/crates/hibiscushinged/src/gateway/attempt/tests.rs
+++ b/crates/hibiscushinged/src/gateway/attempt/tests.rs
@@ -4,7 +4,7 @@
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use actix_http::{Method, StatusCode, header::HeaderMap};
-use base::UpstreamKey;
+use base::{Moment, Span, UpstreamKey};
 use bytes::Bytes;
 use dispatch::{EntryState, RemovalCause, RequestOrigin, UpstreamEntry};
 use rstest::rstest;
@@ -94,6 +94,8 @@
         billed_customer: None,
         origin,
         process_bound: false,
+        trusted_since: Moment(0),
+        silence_limit: Span::from_secs(1),
     };
     let result = tokio::time::timeout(EXCHANGE_TIMEOUT, run_exchange(traffic, call)).await;
     result.expect("the exchange ends within 20 s")
@@ -181,6 +183,8 @@
         billed_customer: None,
         origin: RequestOrigin::Item,
         process_bound: true,
+        trusted_since: Moment(0),
+        silence_limit: Span::from_secs(1),
     };
     let checked = async {
         let (mut stream, _) = listener.accept().await.unwrap();
--- a/crates/hibiscushinged/src/gateway/channel.rs
+++ b/crates/hibiscushinged/src/gateway/channel.rs
@@ -20,6 +20,8 @@
 };
 use tokio_util::codec::{Decoder as _, Encoder as _};
 
+use crate::gateway::pool::ExchangeWatch;
+
 /// Responses to other requests that are skipped before the right one. Some upstreams send a
 /// response twice, which leaves one extra on the connection.
 const MAX_SKIPPED_RESPONSES: usize = 2;
@@ -60,6 +62,8 @@
     unsent: Bytes,
     /// Process at the other end, once it was checked.
     process: Option<ProcessDigest>,
+    /// Watch of the exchange in progress, if the connection leads to an upstream.
+    watch: Option<ExchangeWatch>,
     /// Hashes of the identifiers that were sent on the connection. A late copy of the response to
     /// one of them must not be taken for the response to another send of it.
     sent_ids: Vec<u64>,
@@ -99,6 +103,7 @@
             buffer: BytesMut::new(),
             unsent: Bytes::new(),
             process: None,
+            watch: None,
             sent_ids: Vec::new(),
         })
     }
@@ -112,6 +117,18 @@
         self.process = Some(process);
     }
 
+    /// Has the exchange watched that begins now.
+    pub(crate) fn set_watch(&mut self, watch: ExchangeWatch) {
+        self.watch = Some(watch);
+    }
+
+    /// Ends the watch of an exchange that is complete, or whose connection has broken.
+    pub(crate) fn finish_watch(&mut self) {
+        if let Some(watch) = self.watch.take() {
+            watch.finish();
+        }
+    }
+
     /// Returns whether a request with this identifier was sent on the connection. Another send of it
     /// needs another connection: an upstream may send the response to the first one twice.
     pub(crate) fn has_sent(&self, id: &str) -> bool {
@@ -254,6 +271,18 @@
     /// Reads more bytes and meanwhile writes the unsent part of the request. An upstream may
     /// respond before it has read a long body.
     async fn fill(&mut self) -> io::Result<usize> {
+        if let Some(watch) = &self.watch {
+            watch.record_wait();
+        }
+        let read = self.read_more().await;
+        match (&read, &self.watch) {
+            (Ok(1..), Some(watch)) => watch.record_bytes(),
+            _ => self.finish_watch(),
+        }
+        read
+    }
+
+    async fn read_more(&mut self) -> io::Result<usize> {
         self.buffer.reserve(READ_RESERVE_BYTES);
         loop {
             if self.unsent.is_empty() {
--- a/crates/hibiscushinged/src/gateway/forward.rs
+++ b/crates/hibiscushinged/src/gateway/forward.rs
@@ -29,7 +29,6 @@
         attempt::{FullResponse, read_body},
         channel::{Exchange, UpstreamChannel},
         plain::PlainJob,
-        pool::ChannelPool,
         response,
         traffic_state::TrafficState,
     },
@@ -64,10 +63,11 @@
 /// Retry-After of a request that no node can serve. A node probes its links in this interval.
 const RETRY_AFTER: Span = Span::from_millis(300);
 
-/// Other nodes, and idle connections to them.
+/// Other nodes. Each request to one has a connection of its own: requests are passed on while links
+/// fail, when an idle connection may be dead, and a new one costs a round trip.
+#[derive(Default)]
 pub(crate) struct PeerNodes {
     pub(crate) table: RefCell<PeerTable>,
-    pool: ChannelPool<VmKey>,
 }
 
 /// Why a request that was passed on got no response.
@@ -109,32 +109,16 @@
     ended: bool,
 }
 
-impl Default for PeerNodes {
-    fn default() -> Self {
-        Self { table: RefCell::default(), pool: ChannelPool::new() }
-    }
-}
-
 impl PeerGuard {
     fn acquire(traffic: &Rc<TrafficState>, peer: VmKey, service: &str) -> Self {
         traffic.peers.table.borrow_mut().begin_request(peer);
         Self { traffic: Rc::clone(traffic), peer, service: String::from(service), ended: false }
     }
 
-    fn finish(mut self, outcome: PeerOutcome) {
+    pub(crate) fn finish(mut self, outcome: PeerOutcome) {
         self.record(outcome);
     }
 
-    /// Records a complete response, and keeps its connection for reuse.
-    pub(crate) fn answered(self, exchange: Exchange) {
-        let idle_timeout = exchange.metadata().idle_timeout;
-        if let Some(channel) = exchange.into_reusable() {
-            let now = self.traffic.node.now();
-            self.traffic.peers.pool.keep(now, self.peer, channel, idle_timeout);
-        }
-        self.finish(PeerOutcome::Answered);
-    }
-
     fn record(&mut self, outcome: PeerOutcome) {
         if !std::mem::replace(&mut self.ended, true) {
             let now = self.traffic.node.now();
@@ -167,7 +151,7 @@
         let Some(peer) = pick(traffic, job.service, &tried, &job.home) else { break };
         tried.push(peer);
         let guard = PeerGuard::acquire(traffic, peer, job.service);
-        let Some(channel) = connect(traffic, peer, job.id).await else {
+        let Some(channel) = connect(traffic, peer).await else {
             log_skipped(traffic, job, peer, "it accepts no connection");
             guard.finish(PeerOutcome::Failed);
             continue;
@@ -350,7 +334,7 @@
         metadata: exchange.metadata().clone(),
         body,
     };
-    guard.answered(exchange);
+    guard.finish(PeerOutcome::Answered);
     Ok((response, outcome))
 }
 
@@ -432,13 +416,13 @@
         headers.insert(SERVICE, value);
         platform::set_host_and_id(&mut headers, LINKS_HOST, QUESTION_ID);
         let asking = async {
-            let channel = connect(traffic, peer, QUESTION_ID).await?;
+            let channel = connect(traffic, peer).await?;
             let head = request_head(Method::GET, LINKS_PATH, headers)?;
             channel.send(head, Bytes::new(), QUESTION_ID).await.ok()
         };
         match tokio::time::timeout(QUESTION_TIMEOUT, asking).await {
             Ok(Some(exchange)) if exchange.head().status == StatusCode::NO_CONTENT => {
-                guard.answered(exchange);
+                guard.finish(PeerOutcome::Answered);
                 return true;
             }
             Ok(Some(_)) => guard.finish(PeerOutcome::Unreached),
@@ -469,13 +453,10 @@
     settings.region_of(&settings.zone)
 }
 
-/// Returns a connection to a node on which no request with this identifier was sent.
-async fn connect(traffic: &TrafficState, peer: VmKey, id: &str) -> Option<UpstreamChannel> {
-    if let Some(channel) = traffic.peers.pool.take(traffic.node.now(), peer, id) {
-        return Some(channel);
-    }
+/// Opens a connection to a node.
+async fn connect(traffic: &TrafficState, peer: VmKey) -> Option<UpstreamChannel> {
     let address = traffic.peers.table.borrow().entry(peer).address;
-    let opening = UpstreamChannel::open(address, traffic.peers.pool.config());
+    let opening = UpstreamChannel::open(address, traffic.pool.config());
     tokio::time::timeout(CONNECT_TIMEOUT, opening).await.ok()?.ok()
 }
 
--- a/crates/hibiscushinged/src/gateway/generation.rs
+++ b/crates/hibiscushinged/src/gateway/generation.rs
@@ -6,7 +6,7 @@
 use std::{rc::Rc, time::Duration};
 
 use actix_http::Method;
-use base::{Moment, UpstreamKey, WeightVersion};
+use base::{Moment, Span, UpstreamKey, WeightVersion};
 use dispatch::{ExchangeOutcome, RequestOrigin};
 use platform::{EventReader, UpstreamRequestMetadata, item_headers};
 use submissions::{ItemResult, TextError};
@@ -27,6 +27,10 @@
 /// load takes 0.9 s and blocks the runs of its engine.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(1_800);
 
+/// Silence from which a connection that is not new may be dead. It covers a weight load, and ends
+/// before [`EVENT_TIMEOUT`].
+const SILENCE_LIMIT: Span = Span::from_millis(1_500);
+
 /// Part of the largest record of the store that is reserved for what a result holds besides its
 /// text.
 const RESULT_OVERHEAD_BYTES: usize = 4 << 10;
@@ -98,6 +102,10 @@
             traffic.items.requeue(&traffic.node, &job);
         }
         RunOutcome::Interrupted(reason) => {
+            if let Some(since) = traffic.pool.silence_of(traffic.node.now(), upstream, started) {
+                // The connections to other engines may have died with this one.
+                job.progress.borrow_mut().trusted_since = since;
+            }
             let events = job.progress.borrow().text.last_event_id();
             log_event!(ItemInterrupted, submission, item, upstream = engine, reason, events);
             job.progress.borrow_mut().tried.push(upstream);
@@ -133,6 +141,8 @@
         billed_customer: None,
         origin: RequestOrigin::Item,
         process_bound: true,
+        trusted_since: job.progress.borrow().trusted_since,
+        silence_limit: SILENCE_LIMIT,
     };
     let opened = tokio::time::timeout(EVENT_TIMEOUT, open_exchange(traffic, call)).await;
     let mut exchange = match opened {
--- a/crates/hibiscushinged/src/gateway/job.rs
+++ b/crates/hibiscushinged/src/gateway/job.rs
@@ -62,6 +62,8 @@
     pub(crate) empty_runs: u32,
     /// Engines whose runs of the item failed, latest last.
     pub(crate) tried: SmallVec<[UpstreamKey; 4]>,
+    /// Moment since which the connection of the next run must have delivered.
+    pub(crate) trusted_since: Moment,
     /// When the item was last put into the queue.
     pub(crate) queued_at: Moment,
     /// When this node began to run the item, which is later than its submission.
@@ -98,6 +100,7 @@
             reward_failures: FailureBudget::default(),
             empty_runs: 0,
             tried: SmallVec::new(),
+            trusted_since: Moment(0),
             queued_at: Moment::default(),
             known_since: Moment::default(),
             retention: None,
--- a/crates/hibiscushinged/src/gateway/metrics.rs
+++ b/crates/hibiscushinged/src/gateway/metrics.rs
@@ -40,6 +40,7 @@
     reward_time: Histogram,
     pub(crate) store_failures: Counter,
     pub(crate) channels_opened: Counter,
+    pub(crate) silent_channels: Counter,
     pub(crate) upstream_crashes: Counter,
     pub(crate) cold_upstreams: Counter,
     pub(crate) loads_ordered: Counter<u64, AtomicU64>,
@@ -66,6 +67,7 @@
             reward_time: times(),
             store_failures: Counter::default(),
             channels_opened: Counter::default(),
+            silent_channels: Counter::default(),
             upstream_crashes: Counter::default(),
             cold_upstreams: Counter::default(),
             loads_ordered: Counter::default(),
@@ -128,6 +130,8 @@
         registry.register("store_failures", store, self.store_failures.clone());
         let channels = "Connections opened to upstreams";
         registry.register("channels_opened", channels, self.channels_opened.clone());
+        let silent = "Connections to upstreams given up because they had worked and fell silent";
+        registry.register("silent_channels", silent, self.silent_channels.clone());
         let crashes = "Requests in flight on an upstream that ended";
         registry.register("upstream_crashes", crashes, self.upstream_crashes.clone());
         let cold = "Times that this node learned that an upstream is cold";
--- a/crates/hibiscushinged/src/gateway/plain.rs
+++ b/crates/hibiscushinged/src/gateway/plain.rs
@@ -28,6 +28,13 @@
 /// upstream. The rest of the objective is enough for a usual response.
 const HEDGE_FRACTION: f64 = 0.6;
 
+/// Fraction of the latency objective from which a silent connection that is not new may be dead. It
+/// is below [`HEDGE_FRACTION`], so that the second attempt can use a connection that is not as old.
+const SILENCE_FRACTION: f64 = 0.5;
+
+/// Shortest silence from which a connection may be dead, however short the latency objective is.
+pub(crate) const MIN_SILENCE: Span = Span::from_millis(50);
+
 /// Minimum time that an attempt needs. A request with less time left is not sent.
 const MIN_ATTEMPT_TIME: Span = Span::from_millis(5);
 
@@ -96,12 +103,14 @@
         }
     }
 
-    /// Builds the request for one upstream, with the time that is left as its deadline.
+    /// Builds the request for one upstream, with the time that is left as its deadline. Its connection
+    /// must have delivered since `trusted_since`.
     pub(crate) fn call(
         &self,
         traffic: &TrafficState,
         upstream: UpstreamKey,
         time_left: Span,
+        trusted_since: Moment,
     ) -> AttemptCall<'_> {
         let (instance, has_warmup) = {
             let balancer = traffic.balancer.borrow();
@@ -115,6 +124,7 @@
             deadline: Some(time_left),
             resume_after: None,
         };
+        let silence_limit = Span((self.latency_objective.0 as f64 * SILENCE_FRACTION) as u64);
         AttemptCall {
             upstream,
             id: self.id,
@@ -125,6 +135,8 @@
             billed_customer: self.customer,
             origin: self.origin,
             process_bound: self.resumable || has_warmup,
+            trusted_since,
+            silence_limit: silence_limit.max(MIN_SILENCE),
         }
     }
 }
@@ -139,6 +151,8 @@
     tried: SmallVec<[UpstreamKey; 4]>,
     /// Attempts without a result yet.
     running: SmallVec<[RunTarget; 4]>,
+    /// Moment since which the connection of the next attempt must have delivered.
+    trusted_since: Moment,
     /// Upstreams that ended while they ran the request.
     crashes: usize,
     may_have_run: bool,
@@ -222,11 +236,13 @@
         } else if may_send && !state.forwarded && (running.is_empty() || should_hedge) {
             if let Some(upstream) = pick(traffic, job, &state.tried) {
                 state.tried.push(upstream);
+                state.observe_silence(traffic);
                 let target = RunTarget::new(traffic, upstream).permitted_by(permit.as_ref());
                 state.running.push(target);
                 log_attempt(traffic, job, upstream, state.tried.len(), time_left);
                 state.runs += 1;
-                running.push(Either::Left(run_attempt(traffic, job, target, time_left)));
+                let call = job.call(traffic, upstream, time_left, state.trusted_since);
+                running.push(Either::Left(run_attempt(traffic, job, target, call)));
             }
             hedge_at = now + hedge_delay;
         }
@@ -314,10 +330,9 @@
     traffic: &Rc<TrafficState>,
     job: &PlainJob<'_>,
     target: RunTarget,
-    time_left: Span,
+    call: AttemptCall<'_>,
 ) -> AttemptResult {
     let upstream = target.upstream;
-    let call = job.call(traffic, upstream, time_left);
     let mut result = run_exchange(traffic, call).await;
     if let Ok(response) = &mut result
         && job.forwarded
@@ -386,6 +401,16 @@
         self.crashes >= MAX_CRASHES || crash_check::check_convicted(traffic, job).is_err()
     }
 
+    /// Notes which connections may be dead, by the silence that the running attempts have met.
+    fn observe_silence(&mut self, traffic: &TrafficState) {
+        let now = traffic.node.now();
+        for target in &self.running {
+            if let Some(since) = traffic.pool.silence_of(now, target.upstream, target.sent_at) {
+                self.trusted_since = self.trusted_since.max(since);
+            }
+        }
+    }
+
     /// Records the result of an attempt, and returns the response if it is final.
     fn record_result(
         &mut self,
--- a/crates/hibiscushinged/src/gateway/process_check.rs
+++ b/crates/hibiscushinged/src/gateway/process_check.rs
@@ -11,11 +11,12 @@
 use actix_http::StatusCode;
 use base::{ProcessDigest, Span, UpstreamKey};
 use bytes::Bytes;
-use dispatch::ExchangeOutcome;
+use dispatch::{ConnectionAge, ExchangeOutcome};
 use platform::{decode_process_start, process_query};
 
 use crate::gateway::{
     channel::{Exchange, UpstreamChannel},
+    pool::ExchangeWatch,
     traffic_state::TrafficState,
     warmup,
 };
@@ -23,6 +24,9 @@
 /// Timeout of the check. A report takes a round trip and no slot.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Silence during the check from which a connection that is not new may be dead.
+const SILENCE_LIMIT: Span = Span::from_millis(400);
+
 /// Identifier of the query, by which its response is told from late ones to other requests.
 const QUERY_ID: &str = "process";
 
@@ -43,7 +47,8 @@
 pub(crate) async fn check_process(
     traffic: &Rc<TrafficState>,
     upstream: UpstreamKey,
-    channel: UpstreamChannel,
+    mut channel: UpstreamChannel,
+    age: ConnectionAge,
 ) -> Result<UpstreamChannel, CheckFailed> {
     let (id, process, started_at_ms) = {
         let balancer = traffic.balancer.borrow();
@@ -54,6 +59,7 @@
     if channel.process() == Some(process) {
         return Ok(channel);
     }
+    channel.set_watch(ExchangeWatch::begin(traffic, upstream, age, SILENCE_LIMIT));
     let checking = query(channel, &id, process, expected);
     match tokio::time::timeout(CHECK_TIMEOUT, checking).await {
         Ok(Ok((channel, cold_time))) => {
--- a/crates/hibiscushinged/src/gateway/relay.rs
+++ b/crates/hibiscushinged/src/gateway/relay.rs
@@ -7,7 +7,7 @@
     body::{BodyStream, BoxBody},
 };
 use base::{Execution, Moment, ProcessDigest, Refusal, RefusalCode, Span, UpstreamKey};
-use dispatch::{ExchangeOutcome, LinkState};
+use dispatch::{ExchangeOutcome, LinkState, PeerOutcome};
 use futures_util::stream;
 use platform::{EventBoundary, relay_headers};
 use protocol::ForwardOutcome;
@@ -16,12 +16,14 @@
 use crate::{
     clock::to_duration,
     gateway::{
-        attempt::{AttemptError, AttemptGuard, log_attempt, open_exchange, wait_until},
+        attempt::{
+            AttemptCall, AttemptError, AttemptGuard, log_attempt, open_exchange, wait_until,
+        },
         channel::{ChannelError, Exchange},
         crash_check::{self, RequestRun, RunTarget},
         forward::{self, ForwardError, ForwardedExchange},
         links,
-        plain::{MAX_CRASHES, PlainJob, no_upstream, pick},
+        plain::{MAX_CRASHES, MIN_SILENCE, PlainJob, no_upstream, pick},
         response,
         stream_origins::record_origin,
         suspect_runs::{self, RunPermit},
@@ -38,6 +40,14 @@
 /// their responses at the deadline that they are given.
 const STREAM_END_GRACE: Span = Span::from_millis(400);
 
+/// Time without a response after which a stream that may run again leaves a connection that is probably
+/// dead: this, or as many latency objectives as [`MAX_SILENT_OBJECTIVES`] if that is longer. Callers
+/// wait for twice as long, which leaves the next attempt as much.
+const MIN_SILENT_WAIT: Span = Span::from_secs(1);
+
+/// See [`MIN_SILENT_WAIT`].
+const MAX_SILENT_OBJECTIVES: u64 = 2;
+
 /// State of a relayed stream. It counts as in flight until it is dropped.
 struct RelayState {
     traffic: Rc<TrafficState>,
@@ -85,6 +95,7 @@
     let mut crashes = 0;
     let mut permit = None;
     let mut send_failed = false;
+    let mut trusted_since = Moment(0);
     while tried.len() < job.max_attempts && crashes < MAX_CRASHES {
         if crash_check::check_convicted(traffic, job).is_err() {
             break;
@@ -115,7 +126,14 @@
         let software = traffic.balancer.borrow().entry(upstream).software_version.clone();
         let attempt = AttemptGuard::acquire(traffic, upstream, job.origin);
         let target = RunTarget::new(traffic, upstream).permitted_by(permit.as_ref());
-        match begin(traffic, job, upstream, time_left).await {
+        let may_retry = job.retryable && tried.len() < job.max_attempts;
+        let mut call = job.call(traffic, upstream, time_left, trusted_since);
+        call.silence_limit = job.latency_objective.max(MIN_SILENCE);
+        let began = begin(traffic, job, call, may_retry).await;
+        if let Some(since) = traffic.pool.silence_of(traffic.node.now(), upstream, target.sent_at) {
+            trusted_since = since;
+        }
+        match began {
             Ok(exchange) => {
                 let begins = job.retryable && job.software_version.is_none();
                 if begins && exchange.head().status.is_success() {
@@ -217,7 +235,7 @@
         match forwarded.exchange.chunk().await {
             Ok(Some(chunk)) => Some((Ok(chunk), Some((forwarded, in_flight)))),
             Ok(None) => {
-                forwarded.guard.answered(forwarded.exchange);
+                forwarded.guard.finish(PeerOutcome::Answered);
                 None
             }
             Err(error) => Some((Err(std::io::Error::other(error.to_string())), None)),
@@ -226,32 +244,45 @@
     response::with_headers(status, BoxBody::new(BodyStream::new(Box::pin(chunks))), headers)
 }
 
+/// Sends a request, and returns its exchange once the head of the response has arrived. If it
+/// `may_retry`, it does not wait on a connection that is probably dead.
 async fn begin(
     traffic: &Rc<TrafficState>,
     job: &PlainJob<'_>,
-    upstream: UpstreamKey,
-    time_left: Span,
+    call: AttemptCall<'_>,
+    may_retry: bool,
 ) -> Result<Exchange, (AttemptError, ExchangeOutcome)> {
-    let call = job.call(traffic, upstream, time_left);
-    let sent_at = traffic.node.now();
-    let silent_at = sent_at + job.latency_objective;
+    let (upstream, sent_at) = (call.upstream, traffic.node.now());
+    let silent_wait = Span(job.latency_objective.0 * MAX_SILENT_OBJECTIVES).max(MIN_SILENT_WAIT);
+    let leaves_at = sent_at + silent_wait;
+    let silent_error = |reason: &str| {
+        let reason = String::from(reason);
+        Err((AttemptError::MaybeRun(reason), ExchangeOutcome::TimedOut))
+    };
+    let mut check_at = sent_at + job.latency_objective;
     let mut opening = pin!(open_exchange(traffic, call));
     loop {
-        let now = traffic.node.now();
-        let next = if silent_at > now { silent_at.min(job.deadline) } else { job.deadline };
         tokio::select! {
             result = &mut opening => return result,
             () = traffic.links.changed.notified() => {}
-            () = wait_until(traffic, next) => links::record_failure(traffic, upstream, sent_at),
+            () = wait_until(traffic, check_at.min(job.deadline)) => {
+                links::record_failure(traffic, upstream, sent_at);
+                check_at += job.latency_objective.max(MIN_SILENCE);
+            }
         }
-        if traffic.node.now() >= job.deadline {
-            let reason = String::from("the upstream sent no response before the deadline");
-            return Err((AttemptError::MaybeRun(reason), ExchangeOutcome::TimedOut));
+        let now = traffic.node.now();
+        if now >= job.deadline {
+            return silent_error("the upstream sent no response before the deadline");
         }
         // A silent connection says nothing more once the links are lost.
         if job.retryable && traffic.links.state(job.service) == LinkState::Lost {
-            let reason = String::from("the links to all upstreams were lost during the request");
-            return Err((AttemptError::MaybeRun(reason), ExchangeOutcome::TimedOut));
+            return silent_error("the links to all upstreams were lost during the request");
+        }
+        if may_retry
+            && now >= leaves_at
+            && traffic.pool.silence().is_alone_silent(now, upstream, sent_at)
+        {
+            return silent_error("the connection to the upstream fell silent");
         }
     }
 }
--- a/crates/hibiscushinged/src/gateway/traffic_state.rs
+++ b/crates/hibiscushinged/src/gateway/traffic_state.rs
@@ -21,7 +21,7 @@
     pub(crate) node: Arc<NodeState>,
     pub(crate) balancer: RefCell<UpstreamBalancer>,
     pub(crate) evacuated: AppliedZones,
-    pub(crate) pool: ChannelPool<UpstreamKey>,
+    pub(crate) pool: ChannelPool,
     pub(crate) links: LinkMonitor,
     pub(crate) peers: PeerNodes,
     pub(crate) store: Rc<StoreSession>,
--- a/crates/process-tests/src/relay.rs
+++ b/crates/process-tests/src/relay.rs
@@ -1,6 +1,13 @@
 //! A TCP relay that can cut, delay or hold up connections, as a faulty network does.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -17,6 +24,10 @@
     address: SocketAddr,
     target: watch::Sender<Option<SocketAddr>>,
     is_cut: watch::Sender<bool>,
+    /// Number of times that the open connections were silenced.
+    silences: watch::Sender<u64>,
+    /// Number of silent connections to which a client has sent something.
+    used_silent: Arc<AtomicUsize>,
     flow: watch::Sender<RelayFlow>,
 }
 
@@ -47,19 +58,28 @@
         let address = listener.local_addr().expect("a bound listener has an address");
         let (target, target_receiver) = watch::channel(None);
         let (is_cut, cut_receiver) = watch::channel(false);
+        let (silences, silence_receiver) = watch::channel(0);
         let (flow, flow_receiver) = watch::channel(RelayFlow::Pass);
+        let used_silent = Arc::new(AtomicUsize::new(0));
+        let used_count = Arc::clone(&used_silent);
         actix_rt::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let flow = flow_receiver.clone();
-                actix_rt::spawn(forward(
-                    stream,
-                    target_receiver.clone(),
-                    cut_receiver.clone(),
-                    flow,
-                ));
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let (target, flow) = (target_receiver.clone(), flow_receiver.clone());
+                let (is_cut, mut silences) = (cut_receiver.clone(), silence_receiver.clone());
+                let used_count = Arc::clone(&used_count);
+                actix_rt::spawn(async move {
+                    silences.mark_unchanged();
+                    let mut upstream = None;
+                    tokio::select! {
+                        () = forward(&mut stream, &mut upstream, target, is_cut.clone(), flow) => {}
+                        _ = silences.changed() => {
+                            hold_silent(&mut stream, is_cut, &used_count).await;
+                        }
+                    }
+                });
             }
         });
-        Self { address, target, is_cut, flow }
+        Self { address, target, is_cut, silences, used_silent, flow }
     }
 
     /// Changes what happens to bytes from now on, also on open connections. Bytes that are held up
@@ -74,6 +94,19 @@
         self.is_cut.send_replace(false);
     }
 
+    /// Passes nothing more on the open connections, in either direction and for good, and does not
+    /// close them. New ones are forwarded.
+    pub fn silence_connections(&self) {
+        self.silences.send_modify(|count| *count += 1);
+    }
+
+    /// Returns the number of silent connections on which a client has sent something since they fell
+    /// silent.
+    #[must_use]
+    pub fn used_silent_connections(&self) -> usize {
+        self.used_silent.load(Ordering::Acquire)
+    }
+
     /// Returns the address to connect to.
     #[must_use]
     pub const fn address(&self) -> SocketAddr {
@@ -96,19 +129,21 @@
     }
 }
 
-/// Forwards one connection until either side ends it or the relay is cut.
+/// Forwards one connection until either side ends it or the relay is cut. `upstream` gets the
+/// connection to the target, which stays open for as long as the caller keeps it.
 async fn forward(
-    mut stream: TcpStream,
+    stream: &mut TcpStream,
+    upstream: &mut Option<TcpStream>,
     target: watch::Receiver<Option<SocketAddr>>,
     mut is_cut: watch::Receiver<bool>,
     flow: watch::Receiver<RelayFlow>,
 ) {
     let target = *target.borrow();
     let Some(target) = target.filter(|_| !*is_cut.borrow()) else { return };
-    let Ok(mut upstream) = TcpStream::connect(target).await else { return };
+    let Ok(connected) = TcpStream::connect(target).await else { return };
     is_cut.mark_unchanged();
     let (reader, writer) = stream.split();
-    let (upstream_reader, upstream_writer) = upstream.split();
+    let (upstream_reader, upstream_writer) = upstream.insert(connected).split();
     tokio::select! {
         // The first direction that ends closes both. Tests depend only on the bytes that arrive.
         () = copy(reader, upstream_writer, flow.clone(), Direction::ToTarget) => {}
@@ -117,6 +152,28 @@
     }
 }
 
+/// Holds a silent connection open until its client closes it or the relay is cut, and counts it if the
+/// client sends something.
+async fn hold_silent(
+    stream: &mut TcpStream,
+    mut is_cut: watch::Receiver<bool>,
+    used_count: &AtomicUsize,
+) {
+    is_cut.mark_unchanged();
+    let mut buffer = [0; 16 << 10];
+    let mut is_used = false;
+    loop {
+        let read = tokio::select! {
+            read = stream.read(&mut buffer) => read,
+            _ = is_cut.changed() => return,
+        };
+        let Ok(1..) = read else { return };
+        if !std::mem::replace(&mut is_used, true) {
+            used_count.fetch_add(1, Ordering::AcqRel);
+        }
+    }
+}
+
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Direction {
     ToTarget,
--- a/crates/process-tests/src/site.rs
+++ b/crates/process-tests/src/site.rs
@@ -16,7 +16,10 @@
     rendered_settings,
 };
 
-use crate::process::{binary_path, memory_and_descriptors, wait_for};
+use crate::{
+    process::{binary_path, memory_and_descriptors, wait_for},
+    relay::TcpRelay,
+};
 
 /// Host name of all routes.
 const HOST: &str = "studio.example";
@@ -46,6 +49,8 @@
     pub service: ServiceOptions,
     /// Options of the store.
     pub store: StoreOptions,
+    /// Whether the gateways reach each upstream through a relay.
+    pub relayed: bool,
 }
 
 /// Running gateways with their store and upstreams.
@@ -57,6 +62,8 @@
     pub engines: Vec<SiteEngine>,
     /// Upstreams of the plain service.
     pub services: Vec<SiteService>,
+    /// Relays in front of the engines and the plain service, if [`SiteOptions::relayed`] is set.
+    pub relays: Vec<TcpRelay>,
     /// Gateways, in the order of their VM names.
     pub gateways: Vec<GatewayProcess>,
 }
@@ -106,6 +113,7 @@
                 down_time: Duration::from_secs(1),
             },
             store: StoreOptions::default(),
+            relayed: false,
         }
     }
 }
@@ -120,6 +128,7 @@
     pub async fn start(options: SiteOptions) -> Self {
         let store = SiteStore::start(options.store.clone())
             .expect("the store stand-in can listen on loopback");
+        let mut relays = Vec::new();
         let mut engines = Vec::new();
         for index in 0..options.engines + options.newer_engines {
             let mut engine_options =
@@ -129,7 +138,11 @@
             }
             let engine = SiteEngine::start(engine_options)
                 .expect("the engine stand-in can listen on loopback");
-            store.put_upstream(engine.id(), &engine.entry());
+            let mut entry = engine.entry();
+            if options.relayed {
+                relays.push(relay_entry(&mut entry, engine.address()).await);
+            }
+            store.put_upstream(engine.id(), &entry);
             engines.push(engine);
         }
         let mut services = Vec::new();
@@ -138,13 +151,17 @@
                 ServiceOptions { id: format!("portal-{index}"), ..options.service.clone() };
             let service = SiteService::start(service_options)
                 .expect("the plain service stand-in can listen on loopback");
-            store.put_upstream(service.id(), &service.entry());
+            let mut entry = service.entry();
+            if options.relayed {
+                relays.push(relay_entry(&mut entry, service.address()).await);
+            }
+            store.put_upstream(service.id(), &entry);
             services.push(service);
         }
         store.put_operator_key("config", &Self::config(1, &["key-1"]));
         let gateways =
             (0..options.gateways).map(|index| GatewayProcess::start(store.address(), index, true));
-        let fleet = Self { gateways: gateways.collect(), store, engines, services };
+        let fleet = Self { gateways: gateways.collect(), store, engines, services, relays };
         for gateway in &fleet.gateways {
             gateway.wait_ready().await;
         }
@@ -210,6 +227,14 @@
     }
 }
 
+/// Starts a relay to an upstream, and names it in the upstream's entry in place of the upstream.
+async fn relay_entry(entry: &mut Value, target: SocketAddr) -> TcpRelay {
+    let relay = TcpRelay::start().await;
+    relay.set_target(target);
+    entry["address"] = json!(relay.address().to_string());
+    relay
+}
+
 /// Returns the body of a submission whose items are scored by the plain service. No token may come
 /// from weights older than `min_version`. Each four consecutive items form a group.
 #[must_use]
