Count the failures of an item across owners of its partition

Cause: the owner of a partition counted failed runs and failed reward calls in memory (JobProgress), and so did each next owner, from 0. The hand-over record had no count, and an owner that is killed, frozen or loses its membership writes none.

Ruled out: a count in the hand-over record alone, which a kill loses; adding up the counts of two owners, which would give an item up before it has failed often enough.

Change: failures are records of their own (s/ID/f/INDEX), with the counts and the highest limits so far. The owner appends one, with results that are due, before it sends the item again; without a store the item goes on after 500 ms. Owners count on from the record, also from one that a former owner writes late, and resolve an item whose last failure is on record. Hand-over appends what is not on record yet. Records of earlier builds decode as before; earlier builds skip the new key.

--- a/crates/base/src/event.rs
+++ b/crates/base/src/event.rs
@@ -119,6 +119,7 @@
     3016 ItemContinued "A run continues the text that an earlier owner of the partition handed over."
     3017 RewardDelayed "The reward call of an item waits, since the configuration has no route or no service for it."
     3018 RewardBlocked "The reward call of an item is blocked, since several upstreams ended while they ran it; it has two further runs."
+    3019 FailureNotStored "The failures of an item were not written to the store in time; a next owner may not count them."
     3101 WeightLoadOrdered "An upstream was ordered to load a weight version."
     3102 WeightLoadFailed "An upstream failed to load a weight version; the order will be retried."
     // Fleet.
--- a/crates/hibiscushinged/src/gateway.rs
+++ b/crates/hibiscushinged/src/gateway.rs
@@ -19,6 +19,7 @@
 mod group;
 mod handover;
 mod holder;
+mod item_records;
 mod items;
 mod job;
 mod key_scan;
--- a/crates/hibiscushinged/src/gateway/generation.rs
+++ b/crates/hibiscushinged/src/gateway/generation.rs
@@ -16,6 +16,7 @@
     gateway::{
         attempt::{AttemptCall, AttemptGuard, open_exchange},
         channel::Exchange,
+        item_records,
         job::ItemJob,
         reward,
         traffic_state::TrafficState,
@@ -80,7 +81,8 @@
             let (failures, given_up) = {
                 let mut progress = job.progress.borrow_mut();
                 progress.tried.push(upstream);
-                (progress.failures.record_failure(limit), progress.failures.is_exhausted())
+                let budget = &mut progress.failures.runs;
+                (budget.record_failure(limit), budget.is_exhausted())
             };
             log_event!(
                 ItemInterrupted,
@@ -93,6 +95,7 @@
             if given_up {
                 traffic.items.resolve(&job, ItemResult::errored(item.as_str()));
             } else {
+                item_records::record_failures(&traffic, &job).await;
                 traffic.items.requeue(&traffic.node, &job);
             }
         }
--- a/crates/hibiscushinged/src/gateway/handover.rs
+++ b/crates/hibiscushinged/src/gateway/handover.rs
@@ -11,14 +11,15 @@
 use base::{Moment, Span, derive_copy};
 use futures_util::future::join_all;
 use submissions::{
-    ITEM_DRAIN_TIMEOUT, ItemHandover, SubmissionState, SubmissionTable, handover_batches,
-    handover_records,
+    ITEM_DRAIN_TIMEOUT, ItemHandover, SubmissionState, SubmissionTable, failure_records,
+    handover_batches, handover_records,
 };
 
 use crate::{
     clock::{to_duration, wall_now},
     gateway::{
         commit::commit,
+        item_records::FAILURE_CALL_DIVISOR,
         items::ItemSchedulerState,
         job::{ItemJob, ItemRun},
         traffic_state::TrafficState,
@@ -119,16 +120,32 @@
     let Some(follower) = traffic.partitions.get(partition) else { return };
     let limits = &traffic.node.settings.store;
     let (record_bytes, call_bytes) = (limits.record_bytes as usize, limits.call_bytes as usize);
-    for batch in handover_batches(handovers, record_bytes, call_bytes) {
-        let submissions: BTreeSet<&str> =
-            batch.iter().map(|(submission, _)| submission.as_str()).collect();
+    let failure_bytes = call_bytes / FAILURE_CALL_DIVISOR;
+    let reports = traffic.items.unrecorded_failures(partition, failure_bytes);
+    let mut batches = handover_batches(handovers, record_bytes, call_bytes - failure_bytes);
+    if batches.is_empty() && !reports.is_empty() {
+        batches.push(Vec::new());
+    }
+    for batch in batches {
+        let of_handovers = batch.iter().map(|(submission, _)| submission.as_str());
+        let of_failures = reports.iter().map(|report| report.submission.as_str());
+        let submissions: BTreeSet<&str> = of_handovers.chain(of_failures).collect();
         let submissions: Vec<&str> = submissions.into_iter().collect();
-        let build = |table: &SubmissionTable| handover_records(table, &batch);
+        // Failures that an earlier batch has put on record yield no further records.
+        let build = |table: &SubmissionTable| {
+            let mut records = handover_records(table, &batch).unwrap_or_default();
+            records.extend(failure_records(table, &reports));
+            (!records.is_empty()).then_some(records)
+        };
         if commit(traffic, follower, timeout, &submissions, build).await.is_err() {
             let reason = "the store did not confirm the records in time";
             log_event!(warn, HandoverNotStored, part = partition, items = batch.len(), reason);
             return;
         }
+        traffic.items.failures_recorded(partition, &reports);
+        if batch.is_empty() {
+            continue;
+        }
         let running = batch.iter().filter(|(_, handover)| handover.is_running).count();
         log_event!(ItemsHandedOver, part = partition, items = batch.len(), running);
         traffic.node.metrics.items_handed_over.inc_by(batch.len() as u64);
--- a/crates/hibiscushinged/src/gateway/handover/tests.rs
+++ b/crates/hibiscushinged/src/gateway/handover/tests.rs
@@ -1,5 +1,7 @@
 //! Hand-over between nodes that share a stand-in store.
 
+mod failures;
+
 use std::{collections::BTreeSet, rc::Rc, sync::Arc, time::Duration};
 
 use base::{Span, WallTime, WeightVersion};
@@ -12,6 +14,7 @@
 
 use super::{release, store_ended_runs};
 use crate::gateway::{
+    item_records,
     job::{ItemJob, ItemRun},
     partitions::SUBMISSION_TOPIC,
     runner,
@@ -20,7 +23,8 @@
 };
 
 const CONFIG: &str = r#"{"version":1,"routes":[{"name":"draft","host":"h","prefix":"/p/",
-    "kind":"rollout","deadline_ms":10000,"goal_ms":500,"service":"drafts","public":false}],
+    "kind":"rollout","deadline_ms":10000,"goal_ms":500,"service":"drafts","attempts":3,
+    "public":false}],
     "services":[],"limits":{"max_header_bytes":1,"max_body_bytes":1,"header_timeout_ms":1,
     "idle_timeout_ms":1},"tenants":[{"name":"brewer","keys":["k"]}]}"#;
 
@@ -183,7 +187,7 @@
     lose_partition(&first).await;
     let second = owner(&store).await;
     assert_eq!(second.items.waiting(), 3);
-    actix_rt::spawn(runner::store_results(Rc::clone(&first)));
+    actix_rt::spawn(item_records::store_results(Rc::clone(&first)));
     first.items.resolve(&job(&first, "i0"), ItemResult::errored("i0"));
     wait_until(|| second.items.waiting() == 2).await;
     assert!(store.value(SUBMISSION_TOPIC, 0, "s/s/r/0").is_some());
--- a/crates/hibiscushinged/src/gateway/items.rs
+++ b/crates/hibiscushinged/src/gateway/items.rs
@@ -12,7 +12,8 @@
 
 use base::{Moment, Span, UpstreamKey};
 use submissions::{
-    GeneratedText, ItemQueue, ItemRank, ItemResult, SubmissionItem, SubmissionMetadata,
+    FailureReport, GeneratedText, ItemQueue, ItemRank, ItemResult, SubmissionItem,
+    SubmissionMetadata,
 };
 use tokio::sync::Notify;
 
@@ -50,6 +51,8 @@
     /// Engine that most recently processed a shared prompt, and may have it cached.
     pub(crate) warm_engines: HashMap<String, UpstreamKey>,
     pub(crate) results: HashMap<u32, Vec<(String, ItemResult)>>,
+    /// Jobs by partition whose failures are not on record yet.
+    unrecorded_failures: HashMap<u32, Vec<Rc<ItemJob>>>,
     /// Jobs of released partitions whose run ended without a result, until that is on record.
     pub(crate) drained: Vec<Rc<ItemJob>>,
     pub(crate) watched_partitions: HashSet<u32>,
@@ -66,6 +69,7 @@
             retained: HashMap::new(),
             warm_engines: HashMap::new(),
             results: HashMap::new(),
+            unrecorded_failures: HashMap::new(),
             drained: Vec::new(),
             watched_partitions: HashSet::new(),
             last_migration_at: Moment(0),
@@ -81,6 +85,9 @@
     pub(crate) queue_changed: Notify,
     pub(crate) results_ready: Notify,
     pub(crate) drained_run_ended: Notify,
+    pub(crate) failure_reported: Notify,
+    /// Notified when failures are on record.
+    pub(crate) failures_stored: Notify,
     pub(crate) stopped: Cell<bool>,
     pub(crate) reward_limiter: RewardLimiter,
 }
@@ -121,12 +128,14 @@
         self.state.borrow_mut().queue.retain(|_| false);
     }
 
-    /// Returns the number of items that are running, or whose results or unfinished texts are not
-    /// stored yet.
+    /// Returns the number of items that are running, or whose results, failures or unfinished texts are
+    /// not stored yet.
     pub(crate) fn unfinished_count(&self) -> usize {
         let state = self.state.borrow();
         let running = state.jobs.values().filter(|job| job.run.borrow().is_some()).count();
-        running + state.drained.len() + state.results.values().map(Vec::len).sum::<usize>()
+        let results: usize = state.results.values().map(Vec::len).sum();
+        let failures: usize = state.unrecorded_failures.values().map(Vec::len).sum();
+        running + state.drained.len() + results + failures
     }
 
     /// Returns the number of items that wait for an engine.
@@ -223,6 +232,68 @@
         self.wake();
     }
 
+    /// Adds the failures of an item to those that are put on record.
+    pub(crate) fn report_failure(&self, job: &Rc<ItemJob>) {
+        let mut state = self.state.borrow_mut();
+        let unrecorded = state.unrecorded_failures.entry(job.partition).or_default();
+        if !unrecorded.iter().any(|other| Rc::ptr_eq(other, job)) {
+            unrecorded.push(Rc::clone(job));
+        }
+        drop(state);
+        self.failure_reported.notify_one();
+    }
+
+    /// Returns the partitions with failures that are not on record yet.
+    pub(crate) fn partitions_with_failures(&self) -> Vec<u32> {
+        self.state.borrow().unrecorded_failures.keys().copied().collect()
+    }
+
+    /// Returns the failures of a partition's items that are not on record yet, as many as fit into this
+    /// number of bytes, but at least one. Items with a result need no record.
+    pub(crate) fn unrecorded_failures(
+        &self,
+        partition: u32,
+        max_bytes: usize,
+    ) -> Vec<FailureReport> {
+        let mut state = self.state.borrow_mut();
+        let Some(jobs) = state.unrecorded_failures.get_mut(&partition) else { return Vec::new() };
+        jobs.retain(|job| !job.resolved.get());
+        if jobs.is_empty() {
+            state.unrecorded_failures.remove(&partition);
+            return Vec::new();
+        }
+        let mut reports = Vec::new();
+        let mut bytes = 0;
+        for report in jobs.iter().map(|job| job.failure_report()) {
+            bytes += report.encoded_bytes();
+            if bytes > max_bytes && !reports.is_empty() {
+                break;
+            }
+            reports.push(report);
+        }
+        reports
+    }
+
+    /// Notes that these failures of a partition's items are on record. An item that has failed again
+    /// meanwhile needs another record.
+    pub(crate) fn failures_recorded(&self, partition: u32, reports: &[FailureReport]) {
+        let mut state = self.state.borrow_mut();
+        let Some(jobs) = state.unrecorded_failures.get_mut(&partition) else { return };
+        jobs.retain(|job| !reports.contains(&job.failure_report()));
+        if jobs.is_empty() {
+            state.unrecorded_failures.remove(&partition);
+        }
+        drop(state);
+        self.failures_stored.notify_waiters();
+    }
+
+    /// Returns whether the item has failures that are not on record yet.
+    pub(crate) fn has_unrecorded_failures(&self, job: &Rc<ItemJob>) -> bool {
+        let state = self.state.borrow();
+        let jobs = state.unrecorded_failures.get(&job.partition);
+        jobs.is_some_and(|jobs| jobs.iter().any(|other| Rc::ptr_eq(other, job)))
+    }
+
     /// Returns whether the item still has a job on this node.
     pub(crate) fn is_wanted(&self, job: &ItemJob) -> bool {
         self.state.borrow().jobs.contains_job(job)
--- a/crates/hibiscushinged/src/gateway/job.rs
+++ b/crates/hibiscushinged/src/gateway/job.rs
@@ -14,7 +14,7 @@
 use routebook::{ConfigIndex, HomeRegions, RouteSpec};
 use smallvec::SmallVec;
 use submissions::{
-    FailureBudget, GeneratedText, HandoverTracker, SubmissionItem, SubmissionMetadata,
+    FailureReport, GeneratedText, HandoverTracker, ItemFailures, SubmissionItem, SubmissionMetadata,
 };
 use tokio::task::AbortHandle;
 
@@ -54,10 +54,8 @@
 /// Progress of an item.
 pub(crate) struct JobProgress {
     pub(crate) text: GeneratedText,
-    /// Runs that ended with status 500.
-    pub(crate) failures: FailureBudget,
-    /// Reward calls that ended with status 500.
-    pub(crate) reward_failures: FailureBudget,
+    /// Runs and reward calls that ended with status 500, at this node and at earlier owners.
+    pub(crate) failures: ItemFailures,
     /// Number of runs that continued the text and ended at once, without a further event.
     pub(crate) empty_runs: u32,
     /// Engines whose runs of the item failed, latest last.
@@ -96,8 +94,7 @@
         let text = retained.unwrap_or_else(|| GeneratedText::new(min_version, one_version));
         let progress = JobProgress {
             text,
-            failures: FailureBudget::default(),
-            reward_failures: FailureBudget::default(),
+            failures: ItemFailures::default(),
             empty_runs: 0,
             tried: SmallVec::new(),
             trusted_since: Moment(0),
@@ -120,6 +117,15 @@
         }
     }
 
+    /// Returns the failures so far, to be put on record.
+    pub(crate) fn failure_report(&self) -> FailureReport {
+        FailureReport {
+            submission: self.metadata.id.clone(),
+            item: self.item.id.clone(),
+            failures: self.progress.borrow().failures,
+        }
+    }
+
     /// Returns whether a run is in progress, or its result is not stored yet.
     pub(crate) fn is_running(&self) -> bool {
         self.run.borrow().is_some() || self.resolved.get()
--- a/crates/hibiscushinged/src/gateway/partition_follower/tests.rs
+++ b/crates/hibiscushinged/src/gateway/partition_follower/tests.rs
@@ -375,7 +375,7 @@
     traffic.node.publish_config(config(2, 1));
     let state = traffic.items.state.borrow();
     let job = state.jobs.get("s", "i0").expect("the item is queued");
-    let failures = &mut job.progress.borrow_mut().reward_failures;
+    let failures = &mut job.progress.borrow_mut().failures.reward_calls;
     failures.record_failure(Some(1));
     assert!(!failures.is_exhausted(), "given up after the first of three failures");
     failures.record_failure(Some(1));
--- a/crates/hibiscushinged/src/gateway/reward.rs
+++ b/crates/hibiscushinged/src/gateway/reward.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     gateway::{
-        crash_check,
+        crash_check, item_records,
         job::ItemJob,
         plain::{PlainJob, run_plain},
         traffic_state::TrafficState,
@@ -71,7 +71,7 @@
             }
             CallOutcome::Failed { max_failures } => {
                 let (failures, given_up) = {
-                    let budget = &mut job.progress.borrow_mut().reward_failures;
+                    let budget = &mut job.progress.borrow_mut().failures.reward_calls;
                     (budget.record_failure(Some(max_failures)), budget.is_exhausted())
                 };
                 log_event!(
@@ -85,6 +85,7 @@
                     traffic.items.resolve(job, ItemResult::errored(job.item.id.as_str()));
                     return;
                 }
+                item_records::record_failures(traffic, job).await;
             }
             CallOutcome::NoRoute { config_version } => {
                 if !std::mem::replace(&mut is_delayed, true) {
--- a/crates/hibiscushinged/src/gateway/runner.rs
+++ b/crates/hibiscushinged/src/gateway/runner.rs
@@ -15,15 +15,13 @@
 use dispatch::{GenerationPickRequest, IdleConnections, ModelRequirement, RequestOrigin};
 use routebook::RouteSpec;
 use submissions::{
-    FailureBudget, ItemRank, ItemResult, SubmissionState, SubmissionTable,
-    expected_remaining_events, result_batches, result_records,
+    FailureBudget, ItemFailures, ItemRank, ItemResult, SubmissionState, expected_remaining_events,
 };
 
 use crate::{
     clock::to_duration,
     gateway::{
         attempt::AttemptGuard,
-        commit::commit,
         evacuation, generation, handover,
         job::{ItemJob, ItemRun, JobProgress, due_at},
         model_demand,
@@ -41,13 +39,6 @@
 /// Interval between checks of an empty queue.
 const EMPTY_QUEUE_CHECK_PERIOD: Duration = Duration::from_millis(500);
 
-/// Timeout of one append of results. After it, the results are appended again together with newer
-/// ones.
-const COMMIT_TIMEOUT: Span = Span::from_secs(3);
-
-/// Delay before an append, so that results that arrive together share it.
-const RESULT_BATCH_DELAY: Duration = Duration::from_millis(8);
-
 /// Maximum number of shared prompts whose engine is remembered. A submission has some tens of
 /// groups.
 const MAX_WARM_PROMPTS: usize = 4_096;
@@ -111,6 +102,7 @@
         return;
     }
     let Some(config) = traffic.config() else { return };
+    let mut given_up = Vec::new();
     let mut state = traffic.items.state.borrow_mut();
     for submission in cache.open_submissions() {
         let metadata = submission.metadata();
@@ -123,7 +115,16 @@
         let tokens_before = LazyCell::new(|| tokens_before_groups(submission));
         let mut is_new = false;
         for item in submission.items() {
-            if submission.is_resolved(&item.id) || state.jobs.contains(&metadata.id, &item.id) {
+            if submission.is_resolved(&item.id) {
+                continue;
+            }
+            let recorded_failures = submission.failures(&item.id);
+            if let Some(job) = state.jobs.get(&metadata.id, &item.id) {
+                let failures = &mut job.progress.borrow_mut().failures;
+                let is_news = failures.merge(recorded_failures);
+                if is_news && failures.is_exhausted() && !job.is_running() {
+                    given_up.push(Rc::clone(job));
+                }
                 continue;
             }
             let job = Rc::new(ItemJob::new(
@@ -138,13 +139,20 @@
                 progress.queued_at = traffic.node.now();
                 progress.known_since = progress.queued_at;
                 progress.retention = route.retention;
-                progress.failures = FailureBudget::new(Some(route.max_attempts));
-                progress.reward_failures =
-                    FailureBudget::new(item.reward.as_ref().and_then(|reward| {
+                progress.failures = recorded_failures;
+                progress.failures.merge(ItemFailures {
+                    runs: FailureBudget::new(Some(route.max_attempts)),
+                    reward_calls: FailureBudget::new(item.reward.as_ref().and_then(|reward| {
                         Some(config.route(&reward.host, &reward.path)?.max_attempts)
-                    }));
+                    })),
+                });
             }
             state.jobs.insert(&job);
+            if job.progress.borrow().failures.is_exhausted() {
+                // The owner that has seen the last failure has not stored the result.
+                given_up.push(job);
+                continue;
+            }
             let tokens_before = tokens_before.get(item.group.as_str()).copied().unwrap_or(0);
             let rank = match submission.handover(&item.id) {
                 Some(_) => ItemRank::FIRST,
@@ -159,7 +167,11 @@
             model_demand::record_step(traffic, &metadata.model, tokens);
         }
     }
-    drop(state);
+    state.queue.retain(|job| !given_up.iter().any(|other| Rc::ptr_eq(job, other)));
+    drop((state, cache));
+    for job in given_up {
+        traffic.items.resolve(&job, ItemResult::errored(job.item.id.as_str()));
+    }
     traffic.items.wake();
 }
 
@@ -406,51 +418,3 @@
         }
     }
 }
-
-/// Stores the results of resolved items until the process ends.
-pub(crate) async fn store_results(traffic: Rc<TrafficState>) {
-    loop {
-        traffic.items.results_ready.notified().await;
-        tokio::time::sleep(RESULT_BATCH_DELAY).await;
-        let partitions: Vec<u32> = traffic.items.state.borrow().results.keys().copied().collect();
-        for partition in partitions {
-            store_partition_results(&traffic, partition).await;
-        }
-    }
-}
-
-async fn store_partition_results(traffic: &Rc<TrafficState>, partition: u32) {
-    let Some(follower) = traffic.partitions.get(partition) else { return };
-    let Some(results) = traffic.items.state.borrow_mut().results.remove(&partition) else { return };
-    let call_bytes = traffic.node.settings.store.call_bytes as usize;
-    let mut unstored = Vec::new();
-    for batch in result_batches(results, call_bytes) {
-        // The order of the results stays, so nothing is stored after a batch that was not.
-        if !unstored.is_empty() || !store_batch(traffic, follower, &batch).await {
-            unstored.extend(batch);
-        }
-    }
-    if unstored.is_empty() {
-        return;
-    }
-    // The append was not confirmed, so the results are kept and appended again.
-    let mut state = traffic.items.state.borrow_mut();
-    let newer = state.results.remove(&partition).unwrap_or_default();
-    unstored.extend(newer);
-    state.results.insert(partition, unstored);
-    drop(state);
-    traffic.items.results_ready.notify_one();
-}
-
-/// Appends results, and returns whether they are stored.
-async fn store_batch(
-    traffic: &Rc<TrafficState>,
-    follower: &Rc<PartitionFollower>,
-    batch: &[(String, ItemResult)],
-) -> bool {
-    let submissions: BTreeSet<&str> =
-        batch.iter().map(|(submission, _)| submission.as_str()).collect();
-    let submissions: Vec<&str> = submissions.into_iter().collect();
-    let build = |table: &SubmissionTable| result_records(table, batch);
-    commit(traffic, follower, COMMIT_TIMEOUT, &submissions, build).await.is_ok()
-}
--- a/crates/hibiscushinged/src/gateway/runner/tests.rs
+++ b/crates/hibiscushinged/src/gateway/runner/tests.rs
@@ -129,7 +129,7 @@
     });
     traffic.items.state.borrow_mut().results.insert(0, results.collect());
 
-    let storing = actix_rt::spawn(super::store_results(Rc::clone(&traffic)));
+    let storing = actix_rt::spawn(crate::gateway::item_records::store_results(Rc::clone(&traffic)));
     traffic.items.results_ready.notify_one();
     let mut changes = follower.subscribe();
     let is_stored = || {
--- a/crates/hibiscushinged/src/gateway/serve.rs
+++ b/crates/hibiscushinged/src/gateway/serve.rs
@@ -27,7 +27,7 @@
     gateway::{
         cleanup, crash_check, crash_records, evacuation,
         forward::{self, ForwardedRequest},
-        group, handover, layout, limits, links,
+        group, handover, item_records, layout, limits, links,
         node::{LAST_TOTALS_TIMEOUT, NodeState},
         peers,
         plain::{PlainJob, run_plain},
@@ -123,7 +123,8 @@
         actix_rt::spawn(layout::agree_on_partitions(Rc::clone(&traffic)));
         actix_rt::spawn(group::stay_in_group(Rc::clone(&traffic)));
         actix_rt::spawn(runner::place_items(Rc::clone(&traffic)));
-        actix_rt::spawn(runner::store_results(Rc::clone(&traffic)));
+        actix_rt::spawn(item_records::store_results(Rc::clone(&traffic)));
+        actix_rt::spawn(item_records::store_failures(Rc::clone(&traffic)));
         actix_rt::spawn(handover::store_ended_runs(Rc::clone(&traffic)));
         actix_rt::spawn(cleanup::delete_old(Rc::clone(&traffic)));
         actix_rt::spawn(crash_records::follow_crash_records(Rc::clone(&traffic)));
--- a/crates/protocol/src/record/submissions.rs
+++ b/crates/protocol/src/record/submissions.rs
@@ -1,8 +1,9 @@
 //! Records of submissions in keyed topics of the platform's store.
 //!
-//! A key consists of the id of the submission and the kind of the record. No key but that of a
-//! hand-over is written twice with different content, so compaction, which keeps the newest record of
-//! a key, loses nothing. Of the hand-overs of an item only the newest one counts.
+//! A key consists of the id of the submission and the kind of the record. No key but those of hand-overs
+//! and failures is written twice with different content, so compaction, which keeps the newest record
+//! of a key, loses nothing. Of the hand-overs of an item only the newest one counts, and the newest
+//! record of its failures has the highest counts.
 //! All keys of a submission share a prefix, so that a node can read one submission without reading
 //! its whole partition. The markers of open submissions share another prefix, by which the new
 //! owner of a partition finds the submissions with items left to run.
@@ -13,8 +14,8 @@
 use base::{WallTime, WeightVersion};
 use bytes::Bytes;
 use submissions::{
-    HandoverText, ItemHandover, ItemResult, ItemState, RewardCall, SubmissionItem,
-    SubmissionMetadata, SubmissionRecord,
+    FailureBudget, HandoverText, ItemFailures, ItemHandover, ItemResult, ItemState, RewardCall,
+    SubmissionItem, SubmissionMetadata, SubmissionRecord,
 };
 
 use crate::codec::{MalformedMessage, decode_message, encode_message, wire};
@@ -51,6 +52,12 @@
             running: bool,
             written_ms: i64,
         },
+        Failed {
+            runs: u32,
+            run_limit: Option<u32>,
+            reward_calls: u32,
+            reward_limit: Option<u32>,
+        },
         Ended,
         Marked,
         Expiring { accepted_ms: i64 },
@@ -120,6 +127,10 @@
             let value = encode_message(&WireSubmissionRecord::from(handover));
             (format!("s/{submission}/h/{}", handover.item), Some(value))
         }
+        SubmissionRecord::Failed { submission, index, failures } => {
+            let value = encode_message(&WireSubmissionRecord::from(failures));
+            (format!("s/{submission}/f/{index}"), Some(value))
+        }
         SubmissionRecord::Ended { submission } => {
             (format!("s/{submission}/e"), Some(encode_message(&WireSubmissionRecord::Ended)))
         }
@@ -198,6 +209,9 @@
         ("r", Some(position), result @ WireSubmissionRecord::Result { .. }) => {
             SubmissionRecord::Result { submission, position, result: result.try_into()? }
         }
+        ("f", Some(index), failed @ WireSubmissionRecord::Failed { .. }) => {
+            SubmissionRecord::Failed { submission, index, failures: failed.try_into()? }
+        }
         ("e", None, WireSubmissionRecord::Ended) => SubmissionRecord::Ended { submission },
         _ => return Err(MalformedMessage::new(format!("key \"{key}\" does not fit its value"))),
     };
@@ -315,6 +329,33 @@
     }
 }
 
+impl From<&ItemFailures> for WireSubmissionRecord {
+    fn from(failures: &ItemFailures) -> Self {
+        let ItemFailures { runs, reward_calls } = failures;
+        Self::Failed {
+            runs: runs.failures(),
+            run_limit: runs.limit(),
+            reward_calls: reward_calls.failures(),
+            reward_limit: reward_calls.limit(),
+        }
+    }
+}
+
+impl TryFrom<WireSubmissionRecord> for ItemFailures {
+    type Error = MalformedMessage;
+
+    fn try_from(wire: WireSubmissionRecord) -> Result<Self, MalformedMessage> {
+        let WireSubmissionRecord::Failed { runs, run_limit, reward_calls, reward_limit } = wire
+        else {
+            return Err(MalformedMessage::new("the record is not that of an item's failures"));
+        };
+        Ok(Self {
+            runs: FailureBudget::restored(runs, run_limit),
+            reward_calls: FailureBudget::restored(reward_calls, reward_limit),
+        })
+    }
+}
+
 impl From<&SubmissionItem> for WireItem {
     fn from(item: &SubmissionItem) -> Self {
         Self {
--- a/crates/protocol/tests/stored.rs
+++ b/crates/protocol/tests/stored.rs
@@ -25,18 +25,19 @@
     encode_submission_record, encode_usage_report, encode_usage_totals, stream_origin_key,
 };
 use submissions::{
-    HandoverText, ItemHandover, ItemResult, ItemState, RewardCall, SubmissionItem,
-    SubmissionMetadata, SubmissionRecord,
+    FailureBudget, HandoverText, ItemFailures, ItemHandover, ItemResult, ItemState, RewardCall,
+    SubmissionItem, SubmissionMetadata, SubmissionRecord,
 };
 use usage::{TotalsPhase, WindowNumber};
 
 /// Bytes by earlier builds, oldest first: lines of name, key and value in hexadecimal. Later files
 /// hold only what has changed or been added.
-const FILES: [(&str, &str); 4] = [
+const FILES: [(&str, &str); 5] = [
     ("157a492", include_str!("stored/157a492.txt")),
     ("16bbb65", include_str!("stored/16bbb65.txt")),
     ("handover", include_str!("stored/handover.txt")),
     ("layout", include_str!("stored/layout.txt")),
+    ("failures", include_str!("stored/failures.txt")),
 ];
 
 /// A record with its encoding by this build.
@@ -99,6 +100,10 @@
         is_running: true,
         written_at: WallTime(1_700_000_000_000),
     };
+    let failures = ItemFailures {
+        runs: FailureBudget::restored(2, Some(3)),
+        reward_calls: FailureBudget::restored(1, None),
+    };
     let items =
         SubmissionRecord::Items { submission: submission.clone(), first: 0, items: vec![item] };
     let accepted_at = WallTime(1_700_000_000_000);
@@ -113,6 +118,10 @@
             "submission-handover",
             SubmissionRecord::HandedOver { submission: submission.clone(), handover },
         ),
+        (
+            "submission-failures",
+            SubmissionRecord::Failed { submission: submission.clone(), index: 5, failures },
+        ),
         ("submission-ended", SubmissionRecord::Ended { submission: submission.clone() }),
         ("submission-marker", SubmissionRecord::OpenMarkerSet { submission: submission.clone() }),
         ("submission-expiring", SubmissionRecord::Expiring { submission, accepted_at }),
--- a/crates/submissions/src/lib.rs
+++ b/crates/submissions/src/lib.rs
@@ -19,7 +19,7 @@
 pub use crate::{
     cache::{LogBatch, PartitionCache, SubmissionSnapshot},
     check::{SubmissionError, check_owner, check_submission},
-    failure::{CallProbation, FailureBudget},
+    failure::{CallProbation, FailureBudget, FailureReport, ItemFailures, failure_records},
     handover::{
         HandoverText, HandoverTracker, ITEM_DRAIN_TIMEOUT, ItemHandover, handover_batches,
         handover_records,
--- a/crates/submissions/src/table.rs
+++ b/crates/submissions/src/table.rs
@@ -4,7 +4,7 @@
 
 use base::{WallTime, derive_value};
 
-use crate::{ItemHandover, ItemResult, SubmissionItem, SubmissionMetadata};
+use crate::{ItemFailures, ItemHandover, ItemResult, SubmissionItem, SubmissionMetadata};
 
 derive_value! {
     /// A record of a partition of submissions.
@@ -36,6 +36,15 @@
             /// State of the item.
             handover: ItemHandover,
         },
+        /// Runs or reward calls of an item have failed.
+        Failed {
+            /// Identifier of the submission.
+            submission: String,
+            /// Index of the item.
+            index: u32,
+            /// All failures of the item so far.
+            failures: ItemFailures,
+        },
         /// The submission was ended by its sender. Its remaining items do not run.
         Ended {
             /// Identifier of the submission.
@@ -81,14 +90,16 @@
     resolved: HashMap<String, u32>,
     /// Newest hand-over of each item without a result.
     handovers: HashMap<String, ItemHandover>,
+    /// Failures of the items that have any, by index.
+    failures: HashMap<u32, ItemFailures>,
     ended: bool,
 }
 
 /// Submissions of one partition.
 ///
 /// Applying a record is idempotent, and records of one submission may be applied in any order: for
-/// each kind and position, the first one applied wins, and of the hand-overs of an item the one with
-/// the highest revision. Repeats and reordering occur when a node
+/// each kind and position, the first one applied wins, of the hand-overs of an item the one with the
+/// highest revision, and of its failures the highest counts. Repeats and reordering occur when a node
 /// reads the newest records of all keys and then follows the partition from an earlier offset.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct SubmissionTable {
@@ -124,6 +135,10 @@
                 let state = self.submissions.entry(submission.clone()).or_default();
                 state.add_handover(handover).then_some(submission)
             }
+            SubmissionRecord::Failed { submission, index, failures } => {
+                let state = self.submissions.entry(submission.clone()).or_default();
+                state.failures.entry(index).or_default().merge(failures).then_some(submission)
+            }
             SubmissionRecord::Ended { submission } => {
                 let state = self.submissions.entry(submission.clone()).or_default();
                 if std::mem::replace(&mut state.ended, true) {
@@ -237,6 +252,19 @@
         self.handovers.values()
     }
 
+    /// Returns the index of an item by its identifier.
+    #[must_use]
+    pub fn item_index(&self, id: &str) -> Option<u32> {
+        self.index.get(id).copied()
+    }
+
+    /// Returns the failures of an item that are on record.
+    #[must_use]
+    pub fn failures(&self, item: &str) -> ItemFailures {
+        let index = self.index.get(item);
+        index.and_then(|index| self.failures.get(index)).copied().unwrap_or_default()
+    }
+
     /// Returns the number of results before the first missing one, which is the next free position.
     #[must_use]
     pub const fn result_count(&self) -> u32 {
