End the growth of an engine's suspensions when a generation succeeds

Cause: a complete generation or stream was recorded as cancelled, and only responses to plain requests reset consecutive failures and the failure rate. Engines run generations.

Change: the outcome Completed, which resets them without a response time.

Result: the new test has both outcomes; a success in between leaves the suspension at 250 ms, where the former outcome gives 4 s.

--- a/crates/dispatch/src/stats.rs
+++ b/crates/dispatch/src/stats.rs
@@ -20,6 +20,8 @@
     pub enum ExchangeOutcome {
         /// The complete response arrived after this time.
         Answered(Span),
+        /// A generation or a stream has ended by itself. Its duration is no response time.
+        Completed,
         /// The upstream responded with an internal error.
         ServerError,
         /// The upstream refused the request because it is full.
@@ -132,10 +134,10 @@
     pub(crate) fn finish(&mut self, now: Moment, outcome: ExchangeOutcome) {
         match outcome {
             ExchangeOutcome::Answered(response_time) => {
-                self.consecutive_failures = 0;
-                self.failure_rate *= 1.0 - FAILURE_RATE_SMOOTHING;
+                self.record_success();
                 update_mean(&mut self.response_time, response_time.0 as f64);
             }
+            ExchangeOutcome::Completed => self.record_success(),
             ExchangeOutcome::ServerError => {
                 self.failure_rate += FAILURE_RATE_SMOOTHING * (1.0 - self.failure_rate);
             }
@@ -152,6 +154,11 @@
         }
     }
 
+    fn record_success(&mut self) {
+        self.consecutive_failures = 0;
+        self.failure_rate *= 1.0 - FAILURE_RATE_SMOOTHING;
+    }
+
     /// Suspends the upstream after a failure. A failure during a suspension does not extend it,
     /// since its request was sent before and the cause is the same.
     fn suspend(&mut self, now: Moment) {
--- a/crates/dispatch/tests/pick.rs
+++ b/crates/dispatch/tests/pick.rs
@@ -111,6 +111,32 @@
     assert_eq!(balancer.entry(keys[0]).id, "u0");
 }
 
+/// Pattern: the runs of an engine succeed, but for one in a while.
+///
+/// Guards against suspensions that only grow in the life of an engine that runs nothing but generations:
+/// when the connections to all engines failed at once, items waited 4 s for the first of them.
+#[rstest]
+#[case::runs_succeed_in_between(ExchangeOutcome::Completed, 250)]
+#[case::runs_are_cancelled_in_between(ExchangeOutcome::Cancelled, 4_000)]
+fn success_of_a_generation_shortens_the_next_suspension(
+    #[case] between: ExchangeOutcome,
+    #[case] suspended_ms: u64,
+) {
+    let (mut balancer, keys) = balancer(1, 8);
+    let mut now = NOW;
+    for outcome in [ExchangeOutcome::TimedOut, between].repeat(6) {
+        now += Span::from_secs(10);
+        balancer.begin_request(now, keys[0], RequestOrigin::Item);
+        balancer.finish_request(now, keys[0], outcome);
+    }
+    now += Span::from_secs(10);
+    balancer.begin_request(now, keys[0], RequestOrigin::Item);
+    balancer.finish_request(now, keys[0], ExchangeOutcome::TimedOut);
+    let end = now + Span::from_millis(suspended_ms);
+    assert!(balancer.is_suspended(now + Span::from_millis(suspended_ms - 1), keys[0]));
+    assert!(!balancer.is_suspended(end, keys[0]));
+}
+
 /// Pattern: all engines load two models in turn.
 ///
 /// Guards against an engine that is excluded for all of its models while it loads one.
--- a/crates/hibiscushinged/src/gateway/generation.rs
+++ b/crates/hibiscushinged/src/gateway/generation.rs
@@ -197,9 +197,7 @@
     match read_events(traffic, job, upstream, &mut exchange).await {
         Ok(()) => {
             traffic.keep_channel(upstream, exchange);
-            // The duration of a generation says nothing about that of a plain request, so it is not
-            // recorded as a response time.
-            (RunOutcome::Completed, ExchangeOutcome::Cancelled)
+            (RunOutcome::Completed, ExchangeOutcome::Completed)
         }
         Err((reason, outcome)) => (RunOutcome::Interrupted(reason), outcome),
     }
--- a/crates/hibiscushinged/src/gateway/relay.rs
+++ b/crates/hibiscushinged/src/gateway/relay.rs
@@ -333,12 +333,15 @@
         }
         Ok(None) => {
             let exchange = state.exchange.take()?;
-            if exchange.head().status.as_u16() < 500 {
+            let outcome = if exchange.head().status.as_u16() < 500 {
                 state.run.record_response(&state.traffic);
-            }
+                ExchangeOutcome::Completed
+            } else {
+                ExchangeOutcome::Cancelled
+            };
             state.traffic.keep_channel(state.upstream, exchange);
             if let Some(attempt) = state.attempt.take() {
-                attempt.finish(ExchangeOutcome::Cancelled);
+                attempt.finish(outcome);
             }
             None
         }
