Soak: connections that fall silent without a reset

The connections of all gateways to the engines or the plain services, or those of one gateway to the store, pass nothing more and stay open, in a series of their own, so that the other faults of a seed stay as they are. The relay could cut and hold up connections before, which ends them or passes the bytes later.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -18,6 +18,9 @@
 /// Longest pause between the starts of two faults that concern all gateways.
 const MAX_WIDE_PAUSE_MS: u64 = 6_000;
 
+/// Longest pause between two times at which connections fall silent.
+const MAX_SILENCE_PAUSE_MS: u64 = 4_000;
+
 /// Longest duration of a fault. Faults of the real platform last from 2 to 14 s.
 const MAX_FAULT_DURATION_MS: u64 = 4_000;
 
@@ -61,6 +64,13 @@
     EngineSlow(usize),
     /// Delayed or blocked traffic between the gateways and a plain service.
     ServicePath(usize, RelayFlow),
+    /// Open connections between a gateway and the store that pass nothing more and stay open. New ones
+    /// pass.
+    StoreSilent(usize),
+    /// The same for the connections of all gateways to all engines.
+    EnginesSilent,
+    /// The same for those to the plain services that have relays.
+    ServicesSilent,
     /// A new version of the configuration, which stays in force.
     Configuration,
     /// A version of the configuration without the route of the reward calls, and one that has it again
@@ -82,6 +92,18 @@
     .await;
 }
 
+/// Does what [`inject`] does with connections that fall silent, with random numbers of their own.
+pub(crate) async fn inject_silence(testbed: &Rc<SoakTestbed>, random: &mut impl Rng) {
+    inject_series(testbed, random, MAX_SILENCE_PAUSE_MS, |testbed, random| {
+        match random.random_range(0..4) {
+            0 => FaultKind::StoreSilent(random.random_range(0..testbed.options.gateways)),
+            1 => FaultKind::ServicesSilent,
+            _ => FaultKind::EnginesSilent,
+        }
+    })
+    .await;
+}
+
 async fn inject_series<R: Rng>(
     testbed: &Rc<SoakTestbed>,
     random: &mut R,
@@ -191,6 +213,19 @@
             tokio::time::sleep(duration).await;
             testbed.services[service].relay.set_flow(RelayFlow::Pass);
         }
+        FaultKind::StoreSilent(node) => {
+            testbed.nodes.borrow()[node].store_relay.silence_connections();
+        }
+        FaultKind::EnginesSilent => {
+            for engine in &testbed.engines {
+                engine.relay.silence_connections();
+            }
+        }
+        FaultKind::ServicesSilent => {
+            for service in &testbed.services {
+                service.relay.silence_connections();
+            }
+        }
         FaultKind::Configuration => testbed.change_config(true),
         FaultKind::RouteMissing => {
             testbed.change_config(false);
--- a/crates/soak/src/testbed.rs
+++ b/crates/soak/src/testbed.rs
@@ -281,9 +281,12 @@
         let trainer = actix_rt::spawn(trainer::run(Rc::clone(&self)));
         let mut wide_random = ChaCha8Rng::seed_from_u64(self.options.seed);
         wide_random.set_stream(1);
+        let mut silence_random = ChaCha8Rng::seed_from_u64(self.options.seed);
+        silence_random.set_stream(2);
         tokio::join!(
             faults::inject(&self, &mut random),
-            faults::inject_wide(&self, &mut wide_random)
+            faults::inject_wide(&self, &mut wide_random),
+            faults::inject_silence(&self, &mut silence_random)
         );
         faults::end_faults(&self).await;
         *self.stopping.borrow_mut() = true;
